--- /dev/null
+++ b/protocol/fault/fault.go
@@ -0,0 +1,178 @@
+// Package fault holds the typed errors of apricotspoke. Each kind has one HTTP
+// status and one remedy, which every message names.
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/samber/oops"
+)
+
+// Kind names a class of errors. It is stable: scripts and clients may match it.
+type Kind string
+
+// The kinds. Kinds of which NotRun is true are only used when nothing ran.
+const (
+	InvalidRequest     Kind = "invalid_request"
+	Unauthenticated    Kind = "unauthenticated"
+	Forbidden          Kind = "forbidden"
+	UnknownModel       Kind = "unknown_model"
+	UnknownService     Kind = "unknown_service"
+	PromptTooLong      Kind = "prompt_too_long"
+	BodyTooLarge       Kind = "body_too_large"
+	LimitExceeded      Kind = "limit_exceeded"
+	Overloaded         Kind = "overloaded"
+	DeadlineUnmeetable Kind = "deadline_unmeetable"
+	NotCurrent         Kind = "not_current"
+	OutOfService       Kind = "out_of_service"
+	KeyReused          Kind = "idempotency_key_reused"
+	InProgress         Kind = "in_progress"
+	OutcomeUnknown     Kind = "outcome_unknown"
+	EndpointFailed     Kind = "endpoint_failed"
+	Timeout            Kind = "timeout"
+	Cancelled          Kind = "cancelled"
+	Conflict           Kind = "conflict"
+	NotFound           Kind = "not_found"
+	NotLeader          Kind = "not_leader"
+	Corrupt            Kind = "corrupt"
+	Internal           Kind = "internal"
+)
+
+type trait struct {
+	status int
+	notRun bool
+	remedy string
+}
+
+var traits = map[Kind]trait{
+	InvalidRequest:     {400, true, "correct the request and send it again"},
+	Unauthenticated:    {401, true, "send a valid key as a bearer token"},
+	Forbidden:          {403, true, "ask the operator to add it to the contract"},
+	UnknownModel:       {404, true, "name a model of the contract"},
+	UnknownService:     {404, true, "name a service of the contract"},
+	PromptTooLong:      {400, true, "shorten the prompt or ask the operator for a longer limit"},
+	BodyTooLarge:       {413, true, "send a smaller body"},
+	LimitExceeded:      {429, true, "send again after Retry-After"},
+	Overloaded:         {503, true, "send again after Retry-After"},
+	DeadlineUnmeetable: {503, true, "send again after Retry-After or allow a later deadline"},
+	NotCurrent:         {503, true, "send again after Retry-After; operators: check that control has a leader"},
+	OutOfService:       {503, true, "send again after Retry-After"},
+	KeyReused:          {422, true, "use a new idempotency key for a new request"},
+	InProgress:         {409, false, "send again after Retry-After with the same idempotency key"},
+	OutcomeUnknown:     {502, false, "check whether the request took effect before sending it under a new key"},
+	EndpointFailed:     {502, false, "send again if the request may be repeated"},
+	Timeout:            {504, false, "send again if the request may be repeated"},
+	Cancelled:          {499, false, "send again if it is still wanted"},
+	Conflict:           {409, true, "read the object again and repeat the change on its new version"},
+	NotFound:           {404, true, "check the name"},
+	NotLeader:          {503, true, "send again; the replicas are electing a leader"},
+	Corrupt:            {500, false, "replace the replica with an empty data folder"},
+	Internal:           {500, false, "report this with the request identity"},
+}
+
+// Error is a typed error.
+type Error struct {
+	Kind       Kind
+	Message    string
+	RetryAfter time.Duration // 0 when there is nothing to wait for
+	Cause      error
+}
+
+// New returns an error of the kind. The message says what is wrong; the remedy
+// is added to it.
+func New(kind Kind, format string, args ...any) *Error {
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error of the kind with a cause, annotated by oops.
+func Wrap(cause error, kind Kind, format string, args ...any) *Error {
+	e := New(kind, format, args...)
+	e.Cause = oops.Code(string(kind)).Hint(kind.Remedy()).Wrap(cause)
+	return e
+}
+
+// After sets the time to wait before the next try.
+func (e *Error) After(wait time.Duration) *Error {
+	e.RetryAfter = wait
+	return e
+}
+
+// Error gives the message and the remedy.
+func (e *Error) Error() string {
+	text := string(e.Kind) + ": " + e.Message + "; " + e.Kind.Remedy()
+	if e.Cause != nil {
+		text += " (" + e.Cause.Error() + ")"
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Status is the HTTP status of the kind.
+func (k Kind) Status() int {
+	if t, ok := traits[k]; ok {
+		return t.status
+	}
+	return 500
+}
+
+// Remedy says what to do about an error of the kind.
+func (k Kind) Remedy() string {
+	if t, ok := traits[k]; ok {
+		return t.remedy
+	}
+	return traits[Internal].remedy
+}
+
+// NotRun reports whether the kind asserts that nothing ran.
+func (k Kind) NotRun() bool { return traits[k].notRun }
+
+// Known reports whether the kind is one of this package.
+func (k Kind) Known() bool {
+	_, ok := traits[k]
+	return ok
+}
+
+// KindOf returns the kind of err, or Internal.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
+
+// From returns err as a typed error; one without a kind becomes Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, Internal, "unexpected failure")
+}
+
+// ToWire turns err into its message between processes; nil stays nil.
+func ToWire(err error) *wire.Failure {
+	if err == nil {
+		return nil
+	}
+	e := From(err)
+	return &wire.Failure{
+		Kind:         string(e.Kind),
+		Message:      e.Message,
+		RetryAfterMs: uint32(e.RetryAfter.Milliseconds()),
+	}
+}
+
+// FromWire turns a message between processes back into an error; nil stays nil.
+func FromWire(f *wire.Failure) error {
+	if f == nil {
+		return nil
+	}
+	e := New(Kind(f.Kind), "%s", f.Message)
+	return e.After(time.Duration(f.RetryAfterMs) * time.Millisecond)
+}
--- /dev/null
+++ b/state/fleet/view.go
@@ -0,0 +1,173 @@
+// Package fleet holds the fleet configuration as an immutable view that
+// traffic goroutines read without locks.
+package fleet
+
+import (
+	"crypto/sha256"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// KeyHash is the SHA-256 of a bearer key.
+type KeyHash [sha256.Size]byte
+
+// View is the configuration at one revision. It never changes once built.
+type View struct {
+	revision    uint64
+	contracts   map[string]*wire.Contract
+	keys        map[KeyHash]*wire.Contract
+	dataCentres map[string]*wire.DataCentre
+	endpoints   map[string]*wire.EndpointPolicy
+	orders      map[string][]*wire.Order // by endpoint, ascending by number
+	members     map[string]*wire.Member
+}
+
+// NewView builds a view of the whole configuration.
+func NewView(config *wire.FleetConfig) *View {
+	v := &View{
+		contracts:   make(map[string]*wire.Contract),
+		dataCentres: make(map[string]*wire.DataCentre),
+		endpoints:   make(map[string]*wire.EndpointPolicy),
+		orders:      make(map[string][]*wire.Order),
+		members:     make(map[string]*wire.Member),
+	}
+	v.merge(&wire.ConfigDelta{
+		Revision:    config.GetRevision(),
+		Contracts:   config.GetContracts(),
+		DataCentres: config.GetDataCentres(),
+		Endpoints:   config.GetEndpoints(),
+		Orders:      config.GetOrders(),
+		Members:     config.GetMembers(),
+	})
+	v.indexKeys()
+	return v
+}
+
+// Apply returns the view after the deltas, which ascend by revision. Deltas
+// that the view already holds are passed over.
+func (v *View) Apply(deltas []*wire.ConfigDelta) *View {
+	next := v.clone()
+	for _, d := range deltas {
+		if d.Revision > next.revision {
+			next.merge(d)
+		}
+	}
+	next.indexKeys()
+	return next
+}
+
+func (v *View) clone() *View {
+	return &View{
+		revision:    v.revision,
+		contracts:   maps.Clone(v.contracts),
+		dataCentres: maps.Clone(v.dataCentres),
+		endpoints:   maps.Clone(v.endpoints),
+		orders:      maps.Clone(v.orders),
+		members:     maps.Clone(v.members),
+	}
+}
+
+func (v *View) merge(d *wire.ConfigDelta) {
+	v.revision = max(v.revision, d.Revision)
+	for _, c := range d.Contracts {
+		if c.Deleted {
+			delete(v.contracts, c.Organisation)
+			continue
+		}
+		v.contracts[c.Organisation] = c
+	}
+	for _, dc := range d.DataCentres {
+		v.dataCentres[dc.Name] = dc
+	}
+	for _, e := range d.Endpoints {
+		v.endpoints[e.Endpoint] = e
+	}
+	for _, o := range d.Orders {
+		v.mergeOrder(o)
+	}
+	for _, m := range d.Members {
+		if m.Removed {
+			delete(v.members, m.Id)
+			continue
+		}
+		v.members[m.Id] = m
+	}
+}
+
+// mergeOrder replaces the order of that number, or adds it. Slices of earlier
+// views stay untouched.
+func (v *View) mergeOrder(o *wire.Order) {
+	orders := slices.Clone(v.orders[o.Endpoint])
+	at, found := slices.BinarySearchFunc(orders, o.Number, func(have *wire.Order, number uint64) int {
+		return int(int64(have.Number) - int64(number))
+	})
+	if found {
+		orders[at] = o
+	} else {
+		orders = slices.Insert(orders, at, o)
+	}
+	v.orders[o.Endpoint] = orders
+}
+
+func (v *View) indexKeys() {
+	v.keys = make(map[KeyHash]*wire.Contract, len(v.contracts))
+	for _, c := range v.contracts {
+		for _, h := range c.KeyHashes {
+			if len(h) == sha256.Size {
+				v.keys[KeyHash(h)] = c
+			}
+		}
+	}
+}
+
+// Revision is the log index of the last change in the view.
+func (v *View) Revision() uint64 { return v.revision }
+
+// Contract returns the contract of an organisation, or nil.
+func (v *View) Contract(organisation string) *wire.Contract { return v.contracts[organisation] }
+
+// ContractByKey returns the contract that a bearer key opens, or nil. The look-up
+// compares hashes only, so its time tells nothing of the key.
+func (v *View) ContractByKey(key string) *wire.Contract {
+	return v.keys[sha256.Sum256([]byte(key))]
+}
+
+// DataCentreOut reports whether operators have taken the data centre out.
+func (v *View) DataCentreOut(name string) bool { return v.dataCentres[name].GetOut() }
+
+// EndpointState is the operators' state of an endpoint; in, unless they said otherwise.
+func (v *View) EndpointState(endpoint string) wire.EndpointState {
+	return v.endpoints[endpoint].GetState()
+}
+
+// Orders returns the orders of an endpoint in ascending order of number.
+func (v *View) Orders(endpoint string) []*wire.Order { return v.orders[endpoint] }
+
+// Members returns the control replicas in order of identity.
+func (v *View) Members() []*wire.Member {
+	return sorted(v.members, func(m *wire.Member) string { return m.Id })
+}
+
+// Config returns the view as one message, in a fixed order.
+func (v *View) Config() *wire.FleetConfig {
+	config := &wire.FleetConfig{
+		Revision:    v.revision,
+		Contracts:   sorted(v.contracts, func(c *wire.Contract) string { return c.Organisation }),
+		DataCentres: sorted(v.dataCentres, func(d *wire.DataCentre) string { return d.Name }),
+		Endpoints:   sorted(v.endpoints, func(e *wire.EndpointPolicy) string { return e.Endpoint }),
+		Members:     v.Members(),
+	}
+	for _, endpoint := range slices.Sorted(maps.Keys(v.orders)) {
+		config.Orders = append(config.Orders, v.orders[endpoint]...)
+	}
+	return config
+}
+
+func sorted[T any](objects map[string]T, name func(T) string) []T {
+	list := slices.Collect(maps.Values(objects))
+	slices.SortFunc(list, func(a, b T) int { return strings.Compare(name(a), name(b)) })
+	return list
+}
--- /dev/null
+++ b/telemetry/logs/logs.go
@@ -0,0 +1,33 @@
+// Package logs gives each part its logger. Messages are short sentences with
+// the part's fixed prefix; prompts and keys are never logged.
+package logs
+
+import (
+	"os"
+
+	"github.com/phuslu/log"
+)
+
+// For returns the logger of a part, such as "entry" or "control".
+func For(part string) *Logger {
+	return &Logger{part: part, base: &log.Logger{
+		Level:   log.InfoLevel,
+		Writer:  &log.IOWriter{Writer: os.Stderr},
+		Context: log.NewContext(nil).Str("part", part).Value(),
+	}}
+}
+
+// Logger writes structured lines of one part.
+type Logger struct {
+	part string
+	base *log.Logger
+}
+
+// Info starts a line of ordinary news; end it with Msg.
+func (l *Logger) Info() *log.Entry { return l.base.Info() }
+
+// Warn starts a line of a fault that the process survives.
+func (l *Logger) Warn() *log.Entry { return l.base.Warn() }
+
+// Error starts a line of a fault that needs an operator.
+func (l *Logger) Error() *log.Entry { return l.base.Error() }
--- /dev/null
+++ b/transport/link/link.go
@@ -0,0 +1,109 @@
+// Package link opens gRPC connections and servers between the processes of the
+// fleet. Nothing is resent by the transport: a retry is a decision of the caller.
+package link
+
+import (
+	"crypto/tls"
+	"math"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	maxMessageBytes   = 16 << 20
+	connectTimeout    = time.Second
+	maxReconnectDelay = time.Second
+	noServiceConfig   = `{"methodConfig":[]}`
+	concurrentStreams = math.MaxUint32
+)
+
+// Security secures links. The zero value means plain text.
+type Security struct {
+	Client *tls.Config
+	Server *tls.Config
+}
+
+// Dial returns a connection that is opened when first used.
+func Dial(address string, security Security) (*grpc.ClientConn, error) {
+	transport := insecure.NewCredentials()
+	if security.Client != nil {
+		transport = credentials.NewTLS(security.Client)
+	}
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(transport),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultServiceConfig(noServiceConfig),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			MinConnectTimeout: connectTimeout,
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectDelay},
+		}),
+	)
+}
+
+// NewServer returns a server for links of the fleet.
+func NewServer(security Security, options ...grpc.ServerOption) *grpc.Server {
+	if security.Server != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(security.Server)))
+	}
+	options = append(options,
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.MaxConcurrentStreams(concurrentStreams))
+	return grpc.NewServer(options...)
+}
+
+// Pool keeps one connection per address.
+type Pool struct {
+	security Security
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool.
+func NewPool(security Security) *Pool {
+	return &Pool{security: security, conns: make(map[string]*grpc.ClientConn)}
+}
+
+// Get returns the connection to an address.
+func (p *Pool) Get(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := Dial(address, p.security)
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// Replace closes the connection to an address if it is still the given one, so
+// that the next Get opens a new one. Streams on it fail.
+func (p *Pool) Replace(address string, conn *grpc.ClientConn) {
+	p.mu.Lock()
+	if p.conns[address] == conn {
+		delete(p.conns, address)
+	}
+	p.mu.Unlock()
+	_ = conn.Close()
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
