--- /dev/null
+++ b/cmd/apricotspoke-agent/main.go
@@ -0,0 +1,4 @@
+// Command apricotspoke-agent is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/apricotspoke-control/main.go
@@ -0,0 +1,4 @@
+// Command apricotspoke-control is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/apricotspoke-entry/main.go
@@ -0,0 +1,4 @@
+// Command apricotspoke-entry is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/apricotspoke-fakeendpoint/main.go
@@ -0,0 +1,4 @@
+// Command apricotspoke-fakeendpoint is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/apricotspoke-load/main.go
@@ -0,0 +1,4 @@
+// Command apricotspoke-load is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/apricotspokectl/main.go
@@ -0,0 +1,4 @@
+// Command apricotspokectl is not built yet.
+package main
+
+func main() {}
