--- /dev/null
+++ b/coordination/control/quotas.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/quota"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/fleet"
+	"google.golang.org/grpc"
+)
+
+type quotasServer struct {
+	wire.UnimplementedQuotasServer
+	*Service
+}
+
+// Lease gives an entry its part of each contract that it asks for.
+func (q *quotasServer) Lease(ctx context.Context, request *wire.LeaseRequest) (*wire.LeaseResponse, error) {
+	response, err := q.lease(ctx, request)
+	if err != nil {
+		return &wire.LeaseResponse{Failure: fault.ToWire(err)}, nil
+	}
+	return response, nil
+}
+
+func (q *quotasServer) lease(ctx context.Context, request *wire.LeaseRequest) (*wire.LeaseResponse, error) {
+	if request.Entry == "" {
+		return nil, fault.New(fault.InvalidRequest, "the entry gives no name")
+	}
+	if !q.Replica.Status().IsLeader {
+		return forward(ctx, q.Service, request, func(conn grpc.ClientConnInterface, ctx context.Context, r *wire.LeaseRequest) (*wire.LeaseResponse, error) {
+			return wire.NewQuotasClient(conn).Lease(ctx, r)
+		})
+	}
+	led, err := q.leadership(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return q.divide(request, led)
+}
+
+func (q *quotasServer) divide(request *wire.LeaseRequest, led leadership) (*wire.LeaseResponse, error) {
+	q.quotas.mu.Lock()
+	defer q.quotas.mu.Unlock()
+	now := time.Now()
+	valid := led.remaining(quota.Life)
+	if valid <= 0 {
+		return nil, fault.New(fault.NotCurrent, "the leader was not confirmed in time").After(feedInterval)
+	}
+	view := q.Machine.Published().View
+	ledger := q.ledgerOf(led, view)
+	if !ledger.InOrder(request) {
+		return nil, fault.New(fault.InvalidRequest, "lease request %d of entry %q is behind a later one", request.Sequence, request.Entry)
+	}
+	response := &wire.LeaseResponse{}
+	for _, demand := range request.Demands {
+		grant := ledger.Lease(now, request.Entry, demand, view.Contract(demand.Organisation))
+		grant.ValidMs = uint32(valid.Milliseconds())
+		response.Grants = append(response.Grants, grant)
+	}
+	return response, nil
+}
+
+// ledgerOf returns the ledger of this leadership, with an account for every
+// contract. Those there at its start are not new: others may have granted them.
+func (s *Service) ledgerOf(led leadership, view *fleet.View) *quota.Ledger {
+	q := &s.quotas
+	first := q.ledger == nil || !q.leaderSince.Equal(led.since)
+	if first {
+		q.leaderSince = led.since
+		q.ledger = quota.NewLedger(led.since)
+	}
+	if first || q.revision != view.Revision() {
+		for _, contract := range view.Contracts() {
+			q.ledger.Open(time.Now(), contract, !first)
+		}
+		q.revision = view.Revision()
+	}
+	return q.ledger
+}
--- /dev/null
+++ b/coordination/control/status.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+)
+
+const statusGatherTimeout = 500 * time.Millisecond
+
+// Status tells who leads, who is in the group and what was heard of processes
+// and gates. A replica without a leader answers with what it knows itself.
+func (o *operatorServer) Status(ctx context.Context, request *wire.StatusRequest) (*wire.StatusResponse, error) {
+	if err := o.authenticate(request.OperatorKey); err != nil {
+		return nil, StatusError(err)
+	}
+	if forwarded(ctx) {
+		return o.localStatus(), nil
+	}
+	response := o.localStatus()
+	for _, other := range o.gatherStatus(ctx, request) {
+		response.Processes = append(response.Processes, other.Processes...)
+		response.Gates = append(response.Gates, other.Gates...)
+	}
+	response.Processes = newestProcesses(response.Processes)
+	response.Gates = newestGates(response.Gates)
+	return response, nil
+}
+
+func (o *operatorServer) localStatus() *wire.StatusResponse {
+	st := o.Replica.Status()
+	response := &wire.StatusResponse{
+		ReplicaId:     st.ID,
+		LeaderId:      st.Leader,
+		LeaderAddress: st.LeaderAddress,
+		Term:          st.Term,
+		Commit:        st.Commit,
+		Revision:      o.Machine.Published().View.Revision(),
+		Members:       st.Members,
+		FirstLogIndex: st.FirstIndex,
+		SnapshotIndex: st.SnapshotIndex,
+	}
+	self := &wire.ProcessInfo{
+		Id:         o.Process.Id,
+		Role:       o.Process.Role,
+		DataCentre: o.Process.DataCentre,
+		Address:    o.Process.Address,
+		Revision:   o.Store.Revision(),
+	}
+	response.Processes = append(response.Processes, &wire.ProcessStatus{Info: self})
+	o.seen.fill(response)
+	return response
+}
+
+// gatherStatus asks the other replicas at the same time; silent ones are left out.
+func (o *operatorServer) gatherStatus(ctx context.Context, request *wire.StatusRequest) []*wire.StatusResponse {
+	ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(ctx, forwardedHeader, "1"), statusGatherTimeout)
+	defer cancel()
+	st := o.Replica.Status()
+	var mu sync.Mutex
+	var all []*wire.StatusResponse
+	var wait sync.WaitGroup
+	for _, member := range st.Members {
+		if member.Id == st.ID {
+			continue
+		}
+		wait.Go(func() {
+			conn, err := o.Dial(member.Address)
+			if err != nil {
+				return
+			}
+			response, err := statusOf(ctx, conn, request)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, response)
+		})
+	}
+	wait.Wait()
+	return all
+}
+
+func statusOf(ctx context.Context, conn grpc.ClientConnInterface, request *wire.StatusRequest) (*wire.StatusResponse, error) {
+	return wire.NewOperatorClient(conn).Status(ctx, request)
+}
+
+func newestProcesses(list []*wire.ProcessStatus) []*wire.ProcessStatus {
+	slices.SortFunc(list, func(a, b *wire.ProcessStatus) int {
+		if c := strings.Compare(a.Info.Id, b.Info.Id); c != 0 {
+			return c
+		}
+		return int(int64(a.SeenMsAgo) - int64(b.SeenMsAgo))
+	})
+	return slices.CompactFunc(list, func(a, b *wire.ProcessStatus) bool { return a.Info.Id == b.Info.Id })
+}
+
+func newestGates(list []*wire.GateReport) []*wire.GateReport {
+	slices.SortFunc(list, func(a, b *wire.GateReport) int {
+		if c := strings.Compare(a.Endpoint+"\x00"+a.GateInstance, b.Endpoint+"\x00"+b.GateInstance); c != 0 {
+			return c
+		}
+		return int(int64(b.Sequence) - int64(a.Sequence))
+	})
+	return slices.CompactFunc(list, func(a, b *wire.GateReport) bool { return a.GateInstance == b.GateInstance })
+}
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -171,3 +171,17 @@
 	slices.SortFunc(list, func(a, b T) int { return strings.Compare(name(a), name(b)) })
 	return list
 }
+
+// DataCentre returns what operators set for a data centre, or nil.
+func (v *View) DataCentre(name string) *wire.DataCentre { return v.dataCentres[name] }
+
+// Endpoint returns what operators set for an endpoint, or nil.
+func (v *View) Endpoint(name string) *wire.EndpointPolicy { return v.endpoints[name] }
+
+// ContractByHash returns the contract that the key of this hash opens, or nil.
+func (v *View) ContractByHash(hash KeyHash) *wire.Contract { return v.keys[hash] }
+
+// Contracts returns every contract in order of organisation.
+func (v *View) Contracts() []*wire.Contract {
+	return sorted(v.contracts, func(c *wire.Contract) string { return c.Organisation })
+}
--- /dev/null
+++ b/state/machine/machine.go
@@ -0,0 +1,135 @@
+// Package machine is the deterministic state machine of the control replicas.
+// The same commands at the same log indexes give the same state and results on
+// every replica; it reads no clock and draws no random numbers.
+package machine
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/fleet"
+)
+
+// maxHistory is how many configuration changes are kept for the operators'
+// history and for processes that are behind.
+const maxHistory = 1024
+
+// Published is an immutable picture of the configuration part of the state.
+type Published struct {
+	View *fleet.View
+	// History holds the latest changes in ascending order of revision.
+	History []*wire.ConfigDelta
+	// Leases holds the gate lease of each endpoint.
+	Leases map[string]*wire.GateLeaseRecord
+}
+
+// Machine applies committed commands. One goroutine calls Apply, ApplyMembers,
+// Snapshot and Restore; any may call the readers.
+type Machine struct {
+	mu         sync.Mutex // guards against a snapshot taken beside an apply
+	applied    uint64
+	timeMs     atomic.Uint64
+	published  atomic.Pointer[Published]
+	operations operations
+	claims     claims
+	changed    chan struct{}
+}
+
+// New returns an empty machine.
+func New() *Machine {
+	m := &Machine{
+		operations: newOperations(),
+		claims:     newClaims(),
+		changed:    make(chan struct{}, 1),
+	}
+	m.published.Store(&Published{
+		View:   fleet.NewView(&wire.FleetConfig{}),
+		Leases: make(map[string]*wire.GateLeaseRecord),
+	})
+	return m
+}
+
+// Published returns the newest picture. It must not be altered.
+func (m *Machine) Published() *Published { return m.published.Load() }
+
+// TimeMs returns the log time: the highest stamp of any command applied.
+func (m *Machine) TimeMs() uint64 { return m.timeMs.Load() }
+
+// Changed receives a value after the configuration changed. Changes may share one.
+func (m *Machine) Changed() <-chan struct{} { return m.changed }
+
+// Apply carries out a committed command and returns its response message:
+// ApplyResponse, ClaimResponse, SettleResponse, GateLeaseResponse or
+// OrderDoneResponse.
+func (m *Machine) Apply(index uint64, command *wire.Command) any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applied = index
+	m.advance(command.TimeMs)
+	switch of := command.Of.(type) {
+	case *wire.Command_Apply:
+		return m.applyOperation(index, of.Apply)
+	case *wire.Command_Claim:
+		return m.claims.claim(m.TimeMs(), of.Claim)
+	case *wire.Command_Settle:
+		return m.claims.settle(of.Settle)
+	case *wire.Command_GateLease:
+		return m.acquireLease(index, of.GateLease)
+	case *wire.Command_OrderDone:
+		return m.finishOrder(index, of.OrderDone)
+	default:
+		return fault.New(fault.Internal, "command at index %d has no known kind", index)
+	}
+}
+
+// ApplyMembers records the members of the control group.
+func (m *Machine) ApplyMembers(index uint64, members []*wire.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applied = index
+	delta := &wire.ConfigDelta{Members: memberChanges(m.Published().View.Members(), members)}
+	if len(delta.Members) > 0 {
+		m.commit(index, delta)
+	}
+}
+
+// advance moves the log time on, never back, and drops what has expired.
+func (m *Machine) advance(timeMs uint64) {
+	if timeMs <= m.TimeMs() {
+		return
+	}
+	m.timeMs.Store(timeMs)
+	m.operations.expire(timeMs)
+	m.claims.expire(timeMs)
+}
+
+// commit makes a delta the newest revision.
+func (m *Machine) commit(index uint64, delta *wire.ConfigDelta) {
+	delta.Revision = index
+	old := m.Published()
+	m.published.Store(&Published{
+		View:    old.View.Apply([]*wire.ConfigDelta{delta}),
+		History: appendBounded(old.History, delta),
+		Leases:  old.Leases,
+	})
+	m.notify()
+}
+
+func (m *Machine) notify() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// appendBounded returns a new slice, since readers hold the old one.
+func appendBounded(history []*wire.ConfigDelta, delta *wire.ConfigDelta) []*wire.ConfigDelta {
+	if extra := len(history) + 1 - maxHistory; extra > 0 {
+		history = history[extra:]
+	}
+	next := make([]*wire.ConfigDelta, 0, len(history)+1)
+	next = append(next, history...)
+	return append(next, delta)
+}
--- /dev/null
+++ b/state/machine/orders.go
@@ -0,0 +1,70 @@
+package machine
+
+import (
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/contract"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	maxOrderArgumentBytes = 1024
+	maxOrderResultBytes   = 4096
+)
+
+// planOrder numbers an order by its log index, which is its fencing number.
+func planOrder(index uint64, order *wire.Order) (*wire.ConfigDelta, error) {
+	if err := contract.CheckName("endpoint", order.GetEndpoint()); err != nil {
+		return nil, err
+	}
+	_, known := wire.OrderKind_name[int32(order.Kind)]
+	if !known || order.Kind == wire.OrderKind_ORDER_KIND_UNSPECIFIED {
+		return nil, fault.New(fault.InvalidRequest, "order kind %d is unknown", order.Kind)
+	}
+	if order.Argument == "" || len(order.Argument) > maxOrderArgumentBytes {
+		return nil, fault.New(fault.InvalidRequest, "the order needs an argument of 1 to %d bytes", maxOrderArgumentBytes)
+	}
+	next := &wire.Order{Number: index, Endpoint: order.Endpoint, Kind: order.Kind, Argument: order.Argument}
+	return &wire.ConfigDelta{Orders: []*wire.Order{next}}, nil
+}
+
+// finishOrder records the first result of an order. Only the gate that holds
+// the endpoint's lease may report it.
+func (m *Machine) finishOrder(index uint64, request *wire.OrderDoneRequest) *wire.OrderDoneResponse {
+	delta, err := m.planResult(request)
+	if err != nil {
+		return &wire.OrderDoneResponse{Failure: fault.ToWire(err)}
+	}
+	if delta != nil {
+		m.commit(index, delta)
+	}
+	return &wire.OrderDoneResponse{}
+}
+
+func (m *Machine) planResult(request *wire.OrderDoneRequest) (*wire.ConfigDelta, error) {
+	published := m.Published()
+	order := findOrder(published.View.Orders(request.Endpoint), request.Number)
+	if order == nil {
+		return nil, fault.New(fault.NotFound, "endpoint %q has no order %d", request.Endpoint, request.Number)
+	}
+	if order.Done {
+		return nil, nil
+	}
+	if lease := published.Leases[request.Endpoint]; lease.GetNumber() != request.LeaseNumber {
+		return nil, fault.New(fault.Conflict, "endpoint %q is held under lease %d, not %d", request.Endpoint, lease.GetNumber(), request.LeaseNumber)
+	}
+	next := proto.CloneOf(order)
+	next.Done = true
+	next.Failed = request.Failed
+	next.Result = request.Result[:min(len(request.Result), maxOrderResultBytes)]
+	return &wire.ConfigDelta{Orders: []*wire.Order{next}}, nil
+}
+
+func findOrder(orders []*wire.Order, number uint64) *wire.Order {
+	for _, order := range orders {
+		if order.Number == number {
+			return order
+		}
+	}
+	return nil
+}
