--- /dev/null
+++ b/coordination/raft/log.go
@@ -0,0 +1,128 @@
+package raft
+
+import (
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// raftLog holds the entries behind a base position. entries[0] is at base+1.
+type raftLog struct {
+	base      uint64
+	baseTerm  uint64
+	entries   []*wire.LogEntry
+	snapshot  *wire.LogSnapshot // newest; at or above base
+	stable    uint64            // synced up to here
+	committed uint64
+	applied   uint64
+}
+
+func newLog(snapshot *wire.LogSnapshot, entries []*wire.LogEntry) *raftLog {
+	l := &raftLog{snapshot: snapshot}
+	if snapshot != nil {
+		l.committed, l.applied = snapshot.Index, snapshot.Index
+		l.base, l.baseTerm = snapshot.Index, snapshot.Term
+	}
+	for _, e := range entries {
+		if e.Index > l.base {
+			l.entries = append(l.entries, e)
+		}
+	}
+	l.stable = l.lastIndex()
+	return l
+}
+
+func (l *raftLog) lastIndex() uint64  { return l.base + uint64(len(l.entries)) }
+func (l *raftLog) firstIndex() uint64 { return l.base + 1 }
+
+func (l *raftLog) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// term returns the term of an entry; false when it is compacted or not there.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	if index == l.base {
+		return l.baseTerm, true
+	}
+	if index < l.base || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.base-1].Term, true
+}
+
+func (l *raftLog) matches(index, term uint64) bool {
+	have, ok := l.term(index)
+	return ok && have == term
+}
+
+func (l *raftLog) append(e *wire.LogEntry) { l.entries = append(l.entries, e) }
+
+// truncateFrom removes the entries from index on.
+func (l *raftLog) truncateFrom(index uint64) {
+	if index <= l.committed {
+		panic("raft: a committed entry would be overwritten")
+	}
+	// A full slice expression keeps slices handed out by Ready unchanged.
+	n := index - l.base - 1
+	l.entries = l.entries[:n:n]
+	l.stable = min(l.stable, index-1)
+}
+
+// slice returns entries from index on, at most limit bytes but at least one.
+func (l *raftLog) slice(from uint64, limit int) []*wire.LogEntry {
+	if from > l.lastIndex() {
+		return nil
+	}
+	rest := l.entries[from-l.base-1:]
+	size := 0
+	for i, e := range rest {
+		size += proto.Size(e)
+		if i > 0 && size > limit {
+			return rest[:i:i]
+		}
+	}
+	return rest[:len(rest):len(rest)]
+}
+
+func (l *raftLog) unstable() []*wire.LogEntry {
+	if l.stable >= l.lastIndex() {
+		return nil
+	}
+	rest := l.entries[l.stable-l.base:]
+	return rest[:len(rest):len(rest)]
+}
+
+func (l *raftLog) toApply(restoring *wire.LogSnapshot) []*wire.LogEntry {
+	from := l.applied
+	if restoring != nil {
+		from = max(from, restoring.Index)
+	}
+	if l.committed <= from {
+		return nil
+	}
+	return l.entries[from-l.base : l.committed-l.base : l.committed-l.base]
+}
+
+func (l *raftLog) stableTo(index uint64) { l.stable = max(l.stable, min(index, l.lastIndex())) }
+
+// compact records a snapshot and drops the entries below keepFrom.
+func (l *raftLog) compact(snapshot *wire.LogSnapshot, keepFrom uint64) {
+	l.snapshot = snapshot
+	keepFrom = min(keepFrom, snapshot.Index+1)
+	if keepFrom <= l.firstIndex() {
+		return
+	}
+	base := keepFrom - 1
+	term, _ := l.term(base)
+	l.entries = append([]*wire.LogEntry(nil), l.entries[base-l.base:]...)
+	l.base, l.baseTerm = base, term
+}
+
+// install replaces the whole log by a received snapshot.
+func (l *raftLog) install(snapshot *wire.LogSnapshot) {
+	l.snapshot = snapshot
+	l.base, l.baseTerm = snapshot.Index, snapshot.Term
+	l.entries = nil
+	l.stable = snapshot.Index
+	l.committed = snapshot.Index
+}
--- /dev/null
+++ b/coordination/raft/step.go
@@ -0,0 +1,239 @@
+package raft
+
+import (
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	preVote        = wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE
+	preVoteReply   = wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_REPLY
+	vote           = wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE
+	voteReply      = wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE_REPLY
+	appendEntries  = wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND
+	appendReply    = wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_REPLY
+	heartbeat      = wire.PeerMessageKind_PEER_MESSAGE_KIND_HEARTBEAT
+	heartbeatReply = wire.PeerMessageKind_PEER_MESSAGE_KIND_HEARTBEAT_REPLY
+	installMessage = wire.PeerMessageKind_PEER_MESSAGE_KIND_SNAPSHOT
+	timeoutNow     = wire.PeerMessageKind_PEER_MESSAGE_KIND_TIMEOUT_NOW
+)
+
+// Step takes in a message of another replica. Messages for another identity
+// are dropped: they are meant for a former replica at this address.
+func (r *Raft) Step(m *wire.PeerMessage) {
+	if m.To != r.id || m.From == r.id {
+		return
+	}
+	if m.Term > r.term && !r.acceptNewTerm(m) {
+		return
+	}
+	if m.Term < r.term {
+		r.rejectOldTerm(m)
+		return
+	}
+	switch m.Kind {
+	case preVote, vote:
+		r.handleVote(m)
+	case preVoteReply:
+		r.handleVoteReply(m, PreCandidate)
+	case voteReply:
+		r.handleVoteReply(m, Candidate)
+	case appendEntries, heartbeat, installMessage:
+		r.stepFromLeader(m)
+	case appendReply, heartbeatReply:
+		r.stepReply(m)
+	case timeoutNow:
+		if r.role == Follower && r.isVoterNow() {
+			r.forced = true
+			r.campaign(false)
+		}
+	}
+}
+
+// acceptNewTerm adopts a higher term and reports whether to go on with m.
+func (r *Raft) acceptNewTerm(m *wire.PeerMessage) bool {
+	switch m.Kind {
+	case preVote:
+		return !r.hearsLeader()
+	case vote:
+		if m.Context != forcedCampaign && r.hearsLeader() {
+			return false
+		}
+	case preVoteReply:
+		if !m.Reject {
+			// A granted pre-vote carries the term that was asked for.
+			if m.Term == r.term+1 {
+				r.handleVoteReply(m, PreCandidate)
+			}
+			return false
+		}
+	}
+	leader := ""
+	if m.Kind == appendEntries || m.Kind == heartbeat || m.Kind == installMessage {
+		leader = m.From
+	}
+	r.becomeFollower(m.Term, leader)
+	return true
+}
+
+// rejectOldTerm tells a sender of an older term that its term has passed.
+func (r *Raft) rejectOldTerm(m *wire.PeerMessage) {
+	switch m.Kind {
+	case appendEntries, heartbeat, installMessage:
+		r.send(&wire.PeerMessage{Kind: appendReply, To: m.From, Reject: true})
+	case preVote:
+		r.send(&wire.PeerMessage{Kind: preVoteReply, To: m.From, Reject: true})
+	case vote:
+		r.send(&wire.PeerMessage{Kind: voteReply, To: m.From, Reject: true})
+	}
+}
+
+func (r *Raft) stepFromLeader(m *wire.PeerMessage) {
+	if r.role != Follower || r.leader != m.From {
+		r.becomeFollower(m.Term, m.From)
+	}
+	r.elapsed = 0
+	switch m.Kind {
+	case appendEntries:
+		r.handleAppend(m)
+	case heartbeat:
+		r.commitTo(m.Commit)
+		r.send(&wire.PeerMessage{Kind: heartbeatReply, To: m.From, Context: m.Context})
+	case installMessage:
+		r.handleSnapshot(m)
+	}
+}
+
+func (r *Raft) commitTo(index uint64) {
+	if r.snapshot != nil {
+		return
+	}
+	r.log.committed = max(r.log.committed, min(index, r.log.lastIndex()))
+}
+
+func (r *Raft) handleAppend(m *wire.PeerMessage) {
+	if m.Index < r.log.committed {
+		r.acknowledge(m, r.log.committed)
+		return
+	}
+	if !r.log.matches(m.Index, m.LogTerm) {
+		r.send(&wire.PeerMessage{Kind: appendReply, To: m.From, Reject: true, Index: m.Index, Hint: r.conflictHint(m)})
+		return
+	}
+	for _, e := range m.Entries {
+		if r.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= r.log.lastIndex() {
+			r.log.truncateFrom(e.Index)
+			r.members.truncateFrom(e.Index)
+		}
+		r.log.append(e)
+		r.members.append(e)
+	}
+	last := m.Index + uint64(len(m.Entries))
+	r.commitTo(min(m.Commit, last))
+	r.acknowledge(m, last)
+}
+
+func (r *Raft) acknowledge(m *wire.PeerMessage, index uint64) {
+	r.send(&wire.PeerMessage{Kind: appendReply, To: m.From, Index: index})
+}
+
+// conflictHint returns the highest index at which the logs may still agree.
+func (r *Raft) conflictHint(m *wire.PeerMessage) uint64 {
+	hint := min(m.Index-1, r.log.lastIndex())
+	for hint > r.log.committed {
+		term, ok := r.log.term(hint)
+		if !ok || term <= m.LogTerm {
+			break
+		}
+		hint--
+	}
+	return hint
+}
+
+func (r *Raft) handleSnapshot(m *wire.PeerMessage) {
+	snapshot := &wire.LogSnapshot{}
+	if err := proto.Unmarshal(m.Snapshot, snapshot); err != nil {
+		return
+	}
+	if snapshot.Index <= r.log.committed {
+		r.acknowledge(m, r.log.committed)
+		return
+	}
+	if r.log.matches(snapshot.Index, snapshot.Term) {
+		r.commitTo(snapshot.Index)
+		r.acknowledge(m, snapshot.Index)
+		return
+	}
+	r.snapshot = snapshot
+	r.log.install(snapshot)
+	r.members.reset(snapshot)
+	r.acknowledge(m, snapshot.Index)
+}
+
+func encodeSnapshot(s *wire.LogSnapshot) []byte {
+	data, err := proto.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func (r *Raft) stepReply(m *wire.PeerMessage) {
+	p := r.peers[m.From]
+	if r.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	if m.Kind == heartbeatReply {
+		r.handleHeartbeatReply(m, p)
+		return
+	}
+	if m.Reject {
+		r.handleAppendReject(m, p)
+		return
+	}
+	r.handleAppendReply(m, p)
+}
+
+func (r *Raft) handleHeartbeatReply(m *wire.PeerMessage, p *progress) {
+	p.round = max(p.round, m.Context)
+	r.confirmReads()
+	p.paused = false
+	if p.match < r.log.lastIndex() {
+		r.sendAppend(m.From, true)
+	}
+}
+
+func (r *Raft) handleAppendReject(m *wire.PeerMessage, p *progress) {
+	if m.Index <= p.match || (p.probing && m.Index != p.next-1) {
+		return // an old answer
+	}
+	p.probing, p.paused = true, false
+	p.next = max(p.match+1, min(m.Index, m.Hint+1))
+	r.sendAppend(m.From, true)
+}
+
+func (r *Raft) handleAppendReply(m *wire.PeerMessage, p *progress) {
+	if m.Index > r.log.lastIndex() {
+		return
+	}
+	if p.snapshot != 0 && m.Index >= p.snapshot {
+		p.snapshot = 0
+	}
+	if m.Index < p.match || (m.Index == p.match && !p.probing) {
+		return
+	}
+	p.match = m.Index
+	p.next = max(p.next, m.Index+1)
+	if p.probing {
+		p.next = m.Index + 1
+		p.probing, p.paused = false, false
+	}
+	r.maybeCommit()
+	if m.From == r.transferee {
+		r.tryTransfer()
+	}
+}
--- /dev/null
+++ b/coordination/replica/cluster_test.go
@@ -0,0 +1,206 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// ledger is a machine that keeps the order of operations.
+type ledger struct {
+	mu      sync.Mutex
+	ops     []string
+	applied int // calls of Apply since it was made
+}
+
+func (l *ledger) Apply(_ uint64, c *wire.Command) any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ops = append(l.ops, c.GetApply().GetOperationId())
+	l.applied++
+	return len(l.ops)
+}
+
+func (l *ledger) ApplyMembers(uint64, []*wire.Member) {}
+
+func (l *ledger) Snapshot() ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return json.Marshal(l.ops)
+}
+
+func (l *ledger) Restore(data []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ops = nil
+	return json.Unmarshal(data, &l.ops)
+}
+
+func (l *ledger) list() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.ops...)
+}
+
+type node struct {
+	address string
+	folder  string
+	machine *ledger
+	replica *Replica
+	stop    func()
+}
+
+type cluster struct {
+	t     testing.TB
+	peers []string
+	nodes []*node
+}
+
+func dial(address string) (grpc.ClientConnInterface, error) {
+	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
+}
+
+// newCluster starts n replicas with empty folders, the first with Bootstrap.
+func newCluster(t testing.TB, n int) *cluster {
+	c := &cluster{t: t}
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.peers = append(c.peers, listener.Addr().String())
+		c.nodes = append(c.nodes, &node{address: listener.Addr().String(), folder: t.TempDir()})
+		_ = listener.Close()
+	}
+	for i := range n {
+		c.start(i)
+	}
+	return c
+}
+
+func (c *cluster) start(i int) {
+	c.t.Helper()
+	n := c.nodes[i]
+	n.machine = &ledger{}
+	r, err := Open(Options{
+		Folder: n.folder, Address: n.address, Peers: c.peers, Bootstrap: i == 0,
+		Machine: n.machine, Dial: dial, SnapshotInterval: 100, KeptEntries: 20,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.replica = r
+	var listener net.Listener
+	for range 100 {
+		if listener, err = net.Listen("tcp", n.address); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	wire.RegisterPeerServer(server, r)
+	ctx, cancel := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	work.Go(func() { _ = server.Serve(listener) })
+	work.Go(func() { _ = r.Run(ctx) })
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		server.Stop()
+		work.Wait()
+	})
+	c.t.Cleanup(func() { n.stop() })
+}
+
+// eventually polls with a generous limit.
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	for range 1500 {
+		if ok() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.t.Fatalf("did not happen: %s", what)
+}
+
+func (c *cluster) voters(n int) func() bool {
+	return func() bool {
+		l := c.leader()
+		if l == nil {
+			return false
+		}
+		voters := 0
+		for _, m := range l.replica.Status().Members {
+			if !m.Learner && !m.Removed {
+				voters++
+			}
+		}
+		return voters == n
+	}
+}
+
+func (c *cluster) leader() *node {
+	for _, n := range c.nodes {
+		if n.replica.Status().IsLeader {
+			return n
+		}
+	}
+	return nil
+}
+
+// propose retries until an answer is certain; its operation id is unique.
+func (c *cluster) propose(id string) {
+	c.t.Helper()
+	c.eventually("propose "+id, func() bool {
+		l := c.leader()
+		if l == nil {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := l.replica.Propose(ctx, command(id))
+		return err == nil
+	})
+}
+
+func command(id string) *wire.Command {
+	return &wire.Command{Of: &wire.Command_Apply{Apply: &wire.ApplyRequest{OperationId: id}}}
+}
+
+func (c *cluster) holds(i, count int) func() bool {
+	return func() bool { return len(c.nodes[i].machine.list()) >= count }
+}
+
+func TestThreeEmptyFoldersBecomeThreeVoters(t *testing.T) {
+	c := newCluster(t, 3)
+	c.eventually("three voters", c.voters(3))
+	for i := range 10 {
+		c.propose(fmt.Sprint(i))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	called := time.Now()
+	at, err := c.leader().replica.Barrier(ctx)
+	if err != nil || at.Before(called) {
+		t.Fatalf("barrier: %v %v", at.Sub(called), err)
+	}
+	for i := range c.nodes {
+		c.eventually("all hold all", c.holds(i, 10))
+	}
+	old := c.leader()
+	if err := old.replica.Transfer(ctx); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("another leader", func() bool { l := c.leader(); return l != nil && l != old })
+}
--- /dev/null
+++ b/coordination/replica/join.go
@@ -0,0 +1,143 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// Step takes in messages of another replica.
+func (r *Replica) Step(ctx context.Context, batch *wire.PeerMessages) (*wire.PeerAck, error) {
+	for _, m := range batch.Messages {
+		if m.To != r.id {
+			continue // meant for a former replica at this address
+		}
+		select {
+		case r.inbox <- m:
+		case <-r.stopped:
+			return &wire.PeerAck{}, nil
+		case <-ctx.Done():
+			return &wire.PeerAck{}, nil
+		}
+	}
+	return &wire.PeerAck{}, nil
+}
+
+// Join adds the caller as a learner, or tells whether there is a group. An
+// identity that the caller's address had before is removed first.
+func (r *Replica) Join(ctx context.Context, q *wire.JoinRequest) (*wire.JoinResponse, error) {
+	s := r.Status()
+	answer := &wire.JoinResponse{
+		Id:            r.id,
+		HasGroup:      len(s.Members) > 0,
+		Bootstrapping: r.options.Bootstrap && len(s.Members) == 0,
+		LeaderAddress: s.LeaderAddress,
+	}
+	if q.InquireOnly {
+		return answer, nil
+	}
+	if q.Id == "" || q.Address == "" {
+		answer.Failure = fault.ToWire(fault.New(fault.InvalidRequest, "a join request names an identity and an address"))
+		return answer, nil
+	}
+	if err := r.admit(ctx, s.Members, q); err != nil {
+		answer.Failure = fault.ToWire(err)
+		return answer, nil
+	}
+	answer.Accepted = true
+	return answer, nil
+}
+
+func (r *Replica) admit(ctx context.Context, members []*wire.Member, q *wire.JoinRequest) error {
+	if !r.Status().IsLeader {
+		return notLeader()
+	}
+	add := &wire.MemberChange{AddId: q.Id, AddAddress: q.Address}
+	if _, err := changedMembers(members, add); err != nil {
+		return err
+	}
+	for _, m := range members {
+		if m.Address != q.Address || m.Id == q.Id || m.Removed {
+			continue
+		}
+		if err := r.ChangeMembers(ctx, &wire.MemberChange{RemoveId: m.Id}); err != nil {
+			return err
+		}
+		r.logger.Info().Str("replica", m.Id).Msg("A replica with a lost data folder was removed.")
+	}
+	return r.ChangeMembers(ctx, add)
+}
+
+// join works until this replica belongs to a group.
+func (r *Replica) join(ctx context.Context) {
+	for len(r.Status().Members) == 0 {
+		group, empty := r.inquire(ctx)
+		switch {
+		case group != "":
+			r.askToJoin(ctx, group)
+		case empty && r.options.Bootstrap:
+			_ = r.enqueue(ctx, bootstrapRequest{})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(r.options.JoinInterval):
+		}
+	}
+}
+
+type bootstrapRequest struct{}
+
+func (bootstrapRequest) run(r *Replica) {
+	if len(r.raft.Status().Members) > 0 {
+		return
+	}
+	r.logger.Info().Str("replica", r.id).Msg("A new control group is founded.")
+	r.raft.Bootstrap()
+}
+
+// inquire asks the other addresses about a group. It returns an address that
+// may lead one, and whether all of them answered that there is none.
+func (r *Replica) inquire(ctx context.Context) (group string, empty bool) {
+	empty = true
+	for _, address := range r.options.Peers {
+		if address == r.options.Address {
+			continue
+		}
+		answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address, InquireOnly: true})
+		switch {
+		case err != nil:
+			empty = false
+		case answer.HasGroup && answer.LeaderAddress != "":
+			return answer.LeaderAddress, false
+		case answer.HasGroup:
+			group, empty = address, false
+		case answer.Bootstrapping && answer.Id < r.id:
+			empty = false // that one founds the group
+		}
+	}
+	return group, empty
+}
+
+func (r *Replica) askToJoin(ctx context.Context, address string) {
+	answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address})
+	if err != nil {
+		return
+	}
+	if err := fault.FromWire(answer.Failure); err != nil && fault.KindOf(err) != fault.NotLeader {
+		r.logger.Warn().Err(err).Msg("The group did not take this replica in yet.")
+	}
+}
+
+func (r *Replica) callJoin(ctx context.Context, address string, q *wire.JoinRequest) (*wire.JoinResponse, error) {
+	conn, err := r.options.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	defer closeConn(conn)
+	ctx, cancel := context.WithTimeout(ctx, 4*r.options.PeerTimeout)
+	defer cancel()
+	return wire.NewPeerClient(conn).Join(ctx, q)
+}
--- /dev/null
+++ b/coordination/replica/members.go
@@ -0,0 +1,173 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/apricotspoke/apricotspoke/coordination/raft"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// keptRemoved is the number of removed identities that the member list keeps,
+// so that a late request of one can't take its successor's place.
+const keptRemoved = 64
+
+type memberRequest struct {
+	ctx    context.Context
+	change *wire.MemberChange
+	done   chan result
+}
+
+// ChangeMembers adds a learner, which becomes a voter once it has caught up, or
+// removes a member. It returns when the change is committed. Leader only.
+func (r *Replica) ChangeMembers(ctx context.Context, change *wire.MemberChange) error {
+	q := memberRequest{ctx: ctx, change: change, done: make(chan result, 1)}
+	if err := r.enqueue(ctx, q); err != nil {
+		return err
+	}
+	_, err := r.await(ctx, q.done, unknownOutcome)
+	return err
+}
+
+func (q memberRequest) run(r *Replica) {
+	fail := func(err error) { q.done <- result{err: err} }
+	if q.ctx.Err() != nil {
+		fail(fault.New(fault.Overloaded, "the caller's time ran out before the change was taken in").After(retryAfter))
+		return
+	}
+	s := r.raft.Status()
+	if s.Role != raft.Leader {
+		fail(notLeader())
+		return
+	}
+	next, err := changedMembers(s.Members, q.change)
+	if err != nil || next == nil {
+		fail(err)
+		return
+	}
+	p := proposal{ctx: q.ctx, done: q.done}
+	if err := r.proposeMembers(next, p); err != nil {
+		fail(err)
+	}
+}
+
+func (r *Replica) proposeMembers(next []*wire.Member, p proposal) error {
+	index, term, err := r.raft.ProposeMembers(next)
+	switch {
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrTransferring):
+		return notLeader()
+	case errors.Is(err, raft.ErrChangePending), errors.Is(err, raft.ErrNotReady):
+		return fault.Wrap(err, fault.Overloaded, "another membership change is under way").After(retryAfter)
+	case err != nil:
+		return fault.Wrap(err, fault.InvalidRequest, "the membership change is not allowed")
+	}
+	p.term = term
+	r.proposals[index] = p
+	return nil
+}
+
+// changedMembers returns the list after a change, nil when nothing changes.
+func changedMembers(members []*wire.Member, change *wire.MemberChange) ([]*wire.Member, error) {
+	if (change.AddId == "") == (change.RemoveId == "") {
+		return nil, fault.New(fault.InvalidRequest, "a membership change adds or removes exactly one member")
+	}
+	if change.RemoveId != "" {
+		return withoutMember(members, change.RemoveId)
+	}
+	for _, m := range members {
+		if m.Id == change.AddId && m.Removed {
+			return nil, fault.New(fault.Conflict, "replica %s was removed and can't return; start it with an empty data folder", m.Id)
+		}
+		if m.Id == change.AddId {
+			return nil, nil
+		}
+	}
+	added := &wire.Member{Id: change.AddId, Address: change.AddAddress, Learner: true}
+	return append(slices.Clone(members), added), nil
+}
+
+func withoutMember(members []*wire.Member, id string) ([]*wire.Member, error) {
+	at := slices.IndexFunc(members, func(m *wire.Member) bool { return m.Id == id })
+	if at < 0 {
+		return nil, fault.New(fault.NotFound, "no member %s", id)
+	}
+	if members[at].Removed {
+		return nil, nil
+	}
+	next := slices.Delete(slices.Clone(members), at, at+1)
+	next = append(next, &wire.Member{Id: id, Address: members[at].Address, Learner: members[at].Learner, Removed: true})
+	return forgetOldest(next), nil
+}
+
+// forgetOldest drops the oldest removed identities above the number kept.
+func forgetOldest(members []*wire.Member) []*wire.Member {
+	removed := 0
+	for i := len(members) - 1; i >= 0; i-- {
+		if !members[i].Removed {
+			continue
+		}
+		removed++
+		if removed > keptRemoved {
+			members = slices.Delete(members, i, i+1)
+		}
+	}
+	return members
+}
+
+// promoteLearners turns a learner into a voter once it has synced the log up
+// to a commit index that was read after it had joined.
+func (r *Replica) promoteLearners() {
+	s := r.raft.Status()
+	if !s.TermCommitted || s.MembersIndex > s.Commit {
+		return
+	}
+	for i, m := range s.Members {
+		if !m.Learner || m.Removed {
+			continue
+		}
+		target, known := r.promoteAfter[m.Id]
+		if !known {
+			r.promoteAfter[m.Id] = s.Commit
+			continue
+		}
+		if r.raft.Match(m.Id) < target {
+			continue
+		}
+		next := slices.Clone(s.Members)
+		next[i] = &wire.Member{Id: m.Id, Address: m.Address}
+		if _, _, err := r.raft.ProposeMembers(next); err == nil {
+			delete(r.promoteAfter, m.Id)
+			r.logger.Info().Str("replica", m.Id).Msg("A learner has caught up and becomes a voter.")
+		}
+		return
+	}
+}
+
+type transferRequest struct{ done chan error }
+
+func (q transferRequest) run(r *Replica) {
+	if err := r.raft.Transfer(); err != nil {
+		q.done <- nil
+		return
+	}
+	r.transfers = append(r.transfers, q.done)
+}
+
+// Transfer hands leadership to another voter and returns when this replica no
+// longer leads, or with ctx.
+func (r *Replica) Transfer(ctx context.Context) error {
+	q := transferRequest{done: make(chan error, 1)}
+	if err := r.enqueue(ctx, q); err != nil {
+		return nil
+	}
+	select {
+	case err := <-q.done:
+		return err
+	case <-r.stopped:
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.Timeout, "leadership was not handed over in time")
+	}
+}
--- /dev/null
+++ b/coordination/replica/process.go
@@ -0,0 +1,133 @@
+package replica
+
+import (
+	"github.com/apricotspoke/apricotspoke/coordination/raft"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// process does all work that the core has ready: sync, then send, then apply.
+func (r *Replica) process() error {
+	for {
+		ready := r.raft.Ready()
+		if ready.Empty() {
+			break
+		}
+		if err := r.save(ready); err != nil {
+			return err
+		}
+		r.outbox.send(ready.Messages, r.raft.Status().Members)
+		if err := r.apply(ready); err != nil {
+			return err
+		}
+		r.raft.Advance(ready)
+		r.answerReads(ready.Reads)
+	}
+	r.afterLeadership()
+	if err := r.maybeSnapshot(); err != nil {
+		return err
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Replica) save(ready raft.Ready) error {
+	if ready.HardState != nil {
+		r.hard = ready.HardState
+	}
+	if ready.Snapshot != nil {
+		if err := r.log.SaveSnapshot(ready.Snapshot, r.hard, ready.Entries); err != nil {
+			return err
+		}
+		r.lastTime = max(r.lastTime, ready.Snapshot.TimeMs)
+		r.snapshotted = ready.Snapshot.Index
+		r.noteTimes(ready.Entries)
+		return r.restore(ready.Snapshot)
+	}
+	r.noteTimes(ready.Entries)
+	return r.log.Save(ready.HardState, ready.Entries)
+}
+
+func (r *Replica) restore(s *wire.LogSnapshot) error {
+	if err := r.machine.Restore(s.State); err != nil {
+		return fault.Wrap(err, fault.Corrupt, "the snapshot at %d can't be restored", s.Index)
+	}
+	r.machine.ApplyMembers(s.Index, s.Members)
+	for index, p := range r.proposals {
+		if index <= s.Index {
+			delete(r.proposals, index)
+			p.reply(nil, unknownOutcome())
+		}
+	}
+	return nil
+}
+
+// noteTimes keeps lastTime at or above every command time in the log.
+func (r *Replica) noteTimes(entries []*wire.LogEntry) {
+	for _, e := range entries {
+		if command := decodeCommand(e); command != nil {
+			r.lastTime = max(r.lastTime, command.TimeMs)
+		}
+	}
+}
+
+func decodeCommand(e *wire.LogEntry) *wire.Command {
+	if e.Kind != wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND {
+		return nil
+	}
+	command := &wire.Command{}
+	if err := proto.Unmarshal(e.Data, command); err != nil {
+		return nil
+	}
+	return command
+}
+
+func (r *Replica) apply(ready raft.Ready) error {
+	for _, e := range ready.Committed {
+		var result any
+		switch e.Kind {
+		case wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND:
+			command := decodeCommand(e)
+			if command == nil {
+				return fault.New(fault.Corrupt, "log entry %d can't be decoded", e.Index)
+			}
+			result = r.machine.Apply(e.Index, command)
+		case wire.LogEntryKind_LOG_ENTRY_KIND_MEMBERS:
+			r.machine.ApplyMembers(e.Index, raft.DecodeMembers(e))
+		}
+		r.answerProposal(e, result)
+	}
+	return nil
+}
+
+// maybeSnapshot writes a snapshot when enough entries have been applied since
+// the last one.
+func (r *Replica) maybeSnapshot() error {
+	s := r.raft.Status()
+	if s.Applied < r.snapshotted+r.options.SnapshotInterval {
+		return nil
+	}
+	state, err := r.machine.Snapshot()
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "the state can't be encoded")
+	}
+	term, ok := r.raft.TermAt(s.Applied)
+	if !ok {
+		return nil
+	}
+	snapshot := &wire.LogSnapshot{
+		Index:   s.Applied,
+		Term:    term,
+		Members: r.raft.MembersAt(s.Applied),
+		TimeMs:  r.lastTime,
+		State:   state,
+	}
+	if err := r.log.SaveSnapshot(snapshot, r.hard, r.raft.Entries(s.Applied+1)); err != nil {
+		return err
+	}
+	r.snapshotted = s.Applied
+	keepFrom := s.Applied + 1 - min(s.Applied, r.options.KeptEntries)
+	r.raft.Compact(snapshot, keepFrom)
+	return nil
+}
--- /dev/null
+++ b/coordination/replica/replica.go
@@ -0,0 +1,255 @@
+// Package replica runs one replica of the control group: one goroutine owns the
+// consensus core, the synced log and the state machine.
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/raft"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/wal"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"google.golang.org/grpc"
+)
+
+// Machine is the replicated state machine. Only the replica's goroutine calls it.
+type Machine interface {
+	// Apply executes a command; its result depends on the state and command only.
+	Apply(index uint64, command *wire.Command) any
+	ApplyMembers(index uint64, members []*wire.Member)
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
+
+// Options sets up a replica. Zero durations and counts take the defaults.
+type Options struct {
+	Folder    string   // data folder
+	Address   string   // address at which the others reach this replica
+	Peers     []string // addresses of the group, this one may be among them
+	Bootstrap bool     // found the group when no address of Peers has one
+	Machine   Machine
+	// Dial opens a connection that the replica owns and closes; it is not shared.
+	Dial  func(address string) (grpc.ClientConnInterface, error)
+	Files wal.FileSystem // nil for the disk
+
+	Tick             time.Duration
+	HeartbeatTicks   int
+	ElectionTicks    int // elections start after one to two times this
+	PeerTimeout      time.Duration
+	SnapshotTimeout  time.Duration
+	JoinInterval     time.Duration
+	SnapshotInterval uint64 // entries applied between snapshots
+	KeptEntries      uint64 // entries kept behind a snapshot for peers that lag
+}
+
+const (
+	defaultTick             = 50 * time.Millisecond
+	defaultHeartbeatTicks   = 2
+	defaultElectionTicks    = 10
+	defaultPeerTimeout      = 500 * time.Millisecond
+	defaultSnapshotTimeout  = 10 * time.Second
+	defaultJoinInterval     = 300 * time.Millisecond
+	defaultSnapshotInterval = 1000
+	defaultKeptEntries      = 500
+	inboxMessages           = 1024
+	maxBatch                = 512 // requests taken in before one sync
+)
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Tick, defaultTick)
+	setDefault(&o.HeartbeatTicks, defaultHeartbeatTicks)
+	setDefault(&o.ElectionTicks, defaultElectionTicks)
+	setDefault(&o.PeerTimeout, defaultPeerTimeout)
+	setDefault(&o.SnapshotTimeout, defaultSnapshotTimeout)
+	setDefault(&o.JoinInterval, defaultJoinInterval)
+	setDefault(&o.SnapshotInterval, defaultSnapshotInterval)
+	setDefault(&o.KeptEntries, defaultKeptEntries)
+	if o.Files == nil {
+		o.Files = wal.Disk{}
+	}
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
+
+// Status is a replica's position at one moment.
+type Status struct {
+	ID            string
+	Leader        string // empty when unknown
+	LeaderAddress string
+	IsLeader      bool
+	Term          uint64
+	Commit        uint64
+	Applied       uint64
+	FirstIndex    uint64
+	SnapshotIndex uint64
+	Members       []*wire.Member // in force, perhaps uncommitted
+	LeaderSince   time.Time      // when this replica first saw the present leader
+}
+
+// Replica is one member of the control group. It implements wire.PeerServer.
+type Replica struct {
+	wire.UnimplementedPeerServer
+
+	options Options
+	id      string
+	log     *wal.Log
+	raft    *raft.Raft
+	machine Machine
+	logger  *logs.Logger
+	status  atomic.Pointer[Status]
+	outbox  *outbox
+
+	inbox    chan *wire.PeerMessage
+	requests chan request
+	stopped  chan struct{} // closed when Run returns
+
+	// Owned by the goroutine of Run.
+	hard         *wire.HardState
+	lastTime     uint64 // highest command time in the log, in ms
+	snapshotted  uint64
+	proposals    map[uint64]proposal
+	reads        map[uint64]read
+	nextRead     uint64
+	promoteAfter map[string]uint64 // learner: commit index read after it joined
+	transfers    []chan error
+}
+
+// Open locks and reads the data folder and restores the machine. Run starts
+// the replica.
+func Open(options Options) (*Replica, error) {
+	options.setDefaults()
+	log, state, err := wal.Open(options.Folder, options.Files)
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		options:      options,
+		id:           state.ID,
+		log:          log,
+		machine:      options.Machine,
+		logger:       logs.For("replica"),
+		inbox:        make(chan *wire.PeerMessage, inboxMessages),
+		requests:     make(chan request, maxBatch),
+		stopped:      make(chan struct{}),
+		hard:         state.HardState,
+		lastTime:     state.Snapshot.GetTimeMs(),
+		snapshotted:  state.Snapshot.GetIndex(),
+		proposals:    make(map[uint64]proposal),
+		reads:        make(map[uint64]read),
+		promoteAfter: make(map[string]uint64),
+	}
+	if state.Snapshot != nil {
+		if err := r.restore(state.Snapshot); err != nil {
+			_ = log.Close()
+			return nil, err
+		}
+	}
+	r.noteTimes(state.Entries)
+	r.raft = raft.New(raft.Config{
+		ID:             state.ID,
+		Address:        options.Address,
+		HardState:      state.HardState,
+		Snapshot:       state.Snapshot,
+		Entries:        state.Entries,
+		ElectionTicks:  options.ElectionTicks,
+		HeartbeatTicks: options.HeartbeatTicks,
+		Random:         rand.IntN,
+	})
+	r.outbox = newOutbox(&r.options)
+	if state.TornBytes > 0 {
+		r.logger.Warn().Int("bytes", state.TornBytes).Msg("A torn tail was cut from the log.")
+	}
+	r.publish()
+	return r, nil
+}
+
+// ID returns the replica's identity.
+func (r *Replica) ID() string { return r.id }
+
+// Status returns the replica's position.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+// Run works until ctx ends or the data folder fails; then the replica is closed.
+func (r *Replica) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer close(r.stopped)
+	defer r.log.Close()
+	defer r.outbox.close()
+	defer r.failAll()
+	go r.join(ctx)
+	ticker := time.NewTicker(r.options.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.raft.Tick()
+			r.promoteLearners()
+		case m := <-r.inbox:
+			r.step(m)
+		case q := <-r.requests:
+			q.run(r)
+		}
+		r.drain()
+		r.raft.FlushReads()
+		if err := r.process(); err != nil {
+			r.logger.Error().Err(err).Msg("The data folder failed; the replica ends.")
+			return err
+		}
+	}
+}
+
+func (r *Replica) step(m *wire.PeerMessage) {
+	r.outbox.learn(m.From, m.FromAddress)
+	r.raft.Step(m)
+}
+
+// drain takes in what else waits, so that one sync serves all of it.
+func (r *Replica) drain() {
+	for range maxBatch {
+		select {
+		case m := <-r.inbox:
+			r.step(m)
+		case q := <-r.requests:
+			q.run(r)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) publish() {
+	s := r.raft.Status()
+	next := &Status{
+		ID:            r.id,
+		Leader:        s.Leader,
+		IsLeader:      s.Role == raft.Leader,
+		Term:          s.Term,
+		Commit:        s.Commit,
+		Applied:       s.Applied,
+		FirstIndex:    s.FirstIndex,
+		SnapshotIndex: s.SnapshotIndex,
+		Members:       s.Members,
+	}
+	for _, m := range s.Members {
+		if m.Id == s.Leader {
+			next.LeaderAddress = m.Address
+		}
+	}
+	old := r.status.Load()
+	next.LeaderSince = time.Now()
+	if old != nil && old.Leader == next.Leader && old.Term == next.Term {
+		next.LeaderSince = old.LeaderSince
+	}
+	r.status.Store(next)
+}
--- /dev/null
+++ b/state/wal/frame.go
@@ -0,0 +1,104 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+)
+
+// A frame is one synced write: magic, payload length, sequence, checksum of
+// the payload, checksum of the header, payload. Since each frame is synced
+// before the next is written, only the last one of a file can be torn.
+const (
+	frameMagic  = 0x31575041 // "APW1"
+	headerBytes = 28
+	maxFrame    = 1 << 30
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func encodeFrame(sequence uint64, payload []byte) []byte {
+	frame := make([]byte, headerBytes, headerBytes+len(payload))
+	binary.LittleEndian.PutUint32(frame[0:], frameMagic)
+	binary.LittleEndian.PutUint64(frame[4:], uint64(len(payload)))
+	binary.LittleEndian.PutUint64(frame[12:], sequence)
+	binary.LittleEndian.PutUint32(frame[20:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(frame[24:], crc32.Checksum(frame[:24], castagnoli))
+	return append(frame, payload...)
+}
+
+type header struct {
+	length   uint64
+	sequence uint64
+	checksum uint32
+}
+
+func decodeHeader(data []byte) (header, bool) {
+	if len(data) < headerBytes || binary.LittleEndian.Uint32(data) != frameMagic {
+		return header{}, false
+	}
+	if crc32.Checksum(data[:24], castagnoli) != binary.LittleEndian.Uint32(data[24:]) {
+		return header{}, false
+	}
+	h := header{
+		length:   binary.LittleEndian.Uint64(data[4:]),
+		sequence: binary.LittleEndian.Uint64(data[12:]),
+		checksum: binary.LittleEndian.Uint32(data[20:]),
+	}
+	return h, h.length <= maxFrame
+}
+
+// decodeFrames returns the payloads of a file and the number of bytes of a
+// torn tail. A broken frame with another one behind it is corruption.
+func decodeFrames(name string, data []byte) (payloads [][]byte, torn int, err error) {
+	offset := 0
+	for offset < len(data) {
+		rest := data[offset:]
+		h, ok := decodeHeader(rest)
+		if !ok {
+			if laterFrame(rest) {
+				return nil, 0, corrupt(name, offset, "a frame header is damaged")
+			}
+			return payloads, len(rest), nil
+		}
+		end := headerBytes + int(h.length)
+		if end > len(rest) {
+			return payloads, len(rest), nil
+		}
+		payload := rest[headerBytes:end]
+		if crc32.Checksum(payload, castagnoli) != h.checksum {
+			if end < len(rest) {
+				return nil, 0, corrupt(name, offset, "a frame checksum differs")
+			}
+			return payloads, len(rest), nil
+		}
+		if h.sequence != uint64(len(payloads)) {
+			return nil, 0, corrupt(name, offset, "a frame is missing")
+		}
+		payloads = append(payloads, payload)
+		offset += end
+	}
+	return payloads, 0, nil
+}
+
+// laterFrame reports whether a frame header stands anywhere behind the start.
+func laterFrame(data []byte) bool {
+	magic := binary.LittleEndian.AppendUint32(nil, frameMagic)
+	for from := 1; from < len(data); {
+		at := bytes.Index(data[from:], magic)
+		if at < 0 {
+			return false
+		}
+		if _, ok := decodeHeader(data[from+at:]); ok {
+			return true
+		}
+		from += at + 1
+	}
+	return false
+}
+
+func corrupt(name string, offset int, what string) error {
+	return fault.New(fault.Corrupt, "%s in %s at byte %d", what, name, offset)
+}
--- /dev/null
+++ b/state/wal/save.go
@@ -0,0 +1,159 @@
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// Save syncs a changed hard state (nil when unchanged) and entries. An entry
+// at an index that the log already holds replaces it and all behind it.
+func (l *Log) Save(hard *wire.HardState, entries []*wire.LogEntry) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	return l.fail(l.write(&wire.LogBatch{HardState: hard, Entries: entries}))
+}
+
+// SaveSnapshot syncs a snapshot and starts a new log file that holds only the
+// hard state and the entries behind the snapshot. Older files are removed.
+func (l *Log) SaveSnapshot(snapshot *wire.LogSnapshot, hard *wire.HardState, tail []*wire.LogEntry) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	payload, err := proto.Marshal(snapshot)
+	if err != nil {
+		return l.fail(err)
+	}
+	if err := l.writeWhole(snapshotName(snapshot.Index), encodeFrame(0, payload)); err != nil {
+		return err
+	}
+	if err := l.rewrite(hard, snapshot, tail); err != nil {
+		return err
+	}
+	names, err := l.files.ReadDir(l.folder)
+	if err != nil {
+		return l.fail(err)
+	}
+	l.clean(names, snapshot.Index)
+	return nil
+}
+
+// Bytes returns the size of the present log file.
+func (l *Log) Bytes() int64 { return l.bytes }
+
+// Close releases the folder.
+func (l *Log) Close() error {
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	l.fail(fault.New(fault.Internal, "the log is closed"))
+	return l.lock.Close()
+}
+
+func (l *Log) fail(err error) error {
+	if err != nil && l.failed == nil {
+		l.failed = fault.Wrap(err, fault.Internal, "the data folder %s can't be written; free its disk or replace it and restart", l.folder)
+	}
+	return l.failed
+}
+
+func (l *Log) write(batch *wire.LogBatch) error {
+	payload, err := proto.Marshal(batch)
+	if err != nil {
+		return err
+	}
+	frame := encodeFrame(l.sequence, payload)
+	if _, err := l.file.Write(frame); err != nil {
+		return err
+	}
+	if err := l.file.Sync(); err != nil {
+		return err
+	}
+	l.sequence++
+	l.bytes += int64(len(frame))
+	return nil
+}
+
+// writeWhole makes a file durable under its name in one step.
+func (l *Log) writeWhole(name string, data []byte) error {
+	path := filepath.Join(l.folder, name)
+	file, err := l.writeTemporary(path, data)
+	if err != nil {
+		return l.fail(err)
+	}
+	if err := file.Close(); err != nil {
+		return l.fail(err)
+	}
+	return l.fail(l.publish(path))
+}
+
+func (l *Log) writeTemporary(path string, data []byte) (File, error) {
+	file, err := l.files.Create(path + temporary)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := file.Write(data); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	return file, nil
+}
+
+func (l *Log) publish(path string) error {
+	if err := l.files.Rename(path+temporary, path); err != nil {
+		return err
+	}
+	return l.files.SyncDir(l.folder)
+}
+
+// rewrite starts the next log file with the given state as its first frame.
+func (l *Log) rewrite(hard *wire.HardState, snapshot *wire.LogSnapshot, tail []*wire.LogEntry) error {
+	payload, err := proto.Marshal(&wire.LogBatch{HardState: hard, Entries: tail, SnapshotIndex: snapshot.GetIndex()})
+	if err != nil {
+		return l.fail(err)
+	}
+	frame := encodeFrame(0, payload)
+	path := filepath.Join(l.folder, fmt.Sprintf("%s%020d", logPrefix, l.generation+1))
+	file, err := l.writeTemporary(path, frame)
+	if err != nil {
+		return l.fail(err)
+	}
+	if err := l.publish(path); err != nil {
+		_ = file.Close()
+		return l.fail(err)
+	}
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	l.file = file
+	l.generation++
+	l.sequence = 1
+	l.bytes = int64(len(frame))
+	return nil
+}
+
+// clean removes files that the present log file doesn't need. A file that
+// stays behind does no harm, so errors are dropped.
+func (l *Log) clean(names []string, snapshotIndex uint64) {
+	current := fmt.Sprintf("%s%020d", logPrefix, l.generation)
+	for _, name := range names {
+		old := strings.HasSuffix(name, temporary) ||
+			strings.HasPrefix(name, logPrefix) && name != current ||
+			strings.HasPrefix(name, snapshotPrefix) && name != snapshotName(snapshotIndex)
+		if old {
+			_ = l.files.Remove(filepath.Join(l.folder, name))
+		}
+	}
+}
--- /dev/null
+++ b/state/wal/wal.go
@@ -0,0 +1,208 @@
+// Package wal keeps a replica's identity, term and vote, log and snapshots in
+// one data folder. Whatever Save acknowledges is synced. After any failed write
+// or sync the log refuses all further use.
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	identityName   = "replica-id"
+	lockName       = "lock"
+	logPrefix      = "log-"
+	snapshotPrefix = "snapshot-"
+	temporary      = ".tmp"
+	identityBytes  = 16
+)
+
+// State is what a folder held when it was opened.
+type State struct {
+	ID        string
+	Created   bool // the folder was empty
+	HardState *wire.HardState
+	Snapshot  *wire.LogSnapshot // nil when there is none
+	Entries   []*wire.LogEntry  // behind the snapshot
+	TornBytes int               // cut from the tail
+}
+
+// Log is an open data folder. It is not safe for concurrent use.
+type Log struct {
+	folder     string
+	files      FileSystem
+	lock       io.Closer
+	file       File
+	generation uint64
+	sequence   uint64
+	bytes      int64
+	failed     error
+}
+
+// Open locks a folder, reads it, and starts a new log file with what is still
+// needed. An empty folder gets a new random identity.
+func Open(folder string, files FileSystem) (*Log, *State, error) {
+	if err := files.MkdirAll(folder); err != nil {
+		return nil, nil, fault.Wrap(err, fault.Internal, "the data folder %s can't be made", folder)
+	}
+	if err := files.SyncDir(filepath.Dir(folder)); err != nil {
+		return nil, nil, fault.Wrap(err, fault.Internal, "the parent of %s can't be synced", folder)
+	}
+	lock, err := files.Lock(filepath.Join(folder, lockName))
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.Conflict, "the data folder %s is in use by another process", folder)
+	}
+	l := &Log{folder: folder, files: files, lock: lock}
+	state, err := l.load()
+	if err != nil {
+		_ = lock.Close()
+		return nil, nil, err
+	}
+	return l, state, nil
+}
+
+func (l *Log) load() (*State, error) {
+	names, err := l.files.ReadDir(l.folder)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "the data folder %s can't be read", l.folder)
+	}
+	state := &State{HardState: &wire.HardState{}}
+	current := newest(names, logPrefix)
+	if current != "" {
+		if err := l.readLog(current, state); err != nil {
+			return nil, err
+		}
+	} else if slices.Contains(names, identityName) {
+		return nil, fault.New(fault.Corrupt, "%s has an identity but no log", l.folder)
+	}
+	if err := l.rewrite(state.HardState, state.Snapshot, state.Entries); err != nil {
+		return nil, err
+	}
+	if err := l.identify(names, state); err != nil {
+		return nil, err
+	}
+	l.clean(names, state.Snapshot.GetIndex())
+	return state, nil
+}
+
+// identify reads the identity, or makes one in a folder without any state.
+func (l *Log) identify(names []string, state *State) error {
+	path := filepath.Join(l.folder, identityName)
+	if slices.Contains(names, identityName) {
+		data, err := l.files.ReadFile(path)
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "%s can't be read", path)
+		}
+		state.ID = strings.TrimSpace(string(data))
+		if raw, err := hex.DecodeString(state.ID); err != nil || len(raw) != identityBytes {
+			return corrupt(path, 0, "the identity is damaged")
+		}
+		return nil
+	}
+	if state.HardState.Term != 0 || state.Snapshot != nil || len(state.Entries) != 0 {
+		return fault.New(fault.Corrupt, "%s has a log but no identity", l.folder)
+	}
+	raw := make([]byte, identityBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return err
+	}
+	state.ID, state.Created = hex.EncodeToString(raw), true
+	return l.writeWhole(identityName, []byte(state.ID+"\n"))
+}
+
+func newest(names []string, prefix string) string {
+	found := ""
+	for _, name := range names {
+		if strings.HasPrefix(name, prefix) && !strings.HasSuffix(name, temporary) && name > found {
+			found = name
+		}
+	}
+	return found
+}
+
+func (l *Log) readLog(name string, state *State) error {
+	path := filepath.Join(l.folder, name)
+	if _, err := fmt.Sscanf(name, logPrefix+"%d", &l.generation); err != nil {
+		return corrupt(path, 0, "the file name is damaged")
+	}
+	data, err := l.files.ReadFile(path)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "%s can't be read", path)
+	}
+	payloads, torn, err := decodeFrames(path, data)
+	if err != nil {
+		return err
+	}
+	if len(payloads) == 0 {
+		return corrupt(path, 0, "the first frame is damaged")
+	}
+	state.TornBytes = torn
+	for i, payload := range payloads {
+		if err := l.replay(path, i == 0, payload, state); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Log) replay(path string, first bool, payload []byte, state *State) error {
+	batch := &wire.LogBatch{}
+	if err := proto.Unmarshal(payload, batch); err != nil {
+		return corrupt(path, 0, "a frame can't be decoded")
+	}
+	if first && batch.SnapshotIndex > 0 {
+		snapshot, err := l.readSnapshot(batch.SnapshotIndex)
+		if err != nil {
+			return err
+		}
+		state.Snapshot = snapshot
+	}
+	if batch.HardState != nil {
+		state.HardState = batch.HardState
+	}
+	base := state.Snapshot.GetIndex()
+	for _, e := range batch.Entries {
+		at := e.Index - base - 1
+		if e.Index <= base || at > uint64(len(state.Entries)) {
+			return fault.New(fault.Corrupt, "%s lacks the entries before %d", path, e.Index)
+		}
+		state.Entries = append(state.Entries[:at], e)
+	}
+	return nil
+}
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%020d", snapshotPrefix, index) }
+
+func (l *Log) readSnapshot(index uint64) (*wire.LogSnapshot, error) {
+	path := filepath.Join(l.folder, snapshotName(index))
+	data, err := l.files.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, fault.New(fault.Corrupt, "%s is missing", path)
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "%s can't be read", path)
+	}
+	payloads, torn, err := decodeFrames(path, data)
+	if err != nil {
+		return nil, err
+	}
+	snapshot := &wire.LogSnapshot{}
+	if len(payloads) != 1 || torn != 0 {
+		return nil, corrupt(path, 0, "the snapshot is damaged")
+	}
+	if err := proto.Unmarshal(payloads[0], snapshot); err != nil || snapshot.Index != index {
+		return nil, corrupt(path, 0, "the snapshot can't be decoded")
+	}
+	return snapshot, nil
+}
