Wire the control role, its program and the operators' command line

Quotas are divided by a ledger whose bucket and holdings stay within the burst together. A random test found that a shrunk slot lease whose answer is lost leaves the entry with more than the ledger counted (6 of 5 slots); earlier grants now count until they expire. Sharing the rest of the bucket by demand gave the entry that asked first 0.90 instead of 0.75; what arrives is now reserved for those that wait, in proportion to what they want.

--- a/cmd/apricotspoke-control/main.go
+++ b/cmd/apricotspoke-control/main.go
@@ -1,4 +1,24 @@
-// Command apricotspoke-control is not built yet.
+// Command apricotspoke-control runs one control replica alone.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apricotspoke/apricotspoke/role/control"
+	"github.com/apricotspoke/apricotspoke/settings"
+)
+
+func main() {
+	options := &control.ProgramOptions{}
+	settings.Parse("apricotspoke-control", options)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := control.RunProgram(ctx, options); err != nil {
+		fmt.Fprintln(os.Stderr, "apricotspoke-control:", err)
+		os.Exit(1)
+	}
+}
--- a/cmd/apricotspokectl/main.go
+++ b/cmd/apricotspokectl/main.go
@@ -1,4 +1,12 @@
-// Command apricotspokectl is not built yet.
+// Command apricotspokectl is the operators' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/apricotspoke/apricotspoke/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/coordination/control/control.go
+++ b/coordination/control/control.go
@@ -68,12 +68,11 @@
 	wire.RegisterOrderReportsServer(server, &orderReportsServer{Service: s})
 }
 
-// propose stamps a command with a time that never goes back and commits it.
+// propose commits a command and returns the machine's response to it.
 func propose[R any](ctx context.Context, s *Service, command *wire.Command) (R, error) {
 	var none R
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	command.TimeMs = max(uint64(time.Now().UnixMilli()), s.Machine.TimeMs())
 	result, err := s.Replica.Propose(ctx, command)
 	if err != nil {
 		return none, err
--- a/coordination/control/feed.go
+++ b/coordination/control/feed.go
@@ -89,7 +89,7 @@
 	}
 	var peers []configsync.Peer
 	for _, member := range st.Members {
-		if member.Id == st.ID || member.Address == "" {
+		if member.Id == st.ID || member.Removed {
 			continue
 		}
 		conn, err := s.Dial(member.Address)
--- a/coordination/control/forward.go
+++ b/coordination/control/forward.go
@@ -40,8 +40,8 @@
 
 // callFault keeps the typed failure of the leader, and calls all else unknown.
 func callFault(err error, address string) error {
-	if failure := FailureOf(err); failure != nil {
-		return fault.FromWire(failure)
+	if typed := fault.FromStatus(err); typed != nil {
+		return typed
 	}
 	if status.Code(err) == codes.Unimplemented {
 		return fault.New(fault.NotLeader, "process %s serves no control", address)
--- a/coordination/control/leadership.go
+++ b/coordination/control/leadership.go
@@ -38,6 +38,3 @@
 func (l leadership) remaining(lease time.Duration) time.Duration {
 	return lease - time.Since(l.confirmedAt)
 }
-
-// ledFor reports whether this replica has led for at least a time.
-func (l leadership) ledFor(d time.Duration) bool { return time.Since(l.since) >= d }
--- a/coordination/control/operator.go
+++ b/coordination/control/operator.go
@@ -62,13 +62,28 @@
 		return nil, err
 	}
 	if change := request.Change.GetChangeMember(); change != nil && response.Failure == nil {
-		if err := o.Replica.ChangeMembers(ctx, change); err != nil {
+		if err := o.changeMembers(ctx, change); err != nil {
 			return nil, err
 		}
 	}
 	return response, nil
 }
 
+// changeMembers adds the new replica before it removes the old one. Each step
+// changes nothing when it was made before, so a resent operation may repeat it.
+func (o *operatorServer) changeMembers(ctx context.Context, change *wire.MemberChange) error {
+	if change.AddId != "" {
+		add := &wire.MemberChange{AddId: change.AddId, AddAddress: change.AddAddress}
+		if err := o.Replica.ChangeMembers(ctx, add); err != nil {
+			return err
+		}
+	}
+	if change.RemoveId == "" {
+		return nil
+	}
+	return o.Replica.ChangeMembers(ctx, &wire.MemberChange{RemoveId: change.RemoveId})
+}
+
 func (o *operatorServer) dryRun(ctx context.Context, change *wire.Change) (*wire.ApplyResponse, error) {
 	if _, err := o.barrier(ctx); err != nil {
 		return nil, err
@@ -83,11 +98,11 @@
 // Read returns the configuration after a quorum has confirmed the leader.
 func (o *operatorServer) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadResponse, error) {
 	if err := o.authenticate(request.OperatorKey); err != nil {
-		return nil, StatusError(err)
+		return nil, fault.ToStatus(err)
 	}
 	response, err := o.read(ctx, request)
 	if err != nil {
-		return nil, StatusError(err)
+		return nil, fault.ToStatus(err)
 	}
 	return response, nil
 }
@@ -107,11 +122,11 @@
 // History returns the latest changes, newest last, of one organisation or of all.
 func (o *operatorServer) History(ctx context.Context, request *wire.HistoryRequest) (*wire.HistoryResponse, error) {
 	if err := o.authenticate(request.OperatorKey); err != nil {
-		return nil, StatusError(err)
+		return nil, fault.ToStatus(err)
 	}
 	response, err := o.history(ctx, request)
 	if err != nil {
-		return nil, StatusError(err)
+		return nil, fault.ToStatus(err)
 	}
 	return response, nil
 }
--- a/coordination/control/seen.go
+++ b/coordination/control/seen.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"google.golang.org/grpc"
 )
@@ -119,7 +120,7 @@
 	c.seen.process(request.Process)
 	response, err := c.Store.Sync(ctx, request)
 	if err != nil {
-		return nil, StatusError(err)
+		return nil, fault.ToStatus(err)
 	}
 	return response, nil
 }
--- a/coordination/control/status.go
+++ b/coordination/control/status.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/metadata"
@@ -18,7 +19,7 @@
 // and gates. A replica without a leader answers with what it knows itself.
 func (o *operatorServer) Status(ctx context.Context, request *wire.StatusRequest) (*wire.StatusResponse, error) {
 	if err := o.authenticate(request.OperatorKey); err != nil {
-		return nil, StatusError(err)
+		return nil, fault.ToStatus(err)
 	}
 	if forwarded(ctx) {
 		return o.localStatus(), nil
@@ -67,7 +68,7 @@
 	var all []*wire.StatusResponse
 	var wait sync.WaitGroup
 	for _, member := range st.Members {
-		if member.Id == st.ID {
+		if member.Id == st.ID || member.Removed {
 			continue
 		}
 		wait.Go(func() {
--- a/coordination/quota/bucket.go
+++ b/coordination/quota/bucket.go
@@ -25,9 +25,11 @@
 	expires time.Time
 }
 
+// unmet is what an entry lately wanted and did not get.
 type unmet struct {
-	amount float64
-	at     time.Time
+	amount   float64
+	reserved float64 // part of the level that is kept for it
+	at       time.Time
 }
 
 // bucket is a central token bucket. Its level and all holdings never exceed the
@@ -43,29 +45,24 @@
 	return &bucket{filledAt: start, holdings: make(map[string]holding), demands: make(map[string]unmet)}
 }
 
-// lease renews what an entry holds and grants more in proportion to its part of
-// the demand. It returns the grant and the time until the rest is there.
+// lease renews what an entry holds and grants more. What others wait for is
+// divided by demand as the bucket fills, and is not granted here. The duration
+// is the time until the rest is there.
 func (b *bucket) lease(now time.Time, a ask, l limit) (float64, time.Duration) {
+	b.forgetDemands(now)
 	b.fill(now, l)
 	b.renew(now, a)
-	a.wanted = sane(a.wanted)
-	demand := b.demand(now, a)
-	granted := a.wanted
-	if demand > b.level {
-		granted = b.level * a.wanted / demand
-	}
-	if a.young {
-		granted = 0
-	}
+	delete(b.demands, a.entry)
+	wanted := sane(a.wanted)
+	granted := max(0, min(wanted, b.level-b.reserved()))
 	b.level -= granted
 	b.hold(now, a.entry, granted)
-	missing := a.wanted - granted
+	missing := wanted - granted
 	if missing <= 0 {
-		delete(b.demands, a.entry)
 		return granted, 0
 	}
-	b.demands[a.entry] = unmet{missing, now}
-	return granted, refillTime(missing*demand/a.wanted, l.rate)
+	b.demands[a.entry] = unmet{amount: missing, at: now}
+	return granted, refillTime(b.demand(), l.rate)
 }
 
 // sane bounds what another process sent.
@@ -97,7 +94,7 @@
 func (b *bucket) expired(now time.Time) []string {
 	var list []string
 	for entry, h := range b.holdings {
-		if !h.expires.After(now) {
+		if h.expires.Before(now) {
 			list = append(list, entry)
 		}
 	}
@@ -108,11 +105,33 @@
 }
 
 func (b *bucket) fillTo(t time.Time, l limit) {
+	room := max(0, l.burst-b.outstanding())
 	if elapsed := t.Sub(b.filledAt).Seconds(); elapsed > 0 {
-		b.level += elapsed * l.rate
+		b.add(max(0, min(elapsed*l.rate, room-b.level)))
 		b.filledAt = t
 	}
-	b.level = min(b.level, max(0, l.burst-b.outstanding()))
+	if b.level > room {
+		b.shrink(room)
+	}
+}
+
+// add raises the level and reserves what came for those that wait, in
+// proportion to what they want.
+func (b *bucket) add(amount float64) {
+	b.level += amount
+	demand := b.demand()
+	for entry, d := range b.demands {
+		d.reserved = min(d.amount, d.reserved+amount*d.amount/demand)
+		b.demands[entry] = d
+	}
+}
+
+func (b *bucket) shrink(level float64) {
+	for entry, d := range b.demands {
+		d.reserved *= level / b.level
+		b.demands[entry] = d
+	}
+	b.level = level
 }
 
 func (b *bucket) outstanding() float64 {
@@ -131,7 +150,7 @@
 	if a.young {
 		kept = sane(a.held)
 	} else {
-		b.level += min(sane(a.returned), known-kept)
+		b.add(min(sane(a.returned), known-kept))
 	}
 	delete(b.holdings, a.entry)
 	b.hold(now, a.entry, kept)
@@ -146,17 +165,26 @@
 	}
 }
 
-// demand is what is wanted now by this entry and was lately left unmet to others.
-func (b *bucket) demand(now time.Time, a ask) float64 {
-	sum := a.wanted
+func (b *bucket) forgetDemands(now time.Time) {
 	for entry, d := range b.demands {
 		if now.Sub(d.at) > demandMemory {
 			delete(b.demands, entry)
-			continue
-		}
-		if entry != a.entry {
-			sum += d.amount
 		}
 	}
+}
+
+func (b *bucket) demand() float64 {
+	sum := 0.0
+	for _, d := range b.demands {
+		sum += d.amount
+	}
+	return sum
+}
+
+func (b *bucket) reserved() float64 {
+	sum := 0.0
+	for _, d := range b.demands {
+		sum += d.reserved
+	}
 	return sum
 }
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -26,9 +26,9 @@
 	sequences map[string]uint64 // last lease request of each entry
 }
 
-// NewLedger returns the ledger of a leadership that began at since. Nothing
-// beyond what entries hold already is granted until Life has passed, because
-// earlier leaders may have granted it.
+// NewLedger returns the ledger of a leadership that began at since. Its buckets
+// are empty and fill only after Life has passed, because earlier leaders may
+// have granted what entries hold until then.
 func NewLedger(since time.Time) *Ledger {
 	return &Ledger{since: since, accounts: make(map[string]*account), sequences: make(map[string]uint64)}
 }
@@ -78,7 +78,7 @@
 	}
 	l.Open(now, contract, false)
 	a := l.accounts[demand.Organisation]
-	young := now.Sub(l.since) < Life
+	young := now.Sub(l.since) <= Life
 	var wait, tokenWait time.Duration
 	grant.Requests, wait = a.requests.lease(now, ask{
 		entry: entry, wanted: demand.Requests, held: demand.HeldRequests, returned: demand.ReturnedRequests, young: young,
--- a/coordination/quota/slots.go
+++ b/coordination/quota/slots.go
@@ -9,12 +9,38 @@
 
 const slotRetry = 200 * time.Millisecond // advised when no concurrency slot is free
 
-type slotLease struct {
+type slotGrant struct {
 	count   uint32
-	wanted  uint32
 	expires time.Time
 }
 
+// slotLease is what one entry may believe to have: the answer with its latest
+// grant may be lost, so earlier and larger ones count until they expire.
+type slotLease struct {
+	grants []slotGrant // falling by count, rising by expiry
+	wanted uint32
+}
+
+func (l slotLease) count() uint32 {
+	if len(l.grants) == 0 {
+		return 0
+	}
+	return l.grants[0].count
+}
+
+// renew adds a grant. An entry gives up what it does not want when it asks, so
+// no earlier grant counts for more than that.
+func (l slotLease) renew(grant slotGrant, wanted uint32) slotLease {
+	next := slotLease{wanted: wanted}
+	for _, g := range l.grants {
+		if g.count = min(g.count, wanted); g.count > grant.count {
+			next.grants = append(next.grants, g)
+		}
+	}
+	next.grants = append(next.grants, grant)
+	return next
+}
+
 // slots leases the concurrency of one contract to entries.
 type slots struct{ leases map[string]slotLease }
 
@@ -25,29 +51,34 @@
 // to the entry's part of the demand.
 func (s *slots) lease(now time.Time, entry string, demand *wire.QuotaDemand, limit uint32, young bool) uint32 {
 	s.expire(now)
-	others, wantedByAll := uint64(0), uint64(demand.ConcurrencyWanted)
+	held := demand.ConcurrencyHeld
+	wanted := max(held, demand.ConcurrencyWanted)
+	others, wantedByAll := uint64(0), uint64(wanted)
 	for name, l := range s.leases {
 		if name != entry {
-			others += uint64(l.count)
+			others += uint64(l.count())
 			wantedByAll += uint64(l.wanted)
 		}
 	}
-	held := demand.ConcurrencyHeld
 	count := held
 	if !young {
 		free := uint32(max(0, int64(limit)-int64(others)))
-		target := fairPart(demand.ConcurrencyWanted, wantedByAll, limit)
-		count = max(held, min(demand.ConcurrencyWanted, target, free))
+		count = max(held, min(fairPart(wanted, wantedByAll, limit), free))
 	}
-	s.leases[entry] = slotLease{count: count, wanted: demand.ConcurrencyWanted, expires: now.Add(Life)}
+	s.leases[entry] = s.leases[entry].renew(slotGrant{count, now.Add(Life)}, wanted)
 	return count
 }
 
 func (s *slots) expire(now time.Time) {
 	for entry, l := range s.leases {
-		if !l.expires.After(now) {
+		for len(l.grants) > 0 && l.grants[0].expires.Before(now) {
+			l.grants = l.grants[1:]
+		}
+		if len(l.grants) == 0 {
 			delete(s.leases, entry)
+			continue
 		}
+		s.leases[entry] = l
 	}
 }
 
--- /dev/null
+++ b/ctl/status.go
@@ -0,0 +1,130 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/jessevdk/go-flags"
+)
+
+func compare(x, y string) int { return strings.Compare(x, y) }
+
+func yesNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
+
+func serves(g *wire.GateReport) string {
+	if g.Service != "" {
+		return "service " + g.Service
+	}
+	return strings.Join(g.Models, ",")
+}
+
+func (a *app) showStatus() error {
+	status, err := a.status()
+	if err != nil {
+		return err
+	}
+	if a.options.Output == "json" {
+		return a.printJSON(status)
+	}
+	leader := status.LeaderId
+	if leader == "" {
+		leader = "none"
+	}
+	fmt.Fprintf(a.out, "leader %s at %s, term %d, commit %d, revision %d, log from %d, snapshot at %d\n\n",
+		leader, status.LeaderAddress, status.Term, status.Commit, status.Revision, status.FirstLogIndex, status.SnapshotIndex)
+	members := newTable(a.out, "REPLICA", "ADDRESS", "STATE")
+	for _, m := range status.Members {
+		members.row(m.Id, m.Address, memberText(m))
+	}
+	if err := members.flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(a.out)
+	if err := a.showProcesses(status); err != nil {
+		return err
+	}
+	fmt.Fprintln(a.out)
+	gates := newTable(a.out, "ENDPOINT", "DATA CENTRE", "READY", "COLD", "LEAVING", "REVISION", "RUNNING", "LIMIT")
+	for _, g := range status.Gates {
+		gates.row(g.Endpoint, g.DataCentre, yesNo(g.Ready), yesNo(g.Cold), yesNo(g.Leaving), g.Revision, g.Load.GetGateRunning(), g.AdmitLimit)
+	}
+	return gates.flush()
+}
+
+func (a *app) showProcesses(status *wire.StatusResponse) error {
+	t := newTable(a.out, "PROCESS", "ROLE", "DATA CENTRE", "REVISION", "BEHIND", "SEEN")
+	for _, p := range status.Processes {
+		behind := uint64(0)
+		if p.Info.Revision < status.Revision {
+			behind = status.Revision - p.Info.Revision
+		}
+		seen := (time.Duration(p.SeenMsAgo) * time.Millisecond).Round(100 * time.Millisecond)
+		t.row(p.Info.Id, p.Info.Role, p.Info.DataCentre, p.Info.Revision, behind, seen.String()+" ago")
+	}
+	return t.flush()
+}
+
+func (a *app) registerWatch(parent *flags.Command) {
+	watch := &struct {
+		Interval time.Duration `long:"interval" default:"1s" description:"Pause between looks"`
+		Count    int           `long:"count" description:"Looks before the command ends; 0 for no end"`
+		command
+	}{}
+	watch.command = func() error { return a.watch(watch.Interval, watch.Count) }
+	add(parent, "watch", "Print each change of configuration and leader as it comes", watch)
+}
+
+// watch goes on through failures: control that is away for a while is news, not
+// an end.
+func (a *app) watch(interval time.Duration, count int) error {
+	var seen uint64
+	leader, trouble := "", ""
+	for look := 0; count == 0 || look < count; look++ {
+		if look > 0 {
+			time.Sleep(interval)
+		}
+		history, err := a.history("", watchHistory)
+		if err != nil {
+			if mayTryElsewhere(err) {
+				trouble = a.printOnce(trouble, err.Error())
+				continue
+			}
+			return err
+		}
+		trouble = ""
+		seen = a.printNews(history.Deltas, seen)
+		status, err := a.status()
+		if err == nil && status.LeaderId != leader {
+			leader = status.LeaderId
+			fmt.Fprintf(a.out, "term %d: replica %s leads at %s\n", status.Term, leader, status.LeaderAddress)
+		}
+	}
+	return nil
+}
+
+func (a *app) printOnce(before, text string) string {
+	if text != before {
+		fmt.Fprintln(a.errOut, text)
+	}
+	return text
+}
+
+func (a *app) printNews(deltas []*wire.ConfigDelta, seen uint64) uint64 {
+	for _, delta := range deltas {
+		if delta.Revision <= seen {
+			continue
+		}
+		seen = delta.Revision
+		for _, item := range deltaText(delta) {
+			fmt.Fprintf(a.out, "revision %d: %s\n", delta.Revision, item)
+		}
+	}
+	return seen
+}
--- /dev/null
+++ b/role/control/options.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+)
+
+// Options are the settings of the control role, shared by the programs that
+// can host it.
+type Options struct {
+	DataFolder      string `long:"data-folder" env:"APRICOTSPOKE_DATA_FOLDER" description:"Folder on a disk for the control state; one replica uses it alone"`
+	OperatorKeyHash string `long:"operator-key-hash" env:"APRICOTSPOKE_OPERATOR_KEY_HASH" description:"SHA-256 of the operators' key, 64 hexadecimal digits"`
+	Bootstrap       bool   `long:"bootstrap" env:"APRICOTSPOKE_BOOTSTRAP" description:"Found the control group once every address of --control answers that it has none"`
+}
+
+// Enabled reports whether the process hosts the control role.
+func (o *Options) Enabled() bool { return o.DataFolder != "" }
+
+// Check returns every fault of the settings.
+func (o *Options) Check() []error {
+	if !o.Enabled() {
+		return nil
+	}
+	if _, err := o.keyHash(); err != nil {
+		return []error{err}
+	}
+	return nil
+}
+
+func (o *Options) keyHash() ([sha256.Size]byte, error) {
+	hash, err := hex.DecodeString(o.OperatorKeyHash)
+	if err != nil || len(hash) != sha256.Size {
+		return [sha256.Size]byte{}, fmt.Errorf("--operator-key-hash: 64 hexadecimal digits are needed; make them with apricotspokectl key hash")
+	}
+	return [sha256.Size]byte(hash), nil
+}
+
+// CheckAddresses returns a fault for each address that is not host:port.
+func CheckAddresses(flag string, addresses ...string) []error {
+	var faults []error
+	for _, address := range addresses {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			faults = append(faults, fmt.Errorf("%s: %q is no host:port", flag, address))
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/role/control/role.go
@@ -0,0 +1,158 @@
+// Package control wires the control role: one replica of the control group and
+// its services. A program of its own hosts it, or an entry or agent process
+// that is given a data folder.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/coordination/control"
+	"github.com/apricotspoke/apricotspoke/coordination/replica"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/machine"
+	"github.com/apricotspoke/apricotspoke/transport/link"
+	"go.uber.org/dig"
+	"google.golang.org/grpc"
+)
+
+const transferTimeout = 2 * time.Second
+
+// Config is what the role needs of its process.
+type Config struct {
+	Options
+	Process  *wire.ProcessInfo // its address is where other replicas reach this one
+	Peers    []string          // control addresses, this one may be among them
+	Security link.Security
+}
+
+// Role is the control role of one process.
+type Role struct {
+	replica *replica.Replica
+	service *control.Service
+}
+
+// Provide adds the role to a container that provides *Config,
+// *configsync.Store and *link.Pool.
+func Provide(container *dig.Container) error {
+	for _, constructor := range []any{machine.New, openReplica, newService, newRole} {
+		if err := container.Provide(constructor); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// New opens the role outside of a container. The store may be shared with the
+// other roles of the process.
+func New(config *Config, store *configsync.Store, pool *link.Pool) (*Role, error) {
+	container := dig.New()
+	provided := []any{
+		func() *Config { return config },
+		func() *configsync.Store { return store },
+		func() *link.Pool { return pool },
+	}
+	for _, constructor := range provided {
+		if err := container.Provide(constructor); err != nil {
+			return nil, err
+		}
+	}
+	if err := Provide(container); err != nil {
+		return nil, err
+	}
+	var role *Role
+	if err := container.Invoke(func(r *Role) { role = r }); err != nil {
+		return nil, dig.RootCause(err)
+	}
+	return role, nil
+}
+
+func openReplica(config *Config, m *machine.Machine) (*replica.Replica, error) {
+	return replica.Open(replica.Options{
+		Folder:    config.DataFolder,
+		Address:   config.Process.Address,
+		Peers:     config.Peers,
+		Bootstrap: config.Bootstrap,
+		Machine:   m,
+		Dial: func(address string) (grpc.ClientConnInterface, error) {
+			return link.Dial(address, config.Security)
+		},
+	})
+}
+
+func newService(config *Config, r *replica.Replica, m *machine.Machine, store *configsync.Store, pool *link.Pool) (*control.Service, error) {
+	hash, err := config.keyHash()
+	if err != nil {
+		return nil, err
+	}
+	return control.New(control.Options{
+		Process:         config.Process,
+		Replica:         r,
+		Machine:         m,
+		Store:           store,
+		Dial:            func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
+		OperatorKeyHash: hash,
+	}), nil
+}
+
+func newRole(r *replica.Replica, service *control.Service) *Role {
+	return &Role{replica: r, service: service}
+}
+
+// Register adds the services that only control serves.
+func (r *Role) Register(server grpc.ServiceRegistrar) {
+	wire.RegisterPeerServer(server, r.replica)
+	r.service.Register(server)
+}
+
+// RegisterShared adds Config and Announce. An entry serves Announce itself and
+// passes reports on with Observe; an entry or agent serves Config itself and
+// passes signs of life on with ObserveProcess.
+func (r *Role) RegisterShared(server grpc.ServiceRegistrar) {
+	r.RegisterConfig(server)
+	r.RegisterAnnounce(server)
+}
+
+// RegisterConfig adds the Config service alone.
+func (r *Role) RegisterConfig(server grpc.ServiceRegistrar) {
+	wire.RegisterConfigServer(server, r.service.Config())
+}
+
+// RegisterAnnounce adds the Announce service alone.
+func (r *Role) RegisterAnnounce(server grpc.ServiceRegistrar) {
+	wire.RegisterAnnounceServer(server, r.service.Announce())
+}
+
+// Observe takes a gate's report that another role of the process received.
+func (r *Role) Observe(report *wire.GateReport) { r.service.Observe(report) }
+
+// ObserveProcess takes a sign of life that another role of the process received.
+func (r *Role) ObserveProcess(info *wire.ProcessInfo) { r.service.ObserveProcess(info) }
+
+// Run works until ctx ends or the data folder fails. It then hands leadership
+// over, so that the group need not wait for an election.
+func (r *Role) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- r.replica.Run(running) }()
+	go r.service.Run(running)
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	r.handOver(running)
+	stop()
+	return <-ended
+}
+
+func (r *Role) handOver(ctx context.Context) {
+	if !r.replica.Status().IsLeader {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	_ = r.replica.Transfer(ctx)
+}
--- a/state/machine/members.go
+++ b/state/machine/members.go
@@ -13,6 +13,9 @@
 	}
 	var changes []*wire.Member
 	for _, member := range after {
+		if member.Removed {
+			continue
+		}
 		if have, ok := old[member.Id]; !ok || !proto.Equal(have, member) {
 			changes = append(changes, proto.CloneOf(member))
 		}
--- a/telemetry/logs/logs.go
+++ b/telemetry/logs/logs.go
@@ -3,15 +3,36 @@
 package logs
 
 import (
+	"fmt"
 	"os"
+	"slices"
+	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
 
+var levels = []string{"debug", "info", "warn", "error"}
+
+// level is the least level of the loggers that For returns from now on.
+var level atomic.Uint32
+
+func init() { level.Store(uint32(log.InfoLevel)) }
+
+// CheckLevel reports a name that is none of the levels.
+func CheckLevel(name string) error {
+	if !slices.Contains(levels, name) {
+		return fmt.Errorf("--log-level: %q is none of %v", name, levels)
+	}
+	return nil
+}
+
+// SetLevel sets the least level of the loggers made after it.
+func SetLevel(name string) { level.Store(uint32(log.ParseLevel(name))) }
+
 // For returns the logger of a part, such as "entry" or "control".
 func For(part string) *Logger {
 	return &Logger{part: part, base: &log.Logger{
-		Level:   log.InfoLevel,
+		Level:   log.Level(level.Load()),
 		Writer:  &log.IOWriter{Writer: os.Stderr},
 		Context: log.NewContext(nil).Str("part", part).Value(),
 	}}
