--- a/coordination/control/fake_test.go
+++ b/coordination/control/fake_test.go
@@ -101,7 +101,7 @@
 	if !r.Status().IsLeader {
 		return nil, fault.New(fault.NotLeader, "not the leader")
 	}
-	late := time.Duration(r.draw(3)) * proposeTimeout / 2
+	late := time.Duration(r.draw(3)) * proposeTimeout * 3 / 4
 	lost := r.draw(4) == 0
 	result := make(chan any, 1)
 	time.AfterFunc(late, func() {
--- a/coordination/control/gateleases_test.go
+++ b/coordination/control/gateleases_test.go
@@ -88,13 +88,13 @@
 		}
 	})
 	wait.Wait()
-	time.Sleep(2 * proposeTimeout)
+	time.Sleep(3 * proposeTimeout)
 	return l
 }
 
 func runGate(ctx context.Context, group *fakeGroup, l *lessor, name string, random *rand.Rand) {
 	for ctx.Err() == nil {
-		time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
+		time.Sleep(time.Duration(random.IntN(900)) * time.Millisecond)
 		if random.IntN(12) == 0 { // frozen, or dead and started again
 			time.Sleep(time.Duration(random.IntN(15000)) * time.Millisecond)
 		}
@@ -110,3 +110,27 @@
 		}
 	}
 }
+
+// A renewal counts from the last proof that the replica led, not from now: the
+// next leader may have begun its wait right after that proof.
+func TestRenewalRestsOnTheLastConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := newFakeGroup(rand.New(rand.NewPCG(1, 1)))
+		server := &gateLeasesServer{Service: group.services[0]}
+		request := &wire.GateLeaseRequest{Endpoint: "e", GateInstance: "g", GateAddress: "x"}
+		group.replicas[0].commit(&wire.Command{Of: &wire.Command_GateLease{GateLease: request}})
+		if r, err := server.Acquire(t.Context(), request); err != nil || !r.Held {
+			t.Fatalf("%v, %v", r, err)
+		}
+		group.elect(1)
+		time.Sleep(confirmedFor)
+		r, err := server.Acquire(t.Context(), request)
+		if err != nil || !r.Held || time.Duration(r.ValidMs)*time.Millisecond > gateLeaseTime-confirmedFor {
+			t.Fatalf("renewed by a deposed leader for %d ms, %v", r.ValidMs, err)
+		}
+		time.Sleep(time.Millisecond)
+		if r, _ := server.Acquire(t.Context(), request); r.Held {
+			t.Fatal("renewed on an old confirmation")
+		}
+	})
+}
--- a/ctl/app.go
+++ b/ctl/app.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/settings"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
@@ -44,7 +45,8 @@
 // an operation id is safe to send again.
 func call[R any](a *app, send func(ctx context.Context, client wire.OperatorClient) (R, error)) (R, error) {
 	var none R
-	if len(a.options.Control) == 0 {
+	addresses := settings.SplitList(a.options.Control)
+	if len(addresses) == 0 {
 		return none, fault.New(fault.InvalidRequest, "no control address is given; set --control or APRICOTSPOKE_CONTROL")
 	}
 	var last error
@@ -53,7 +55,7 @@
 		if round > 0 {
 			time.Sleep(roundPause)
 		}
-		for _, address := range a.options.Control {
+		for _, address := range addresses {
 			response, err := try(address, send)
 			if err == nil {
 				return response, nil
--- /dev/null
+++ b/role/control/ctl_test.go
@@ -0,0 +1,132 @@
+package control_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/apricotspoke/apricotspoke/ctl"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+const contractFile = `version: 1
+organisation: kartuli
+keys: [{key: caller}]
+services: [orders]
+limits: {requests_per_second: 5, request_burst: 5, concurrency: 2}
+`
+
+type cli struct {
+	t       *testing.T
+	control string
+	key     string
+}
+
+func (c cli) run(code int, args ...string) string {
+	c.t.Helper()
+	var out, errOut bytes.Buffer
+	all := append([]string{"--control", c.control, "--key", c.key}, args...)
+	if got := ctl.Run(all, &out, &errOut); got != code {
+		c.t.Fatalf("%v: exit code %d, want %d\n%s%s", args, got, code, &out, &errOut)
+	}
+	return out.String() + errOut.String()
+}
+
+func (c cli) tells(code int, want string, args ...string) {
+	c.t.Helper()
+	if text := c.run(code, args...); !strings.Contains(text, want) {
+		c.t.Errorf("%v: %q is missing in:\n%s", args, want, text)
+	}
+}
+
+// The command line drives a whole group, follows a dead address to a live one,
+// and tells each kind of error by its exit code.
+func TestCommandLine(t *testing.T) {
+	c := startCluster(t)
+	file := filepath.Join(t.TempDir(), "contract.yaml")
+	if err := os.WriteFile(file, []byte(contractFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i := range c.nodes {
+		// The first address answers nothing, the others lead or follow.
+		x := cli{t: t, control: "127.0.0.1:1," + c.nodes[i].address, key: operatorKey}
+		x.run(ctl.ExitOK, "status")
+	}
+	x := cli{t: t, control: c.nodes[0].address, key: operatorKey}
+	x.tells(ctl.ExitOK, "dry run", "contract", "put", file, "--dry-run")
+	x.tells(ctl.ExitNotFound, "has no contract", "contract", "get", "kartuli")
+	x.tells(ctl.ExitOK, "done at revision", "contract", "put", file, "--operation-id", "v0-first")
+	c.awaitInForce("kartuli")
+	second := cli{t: t, control: c.nodes[1].address, key: operatorKey}
+	second.tells(ctl.ExitOK, "was done before", "contract", "put", file, "--operation-id", "v0-first")
+	second.tells(ctl.ExitConflict, "read the object again", "contract", "put", file, "--expected-version", "0")
+	second.tells(ctl.ExitOK, "orders", "contract", "get", "kartuli")
+	second.tells(ctl.ExitOK, "put", "contract", "history", "kartuli")
+	second.tells(ctl.ExitUsage, "a name is missing", "data-centre", "out", "")
+	second.tells(ctl.ExitOK, "done at revision", "data-centre", "out", "dc1")
+	second.tells(ctl.ExitOK, "out", "data-centre", "list")
+	x.tells(ctl.ExitOK, "issued as number", "order", "load-model", "e1", "m", "--operation-id", "order")
+	second.tells(ctl.ExitOK, "was done before", "order", "load-model", "e1", "m", "--operation-id", "order")
+	second.tells(ctl.ExitConflict, "another change", "order", "load-model", "e1", "other", "--operation-id", "order")
+	if list := x.run(ctl.ExitOK, "order", "list"); strings.Count(list, "load-model") != 1 {
+		t.Errorf("the resent order is there twice:\n%s", list)
+	}
+	x.tells(ctl.ExitOK, "contract kartuli put", "watch", "--count", "1")
+	cli{t: t}.tells(ctl.ExitUsage, "no control address", "status")
+	wrong := cli{t: t, control: c.nodes[2].address, key: "wrong"}
+	wrong.tells(ctl.ExitUnauthenticated, "operator key is wrong", "data-centre", "in", "dc1")
+	var status map[string]any
+	if err := json.Unmarshal([]byte(x.run(ctl.ExitOK, "status", "--output", "json")), &status); err != nil {
+		t.Error(err)
+	}
+	c.testDrain(x)
+	for i := range c.nodes[:2] {
+		c.nodes[i].stop()
+	}
+	alone := cli{t: t, control: c.nodes[2].address, key: operatorKey}
+	alone.run(ctl.ExitUnavailable, "contract", "list")
+}
+
+func (c *cluster) awaitInForce(organisation string) {
+	c.t.Helper()
+	c.await("contract in force at every replica", func() bool {
+		for _, n := range c.nodes {
+			view, err := n.store.Current()
+			if err != nil || view.Contract(organisation) == nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// testDrain drains an endpoint whose gate reports to one replica, while the
+// command asks another.
+func (c *cluster) testDrain(x cli) {
+	stream, err := wire.NewAnnounceClient(c.conn(2)).Reports(context.Background())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	report := &wire.GateReport{GateInstance: "g", Endpoint: "e1", DataCentre: "dc1", Load: &wire.EndpointLoad{GateRunning: 1}}
+	send := func() {
+		report.Sequence++
+		if err := stream.Send(report); err != nil {
+			c.t.Fatal(err)
+		}
+		if _, err := stream.Recv(); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	send()
+	report.Revision = 1 << 40
+	send()
+	x.tells(ctl.ExitUnknown, "1 requests left", "endpoint", "drain", "e1", "--timeout", "1ms")
+	report.Load.GateRunning = 0
+	send()
+	x.tells(ctl.ExitOK, "0 requests left", "endpoint", "drain", "e1")
+	x.tells(ctl.ExitOK, "leaving", "endpoint", "list")
+}
--- a/role/control/program.go
+++ b/role/control/program.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/settings"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/go-chi/chi/v5"
@@ -33,6 +34,7 @@
 
 // Check returns every fault of the settings.
 func (o *ProgramOptions) Check() []error {
+	o.Control = settings.SplitList(o.Control)
 	faults := o.Options.Check()
 	if !o.Enabled() {
 		faults = append(faults, errors.New("--data-folder: a folder on a disk is needed"))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -42,3 +43,17 @@
 	}
 	os.Exit(2)
 }
+
+// SplitList splits each value of a repeated flag at commas and drops empty parts,
+// so that a flag takes what its environment variable takes.
+func SplitList(values []string) []string {
+	var parts []string
+	for _, value := range values {
+		for part := range strings.SplitSeq(value, ",") {
+			if part = strings.TrimSpace(part); part != "" {
+				parts = append(parts, part)
+			}
+		}
+	}
+	return parts
+}
--- a/state/contract/file.go
+++ b/state/contract/file.go
@@ -65,20 +65,25 @@
 	if digits, ok := strings.CutPrefix(text, hashPrefix); ok {
 		hash, err := hex.DecodeString(strings.TrimSpace(digits))
 		if err != nil || len(hash) != sha256.Size {
-			return fmt.Errorf("line %d: keys: sha256: needs 64 hexadecimal digits", node.Line)
+			return keyFault(node, "sha256: needs 64 hexadecimal digits")
 		}
 		k.hash = hash
 		return nil
 	}
 	plain, ok := strings.CutPrefix(text, keyPrefix)
 	if !ok || plain == "" {
-		return fmt.Errorf("line %d: keys: give sha256:HEX or key:TEXT", node.Line)
+		return keyFault(node, "give sha256:HEX or key:TEXT")
 	}
 	sum := sha256.Sum256([]byte(plain))
 	k.hash = sum[:]
 	return nil
 }
 
+// keyFault is of the type that the decoder collects before it gives up.
+func keyFault(node *yaml.Node, text string) error {
+	return &yaml.TypeError{Errors: []string{fmt.Sprintf("line %d: keys: %s", node.Line, text)}}
+}
+
 // Parse reads a contract file. Its InvalidRequest error names every fault that
 // it finds: all those of form, or else all those of content.
 func Parse(data []byte) (*wire.Contract, error) {
