Bound the orders that are kept for each endpoint

Orders were kept for ever, so the configuration grew with history. At most 64 may wait for an endpoint and 32 finished ones stay; removals travel as deltas.

--- a/coordination/control/feed.go
+++ b/coordination/control/feed.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if _, err := s.barrier(ctx); err != nil && ctx.Err() == nil {
-		s.log.Warn().Err(err).Msg("control: No quorum confirmed the leader.")
+		s.log.Warn().Err(err).Msg("No quorum confirmed the leader.")
 	}
 }
 
--- a/ctl/app.go
+++ b/ctl/app.go
@@ -22,7 +22,7 @@
 const (
 	callTimeout    = 4 * time.Second // of one address
 	connectTimeout = time.Second
-	rounds         = 3 // over all addresses, while no leader answers
+	rounds         = 8 // over all addresses, while no leader answers
 	roundPause     = 500 * time.Millisecond
 )
 
--- a/ctl/text.go
+++ b/ctl/text.go
@@ -45,6 +45,9 @@
 		items = append(items, fmt.Sprintf("endpoint %s %s", e.Endpoint, stateText(e.State)))
 	}
 	for _, o := range delta.Orders {
+		if o.Removed {
+			continue
+		}
 		items = append(items, fmt.Sprintf("order %d to %s: %s %s (%s)", o.Number, o.Endpoint, orderText(o.Kind), o.Argument, orderState(o)))
 	}
 	for _, m := range delta.Members {
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -97,16 +97,19 @@
 	}
 }
 
-// mergeOrder replaces the order of that number, or adds it. Slices of earlier
+// mergeOrder replaces, adds or removes the order of that number. Slices of earlier
 // views stay untouched.
 func (v *View) mergeOrder(o *wire.Order) {
 	orders := slices.Clone(v.orders[o.Endpoint])
 	at, found := slices.BinarySearchFunc(orders, o.Number, func(have *wire.Order, number uint64) int {
 		return int(int64(have.Number) - int64(number))
 	})
-	if found {
+	switch {
+	case found && o.Removed:
+		orders = slices.Delete(orders, at, at+1)
+	case found:
 		orders[at] = o
-	} else {
+	case !o.Removed:
 		orders = slices.Insert(orders, at, o)
 	}
 	v.orders[o.Endpoint] = orders
--- a/state/machine/change.go
+++ b/state/machine/change.go
@@ -45,7 +45,7 @@
 	case *wire.Change_SetEndpoint:
 		return planEndpoint(view, index, expected, of.SetEndpoint)
 	case *wire.Change_IssueOrder:
-		return planOrder(index, of.IssueOrder)
+		return planOrder(view, index, of.IssueOrder)
 	case *wire.Change_ChangeMember:
 		return nil, checkMemberChange(view, of.ChangeMember)
 	default:
--- a/state/machine/machine_test.go
+++ b/state/machine/machine_test.go
@@ -173,8 +173,16 @@
 	if o := m.Published().View.Orders("e")[0]; !o.Done || o.Result != "16" {
 		t.Fatalf("the first result must stay: %v", o)
 	}
+	for index := uint64(20); index < 200; index += 2 {
+		apply(m, index, 1, fmt.Sprint("order", index), order)
+		request := &wire.OrderDoneRequest{Endpoint: "e", Number: index, LeaseNumber: 14}
+		m.Apply(index+1, &wire.Command{Of: &wire.Command_OrderDone{OrderDone: request}})
+	}
+	if kept := m.Published().View.Orders("e"); len(kept) != keptFinishedOrders+1 || kept[keptFinishedOrders].Number != 198 {
+		t.Fatalf("%d orders are kept", len(kept))
+	}
 	revision := m.Published().View.Revision()
-	if lease(18, "g3"); m.Published().View.Revision() != revision {
+	if lease(300, "g3"); m.Published().View.Revision() != revision {
 		t.Fatal("a lease must not raise the revision")
 	}
 }
--- a/state/machine/orders.go
+++ b/state/machine/orders.go
@@ -4,16 +4,19 @@
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/contract"
+	"github.com/apricotspoke/apricotspoke/state/fleet"
 	"google.golang.org/protobuf/proto"
 )
 
 const (
 	maxOrderArgumentBytes = 1024
 	maxOrderResultBytes   = 4096
+	maxWaitingOrders      = 64 // of one endpoint
+	keptFinishedOrders    = 32 // of one endpoint
 )
 
 // planOrder numbers an order by its log index, which is its fencing number.
-func planOrder(index uint64, order *wire.Order) (*wire.ConfigDelta, error) {
+func planOrder(view *fleet.View, index uint64, order *wire.Order) (*wire.ConfigDelta, error) {
 	if err := contract.CheckName("endpoint", order.GetEndpoint()); err != nil {
 		return nil, err
 	}
@@ -24,8 +27,39 @@
 	if order.Argument == "" || len(order.Argument) > maxOrderArgumentBytes {
 		return nil, fault.New(fault.InvalidRequest, "the order needs an argument of 1 to %d bytes", maxOrderArgumentBytes)
 	}
+	orders := view.Orders(order.Endpoint)
+	old := oldOrders(orders)
+	if waiting := countWaiting(orders); waiting >= maxWaitingOrders {
+		return nil, fault.New(fault.Overloaded, "%d orders wait for endpoint %q already", waiting, order.Endpoint)
+	}
 	next := &wire.Order{Number: index, Endpoint: order.Endpoint, Kind: order.Kind, Argument: order.Argument}
-	return &wire.ConfigDelta{Orders: []*wire.Order{next}}, nil
+	return &wire.ConfigDelta{Orders: append(old, next)}, nil
+}
+
+func countWaiting(orders []*wire.Order) int {
+	waiting := 0
+	for _, order := range orders {
+		if !order.Done {
+			waiting++
+		}
+	}
+	return waiting
+}
+
+// oldOrders returns the removals of the oldest finished orders above the number kept.
+func oldOrders(orders []*wire.Order) []*wire.Order {
+	extra := len(orders) - countWaiting(orders) - keptFinishedOrders
+	var removals []*wire.Order
+	for _, order := range orders {
+		if extra <= 0 {
+			break
+		}
+		if order.Done {
+			removals = append(removals, &wire.Order{Number: order.Number, Endpoint: order.Endpoint, Removed: true})
+			extra--
+		}
+	}
+	return removals
 }
 
 // finishOrder records the first result of an order. Only the gate that holds
