--- /dev/null
+++ b/trials/fakeendpoint/debug.go
@@ -0,0 +1,71 @@
+package fakeendpoint
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+)
+
+// State is what the stand-in has counted, for trials.
+type State struct {
+	BootID           string         `json:"boot_id"`
+	Breaches         []Breach       `json:"breaches"`
+	MemoryTokensUsed uint64         `json:"memory_tokens_used"`
+	Running          int            `json:"running"`
+	Runs             map[string]int `json:"runs"`
+	Keys             map[string]int `json:"keys"`
+	Orders           []orderRecord  `json:"orders"`
+	Served           int            `json:"served"`
+	Arrivals         uint64         `json:"arrivals"`
+}
+
+// State returns a copy of the counters.
+func (e *Endpoint) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return State{
+		BootID:           e.bootID,
+		Breaches:         append([]Breach{}, e.breaches...),
+		MemoryTokensUsed: e.memoryUsed,
+		Running:          len(e.attempts),
+		Runs:             maps.Clone(e.runs),
+		Keys:             maps.Clone(e.keys),
+		Orders:           slices.Clone(e.orders),
+		Served:           e.served,
+		Arrivals:         e.arrivals,
+	}
+}
+
+type restartRequest struct {
+	BreakConnections bool `json:"break_connections"`
+}
+
+type slowRequest struct {
+	Factor float64 `json:"factor"`
+}
+
+func (e *Endpoint) serveState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.State())
+}
+
+func (e *Endpoint) serveRestart(w http.ResponseWriter, r *http.Request) {
+	var request restartRequest
+	if err := readJSON(w, r, &request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.Restart(request.BreakConnections)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Endpoint) serveSlow(w http.ResponseWriter, r *http.Request) {
+	var request slowRequest
+	if err := readJSON(w, r, &request); err != nil || request.Factor <= 0 {
+		http.Error(w, "factor must be above 0", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.slowdown = request.Factor
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/trials/fakeendpoint/load.go
@@ -0,0 +1,92 @@
+package fakeendpoint
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+)
+
+type loadReport struct {
+	BootID                 string   `json:"boot_id"`
+	AgeMs                  int64    `json:"age_ms"`
+	Running                int      `json:"running"`
+	Waiting                int      `json:"waiting"`
+	QueuedPrefillTokens    uint64   `json:"queued_prefill_tokens"`
+	MemoryTokensUsed       uint64   `json:"memory_tokens_used"`
+	MemoryTokensTotal      uint64   `json:"memory_tokens_total"`
+	PrefillTokensPerSecond float64  `json:"prefill_tokens_per_second"`
+	DecodeMsPerToken       float64  `json:"decode_ms_per_token"`
+	Admissible             int      `json:"admissible"`
+	Attempts               []string `json:"attempts"`
+
+	at time.Time
+}
+
+func (e *Endpoint) measureLoad(now time.Time) loadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := loadReport{
+		BootID:                 e.bootID,
+		MemoryTokensUsed:       e.memoryUsed,
+		MemoryTokensTotal:      e.config.MemoryTokens,
+		PrefillTokensPerSecond: e.config.PrefillTokensPerSecond / e.slowdown,
+		Admissible:             e.admissible(),
+		Attempts:               slices.Sorted(maps.Keys(e.attempts)),
+		at:                     now,
+	}
+	for _, a := range e.attempts {
+		if a.prefilled || a.external {
+			report.Running++
+			continue
+		}
+		report.Waiting++
+		report.QueuedPrefillTokens += uint64(a.prefillLeft)
+	}
+	interval := e.decodeInterval(report.Running)
+	report.DecodeMsPerToken = float64(interval) / float64(time.Millisecond)
+	return report
+}
+
+// sampleLoad keeps the reports of the last moments, so that /load can lag.
+func (e *Endpoint) sampleLoad(ctx context.Context) {
+	ticker := time.NewTicker(loadSampleInterval)
+	defer ticker.Stop()
+	for {
+		report := e.measureLoad(time.Now())
+		e.mu.Lock()
+		e.loads = append(e.loads, report)
+		if keep := int(e.config.LoadLag/loadSampleInterval) + 2; len(e.loads) > keep {
+			e.loads = slices.Clone(e.loads[len(e.loads)-keep:])
+		}
+		e.mu.Unlock()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// laggedLoad returns the newest report that is at least the lag old.
+func (e *Endpoint) laggedLoad(now time.Time) loadReport {
+	e.mu.Lock()
+	loads := e.loads
+	e.mu.Unlock()
+	if len(loads) == 0 {
+		return e.measureLoad(now)
+	}
+	report := loads[0]
+	for _, later := range loads {
+		if now.Sub(later.at) >= e.config.LoadLag {
+			report = later
+		}
+	}
+	report.AgeMs = now.Sub(report.at).Milliseconds()
+	return report
+}
+
+func (e *Endpoint) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.laggedLoad(time.Now()))
+}
