--- /dev/null
+++ b/trials/faultproxy/proxy_test.go
@@ -0,0 +1,123 @@
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const quiet = 100 * time.Millisecond // how long nothing must arrive
+
+// echoServer answers each connection with what it sends.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func newProxy(t *testing.T) *Proxy {
+	t.Helper()
+	p, err := New(echoServer(t), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func echo(conn net.Conn, text string) (string, error) {
+	if _, err := conn.Write([]byte(text)); err != nil {
+		return "", err
+	}
+	buffer := make([]byte, len(text))
+	_ = conn.SetReadDeadline(time.Now().Add(quiet))
+	n, err := io.ReadFull(conn, buffer)
+	return string(buffer[:n]), err
+}
+
+func TestSilentLinkAcceptsWritesWhileNewOnesWork(t *testing.T) {
+	for _, direction := range []Direction{Up, Down, Both} {
+		p := newProxy(t)
+		old := dial(t, p)
+		if got, err := echo(old, "a"); got != "a" {
+			t.Fatalf("before: %q, %v", got, err)
+		}
+		if p.Silence(direction) != 1 {
+			t.Fatal("no open connection")
+		}
+		got, err := echo(old, "b")
+		if got != "" || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("direction %d: silent link gave %q, %v", direction, got, err)
+		}
+		if got, err := echo(dial(t, p), "c"); got != "c" {
+			t.Errorf("direction %d: new link gave %q, %v", direction, got, err)
+		}
+	}
+}
+
+func TestPartitionAndHeal(t *testing.T) {
+	p := newProxy(t)
+	p.Partition()
+	if got, err := echo(dial(t, p), "a"); got != "" || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("partitioned link gave %q, %v", got, err)
+	}
+	p.Heal()
+	if got, err := echo(dial(t, p), "b"); got != "b" {
+		t.Errorf("healed link gave %q, %v", got, err)
+	}
+}
+
+func TestCutResetAndRefuse(t *testing.T) {
+	p := newProxy(t)
+	for _, end := range []struct {
+		act  func() int
+		want error
+	}{{p.Cut, io.EOF}, {p.Reset, syscall.ECONNRESET}} {
+		conn := dial(t, p)
+		if _, err := echo(conn, "a"); err != nil {
+			t.Fatal(err)
+		}
+		end.act()
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, end.want) {
+			t.Errorf("got %v, want %v", err, end.want)
+		}
+	}
+	p.SetAcceptance(Refuse)
+	conn, err := net.Dial("tcp", p.Address())
+	if err == nil {
+		if got, _ := echo(conn, "a"); got != "" {
+			t.Errorf("refused link gave %q", got)
+		}
+	}
+}
