Run the programs as real processes on loopback

The demonstration and the trials need one way to start, watch and end the programs. A proxy can stand on each link: transport/link takes detours from APRICOTSPOKE_DETOURS, so each pair of processes has its own proxy while the advertised addresses stay the true ones; one proxy for each receiver could not cut a single pair.

--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -34,7 +34,7 @@
 	if security.Client != nil {
 		transport = credentials.NewTLS(security.Client)
 	}
-	return grpc.NewClient("passthrough:///"+address,
+	return grpc.NewClient("passthrough:///"+detour(address),
 		grpc.WithTransportCredentials(transport),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
--- /dev/null
+++ b/trials/caller/stream.go
@@ -0,0 +1,77 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/answer"
+)
+
+const maxEventBytes = 1 << 20
+
+// completion is the part of a completion or of one of its events that callers read.
+type completion struct {
+	Choices []choice `json:"choices"`
+	Error   failure  `json:"error"`
+}
+
+type choice struct {
+	Text    string         `json:"text"`
+	Delta   answer.Message `json:"delta"`
+	Message answer.Message `json:"message"`
+}
+
+type failure struct {
+	Message string `json:"message"`
+}
+
+func (c completion) text() string {
+	if len(c.Choices) == 0 {
+		return ""
+	}
+	first := c.Choices[0]
+	return first.Text + first.Delta.Content + first.Message.Content
+}
+
+// readStream reads server-sent events up to the closing one.
+func (r *Result) readStream(body io.Reader, started time.Time) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxEventBytes)
+	var text strings.Builder
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.Whole = r.Failure == ""
+			break
+		}
+		r.readEvent(data, &text, started)
+	}
+	r.Text = text.String()
+	if err := scanner.Err(); err != nil {
+		r.Failure = err.Error()
+	} else if !r.Whole && r.Failure == "" {
+		r.Failure = "the stream ended before its closing event"
+	}
+}
+
+func (r *Result) readEvent(data string, text *strings.Builder, started time.Time) {
+	var event completion
+	if err := json.Unmarshal([]byte(data), &event); err != nil {
+		r.Failure = "an event could not be read: " + err.Error()
+		return
+	}
+	if event.Error.Message != "" {
+		r.Failure = event.Error.Message
+	}
+	part := event.text()
+	if part != "" && r.FirstToken == 0 {
+		r.FirstToken = time.Since(started)
+	}
+	text.WriteString(part)
+}
--- /dev/null
+++ b/trials/cluster/cluster.go
@@ -0,0 +1,304 @@
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+const (
+	readyTimeout    = 30 * time.Second
+	shutdownTimeout = 20 * time.Second
+)
+
+// Options describes a fleet.
+type Options struct {
+	Folder      string // data folders and logs; made when missing
+	Seed        uint64
+	Controls    int
+	Entries     int
+	DataCentres []string // controls and entries are spread over them in turn
+	Endpoints   []EndpointOptions
+	Proxied     bool // a fault proxy on each link
+}
+
+// EndpointOptions describes an endpoint and the agent beside it.
+type EndpointOptions struct {
+	Name       string
+	DataCentre string
+	Flags      []string // further flags of the stand-in, such as --model=m1
+}
+
+// Control is a control replica.
+type Control struct {
+	*Process
+	Address    string // of the fleet
+	HTTP       string
+	DataFolder string
+}
+
+// Entry is an entry.
+type Entry struct {
+	*Process
+	Address string // of the fleet
+	HTTP    string
+}
+
+// Endpoint is an endpoint with the agent beside it.
+type Endpoint struct {
+	*Process
+	Agent      *Agent
+	DataCentre string
+	HTTP       string
+}
+
+// Agent is the agent beside an endpoint.
+type Agent struct {
+	*Process
+	Address  string // of the fleet
+	HTTP     string
+	Announce string
+}
+
+// Cluster is a running fleet.
+type Cluster struct {
+	Controls  []*Control
+	Entries   []*Entry
+	Endpoints []*Endpoint
+	Links     *Links
+
+	options     Options
+	operatorKey string
+}
+
+// Start starts a fleet and waits until it is ready. What was started is ended
+// when that fails.
+func Start(ctx context.Context, options Options) (*Cluster, error) {
+	c := &Cluster{options: options, operatorKey: rand.Text(), Links: newLinks(options.Seed)}
+	if err := c.start(ctx); err != nil {
+		err = errors.Join(err, c.logs())
+		c.Kill()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	if err := os.MkdirAll(c.options.Folder, 0o700); err != nil {
+		return err
+	}
+	if err := c.plan(); err != nil {
+		return err
+	}
+	for _, p := range c.processes() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return c.AwaitReady(ctx)
+}
+
+// plan builds the processes without starting them.
+func (c *Cluster) plan() error {
+	if err := c.reserveAddresses(); err != nil {
+		return err
+	}
+	for i, control := range c.Controls {
+		if err := c.planControl(i, control); err != nil {
+			return err
+		}
+	}
+	for i, entry := range c.Entries {
+		if err := c.planEntry(i, entry); err != nil {
+			return err
+		}
+	}
+	for i, endpoint := range c.Endpoints {
+		if err := c.planEndpoint(c.options.Endpoints[i], endpoint); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) reserveAddresses() error {
+	var errs []error
+	reserve := func() string {
+		address, err := freeAddress()
+		errs = append(errs, err)
+		return address
+	}
+	for i := range c.options.Controls {
+		folder := filepath.Join(c.options.Folder, fmt.Sprintf("control%d-data", i+1))
+		c.Controls = append(c.Controls, &Control{Address: reserve(), HTTP: reserve(), DataFolder: folder})
+	}
+	for range c.options.Entries {
+		c.Entries = append(c.Entries, &Entry{Address: reserve(), HTTP: reserve()})
+	}
+	for _, o := range c.options.Endpoints {
+		agent := &Agent{Address: reserve(), HTTP: reserve(), Announce: reserve()}
+		c.Endpoints = append(c.Endpoints, &Endpoint{Agent: agent, HTTP: reserve(), DataCentre: o.DataCentre})
+	}
+	return errors.Join(errs...)
+}
+
+func (c *Cluster) planControl(i int, control *Control) error {
+	name := controlName(i)
+	env, err := c.environment(name, c.controlTargets())
+	if err != nil {
+		return err
+	}
+	keyHash := sha256.Sum256([]byte(c.operatorKey))
+	control.Process = newProcess(c.options.Folder, name, "apricotspoke-control", env,
+		"--id="+name,
+		"--data-centre="+c.dataCentre(i),
+		"--listen="+control.Address,
+		"--http-listen="+control.HTTP,
+		"--control="+c.controlList(),
+		"--data-folder="+control.DataFolder,
+		"--operator-key-hash="+hex.EncodeToString(keyHash[:]),
+		"--bootstrap")
+	return nil
+}
+
+func (c *Cluster) planEntry(i int, entry *Entry) error {
+	name := entryName(i)
+	env, err := c.environment(name, append(c.controlTargets(), c.agentTargets()...))
+	if err != nil {
+		return err
+	}
+	entry.Process = newProcess(c.options.Folder, name, "apricotspoke-entry", env,
+		"--id="+name,
+		"--data-centre="+c.dataCentre(i),
+		"--listen="+entry.Address,
+		"--http-listen="+entry.HTTP,
+		"--control="+c.controlList())
+	return nil
+}
+
+func (c *Cluster) planEndpoint(o EndpointOptions, endpoint *Endpoint) error {
+	agentName := "agent-" + o.Name
+	env, err := c.environment(agentName, append(c.controlTargets(), c.entryTargets()...))
+	if err != nil {
+		return err
+	}
+	agent := endpoint.Agent
+	agent.Process = newProcess(c.options.Folder, agentName, "apricotspoke-agent", env,
+		"--id="+agentName,
+		"--data-centre="+o.DataCentre,
+		"--listen="+agent.Address,
+		"--http-listen="+agent.HTTP,
+		"--announce-listen="+agent.Announce,
+		"--control="+c.controlList(),
+		"--entries="+c.entryList())
+	flags := []string{"--name=" + o.Name, "--listen=" + endpoint.HTTP, "--agent=http://" + agent.Announce}
+	if c.options.Proxied {
+		via, err := c.Links.add(agentName, o.Name, endpoint.HTTP)
+		if err != nil {
+			return err
+		}
+		flags = append(flags, "--announced-address="+via)
+	}
+	endpoint.Process = newProcess(c.options.Folder, o.Name, "apricotspoke-fakeendpoint", nil, append(flags, o.Flags...)...)
+	return nil
+}
+
+func (c *Cluster) environment(name string, targets []target) ([]string, error) {
+	if !c.options.Proxied {
+		return nil, nil
+	}
+	return c.Links.detours(name, targets)
+}
+
+func (c *Cluster) dataCentre(i int) string {
+	return c.options.DataCentres[i%len(c.options.DataCentres)]
+}
+
+func controlName(i int) string { return fmt.Sprintf("control%d", i+1) }
+
+func entryName(i int) string { return fmt.Sprintf("entry%d", i+1) }
+
+func (c *Cluster) controlTargets() []target {
+	var targets []target
+	for i, control := range c.Controls {
+		targets = append(targets, target{controlName(i), control.Address})
+	}
+	return targets
+}
+
+func (c *Cluster) entryTargets() []target {
+	var targets []target
+	for i, entry := range c.Entries {
+		targets = append(targets, target{entryName(i), entry.Address})
+	}
+	return targets
+}
+
+func (c *Cluster) agentTargets() []target {
+	var targets []target
+	for i, endpoint := range c.Endpoints {
+		targets = append(targets, target{"agent-" + c.options.Endpoints[i].Name, endpoint.Agent.Address})
+	}
+	return targets
+}
+
+func (c *Cluster) controlList() string { return addresses(c.controlTargets()) }
+
+func (c *Cluster) entryList() string { return addresses(c.entryTargets()) }
+
+func addresses(targets []target) string {
+	list := make([]string, len(targets))
+	for i, t := range targets {
+		list[i] = t.address
+	}
+	return strings.Join(list, ",")
+}
+
+// processes lists all processes in the order in which they are started.
+func (c *Cluster) processes() []*Process {
+	var list []*Process
+	for _, control := range c.Controls {
+		list = append(list, control.Process)
+	}
+	for _, entry := range c.Entries {
+		list = append(list, entry.Process)
+	}
+	for _, endpoint := range c.Endpoints {
+		list = append(list, endpoint.Agent.Process, endpoint.Process)
+	}
+	return list
+}
+
+// Stop shuts everything down, callers' side first, and reports what did not end
+// as asked. Stand-ins end last and at once.
+func (c *Cluster) Stop() error {
+	var errs []error
+	for _, entry := range c.Entries {
+		errs = append(errs, entry.Shutdown(shutdownTimeout))
+	}
+	for _, endpoint := range c.Endpoints {
+		errs = append(errs, endpoint.Agent.Shutdown(shutdownTimeout))
+	}
+	for _, control := range c.Controls {
+		errs = append(errs, control.Shutdown(shutdownTimeout))
+	}
+	c.Kill()
+	return errors.Join(errs...)
+}
+
+// Kill ends everything at once.
+func (c *Cluster) Kill() {
+	for _, p := range c.processes() {
+		if p != nil {
+			_ = p.Kill()
+		}
+	}
+	c.Links.close()
+}
--- /dev/null
+++ b/trials/cluster/invariants.go
@@ -0,0 +1,111 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/fakeendpoint"
+)
+
+// State asks the stand-in for its counters.
+func (e *Endpoint) State(ctx context.Context) (fakeendpoint.State, error) {
+	var state fakeendpoint.State
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.HTTP+"/debug/state", nil)
+	if err != nil {
+		return state, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return state, err
+	}
+	defer response.Body.Close()
+	return state, json.NewDecoder(response.Body).Decode(&state)
+}
+
+// Turn makes the stand-in cold; its connections break or go silent.
+func (e *Endpoint) Turn(ctx context.Context, breakConnections bool) error {
+	return e.debug(ctx, "restart", fmt.Sprintf(`{"break_connections":%v}`, breakConnections))
+}
+
+// Slow makes the stand-in slower by a factor.
+func (e *Endpoint) Slow(ctx context.Context, factor float64) error {
+	return e.debug(ctx, "slow", fmt.Sprintf(`{"factor":%g}`, factor))
+}
+
+func (e *Endpoint) debug(ctx context.Context, name, body string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.HTTP+"/debug/"+name, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("%s answered %s", e.Name, response.Status)
+	}
+	return nil
+}
+
+// CheckInvariants asks every running stand-in: no breach, no booking or attempt
+// that ran twice, and within the limit no work and no memory left in use.
+func (c *Cluster) CheckInvariants(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var errs []error
+	for _, endpoint := range c.Endpoints {
+		if endpoint.Running() {
+			errs = append(errs, endpoint.check(ctx))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (e *Endpoint) check(ctx context.Context) error {
+	var state fakeendpoint.State
+	idle := Poll(ctx, func(ctx context.Context) (err error) {
+		if state, err = e.State(ctx); err != nil {
+			return err
+		}
+		if state.Running > 0 || state.MemoryTokensUsed > 0 {
+			return fmt.Errorf("%s: %d attempts and %d tokens of memory are still in use", e.Name, state.Running, state.MemoryTokensUsed)
+		}
+		return nil
+	})
+	errs := []error{idle}
+	for _, breach := range state.Breaches {
+		errs = append(errs, fmt.Errorf("%s: breach of %s by attempt %s: %s", e.Name, breach.Kind, breach.Attempt, breach.Detail))
+	}
+	for key, runs := range state.Keys {
+		if runs > 1 {
+			errs = append(errs, fmt.Errorf("%s: key %s ran %d times", e.Name, key, runs))
+		}
+	}
+	for attempt, runs := range state.Runs {
+		if runs > 1 {
+			errs = append(errs, fmt.Errorf("%s: attempt %s arrived %d times", e.Name, attempt, runs))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// KeyRuns adds up over all stand-ins how often a key's request ran.
+func (c *Cluster) KeyRuns(ctx context.Context, key string) (int, error) {
+	runs := 0
+	for _, endpoint := range c.Endpoints {
+		state, err := endpoint.State(ctx)
+		if err != nil {
+			return 0, err
+		}
+		runs += state.Keys[key]
+	}
+	return runs, nil
+}
--- /dev/null
+++ b/trials/cluster/links.go
@@ -0,0 +1,78 @@
+package cluster
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/faultproxy"
+)
+
+// linkEnds names a link by its processes; From opens the connections.
+type linkEnds struct{ From, To string }
+
+// Links holds the fault proxies between processes, one for each pair.
+type Links struct {
+	seed    uint64
+	proxies map[linkEnds]*faultproxy.Proxy
+}
+
+func newLinks(seed uint64) *Links {
+	return &Links{seed: seed, proxies: make(map[linkEnds]*faultproxy.Proxy)}
+}
+
+// Between returns the proxy on the connections that from opens to to.
+func (l *Links) Between(from, to string) (*faultproxy.Proxy, error) {
+	if proxy, ok := l.proxies[linkEnds{from, to}]; ok {
+		return proxy, nil
+	}
+	return nil, fmt.Errorf("no proxy from %s to %s", from, to)
+}
+
+// Touching returns all proxies of a process, both ways, whose other end is
+// accepted by the filter.
+func (l *Links) Touching(name string, other func(string) bool) []*faultproxy.Proxy {
+	var found []*faultproxy.Proxy
+	for ends, proxy := range l.proxies {
+		if ends.From == name && other(ends.To) || ends.To == name && other(ends.From) {
+			found = append(found, proxy)
+		}
+	}
+	return found
+}
+
+// add puts a proxy on a link and returns its address.
+func (l *Links) add(from, to, address string) (string, error) {
+	proxy, err := faultproxy.New(address, l.seed+uint64(len(l.proxies)))
+	if err != nil {
+		return "", err
+	}
+	l.proxies[linkEnds{from, to}] = proxy
+	return proxy.Address(), nil
+}
+
+// target is a process that others connect to.
+type target struct{ name, address string }
+
+// detours puts a proxy on the links of a process to each target and returns the
+// environment that leads the process over them.
+func (l *Links) detours(from string, targets []target) ([]string, error) {
+	var pairs []string
+	var errs []error
+	for _, to := range targets {
+		if to.name == from {
+			continue
+		}
+		via, err := l.add(from, to.name, to.address)
+		errs = append(errs, err)
+		pairs = append(pairs, to.address+"="+via)
+	}
+	return []string{link.DetoursVariable + "=" + strings.Join(pairs, ",")}, errors.Join(errs...)
+}
+
+func (l *Links) close() {
+	for _, proxy := range l.proxies {
+		proxy.Close()
+	}
+}
--- /dev/null
+++ b/trials/cluster/ready.go
@@ -0,0 +1,96 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	pollInterval = 25 * time.Millisecond
+	pollTimeout  = 2 * time.Second
+	logTail      = 1500 // bytes of each log shown after a failed start
+)
+
+// AwaitReady waits until every running process says that it is ready.
+func (c *Cluster) AwaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, control := range c.Controls {
+		if err := awaitReady(ctx, control.Process, control.HTTP); err != nil {
+			return err
+		}
+	}
+	for _, endpoint := range c.Endpoints {
+		if err := awaitReady(ctx, endpoint.Agent.Process, endpoint.Agent.HTTP); err != nil {
+			return err
+		}
+	}
+	for _, entry := range c.Entries {
+		if err := awaitReady(ctx, entry.Process, entry.HTTP); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func awaitReady(ctx context.Context, p *Process, address string) error {
+	err := Poll(ctx, func(ctx context.Context) error {
+		if !p.Running() {
+			return errStopped
+		}
+		return getReady(ctx, address)
+	})
+	if err != nil {
+		return fmt.Errorf("%s is not ready: %w", p.Name, err)
+	}
+	return nil
+}
+
+var errStopped = errors.New("the process ended")
+
+// Poll calls check until it succeeds, the process checked has ended, or ctx ends.
+func Poll(ctx context.Context, check func(context.Context) error) error {
+	for {
+		err := check(ctx)
+		if err == nil || errors.Is(err, errStopped) {
+			return err
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		}
+	}
+}
+
+func getReady(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("readyz answered %s", response.Status)
+	}
+	return nil
+}
+
+// logs returns the ends of the logs as an error, for a failed start.
+func (c *Cluster) logs() error {
+	var errs []error
+	for _, p := range c.processes() {
+		if p != nil {
+			errs = append(errs, fmt.Errorf("--- %s\n%s", p.Name, p.Log(logTail)))
+		}
+	}
+	return errors.Join(errs...)
+}
