Add the demonstration, workloads and the load experiment

The load tool sends a planned workload in an open loop: each request at its planned time whether or not earlier ones ended, latency counted from that time, so that a stall is seen by all who would have met it. Answers are checked byte for byte. Reports are kept as JSON, compared as ratios and drawn as SVG.

--- /dev/null
+++ b/cmd/apricotspoke-load/compare.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"os"
+
+	"github.com/apricotspoke/apricotspoke/trials/experiment"
+)
+
+type compareCommand struct {
+	Files struct {
+		First  string `positional-arg-name:"first" description:"JSON report of the run before"`
+		Second string `positional-arg-name:"second" description:"JSON report of the run after"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute prints the ratios of the second run to the first.
+func (c *compareCommand) Execute([]string) error {
+	first, err := experiment.Load(c.Files.First)
+	if err != nil {
+		return err
+	}
+	second, err := experiment.Load(c.Files.Second)
+	if err != nil {
+		return err
+	}
+	experiment.Compare(os.Stdout, first, second)
+	return nil
+}
--- a/cmd/apricotspoke-load/main.go
+++ b/cmd/apricotspoke-load/main.go
@@ -1,4 +1,45 @@
-// Command apricotspoke-load is not built yet.
+// Command apricotspoke-load shows the system at work, drives it with load and
+// compares runs.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apricotspoke/apricotspoke/trials/demo"
+	"github.com/jessevdk/go-flags"
+)
+
+type demoCommand struct{}
+
+// Execute runs the demonstration.
+func (demoCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return demo.Run(ctx, os.Stdout)
+}
+
+type commands struct {
+	Demo    demoCommand    `command:"demo" description:"start a small fleet on loopback and send requests through it"`
+	Run     runCommand     `command:"run" description:"drive a fleet with a workload in an open loop"`
+	Compare compareCommand `command:"compare" description:"compare the JSON reports of two runs"`
+}
+
+func main() {
+	parser := flags.NewNamedParser("apricotspoke-load", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Commands", "", &commands{}); err != nil {
+		panic(err)
+	}
+	_, err := parser.Parse()
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "apricotspoke-load: %s\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/trials/cluster/contract.go
@@ -0,0 +1,72 @@
+package cluster
+
+import (
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+const (
+	contractFileVersion = 1
+	longestPrompt       = 1_100_000 // tokens
+	longestOutput       = 60_000    // tokens
+	ample               = 1e8       // a limit that no trial reaches
+)
+
+// Contract is the contract file of an organisation.
+type Contract struct {
+	Version      int      `yaml:"version"`
+	Organisation string   `yaml:"organisation"`
+	Keys         []string `yaml:"keys"`
+	Models       []string `yaml:"models"`
+	Services     []string `yaml:"services"`
+	Limits       Limits   `yaml:"limits"`
+	Priority     int      `yaml:"priority"`
+	Share        float64  `yaml:"share"`
+	Deadlines    []Band   `yaml:"deadlines"`
+}
+
+// Limits are the limits of a contract.
+type Limits struct {
+	RequestsPerSecond float64 `yaml:"requests_per_second"`
+	RequestBurst      float64 `yaml:"request_burst"`
+	TokensPerSecond   float64 `yaml:"tokens_per_second"`
+	TokenBurst        float64 `yaml:"token_burst"`
+	Concurrency       int     `yaml:"concurrency"`
+	MaxPromptTokens   int     `yaml:"max_prompt_tokens"`
+	MaxOutputTokens   int     `yaml:"max_output_tokens"`
+}
+
+// Band holds the deadlines of prompts up to a length.
+type Band struct {
+	UpToTokens  int           `yaml:"up_to_tokens"`
+	FirstToken  time.Duration `yaml:"first_token"`
+	WholeAnswer time.Duration `yaml:"whole_answer"`
+}
+
+// AmpleContract returns a contract whose limits no trial reaches.
+func AmpleContract(organisation, key string) Contract {
+	return Contract{
+		Version:      contractFileVersion,
+		Organisation: organisation,
+		Keys:         []string{"sha256:" + KeyHash(key)},
+		Models:       []string{"m1"},
+		Services:     []string{"booking"},
+		Limits: Limits{
+			RequestsPerSecond: 10_000,
+			RequestBurst:      10_000,
+			TokensPerSecond:   ample,
+			TokenBurst:        ample,
+			Concurrency:       1000,
+			MaxPromptTokens:   longestPrompt,
+			MaxOutputTokens:   longestOutput,
+		},
+		Share: 1,
+		Deadlines: []Band{
+			{UpToTokens: 10_000, FirstToken: 20 * time.Second, WholeAnswer: 60 * time.Second},
+			{UpToTokens: longestPrompt, FirstToken: 60 * time.Second, WholeAnswer: 120 * time.Second},
+		},
+	}
+}
+
+func (c Contract) file() ([]byte, error) { return yaml.Marshal(c) }
--- /dev/null
+++ b/trials/cluster/work.go
@@ -0,0 +1,59 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/answer"
+	"github.com/apricotspoke/apricotspoke/trials/caller"
+)
+
+// Arrivals is the number of attempts that the stand-ins of a data centre have
+// taken in, by their own counters.
+func (c *Cluster) Arrivals(ctx context.Context, dataCentre string) (uint64, error) {
+	var arrivals uint64
+	for _, endpoint := range c.Endpoints {
+		if endpoint.DataCentre != dataCentre {
+			continue
+		}
+		state, err := endpoint.State(ctx)
+		if err != nil {
+			return 0, err
+		}
+		arrivals += state.Arrivals
+	}
+	return arrivals, nil
+}
+
+// AwaitWork waits until a data centre takes new work.
+func (c *Cluster) AwaitWork(ctx context.Context, dataCentre string, limit time.Duration) error {
+	before, err := c.Arrivals(ctx, dataCentre)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return Poll(ctx, func(ctx context.Context) error {
+		now, err := c.Arrivals(ctx, dataCentre)
+		if err == nil && now == before {
+			err = fmt.Errorf("%s gets no work", dataCentre)
+		}
+		return err
+	})
+}
+
+// AwaitServed waits until an entry serves a short completion under a key, so
+// that the contract is in force there and an endpoint is known.
+func (c *Cluster) AwaitServed(ctx context.Context, client *caller.Client, entry, key string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request := caller.Completion(entry, key, answer.Request{Model: "m1", Prompt: "ready", MaxTokens: 1})
+	return Poll(ctx, func(ctx context.Context) error {
+		result := client.Send(ctx, request)
+		if !result.OK() {
+			return fmt.Errorf("entry %s answers %d %s%s", entry, result.Status, result.Failure, result.Body)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/trials/demo/demo.go
@@ -0,0 +1,208 @@
+// Package demo shows the whole path on loopback: a small fleet of real
+// processes, an operator's changes and the requests of two organisations.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/answer"
+	"github.com/apricotspoke/apricotspoke/trials/caller"
+	"github.com/apricotspoke/apricotspoke/trials/cluster"
+)
+
+const (
+	timeLimit      = 45 * time.Second
+	kartuliKey     = "kartuli-key"
+	kitamuraKey    = "kitamura-key"
+	longTokens     = 100_000
+	bytesPerToken  = 4
+	invariantLimit = 10 * time.Second
+	inForceLimit   = 5 * time.Second
+	limitTries     = 6 // requests sent at once by an organisation that may send two
+)
+
+// demo holds what the steps share.
+type demo struct {
+	cluster *cluster.Cluster
+	caller  *caller.Client
+	table   table
+	faults  []error
+}
+
+// Run runs the demonstration and prints its table. The error names what failed.
+func Run(ctx context.Context, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
+	defer cancel()
+	folder, err := os.MkdirTemp("", "apricotspoke-demo-")
+	if err != nil {
+		return err
+	}
+	fleet, err := cluster.Start(ctx, options(folder))
+	if err != nil {
+		return fmt.Errorf("start the fleet (logs in %s): %w", folder, err)
+	}
+	d := &demo{cluster: fleet, caller: caller.New()}
+	d.steps(ctx)
+	d.caller.Close()
+	d.fail(fleet.CheckInvariants(ctx, invariantLimit))
+	d.recordMemory()
+	d.fail(fleet.Stop())
+	d.table.print(out)
+	if err := errors.Join(d.faults...); err != nil {
+		return fmt.Errorf("logs in %s: %w", folder, err)
+	}
+	return os.RemoveAll(folder)
+}
+
+func options(folder string) cluster.Options {
+	o := cluster.Options{
+		Folder:      folder,
+		Seed:        1,
+		Controls:    3,
+		Entries:     2,
+		DataCentres: []string{"dc1", "dc2", "dc3"},
+	}
+	for _, dataCentre := range o.DataCentres {
+		for i := range 2 {
+			o.Endpoints = append(o.Endpoints, cluster.EndpointOptions{
+				Name:       fmt.Sprintf("%s-engine%d", dataCentre, i+1),
+				DataCentre: dataCentre,
+				Flags:      []string{"--model=m1", "--memory-tokens=600000", "--prefill-rate=200000", "--decode-ms=5", "--concurrency=16"},
+			})
+		}
+	}
+	o.Endpoints = append(o.Endpoints, cluster.EndpointOptions{
+		Name:       "dc3-booking",
+		DataCentre: "dc3",
+		Flags:      []string{"--service=booking"},
+	})
+	return o
+}
+
+func (d *demo) steps(ctx context.Context) {
+	if !d.putContracts(ctx) {
+		return
+	}
+	d.completions(ctx)
+	d.bookings(ctx)
+	d.overTheLimit(ctx)
+	d.dataCentreOutAndIn(ctx)
+}
+
+func (d *demo) fail(err error) {
+	if err != nil {
+		d.faults = append(d.faults, err)
+	}
+}
+
+func (d *demo) entry(i int) string { return d.cluster.Entries[i%len(d.cluster.Entries)].HTTP }
+
+// putContracts puts two contracts in and waits until the entries have them.
+func (d *demo) putContracts(ctx context.Context) bool {
+	kitamura := cluster.AmpleContract("kitamura", kitamuraKey)
+	kitamura.Limits.RequestsPerSecond = 0.1
+	kitamura.Limits.RequestBurst = 2
+	for _, contract := range []cluster.Contract{cluster.AmpleContract("kartuli", kartuliKey), kitamura} {
+		if err := d.cluster.PutContract(ctx, contract); err != nil {
+			d.fail(err)
+			return false
+		}
+	}
+	for i := range d.cluster.Entries {
+		if err := d.cluster.AwaitServed(ctx, d.caller, d.entry(i), kartuliKey, inForceLimit); err != nil {
+			d.fail(err)
+			return false
+		}
+	}
+	return true
+}
+
+func (d *demo) completions(ctx context.Context) {
+	d.complete(ctx, "short prompt", answer.Request{Prompt: "Crest for Torpedo Kutaisi", MaxTokens: 32})
+	d.complete(ctx, "prompt of 100,000 tokens", answer.Request{Prompt: longPrompt(longTokens), MaxTokens: 32})
+	d.complete(ctx, "streamed prompt", answer.Request{Prompt: "Check the feed horn", MaxTokens: 64, Stream: true})
+}
+
+func longPrompt(tokens int) string {
+	return strings.Repeat("goal", tokens*bytesPerToken/len("goal"))
+}
+
+// complete asks for a completion and checks the answer byte for byte.
+func (d *demo) complete(ctx context.Context, what string, request answer.Request) {
+	request.Model = "m1"
+	result := d.caller.Send(ctx, caller.Completion(d.entry(0), kartuliKey, request))
+	d.table.add(what, result)
+	if want := answer.Text(request.Text(), request.OutputTokens()); !result.OK() || result.Text != want {
+		d.fail(fmt.Errorf("%s: status %d, whole %v, %d of %d bytes, %s%s", what, result.Status, result.Whole, len(result.Text), len(want), result.Failure, result.Body))
+	}
+}
+
+// bookings sends one booking twice under one key, through both entries.
+func (d *demo) bookings(ctx context.Context) {
+	const key = "visit-17"
+	request := caller.Request{
+		Method:         http.MethodPost,
+		Path:           "/services/booking/book",
+		Key:            kartuliKey,
+		IdempotencyKey: key,
+		Body:           []byte(`{"reference":"` + key + `"}`),
+	}
+	var answers []string
+	for i := range 2 {
+		request.Entry = d.entry(i)
+		result := d.caller.Send(ctx, request)
+		d.table.add(fmt.Sprintf("booking, time %d under one key", i+1), result)
+		if !result.OK() {
+			d.fail(fmt.Errorf("booking %d: status %d %s%s", i+1, result.Status, result.Failure, result.Body))
+		}
+		answers = append(answers, string(result.Body))
+	}
+	if answers[0] != answers[1] {
+		d.fail(fmt.Errorf("the booking's answers differ: %q and %q", answers[0], answers[1]))
+	}
+	if runs, err := d.cluster.KeyRuns(ctx, key); err != nil || runs != 1 {
+		d.fail(fmt.Errorf("the booking ran %d times (%v)", runs, err))
+	}
+}
+
+// overTheLimit sends requests until the contract's limit refuses one.
+func (d *demo) overTheLimit(ctx context.Context) {
+	request := answer.Request{Model: "m1", Prompt: "Frost on the mast", MaxTokens: 4}
+	for i := range limitTries {
+		result := d.caller.Send(ctx, caller.Completion(d.entry(i), kitamuraKey, request))
+		if result.OK() {
+			continue
+		}
+		d.table.add("request over its limit", result)
+		if result.Status != http.StatusTooManyRequests || !result.NotRun() || result.RetryAfter() == "" {
+			d.fail(fmt.Errorf("over the limit: status %d, not run %v, Retry-After %q, %s", result.Status, result.NotRun(), result.RetryAfter(), result.Body))
+		}
+		return
+	}
+	d.fail(fmt.Errorf("none of %d requests was refused by a contract for two", limitTries))
+}
+
+func (d *demo) recordMemory() {
+	for _, entry := range d.cluster.Entries {
+		d.memory(entry.Process)
+	}
+	for _, endpoint := range d.cluster.Endpoints {
+		d.memory(endpoint.Agent.Process)
+	}
+}
+
+func (d *demo) memory(p *cluster.Process) {
+	bytes, err := p.PeakMemory()
+	if err != nil {
+		d.fail(fmt.Errorf("peak memory of %s: %w", p.Name, err))
+		return
+	}
+	d.table.recordMemory(p.Name, bytes)
+}
--- /dev/null
+++ b/trials/experiment/fleet.go
@@ -0,0 +1,88 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/caller"
+	"github.com/apricotspoke/apricotspoke/trials/cluster"
+	"github.com/apricotspoke/apricotspoke/trials/workload"
+)
+
+const inForceLimit = 10 * time.Second
+
+// Fleet describes the fleet that a run is given.
+type Fleet struct {
+	Folder          string
+	Seed            uint64
+	DataCentres     int
+	EndpointsEach   int
+	Entries         int
+	PrefillRate     float64 // tokens per second
+	DecodeMs        float64
+	MemoryTokens    uint64
+	Concurrency     int
+	ColdConcurrency int
+}
+
+// Key is the bearer key of an organisation in trials.
+func Key(organisation string) string { return "key-" + organisation }
+
+// Start starts the fleet and puts a contract in for each organisation.
+func (f Fleet) Start(ctx context.Context, w workload.Workload) (*cluster.Cluster, error) {
+	c, err := cluster.Start(ctx, f.options())
+	if err != nil {
+		return nil, err
+	}
+	if err := prepare(ctx, c, w); err != nil {
+		c.Kill()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (f Fleet) options() cluster.Options {
+	o := cluster.Options{Folder: f.Folder, Seed: f.Seed, Controls: 3, Entries: f.Entries}
+	for i := range f.DataCentres {
+		name := fmt.Sprintf("dc%d", i+1)
+		o.DataCentres = append(o.DataCentres, name)
+		for j := range f.EndpointsEach {
+			o.Endpoints = append(o.Endpoints, cluster.EndpointOptions{
+				Name:       fmt.Sprintf("%s-engine%d", name, j+1),
+				DataCentre: name,
+				Flags:      f.endpointFlags(len(o.Endpoints)),
+			})
+		}
+	}
+	return o
+}
+
+func (f Fleet) endpointFlags(number int) []string {
+	return []string{
+		"--model=m1",
+		fmt.Sprintf("--prefill-rate=%g", f.PrefillRate),
+		fmt.Sprintf("--decode-ms=%g", f.DecodeMs),
+		fmt.Sprintf("--memory-tokens=%d", f.MemoryTokens),
+		fmt.Sprintf("--concurrency=%d", f.Concurrency),
+		fmt.Sprintf("--cold-concurrency=%d", f.ColdConcurrency),
+		fmt.Sprintf("--seed=%d", f.Seed+uint64(number)),
+	}
+}
+
+func prepare(ctx context.Context, c *cluster.Cluster, w workload.Workload) error {
+	for _, o := range w.Organisations {
+		if err := c.PutContract(ctx, cluster.AmpleContract(o.Name, Key(o.Name))); err != nil {
+			return err
+		}
+	}
+	client := caller.New()
+	defer client.Close()
+	last := w.Organisations[len(w.Organisations)-1].Name
+	for _, entry := range c.Entries {
+		if err := c.AwaitServed(ctx, client, entry.HTTP, Key(last), inForceLimit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/trials/workload/workload.go
@@ -0,0 +1,149 @@
+// Package workload plans the requests of the named workloads: who sends what,
+// how long it is, and when.
+package workload
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Workload describes the requests of a fleet's callers.
+type Workload struct {
+	Name          string
+	Organisations []Organisation
+	Lengths       []LengthBand
+	OutputTokens  int // largest; at least a quarter of it is asked for
+}
+
+// Organisation sends its weight's part of the requests.
+type Organisation struct {
+	Name   string
+	Weight float64
+}
+
+// LengthBand is a range of prompt lengths, spread evenly over their logarithm.
+type LengthBand struct {
+	FromTokens int
+	ToTokens   int
+	Weight     float64
+}
+
+// Planned is one request of a plan.
+type Planned struct {
+	Number       int
+	At           time.Duration // since the start of the run
+	Organisation string
+	PromptTokens int
+	OutputTokens int
+}
+
+// Named returns a workload by its name.
+func Named(name string) (Workload, error) {
+	for _, w := range []Workload{kartuli(), kitamura(), target()} {
+		if w.Name == name {
+			return w, nil
+		}
+	}
+	return Workload{}, fmt.Errorf("the workload %q is unknown: use kartuli, kitamura or target", name)
+}
+
+func kartuli() Workload {
+	return Workload{
+		Name:          "kartuli",
+		Organisations: organisations("club", 10, 3, 6),
+		OutputTokens:  128,
+		Lengths: []LengthBand{
+			{1_000, 4_000, 60}, {4_000, 32_000, 30}, {32_000, 100_000, 8}, {100_000, 1_000_000, 2},
+		},
+	}
+}
+
+func kitamura() Workload {
+	return Workload{
+		Name:          "kitamura",
+		Organisations: organisations("site", 10, 2, 8),
+		OutputTokens:  96,
+		Lengths: []LengthBand{
+			{1_000, 4_000, 80}, {4_000, 32_000, 15}, {32_000, 100_000, 3}, {100_000, 600_000, 2},
+		},
+	}
+}
+
+func target() Workload {
+	return Workload{
+		Name:          "target",
+		Organisations: organisations("tenant", 40, 4, 20),
+		OutputTokens:  200,
+		Lengths: []LengthBand{
+			{1_000, 4_000, 65}, {4_000, 32_000, 25}, {32_000, 100_000, 8}, {100_000, 1_000_000, 2},
+		},
+	}
+}
+
+// organisations names count organisations, of which the first few are large.
+func organisations(prefix string, count, large int, weight float64) []Organisation {
+	list := make([]Organisation, count)
+	for i := range list {
+		list[i] = Organisation{Name: fmt.Sprintf("%s%d", prefix, i+1), Weight: 1}
+		if i < large {
+			list[i].Weight = weight
+		}
+	}
+	return list
+}
+
+// Plan returns the requests of a run with random arrivals at a mean rate in
+// requests per second. Equal seeds give equal plans.
+func (w Workload) Plan(seed uint64, rate float64, duration time.Duration) []Planned {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var plan []Planned
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at >= duration {
+			return plan
+		}
+		plan = append(plan, Planned{
+			Number:       len(plan),
+			At:           at,
+			Organisation: w.organisation(random).Name,
+			PromptTokens: w.length(random),
+			OutputTokens: w.OutputTokens/4 + random.IntN(w.OutputTokens*3/4),
+		})
+	}
+}
+
+func (w Workload) organisation(random *rand.Rand) Organisation {
+	total := 0.0
+	for _, o := range w.Organisations {
+		total += o.Weight
+	}
+	at := random.Float64() * total
+	for _, o := range w.Organisations {
+		if at -= o.Weight; at < 0 {
+			return o
+		}
+	}
+	return w.Organisations[len(w.Organisations)-1]
+}
+
+func (w Workload) length(random *rand.Rand) int {
+	total := 0.0
+	for _, band := range w.Lengths {
+		total += band.Weight
+	}
+	at := random.Float64() * total
+	for _, band := range w.Lengths {
+		if at -= band.Weight; at < 0 {
+			return band.length(random)
+		}
+	}
+	return w.Lengths[len(w.Lengths)-1].ToTokens
+}
+
+func (b LengthBand) length(random *rand.Rand) int {
+	ratio := float64(b.ToTokens) / float64(b.FromTokens)
+	return int(float64(b.FromTokens) * math.Pow(ratio, random.Float64()))
+}
