Add the gate and the agent program

An endpoint has one way in. The gate admits or refuses each attempt, bounds the load after a start of the endpoint by dispatches that no later probe has confirmed, keeps the ledger of its memory, buffers answers until they are acknowledged and carries out orders once.

A probe of /boot alone was ruled out as confirmation: it may overtake a request that is still on its way. The listing of attempts names both the boot and the attempt, so it is used for model engines.

--- a/cmd/apricotspoke-agent/main.go
+++ b/cmd/apricotspoke-agent/main.go
@@ -1,4 +1,32 @@
-// Command apricotspoke-agent is not built yet.
+// Command apricotspoke-agent runs beside an endpoint and is the only way to it.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apricotspoke/apricotspoke/role/agent"
+	"github.com/apricotspoke/apricotspoke/settings"
+)
+
+func main() {
+	var options agent.Options
+	settings.Parse("apricotspoke-agent", &options)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, &options); err != nil {
+		fmt.Fprintln(os.Stderr, "apricotspoke-agent:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, options *agent.Options) error {
+	process, err := agent.New(options, nil)
+	if err != nil {
+		return err
+	}
+	return process.Run(ctx)
+}
--- /dev/null
+++ b/coordination/gate/gate_test.go
@@ -0,0 +1,338 @@
+package gate_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+var inService = &wire.FleetConfig{Revision: 5}
+
+func wholeAnswer(tokens int) string {
+	var b strings.Builder
+	for i := 1; i <= tokens; i++ {
+		b.WriteString(event(i))
+	}
+	fmt.Fprintf(&b, "id: %d\ndata: [DONE]\n\n", tokens+1)
+	return b.String()
+}
+
+// A gate that may not act refuses, whichever right it lacks, and a second
+// arrival of an attempt never runs.
+func TestAdmissionNeedsEveryRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(newEngine(), inService)
+		defer r.stop()
+		expect := func(o *wire.AttemptOpen, kind fault.Kind) {
+			t.Helper()
+			_, refusal := r.Begin(o)
+			if refusal == nil || refusal.Kind != kind {
+				t.Errorf("%s: got %v, want %s", o.Attempt, refusal, kind)
+			}
+		}
+		collect(r.submit(t, open("a1", true)), 1)
+		expect(open("a1", true), fault.InProgress)
+		other := open("a2", true)
+		other.GateInstance = "another"
+		expect(other, fault.OutOfService)
+		unknown := open("a3", true)
+		unknown.Model = "x"
+		expect(unknown, fault.UnknownModel)
+		long := open("a4", true)
+		long.PromptTokens = 200_000
+		expect(long, fault.PromptTooLong)
+		late := open("a5", true)
+		late.PromptTokens, late.FirstTokenMs = 90_000, 50
+		expect(late, fault.DeadlineUnmeetable)
+		r.fresh(false)
+		time.Sleep(4 * time.Second)
+		expect(open("a6", true), fault.NotCurrent)
+		r.fresh(true)
+		time.Sleep(time.Second)
+		r.control.mu.Lock()
+		r.control.deny = true
+		r.control.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		expect(open("a7", true), fault.OutOfService)
+		if got := r.engine.runs["a1"]; got != 1 || len(r.engine.runs) != 1 {
+			t.Errorf("runs are %v", r.engine.runs)
+		}
+	})
+}
+
+// A process that sleeps past its rights refuses what it had queued.
+func TestQueuedAttemptIsRefusedWhenRightsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.gap = 10 * time.Second // the first two fill the endpoint
+		r := newRig(e, inService)
+		defer r.stop()
+		first, second := r.submit(t, open("a1", true)), r.submit(t, open("a2", true))
+		o := open("a3", true)
+		o.FirstTokenMs = 15_000
+		waiting := r.submit(t, o)
+		r.fresh(false)
+		_, last := collect(waiting, 1)
+		if kind := last.GetRefused().GetFailure().GetKind(); kind != string(fault.NotCurrent) {
+			t.Errorf("queued attempt ended with %v", last)
+		}
+		state := r.Inquire(&wire.InquireRequest{Attempt: "a3"}).State
+		if state != wire.AttemptState_ATTEMPT_STATE_REFUSED || e.runs["a3"] != 0 {
+			t.Errorf("state %v, runs %d", state, e.runs["a3"])
+		}
+		first.Cancel()
+		second.Cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// A reader that is gone resumes where it was; a stream that broke on the
+// endpoint's side is resumed there; both without a byte lost or doubled.
+func TestAnswerSurvivesBrokenLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.breakAfter = 2
+		r := newRig(e, inService)
+		defer r.stop()
+		a := r.submit(t, open("a1", true))
+		a.Detach()
+		time.Sleep(4 * time.Second) // within the grace time
+		again, err := r.Find(&wire.ResumeRequest{Attempt: "a1", Organisation: "o", GateInstance: r.Instance()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		again.Attach()
+		text, last := collect(again, 1)
+		if text != wholeAnswer(4) || last.GetEnd().GetFailure() != nil || last.GetEnd().GetChunks() != 5 {
+			t.Errorf("answer %q, last %v", text, last)
+		}
+		if _, err := r.Find(&wire.ResumeRequest{Attempt: "a1", Organisation: "thief"}); err == nil {
+			t.Error("another organisation could read the answer")
+		}
+	})
+}
+
+// An answer that nobody acknowledges stops at the bound of its buffer.
+func TestUnreadAnswerIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.tokens, e.gap = 400_000, time.Microsecond
+		r := newRig(e, inService)
+		defer r.stop()
+		a := r.submit(t, open("a1", true))
+		time.Sleep(10 * time.Second)
+		messages, _, err := a.Read(t.Context(), 1)
+		size := 0
+		for _, m := range messages {
+			size += len(m.GetChunk().GetData())
+		}
+		if err != nil || size > 1<<20 || size < 1<<19 {
+			t.Errorf("buffer holds %d bytes (%v)", size, err)
+		}
+		time.Sleep(11 * time.Second)
+		if _, last := collect(a, 1); last.GetEnd().GetFailure().GetKind() != string(fault.Timeout) {
+			t.Errorf("ended with %v", last)
+		}
+		time.Sleep(time.Second)
+		if r.Used() != 0 || len(e.active) != 0 {
+			t.Errorf("%d tokens and %d attempts left", r.Used(), len(e.active))
+		}
+	})
+}
+
+// Without a reader a repeatable attempt is cancelled; one that may not be
+// repeated runs on, and its outcome is told.
+func TestAbandonedAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.gap = 2 * time.Second
+		r := newRig(e, inService)
+		defer r.stop()
+		r.submit(t, open("repeatable", true)).Detach()
+		r.submit(t, open("once", false)).Detach()
+		time.Sleep(6 * time.Second)
+		if _, runs := e.active["repeatable"]; runs || len(e.active) != 1 {
+			t.Errorf("active: %v", e.active)
+		}
+		time.Sleep(6 * time.Second)
+		told := r.Inquire(&wire.InquireRequest{Attempt: "once", GateInstance: r.Instance()})
+		if told.State != wire.AttemptState_ATTEMPT_STATE_DONE || string(told.GetOutcome().GetBody()) != wholeAnswer(4) {
+			t.Errorf("outcome is %v", told)
+		}
+	})
+}
+
+// An attempt that was asked for before it arrived is refused when it does.
+func TestInquireForbidsLateArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(newEngine(), inService)
+		defer r.stop()
+		ask := func(instance string, refuse bool) wire.AttemptState {
+			return r.Inquire(&wire.InquireRequest{Attempt: "late", RefuseIfUnseen: refuse, GateInstance: instance}).State
+		}
+		if got := ask(r.Instance(), false); got != wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN {
+			t.Error(got)
+		}
+		if got := ask("another", true); got != wire.AttemptState_ATTEMPT_STATE_UNKNOWN {
+			t.Error(got)
+		}
+		if got := ask(r.Instance(), true); got != wire.AttemptState_ATTEMPT_STATE_REFUSED {
+			t.Error(got)
+		}
+		if _, refusal := r.Begin(open("late", false)); refusal == nil {
+			t.Error("the late arrival was admitted")
+		}
+	})
+}
+
+// fault plan of one random run.
+type plan struct {
+	Restarts []int  // milliseconds
+	Kill     []bool // whether the restart breaks connections
+	Starts   []int  // milliseconds, one for each attempt
+	Cancels  []int  // milliseconds after the start, 0 for none
+	Delay    int    // milliseconds from write to arrival
+}
+
+func drawPlan(t *rapid.T) plan {
+	n := rapid.IntRange(1, 3).Draw(t, "restarts")
+	m := rapid.IntRange(10, 60).Draw(t, "attempts")
+	return plan{
+		Restarts: rapid.SliceOfN(rapid.IntRange(1, 900), n, n).Draw(t, "at"),
+		Kill:     rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, "kill"),
+		Starts:   rapid.SliceOfN(rapid.IntRange(0, 1000), m, m).Draw(t, "starts"),
+		Cancels:  rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 1, 2, 5, 30}), m, m).Draw(t, "cancels"),
+		Delay:    rapid.IntRange(0, 5).Draw(t, "delay"),
+	}
+}
+
+// Whatever dies or is cancelled, whenever the endpoint restarts unnoticed: it
+// never carries more than it can, every attempt ends, and no memory stays
+// reserved.
+func TestLoadAndMemoryUnderRandomDeaths(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt)
+		var problems []string
+		synctest.Test(t, func(t *testing.T) { problems = p.run(t) })
+		if len(problems) > 0 {
+			rt.Fatalf("%v", problems)
+		}
+	})
+}
+
+func (p plan) run(t *testing.T) (problems []string) {
+	e := newEngine()
+	e.delay = time.Duration(p.Delay) * time.Millisecond
+	r := newRig(e, inService)
+	defer r.stop()
+	ended := make(chan string, len(p.Starts))
+	for i, at := range p.Starts {
+		go func() {
+			time.Sleep(time.Duration(at) * time.Millisecond)
+			ended <- r.once(fmt.Sprint("a", i), time.Duration(p.Cancels[i])*time.Millisecond)
+		}()
+	}
+	for i, at := range p.Restarts {
+		go func() {
+			time.Sleep(time.Duration(at) * time.Millisecond)
+			if p.Kill[i] {
+				e.restart(errReset)
+			} else {
+				e.restart(nil)
+			}
+		}()
+	}
+	for range p.Starts {
+		if fault := <-ended; fault != "" {
+			problems = append(problems, fault)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	if used := r.Used(); used != 0 {
+		problems = append(problems, fmt.Sprintf("%d tokens stay reserved", used))
+	}
+	for id, n := range e.runs {
+		if n > 1 {
+			problems = append(problems, fmt.Sprintf("%s ran %d times", id, n))
+		}
+	}
+	if len(e.active) != 0 {
+		problems = append(problems, fmt.Sprintf("%d attempts left at the endpoint", len(e.active)))
+	}
+	return append(problems, e.breaches...)
+}
+
+// once carries one attempt to its end and names what was wrong with that.
+func (r *rig) once(id string, cancelAfter time.Duration) string {
+	a, refusal := r.Begin(open(id, true))
+	if refusal != nil {
+		return ""
+	}
+	a.Attach()
+	a.Submit(nil)
+	if cancelAfter > 0 {
+		time.AfterFunc(cancelAfter, a.Cancel)
+	}
+	text, last := collect(a, 1)
+	r.engine.mu.Lock()
+	runs := r.engine.runs[id]
+	r.engine.mu.Unlock()
+	switch {
+	case last.GetRefused() != nil && runs > 0:
+		return id + " ran and was refused"
+	case last.GetRefused() == nil && last.GetEnd() == nil:
+		return id + " has no end"
+	case last.GetEnd() != nil && last.GetEnd().Failure == nil && text != wholeAnswer(4):
+		return id + " is not whole: " + text
+	}
+	return ""
+}
+
+// Blocks and memory of a group reservation go with it, whoever dies.
+func TestGroupReservationIsFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		r := newRig(e, inService)
+		defer r.stop()
+		held := r.Reserve(&wire.ReserveRequest{Reservation: "g", MemoryTokens: 60_000, ValidMs: 2000})
+		if !held.Held || r.Reserve(&wire.ReserveRequest{Reservation: "h", MemoryTokens: 60_000, ValidMs: 2000}).Held {
+			t.Fatal("the ledger gave the same memory twice")
+		}
+		segment := open("a1", true)
+		segment.Path, segment.Reservation = "/kv/prefill", "g"
+		collect(r.submit(t, segment), 1)
+		if len(e.blocks) != 1 {
+			t.Errorf("blocks are %v", e.blocks)
+		}
+		time.Sleep(3 * time.Second) // the reservation expires
+		if r.Used() != 0 || len(e.blocks) != 0 {
+			t.Errorf("%d tokens and %d blocks left", r.Used(), len(e.blocks))
+		}
+	})
+}
+
+// Orders are carried out once each, in ascending number, also when the
+// configuration still shows them as pending.
+func TestOrdersOnceInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		config := &wire.FleetConfig{Revision: 30, Orders: []*wire.Order{
+			{Number: 20, Endpoint: "e1", Kind: wire.OrderKind_ORDER_KIND_LOAD_MODEL},
+			{Number: 12, Endpoint: "e1", Kind: wire.OrderKind_ORDER_KIND_CHANGE_ROLE},
+			{Number: 9, Endpoint: "e1", Done: true},
+		}}
+		r := newRig(e, config)
+		defer r.stop()
+		time.Sleep(10 * time.Second)
+		if got := fmt.Sprint(e.orders, r.control.done); got != "[12 20] [12 20]" {
+			t.Errorf("orders and reports are %s", got)
+		}
+	})
+}
--- /dev/null
+++ b/coordination/gate/orders.go
@@ -0,0 +1,123 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+const (
+	orderInterval = 100 * time.Millisecond // between looks at pending orders
+	orderTimeout  = 2 * time.Minute
+	reportTimeout = time.Second
+	// weightPause is the least time between two orders that load weights.
+	weightPause = time.Second
+)
+
+// OrderReporter takes the results of orders.
+type OrderReporter interface {
+	Done(ctx context.Context, request *wire.OrderDoneRequest) error
+}
+
+// orderLoop carries out pending orders one by one, in ascending number.
+func (g *Gate) orderLoop(ctx context.Context) {
+	var lastWeights time.Time
+	every(ctx, orderInterval, func(ctx context.Context) {
+		order, fence := g.nextOrder()
+		if order == nil {
+			return
+		}
+		if loadsWeights(order.Kind) {
+			wait(ctx, weightPause-time.Since(lastWeights))
+			lastWeights = time.Now()
+		}
+		if done := g.carryOut(ctx, order, fence); done != nil {
+			g.reportOrder(ctx, done)
+		}
+	})
+}
+
+func loadsWeights(kind wire.OrderKind) bool {
+	switch kind {
+	case wire.OrderKind_ORDER_KIND_LOAD_MODEL, wire.OrderKind_ORDER_KIND_LOAD_ADAPTER, wire.OrderKind_ORDER_KIND_LOAD_VERSION:
+		return true
+	}
+	return false
+}
+
+// nextOrder returns the lowest pending order above the highest acted on.
+func (g *Gate) nextOrder() (*wire.Order, uint64) {
+	view, err := g.options.Configuration.Current()
+	if err != nil {
+		return nil, 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.announcedAt.IsZero() || !g.lease.held(time.Now()) {
+		return nil, 0
+	}
+	for _, o := range view.Orders(g.info.Endpoint) {
+		if !o.Done && o.Number > g.lastOrder {
+			return o, g.lease.number
+		}
+	}
+	return nil, 0
+}
+
+// claimOrder marks an order as acted on, if the gate may still act.
+func (g *Gate) claimOrder(number uint64) bool {
+	if _, err := g.options.Configuration.Current(); err != nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if number <= g.lastOrder || !g.lease.held(time.Now()) {
+		return false
+	}
+	g.lastOrder = number
+	return true
+}
+
+// carryOut sends an order once; nil when the gate may not act. An order whose
+// answer is lost is sent again only to an endpoint that checks numbers.
+func (g *Gate) carryOut(ctx context.Context, order *wire.Order, fence uint64) *wire.OrderDoneRequest {
+	if !g.claimOrder(order.Number) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	call := OrderCall{Number: order.Number, Fence: fence, Kind: order.Kind, Argument: order.Argument}
+	result, err := g.options.Endpoint.Order(ctx, call)
+	if err != nil && g.checksFencing() && !errors.Is(err, ErrFenced) {
+		result, err = g.options.Endpoint.Order(ctx, call)
+	}
+	done := &wire.OrderDoneRequest{Endpoint: order.Endpoint, Number: order.Number, LeaseNumber: fence, Result: result}
+	switch {
+	case errors.Is(err, ErrFenced):
+		done.Result = "the endpoint has this number already"
+	case err != nil:
+		done.Result, done.Failed = err.Error(), true
+	}
+	return done
+}
+
+func (g *Gate) checksFencing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.info.ChecksFencing
+}
+
+// reportOrder tells control until it takes the result.
+func (g *Gate) reportOrder(ctx context.Context, done *wire.OrderDoneRequest) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, reportTimeout)
+		err := g.options.Orders.Done(call, done)
+		cancel()
+		if err == nil {
+			return
+		}
+		wait(ctx, acquirePause)
+	}
+}
--- /dev/null
+++ b/role/agent/agent.go
@@ -0,0 +1,188 @@
+// Package agent wires the process that runs beside an endpoint: a gate, its
+// servers, and the followers and senders that keep it in touch with the fleet.
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/dig"
+	"google.golang.org/grpc"
+
+	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/coordination/gate"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/transport/controlclient"
+	"github.com/apricotspoke/apricotspoke/transport/endpoint"
+	"github.com/apricotspoke/apricotspoke/transport/gatereport"
+	"github.com/apricotspoke/apricotspoke/transport/gateserver"
+	"github.com/apricotspoke/apricotspoke/transport/link"
+)
+
+const (
+	// reportLeaving is the time for entries to hear that the gate is leaving.
+	reportLeaving     = 500 * time.Millisecond
+	readHeaderTimeout = 5 * time.Second
+)
+
+var log = logs.For("agent")
+
+// Agent is a wired agent process.
+type Agent struct {
+	options  *Options
+	gate     *gate.Gate
+	client   *endpoint.Client
+	follower *configsync.Follower
+	sender   *gatereport.Sender
+	pool     *link.Pool
+	server   *grpc.Server
+}
+
+// New wires an agent. Further servers of the same process are added by
+// register, which may be nil.
+func New(options *Options, register func(grpc.ServiceRegistrar)) (*Agent, error) {
+	container := dig.New()
+	providers := []any{
+		func() *Options { return options },
+		func() *link.Pool { return link.NewPool(link.Security{}) },
+		configsync.NewStore,
+		endpoint.NewClient,
+		newControl,
+		newGate,
+		newFollower,
+		newSender,
+		newServer,
+		newAgent,
+	}
+	for _, provider := range providers {
+		if err := container.Provide(provider); err != nil {
+			return nil, err
+		}
+	}
+	var agent *Agent
+	err := container.Invoke(func(a *Agent) { agent = a })
+	if err != nil {
+		return nil, err
+	}
+	if register != nil {
+		register(agent.server)
+	}
+	return agent, nil
+}
+
+func newControl(options *Options, pool *link.Pool) *controlclient.Client {
+	return controlclient.New(pool, options.Control)
+}
+
+func newGate(options *Options, store *configsync.Store, client *endpoint.Client, control *controlclient.Client) *gate.Gate {
+	return gate.New(gate.Options{
+		DataCentre: options.DataCentre, Address: options.Listen,
+		Configuration: store, Endpoint: client, Leases: control, Orders: control,
+	})
+}
+
+func newFollower(options *Options, store *configsync.Store, pool *link.Pool) *configsync.Follower {
+	process := &wire.ProcessInfo{Id: options.ID, Role: "agent", DataCentre: options.DataCentre, Address: options.Listen}
+	peers := controlclient.Peers(pool, slices.Concat(options.Control, options.Entries))
+	return configsync.NewFollower(store, process, func() []configsync.Peer { return peers })
+}
+
+func newSender(options *Options, g *gate.Gate, pool *link.Pool) *gatereport.Sender {
+	return gatereport.NewSender(g, pool, slices.Concat(options.Entries, options.Control))
+}
+
+func newServer(g *gate.Gate, store *configsync.Store) *grpc.Server {
+	server := link.NewServer(link.Security{})
+	wire.RegisterGateServer(server, gateserver.New(g))
+	wire.RegisterConfigServer(server, gateserver.NewConfigServer(store))
+	return server
+}
+
+func newAgent(options *Options, g *gate.Gate, client *endpoint.Client, follower *configsync.Follower,
+	sender *gatereport.Sender, pool *link.Pool, server *grpc.Server) *Agent {
+	return &Agent{options: options, gate: g, client: client, follower: follower, sender: sender, pool: pool, server: server}
+}
+
+// Run serves until ctx ends, then refuses new work and waits for what runs, up
+// to the drain limit.
+func (a *Agent) Run(ctx context.Context) error {
+	fleet, err := net.Listen("tcp", a.options.Listen)
+	if err != nil {
+		return err
+	}
+	announce, err := net.Listen("tcp", a.options.AnnounceListen)
+	if err != nil {
+		_ = fleet.Close()
+		return err
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, 3)
+	go func() { failed <- a.server.Serve(fleet) }()
+	servers := a.serveHTTP(announce, failed)
+	go a.follower.Run(background)
+	go a.gate.Run(background)
+	go a.sender.Run(background)
+	go a.client.FollowCache(background, a.gate.AddCacheEvents)
+	log.Info().Str("id", a.options.ID).Str("instance", a.gate.Instance()).Str("listen", a.options.Listen).Msg("agent started")
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-failed:
+	}
+	a.drain()
+	a.server.Stop()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	a.pool.Close()
+	return err
+}
+
+func (a *Agent) serveHTTP(announce net.Listener, failed chan<- error) []*http.Server {
+	serve := func(listener net.Listener, handler http.Handler) *http.Server {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+		return server
+	}
+	servers := []*http.Server{serve(announce, endpoint.AnnounceHandler(a.announce))}
+	if a.options.HTTPListen == "" {
+		return servers
+	}
+	listener, err := net.Listen("tcp", a.options.HTTPListen)
+	if err != nil {
+		failed <- err
+		return servers
+	}
+	return append(servers, serve(listener, a.healthHandler()))
+}
+
+func (a *Agent) announce(info gate.Info) error {
+	if err := a.gate.Announce(info); err != nil {
+		return err
+	}
+	a.client.SetAddress(info.Address)
+	return nil
+}
+
+// drain tells the entries, then waits for all running attempts.
+func (a *Agent) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), a.options.DrainLimit)
+	defer cancel()
+	log.Info().Int("running", a.gate.Busy()).Msg("agent drains")
+	a.gate.Leave()
+	time.Sleep(reportLeaving)
+	if !a.gate.Drain(ctx) {
+		log.Warn().Int("running", a.gate.Busy()).Msg("drain limit passed")
+	}
+	a.gate.AwaitReaders(ctx)
+}
