--- a/trials/cluster/cluster.go
+++ b/trials/cluster/cluster.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 )
 
@@ -156,15 +155,17 @@
 		return err
 	}
 	keyHash := sha256.Sum256([]byte(c.operatorKey))
-	control.Process = newProcess(c.options.Folder, name, "apricotspoke-control", env,
-		"--id="+name,
-		"--data-centre="+c.dataCentre(i),
-		"--listen="+control.Address,
-		"--http-listen="+control.HTTP,
-		"--control="+c.controlList(),
-		"--data-folder="+control.DataFolder,
-		"--operator-key-hash="+hex.EncodeToString(keyHash[:]),
-		"--bootstrap")
+	flags := []string{
+		"--id=" + name,
+		"--data-centre=" + c.dataCentre(i),
+		"--listen=" + control.Address,
+		"--http-listen=" + control.HTTP,
+		"--data-folder=" + control.DataFolder,
+		"--operator-key-hash=" + hex.EncodeToString(keyHash[:]),
+		"--bootstrap",
+	}
+	flags = append(flags, repeated("--control", c.controlTargets())...)
+	control.Process = newProcess(c.options.Folder, name, "apricotspoke-control", env, flags...)
 	return nil
 }
 
@@ -174,12 +175,14 @@
 	if err != nil {
 		return err
 	}
-	entry.Process = newProcess(c.options.Folder, name, "apricotspoke-entry", env,
-		"--id="+name,
-		"--data-centre="+c.dataCentre(i),
-		"--listen="+entry.Address,
-		"--http-listen="+entry.HTTP,
-		"--control="+c.controlList())
+	flags := []string{
+		"--id=" + name,
+		"--data-centre=" + c.dataCentre(i),
+		"--listen=" + entry.Address,
+		"--http-listen=" + entry.HTTP,
+	}
+	flags = append(flags, repeated("--control", c.controlTargets())...)
+	entry.Process = newProcess(c.options.Folder, name, "apricotspoke-entry", env, flags...)
 	return nil
 }
 
@@ -190,15 +193,21 @@
 		return err
 	}
 	agent := endpoint.Agent
-	agent.Process = newProcess(c.options.Folder, agentName, "apricotspoke-agent", env,
-		"--id="+agentName,
-		"--data-centre="+o.DataCentre,
-		"--listen="+agent.Address,
-		"--http-listen="+agent.HTTP,
-		"--announce-listen="+agent.Announce,
-		"--control="+c.controlList(),
-		"--entries="+c.entryList())
-	flags := []string{"--name=" + o.Name, "--listen=" + endpoint.HTTP, "--agent=http://" + agent.Announce}
+	flags := []string{
+		"--id=" + agentName,
+		"--data-centre=" + o.DataCentre,
+		"--listen=" + agent.Address,
+		"--http-listen=" + agent.HTTP,
+		"--announce-listen=" + agent.Announce,
+	}
+	flags = append(flags, repeated("--control", c.controlTargets())...)
+	flags = append(flags, repeated("--entries", c.entryTargets())...)
+	agent.Process = newProcess(c.options.Folder, agentName, "apricotspoke-agent", env, flags...)
+	return c.planStandIn(o, endpoint, agentName)
+}
+
+func (c *Cluster) planStandIn(o EndpointOptions, endpoint *Endpoint, agentName string) error {
+	flags := []string{"--name=" + o.Name, "--listen=" + endpoint.HTTP, "--agent=http://" + endpoint.Agent.Announce}
 	if c.options.Proxied {
 		via, err := c.Links.add(agentName, o.Name, endpoint.HTTP)
 		if err != nil {
@@ -249,16 +258,13 @@
 	return targets
 }
 
-func (c *Cluster) controlList() string { return addresses(c.controlTargets()) }
-
-func (c *Cluster) entryList() string { return addresses(c.entryTargets()) }
-
-func addresses(targets []target) string {
-	list := make([]string, len(targets))
+// repeated gives a flag once for each target.
+func repeated(flag string, targets []target) []string {
+	flags := make([]string, len(targets))
 	for i, t := range targets {
-		list[i] = t.address
+		flags[i] = flag + "=" + t.address
 	}
-	return strings.Join(list, ",")
+	return flags
 }
 
 // processes lists all processes in the order in which they are started.
--- a/trials/cluster/ctl.go
+++ b/trials/cluster/ctl.go
@@ -19,10 +19,9 @@
 func (c *Cluster) Ctl(ctx context.Context, args ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, ctlTimeout)
 	defer cancel()
-	cmd := exec.CommandContext(ctx, filepath.Join(Bin(), "apricotspokectl"), args...)
-	cmd.Env = append(os.Environ(),
-		"APRICOTSPOKE_CONTROL="+c.controlList(),
-		"APRICOTSPOKE_OPERATOR_KEY="+c.operatorKey)
+	flags := repeated("--control", c.controlTargets())
+	cmd := exec.CommandContext(ctx, filepath.Join(Bin(), "apricotspokectl"), append(flags, args...)...)
+	cmd.Env = append(os.Environ(), "APRICOTSPOKE_OPERATOR_KEY="+c.operatorKey)
 	var out, failure bytes.Buffer
 	cmd.Stdout = &out
 	cmd.Stderr = &failure
