--- /dev/null
+++ b/prove/short_test.go
@@ -0,0 +1,62 @@
+package prove
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/apricotspoke/apricotspoke/trials/caller"
+)
+
+// TestWholePathWithControlReplicasKilled kills each control replica in turn:
+// requests, bookings and changes go on.
+func TestWholePathWithControlReplicasKilled(t *testing.T) {
+	f := start(t, false, engine("engine1", "dc1"), engine("engine2", "dc2"), booking("dc3"))
+	for i, control := range f.Controls {
+		f.must(control.Kill())
+		f.complete(i%2, fmt.Sprintf("while control %d is down", i+1), 8)
+		visit := fmt.Sprintf("visit-%d", i)
+		f.bookTwice(visit)
+		f.must(f.TakeOut(t.Context(), "dc2"))
+		f.must(f.TakeIn(t.Context(), "dc2"))
+		f.must(control.Start())
+		f.must(f.AwaitReady(t.Context()))
+	}
+	f.checkInvariants()
+}
+
+// bookTwice sends one booking through both entries at the same moment until
+// each has its answer: one run, equal answers.
+func (f *fixture) bookTwice(visit string) {
+	f.t.Helper()
+	var results [2]caller.Result
+	var both sync.WaitGroup
+	for i := range results {
+		both.Go(func() { results[i] = f.bookUntilSettled(i, visit) })
+	}
+	both.Wait()
+	if !results[0].OK() || string(results[0].Body) != string(results[1].Body) {
+		f.t.Errorf("booking %s: %s and %s", visit, describe(results[0]), describe(results[1]))
+	}
+	if runs := f.keyRuns(visit); runs != 1 {
+		f.t.Errorf("booking %s ran %d times", visit, runs)
+	}
+}
+
+// TestGateKilledMidStream kills an agent under streams: the others' streams are
+// whole, its own are honest, and the new gate frees the endpoint.
+func TestGateKilledMidStream(t *testing.T) {
+	f := start(t, false, engine("engine1", "dc1"), engine("engine2", "dc2"))
+	streams := f.startStreams(4, 300)
+	f.must(f.endpointNamed("engine1").Agent.Kill())
+	f.requireHonest(streams)
+	for _, s := range streams {
+		if s.result.Endpoint() == "engine2" && !s.right() {
+			t.Errorf("%s on the other endpoint: %s", s.prompt, describe(s.result))
+		}
+	}
+	f.must(f.endpointNamed("engine1").Agent.Start())
+	f.must(f.AwaitReady(t.Context()))
+	f.requireRight(f.startStreams(4, 50))
+	f.checkInvariants()
+}
--- a/trials/caller/caller.go
+++ b/trials/caller/caller.go
@@ -44,6 +44,7 @@
 	IdempotencyKey string
 	Deadline       time.Duration // X-Deadline-Ms; 0 leaves it to the contract
 	Body           []byte
+	OnText         func() // called after each event of a stream that holds text; may be nil
 }
 
 // Result is what came back.
@@ -107,7 +108,7 @@
 	result.Status = response.StatusCode
 	result.Header = response.Header
 	if response.Header.Get("Content-Type") == eventStream {
-		result.readStream(response.Body, started)
+		result.readStream(response.Body, started, request.OnText)
 		return result
 	}
 	result.readWhole(response.Body, started)
--- a/trials/caller/stream.go
+++ b/trials/caller/stream.go
@@ -37,7 +37,7 @@
 }
 
 // readStream reads server-sent events up to the closing one.
-func (r *Result) readStream(body io.Reader, started time.Time) {
+func (r *Result) readStream(body io.Reader, started time.Time, onText func()) {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxEventBytes)
 	var text strings.Builder
@@ -50,7 +50,11 @@
 			r.Whole = r.Failure == ""
 			break
 		}
+		before := text.Len()
 		r.readEvent(data, &text, started)
+		if onText != nil && text.Len() > before {
+			onText()
+		}
 	}
 	r.Text = text.String()
 	if err := scanner.Err(); err != nil {
