Carry a caller's request to a gate and back

The entry takes completions and plain-service requests, leases quota, chooses an endpoint by the predicted time to the first token, relays the answer in order and resumes it when its link breaks. Non-repeatable requests run under a claim.

--- a/cmd/apricotspoke-entry/main.go
+++ b/cmd/apricotspoke-entry/main.go
@@ -1,4 +1,33 @@
-// Command apricotspoke-entry is not built yet.
+// Command apricotspoke-entry takes callers' requests and passes them to gates.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/apricotspoke/apricotspoke/role/entry"
+	"github.com/apricotspoke/apricotspoke/settings"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+)
+
+// memoryLimitBytes makes the collector work harder before the host's share is full.
+const memoryLimitBytes = 200 << 20
+
+func main() {
+	debug.SetMemoryLimit(memoryLimitBytes)
+	options := &entry.Options{}
+	settings.Parse("apricotspoke-entry", options)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	e, err := entry.Build(options)
+	if err == nil {
+		err = e.Run(ctx)
+	}
+	if err != nil {
+		logs.For("entry").Error().Err(err).Msg("The entry has ended.")
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/coordination/admission/quota.go
@@ -0,0 +1,259 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+const (
+	leaseEvery   = 200 * time.Millisecond
+	leaseLeast   = 5 * time.Millisecond // between leases that waiting requests ask for
+	leaseTimeout = time.Second
+	leaseWait    = 1500 * time.Millisecond // for the first lease of an organisation
+	leaseRounds  = 3                       // answers without the quota before a refusal
+	defaultRetry = time.Second
+)
+
+// Leaser asks control for parts of contracts.
+type Leaser interface {
+	Lease(ctx context.Context, request *wire.LeaseRequest) (*wire.LeaseResponse, error)
+}
+
+// Quota holds this entry's parts of the contracts.
+type Quota struct {
+	entry  string
+	leaser Leaser
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	accounts map[string]*account
+}
+
+// NewQuota returns a quota that holds nothing; Run fills it.
+func NewQuota(entry string, leaser Leaser) *Quota {
+	return &Quota{entry: entry, leaser: leaser, wake: make(chan struct{}, 1), accounts: make(map[string]*account)}
+}
+
+// Hold is the quota of one request. Release gives back what it did not use.
+type Hold struct {
+	quota        *Quota
+	organisation string
+	tokens       float64
+	once         sync.Once
+}
+
+// Take takes one request, its tokens and a slot, without waiting when the
+// contract is known to be used up. The error is LimitExceeded, or NotCurrent
+// when control can't be reached for a lease.
+func (q *Quota) Take(ctx context.Context, organisation string, tokens uint64) (*Hold, error) {
+	deadline := time.NewTimer(leaseWait)
+	defer deadline.Stop()
+	for range leaseRounds {
+		changed, err := q.tryTake(organisation, float64(tokens))
+		if err != nil {
+			return nil, err
+		}
+		if changed == nil {
+			return &Hold{quota: q, organisation: organisation, tokens: float64(tokens)}, nil
+		}
+		err = q.await(ctx, changed, deadline.C)
+		q.stopWaiting(organisation, float64(tokens))
+		if err != nil {
+			return nil, err
+		}
+	}
+	return nil, limitExceeded(defaultRetry)
+}
+
+// tryTake returns nil when the quota was taken, or a channel that is closed by
+// the next lease.
+func (q *Quota) tryTake(organisation string, tokens float64) (<-chan struct{}, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	a := q.account(organisation, now)
+	a.lastTake = now
+	if a.take(tokens, now) {
+		return nil, nil
+	}
+	if wait := a.deniedUntil.Sub(now); wait > 0 {
+		return nil, limitExceeded(wait)
+	}
+	a.waitingRequests++
+	a.waitingTokens += tokens
+	q.poke()
+	return a.changed, nil
+}
+
+func (q *Quota) account(organisation string, now time.Time) *account {
+	a, ok := q.accounts[organisation]
+	if !ok {
+		a = newAccount(now)
+		q.accounts[organisation] = a
+	}
+	return a
+}
+
+func (q *Quota) poke() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *Quota) await(ctx context.Context, changed <-chan struct{}, deadline <-chan time.Time) error {
+	select {
+	case <-changed:
+		return nil
+	case <-deadline:
+		return fault.New(fault.NotCurrent, "no quota lease could be had from control").After(defaultRetry)
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (q *Quota) stopWaiting(organisation string, tokens float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if a := q.accounts[organisation]; a != nil {
+		a.waitingRequests = max(0, a.waitingRequests-1)
+		a.waitingTokens = max(0, a.waitingTokens-tokens)
+	}
+}
+
+func limitExceeded(wait time.Duration) error {
+	return fault.New(fault.LimitExceeded, "the contract's limit is reached").After(wait)
+}
+
+// Release frees the slot and gives back the tokens that were not used. Further
+// calls do nothing.
+func (h *Hold) Release(usedTokens uint64) {
+	h.once.Do(func() {
+		h.quota.mu.Lock()
+		defer h.quota.mu.Unlock()
+		a := h.quota.account(h.organisation, time.Now())
+		if a.used > 0 {
+			a.used--
+		}
+		unused := max(0, h.tokens-float64(usedTokens))
+		a.tokens += unused
+		a.spentTokens = max(0, a.spentTokens-unused)
+	})
+}
+
+// Refund releases the hold of a request that did not run: all of it goes back.
+func (h *Hold) Refund() {
+	h.once.Do(func() {
+		h.quota.mu.Lock()
+		defer h.quota.mu.Unlock()
+		a := h.quota.account(h.organisation, time.Now())
+		if a.used > 0 {
+			a.used--
+		}
+		a.requests++
+		a.tokens += h.tokens
+		a.spentRequests = max(0, a.spentRequests-1)
+		a.spentTokens = max(0, a.spentTokens-h.tokens)
+	})
+}
+
+// Used returns the slots in use of an organisation.
+func (q *Quota) Used(organisation string) uint32 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if a := q.accounts[organisation]; a != nil {
+		return a.used
+	}
+	return 0
+}
+
+// Run renews the leases until ctx ends.
+func (q *Quota) Run(ctx context.Context) {
+	ticker := time.NewTicker(leaseEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-q.wake:
+		}
+		q.renew(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(leaseLeast):
+		}
+	}
+}
+
+func (q *Quota) renew(ctx context.Context) {
+	request := q.request()
+	if len(request.Demands) == 0 {
+		return
+	}
+	sentAt := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	response, err := q.leaser.Lease(ctx, request)
+	if err != nil || response.Failure != nil {
+		return
+	}
+	q.granted(response, sentAt)
+}
+
+func (q *Quota) request() *wire.LeaseRequest {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	request := &wire.LeaseRequest{Entry: q.entry}
+	for organisation, a := range q.accounts {
+		if a.used == 0 && now.Sub(a.lastTake) > forgetAfter {
+			delete(q.accounts, organisation)
+			continue
+		}
+		request.Demands = append(request.Demands, a.demand(organisation, now))
+	}
+	return request
+}
+
+func (q *Quota) granted(response *wire.LeaseResponse, sentAt time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	for _, g := range response.Grants {
+		if a, ok := q.accounts[g.Organisation]; ok {
+			a.grant(g, sentAt, now)
+		}
+	}
+}
+
+// Return hands all unspent quota back, for a process that ends.
+func (q *Quota) Return(ctx context.Context) {
+	request := q.returnAll()
+	if len(request.Demands) > 0 {
+		_, _ = q.leaser.Lease(ctx, request)
+	}
+}
+
+func (q *Quota) returnAll() *wire.LeaseRequest {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	request := &wire.LeaseRequest{Entry: q.entry}
+	for organisation, a := range q.accounts {
+		a.expire(time.Now())
+		request.Demands = append(request.Demands, &wire.QuotaDemand{
+			Organisation:      organisation,
+			ReturnedRequests:  a.requests,
+			ReturnedTokens:    a.tokens,
+			ConcurrencyHeld:   a.used,
+			ConcurrencyWanted: a.used,
+		})
+		a.requests, a.tokens, a.slots = 0, 0, a.used
+	}
+	return request
+}
--- /dev/null
+++ b/coordination/relay/order.go
@@ -0,0 +1,48 @@
+package relay
+
+import "github.com/apricotspoke/apricotspoke/protocol/wire"
+
+// maxHeld bounds the messages kept beyond a gap; later ones are fetched again.
+const maxHeld = 256
+
+// Order puts the chunks and the end of one answer in order of sequence and
+// drops doubles.
+type Order struct {
+	next uint64
+	held map[uint64]*wire.AttemptDown
+}
+
+// NewOrder returns an order that gives out the messages from a sequence on.
+func NewOrder(next uint64) *Order {
+	return &Order{next: next, held: make(map[uint64]*wire.AttemptDown)}
+}
+
+// Add takes a message as it arrives.
+func (o *Order) Add(down *wire.AttemptDown) {
+	if down.Sequence < o.next || len(o.held) >= maxHeld && down.Sequence != o.next {
+		return
+	}
+	if _, double := o.held[down.Sequence]; !double {
+		o.held[down.Sequence] = down
+	}
+}
+
+// Pop returns the next message in order, or nil when it has not arrived.
+func (o *Order) Pop() *wire.AttemptDown {
+	down, ok := o.held[o.next]
+	if !ok {
+		return nil
+	}
+	delete(o.held, o.next)
+	o.next++
+	return down
+}
+
+// Next is the sequence that Pop waits for.
+func (o *Order) Next() uint64 { return o.next }
+
+// Gap reports whether later messages have arrived before the next one.
+func (o *Order) Gap() bool {
+	_, ok := o.held[o.next]
+	return !ok && len(o.held) > 0
+}
--- /dev/null
+++ b/coordination/routing/endpoint.go
@@ -0,0 +1,50 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// Endpoint is an endpoint as its gate last reported it, with the work that this
+// entry has sent to it since.
+type Endpoint struct {
+	Report     *wire.GateReport
+	ReceivedAt time.Time
+	Cache      *CacheView
+	Own        *OwnWork
+}
+
+// Name is the endpoint's name.
+func (e *Endpoint) Name() string { return e.Report.Endpoint }
+
+func (e *Endpoint) serves(r *Request) bool {
+	if r.Service != "" {
+		return e.Report.Service == r.Service
+	}
+	return e.Report.Service == "" && slices.Contains(e.Report.Models, r.Model)
+}
+
+// queuedTokens is the prefill work ahead of a new prompt: the greater of the
+// engine's late count and the gate's own, and what the gate has not counted yet.
+func (e *Endpoint) queuedTokens() uint64 {
+	load := e.Report.GetLoad()
+	return max(load.GetQueuedPrefillTokens(), load.GetGatePrefillTokens()) + e.Own.UnseenTokens()
+}
+
+// outstanding is the number of attempts that run or wait at the endpoint.
+func (e *Endpoint) outstanding() uint64 {
+	load := e.Report.GetLoad()
+	return uint64(load.GetGateRunning()) + uint64(load.GetGateWaiting()) + e.Own.UnseenAttempts()
+}
+
+// defaultPrefillRate stands in for an endpoint that reports none, in tokens per second.
+const defaultPrefillRate = 10_000
+
+func (e *Endpoint) prefillRate() float64 {
+	if rate := e.Report.GetLoad().GetPrefillTokensPerSecond(); rate > 0 {
+		return rate
+	}
+	return defaultPrefillRate
+}
--- /dev/null
+++ b/coordination/routing/filter_excluded.go
@@ -0,0 +1,10 @@
+package routing
+
+// ExcludedFilter drops endpoints that refused or failed this very request.
+type ExcludedFilter struct{}
+
+// Name implements Filter.
+func (ExcludedFilter) Name() string { return "excluded" }
+
+// Keep implements Filter.
+func (ExcludedFilter) Keep(r *Request, e *Endpoint) bool { return !r.excludes(e.Name()) }
--- /dev/null
+++ b/coordination/routing/filter_role.go
@@ -0,0 +1,12 @@
+package routing
+
+const rolePrefill = "prefill"
+
+// RoleFilter drops engines that only compute prefixes: they generate no answer.
+type RoleFilter struct{}
+
+// Name implements Filter.
+func (RoleFilter) Name() string { return "role" }
+
+// Keep implements Filter.
+func (RoleFilter) Keep(_ *Request, e *Endpoint) bool { return e.Report.Role != rolePrefill }
--- /dev/null
+++ b/coordination/routing/filter_serves.go
@@ -0,0 +1,11 @@
+package routing
+
+// ServesFilter drops endpoints that do not serve the model or service: the
+// request would fail there.
+type ServesFilter struct{}
+
+// Name implements Filter.
+func (ServesFilter) Name() string { return "serves" }
+
+// Keep implements Filter.
+func (ServesFilter) Keep(r *Request, e *Endpoint) bool { return e.serves(r) }
--- /dev/null
+++ b/coordination/routing/ownwork.go
@@ -0,0 +1,127 @@
+package routing
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// OwnWork counts the attempts that this entry has running at an endpoint, and
+// of them those that no report counts yet.
+type OwnWork struct {
+	unseenTokens   atomic.Int64
+	unseenAttempts atomic.Int64
+	running        atomic.Int64
+	long           atomic.Int64 // attempts above the length boundary before their first token
+
+	mu       sync.Mutex
+	attempts map[string]*ownAttempt
+}
+
+type ownAttempt struct {
+	tokens  int64
+	seen    bool
+	waiting bool // before its first token
+	long    bool
+}
+
+// NewOwnWork returns empty counts.
+func NewOwnWork() *OwnWork { return &OwnWork{attempts: make(map[string]*ownAttempt)} }
+
+// UnseenTokens is the prompt length of the attempts that no report counts yet.
+func (w *OwnWork) UnseenTokens() uint64 { return uint64(max(0, w.unseenTokens.Load())) }
+
+// UnseenAttempts is the number of attempts that no report counts yet.
+func (w *OwnWork) UnseenAttempts() uint64 { return uint64(max(0, w.unseenAttempts.Load())) }
+
+// Running is the number of this entry's attempts at the endpoint.
+func (w *OwnWork) Running() int64 { return w.running.Load() }
+
+// LongWaiting is the number of this entry's long prompts before their first token.
+func (w *OwnWork) LongWaiting() int64 { return w.long.Load() }
+
+// Start counts an attempt from now on.
+func (w *OwnWork) Start(attempt string, tokens uint64, long bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.attempts[attempt] != nil {
+		return
+	}
+	w.attempts[attempt] = &ownAttempt{tokens: int64(tokens), waiting: true, long: long}
+	w.running.Add(1)
+	w.unseenTokens.Add(int64(tokens))
+	w.unseenAttempts.Add(1)
+	if long {
+		w.long.Add(1)
+	}
+}
+
+// FirstToken records that an attempt's prefill is over.
+func (w *OwnWork) FirstToken(attempt string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a := w.attempts[attempt]; a != nil {
+		w.prefilled(a)
+	}
+}
+
+// End stops counting an attempt.
+func (w *OwnWork) End(attempt string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a := w.attempts[attempt]
+	if a == nil {
+		return
+	}
+	w.prefilled(a)
+	w.see(a)
+	w.running.Add(-1)
+	delete(w.attempts, attempt)
+}
+
+// Seen takes the attempts that a report counts.
+func (w *OwnWork) Seen(attempts []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, attempt := range attempts {
+		if a := w.attempts[attempt]; a != nil {
+			w.see(a)
+		}
+	}
+}
+
+func (w *OwnWork) prefilled(a *ownAttempt) {
+	if !a.waiting {
+		return
+	}
+	a.waiting = false
+	if a.long {
+		w.long.Add(-1)
+	}
+	if !a.seen {
+		w.unseenTokens.Add(-a.tokens)
+	}
+}
+
+func (w *OwnWork) see(a *ownAttempt) {
+	if a.seen {
+		return
+	}
+	a.seen = true
+	w.unseenAttempts.Add(-1)
+	if a.waiting {
+		w.unseenTokens.Add(-a.tokens)
+	}
+}
+
+// Attempts lists the attempts counted, in order.
+func (w *OwnWork) Attempts() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var names []string
+	for name := range w.attempts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/coordination/routing/picker_baseline.go
@@ -0,0 +1,41 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+)
+
+// RandomPicker takes any candidate.
+type RandomPicker struct{}
+
+// Pick implements Picker.
+func (RandomPicker) Pick(candidates []Candidate) Candidate {
+	return candidates[rand.IntN(len(candidates))]
+}
+
+// RoundRobinPicker takes the candidates in turn.
+type RoundRobinPicker struct{ next atomic.Uint64 }
+
+// Pick implements Picker.
+func (p *RoundRobinPicker) Pick(candidates []Candidate) Candidate {
+	return candidates[(p.next.Add(1)-1)%uint64(len(candidates))]
+}
+
+// LeastPicker takes a candidate of least cost, any of equal ones.
+type LeastPicker struct{}
+
+// Pick implements Picker.
+func (LeastPicker) Pick(candidates []Candidate) Candidate {
+	chosen, equal := candidates[0], 1
+	for _, c := range candidates[1:] {
+		if c.Cost < chosen.Cost {
+			chosen, equal = c, 1
+		} else if c.Cost == chosen.Cost {
+			equal++
+			if rand.IntN(equal) == 0 {
+				chosen = c
+			}
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/coordination/routing/policy.go
@@ -0,0 +1,28 @@
+package routing
+
+import "fmt"
+
+// Policy is a named set of scorers and a picker.
+type Policy struct {
+	Name    string
+	Scorers []Scorer
+	Picker  Picker
+}
+
+// PolicyNames lists the policies: the adaptive one and the baselines.
+var PolicyNames = []string{"adaptive", "random", "round-robin", "fewest-outstanding"}
+
+// NewPolicy returns the policy of that name.
+func NewPolicy(name string) (Policy, error) {
+	switch name {
+	case "adaptive":
+		return Policy{name, []Scorer{FirstTokenScorer{}, PrefixScorer{}, LengthScorer{}}, NearBestPicker{}}, nil
+	case "random":
+		return Policy{name, nil, RandomPicker{}}, nil
+	case "round-robin":
+		return Policy{name, nil, &RoundRobinPicker{}}, nil
+	case "fewest-outstanding":
+		return Policy{name, []Scorer{OutstandingScorer{}}, LeastPicker{}}, nil
+	}
+	return Policy{}, fmt.Errorf("unknown policy %q: use one of %v", name, PolicyNames)
+}
--- /dev/null
+++ b/role/entry/wiring.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/apricotspoke/apricotspoke/coordination/admission"
+	"github.com/apricotspoke/apricotspoke/coordination/claims"
+	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/coordination/relay"
+	"github.com/apricotspoke/apricotspoke/coordination/routing"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+	"github.com/apricotspoke/apricotspoke/transport/callerhttp"
+	"github.com/apricotspoke/apricotspoke/transport/controllink"
+	"github.com/apricotspoke/apricotspoke/transport/gatelink"
+	"github.com/apricotspoke/apricotspoke/transport/link"
+	"go.uber.org/dig"
+	"google.golang.org/grpc"
+)
+
+// Build wires an entry. Extra constructors may provide the Control role, and
+// link.Security in place of plain text.
+func Build(options *Options, extra ...any) (*Entry, error) {
+	container := dig.New()
+	constructors := []any{
+		func() *Options { return options },
+		func() *logs.Logger { return logs.For("entry") },
+		configsync.NewStore,
+		routing.NewTable,
+		metrics.New,
+		relay.NewBudget,
+		callerhttp.NewBodies,
+		callerhttp.NewDrain,
+		newPool, newPolicy, newRouter, newControlClient, newLinks, newQuota,
+		newRelay, newKeeper, newFollower, newCallers, newFleetServer, newEntry,
+	}
+	for _, constructor := range append(constructors, extra...) {
+		if err := container.Provide(constructor); err != nil {
+			return nil, fmt.Errorf("wiring: %w", err)
+		}
+	}
+	var entry *Entry
+	err := container.Invoke(func(e *Entry) { entry = e })
+	return entry, dig.RootCause(err)
+}
+
+type security struct {
+	dig.In
+
+	Security link.Security `optional:"true"`
+}
+
+func newPool(s security) *link.Pool { return link.NewPool(s.Security) }
+
+func newPolicy(o *Options) (routing.Policy, error) { return routing.NewPolicy(o.Policy) }
+
+func newRouter(table *routing.Table, policy routing.Policy, registry *metrics.Registry) *routing.Router {
+	router := routing.NewRouter(table, policy)
+	registry.Func(func(w io.Writer) {
+		router.Dropped(func(filter string, count int64) {
+			fmt.Fprintf(w, "entry_routing_dropped{filter=%q} %d\n", filter, count)
+		})
+	})
+	return router
+}
+
+func newControlClient(pool *link.Pool, o *Options) *controllink.Client {
+	return controllink.NewClient(pool, o.Control)
+}
+
+func newLinks(pool *link.Pool, registry *metrics.Registry) (*gatelink.Links, relay.Gates) {
+	links := gatelink.New(context.Background(), pool)
+	registry.Func(func(w io.Writer) { fmt.Fprintf(w, "entry_links_replaced %d\n", links.Replaced()) })
+	return links, links
+}
+
+func newQuota(o *Options, client *controllink.Client) *admission.Quota {
+	return admission.NewQuota(o.ID, client)
+}
+
+func newRelay(gates relay.Gates, router *routing.Router, budget *relay.Budget) *relay.Relay {
+	return relay.New(gates, router, budget)
+}
+
+func newKeeper(client *controllink.Client, gates relay.Gates, r *relay.Relay, router *routing.Router, bodies *callerhttp.Bodies) *claims.Keeper {
+	return claims.NewKeeper(client, gates, callerhttp.NewOnceRunner(r, router, bodies))
+}
+
+func newFollower(store *configsync.Store, o *Options, pool *link.Pool, table *routing.Table) *configsync.Follower {
+	process := &wire.ProcessInfo{Id: o.ID, Role: "entry", DataCentre: o.DataCentre, Address: o.Listen}
+	return configsync.NewFollower(store, process, func() []configsync.Peer { return configPeers(o, pool, table) })
+}
+
+// maxFallbackPeers bounds the gates that are asked for the configuration.
+const maxFallbackPeers = 4
+
+// configPeers lists the control replicas and, after them, gates known from
+// their reports.
+func configPeers(o *Options, pool *link.Pool, table *routing.Table) []configsync.Peer {
+	addresses := slices.Clone(o.Control)
+	for i, e := range table.Snapshot().Endpoints {
+		if i == maxFallbackPeers {
+			break
+		}
+		addresses = append(addresses, e.Report.GateAddress)
+	}
+	peers := make([]configsync.Peer, 0, len(addresses))
+	for _, address := range addresses {
+		peers = append(peers, controllink.NewConfigPeer(pool, address))
+	}
+	return peers
+}
+
+// callerParts are what the callers' interface is made of.
+type callerParts struct {
+	dig.In
+
+	Options *Options
+	Store   *configsync.Store
+	Quota   *admission.Quota
+	Router  *routing.Router
+	Relay   *relay.Relay
+	Keeper  *claims.Keeper
+	Gates   relay.Gates
+	Bodies  *callerhttp.Bodies
+	Drain   *callerhttp.Drain
+	Metrics *metrics.Registry
+}
+
+func newCallers(p callerParts, table *routing.Table) *callerhttp.Server {
+	p.Metrics.Func(func(w io.Writer) {
+		for _, e := range table.Snapshot().Endpoints {
+			fmt.Fprintf(w, "entry_endpoint{endpoint=%q} %d\n", e.Name(), e.Own.Running())
+		}
+	})
+	return &callerhttp.Server{
+		Store:   p.Store,
+		Quota:   p.Quota,
+		Router:  p.Router,
+		Relay:   p.Relay,
+		Keeper:  p.Keeper,
+		Gates:   p.Gates,
+		Tokens:  callerhttp.NewTokens(p.Options.ResumeSecret),
+		Bodies:  p.Bodies,
+		Drain:   p.Drain,
+		Metrics: p.Metrics,
+	}
+}
+
+func newFleetServer(s security, store *configsync.Store, table *routing.Table) *grpc.Server {
+	server := link.NewServer(s.Security)
+	wire.RegisterAnnounceServer(server, gatelink.NewAnnounce(table))
+	wire.RegisterConfigServer(server, controllink.NewConfigServer(store))
+	return server
+}
--- /dev/null
+++ b/telemetry/metrics/metrics.go
@@ -0,0 +1,106 @@
+// Package metrics keeps counters and histograms per organisation and class,
+// with a bounded number of series, and writes them as text.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+const (
+	maxOrganisations = 1024
+	otherLabel       = "other" // organisations beyond the bound share it
+	sampleSize       = 1028
+	sampleAlpha      = 0.015
+)
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Registry holds the series of one process.
+type Registry struct {
+	registry gometrics.Registry
+
+	mu            sync.Mutex
+	organisations map[string]struct{}
+	gauges        []func(w io.Writer)
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{registry: gometrics.NewRegistry(), organisations: make(map[string]struct{})}
+}
+
+// Labels name one series of a metric. Class must come from a fixed set.
+type Labels struct{ Organisation, Class string }
+
+func (r *Registry) series(name string, l Labels) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.organisations[l.Organisation]; !known {
+		if len(r.organisations) >= maxOrganisations {
+			l.Organisation = otherLabel
+		} else {
+			r.organisations[l.Organisation] = struct{}{}
+		}
+	}
+	return fmt.Sprintf("%s{organisation=%q,class=%q", name, l.Organisation, l.Class)
+}
+
+// Time adds a duration to a histogram in milliseconds.
+func (r *Registry) Time(name string, l Labels, d time.Duration) {
+	h := r.registry.GetOrRegister(r.series(name, l), func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	h.(gometrics.Histogram).Update(d.Milliseconds())
+}
+
+// Count adds one to a counter.
+func (r *Registry) Count(name string, l Labels) {
+	c := r.registry.GetOrRegister(r.series(name, l), gometrics.NewCounter)
+	c.(gometrics.Counter).Inc(1)
+}
+
+// Func adds a writer of values that are read when the text is asked for.
+func (r *Registry) Func(write func(w io.Writer)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gauges = append(r.gauges, write)
+}
+
+// WriteText writes all series as text, one a line, in a fixed order.
+func (r *Registry) WriteText(w io.Writer) {
+	var names []string
+	all := make(map[string]any)
+	r.registry.Each(func(name string, metric any) {
+		names = append(names, name)
+		all[name] = metric
+	})
+	slices.Sort(names)
+	for _, name := range names {
+		writeSeries(w, name, all[name])
+	}
+	r.mu.Lock()
+	gauges := slices.Clone(r.gauges)
+	r.mu.Unlock()
+	for _, write := range gauges {
+		write(w)
+	}
+}
+
+func writeSeries(w io.Writer, name string, metric any) {
+	switch m := metric.(type) {
+	case gometrics.Counter:
+		fmt.Fprintf(w, "%s} %d\n", name, m.Count())
+	case gometrics.Histogram:
+		snapshot := m.Snapshot()
+		for i, value := range snapshot.Percentiles(quantiles) {
+			fmt.Fprintf(w, "%s,quantile=\"%g\"} %.0f\n", name, quantiles[i], value)
+		}
+		fmt.Fprintf(w, "%s,of=\"count\"} %d\n", name, snapshot.Count())
+	}
+}
--- /dev/null
+++ b/transport/callerhttp/body.go
@@ -0,0 +1,113 @@
+package callerhttp
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+)
+
+const (
+	maxBodyBytes   = 16 << 20
+	readStep       = 256 << 10
+	maxBodiesBytes = 64 << 20 // of all requests and whole answers together
+)
+
+// Bodies bounds the bytes of bodies that are held at once.
+type Bodies struct {
+	mu   sync.Mutex
+	held int64
+	most int64
+}
+
+// NewBodies returns the bound of a process.
+func NewBodies() *Bodies { return &Bodies{most: maxBodiesBytes} }
+
+// reservation is what one request holds of the bound.
+type reservation struct {
+	bodies *Bodies
+	bytes  int64
+}
+
+func (b *Bodies) open() *reservation { return &reservation{bodies: b} }
+
+// grow takes more bytes, or fails with Overloaded.
+func (r *reservation) grow(bytes int) error {
+	r.bodies.mu.Lock()
+	defer r.bodies.mu.Unlock()
+	if r.bodies.held+int64(bytes) > r.bodies.most {
+		return fault.New(fault.Overloaded, "too many large requests are held").After(leastRetry)
+	}
+	r.bodies.held += int64(bytes)
+	r.bytes += int64(bytes)
+	return nil
+}
+
+func (r *reservation) shrink(bytes int) {
+	r.bodies.mu.Lock()
+	defer r.bodies.mu.Unlock()
+	r.bodies.held -= int64(bytes)
+	r.bytes -= int64(bytes)
+}
+
+func (r *reservation) close() { r.shrink(int(r.bytes)) }
+
+// Held returns the bytes held now.
+func (b *Bodies) Held() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// readBody reads a body within the bounds.
+func readBody(w http.ResponseWriter, r *http.Request, hold *reservation) ([]byte, error) {
+	if r.ContentLength > maxBodyBytes {
+		return nil, bodyTooLarge()
+	}
+	reader := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	body := make([]byte, 0, max(0, r.ContentLength))
+	if err := hold.grow(cap(body)); err != nil {
+		return nil, err
+	}
+	for {
+		if len(body) == cap(body) {
+			grown, err := extend(body, hold)
+			if err != nil {
+				return nil, err
+			}
+			body = grown
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, readFailure(err)
+		}
+	}
+}
+
+func extend(body []byte, hold *reservation) ([]byte, error) {
+	more := max(readStep, cap(body)/2)
+	if err := hold.grow(more); err != nil {
+		return nil, err
+	}
+	grown := make([]byte, len(body), cap(body)+more)
+	copy(grown, body)
+	return grown, nil
+}
+
+func readFailure(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return bodyTooLarge()
+	}
+	return fault.Wrap(err, fault.InvalidRequest, "the body could not be read")
+}
+
+func bodyTooLarge() error {
+	return fault.New(fault.BodyTooLarge, "a body may have %d bytes", maxBodyBytes)
+}
--- /dev/null
+++ b/transport/callerhttp/call.go
@@ -0,0 +1,144 @@
+package callerhttp
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/admission"
+	"github.com/apricotspoke/apricotspoke/coordination/relay"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/fleet"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+)
+
+const (
+	metricRequests   = "entry_requests"
+	metricFirstToken = "entry_first_token_ms"
+	metricAnswer     = "entry_answer_ms"
+	maxKeyBytes      = 256
+	maxDeadline      = 24 * time.Hour
+)
+
+// call is one request of a caller on its way through the entry.
+type call struct {
+	server    *Server
+	w         http.ResponseWriter
+	r         *http.Request
+	id        string
+	startedAt time.Time
+	view      *fleet.View
+	contract  *wire.Contract
+	bodyHold  *reservation
+	body      []byte
+	limit     time.Duration // the caller's own deadline, 0 for none
+	deadlines admission.Deadlines
+	tokens    uint64
+}
+
+// begin identifies the caller and reads the request. The caller must end the
+// call with close. On error the answer has been written.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request) (*call, bool) {
+	c := &call{server: s, w: w, r: r, id: relay.NewAttemptID(), startedAt: time.Now(), bodyHold: s.Bodies.open()}
+	w.Header().Set("X-Request-Id", c.id)
+	if err := c.read(); err != nil {
+		c.fail(err)
+		c.close()
+		return nil, false
+	}
+	return c, true
+}
+
+func (c *call) read() error {
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	limit, err := deadlineHeader(c.r)
+	if err != nil {
+		return err
+	}
+	c.limit = limit
+	if len(c.r.Header.Get("Idempotency-Key")) > maxKeyBytes {
+		return fault.New(fault.InvalidRequest, "an idempotency key may have %d bytes", maxKeyBytes)
+	}
+	c.body, err = readBody(c.w, c.r, c.bodyHold)
+	return err
+}
+
+func (c *call) authenticate() error {
+	view, err := c.server.Store.Current()
+	if err != nil {
+		return err
+	}
+	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return fault.New(fault.Unauthenticated, "the request has no bearer key")
+	}
+	c.view, c.contract = view, view.ContractByKey(key)
+	if c.contract == nil {
+		return fault.New(fault.Unauthenticated, "the key is not known")
+	}
+	return nil
+}
+
+func deadlineHeader(r *http.Request) (time.Duration, error) {
+	value := r.Header.Get("X-Deadline-Ms")
+	if value == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil {
+		return 0, fault.New(fault.InvalidRequest, "X-Deadline-Ms is not a number of milliseconds")
+	}
+	if ms <= 0 {
+		return 0, fault.New(fault.InvalidRequest, "the deadline has already passed")
+	}
+	return min(time.Duration(ms)*time.Millisecond, maxDeadline), nil
+}
+
+func (c *call) close() { c.bodyHold.close() }
+
+// fail answers with an error.
+func (c *call) fail(err error) {
+	c.count(string(typed(err).Kind))
+	writeFault(c.w, err)
+}
+
+func (c *call) count(outcome string) {
+	c.server.Metrics.Count(metricRequests, metrics.Labels{Organisation: c.contract.GetOrganisation(), Class: outcome})
+}
+
+func (c *call) time(metric string) {
+	labels := metrics.Labels{Organisation: c.contract.GetOrganisation(), Class: admission.LengthClass(c.tokens)}
+	c.server.Metrics.Time(metric, labels, time.Since(c.startedAt))
+}
+
+// job returns the relay's form of the request.
+func (c *call) job(open *wire.AttemptOpen) *relay.Job {
+	open.Request = c.id
+	open.Organisation = c.contract.Organisation
+	open.Method = c.r.Method
+	open.ContentType = c.r.Header.Get("Content-Type")
+	open.PromptTokens = c.tokens
+	open.Priority = c.contract.Priority
+	open.Revision = c.view.Revision()
+	job := &relay.Job{Open: open, Body: c.body, FirstTokenBy: c.deadlines.FirstToken, WholeBy: c.deadlines.Whole}
+	job.Route.View = c.view
+	job.Route.Tokens = c.tokens
+	job.Route.OutputTokens = uint64(open.OutputTokens)
+	job.Route.Prefix = open.PrefixBlocks
+	if !c.deadlines.FirstToken.IsZero() {
+		job.Route.FirstToken = time.Until(c.deadlines.FirstToken)
+	}
+	return job
+}
+
+// take takes the quota of the request.
+func (c *call) take(output uint32) (*admission.Hold, error) {
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadlines.Whole)
+	defer cancel()
+	return c.server.Quota.Take(ctx, c.contract.Organisation, c.tokens+uint64(output))
+}
--- /dev/null
+++ b/transport/callerhttp/faults.go
@@ -0,0 +1,80 @@
+package callerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/claims"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+)
+
+// errorBody is the OpenAI shape of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+func encodeFault(err *fault.Error) []byte {
+	text, _ := json.Marshal(errorBody{errorDetail{
+		Message: err.Message + "; " + err.Kind.Remedy(),
+		Type:    string(err.Kind),
+		Code:    string(err.Kind),
+	}})
+	return text
+}
+
+// typed turns the ends of contexts into typed errors.
+func typed(err error) *fault.Error {
+	var e *fault.Error
+	switch {
+	case errors.As(err, &e):
+		return e
+	case errors.Is(err, context.DeadlineExceeded):
+		return fault.New(fault.Timeout, "the deadline has passed")
+	case errors.Is(err, context.Canceled):
+		return fault.New(fault.Cancelled, "the caller has gone")
+	}
+	return fault.From(err)
+}
+
+// writeFault answers with an error. Not-run is only said when no sending of the
+// request can have run.
+func writeFault(w http.ResponseWriter, err error) {
+	e := typed(err)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	var uncertain *claims.Uncertain
+	if e.Kind.NotRun() && !errors.As(err, &uncertain) {
+		header.Set("X-Not-Run", "true")
+	}
+	if wait := retryAfter(e); wait > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	w.WriteHeader(e.Kind.Status())
+	_, _ = w.Write(append(encodeFault(e), '\n'))
+}
+
+// leastRetry is told where a refusal carries no time of its own.
+const leastRetry = time.Second
+
+func retryAfter(e *fault.Error) time.Duration {
+	if e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	switch e.Kind.Status() {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return leastRetry
+	}
+	return 0
+}
--- /dev/null
+++ b/transport/callerhttp/token.go
@@ -0,0 +1,62 @@
+package callerhttp
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"strings"
+
+	"github.com/apricotspoke/apricotspoke/coordination/relay"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+)
+
+// Tokens makes and checks resume tokens. A token tells any entry where an
+// attempt runs and whose it is, so entries share no state but the secret.
+type Tokens struct{ secret []byte }
+
+// NewTokens returns tokens signed with the fleet's secret.
+func NewTokens(secret string) *Tokens { return &Tokens{secret: []byte(secret)} }
+
+type tokenContent struct {
+	Address      string `json:"a"`
+	Instance     string `json:"i"`
+	Attempt      string `json:"t"`
+	Organisation string `json:"o"`
+	Endpoint     string `json:"e"`
+}
+
+var tokenEncoding = base64.RawURLEncoding
+
+// Sign returns the token of an attempt.
+func (t *Tokens) Sign(o relay.Origin) string {
+	content, _ := json.Marshal(tokenContent{o.GateAddress, o.GateInstance, o.Attempt, o.Organisation, o.Endpoint})
+	body := tokenEncoding.EncodeToString(content)
+	return body + "." + tokenEncoding.EncodeToString(t.mac(body))
+}
+
+func (t *Tokens) mac(body string) []byte {
+	h := hmac.New(sha256.New, t.secret)
+	h.Write([]byte(body))
+	return h.Sum(nil)
+}
+
+// Check returns the origin of a token that was signed with the secret for the
+// organisation.
+func (t *Tokens) Check(token, organisation string) (relay.Origin, error) {
+	body, signature, _ := strings.Cut(token, ".")
+	sum, err := tokenEncoding.DecodeString(signature)
+	if err != nil || !hmac.Equal(sum, t.mac(body)) {
+		return relay.Origin{}, fault.New(fault.InvalidRequest, "the resume token is not valid")
+	}
+	var c tokenContent
+	raw, err := tokenEncoding.DecodeString(body)
+	if err != nil || json.Unmarshal(raw, &c) != nil {
+		return relay.Origin{}, fault.New(fault.InvalidRequest, "the resume token is not valid")
+	}
+	if c.Organisation != organisation {
+		return relay.Origin{}, fault.New(fault.Forbidden, "the resume token belongs to another organisation")
+	}
+	return relay.Origin{Endpoint: c.Endpoint, GateAddress: c.Address, GateInstance: c.Instance,
+		Attempt: c.Attempt, Organisation: c.Organisation}, nil
+}
--- /dev/null
+++ b/transport/controllink/config.go
@@ -0,0 +1,53 @@
+package controllink
+
+import (
+	"context"
+
+	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/transport/link"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// ConfigServer hands out the configuration of a store.
+type ConfigServer struct {
+	wire.UnimplementedConfigServer
+	store *configsync.Store
+}
+
+// NewConfigServer returns the service.
+func NewConfigServer(store *configsync.Store) *ConfigServer { return &ConfigServer{store: store} }
+
+// Sync implements wire.ConfigServer.
+func (s *ConfigServer) Sync(ctx context.Context, request *wire.SyncRequest) (*wire.SyncResponse, error) {
+	response, err := s.store.Sync(ctx, request)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return response, nil
+}
+
+// ConfigPeer is a neighbour that serves its configuration.
+type ConfigPeer struct {
+	pool    *link.Pool
+	address string
+}
+
+// NewConfigPeer returns the neighbour at an address.
+func NewConfigPeer(pool *link.Pool, address string) *ConfigPeer {
+	return &ConfigPeer{pool: pool, address: address}
+}
+
+// Sync implements configsync.Peer.
+func (p *ConfigPeer) Sync(ctx context.Context, request *wire.SyncRequest) (*wire.SyncResponse, error) {
+	conn, err := p.pool.Get(p.address)
+	if err != nil {
+		return nil, err
+	}
+	response, err := wire.NewConfigClient(conn).Sync(ctx, request)
+	if status.Code(err) == codes.DeadlineExceeded {
+		p.pool.Replace(p.address, conn) // it may have gone silent
+	}
+	return response, err
+}
