--- a/trials/cluster/cluster.go
+++ b/trials/cluster/cluster.go
@@ -73,14 +73,15 @@
 	Endpoints []*Endpoint
 	Links     *Links
 
-	options     Options
-	operatorKey string
+	options      Options
+	operatorKey  string
+	resumeSecret string
 }
 
 // Start starts a fleet and waits until it is ready. What was started is ended
 // when that fails.
 func Start(ctx context.Context, options Options) (*Cluster, error) {
-	c := &Cluster{options: options, operatorKey: rand.Text(), Links: newLinks(options.Seed)}
+	c := &Cluster{options: options, operatorKey: rand.Text(), resumeSecret: rand.Text(), Links: newLinks(options.Seed)}
 	if err := c.start(ctx); err != nil {
 		err = errors.Join(err, c.logs())
 		c.Kill()
@@ -182,6 +183,7 @@
 		"--http-listen=" + entry.HTTP,
 	}
 	flags = append(flags, repeated("--control", c.controlTargets())...)
+	env = append(env, "APRICOTSPOKE_RESUME_SECRET="+c.resumeSecret)
 	entry.Process = newProcess(c.options.Folder, name, "apricotspoke-entry", env, flags...)
 	return nil
 }
