Ask again when the answer to a claim is lost

With the leading control replica killed, a booking came back as outcome_unknown after 1 ms although it had run nowhere: the follower that passed the claim on could not tell whether the leader had committed it, and the entry took that for the outcome of the request. Nothing is dispatched before a claim is granted, and claims and settlements name their attempt, so both are made again until the request's deadline.

--- a/coordination/claims/keeper.go
+++ b/coordination/claims/keeper.go
@@ -163,14 +163,11 @@
 	}
 	for {
 		response, err := k.claimOnce(ctx, message)
-		if err == nil && response.Failure != nil {
-			err = fault.FromWire(response.Failure)
-			if kind := fault.KindOf(err); kind != fault.NotLeader && kind != fault.NotCurrent {
-				return nil, err
-			}
+		if err == nil && !mayPass(response.Failure) {
+			return ownIsGranted(response, origin.Attempt), fault.FromWire(response.Failure)
 		}
 		if err == nil {
-			return ownIsGranted(response, origin.Attempt), nil
+			err = fault.FromWire(response.Failure)
 		}
 		if !pause(ctx, retryPause) {
 			return nil, &Uncertain{fault.Wrap(err, fault.NotCurrent, "the claim could not be recorded").After(inProgressRetry)}
@@ -253,8 +250,15 @@
 	}
 }
 
+// mayPass reports whether a call to control is to be made again. A claim and its
+// settlement name their attempt, so a first one that was carried out after all
+// does no harm.
 func mayPass(f *wire.Failure) bool {
-	return f != nil && (f.Kind == string(fault.NotLeader) || f.Kind == string(fault.NotCurrent))
+	switch fault.Kind(f.GetKind()) {
+	case fault.NotLeader, fault.NotCurrent, fault.OutcomeUnknown:
+		return true
+	}
+	return false
 }
 
 // bounded is the outcome as it is recorded: without a body that is too long.
