--- a/telemetry/logs/logs.go
+++ b/telemetry/logs/logs.go
@@ -3,7 +3,9 @@
 package logs
 
 import (
+	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,10 +19,21 @@
 // maxRepeatKeys bounds the repeated faults that a logger tells apart.
 const maxRepeatKeys = 1024
 
+var levels = []string{"debug", "info", "warn", "error"}
+
+// level is the least level written by every logger.
 var level atomic.Uint32
 
 func init() { level.Store(uint32(log.InfoLevel)) }
 
+// CheckLevel reports a name that is none of the levels.
+func CheckLevel(name string) error {
+	if !slices.Contains(levels, name) {
+		return fmt.Errorf("--log-level: %q is none of %v", name, levels)
+	}
+	return nil
+}
+
 // SetLevel sets the least level written by every logger: "debug", "info",
 // "warn" or "error".
 func SetLevel(name string) { level.Store(uint32(log.ParseLevel(name))) }
