--- a/role/entry/fakes_test.go
+++ b/role/entry/fakes_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -363,9 +364,9 @@
 		for n := uint64(1); err == nil; n++ {
 			report := &wire.GateReport{Sequence: n, GateInstance: name, GateAddress: gate, Endpoint: "m" + name, DataCentre: "d1",
 				Models: []string{"m1"}, Ready: true, AdmitLimit: 8, Load: &wire.EndpointLoad{PrefillTokensPerSecond: 1e6, DecodeMsPerToken: 1}}
-			err = stream.Send(report)
-			err = stream.Send(&wire.GateReport{Sequence: n, GateInstance: name, GateAddress: gate, Endpoint: "s" + name, DataCentre: "d1",
-				Service: "booking", Ready: true, AdmitLimit: 8, Load: &wire.EndpointLoad{}})
+			service := &wire.GateReport{Sequence: n, GateInstance: name, GateAddress: gate, Endpoint: "s" + name, DataCentre: "d1",
+				Service: "booking", Ready: true, AdmitLimit: 8, Load: &wire.EndpointLoad{}}
+			err = errors.Join(stream.Send(report), stream.Send(service))
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
@@ -417,6 +418,21 @@
 	return answer{response.StatusCode, response.Header, string(text)}
 }
 
+// runs counts the attempts that gates have taken and not refused.
+func (b *bed) runs() int {
+	count := 0
+	for _, g := range b.gates {
+		g.mu.Lock()
+		for _, id := range g.order {
+			if !g.refused[id] {
+				count++
+			}
+		}
+		g.mu.Unlock()
+	}
+	return count
+}
+
 func (b *bed) slotsFree() {
 	b.t.Helper()
 	b.await("release of all quota", func() bool { return b.entry.quota.Used("a") == 0 })
