Test routing, quota, order of chunks and damaged links

A decision takes its list of candidates from a bounded channel: sync.Pool drops entries at random under the race detector, which made the allocation test fail.

--- /dev/null
+++ b/coordination/admission/quota_test.go
@@ -0,0 +1,165 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// bucket is a contract's limit of 10 requests a second and 4 slots, without burst.
+type bucket struct {
+	mu       sync.Mutex
+	left     float64
+	filled   time.Time
+	granted  float64
+	returned float64
+	slots    uint32
+	down     bool
+}
+
+func (b *bucket) Lease(_ context.Context, r *wire.LeaseRequest) (*wire.LeaseResponse, error) {
+	time.Sleep(2 * time.Millisecond)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.down {
+		return nil, errors.New("down")
+	}
+	b.left = min(5, b.left+10*time.Since(b.filled).Seconds())
+	b.filled = time.Now()
+	response := &wire.LeaseResponse{}
+	for _, d := range r.Demands {
+		b.left += d.ReturnedRequests
+		b.returned += d.ReturnedRequests
+		given := min(d.Requests, float64(int(b.left)))
+		b.left -= given
+		b.granted += given
+		b.slots = min(4, d.ConcurrencyWanted)
+		g := &wire.QuotaGrant{Organisation: d.Organisation, Requests: given, Tokens: d.Tokens, Concurrency: b.slots, ValidMs: 1000}
+		if given < d.Requests {
+			g.RetryAfterMs = 100
+		}
+		response.Grants = append(response.Grants, g)
+	}
+	return response, nil
+}
+
+func run(t *testing.T, test func(ctx context.Context, b *bucket, q *Quota)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := &bucket{left: 5, filled: time.Now()}
+		q := NewQuota("e", b)
+		var running sync.WaitGroup
+		running.Go(func() { q.Run(ctx) })
+		test(ctx, b, q)
+		cancel()
+		running.Wait()
+	})
+}
+
+// Demand above the limit gets the limit and no more; refusals come at once.
+func TestQuotaGivesTheLimitAndNoMore(t *testing.T) {
+	run(t, func(ctx context.Context, b *bucket, q *Quota) {
+		taken, refused := 0, 0
+		for range 1000 { // 100 a second for 10 s
+			started := time.Now()
+			hold, err := q.Take(ctx, "a", 10)
+			if err == nil {
+				taken++
+				hold.Release(10)
+			} else if fault.KindOf(err) == fault.LimitExceeded {
+				refused++
+			}
+			if waited := time.Since(started); waited > 50*time.Millisecond {
+				t.Fatalf("an answer took %s", waited)
+			}
+			time.Sleep(10*time.Millisecond - min(10*time.Millisecond, time.Since(started)))
+		}
+		if taken < 85 || taken > 115 || taken+refused != 1000 {
+			t.Errorf("%d taken and %d refused, the limit is 100 and a burst of 5", taken, refused)
+		}
+	})
+}
+
+// Slots bound what runs at once, and every way of ending frees one, once.
+func TestSlotsAreFreedOnEveryPath(t *testing.T) {
+	run(t, func(ctx context.Context, b *bucket, q *Quota) {
+		var holds []*Hold
+		for range 4 {
+			hold, err := q.Take(ctx, "a", 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			holds = append(holds, hold)
+		}
+		if _, err := q.Take(ctx, "a", 1); fault.KindOf(err) != fault.LimitExceeded {
+			t.Errorf("a fifth at once: %v", err)
+		}
+		holds[0].Release(1)
+		holds[0].Refund()
+		holds[1].Refund()
+		if q.Used("a") != 2 {
+			t.Errorf("%d slots used", q.Used("a"))
+		}
+		time.Sleep(time.Second)
+		ended, stop := context.WithCancel(ctx)
+		stop()
+		if hold, err := q.Take(ended, "a", 1); err == nil {
+			hold.Refund()
+		}
+		holds[2].Release(1)
+		holds[3].Release(1)
+		if q.Used("a") != 0 {
+			t.Errorf("%d slots used at the end", q.Used("a"))
+		}
+	})
+}
+
+// Unspent quota goes back when demand ends, and none is spent after its lease.
+func TestUnspentQuotaGoesBackAndLapses(t *testing.T) {
+	run(t, func(ctx context.Context, b *bucket, q *Quota) {
+		hold, err := q.Take(ctx, "a", 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		hold.Release(1)
+		time.Sleep(2*idleAfter + time.Second)
+		b.mu.Lock()
+		if kept := b.granted - b.returned; kept > 1.01 {
+			t.Errorf("%v requests are kept, 1 was spent", kept)
+		}
+		b.down = true
+		b.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		started := time.Now()
+		if _, err := q.Take(ctx, "a", 1); fault.KindOf(err) != fault.NotCurrent || time.Since(started) > 2*time.Second {
+			t.Errorf("without control: %v after %s", err, time.Since(started))
+		}
+	})
+}
+
+func TestDeadlinesFollowTheContract(t *testing.T) {
+	contract := &wire.Contract{Deadlines: []*wire.DeadlineBand{{UpToTokens: 100, FirstTokenMs: 500, WholeAnswerMs: 2000}, {UpToTokens: 1000, FirstTokenMs: 5000, WholeAnswerMs: 9000}}}
+	now := time.Now()
+	cases := []struct {
+		tokens       uint64
+		limit        time.Duration
+		first, whole time.Duration
+	}{
+		{100, 0, 500 * time.Millisecond, 2 * time.Second},
+		{101, 0, 5 * time.Second, 9 * time.Second},
+		{101, time.Second, time.Second, time.Second},
+		{101, time.Hour, 5 * time.Second, 9 * time.Second},
+	}
+	for _, c := range cases {
+		d := DeadlinesFor(contract, c.tokens, now, c.limit)
+		if d.FirstToken.Sub(now) != c.first || d.Whole.Sub(now) != c.whole {
+			t.Errorf("%d tokens: %s and %s", c.tokens, d.FirstToken.Sub(now), d.Whole.Sub(now))
+		}
+	}
+}
--- /dev/null
+++ b/coordination/relay/relay_test.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"pgregory.net/rapid"
+)
+
+func message(sequence uint64) *wire.AttemptDown { return &wire.AttemptDown{Sequence: sequence} }
+
+// Whatever arrives, in whatever order and however often, comes out once and in
+// order; after a resumption from the next sequence all of it has come out.
+func TestOrderGivesEachMessageOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		last := rapid.Uint64Range(1, 600).Draw(t, "last")
+		arriving := rapid.SliceOfN(rapid.Uint64Range(0, last), 0, 1200).Draw(t, "arriving")
+		order, want := NewOrder(1), uint64(1)
+		pop := func() {
+			for down := order.Pop(); down != nil; down = order.Pop() {
+				if down.Sequence != want {
+					t.Fatalf("got %d, want %d", down.Sequence, want)
+				}
+				want++
+			}
+		}
+		for _, sequence := range arriving {
+			order.Add(message(sequence))
+			if len(order.held) > maxHeld+1 {
+				t.Fatalf("%d messages held", len(order.held))
+			}
+			if rapid.Bool().Draw(t, "pop") {
+				pop()
+			}
+		}
+		pop()
+		if len(order.held) > 0 != order.Gap() {
+			t.Fatalf("%d held, gap %v", len(order.held), order.Gap())
+		}
+		for sequence := order.Next(); sequence <= last; sequence++ {
+			order.Add(message(sequence))
+			pop()
+		}
+		if want != last+1 || order.Gap() {
+			t.Fatalf("%d of %d messages came out", want-1, last)
+		}
+	})
+}
+
+// Retries stay within the ratio of requests, whatever fails.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := NewBudget()
+		requests, retries := rapid.IntRange(0, 5000).Draw(t, "requests"), 0
+		for range requests {
+			budget.Request()
+			if budget.Retry() {
+				retries++
+			}
+		}
+		if most := budgetMost + budgetRatio*float64(requests); float64(retries) > most+1 {
+			t.Fatalf("%d retries of %d requests", retries, requests)
+		}
+	})
+}
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +14,7 @@
 	filters  []Filter
 	dropped  []atomic.Int64 // by filter
 	boundary Boundary
-	scratch  sync.Pool
+	scratch  chan []Candidate // free lists of candidates
 }
 
 // Choice is the outcome of a decision.
@@ -25,6 +24,9 @@
 	Long      bool
 }
 
+// maxScratch bounds the lists kept between decisions.
+const maxScratch = 64
+
 // outOfServiceRetry is told when no endpoint can serve at all.
 const outOfServiceRetry = time.Second
 
@@ -36,7 +38,7 @@
 		policy:  policy,
 		filters: filters,
 		dropped: make([]atomic.Int64, len(filters)),
-		scratch: sync.Pool{New: func() any { return new([]Candidate) }},
+		scratch: make(chan []Candidate, maxScratch),
 	}
 }
 
@@ -55,10 +57,8 @@
 // none is expected to give the first token in time.
 func (r *Router) Choose(request *Request) (Choice, error) {
 	request.boundary = r.boundary.Tokens()
-	scratch := r.scratch.Get().(*[]Candidate)
-	defer r.scratch.Put(scratch)
-	candidates, full := r.filter(request, (*scratch)[:0])
-	*scratch = candidates
+	candidates, full := r.filter(request, r.takeScratch())
+	defer r.giveScratch(candidates)
 	if len(candidates) == 0 {
 		return Choice{}, r.none(request, full)
 	}
@@ -76,6 +76,23 @@
 	return Choice{Endpoint: chosen.Endpoint, Predicted: predicted, Long: request.Tokens > request.boundary}, nil
 }
 
+func (r *Router) takeScratch() []Candidate {
+	select {
+	case scratch := <-r.scratch:
+		return scratch[:0]
+	default:
+		return nil
+	}
+}
+
+func (r *Router) giveScratch(scratch []Candidate) {
+	clear(scratch) // endpoints that are gone must not be kept alive
+	select {
+	case r.scratch <- scratch:
+	default:
+	}
+}
+
 func (r *Router) filter(request *Request, candidates []Candidate) (kept []Candidate, full *Endpoint) {
 	for _, e := range r.table.Snapshot().Endpoints {
 		at := r.firstDrop(request, e)
