Report held quota, keep the newest chunks unacknowledged, limit log lines

A gate drops what is acknowledged, so an answer that was acknowledged at once could not be resumed by its caller on another entry. The newest 256 KiB stay.

--- a/cmd/apricotspoke-entry/main.go
+++ b/cmd/apricotspoke-entry/main.go
@@ -20,6 +20,7 @@
 	debug.SetMemoryLimit(memoryLimitBytes)
 	options := &entry.Options{}
 	settings.Parse("apricotspoke-entry", options)
+	logs.SetLevel(options.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	e, err := entry.Build(options)
--- a/coordination/admission/account.go
+++ b/coordination/admission/account.go
@@ -65,6 +65,7 @@
 		d.ReturnedTokens = a.tokens - targetTokens
 		a.tokens = targetTokens
 	}
+	d.HeldRequests, d.HeldTokens = a.requests, a.tokens
 	d.ConcurrencyWanted = a.used + uint32(a.waitingRequests)
 	if now.Sub(a.lastTake) < idleAfter {
 		d.ConcurrencyWanted += 1 + a.used/slotHeadroom
--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -31,6 +31,7 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	sequence uint64 // of the last lease request
 }
 
 // NewQuota returns a quota that holds nothing; Run fills it.
@@ -210,7 +211,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	request := &wire.LeaseRequest{Entry: q.entry}
+	q.sequence++
+	request := &wire.LeaseRequest{Entry: q.entry, Sequence: q.sequence}
 	for organisation, a := range q.accounts {
 		if a.used == 0 && now.Sub(a.lastTake) > forgetAfter {
 			delete(q.accounts, organisation)
@@ -243,7 +245,8 @@
 func (q *Quota) returnAll() *wire.LeaseRequest {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	request := &wire.LeaseRequest{Entry: q.entry}
+	q.sequence++
+	request := &wire.LeaseRequest{Entry: q.entry, Sequence: q.sequence}
 	for organisation, a := range q.accounts {
 		a.expire(time.Now())
 		request.Demands = append(request.Demands, &wire.QuotaDemand{
--- a/coordination/claims/keeper.go
+++ b/coordination/claims/keeper.go
@@ -165,7 +165,11 @@
 		response, err := k.claimOnce(ctx, message)
 		if err == nil && response.Failure != nil {
 			err = fault.FromWire(response.Failure)
-			if kind := fault.KindOf(err); kind != fault.NotLeader && kind != fault.NotCurrent {
+			switch fault.KindOf(err) {
+			case fault.NotLeader, fault.NotCurrent:
+			case fault.KeyReused:
+				return nil, &Uncertain{err}
+			default:
 				return nil, err
 			}
 		}
--- a/coordination/relay/attempt.go
+++ b/coordination/relay/attempt.go
@@ -16,7 +16,8 @@
 	resumeBefore  = 400 * time.Millisecond // how long to try before the first chunk
 	resumeAfter   = 4 * time.Second        // and after it
 	cancelTimeout = 2 * time.Second
-	arrivals      = 16 // messages read ahead of the caller
+	arrivals      = 16        // messages read ahead of the caller
+	keepBytes     = 256 << 10 // of the newest chunks, not acknowledged
 )
 
 // Gates gives clients of gates. A client is asked for anew for each call, so
@@ -64,6 +65,9 @@
 	progress time.Time // last message, or the start
 	acks     chan uint64
 	finished bool
+
+	kept      []delivered // not acknowledged yet
+	keptBytes int
 }
 
 // Start sends an attempt to the gate of origin. The body is not copied.
@@ -145,16 +149,13 @@
 	return nil
 }
 
-// refused judges a refusal. When the answer is being resumed it only tells that
-// the gate can't continue, not that nothing ran.
+// refused takes the gate's refusal, which also holds when it comes on a resumed
+// stream.
 func (a *Attempt) refused(reason error) error {
 	if reason == nil {
 		reason = fault.New(fault.Overloaded, "the gate gave no reason")
 	}
 	a.finished = true
-	if a.resuming {
-		return fault.Wrap(reason, fault.EndpointFailed, "the answer could not be resumed")
-	}
 	return &Refusal{Cause: reason}
 }
 
@@ -200,7 +201,7 @@
 	end := down.GetEnd()
 	if end == nil {
 		a.chunks++
-		a.acknowledge(down.Sequence)
+		a.acknowledge(down.Sequence, len(down.GetChunk().GetData()))
 		return down, nil
 	}
 	a.finished = true
@@ -210,7 +211,30 @@
 	return down, nil
 }
 
-func (a *Attempt) acknowledge(sequence uint64) {
+// delivered is a chunk that the gate still keeps.
+type delivered struct {
+	sequence uint64
+	bytes    int
+}
+
+// acknowledge lets the gate drop what lies further back than keepBytes. The
+// rest stays there, so that the caller can resume behind what reached it.
+func (a *Attempt) acknowledge(sequence uint64, bytes int) {
+	a.kept = append(a.kept, delivered{sequence, bytes})
+	a.keptBytes += bytes
+	var last uint64
+	for a.keptBytes > keepBytes {
+		last = a.kept[0].sequence
+		a.keptBytes -= a.kept[0].bytes
+		a.kept = a.kept[1:]
+	}
+	if last > 0 {
+		a.post(last)
+	}
+}
+
+// post leaves an acknowledgement for the sender in place of an earlier one.
+func (a *Attempt) post(sequence uint64) {
 	select {
 	case <-a.acks:
 	default:
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -180,20 +180,21 @@
 
 func openFor(job *Job, origin Origin) *wire.AttemptOpen {
 	o := job.Open
+	firstTokenBy := job.FirstTokenBy
+	if firstTokenBy.IsZero() {
+		firstTokenBy = job.WholeBy
+	}
 	return &wire.AttemptOpen{
 		Attempt: origin.Attempt, Request: o.Request, Organisation: o.Organisation, GateInstance: origin.GateInstance,
 		Model: o.Model, Method: o.Method, Path: o.Path, ContentType: o.ContentType,
 		PromptTokens: o.PromptTokens, OutputTokens: o.OutputTokens, Priority: o.Priority,
-		FirstTokenMs: millisUntil(job.FirstTokenBy), WholeAnswerMs: millisUntil(job.WholeBy),
+		FirstTokenMs: millisUntil(firstTokenBy), WholeAnswerMs: millisUntil(job.WholeBy),
 		BodyBytes: uint64(len(job.Body)), Repeatable: o.Repeatable, Revision: o.Revision,
 		PrefixBlocks: o.PrefixBlocks, Streamed: o.Streamed,
 	}
 }
 
 func millisUntil(t time.Time) uint32 {
-	if t.IsZero() {
-		return 0
-	}
 	return uint32(max(1, time.Until(t).Milliseconds()))
 }
 
--- a/role/entry/options.go
+++ b/role/entry/options.go
@@ -3,14 +3,14 @@
 package entry
 
 import (
-	"errors"
-	"fmt"
-	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
+	"github.com/apricotspoke/apricotspoke/settings"
 )
 
+const maxDrainLimit = 24 * time.Hour
+
 // Options are the settings of an entry.
 type Options struct {
 	ID           string        `long:"id" env:"APRICOTSPOKE_ID" description:"name of this process"`
@@ -21,30 +21,23 @@
 	DataFolder   string        `long:"data-folder" env:"APRICOTSPOKE_DATA_FOLDER" description:"run control too, with its state here"`
 	LogLevel     string        `long:"log-level" env:"APRICOTSPOKE_LOG_LEVEL" default:"info" description:"least level of log lines"`
 	Policy       string        `long:"policy" env:"APRICOTSPOKE_POLICY" default:"adaptive" description:"routing policy"`
-	ResumeSecret string        `long:"resume-secret" env:"APRICOTSPOKE_RESUME_SECRET" description:"secret of the fleet that signs resume tokens"`
+	ResumeSecret string        `long:"resume-secret" env:"APRICOTSPOKE_RESUME_SECRET" secret:"true" description:"secret of the fleet that signs resume tokens"`
 	DrainLimit   time.Duration `long:"drain-limit" env:"APRICOTSPOKE_DRAIN_LIMIT" default:"10m" description:"longest wait for running requests at shutdown"`
 	ReadyGrace   time.Duration `long:"ready-grace" env:"APRICOTSPOKE_READY_GRACE" default:"1s" description:"time between failing readiness and closing the listener"`
 }
 
 // Check implements settings.Checker.
 func (o *Options) Check() []error {
-	var faults []error
-	required := []struct{ flag, value string }{
-		{"id", o.ID}, {"data-centre", o.DataCentre}, {"listen", o.Listen}, {"http-listen", o.HTTPListen}, {"resume-secret", o.ResumeSecret},
-	}
-	for _, r := range required {
-		if r.value == "" {
-			faults = append(faults, fmt.Errorf("--%s is missing", r.flag))
-		}
-	}
-	if len(o.Control) == 0 {
-		faults = append(faults, errors.New("--control is missing"))
-	}
-	if !slices.Contains(routing.PolicyNames, o.Policy) {
-		faults = append(faults, fmt.Errorf("--policy %q is unknown: use one of %v", o.Policy, routing.PolicyNames))
-	}
-	if o.DrainLimit <= 0 {
-		faults = append(faults, errors.New("--drain-limit must be positive"))
-	}
+	var faults settings.Faults
+	faults.Required("id", o.ID)
+	faults.Required("data-centre", o.DataCentre)
+	faults.Required("resume-secret", o.ResumeSecret)
+	faults.Address("listen", o.Listen)
+	faults.Address("http-listen", o.HTTPListen)
+	faults.Addresses("control", o.Control)
+	faults.OneOf("policy", o.Policy, routing.PolicyNames...)
+	faults.OneOf("log-level", o.LogLevel, "debug", "info", "warn", "error")
+	settings.Range(&faults, "drain-limit", o.DrainLimit, time.Second, maxDrainLimit)
+	settings.Range(&faults, "ready-grace", o.ReadyGrace, 0, o.DrainLimit)
 	return faults
 }
--- a/role/entry/wiring.go
+++ b/role/entry/wiring.go
@@ -129,6 +129,7 @@
 	Bodies  *callerhttp.Bodies
 	Drain   *callerhttp.Drain
 	Metrics *metrics.Registry
+	Log     *logs.Logger
 }
 
 func newCallers(p callerParts, table *routing.Table) *callerhttp.Server {
@@ -148,6 +149,7 @@
 		Bodies:  p.Bodies,
 		Drain:   p.Drain,
 		Metrics: p.Metrics,
+		Log:     p.Log,
 	}
 }
 
--- a/transport/callerhttp/call.go
+++ b/transport/callerhttp/call.go
@@ -19,7 +19,7 @@
 	metricRequests   = "entry_requests"
 	metricFirstToken = "entry_first_token_ms"
 	metricAnswer     = "entry_answer_ms"
-	maxKeyBytes      = 256
+	maxKeyBytes      = 255
 	maxDeadline      = 24 * time.Hour
 )
 
@@ -103,10 +103,18 @@
 
 // fail answers with an error.
 func (c *call) fail(err error) {
-	c.count(string(typed(err).Kind))
+	c.failed(err)
 	writeFault(c.w, err)
 }
 
+// failed counts and logs an error. Lines of one kind are limited.
+func (c *call) failed(err error) {
+	e := typed(err)
+	c.count(string(e.Kind))
+	c.server.Log.Repeated(string(e.Kind)).Str("request", c.id).Str("organisation", c.contract.GetOrganisation()).
+		Str("kind", string(e.Kind)).Err(e.Cause).Msg("callers: A request has failed.")
+}
+
 func (c *call) count(outcome string) {
 	c.server.Metrics.Count(metricRequests, metrics.Labels{Organisation: c.contract.GetOrganisation(), Class: outcome})
 }
--- a/transport/callerhttp/handlers.go
+++ b/transport/callerhttp/handlers.go
@@ -151,7 +151,7 @@
 	end, origin, err := c.server.Relay.Do(c.r.Context(), job, sink)
 	if err != nil {
 		release(hold, err, c.tokens+sink.used)
-		c.count(string(typed(err).Kind))
+		c.failed(err)
 		sink.fail(err)
 		return
 	}
@@ -226,7 +226,7 @@
 	defer attempt.Abandon()
 	end, err := relay.Follow(attempt, origin, sink, func() {})
 	if err != nil {
-		c.count(string(typed(err).Kind))
+		c.failed(err)
 		sink.fail(err)
 		return
 	}
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -10,6 +10,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/go-chi/chi/v5"
 )
@@ -26,6 +27,7 @@
 	Bodies  *Bodies
 	Drain   *Drain
 	Metrics *metrics.Registry
+	Log     *logs.Logger
 }
 
 // drainRetry is told while the process shuts down; the balancer has left it by then.
