Route under the configuration in force at the attempt

A body that took seconds to arrive was routed under the view of its arrival, so a data centre taken out meanwhile got new work. The view is now taken at each attempt and the contract again after the body. A slow body holds its share of the bound for 30 s at most.

--- a/coordination/claims/keeper.go
+++ b/coordination/claims/keeper.go
@@ -40,7 +40,7 @@
 	// whether the attempt ran.
 	Run(ctx context.Context, choice routing.Choice, attempt string, job *relay.Job) (*wire.Outcome, error)
 	// Choose picks an endpoint.
-	Choose(route *routing.Request) (routing.Choice, error)
+	Choose(job *relay.Job) (routing.Choice, error)
 }
 
 // Request is one non-repeatable request.
@@ -113,8 +113,7 @@
 func (r *roundOver) Error() string { return "claim again" }
 
 func (k *Keeper) round(ctx context.Context, request *Request, refused error) (*Answer, error) {
-	request.Job.Route.Now = time.Now()
-	choice, err := k.runner.Choose(&request.Job.Route)
+	choice, err := k.runner.Choose(request.Job)
 	if err != nil {
 		return k.withoutEndpoint(ctx, request, firstOf(refused, err))
 	}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/fleet"
 )
 
 // maxRefusals bounds the gates that one request is offered to.
@@ -33,16 +34,23 @@
 	Reset() bool
 }
 
+// Views gives the configuration in force, or an error when it can't be shown to
+// be current.
+type Views interface {
+	Current() (*fleet.View, error)
+}
+
 // Relay runs requests.
 type Relay struct {
 	gates  Gates
+	views  Views
 	router *routing.Router
 	budget *Budget
 }
 
 // New returns a relay.
-func New(gates Gates, router *routing.Router, budget *Budget) *Relay {
-	return &Relay{gates: gates, router: router, budget: budget}
+func New(gates Gates, views Views, router *routing.Router, budget *Budget) *Relay {
+	return &Relay{gates: gates, views: views, router: router, budget: budget}
 }
 
 // NewAttemptID returns a random attempt identity.
@@ -137,17 +145,29 @@
 
 // attempt chooses an endpoint and runs one attempt there.
 func (r *Relay) attempt(ctx context.Context, job *Job, sink Sink, first *time.Timer) (*wire.End, Origin, error) {
-	job.Route.Now = time.Now()
-	if job.Route.FirstToken > 0 {
-		job.Route.FirstToken = max(time.Millisecond, time.Until(job.FirstTokenBy))
-	}
-	choice, err := r.router.Choose(&job.Route)
+	choice, err := r.Choose(job)
 	if err != nil {
 		return nil, Origin{}, err
 	}
 	return r.RunAt(ctx, choice, NewAttemptID(), job, sink, func() { first.Stop() })
 }
 
+// Choose picks an endpoint for a job's next attempt under the configuration in
+// force now, which may have changed since the request came.
+func (r *Relay) Choose(job *Job) (routing.Choice, error) {
+	view, err := r.views.Current()
+	if err != nil {
+		return routing.Choice{}, err
+	}
+	job.Route.View = view
+	job.Route.Now = time.Now()
+	job.Open.Revision = view.Revision()
+	if job.Route.FirstToken > 0 {
+		job.Route.FirstToken = max(time.Millisecond, time.Until(job.FirstTokenBy))
+	}
+	return r.router.Choose(&job.Route)
+}
+
 // OriginOf names the place of an attempt at a chosen endpoint.
 func OriginOf(choice routing.Choice, attempt string, job *Job) Origin {
 	return Origin{
--- a/role/entry/entry.go
+++ b/role/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/admission"
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/transport/callerhttp"
 	"github.com/apricotspoke/apricotspoke/transport/link"
@@ -24,8 +25,12 @@
 
 // Control is the control role in the same process.
 type Control interface {
-	// Register adds its services to the process's server.
-	Register(server *grpc.Server)
+	// Register adds the services that only control serves.
+	Register(server grpc.ServiceRegistrar)
+	// Observe takes a gate's report that the entry received.
+	Observe(report *wire.GateReport)
+	// ObserveProcess takes a sign of life of a process that asked for the configuration.
+	ObserveProcess(info *wire.ProcessInfo)
 	// Run runs it until ctx ends.
 	Run(ctx context.Context) error
 }
@@ -83,7 +88,6 @@
 	running.Go(func() { e.quota.Run(background) })
 	failed := make(chan error, 3)
 	if e.control != nil {
-		e.control.Register(e.fleet)
 		running.Go(func() { report(failed, e.control.Run(background)) })
 	}
 	go func() { report(failed, e.fleet.Serve(fleetListener)) }()
--- a/role/entry/entry_test.go
+++ b/role/entry/entry_test.go
@@ -215,3 +215,31 @@
 		t.Errorf("the running request ended with %d %s", got.status, got.body)
 	}
 }
+
+// What operators change while a body is on its way holds for the request.
+func TestChangeDuringUploadIsInForce(t *testing.T) {
+	b := newBed(t, 1, always(plan{chunks: []string{"x"}, status: 200}))
+	reader, writer := io.Pipe()
+	r, _ := http.NewRequest("POST", b.url+"/v1/completions", reader)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	go func() {
+		_, _ = io.WriteString(writer, wholeBody[:5])
+		out := testConfig()
+		out.Revision++
+		out.DataCentres = []*wire.DataCentre{{Name: "d1", Out: true}}
+		b.control.mu.Lock()
+		b.control.config = out
+		b.control.mu.Unlock()
+		b.await("revision", func() bool { return b.entry.callers.Store.Revision() == out.Revision })
+		_, _ = io.WriteString(writer, wholeBody[5:])
+		_ = writer.Close()
+	}()
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if attempts, _, _ := b.gates[0].counts(); response.StatusCode != 503 || attempts != 0 {
+		t.Errorf("status %d, %d attempts", response.StatusCode, attempts)
+	}
+}
--- a/role/entry/fakes_test.go
+++ b/role/entry/fakes_test.go
@@ -206,6 +206,8 @@
 
 func (c *fakeControl) Sync(context.Context, *wire.SyncRequest) (*wire.SyncResponse, error) {
 	time.Sleep(10 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return &wire.SyncResponse{Revision: c.config.Revision, Snapshot: c.config}, nil
 }
 
--- a/role/entry/wiring.go
+++ b/role/entry/wiring.go
@@ -82,12 +82,12 @@
 	return admission.NewQuota(o.ID, client)
 }
 
-func newRelay(gates relay.Gates, router *routing.Router, budget *relay.Budget) *relay.Relay {
-	return relay.New(gates, router, budget)
+func newRelay(gates relay.Gates, store *configsync.Store, router *routing.Router, budget *relay.Budget) *relay.Relay {
+	return relay.New(gates, store, router, budget)
 }
 
-func newKeeper(client *controllink.Client, gates relay.Gates, r *relay.Relay, router *routing.Router, bodies *callerhttp.Bodies) *claims.Keeper {
-	return claims.NewKeeper(client, gates, callerhttp.NewOnceRunner(r, router, bodies))
+func newKeeper(client *controllink.Client, gates relay.Gates, r *relay.Relay, bodies *callerhttp.Bodies) *claims.Keeper {
+	return claims.NewKeeper(client, gates, callerhttp.NewOnceRunner(r, bodies))
 }
 
 func newFollower(store *configsync.Store, o *Options, pool *link.Pool, table *routing.Table) *configsync.Follower {
@@ -153,9 +153,22 @@
 	}
 }
 
-func newFleetServer(s security, store *configsync.Store, table *routing.Table) *grpc.Server {
+// hosted is the control role, if this process hosts it.
+type hosted struct {
+	dig.In
+
+	Control Control `optional:"true"`
+}
+
+func newFleetServer(s security, store *configsync.Store, table *routing.Table, h hosted) *grpc.Server {
 	server := link.NewServer(s.Security)
-	wire.RegisterAnnounceServer(server, gatelink.NewAnnounce(table))
-	wire.RegisterConfigServer(server, controllink.NewConfigServer(store))
+	if h.Control == nil {
+		wire.RegisterAnnounceServer(server, gatelink.NewAnnounce(table, nil))
+		wire.RegisterConfigServer(server, controllink.NewConfigServer(store, nil))
+		return server
+	}
+	h.Control.Register(server)
+	wire.RegisterAnnounceServer(server, gatelink.NewAnnounce(table, h.Control.Observe))
+	wire.RegisterConfigServer(server, controllink.NewConfigServer(store, h.Control.ObserveProcess))
 	return server
 }
--- a/transport/callerhttp/body.go
+++ b/transport/callerhttp/body.go
@@ -5,16 +5,21 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 )
 
 const (
 	maxBodyBytes   = 16 << 20
+	firstStep      = 8 << 20 // held at once for a body of announced length
 	readStep       = 256 << 10
 	maxBodiesBytes = 64 << 20 // of all requests and whole answers together
 )
 
+// bodyTimeout bounds the time for which a slow sender holds a part of the bound.
+const bodyTimeout = 30 * time.Second
+
 // Bodies bounds the bytes of bodies that are held at once.
 type Bodies struct {
 	mu   sync.Mutex
@@ -66,8 +71,11 @@
 	if r.ContentLength > maxBodyBytes {
 		return nil, bodyTooLarge()
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	reader := http.MaxBytesReader(w, r.Body, maxBodyBytes)
-	body := make([]byte, 0, max(0, r.ContentLength))
+	body := make([]byte, 0, min(max(0, r.ContentLength), firstStep)+1)
 	if err := hold.grow(cap(body)); err != nil {
 		return nil, err
 	}
--- a/transport/callerhttp/call.go
+++ b/transport/callerhttp/call.go
@@ -11,7 +11,6 @@
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
-	"github.com/apricotspoke/apricotspoke/state/fleet"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 )
 
@@ -30,7 +29,6 @@
 	r         *http.Request
 	id        string
 	startedAt time.Time
-	view      *fleet.View
 	contract  *wire.Contract
 	bodyHold  *reservation
 	body      []byte
@@ -65,7 +63,10 @@
 		return fault.New(fault.InvalidRequest, "an idempotency key may have %d bytes", maxKeyBytes)
 	}
 	c.body, err = readBody(c.w, c.r, c.bodyHold)
-	return err
+	if err != nil {
+		return err
+	}
+	return c.authenticate() // the configuration may have changed while the body came
 }
 
 func (c *call) authenticate() error {
@@ -77,7 +78,7 @@
 	if !ok || key == "" {
 		return fault.New(fault.Unauthenticated, "the request has no bearer key")
 	}
-	c.view, c.contract = view, view.ContractByKey(key)
+	c.contract = view.ContractByKey(key)
 	if c.contract == nil {
 		return fault.New(fault.Unauthenticated, "the key is not known")
 	}
@@ -132,9 +133,7 @@
 	open.ContentType = c.r.Header.Get("Content-Type")
 	open.PromptTokens = c.tokens
 	open.Priority = c.contract.Priority
-	open.Revision = c.view.Revision()
 	job := &relay.Job{Open: open, Body: c.body, FirstTokenBy: c.deadlines.FirstToken, WholeBy: c.deadlines.Whole}
-	job.Route.View = c.view
 	job.Route.Tokens = c.tokens
 	job.Route.OutputTokens = uint64(open.OutputTokens)
 	job.Route.Prefix = open.PrefixBlocks
--- a/transport/callerhttp/runner.go
+++ b/transport/callerhttp/runner.go
@@ -11,19 +11,16 @@
 // OnceRunner runs single attempts for claims.
 type OnceRunner struct {
 	relay  *relay.Relay
-	router *routing.Router
 	bodies *Bodies
 }
 
 // NewOnceRunner returns a runner.
-func NewOnceRunner(r *relay.Relay, router *routing.Router, bodies *Bodies) *OnceRunner {
-	return &OnceRunner{relay: r, router: router, bodies: bodies}
+func NewOnceRunner(r *relay.Relay, bodies *Bodies) *OnceRunner {
+	return &OnceRunner{relay: r, bodies: bodies}
 }
 
 // Choose implements claims.Runner.
-func (o *OnceRunner) Choose(route *routing.Request) (routing.Choice, error) {
-	return o.router.Choose(route)
-}
+func (o *OnceRunner) Choose(job *relay.Job) (routing.Choice, error) { return o.relay.Choose(job) }
 
 // Run implements claims.Runner.
 func (o *OnceRunner) Run(ctx context.Context, choice routing.Choice, attempt string, job *relay.Job) (*wire.Outcome, error) {
--- a/transport/controllink/config.go
+++ b/transport/controllink/config.go
@@ -13,14 +13,21 @@
 // ConfigServer hands out the configuration of a store.
 type ConfigServer struct {
 	wire.UnimplementedConfigServer
-	store *configsync.Store
+	store   *configsync.Store
+	observe func(*wire.ProcessInfo)
 }
 
-// NewConfigServer returns the service.
-func NewConfigServer(store *configsync.Store) *ConfigServer { return &ConfigServer{store: store} }
+// NewConfigServer returns the service. The process that asks is told to observe,
+// which may be nil.
+func NewConfigServer(store *configsync.Store, observe func(*wire.ProcessInfo)) *ConfigServer {
+	return &ConfigServer{store: store, observe: observe}
+}
 
 // Sync implements wire.ConfigServer.
 func (s *ConfigServer) Sync(ctx context.Context, request *wire.SyncRequest) (*wire.SyncResponse, error) {
+	if s.observe != nil && request.Process != nil {
+		s.observe(request.Process)
+	}
 	response, err := s.store.Sync(ctx, request)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
--- a/transport/gatelink/announce.go
+++ b/transport/gatelink/announce.go
@@ -10,11 +10,15 @@
 // Announce takes the reports of gates into a routing table.
 type Announce struct {
 	wire.UnimplementedAnnounceServer
-	table *routing.Table
+	table   *routing.Table
+	observe func(*wire.GateReport)
 }
 
-// NewAnnounce returns the service.
-func NewAnnounce(table *routing.Table) *Announce { return &Announce{table: table} }
+// NewAnnounce returns the service. Each report also goes to observe, which may
+// be nil.
+func NewAnnounce(table *routing.Table, observe func(*wire.GateReport)) *Announce {
+	return &Announce{table: table, observe: observe}
+}
 
 // Reports implements wire.AnnounceServer.
 func (a *Announce) Reports(stream wire.Announce_ReportsServer) error {
@@ -24,10 +28,17 @@
 			return err
 		}
 		if report.Endpoint != "" && report.GateAddress != "" {
-			a.table.Observe(report, time.Now())
+			a.take(report)
 		}
 		if err := stream.Send(&wire.ReportAck{Sequence: report.Sequence}); err != nil {
 			return err
 		}
 	}
 }
+
+func (a *Announce) take(report *wire.GateReport) {
+	a.table.Observe(report, time.Now())
+	if a.observe != nil {
+		a.observe(report)
+	}
+}
