--- a/role/entry/options.go
+++ b/role/entry/options.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
+	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/settings"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 )
 
 const maxDrainLimit = 24 * time.Hour
@@ -18,12 +20,14 @@
 	Listen       string        `long:"listen" env:"APRICOTSPOKE_LISTEN" description:"gRPC address for the fleet"`
 	HTTPListen   string        `long:"http-listen" env:"APRICOTSPOKE_HTTP_LISTEN" description:"HTTP address for callers"`
 	Control      []string      `long:"control" env:"APRICOTSPOKE_CONTROL" env-delim:"," description:"gRPC address of a control replica"`
-	DataFolder   string        `long:"data-folder" env:"APRICOTSPOKE_DATA_FOLDER" description:"run control too, with its state here"`
 	LogLevel     string        `long:"log-level" env:"APRICOTSPOKE_LOG_LEVEL" default:"info" description:"least level of log lines"`
 	Policy       string        `long:"policy" env:"APRICOTSPOKE_POLICY" default:"adaptive" description:"routing policy"`
 	ResumeSecret string        `long:"resume-secret" env:"APRICOTSPOKE_RESUME_SECRET" secret:"true" description:"secret of the fleet that signs resume tokens"`
 	DrainLimit   time.Duration `long:"drain-limit" env:"APRICOTSPOKE_DRAIN_LIMIT" default:"10m" description:"longest wait for running requests at shutdown"`
 	ReadyGrace   time.Duration `long:"ready-grace" env:"APRICOTSPOKE_READY_GRACE" default:"1s" description:"time between failing readiness and closing the listener"`
+
+	// ControlRole is hosted when its data folder is set.
+	ControlRole control.Options `group:"Control role"`
 }
 
 // Check implements settings.Checker.
@@ -36,8 +40,10 @@
 	faults.Address("http-listen", o.HTTPListen)
 	faults.Addresses("control", o.Control)
 	faults.OneOf("policy", o.Policy, routing.PolicyNames...)
-	faults.OneOf("log-level", o.LogLevel, "debug", "info", "warn", "error")
+	if err := logs.CheckLevel(o.LogLevel); err != nil {
+		faults = append(faults, err)
+	}
 	settings.Range(&faults, "drain-limit", o.DrainLimit, time.Second, maxDrainLimit)
 	settings.Range(&faults, "ready-grace", o.ReadyGrace, 0, o.DrainLimit)
-	return faults
+	return append(faults, o.ControlRole.Check()...)
 }
--- a/role/entry/wiring.go
+++ b/role/entry/wiring.go
@@ -12,6 +12,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/callerhttp"
@@ -38,6 +39,9 @@
 		newPool, newPolicy, newRouter, newControlClient, newLinks, newQuota,
 		newRelay, newKeeper, newFollower, newCallers, newFleetServer, newEntry,
 	}
+	if options.ControlRole.Enabled() {
+		constructors = append(constructors, newControlRole)
+	}
 	for _, constructor := range append(constructors, extra...) {
 		if err := container.Provide(constructor); err != nil {
 			return nil, fmt.Errorf("wiring: %w", err)
@@ -91,8 +95,25 @@
 }
 
 func newFollower(store *configsync.Store, o *Options, pool *link.Pool, table *routing.Table) *configsync.Follower {
-	process := &wire.ProcessInfo{Id: o.ID, Role: "entry", DataCentre: o.DataCentre, Address: o.Listen}
-	return configsync.NewFollower(store, process, func() []configsync.Peer { return configPeers(o, pool, table) })
+	return configsync.NewFollower(store, processInfo(o), func() []configsync.Peer { return configPeers(o, pool, table) })
+}
+
+// newControlRole opens the control role of a process that hosts it.
+func newControlRole(o *Options, store *configsync.Store, pool *link.Pool, s security) (Control, error) {
+	role, err := control.New(&control.Config{
+		Options:  o.ControlRole,
+		Process:  processInfo(o),
+		Peers:    o.Control,
+		Security: s.Security,
+	}, store, pool)
+	if err != nil {
+		return nil, err
+	}
+	return role, nil
+}
+
+func processInfo(o *Options) *wire.ProcessInfo {
+	return &wire.ProcessInfo{Id: o.ID, Role: "entry", DataCentre: o.DataCentre, Address: o.Listen}
 }
 
 // maxFallbackPeers bounds the gates that are asked for the configuration.
