--- /dev/null
+++ b/role/agent/agent_test.go
@@ -0,0 +1,253 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/transport/gateserver"
+	"github.com/apricotspoke/apricotspoke/transport/link"
+)
+
+// neighbours plays control and an entry on one address.
+type neighbours struct {
+	wire.UnimplementedGateLeasesServer
+	wire.UnimplementedOrderReportsServer
+	wire.UnimplementedAnnounceServer
+	streams atomic.Int32
+	reports chan *wire.GateReport
+}
+
+func (n *neighbours) Acquire(context.Context, *wire.GateLeaseRequest) (*wire.GateLeaseResponse, error) {
+	return &wire.GateLeaseResponse{Held: true, Number: 3, ValidMs: 3000}, nil
+}
+
+// Reports never acknowledges on the first stream, like a link gone silent.
+func (n *neighbours) Reports(stream wire.Announce_ReportsServer) error {
+	silent := n.streams.Add(1) == 1
+	for {
+		report, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if silent {
+			continue
+		}
+		select {
+		case n.reports <- report:
+		default:
+		}
+		if err := stream.Send(&wire.ReportAck{Sequence: report.Sequence}); err != nil {
+			return err
+		}
+	}
+}
+
+// stand is an endpoint over HTTP that counts what reaches it.
+type stand struct {
+	mu      sync.Mutex
+	hits    map[string]int
+	active  map[string]bool
+	release chan struct{} // the answers end when it is closed
+}
+
+func (s *stand) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Boot-Id", "b1")
+	switch r.URL.Path {
+	case "/v1/attempts":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		ids := []string{}
+		for id := range s.active {
+			ids = append(ids, id)
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"boot_id": "b1", "attempts": ids})
+	case "/load":
+		_, _ = fmt.Fprint(w, `{"boot_id":"b1","admissible":4}`)
+	case "/v1/completions":
+		s.complete(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *stand) complete(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	body := new(bytes.Buffer)
+	_, _ = body.ReadFrom(r.Body)
+	s.mu.Lock()
+	s.hits[id]++
+	s.active[id] = true
+	s.mu.Unlock()
+	defer func() { s.mu.Lock(); delete(s.active, id); s.mu.Unlock() }()
+	if id == "cut" {
+		panic(http.ErrAbortHandler) // breaks the connection before any answer
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = fmt.Fprintf(w, "id: 1\ndata: %d\n\n", body.Len())
+	w.(http.Flusher).Flush()
+	<-s.release
+	_, _ = fmt.Fprint(w, "id: 2\ndata: [DONE]\n\n")
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startNeighbours(t *testing.T) (*neighbours, string) {
+	t.Helper()
+	n := &neighbours{reports: make(chan *wire.GateReport, 64)}
+	store := configsync.NewStore()
+	server := link.NewServer(link.Security{})
+	wire.RegisterGateLeasesServer(server, n)
+	wire.RegisterOrderReportsServer(server, n)
+	wire.RegisterAnnounceServer(server, n)
+	wire.RegisterConfigServer(server, gateserver.NewConfigServer(store))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	go func() {
+		for t.Context().Err() == nil {
+			store.Update(&wire.SyncResponse{Revision: 2, Snapshot: &wire.FleetConfig{Revision: 2}}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	return n, listener.Addr().String()
+}
+
+func announceEndpoint(t *testing.T, agent, address string) {
+	body := fmt.Sprintf(`{"endpoint":"e1","address":%q,"models":["m"],"boot_id":"b1","memory_tokens":9000000,"concurrency":4,"cold_concurrency":2,"prefill_tokens_per_second":1e9}`, address)
+	for t.Context().Err() == nil {
+		if response, err := http.Post("http://"+agent+"/announce", "application/json", bytes.NewBufferString(body)); err == nil {
+			response.Body.Close()
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+func attempt(t *testing.T, client wire.GateClient, id string, body []byte) wire.Gate_AttemptClient {
+	t.Helper()
+	stream, err := client.Attempt(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(up *wire.AttemptUp) {
+		if err := stream.Send(up); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send(&wire.AttemptUp{Of: &wire.AttemptUp_Open{Open: &wire.AttemptOpen{
+		Attempt: id, Model: "m", Path: "/v1/completions", BodyBytes: uint64(len(body)), PromptTokens: uint64(len(body) / 4),
+		FirstTokenMs: 60_000, WholeAnswerMs: 60_000, Streamed: true,
+	}}})
+	const part = 256 << 10
+	for at := 0; at < len(body); at += part {
+		send(&wire.AttemptUp{Of: &wire.AttemptUp_Body{Body: body[at:min(at+part, len(body))]}})
+	}
+	send(&wire.AttemptUp{Of: &wire.AttemptUp_BodyEnd{BodyEnd: true}})
+	return stream
+}
+
+func receive(t *testing.T, stream grpc.ServerStreamingClient[wire.AttemptDown]) *wire.AttemptDown {
+	t.Helper()
+	down, err := stream.Recv()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return down
+}
+
+// The whole process over real links: a silent report stream is replaced, a
+// prompt of a million tokens passes, a broken call is not sent again, and a
+// shutdown cuts no answer.
+func TestAgentProcess(t *testing.T) {
+	n, address := startNeighbours(t)
+	s := &stand{hits: map[string]int{}, active: map[string]bool{}, release: make(chan struct{})}
+	web := httptest.NewServer(s)
+	defer web.Close()
+	options := &Options{
+		ID: "agent1", DataCentre: "dc1", Listen: freeAddress(t), AnnounceListen: freeAddress(t),
+		Control: []string{address}, DrainLimit: time.Minute,
+	}
+	agent, err := New(options, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, shutDown := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- agent.Run(ctx) }()
+	go announceEndpoint(t, options.AnnounceListen, web.Listener.Addr().String())
+	awaitReport(t, n, (*wire.GateReport).GetReady)
+	if got := n.streams.Load(); got < 2 {
+		t.Errorf("%d report streams", got)
+	}
+	conn, err := link.Dial(options.Listen, link.Security{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	client := wire.NewGateClient(conn)
+	cut := attempt(t, client, "cut", []byte("booking"))
+	receive(t, cut)
+	if end := receive(t, cut).GetEnd(); !end.GetMayHaveRun() || end.GetFailure() == nil {
+		t.Errorf("a broken call ended with %v", end)
+	}
+	awaitReport(t, n, (*wire.GateReport).GetReady)
+	long := attempt(t, client, "long", make([]byte, 4<<20))
+	receive(t, long)
+	if got := string(receive(t, long).GetChunk().GetData()); got != "id: 1\ndata: 4194304\n\n" {
+		t.Errorf("first chunk is %q", got)
+	}
+	shutDown()
+	awaitReport(t, n, (*wire.GateReport).GetLeaving)
+	if refused := receive(t, attempt(t, client, "new", nil)).GetRefused(); refused.GetFailure().GetRetryAfterMs() == 0 {
+		t.Errorf("new work while leaving got %v", refused)
+	}
+	close(s.release)
+	receive(t, long)
+	if end := receive(t, long).GetEnd(); end.GetFailure() != nil || end.GetStatus() != 200 || end.GetChunks() != 2 {
+		t.Errorf("running answer ended with %v", end)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if fmt.Sprint(s.hits) != "map[cut:1 long:1]" {
+		t.Errorf("the endpoint was reached %v", s.hits)
+	}
+}
+
+func awaitReport(t *testing.T, n *neighbours, want func(*wire.GateReport) bool) {
+	t.Helper()
+	limit := time.After(time.Minute)
+	for {
+		select {
+		case report := <-n.reports:
+			if want(report) {
+				return
+			}
+		case <-limit:
+			t.Fatal("no such report came")
+		}
+	}
+}
