Find lost streams and connections, and serve plain services without state

An event stream that begun and went silent is resumed on a new connection; a dead connection of an entry ends its streams within seconds; a change of readiness is reported at once. A plain service need not list attempts or report a figure of admissible attempts.

--- a/coordination/gate/admission.go
+++ b/coordination/gate/admission.go
@@ -194,4 +194,18 @@
 	g.memory.expire(now)
 	g.dropClosedGroups(ctx)
 	g.pump()
+	g.noticeChange(now)
+}
+
+// noticeChange asks for a report at once when readiness or coldness changed.
+func (g *Gate) noticeChange(now time.Time) {
+	ready, cold := g.ready(now), g.ramp.isCold()
+	if ready != g.toldReady || cold != g.toldCold {
+		g.toldReady, g.toldCold = ready, cold
+		notify(g.changed)
+	}
+}
+
+func (g *Gate) ready(now time.Time) bool {
+	return g.ramp.boot != "" && g.available(now) == nil
 }
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -59,6 +59,8 @@
 	cacheSeq    uint64
 	lastOrder   uint64
 	reports     uint64
+	toldReady   bool // as last reported
+	toldCold    bool
 }
 
 // New returns a gate with a random instance name. It admits nothing before the
--- a/coordination/gate/ramp.go
+++ b/coordination/gate/ramp.go
@@ -9,11 +9,13 @@
 	full       int
 	finished   int // attempts finished on this boot
 	admissible int // the endpoint's own figure on this boot, 0 while unknown
+	service    bool
 }
 
 func (r *ramp) configure(info Info) {
 	r.cold = max(info.ColdLimit, 1)
 	r.full = max(info.Concurrency, r.cold)
+	r.service = info.Service != ""
 }
 
 // restart begins a new boot; an empty id means that it is not known yet.
@@ -40,10 +42,14 @@
 	if r.boot == "" {
 		return 0
 	}
-	if r.admissible == 0 {
-		return r.cold
+	limit := min(r.cold+r.finished, r.full)
+	switch {
+	case r.admissible > 0:
+		return min(limit, r.admissible)
+	case r.service: // need not report a figure
+		return limit
 	}
-	return max(1, min(r.cold+r.finished, r.admissible, r.full))
+	return r.cold
 }
 
 func (r *ramp) isCold() bool { return r.limit() < r.full }
--- a/coordination/gate/report.go
+++ b/coordination/gate/report.go
@@ -41,7 +41,7 @@
 		Endpoint: g.info.Endpoint, DataCentre: g.options.DataCentre, Service: g.info.Service,
 		Models: g.info.Models, Role: g.info.Role, Load: g.loadReport(),
 		Cold: g.ramp.isCold(), Leaving: g.leaving,
-		Ready:    g.ramp.boot != "" && g.available(time.Now()) == nil,
+		Ready:    g.ready(time.Now()),
 		Revision: g.options.Configuration.Revision(), AdmitLimit: uint32(g.ramp.limit()),
 		CacheSequence: g.cacheSeq, EndpointBoot: g.ramp.boot,
 	}
--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/dig"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
@@ -28,6 +29,11 @@
 	// reportLeaving is the time for entries to hear that the gate is leaving.
 	reportLeaving     = 500 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
+	// A connection whose other end is gone without a word ends its streams.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+	// lastReaders is the time for entries to read the end of their answers.
+	lastReaders = 30 * time.Second
 )
 
 var log = logs.For("agent")
@@ -97,7 +103,7 @@
 }
 
 func newServer(g *gate.Gate, store *configsync.Store) *grpc.Server {
-	server := link.NewServer(link.Security{})
+	server := link.NewServer(link.Security{}, grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}))
 	wire.RegisterGateServer(server, gateserver.New(g))
 	wire.RegisterConfigServer(server, gateserver.NewConfigServer(store))
 	return server
@@ -184,5 +190,7 @@
 	if !a.gate.Drain(ctx) {
 		log.Warn().Int("running", a.gate.Busy()).Msg("drain limit passed")
 	}
-	a.gate.AwaitReaders(ctx)
+	last, cancelLast := context.WithTimeout(ctx, lastReaders)
+	defer cancelLast()
+	a.gate.AwaitReaders(last)
 }
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -13,7 +13,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -109,6 +111,10 @@
 		}
 		return nil, err
 	}
+	body := response.Body
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		body = &watchedBody{body: body}
+	}
 	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
 	return &gate.Answer{
 		Status:      response.StatusCode,
@@ -116,7 +122,7 @@
 		BootID:      response.Header.Get("X-Boot-Id"),
 		NotRun:      response.Header.Get("X-Not-Run") == "true",
 		RetryAfter:  time.Duration(seconds) * time.Second,
-		Body:        response.Body,
+		Body:        body,
 	}, nil
 }
 
@@ -135,14 +141,17 @@
 
 // Cancel cancels an attempt; also nil when the endpoint does not know it.
 func (c *Client) Cancel(ctx context.Context, attempt string) error {
-	return c.call(ctx, http.MethodDelete, "/v1/attempts/"+url.PathEscape(attempt), nil, nil)
+	err := c.call(ctx, http.MethodDelete, "/v1/attempts/"+url.PathEscape(attempt), nil, nil)
+	if isStatus(err, http.StatusNotFound, http.StatusMethodNotAllowed) {
+		return nil // a plain service without cancel ends with its connection
+	}
+	return err
 }
 
 // DeleteBlock frees a KV block; also nil when the endpoint does not know it.
 func (c *Client) DeleteBlock(ctx context.Context, block string) error {
 	err := c.call(ctx, http.MethodDelete, "/kv/blocks/"+url.PathEscape(block), nil, nil)
-	var status statusError
-	if errors.As(err, &status) && status == http.StatusNotFound {
+	if isStatus(err, http.StatusNotFound) {
 		return nil
 	}
 	return err
@@ -153,10 +162,15 @@
 	Attempts []string `json:"attempts"`
 }
 
-// List returns the boot id of this moment and the attempts there.
+// List returns the boot id of this moment and the attempts there. A plain
+// service that lists no attempts is asked for its boot id alone.
 func (c *Client) List(ctx context.Context) (*gate.Listing, error) {
 	var l listing
-	if err := c.call(ctx, http.MethodGet, "/v1/attempts", nil, &l); err != nil {
+	err := c.call(ctx, http.MethodGet, "/v1/attempts", nil, &l)
+	if isStatus(err, http.StatusNotFound) {
+		err = c.call(ctx, http.MethodGet, "/boot", nil, &l)
+	}
+	if err != nil {
 		return nil, err
 	}
 	return &gate.Listing{BootID: l.BootID, Attempts: l.Attempts}, nil
@@ -211,8 +225,7 @@
 	body := orderBody{Number: order.Number, Fence: order.Fence, Kind: orderKinds[order.Kind], Argument: order.Argument}
 	var result orderResult
 	err := c.call(ctx, http.MethodPost, "/orders", body, &result)
-	var status statusError
-	if errors.As(err, &status) && status == http.StatusConflict {
+	if isStatus(err, http.StatusConflict) {
 		return "", gate.ErrFenced
 	}
 	return result.Result, err
@@ -222,6 +235,11 @@
 
 func (s statusError) Error() string { return "endpoint answered status " + strconv.Itoa(int(s)) }
 
+func isStatus(err error, any ...int) bool {
+	var status statusError
+	return errors.As(err, &status) && slices.Contains(any, int(status))
+}
+
 // call sends a request about the endpoint's state. Posts go out on a fresh
 // connection and so are never resent.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
