--- a/coordination/gate/admission.go
+++ b/coordination/gate/admission.go
@@ -127,7 +127,7 @@
 }
 
 func (g *Gate) checkDeadline(open *wire.AttemptOpen, _ time.Time) *fault.Error {
-	if open.FirstTokenMs == 0 || open.WholeAnswerMs == 0 {
+	if open.WholeAnswerMs == 0 {
 		return fault.New(fault.DeadlineUnmeetable, "deadline has passed").After(retrySoon)
 	}
 	if g.info.Service != "" || g.info.PrefillRate <= 0 {
@@ -138,13 +138,23 @@
 		tokens += open.PromptTokens // a prompt with a known prefix may be cached
 	}
 	need := time.Duration(float64(tokens) / g.info.PrefillRate * float64(time.Second))
-	left := time.Duration(open.FirstTokenMs) * time.Millisecond
+	left := firstTokenLeft(open)
 	if need > left {
 		return fault.New(fault.DeadlineUnmeetable, "first token needs %s, %s are left", need.Round(time.Millisecond), left).After(need - left)
 	}
 	return nil
 }
 
+// firstTokenLeft is the time left for the first token; an attempt without a
+// deadline for it, such as one to a plain service, has that of the whole answer.
+func firstTokenLeft(open *wire.AttemptOpen) time.Duration {
+	ms := open.FirstTokenMs
+	if ms == 0 {
+		ms = open.WholeAnswerMs
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (g *Gate) checkReservation(open *wire.AttemptOpen, _ time.Time) *fault.Error {
 	if open.Reservation == "" {
 		if strings.HasPrefix(open.Path, "/kv/") && g.info.Service == "" {
--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -63,7 +63,7 @@
 	return &Attempt{
 		gate: g, open: open, replay: newReplay(g.budget),
 		ctx: ctx, cancel: cancel, stop: stop, start: make(chan struct{}),
-		firstToken: now.Add(time.Duration(open.FirstTokenMs) * time.Millisecond),
+		firstToken: now.Add(firstTokenLeft(open)),
 	}
 }
 
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -37,7 +37,9 @@
 				t.Errorf("%s: got %v, want %s", o.Attempt, refusal, kind)
 			}
 		}
-		collect(r.submit(t, open("a1", true)), 1)
+		withoutFirstToken := open("a1", true)
+		withoutFirstToken.FirstTokenMs = 0
+		collect(r.submit(t, withoutFirstToken), 1)
 		expect(open("a1", true), fault.InProgress)
 		other := open("a2", true)
 		other.GateInstance = "another"
