Model replicas under crashes, partitions and lost folders

Real replicas run over a simulated network and disk; election safety, log matching, leader completeness, state machine safety, acknowledged changes and confirmed reads are checked. The disk keeps only what was synced and crashes before or after any operation.

--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -42,7 +42,7 @@
 		answer.Failure = fault.ToWire(fault.New(fault.InvalidRequest, "a join request names an identity and an address"))
 		return answer, nil
 	}
-	if err := r.admit(ctx, s.Members, q); err != nil {
+	if err := r.admit(ctx, q); err != nil {
 		answer.Failure = fault.ToWire(err)
 		return answer, nil
 	}
@@ -50,24 +50,38 @@
 	return answer, nil
 }
 
-func (r *Replica) admit(ctx context.Context, members []*wire.Member, q *wire.JoinRequest) error {
-	if !r.Status().IsLeader {
-		return notLeader()
+// admit makes the changes that a join request needs, one after the other.
+func (r *Replica) admit(ctx context.Context, q *wire.JoinRequest) error {
+	for {
+		s := r.Status()
+		if !s.IsLeader {
+			return notLeader()
+		}
+		change, err := admission(s.Members, q)
+		if err != nil || change == nil {
+			return err
+		}
+		if err := r.ChangeMembers(ctx, change); err != nil {
+			return err
+		}
 	}
+}
+
+// admission returns the next change that a join request needs, nil when the
+// caller is a member: first its address's former identity is removed, then the
+// caller is added.
+func admission(members []*wire.Member, q *wire.JoinRequest) (*wire.MemberChange, error) {
 	add := &wire.MemberChange{AddId: q.Id, AddAddress: q.Address}
-	if _, err := changedMembers(members, add); err != nil {
-		return err
+	next, err := changedMembers(members, add)
+	if err != nil || next == nil {
+		return nil, err
 	}
 	for _, m := range members {
-		if m.Address != q.Address || m.Id == q.Id || m.Removed {
-			continue
-		}
-		if err := r.ChangeMembers(ctx, &wire.MemberChange{RemoveId: m.Id}); err != nil {
-			return err
+		if m.Address == q.Address && !m.Removed {
+			return &wire.MemberChange{RemoveId: m.Id}, nil
 		}
-		r.logger.Info().Str("replica", m.Id).Msg("A replica with a lost data folder was removed.")
 	}
-	return r.ChangeMembers(ctx, add)
+	return add, nil
 }
 
 // join works until this replica belongs to a group.
--- /dev/null
+++ b/coordination/replica/model_test.go
@@ -0,0 +1,119 @@
+package replica
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// defaultSeed makes runs repeatable; -rapid.seed overrides it.
+const (
+	defaultSeed = "20261204"
+	modelSteps  = 3000
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set(defaultSeed)
+	}
+	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// act does one random step. Most of the time messages flow and clocks tick.
+func (s *sim) act() {
+	n := s.nodes[s.random.IntN(len(s.nodes))]
+	other := s.nodes[s.random.IntN(len(s.nodes))]
+	switch kind := s.random.IntN(1000); {
+	case kind < 120:
+		s.tick(n)
+	case kind < 220:
+		for _, each := range s.nodes {
+			s.tick(each)
+		}
+	case kind < 620:
+		for range min(4, len(s.net)) {
+			s.deliver(s.random.IntN(min(6, len(s.net))), false)
+		}
+	case kind < 650 && len(s.net) > 0:
+		s.deliver(s.random.IntN(len(s.net)), true)
+	case kind < 670 && len(s.net) > 0:
+		s.net = slices.Delete(s.net, 0, 1)
+	case kind < 800:
+		s.propose(n)
+	case kind < 880:
+		s.read(n)
+	case kind < 940:
+		s.join(n, other)
+	default:
+		s.fault(n, other)
+	}
+}
+
+func (s *sim) fault(n, other *simNode) {
+	switch s.random.IntN(14) {
+	case 0:
+		s.blocked[[2]string{n.address, other.address}] = true
+	case 1:
+		s.cut(n)
+	case 2, 3, 4:
+		clear(s.blocked)
+	case 5:
+		s.counts["crash"]++
+		n.replica = nil
+	case 6:
+		n.fs.CrashAt = n.fs.Points() + 1 + s.random.IntN(8)
+	case 7, 8, 9, 10, 11:
+		if n.replica == nil {
+			s.start(n)
+		}
+	case 12:
+		s.lose(n)
+	case 13:
+		if n.replica != nil {
+			_ = n.replica.raft.Transfer()
+			s.process(n)
+		}
+	}
+}
+
+func (s *sim) cut(n *simNode) {
+	s.counts["partition"]++
+	for _, other := range s.nodes {
+		s.blocked[[2]string{n.address, other.address}] = true
+		s.blocked[[2]string{other.address, n.address}] = true
+	}
+}
+
+func TestReplicasUnderFaults(t *testing.T) {
+	total := make(map[string]int)
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "replicas")
+		s := newSim(t, seed, size)
+		s.settle()
+		for i := range modelSteps {
+			s.act()
+			if i%50 == 0 {
+				s.checkLogMatching()
+			}
+		}
+		s.settle()
+		s.checkLogMatching()
+		s.checkOutcome()
+		for what, n := range s.counts {
+			total[what] += n
+		}
+	})
+	t.Log(total)
+	for _, what := range []string{"acknowledged", "confirmed read", "outcome unknown", "leader elected", "lost folder", "crash", "crash at a disk operation", "partition"} {
+		if total[what] == 0 {
+			t.Errorf("the model never caused: %s", what)
+		}
+	}
+}
--- a/coordination/replica/process.go
+++ b/coordination/replica/process.go
@@ -17,7 +17,7 @@
 		if err := r.save(ready); err != nil {
 			return err
 		}
-		r.outbox.send(ready.Messages, r.raft.Status().Members)
+		r.send(ready.Messages, r.raft.Status().Members)
 		if err := r.apply(ready); err != nil {
 			return err
 		}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -41,8 +41,9 @@
 	PeerTimeout      time.Duration
 	SnapshotTimeout  time.Duration
 	JoinInterval     time.Duration
-	SnapshotInterval uint64 // entries applied between snapshots
-	KeptEntries      uint64 // entries kept behind a snapshot for peers that lag
+	SnapshotInterval uint64          // entries applied between snapshots
+	KeptEntries      uint64          // entries kept behind a snapshot for peers that lag
+	Random           func(n int) int // uniform in [0,n); nil for the runtime's source
 }
 
 const (
@@ -70,6 +71,9 @@
 	if o.Files == nil {
 		o.Files = wal.Disk{}
 	}
+	if o.Random == nil {
+		o.Random = rand.IntN
+	}
 }
 
 func setDefault[T comparable](value *T, standard T) {
@@ -106,6 +110,7 @@
 	logger  *logs.Logger
 	status  atomic.Pointer[Status]
 	outbox  *outbox
+	send    func([]*wire.PeerMessage, []*wire.Member)
 
 	inbox    chan *wire.PeerMessage
 	requests chan request
@@ -161,9 +166,10 @@
 		Entries:        state.Entries,
 		ElectionTicks:  options.ElectionTicks,
 		HeartbeatTicks: options.HeartbeatTicks,
-		Random:         rand.IntN,
+		Random:         options.Random,
 	})
 	r.outbox = newOutbox(&r.options)
+	r.send = r.outbox.send
 	if state.TornBytes > 0 {
 		r.logger.Warn().Int("bytes", state.TornBytes).Msg("A torn tail was cut from the log.")
 	}
--- /dev/null
+++ b/state/wal/faultfs/faultfs.go
@@ -0,0 +1,254 @@
+// Package faultfs is an in-memory file system for tests. It keeps what a disk
+// would keep: file contents only up to the last sync, names only up to the last
+// folder sync. It can crash at any operation, fill up, and fail a sync.
+package faultfs
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/apricotspoke/apricotspoke/state/wal"
+)
+
+// ErrCrashed is returned by every operation between a crash and Restart.
+var ErrCrashed = errors.New("faultfs: crashed")
+
+// ErrFull is returned by writes beyond the capacity.
+var ErrFull error = syscall.ENOSPC
+
+// ErrSync is returned by a sync that was told to fail.
+var ErrSync = errors.New("faultfs: sync failed")
+
+type inode struct {
+	data   []byte
+	synced int
+}
+
+// FS is one disk with one folder. It is not safe for concurrent use.
+type FS struct {
+	names   map[string]*inode
+	journal []map[string]*inode // names after each change since the folder sync
+	durable map[string]*inode
+	locked  bool
+	crashed bool
+	points  int
+	random  func(n int) int
+
+	CrashAt  int // number of the point at which to crash; 0 for never
+	Capacity int // bytes of all files together; 0 for no limit
+	FailSync int // number of further syncs until one fails; 0 for never
+}
+
+// New returns an empty disk. What survives a crash unsynced is drawn from random.
+func New(random func(n int) int) *FS {
+	return &FS{names: map[string]*inode{}, durable: map[string]*inode{}, random: random}
+}
+
+// Points returns the number of crash points passed: one before and one after
+// each operation that changes the disk.
+func (f *FS) Points() int { return f.points }
+
+// Crashed reports whether the disk waits for Restart.
+func (f *FS) Crashed() bool { return f.crashed }
+
+// Restart brings the disk back with what survived.
+func (f *FS) Restart() {
+	kept := f.random(len(f.journal) + 1)
+	names := f.durable
+	if kept > 0 {
+		names = f.journal[kept-1]
+	}
+	f.names = copyNames(names)
+	f.durable = copyNames(names)
+	f.journal = nil
+	for _, node := range f.names {
+		f.tear(node)
+	}
+	f.locked, f.crashed, f.CrashAt = false, false, 0
+}
+
+// tear keeps a part of the unsynced tail, sometimes as zeros.
+func (f *FS) tear(node *inode) {
+	tail := len(node.data) - node.synced
+	end := node.synced + f.random(tail+1)
+	node.data = append([]byte(nil), node.data[:end]...)
+	if f.random(3) == 0 {
+		clear(node.data[node.synced:])
+	}
+	node.synced = len(node.data)
+}
+
+// Flip damages one byte of a file.
+func (f *FS) Flip(path string, offset int) { f.names[path].data[offset] ^= 0xff }
+
+// Append adds synced bytes to a file.
+func (f *FS) Append(path string, data []byte) {
+	node := f.names[path]
+	node.data = append(node.data, data...)
+	node.synced = len(node.data)
+}
+
+// Size returns the length of a file.
+func (f *FS) Size(path string) int { return len(f.names[path].data) }
+
+func copyNames(names map[string]*inode) map[string]*inode {
+	copied := make(map[string]*inode, len(names))
+	for name, node := range names {
+		copied[name] = node
+	}
+	return copied
+}
+
+// point crashes the disk when its number has come.
+func (f *FS) point() error {
+	if f.crashed {
+		return ErrCrashed
+	}
+	f.points++
+	if f.points == f.CrashAt {
+		f.crashed = true
+		return ErrCrashed
+	}
+	return nil
+}
+
+// change runs an operation between two crash points.
+func (f *FS) change(do func() error) error {
+	if err := f.point(); err != nil {
+		return err
+	}
+	if err := do(); err != nil {
+		return err
+	}
+	return f.point()
+}
+
+func (f *FS) changeNames(do func()) error {
+	return f.change(func() error {
+		do()
+		f.journal = append(f.journal, copyNames(f.names))
+		return nil
+	})
+}
+
+// MkdirAll does nothing: the folder is there.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// Create makes an empty file.
+func (f *FS) Create(path string) (wal.File, error) {
+	node := &inode{}
+	err := f.changeNames(func() { f.names[path] = node })
+	return &file{fs: f, node: node}, err
+}
+
+// ReadFile returns a file's contents.
+func (f *FS) ReadFile(path string) ([]byte, error) {
+	node, ok := f.names[path]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return append([]byte(nil), node.data...), nil
+}
+
+// ReadDir returns the names in a folder.
+func (f *FS) ReadDir(path string) ([]string, error) {
+	var names []string
+	for name := range f.names {
+		if rest, ok := strings.CutPrefix(name, path+string(filepath.Separator)); ok {
+			names = append(names, rest)
+		}
+	}
+	return names, nil
+}
+
+// Rename replaces to by from.
+func (f *FS) Rename(from, to string) error {
+	return f.changeNames(func() {
+		f.names[to] = f.names[from]
+		delete(f.names, from)
+	})
+}
+
+// Remove deletes a name.
+func (f *FS) Remove(path string) error {
+	return f.changeNames(func() { delete(f.names, path) })
+}
+
+// SyncDir makes the names durable.
+func (f *FS) SyncDir(string) error {
+	return f.change(func() error {
+		if err := f.syncFails(); err != nil {
+			return err
+		}
+		f.durable, f.journal = copyNames(f.names), nil
+		return nil
+	})
+}
+
+func (f *FS) syncFails() error {
+	if f.FailSync == 0 {
+		return nil
+	}
+	f.FailSync--
+	if f.FailSync == 0 {
+		return ErrSync
+	}
+	return nil
+}
+
+// Lock takes the one lock of the disk.
+func (f *FS) Lock(string) (io.Closer, error) {
+	if f.locked {
+		return nil, syscall.EWOULDBLOCK
+	}
+	f.locked = true
+	return unlocker{f}, nil
+}
+
+type unlocker struct{ fs *FS }
+
+func (u unlocker) Close() error {
+	u.fs.locked = false
+	return nil
+}
+
+type file struct {
+	fs   *FS
+	node *inode
+}
+
+func (f *file) Write(data []byte) (int, error) {
+	err := f.fs.change(func() error {
+		if f.fs.Capacity > 0 && f.fs.used()+len(data) > f.fs.Capacity {
+			f.node.data = append(f.node.data, data[:len(data)/2]...)
+			return ErrFull
+		}
+		f.node.data = append(f.node.data, data...)
+		return nil
+	})
+	return len(data), err
+}
+
+func (f *file) Sync() error {
+	return f.fs.change(func() error {
+		if err := f.fs.syncFails(); err != nil {
+			return err
+		}
+		f.node.synced = len(f.node.data)
+		return nil
+	})
+}
+
+func (f *file) Close() error { return nil }
+
+func (f *FS) used() int {
+	total := 0
+	for _, node := range f.names {
+		total += len(node.data)
+	}
+	return total
+}
