--- a/coordination/claims/claim_retry_test.go
+++ b/coordination/claims/claim_retry_test.go
@@ -45,7 +45,7 @@
 
 type countingRunner struct{ runs int }
 
-func (r *countingRunner) Choose(*routing.Request) (routing.Choice, error) {
+func (r *countingRunner) Choose(*relay.Job) (routing.Choice, error) {
 	return routing.Choice{Endpoint: &routing.Endpoint{Report: &wire.GateReport{}}}, nil
 }
 
