--- /dev/null
+++ b/transport/gatelink/announce.go
@@ -0,0 +1,44 @@
+package gatelink
+
+import (
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/routing"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// Announce takes the reports of gates into a routing table.
+type Announce struct {
+	wire.UnimplementedAnnounceServer
+	table   *routing.Table
+	observe func(*wire.GateReport)
+}
+
+// NewAnnounce returns the service. Each report also goes to observe, which may
+// be nil.
+func NewAnnounce(table *routing.Table, observe func(*wire.GateReport)) *Announce {
+	return &Announce{table: table, observe: observe}
+}
+
+// Reports implements wire.AnnounceServer.
+func (a *Announce) Reports(stream wire.Announce_ReportsServer) error {
+	for {
+		report, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if report.Endpoint != "" && report.GateAddress != "" {
+			a.take(report)
+		}
+		if err := stream.Send(&wire.ReportAck{Sequence: report.Sequence}); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *Announce) take(report *wire.GateReport) {
+	a.table.Observe(report, time.Now())
+	if a.observe != nil {
+		a.observe(report)
+	}
+}
