Serve an entry that restarts under its old name

The sequence of lease requests starts again with the process, and the leader refused all that was not above the old one: the restarted entry got 0 requests until the next leader. Each start now has a name of its own; ended names are forgotten after a minute.

--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"sync"
 	"time"
 
@@ -34,9 +35,11 @@
 	sequence uint64 // of the last lease request
 }
 
-// NewQuota returns a quota that holds nothing; Run fills it.
+// NewQuota returns a quota that holds nothing; Run fills it. Its name towards
+// control is new each time: what an earlier process of this entry held is not
+// its own, and its request sequence starts again.
 func NewQuota(entry string, leaser Leaser) *Quota {
-	return &Quota{entry: entry, leaser: leaser, wake: make(chan struct{}, 1), accounts: make(map[string]*account)}
+	return &Quota{entry: entry + "/" + rand.Text(), leaser: leaser, wake: make(chan struct{}, 1), accounts: make(map[string]*account)}
 }
 
 // Hold is the quota of one request. Release gives back what it did not use.
--- a/coordination/control/quotas.go
+++ b/coordination/control/quotas.go
@@ -26,8 +26,8 @@
 }
 
 func (q *quotasServer) lease(ctx context.Context, request *wire.LeaseRequest) (*wire.LeaseResponse, error) {
-	if request.Entry == "" {
-		return nil, fault.New(fault.InvalidRequest, "the entry gives no name")
+	if request.Entry == "" || request.Sequence == 0 {
+		return nil, fault.New(fault.InvalidRequest, "a lease request needs the entry's name and a sequence from 1 on")
 	}
 	if !q.Replica.Status().IsLeader {
 		return forward(ctx, q.Service, request, func(conn grpc.ClientConnInterface, ctx context.Context, r *wire.LeaseRequest) (*wire.LeaseResponse, error) {
@@ -51,7 +51,7 @@
 	}
 	view := q.Machine.Published().View
 	ledger := q.ledgerOf(led, view)
-	if !ledger.InOrder(request) {
+	if !ledger.InOrder(now, request) {
 		return nil, fault.New(fault.InvalidRequest, "lease request %d of entry %q is behind a later one", request.Sequence, request.Entry)
 	}
 	response := &wire.LeaseResponse{}
--- /dev/null
+++ b/coordination/quota/entries_test.go
@@ -0,0 +1,89 @@
+package quota_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/admission"
+	"github.com/apricotspoke/apricotspoke/coordination/quota"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// leader answers lease requests from a ledger, as the control service does.
+type leader struct {
+	mu       sync.Mutex
+	ledger   *quota.Ledger
+	contract *wire.Contract
+}
+
+func (l *leader) Lease(_ context.Context, r *wire.LeaseRequest) (*wire.LeaseResponse, error) {
+	time.Sleep(time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ledger.InOrder(time.Now(), r) {
+		return &wire.LeaseResponse{Failure: &wire.Failure{Kind: "invalid_request"}}, nil
+	}
+	response := &wire.LeaseResponse{}
+	for _, d := range r.Demands {
+		grant := l.ledger.Lease(time.Now(), r.Entry, d, l.contract)
+		grant.ValidMs = uint32(quota.Life.Milliseconds())
+		response.Grants = append(response.Grants, grant)
+	}
+	return response, nil
+}
+
+// use takes requests for a while and returns how many it got.
+func use(q *admission.Quota, every, lasting time.Duration) int {
+	taken := 0
+	for end := time.Now().Add(lasting); time.Now().Before(end); time.Sleep(every) {
+		hold, err := q.Take(context.Background(), "o", 1)
+		if err != nil {
+			continue
+		}
+		taken++
+		hold.Release(1)
+	}
+	return taken
+}
+
+// Two entries that ask for four times the contract get all of it and no more,
+// and one that was killed is served again as soon as it is back.
+func TestEntriesShareAContract(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{
+			ledger:   quota.NewLedger(time.Now().Add(-time.Hour)),
+			contract: &wire.Contract{Organisation: "o", RequestsPerSecond: 50, RequestBurst: 20, TokensPerSecond: 1e6, TokenBurst: 1e6, Concurrency: 100},
+		}
+		start := func() (*admission.Quota, context.CancelFunc) {
+			ctx, kill := context.WithCancel(t.Context())
+			q := admission.NewQuota("entry", l)
+			go q.Run(ctx)
+			return q, kill
+		}
+		var wait sync.WaitGroup
+		var steady, killed, restarted int
+		q1, stop1 := start()
+		q2, kill := start()
+		wait.Go(func() { steady = use(q1, 10*time.Millisecond, 20*time.Second) })
+		wait.Go(func() {
+			killed = use(q2, 10*time.Millisecond, 10*time.Second)
+			kill()
+			q3, stop3 := start()
+			restarted = use(q3, 10*time.Millisecond, 10*time.Second)
+			stop3()
+		})
+		wait.Wait()
+		stop1()
+		total, most := steady+killed+restarted, 50*20+20
+		t.Logf("steady %d, killed %d, restarted %d of at most %d", steady, killed, restarted, most)
+		if total > most || total < most*8/10 {
+			t.Errorf("%d of %d requests were admitted", total, most)
+		}
+		if restarted < killed/2 || killed < steady/4 {
+			t.Errorf("unfair: steady %d, killed %d, restarted %d", steady, killed, restarted)
+		}
+	})
+}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -17,20 +17,28 @@
 const (
 	demandMemory = time.Second      // for which an unmet demand of an entry counts
 	maxRetry     = 60 * time.Second // longest wait that a grant advises
+	sequenceLife = time.Minute      // longer than any lease request can be under way
 )
 
 // Ledger holds the account of every contract. It is not safe for concurrent use.
 type Ledger struct {
 	since     time.Time
 	accounts  map[string]*account
-	sequences map[string]uint64 // last lease request of each entry
+	sequences map[string]sequence // by entry
+	prunedAt  time.Time
+}
+
+// sequence is that of an entry's last lease request.
+type sequence struct {
+	number uint64
+	at     time.Time
 }
 
 // NewLedger returns the ledger of a leadership that began at since. Its buckets
 // are empty and fill only after Life has passed, because earlier leaders may
 // have granted what entries hold until then.
 func NewLedger(since time.Time) *Ledger {
-	return &Ledger{since: since, accounts: make(map[string]*account), sequences: make(map[string]uint64)}
+	return &Ledger{since: since, accounts: make(map[string]*account), sequences: make(map[string]sequence)}
 }
 
 // account is the state of one contract.
@@ -41,14 +49,29 @@
 }
 
 // InOrder reports whether a lease request is newer than all others of its entry.
-func (l *Ledger) InOrder(request *wire.LeaseRequest) bool {
-	if request.Sequence > 0 && request.Sequence <= l.sequences[request.Entry] {
+// An entry takes a new name whenever it starts, since its sequence starts again.
+func (l *Ledger) InOrder(now time.Time, request *wire.LeaseRequest) bool {
+	l.pruneSequences(now)
+	if request.Sequence <= l.sequences[request.Entry].number {
 		return false
 	}
-	l.sequences[request.Entry] = request.Sequence
+	l.sequences[request.Entry] = sequence{request.Sequence, now}
 	return true
 }
 
+// pruneSequences forgets the entries that ended.
+func (l *Ledger) pruneSequences(now time.Time) {
+	if now.Sub(l.prunedAt) < sequenceLife {
+		return
+	}
+	l.prunedAt = now
+	for entry, s := range l.sequences {
+		if now.Sub(s.at) > sequenceLife {
+			delete(l.sequences, entry)
+		}
+	}
+}
+
 // Open makes the account of a contract known. The bucket of a contract that is
 // made during this leadership starts full.
 func (l *Ledger) Open(now time.Time, contract *wire.Contract, isNew bool) {
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -109,7 +109,7 @@
 	}
 	e.slots = min(e.slots, max(demand.ConcurrencyWanted, e.used))
 	request := &wire.LeaseRequest{Entry: e.name, Sequence: e.sequence}
-	if !ledger.InOrder(request) {
+	if !ledger.InOrder(sentAt, request) {
 		t.Fatal("a request in order was refused")
 	}
 	*now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 5, 300}).Draw(t, "delay")) * time.Millisecond)
@@ -166,10 +166,14 @@
 		sequence uint64
 		ok       bool
 	}{{1, true}, {3, true}, {2, false}, {3, false}, {4, true}} {
-		if ok := ledger.InOrder(&wire.LeaseRequest{Entry: "e", Sequence: c.sequence}); ok != c.ok {
+		if ok := ledger.InOrder(epoch, &wire.LeaseRequest{Entry: "e", Sequence: c.sequence}); ok != c.ok {
 			t.Error(fmt.Sprint("request ", i, ": ", ok))
 		}
 	}
+	ledger.InOrder(epoch.Add(2*sequenceLife), &wire.LeaseRequest{Entry: "other", Sequence: 1})
+	if len(ledger.sequences) != 1 {
+		t.Error("ended entries are kept for ever")
+	}
 }
 
 // What a dead entry held may have been spent just before it expired, so the
