--- a/ctl/orders.go
+++ b/ctl/orders.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"fmt"
 
-	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/jessevdk/go-flags"
 )
@@ -48,9 +47,9 @@
 }
 
 type replaceArguments struct {
-	Old     string `positional-arg-name:"OLD-ID"`
-	New     string `positional-arg-name:"NEW-ID" required:"no"`
-	Address string `positional-arg-name:"NEW-ADDRESS" required:"no"`
+	Old     string `positional-arg-name:"OLD-ID" required:"yes"`
+	New     string `positional-arg-name:"NEW-ID"`
+	Address string `positional-arg-name:"NEW-ADDRESS"`
 }
 
 func (a *app) registerMembers(parent *flags.Command) {
@@ -64,9 +63,6 @@
 }
 
 func (a *app) replaceMember(args replaceArguments) error {
-	if args.Old == "" {
-		return fault.New(fault.InvalidRequest, "name the replica to remove; see member list")
-	}
 	change := &wire.MemberChange{RemoveId: args.Old, AddId: args.New, AddAddress: args.Address}
 	return a.change("replica "+args.Old+" replaced", &wire.Change{Of: &wire.Change_ChangeMember{ChangeMember: change}})
 }
--- a/role/control/ctl_test.go
+++ b/role/control/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -84,7 +85,8 @@
 		t.Error(err)
 	}
 	c.testDrain(x)
-	for i := range c.nodes[:2] {
+	c.testReplace(x)
+	for _, i := range []int{0, 3} {
 		c.nodes[i].stop()
 	}
 	alone := cli{t: t, control: c.nodes[2].address, key: operatorKey}
@@ -130,3 +132,39 @@
 	x.tells(ctl.ExitOK, "0 requests left", "endpoint", "drain", "e1")
 	x.tells(ctl.ExitOK, "leaving", "endpoint", "list")
 }
+
+// testReplace loses a replica for good and puts one at a new address in its place.
+func (c *cluster) testReplace(x cli) {
+	lost := c.memberAt(c.nodes[1].address)
+	c.nodes[1].stop()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.nodes = append(c.nodes, &node{address: listener.Addr().String(), folder: c.t.TempDir()})
+	c.start(3, listener)
+	c.await("new voter", func() bool {
+		m := c.memberAt(c.nodes[3].address)
+		return m != nil && !m.Learner
+	})
+	x.tells(ctl.ExitNotFound, "is no member", "member", "replace", "nobody")
+	x.run(ctl.ExitOK, "member", "replace", lost.Id, "--operation-id", "replace")
+	x.tells(ctl.ExitOK, "was done before", "member", "replace", lost.Id, "--operation-id", "replace")
+	if m := c.memberAt(c.nodes[1].address); m != nil {
+		c.t.Errorf("the lost replica is still a member: %v", m)
+	}
+	x.tells(ctl.ExitOK, "voter", "member", "list")
+}
+
+func (c *cluster) memberAt(address string) *wire.Member {
+	status, err := c.operator(0).Status(c.context(), &wire.StatusRequest{OperatorKey: operatorKey})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for _, m := range status.Members {
+		if m.Address == address && !m.Removed {
+			return m
+		}
+	}
+	return nil
+}
