--- a/state/machine/claims.go
+++ b/state/machine/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"slices"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
@@ -14,15 +13,18 @@
 	claimLifeMs     = 24 * 60 * 60 * 1000     // log time for which a settled claim is kept
 	openClaimLifeMs = 7 * 24 * 60 * 60 * 1000 // log time after which even an open one is dropped
 	maxOutcomeBytes = 64 << 10
-	maxClaimKey     = 255 // bytes of an idempotency key
+	maxBodiesBytes  = 8 << 20                // all recorded bodies; a snapshot travels in one message
+	keptBodiesBytes = maxBodiesBytes * 7 / 8 // left after the oldest bodies are dropped
+	maxClaimKey     = 255                    // bytes of an idempotency key
 )
 
 type claimKey struct{ organisation, key string }
 
 type claimExpiry struct {
-	at      uint64
-	key     claimKey
-	attempt string
+	at        uint64
+	claimedAt uint64
+	key       claimKey
+	attempt   string
 }
 
 // claims holds one record for each idempotency key. Both queues ascend by time,
@@ -31,6 +33,7 @@
 	records map[claimKey]*wire.ClaimRecord
 	queue   []claimExpiry // every claim, at the end of its ordinary life
 	late    []claimExpiry // claims that were still open then
+	bodies  int           // bytes of all recorded outcomes' bodies
 }
 
 func newClaims() claims {
@@ -66,8 +69,8 @@
 
 func (c *claims) put(record *wire.ClaimRecord) {
 	key := claimKey{record.Organisation, record.Key}
-	c.records[key] = record
-	c.queue = append(c.queue, claimExpiry{record.ClaimedAtMs + claimLifeMs, key, record.Attempt})
+	c.replace(key, record)
+	c.queue = append(c.queue, claimExpiry{record.ClaimedAtMs + claimLifeMs, record.ClaimedAtMs, key, record.Attempt})
 }
 
 // settle records what became of a claim. Done never changes, and neither does
@@ -87,10 +90,43 @@
 		next := proto.CloneOf(have)
 		next.State = request.State
 		next.Outcome = boundOutcome(request.Outcome)
-		c.records[key] = next
+		c.replace(key, next)
 		have = next
 	}
-	return &wire.SettleResponse{Record: proto.CloneOf(have)}
+	response := &wire.SettleResponse{Record: proto.CloneOf(have)}
+	c.dropOldBodies()
+	return response
+}
+
+// replace sets or, with nil, deletes the record of a key.
+func (c *claims) replace(key claimKey, next *wire.ClaimRecord) {
+	c.bodies += len(next.GetOutcome().GetBody()) - len(c.records[key].GetOutcome().GetBody())
+	if next == nil {
+		delete(c.records, key)
+		return
+	}
+	c.records[key] = next
+}
+
+// dropOldBodies forgets the bodies of the oldest claims when all of them take
+// too much room. The claims stay, so that nothing runs twice.
+func (c *claims) dropOldBodies() {
+	if c.bodies <= maxBodiesBytes {
+		return
+	}
+	for _, due := range slices.Concat(c.late, c.queue) {
+		if c.bodies <= keptBodiesBytes {
+			return
+		}
+		have := c.current(due)
+		if len(have.GetOutcome().GetBody()) == 0 {
+			continue
+		}
+		next := proto.CloneOf(have)
+		next.Outcome.Body = nil
+		next.Outcome.Truncated = true
+		c.replace(due.key, next)
+	}
 }
 
 func settled(state wire.ClaimState) bool {
@@ -110,37 +146,47 @@
 	for len(c.queue) > 0 && c.queue[0].at <= nowMs {
 		due := c.queue[0]
 		c.queue = c.queue[1:]
-		have := c.records[due.key]
-		if have == nil || have.Attempt != due.attempt {
+		have := c.current(due)
+		if have == nil {
 			continue
 		}
 		if have.State == wire.ClaimState_CLAIM_STATE_OPEN {
-			c.late = append(c.late, claimExpiry{have.ClaimedAtMs + openClaimLifeMs, due.key, due.attempt})
+			c.late = append(c.late, claimExpiry{have.ClaimedAtMs + openClaimLifeMs, have.ClaimedAtMs, due.key, due.attempt})
 			continue
 		}
-		delete(c.records, due.key)
+		c.replace(due.key, nil)
 	}
 	for len(c.late) > 0 && c.late[0].at <= nowMs {
 		due := c.late[0]
 		c.late = c.late[1:]
-		if have := c.records[due.key]; have != nil && have.Attempt == due.attempt {
-			delete(c.records, due.key)
+		if c.current(due) != nil {
+			c.replace(due.key, nil)
 		}
 	}
 }
 
-// list returns the records in a fixed order: by time, organisation, key.
+// current returns the record that an expiry was set for, or nil when the key
+// was claimed again since.
+func (c *claims) current(due claimExpiry) *wire.ClaimRecord {
+	have := c.records[due.key]
+	if have == nil || have.Attempt != due.attempt || have.ClaimedAtMs != due.claimedAt {
+		return nil
+	}
+	return have
+}
+
+// list returns the records in the order in which they were claimed.
 func (c *claims) list() []*wire.ClaimRecord {
 	list := make([]*wire.ClaimRecord, 0, len(c.records))
-	for _, record := range c.records {
-		list = append(list, record)
-	}
-	slices.SortFunc(list, func(a, b *wire.ClaimRecord) int {
-		return cmp.Or(
-			cmp.Compare(a.ClaimedAtMs, b.ClaimedAtMs),
-			cmp.Compare(a.Organisation, b.Organisation),
-			cmp.Compare(a.Key, b.Key))
-	})
+	listed := make(map[claimKey]bool, len(c.records))
+	for _, due := range slices.Concat(c.late, c.queue) {
+		have := c.current(due)
+		if have == nil || listed[due.key] {
+			continue
+		}
+		listed[due.key] = true
+		list = append(list, have)
+	}
 	return list
 }
 
--- a/state/machine/machine_test.go
+++ b/state/machine/machine_test.go
@@ -253,3 +253,33 @@
 		t.Fatal("an open claim must go after its own life only")
 	}
 }
+
+// Recorded answers are bounded as a whole: the oldest bodies go, no claim does,
+// and a replica restored in between drops the same ones.
+func TestRecordedBodiesAreBounded(t *testing.T) {
+	whole, restored := New(), New()
+	for index := uint64(1); index < 400; index += 2 {
+		if index == 301 {
+			snapshot, _ := restored.Snapshot()
+			restored = New()
+			if err := restored.Restore(snapshot); err != nil {
+				t.Fatal(err)
+			}
+		}
+		key := fmt.Sprint((index * 7919) % 1000)
+		claim := &wire.ClaimRequest{Organisation: "o", Key: key, Attempt: "a", RequestDigest: []byte("d")}
+		settle := &wire.SettleRequest{Organisation: "o", Key: key, Attempt: "a", State: wire.ClaimState_CLAIM_STATE_DONE, Outcome: &wire.Outcome{Status: 200, Body: make([]byte, maxOutcomeBytes)}}
+		for _, m := range []*Machine{whole, restored} {
+			m.Apply(index, &wire.Command{TimeMs: 1, Of: &wire.Command_Claim{Claim: claim}})
+			m.Apply(index+1, &wire.Command{TimeMs: 1, Of: &wire.Command_Settle{Settle: settle}})
+		}
+	}
+	a, _ := whole.Snapshot()
+	b, _ := restored.Snapshot()
+	if !bytes.Equal(a, b) || len(a) > maxBodiesBytes+1<<20 {
+		t.Fatalf("snapshots of %d and %d bytes", len(a), len(b))
+	}
+	if len(whole.claims.records) != 200 {
+		t.Errorf("%d of 200 claims are kept", len(whole.claims.records))
+	}
+}
--- a/state/machine/operations.go
+++ b/state/machine/operations.go
@@ -10,7 +10,7 @@
 
 const (
 	operationLifeMs = 24 * 60 * 60 * 1000 // log time for which a resend gets the first result
-	maxOperations   = 20_000              // oldest records are dropped above this
+	maxOperations   = 10_000              // oldest records are dropped above this
 )
 
 // operations remembers the results of operators' changes by operation id.
