Measure what a fleet without requests spends on control

apricotspoke-load cost starts fleets of several sizes and fits a line to processor time, memory and bytes of each role.

--- /dev/null
+++ b/cmd/apricotspoke-load/cost.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/cost"
+)
+
+type costCommand struct {
+	Sizes         []int         `long:"size" default:"10" default:"40" default:"80" description:"numbers of endpoints, each with its agent"`
+	Entries       int           `long:"entries" default:"2" description:"entries"`
+	Organisations int           `long:"organisations" default:"10" description:"contracts put in"`
+	Settle        time.Duration `long:"settle" default:"10s" description:"time before the measurement"`
+	Measure       time.Duration `long:"measure" default:"20s" description:"time of the measurement"`
+}
+
+// Execute measures the cost of control at several sizes.
+func (c *costCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	samples, err := cost.Run(ctx, cost.Options{
+		Sizes: c.Sizes, Entries: c.Entries, Organisations: c.Organisations, Settle: c.Settle, Measure: c.Measure,
+	})
+	cost.Print(os.Stdout, samples)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- a/cmd/apricotspoke-load/main.go
+++ b/cmd/apricotspoke-load/main.go
@@ -26,6 +26,7 @@
 	Demo    demoCommand    `command:"demo" description:"start a small fleet on loopback and send requests through it"`
 	Run     runCommand     `command:"run" description:"drive a fleet with a workload in an open loop"`
 	Compare compareCommand `command:"compare" description:"compare the JSON reports of two runs"`
+	Cost    costCommand    `command:"cost" description:"measure what a fleet without requests spends on control"`
 }
 
 func main() {
--- /dev/null
+++ b/trials/cost/cost.go
@@ -0,0 +1,145 @@
+// Package cost measures what a fleet without requests spends on control, at
+// several sizes, and gives the slope of each figure.
+package cost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/cluster"
+)
+
+// Options describes an experiment.
+type Options struct {
+	Sizes         []int // numbers of endpoints, each with its agent
+	Entries       int
+	Organisations int
+	Settle        time.Duration // between readiness and the measurement
+	Measure       time.Duration
+}
+
+// Sample is what the processes of one role spent on average.
+type Sample struct {
+	Role      string
+	Endpoints int
+	Core      float64 // share of one core
+	MemoryMB  float64
+	ReadKBps  float64
+	WriteKBps float64
+}
+
+// roleOf groups the processes of a fleet.
+type roleOf struct {
+	name      string
+	processes []*cluster.Process
+}
+
+// Run measures each size with a fleet of its own.
+func Run(ctx context.Context, o Options) ([]Sample, error) {
+	var samples []Sample
+	for _, size := range o.Sizes {
+		found, err := measure(ctx, o, size)
+		if err != nil {
+			return samples, err
+		}
+		samples = append(samples, found...)
+	}
+	return samples, nil
+}
+
+func measure(ctx context.Context, o Options, size int) ([]Sample, error) {
+	folder, err := os.MkdirTemp("", "apricotspoke-cost-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(folder)
+	fleet, err := cluster.Start(ctx, fleetOptions(o, size, filepath.Join(folder, "fleet")))
+	if err != nil {
+		return nil, err
+	}
+	for i := range o.Organisations {
+		name := fmt.Sprintf("organisation%d", i)
+		if err := fleet.PutContract(ctx, cluster.AmpleContract(name, "key-"+name)); err != nil {
+			fleet.Kill()
+			return nil, err
+		}
+	}
+	time.Sleep(o.Settle)
+	samples, err := sample(fleet, o, size)
+	return samples, errors.Join(err, fleet.Stop())
+}
+
+func fleetOptions(o Options, size int, folder string) cluster.Options {
+	options := cluster.Options{Folder: folder, Controls: 3, Entries: o.Entries, DataCentres: []string{"dc1", "dc2", "dc3"}}
+	for i := range size {
+		options.Endpoints = append(options.Endpoints, cluster.EndpointOptions{
+			Name:       fmt.Sprintf("engine%d", i+1),
+			DataCentre: options.DataCentres[i%len(options.DataCentres)],
+			Flags:      []string{"--model=m1", "--memory-tokens=600000", "--concurrency=32", "--cold-concurrency=2"},
+		})
+	}
+	return options
+}
+
+func sample(fleet *cluster.Cluster, o Options, size int) ([]Sample, error) {
+	roles := rolesOf(fleet)
+	before, err := usages(roles)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(o.Measure)
+	after, err := usages(roles)
+	if err != nil {
+		return nil, err
+	}
+	samples := make([]Sample, 0, len(roles))
+	for i, role := range roles {
+		samples = append(samples, average(role.name, size, before[i], after[i], o.Measure))
+	}
+	return samples, nil
+}
+
+func rolesOf(fleet *cluster.Cluster) []roleOf {
+	control, entry, agent := roleOf{name: "control"}, roleOf{name: "entry"}, roleOf{name: "agent"}
+	for _, c := range fleet.Controls {
+		control.processes = append(control.processes, c.Process)
+	}
+	for _, e := range fleet.Entries {
+		entry.processes = append(entry.processes, e.Process)
+	}
+	for _, e := range fleet.Endpoints {
+		agent.processes = append(agent.processes, e.Agent.Process)
+	}
+	return []roleOf{control, entry, agent}
+}
+
+// usages reads the sum of each role's usage.
+func usages(roles []roleOf) ([][]cluster.Usage, error) {
+	all := make([][]cluster.Usage, len(roles))
+	for i, role := range roles {
+		for _, p := range role.processes {
+			u, err := p.Usage()
+			if err != nil {
+				return nil, err
+			}
+			all[i] = append(all[i], u)
+		}
+	}
+	return all, nil
+}
+
+func average(role string, size int, before, after []cluster.Usage, over time.Duration) Sample {
+	s := Sample{Role: role, Endpoints: size}
+	count := float64(len(after))
+	for i, u := range after {
+		s.Core += (u.Processor - before[i].Processor).Seconds() / over.Seconds() / count
+		s.MemoryMB += float64(u.Memory) / 1e6 / count
+		s.ReadKBps += float64(u.Read-before[i].Read) / 1e3 / over.Seconds() / count
+		s.WriteKBps += float64(u.Written-before[i].Written) / 1e3 / over.Seconds() / count
+	}
+	return s
+}
