--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -139,7 +139,9 @@
 		now := epoch.Add(time.Duration(step) * 10 * time.Millisecond)
 		for entry, wanted := range map[string]float64{"large": 300, "small": 100} {
 			grant := ledger.Lease(now, entry, &wire.QuotaDemand{Organisation: "o", Requests: wanted, ConcurrencyWanted: uint32(wanted), ConcurrencyHeld: 0}, contract)
-			got[entry] += grant.Requests
+			if step > 0 { // whoever asks first may take the burst that was saved up
+				got[entry] += grant.Requests
+			}
 			slots[entry] = grant.Concurrency
 			if grant.RetryAfterMs == 0 {
 				t.Fatal("an unmet demand got no time to retry after")
@@ -148,10 +150,10 @@
 	}
 	total := got["large"] + got["small"]
 	left := ledger.accounts["o"].requests.level
-	if want := 100 + 100*float64(steps-1)/100; math.Abs(total+left-want) > 2 || left > 2 {
+	if want := 100 * float64(steps-1) / 100; math.Abs(total+left-want) > 2 || left > 2 {
 		t.Errorf("%v granted and %v left, the contract gives %v", total, left, want)
 	}
-	if part := got["large"] / total; part < 0.7 || part > 0.8 {
+	if part := got["large"] / total; part < 0.74 || part > 0.76 {
 		t.Errorf("the entry that wants 3/4 got %v", part)
 	}
 	if slots["large"] != 6 || slots["small"] != 2 {
