--- a/coordination/control/feed.go
+++ b/coordination/control/feed.go
@@ -15,6 +15,8 @@
 	go configsync.NewFollower(s.Store, s.Process, s.neighbours).Run(ctx)
 	ticker := time.NewTicker(feedInterval)
 	defer ticker.Stop()
+	pruner := time.NewTicker(forgetAfter)
+	defer pruner.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -23,6 +25,8 @@
 			s.adopt(s.Store.CurrentAt())
 		case <-ticker.C:
 			s.confirm(ctx)
+		case <-pruner.C:
+			s.seen.prune()
 		}
 	}
 }
--- a/coordination/control/seen.go
+++ b/coordination/control/seen.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 )
 
 const forgetAfter = 30 * time.Second // silence after which a process or gate leaves the status
@@ -45,32 +47,37 @@
 }
 
 func (s *seen) gate(report *wire.GateReport) {
+	if len(report.CacheEvents) > 0 { // of no use to the status, and large
+		report = proto.CloneOf(report)
+		report.CacheEvents = nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gates[report.GateInstance] = seenGate{report, time.Now()}
 }
 
-// fill adds what was seen lately to a status and forgets the rest.
+// fill adds what was seen lately to a status.
 func (s *seen) fill(response *wire.StatusResponse) {
+	s.prune()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, p := range s.processes {
+	for _, p := range s.processes {
 		age := time.Since(p.at)
-		if age > forgetAfter {
-			delete(s.processes, id)
-			continue
-		}
 		response.Processes = append(response.Processes, &wire.ProcessStatus{Info: p.info, SeenMsAgo: uint64(age.Milliseconds())})
 	}
-	for instance, g := range s.gates {
-		if time.Since(g.at) > forgetAfter {
-			delete(s.gates, instance)
-			continue
-		}
+	for _, g := range s.gates {
 		response.Gates = append(response.Gates, g.report)
 	}
 }
 
+// prune forgets what was not seen lately.
+func (s *seen) prune() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.processes, func(_ string, p seenProcess) bool { return time.Since(p.at) > forgetAfter })
+	maps.DeleteFunc(s.gates, func(_ string, g seenGate) bool { return time.Since(g.at) > forgetAfter })
+}
+
 // AnnounceServer receives gates' reports. Listeners, such as the entry role of
 // the same process, get each one too.
 type AnnounceServer struct {
--- a/role/control/program.go
+++ b/role/control/program.go
@@ -11,6 +11,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/settings"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/go-chi/chi/v5"
 	"google.golang.org/grpc"
@@ -27,7 +28,7 @@
 	DataCentre string   `long:"data-centre" env:"APRICOTSPOKE_DATA_CENTRE" required:"yes" description:"Data centre of this process"`
 	Listen     string   `long:"listen" env:"APRICOTSPOKE_LISTEN" required:"yes" description:"gRPC address, as the fleet reaches it"`
 	Control    []string `long:"control" env:"APRICOTSPOKE_CONTROL" env-delim:"," required:"yes" description:"gRPC addresses of the control replicas; repeat for each"`
-	HTTPListen string   `long:"http-listen" env:"APRICOTSPOKE_HTTP_LISTEN" description:"Address of /healthz and /readyz"`
+	HTTPListen string   `long:"http-listen" env:"APRICOTSPOKE_HTTP_LISTEN" description:"Address of /metrics, /healthz and /readyz"`
 	LogLevel   string   `long:"log-level" env:"APRICOTSPOKE_LOG_LEVEL" default:"info" description:"Least level of the lines logged: debug, info, warn or error"`
 	Options
 }
@@ -74,10 +75,10 @@
 	server := link.NewServer(link.Security{})
 	role.Register(server)
 	role.RegisterShared(server)
-	health := newHealthServer(o.HTTPListen, store)
+	web := newHTTPServer(o.HTTPListen, store, role)
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(listener) }()
-	go func() { failed <- serveHealth(health) }()
+	go func() { failed <- serveHTTP(web) }()
 	ended := make(chan error, 1)
 	go func() { ended <- role.Run(ctx) }()
 	log.Info().Str("id", o.ID).Str("listen", o.Listen).Msg("The control replica has started.")
@@ -87,7 +88,7 @@
 		cancel()
 		<-ended
 	}
-	_ = health.Close()
+	_ = web.Close()
 	stopServer(server)
 	log.Info().Str("id", o.ID).Msg("The control replica has stopped.")
 	return err
@@ -100,7 +101,9 @@
 	server.GracefulStop()
 }
 
-func newHealthServer(address string, store *configsync.Store) *http.Server {
+func newHTTPServer(address string, store *configsync.Store, role *Role) *http.Server {
+	registry := metrics.New()
+	registry.Func(role.WriteMetrics)
 	router := chi.NewRouter()
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -110,11 +113,12 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
+	router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { registry.WriteText(w) })
 	return &http.Server{Addr: address, Handler: router, ReadHeaderTimeout: readHeaderTimeout}
 }
 
-// serveHealth returns an error when the address is set and can't be served.
-func serveHealth(server *http.Server) error {
+// serveHTTP returns an error when the address is set and can't be served.
+func serveHTTP(server *http.Server) error {
 	if server.Addr == "" {
 		select {}
 	}
--- a/role/control/role.go
+++ b/role/control/role.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
@@ -130,6 +132,21 @@
 // ObserveProcess takes a sign of life that another role of the process received.
 func (r *Role) ObserveProcess(info *wire.ProcessInfo) { r.service.ObserveProcess(info) }
 
+// WriteMetrics writes the replica's position as text, one series a line.
+func (r *Role) WriteMetrics(w io.Writer) {
+	st := r.replica.Status()
+	leads := 0
+	if st.IsLeader {
+		leads = 1
+	}
+	fmt.Fprintf(w, "control_leads %d\n", leads)
+	fmt.Fprintf(w, "control_term %d\n", st.Term)
+	fmt.Fprintf(w, "control_commit_index %d\n", st.Commit)
+	fmt.Fprintf(w, "control_applied_index %d\n", st.Applied)
+	fmt.Fprintf(w, "control_snapshot_index %d\n", st.SnapshotIndex)
+	fmt.Fprintf(w, "control_members %d\n", len(st.Members))
+}
+
 // Run works until ctx ends or the data folder fails. It then hands leadership
 // over, so that the group need not wait for an election.
 func (r *Role) Run(ctx context.Context) error {
