--- a/coordination/quota/bucket.go
+++ b/coordination/quota/bucket.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -19,17 +18,14 @@
 	young    bool // the leader does not yet know what all entries hold
 }
 
-// holding is what an entry may still spend, at most.
-type holding struct {
-	amount  float64
-	expires time.Time
-}
-
-// unmet is what an entry lately wanted and did not get.
-type unmet struct {
-	amount   float64
+// party is one entry's part in a bucket.
+type party struct {
+	entry    string
+	holding  float64 // what it may still spend, at most
+	expires  time.Time
+	unmet    float64 // what it lately wanted and did not get
 	reserved float64 // part of the level that is kept for it
-	at       time.Time
+	unmetAt  time.Time
 }
 
 // bucket is a central token bucket. Its level and all holdings never exceed the
@@ -37,13 +33,10 @@
 type bucket struct {
 	level    float64
 	filledAt time.Time // may lie ahead: nothing is added before it
-	holdings map[string]holding
-	demands  map[string]unmet
+	parties  []party   // few: one for each entry that was heard of lately
 }
 
-func newBucket(start time.Time) *bucket {
-	return &bucket{filledAt: start, holdings: make(map[string]holding), demands: make(map[string]unmet)}
-}
+func newBucket(start time.Time) *bucket { return &bucket{filledAt: start} }
 
 // lease renews what an entry holds and grants more. What others wait for is
 // divided by demand as the bucket fills, and is not granted here. The duration
@@ -51,20 +44,34 @@
 func (b *bucket) lease(now time.Time, a ask, l limit) (float64, time.Duration) {
 	b.forgetDemands(now)
 	b.fill(now, l)
-	b.renew(now, a)
-	delete(b.demands, a.entry)
+	b.forgetParties()
+	p := b.party(a.entry)
+	b.renew(p, a)
+	p.expires = now.Add(Life)
+	p.unmet, p.reserved = 0, 0
 	wanted := sane(a.wanted)
 	granted := max(0, min(wanted, b.level-b.reserved()))
 	b.level -= granted
-	b.hold(now, a.entry, granted)
+	p.holding += granted
 	missing := wanted - granted
 	if missing <= 0 {
 		return granted, 0
 	}
-	b.demands[a.entry] = unmet{amount: missing, at: now}
+	p.unmet, p.unmetAt = missing, now
 	return granted, refillTime(b.demand(), l.rate)
 }
 
+// party returns the part of an entry, which is valid until the next call.
+func (b *bucket) party(entry string) *party {
+	for i := range b.parties {
+		if b.parties[i].entry == entry {
+			return &b.parties[i]
+		}
+	}
+	b.parties = append(b.parties, party{entry: entry})
+	return &b.parties[len(b.parties)-1]
+}
+
 // sane bounds what another process sent.
 func sane(amount float64) float64 {
 	if math.IsNaN(amount) || math.IsInf(amount, 0) {
@@ -84,24 +91,22 @@
 // fill moves the bucket to now. Holdings end one by one on the way, since the
 // room that each leaves is filled at the rate only.
 func (b *bucket) fill(now time.Time, l limit) {
-	for _, entry := range b.expired(now) {
-		b.fillTo(b.holdings[entry].expires, l)
-		delete(b.holdings, entry)
+	for p := b.firstExpired(now); p != nil; p = b.firstExpired(now) {
+		b.fillTo(p.expires, l)
+		p.holding = 0
 	}
 	b.fillTo(now, l)
 }
 
-func (b *bucket) expired(now time.Time) []string {
-	var list []string
-	for entry, h := range b.holdings {
-		if h.expires.Before(now) {
-			list = append(list, entry)
+func (b *bucket) firstExpired(now time.Time) *party {
+	var first *party
+	for i := range b.parties {
+		p := &b.parties[i]
+		if p.holding > 0 && p.expires.Before(now) && (first == nil || p.expires.Before(first.expires)) {
+			first = p
 		}
 	}
-	slices.SortFunc(list, func(x, y string) int {
-		return cmp.Or(b.holdings[x].expires.Compare(b.holdings[y].expires), cmp.Compare(x, y))
-	})
-	return list
+	return first
 }
 
 func (b *bucket) fillTo(t time.Time, l limit) {
@@ -120,71 +125,68 @@
 func (b *bucket) add(amount float64) {
 	b.level += amount
 	demand := b.demand()
-	for entry, d := range b.demands {
-		d.reserved = min(d.amount, d.reserved+amount*d.amount/demand)
-		b.demands[entry] = d
+	if demand == 0 {
+		return
+	}
+	for i := range b.parties {
+		p := &b.parties[i]
+		p.reserved = min(p.unmet, p.reserved+amount*p.unmet/demand)
 	}
 }
 
 func (b *bucket) shrink(level float64) {
-	for entry, d := range b.demands {
-		d.reserved *= level / b.level
-		b.demands[entry] = d
+	for i := range b.parties {
+		b.parties[i].reserved *= level / b.level
 	}
 	b.level = level
 }
 
-func (b *bucket) outstanding() float64 {
-	sum := 0.0
-	for _, h := range b.holdings {
-		sum += h.amount
-	}
-	return sum
-}
-
 // renew takes what the entry says that it kept and handed back, up to what this
 // ledger knows it to hold. A young ledger believes what earlier leaders granted.
-func (b *bucket) renew(now time.Time, a ask) {
-	known := b.holdings[a.entry].amount
-	kept := min(sane(a.held), known)
+func (b *bucket) renew(p *party, a ask) {
 	if a.young {
-		kept = sane(a.held)
-	} else {
-		b.add(min(sane(a.returned), known-kept))
+		p.holding = sane(a.held)
+		return
 	}
-	delete(b.holdings, a.entry)
-	b.hold(now, a.entry, kept)
+	kept := min(sane(a.held), p.holding)
+	returned := min(sane(a.returned), p.holding-kept)
+	p.holding = kept
+	b.add(returned)
 }
 
-func (b *bucket) hold(now time.Time, entry string, amount float64) {
-	h := b.holdings[entry]
-	h.amount += amount
-	h.expires = now.Add(Life)
-	if h.amount > 0 {
-		b.holdings[entry] = h
+func (b *bucket) forgetDemands(now time.Time) {
+	for i := range b.parties {
+		if p := &b.parties[i]; now.Sub(p.unmetAt) > demandMemory {
+			p.unmet, p.reserved = 0, 0
+		}
 	}
 }
 
-func (b *bucket) forgetDemands(now time.Time) {
-	for entry, d := range b.demands {
-		if now.Sub(d.at) > demandMemory {
-			delete(b.demands, entry)
-		}
+// forgetParties drops the entries that neither hold nor want anything.
+func (b *bucket) forgetParties() {
+	b.parties = slices.DeleteFunc(b.parties, func(p party) bool { return p.holding == 0 && p.unmet == 0 })
+}
+
+func (b *bucket) outstanding() float64 {
+	sum := 0.0
+	for i := range b.parties {
+		sum += b.parties[i].holding
 	}
+	return sum
 }
 
 func (b *bucket) demand() float64 {
 	sum := 0.0
-	for _, d := range b.demands {
-		sum += d.amount
+	for i := range b.parties {
+		sum += b.parties[i].unmet
 	}
 	return sum
 }
 
 func (b *bucket) reserved() float64 {
 	sum := 0.0
-	for _, d := range b.demands {
-		sum += d.reserved
+	for i := range b.parties {
+		sum += b.parties[i].reserved
 	}
 	return sum
 }
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -82,7 +82,7 @@
 	if isNew && now.After(start) {
 		start = now
 	}
-	a := &account{requests: newBucket(start), tokens: newBucket(start), slots: newSlots()}
+	a := &account{requests: newBucket(start), tokens: newBucket(start), slots: &slots{}}
 	if isNew {
 		a.requests.level = contract.RequestBurst
 		a.tokens.level = contract.TokenBurst
--- a/coordination/quota/slots.go
+++ b/coordination/quota/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
@@ -17,6 +18,7 @@
 // slotLease is what one entry may believe to have: the answer with its latest
 // grant may be lost, so earlier and larger ones count until they expire.
 type slotLease struct {
+	entry  string
 	grants []slotGrant // falling by count, rising by expiry
 	wanted uint32
 }
@@ -30,21 +32,17 @@
 
 // renew adds a grant. An entry gives up what it does not want when it asks, so
 // no earlier grant counts for more than that.
-func (l slotLease) renew(grant slotGrant, wanted uint32) slotLease {
-	next := slotLease{wanted: wanted}
-	for _, g := range l.grants {
-		if g.count = min(g.count, wanted); g.count > grant.count {
-			next.grants = append(next.grants, g)
-		}
+func (l *slotLease) renew(grant slotGrant, wanted uint32) {
+	l.wanted = wanted
+	for i := range l.grants {
+		l.grants[i].count = min(l.grants[i].count, wanted)
 	}
-	next.grants = append(next.grants, grant)
-	return next
+	l.grants = slices.DeleteFunc(l.grants, func(g slotGrant) bool { return g.count <= grant.count })
+	l.grants = append(l.grants, grant)
 }
 
 // slots leases the concurrency of one contract to entries.
-type slots struct{ leases map[string]slotLease }
-
-func newSlots() *slots { return &slots{leases: make(map[string]slotLease)} }
+type slots struct{ leases []slotLease }
 
 // lease returns the total slots that the entry now has. Slots in use are never
 // taken away, even when the contract shrank; growth is limited to free ones and
@@ -54,8 +52,8 @@
 	held := demand.ConcurrencyHeld
 	wanted := max(held, demand.ConcurrencyWanted)
 	others, wantedByAll := uint64(0), uint64(wanted)
-	for name, l := range s.leases {
-		if name != entry {
+	for _, l := range s.leases {
+		if l.entry != entry {
 			others += uint64(l.count())
 			wantedByAll += uint64(l.wanted)
 		}
@@ -65,21 +63,27 @@
 		free := uint32(max(0, int64(limit)-int64(others)))
 		count = max(held, min(fairPart(wanted, wantedByAll, limit), free))
 	}
-	s.leases[entry] = s.leases[entry].renew(slotGrant{count, now.Add(Life)}, wanted)
+	s.of(entry).renew(slotGrant{count, now.Add(Life)}, wanted)
 	return count
 }
 
-func (s *slots) expire(now time.Time) {
-	for entry, l := range s.leases {
-		for len(l.grants) > 0 && l.grants[0].expires.Before(now) {
-			l.grants = l.grants[1:]
-		}
-		if len(l.grants) == 0 {
-			delete(s.leases, entry)
-			continue
+// of returns the lease of an entry, which is valid until the next call.
+func (s *slots) of(entry string) *slotLease {
+	for i := range s.leases {
+		if s.leases[i].entry == entry {
+			return &s.leases[i]
 		}
-		s.leases[entry] = l
 	}
+	s.leases = append(s.leases, slotLease{entry: entry})
+	return &s.leases[len(s.leases)-1]
+}
+
+func (s *slots) expire(now time.Time) {
+	for i := range s.leases {
+		l := &s.leases[i]
+		l.grants = slices.DeleteFunc(l.grants, func(g slotGrant) bool { return g.expires.Before(now) })
+	}
+	s.leases = slices.DeleteFunc(s.leases, func(l slotLease) bool { return len(l.grants) == 0 })
 }
 
 // fairPart is an entry's part of the limit in proportion to what it wants, rounded up.
