--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"sync"
 	"time"
 
@@ -34,9 +35,11 @@
 	sequence uint64 // of the last lease request
 }
 
-// NewQuota returns a quota that holds nothing; Run fills it.
+// NewQuota returns a quota that holds nothing; Run fills it. Its name towards
+// control is new each time: what an earlier process of this entry held is not
+// its own, and its request sequence starts again.
 func NewQuota(entry string, leaser Leaser) *Quota {
-	return &Quota{entry: entry, leaser: leaser, wake: make(chan struct{}, 1), accounts: make(map[string]*account)}
+	return &Quota{entry: entry + "/" + rand.Text(), leaser: leaser, wake: make(chan struct{}, 1), accounts: make(map[string]*account)}
 }
 
 // Hold is the quota of one request. Release gives back what it did not use.
@@ -82,6 +85,7 @@
 		return nil, nil
 	}
 	if wait := a.deniedUntil.Sub(now); wait > 0 {
+		a.asked(tokens)
 		return nil, limitExceeded(wait)
 	}
 	a.waitingRequests++
@@ -142,7 +146,7 @@
 		}
 		unused := max(0, h.tokens-float64(usedTokens))
 		a.tokens += unused
-		a.spentTokens = max(0, a.spentTokens-unused)
+		a.askedTokens = max(0, a.askedTokens-unused)
 	})
 }
 
@@ -157,8 +161,8 @@
 		}
 		a.requests++
 		a.tokens += h.tokens
-		a.spentRequests = max(0, a.spentRequests-1)
-		a.spentTokens = max(0, a.spentTokens-h.tokens)
+		a.askedRequests = max(0, a.askedRequests-1)
+		a.askedTokens = max(0, a.askedTokens-h.tokens)
 	})
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -87,3 +88,17 @@
 	}
 	return outcome{end: true, status: exitSettings}
 }
+
+// SplitList splits each value of a repeated flag at commas and drops empty parts,
+// so that a flag takes what its environment variable takes.
+func SplitList(values []string) []string {
+	var parts []string
+	for _, value := range values {
+		for part := range strings.SplitSeq(value, ",") {
+			if part = strings.TrimSpace(part); part != "" {
+				parts = append(parts, part)
+			}
+		}
+	}
+	return parts
+}
