--- a/coordination/gate/engine_test.go
+++ b/coordination/gate/engine_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -179,6 +181,13 @@
 	return nil
 }
 
+// left names the attempts at the endpoint, in order.
+func (e *engine) left() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.active))
+}
+
 // restart turns the endpoint cold; with kill nil its connections go silent.
 func (e *engine) restart(kill error) {
 	e.mu.Lock()
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -63,6 +63,7 @@
 		r.control.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		expect(open("a7", true), fault.OutOfService)
+		synctest.Wait()
 		if got := r.engine.runs["a1"]; got != 1 || len(r.engine.runs) != 1 {
 			t.Errorf("runs are %v", r.engine.runs)
 		}
@@ -85,6 +86,7 @@
 		if kind := last.GetRefused().GetFailure().GetKind(); kind != string(fault.NotCurrent) {
 			t.Errorf("queued attempt ended with %v", last)
 		}
+		synctest.Wait()
 		state := r.Inquire(&wire.InquireRequest{Attempt: "a3"}).State
 		if state != wire.AttemptState_ATTEMPT_STATE_REFUSED || e.runs["a3"] != 0 {
 			t.Errorf("state %v, runs %d", state, e.runs["a3"])
@@ -143,8 +145,8 @@
 			t.Errorf("ended with %v", last)
 		}
 		time.Sleep(time.Second)
-		if r.Used() != 0 || len(e.active) != 0 {
-			t.Errorf("%d tokens and %d attempts left", r.Used(), len(e.active))
+		if r.Used() != 0 || len(e.left()) != 0 {
+			t.Errorf("%d tokens and %d attempts left", r.Used(), len(e.left()))
 		}
 	})
 }
@@ -160,8 +162,8 @@
 		r.submit(t, open("repeatable", true)).Detach()
 		r.submit(t, open("once", false)).Detach()
 		time.Sleep(6 * time.Second)
-		if _, runs := e.active["repeatable"]; runs || len(e.active) != 1 {
-			t.Errorf("active: %v", e.active)
+		if got := fmt.Sprint(e.left()); got != "[once]" {
+			t.Errorf("active: %v", got)
 		}
 		time.Sleep(6 * time.Second)
 		told := r.Inquire(&wire.InquireRequest{Attempt: "once", GateInstance: r.Instance()})
@@ -268,6 +270,7 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
+	synctest.Wait()
 	if used := r.Used(); used != 0 {
 		problems = append(problems, fmt.Sprintf("%d tokens stay reserved", used))
 	}
@@ -276,8 +279,8 @@
 			problems = append(problems, fmt.Sprintf("%s ran %d times", id, n))
 		}
 	}
-	if len(e.active) != 0 {
-		problems = append(problems, fmt.Sprintf("%d attempts left at the endpoint", len(e.active)))
+	if left := e.left(); len(left) != 0 {
+		problems = append(problems, fmt.Sprintf("%v left at the endpoint", left))
 	}
 	return append(problems, e.breaches...)
 }
@@ -321,10 +324,12 @@
 		segment := open("a1", true)
 		segment.Path, segment.Reservation = "/kv/prefill", "g"
 		collect(r.submit(t, segment), 1)
+		synctest.Wait()
 		if len(e.blocks) != 1 {
 			t.Errorf("blocks are %v", e.blocks)
 		}
 		time.Sleep(3 * time.Second) // the reservation expires
+		synctest.Wait()
 		if r.Used() != 0 || len(e.blocks) != 0 {
 			t.Errorf("%d tokens and %d blocks left", r.Used(), len(e.blocks))
 		}
@@ -344,6 +349,7 @@
 		r := newRig(e, config)
 		defer r.stop()
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		if got := fmt.Sprint(e.orders, r.control.done); got != "[12 20] [12 20]" {
 			t.Errorf("orders and reports are %s", got)
 		}
--- a/coordination/gate/orders.go
+++ b/coordination/gate/orders.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -109,15 +110,23 @@
 	return g.info.ChecksFencing
 }
 
-// reportOrder tells control until it takes the result.
+// reportOrder tells control until it takes the result, under the lease number
+// of the moment, which may have changed since.
 func (g *Gate) reportOrder(ctx context.Context, done *wire.OrderDoneRequest) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, reportTimeout)
+		done.LeaseNumber = g.leaseNumber()
 		err := g.options.Orders.Done(call, done)
 		cancel()
-		if err == nil {
+		if err == nil || fault.KindOf(err) == fault.NotFound {
 			return
 		}
 		wait(ctx, acquirePause)
 	}
 }
+
+func (g *Gate) leaseNumber() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lease.number
+}
