--- a/coordination/gate/engine_test.go
+++ b/coordination/gate/engine_test.go
@@ -188,6 +188,12 @@
 	return slices.Sorted(maps.Keys(e.active))
 }
 
+func (e *engine) blocksLeft() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.blocks)
+}
+
 // restart turns the endpoint cold; with kill nil its connections go silent.
 func (e *engine) restart(kill error) {
 	e.mu.Lock()
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -324,14 +324,12 @@
 		segment := open("a1", true)
 		segment.Path, segment.Reservation = "/kv/prefill", "g"
 		collect(r.submit(t, segment), 1)
-		synctest.Wait()
-		if len(e.blocks) != 1 {
-			t.Errorf("blocks are %v", e.blocks)
+		if got := e.blocksLeft(); got != 1 {
+			t.Errorf("%d blocks", got)
 		}
 		time.Sleep(3 * time.Second) // the reservation expires
-		synctest.Wait()
-		if r.Used() != 0 || len(e.blocks) != 0 {
-			t.Errorf("%d tokens and %d blocks left", r.Used(), len(e.blocks))
+		if r.Used() != 0 || e.blocksLeft() != 0 {
+			t.Errorf("%d tokens and %d blocks left", r.Used(), e.blocksLeft())
 		}
 	})
 }
