Ask no plain service for cache events

A service takes any path as a call, so the question counted as load that the gate had not admitted. The work of a KV call is listed under a name of its own, which is no longer taken for a stranger's and cancelled.

--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -52,6 +52,7 @@
 	answered  bool
 	firstSeen bool // the first part of the answer is there
 	usesGroup bool
+	kvName    string // the work's name in the body of a KV call
 	readers   int
 	unread    int // generation of the grace timer
 }
@@ -78,6 +79,7 @@
 		return 0, g.ramp.isCold()
 	}
 	a.body = body
+	a.kvName = kvWork(a.open, body)
 	a.stage = stageQueued
 	g.queue.add(&waiting{attempt: a, priority: a.open.Priority, prefill: a.open.PromptTokens, since: time.Now()})
 	position = len(g.queue.items)
--- a/coordination/gate/engine_test.go
+++ b/coordination/gate/engine_test.go
@@ -87,7 +87,7 @@
 func (e *engine) stream(ctx context.Context, id string, w *work, out *io.PipeWriter, from, breakAfter int, text func(int) string) {
 	for i := from; i <= e.tokens; i++ {
 		select {
-		case <-time.After(e.gap):
+		case <-time.After(e.pace()):
 		case <-ctx.Done():
 			out.CloseWithError(ctx.Err())
 			time.Sleep(noticeDelay)
@@ -181,6 +181,18 @@
 	return nil
 }
 
+func (e *engine) pace() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gap
+}
+
+func (e *engine) setPace(gap time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gap = gap
+}
+
 // left names the attempts at the endpoint, in order.
 func (e *engine) left() []string {
 	e.mu.Lock()
--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -213,10 +213,10 @@
 	if !strings.HasPrefix(answer.ContentType, "text/event-stream") {
 		return a.relayWhole(answer.Body, outcome)
 	}
-	events := newEventReader(answer.Body, a.gate.isEngine())
+	events := newEventReader(answer.Body, a.gate.IsEngine())
 	for resumes := 0; ; resumes++ {
 		err := a.relayEvents(events, outcome)
-		if err == nil || a.ctx.Err() != nil || resumes == maxResumes || !a.gate.isEngine() {
+		if err == nil || a.ctx.Err() != nil || resumes == maxResumes || !a.gate.IsEngine() {
 			return err
 		}
 		again, resumeErr := a.gate.options.Endpoint.Resume(a.ctx, a.open.Attempt, events.lastID+1)
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -246,7 +246,7 @@
 	for i := range 20 {
 		collect(r.submit(t, open(fmt.Sprint("warm", i), true)), 1)
 	}
-	e.gap = time.Duration(p.Gap) * time.Millisecond
+	e.setPace(time.Duration(p.Gap) * time.Millisecond)
 	ended := make(chan string, len(p.Bursts))
 	for i, at := range p.Bursts {
 		go func() {
@@ -311,6 +311,31 @@
 	return ""
 }
 
+// A gate that was started anew counts what its predecessor left as load, and
+// cancels it before its own work goes in.
+func TestRestartedGateClearsUnknownWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		first := newRig(e, inService)
+		e.setPace(time.Hour)
+		first.submit(t, open("old1", true))
+		first.submit(t, open("old2", true))
+		time.Sleep(100 * time.Millisecond)
+		first.cancel()
+		second := newRig(e, inService)
+		defer second.stop()
+		defer first.stop()
+		e.setPace(time.Millisecond)
+		if text, _ := collect(second.submit(t, open("new", true)), 1); text != wholeAnswer(4) {
+			t.Errorf("answer is %q", text)
+		}
+		synctest.Wait()
+		if got := fmt.Sprint(e.left(), e.breaches); got != "[] []" {
+			t.Errorf("left and breaches: %v", got)
+		}
+	})
+}
+
 // Blocks and memory of a group reservation go with it, whoever dies.
 func TestGroupReservationIsFreed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/coordination/gate/group.go
+++ b/coordination/gate/group.go
@@ -46,6 +46,34 @@
 	g.dropClosedGroups(ctx)
 }
 
+// kvWork reads the name under which the endpoint lists the work of a KV call.
+func kvWork(open *wire.AttemptOpen, body []byte) string {
+	if !strings.HasPrefix(open.Path, "/kv/") {
+		return ""
+	}
+	var call struct{ Attempt string }
+	_ = json.Unmarshal(body, &call) // the endpoint refuses a malformed body
+	return call.Attempt
+}
+
+// names says whether a listed identity is the work of this KV call: the name in
+// its body, or one derived from it for a segment.
+func (a *Attempt) names(id string) bool {
+	return a.kvName != "" && strings.HasPrefix(id, a.kvName)
+}
+
+func (a *Attempt) namesAny(listed map[string]struct{}) bool {
+	if a.kvName == "" {
+		return false
+	}
+	for id := range listed {
+		if a.names(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // keepBlock notes a KV block that an attempt left at the endpoint, so that it
 // goes with its reservation. The caller holds mu.
 func (g *Gate) keepBlock(a *Attempt, status int, body []byte) {
--- a/coordination/gate/inquire.go
+++ b/coordination/gate/inquire.go
@@ -43,10 +43,13 @@
 // Cancel ends an attempt; an unknown one is left alone.
 func (g *Gate) Cancel(attempt string) {
 	g.mu.Lock()
-	rec := g.records.get(attempt)
+	var found *Attempt
+	if rec := g.records.get(attempt); rec != nil {
+		found = rec.attempt
+	}
 	g.mu.Unlock()
-	if rec != nil && rec.attempt != nil {
-		rec.attempt.Cancel()
+	if found != nil {
+		found.Cancel()
 	}
 }
 
--- a/coordination/gate/monitor.go
+++ b/coordination/gate/monitor.go
@@ -164,6 +164,7 @@
 			continue
 		}
 		_, seen := listed[id]
+		seen = seen || a.namesAny(listed)
 		if seen || a.answered || g.info.Service != "" {
 			a.confirmed = true
 		}
@@ -175,7 +176,7 @@
 func (g *Gate) countForeign(listed map[string]struct{}) {
 	clear(g.foreign)
 	for id := range listed {
-		if _, ours := g.running[id]; ours {
+		if g.runs(id) {
 			continue
 		}
 		g.foreign[id] = struct{}{}
@@ -186,6 +187,19 @@
 	}
 }
 
+// runs says whether a listed identity belongs to an attempt of this gate.
+func (g *Gate) runs(id string) bool {
+	if _, ok := g.running[id]; ok {
+		return true
+	}
+	for _, a := range g.running {
+		if a.names(id) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Gate) cancelForeign(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawWait)
 	defer cancel()
@@ -236,8 +250,9 @@
 	g.pump()
 }
 
-func (g *Gate) isEngine() bool {
+// IsEngine reports whether a model engine has announced itself here.
+func (g *Gate) IsEngine() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.info.Service == ""
+	return g.info.Endpoint != "" && g.info.Service == ""
 }
--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -152,7 +152,7 @@
 	go a.follower.Run(background)
 	go a.gate.Run(background)
 	go a.sender.Run(background)
-	go a.client.FollowCache(background, a.gate.AddCacheEvents)
+	go a.client.FollowCache(background, a.gate.IsEngine, a.gate.AddCacheEvents)
 	log.Info().Str("id", a.options.ID).Str("instance", a.gate.Instance()).Str("listen", a.options.Listen).Msg("agent started")
 	select {
 	case <-ctx.Done():
--- a/transport/endpoint/cache.go
+++ b/transport/endpoint/cache.go
@@ -27,10 +27,15 @@
 }
 
 // FollowCache passes the endpoint's cache events on until ctx ends. Gaps in
-// the sequence stay visible to the receiver.
-func (c *Client) FollowCache(ctx context.Context, receive func([]*wire.CacheEvent, uint64)) {
+// the sequence stay visible to the receiver. It asks only while has says that
+// the endpoint has a cache: to a plain service the question would be a call.
+func (c *Client) FollowCache(ctx context.Context, has func() bool, receive func([]*wire.CacheEvent, uint64)) {
 	var after uint64
 	for ctx.Err() == nil {
+		if !has() {
+			pause(ctx)
+			continue
+		}
 		answer, err := c.cacheAfter(ctx, after)
 		if err != nil {
 			pause(ctx)
