--- a/telemetry/logs/logs.go
+++ b/telemetry/logs/logs.go
@@ -19,10 +19,11 @@
 // maxRepeatKeys bounds the repeated faults that a logger tells apart.
 const maxRepeatKeys = 1024
 
-var level atomic.Uint32
-
 var levels = []string{"debug", "info", "warn", "error"}
 
+// level is the least level written by every logger.
+var level atomic.Uint32
+
 func init() { level.Store(uint32(log.InfoLevel)) }
 
 // CheckLevel reports a name that is none of the levels.
