Let control record that a gate begins an order

A restarted gate saw an order still pending whose result its predecessor had not reported, and carried it out again; an endpoint that checks no numbers then had it twice. Control now records the lease that acts, before it acts; a later gate reports such an order as of unknown outcome, or sends it to an endpoint that checks numbers. A result kept by the gate alone was ruled out: it has no disk.

--- a/coordination/gate/engine_test.go
+++ b/coordination/gate/engine_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -222,21 +223,33 @@
 
 // control is a control group in memory.
 type control struct {
-	mu   sync.Mutex
-	deny bool
-	done []uint64
+	mu    sync.Mutex
+	deny  bool
+	lease uint64
+	done  []uint64
+	begun map[uint64]uint64 // lease by order
 }
 
 func (c *control) Acquire(context.Context, *wire.GateLeaseRequest) (*wire.GateLeaseResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &wire.GateLeaseResponse{Held: !c.deny, Number: 7, ValidMs: 2000}, nil
+	return &wire.GateLeaseResponse{Held: !c.deny, Number: c.lease + 7, ValidMs: 2000}, nil
 }
 
 func (c *control) Done(_ context.Context, request *wire.OrderDoneRequest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.done = append(c.done, request.Number)
+	if !request.Started {
+		c.done = append(c.done, request.Number)
+		return nil
+	}
+	if holder, begun := c.begun[request.Number]; begun && holder != request.LeaseNumber {
+		return fault.New(fault.Conflict, "begun under lease %d", holder)
+	}
+	if c.begun == nil {
+		c.begun = map[uint64]uint64{}
+	}
+	c.begun[request.Number] = request.LeaseNumber
 	return nil
 }
 
@@ -250,8 +263,10 @@
 	cancel  context.CancelFunc
 }
 
-func newRig(e *engine, config *wire.FleetConfig) *rig {
-	r := &rig{engine: e, control: &control{}, store: configsync.NewStore()}
+func newRig(e *engine, config *wire.FleetConfig) *rig { return newRigAt(e, config, &control{}) }
+
+func newRigAt(e *engine, config *wire.FleetConfig, c *control) *rig {
+	r := &rig{engine: e, control: c, store: configsync.NewStore()}
 	ctx, stop := context.WithCancel(context.Background())
 	r.cancel = stop
 	r.Gate = gate.New(gate.Options{DataCentre: "dc1", Address: "gate", Configuration: r.store, Endpoint: e, Leases: r.control, Orders: r.control})
--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -115,7 +115,7 @@
 		ContentType: a.open.ContentType, Body: a.body,
 		Priority: enginePriority(a.open), PromptTokens: a.open.PromptTokens,
 		OutputTokens: a.open.OutputTokens, Fence: g.lease.number,
-		Written: a.markWritten,
+		Written: a.markWritten, KvImports: a.open.KvImports,
 	}
 }
 
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -376,5 +376,12 @@
 		if got := fmt.Sprint(e.orders, r.control.done); got != "[12 20] [12 20]" {
 			t.Errorf("orders and reports are %s", got)
 		}
+		later := &control{lease: 1, begun: r.control.begun}
+		defer newRigAt(e, config, later).stop() // a restarted gate, the orders still pending
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if got := fmt.Sprint(e.orders, later.done); got != "[12 20] [12 20]" {
+			t.Errorf("after a restart orders and reports are %s", got)
+		}
 	})
 }
--- a/coordination/gate/orders.go
+++ b/coordination/gate/orders.go
@@ -67,34 +67,37 @@
 	return nil, 0
 }
 
-// claimOrder marks an order as acted on, if the gate may still act.
-func (g *Gate) claimOrder(number uint64) bool {
+// claimOrder marks an order as acted on, if the gate may still act under the lease.
+func (g *Gate) claimOrder(number, fence uint64) bool {
 	if _, err := g.options.Configuration.Current(); err != nil {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if number <= g.lastOrder || !g.lease.held(time.Now()) {
+	if number <= g.lastOrder || g.lease.number != fence || !g.lease.held(time.Now()) {
 		return false
 	}
 	g.lastOrder = number
 	return true
 }
 
-// carryOut sends an order once; nil when the gate may not act. An order whose
-// answer is lost is sent again only to an endpoint that checks numbers.
+// carryOut sends an order once; nil when the gate may not act. Control first
+// records that this lease acts on it, so that a later gate does not.
 func (g *Gate) carryOut(ctx context.Context, order *wire.Order, fence uint64) *wire.OrderDoneRequest {
-	if !g.claimOrder(order.Number) {
+	done := &wire.OrderDoneRequest{Endpoint: order.Endpoint, Number: order.Number, LeaseNumber: fence}
+	err := g.startOrder(ctx, done)
+	begunBefore := fault.KindOf(err) == fault.Conflict
+	if err != nil && !begunBefore {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	call := OrderCall{Number: order.Number, Fence: fence, Kind: order.Kind, Argument: order.Argument}
-	result, err := g.options.Endpoint.Order(ctx, call)
-	if err != nil && g.checksFencing() && !errors.Is(err, ErrFenced) {
-		result, err = g.options.Endpoint.Order(ctx, call)
+	if !g.claimOrder(order.Number, fence) {
+		return nil
+	}
+	if begunBefore && !g.checksFencing() {
+		done.Failed, done.Result = true, "outcome unknown: an earlier gate began it; check the endpoint before ordering again"
+		return done
 	}
-	done := &wire.OrderDoneRequest{Endpoint: order.Endpoint, Number: order.Number, LeaseNumber: fence, Result: result}
+	done.Result, err = g.sendOrder(ctx, order, fence)
 	switch {
 	case errors.Is(err, ErrFenced):
 		done.Result = "the endpoint has this number already"
@@ -104,6 +107,28 @@
 	return done
 }
 
+// startOrder asks control for leave to act; a Conflict when the order was begun
+// under another lease.
+func (g *Gate) startOrder(ctx context.Context, done *wire.OrderDoneRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	request := &wire.OrderDoneRequest{Endpoint: done.Endpoint, Number: done.Number, LeaseNumber: done.LeaseNumber, Started: true}
+	return g.options.Orders.Done(ctx, request)
+}
+
+// sendOrder sends an order again after a lost answer only to an endpoint that
+// checks numbers.
+func (g *Gate) sendOrder(ctx context.Context, order *wire.Order, fence uint64) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	call := OrderCall{Number: order.Number, Fence: fence, Kind: order.Kind, Argument: order.Argument}
+	result, err := g.options.Endpoint.Order(ctx, call)
+	if err != nil && g.checksFencing() && !errors.Is(err, ErrFenced) {
+		return g.options.Endpoint.Order(ctx, call)
+	}
+	return result, err
+}
+
 func (g *Gate) checksFencing() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/coordination/gate/port.go
+++ b/coordination/gate/port.go
@@ -36,7 +36,8 @@
 	PromptTokens uint64
 	OutputTokens uint32
 	Fence        uint64
-	Written      func() // called once the whole request has been written
+	KvImports    []string // blocks at the endpoint that are the prompt's prefix
+	Written      func()   // called once the whole request has been written
 }
 
 // Answer is the endpoint's answer to a call.
--- a/state/machine/machine_test.go
+++ b/state/machine/machine_test.go
@@ -164,10 +164,20 @@
 	if first, again, other := lease(12, "g1"), lease(13, "g1"), lease(14, "g2"); first.Number != 12 || again.Number != 12 || other.Number != 14 {
 		t.Fatalf("lease numbers: %v, %v, %v", first, again, other)
 	}
+	start := func(index, leaseNumber uint64) *wire.OrderDoneResponse {
+		request := &wire.OrderDoneRequest{Endpoint: "e", Number: 11, LeaseNumber: leaseNumber, Started: true}
+		return m.Apply(index, &wire.Command{Of: &wire.Command_OrderDone{OrderDone: request}}).(*wire.OrderDoneResponse)
+	}
+	if first, again := start(15, 14), start(15, 14); first.Failure != nil || again.Failure != nil {
+		t.Fatalf("starts: %v, %v", first, again)
+	}
+	if lease(15, "g4").Number != 15 || start(15, 15).Failure.GetKind() != string(fault.Conflict) {
+		t.Fatal("an order may be begun under one lease only")
+	}
 	if r := done(15, 12); r.Failure.GetKind() != string(fault.Conflict) {
 		t.Fatalf("result under an old lease: %v", r)
 	}
-	if first, second := done(16, 14), done(17, 14); first.Failure != nil || second.Failure != nil {
+	if first, second := done(16, 15), done(17, 15); first.Failure != nil || second.Failure != nil {
 		t.Fatalf("results: %v, %v", first, second)
 	}
 	if o := m.Published().View.Orders("e")[0]; !o.Done || o.Result != "16" {
@@ -175,7 +185,7 @@
 	}
 	for index := uint64(20); index < 200; index += 2 {
 		apply(m, index, 1, fmt.Sprint("order", index), order)
-		request := &wire.OrderDoneRequest{Endpoint: "e", Number: index, LeaseNumber: 14}
+		request := &wire.OrderDoneRequest{Endpoint: "e", Number: index, LeaseNumber: 15}
 		m.Apply(index+1, &wire.Command{Of: &wire.Command_OrderDone{OrderDone: request}})
 	}
 	if kept := m.Published().View.Orders("e"); len(kept) != keptFinishedOrders+1 || kept[keptFinishedOrders].Number != 198 {
--- a/state/machine/orders.go
+++ b/state/machine/orders.go
@@ -81,12 +81,18 @@
 	if order == nil {
 		return nil, fault.New(fault.NotFound, "endpoint %q has no order %d", request.Endpoint, request.Number)
 	}
+	if order.Done && request.Started {
+		return nil, fault.New(fault.Conflict, "order %d is done", order.Number)
+	}
 	if order.Done {
 		return nil, nil
 	}
 	if lease := published.Leases[request.Endpoint]; lease.GetNumber() != request.LeaseNumber {
 		return nil, fault.New(fault.Conflict, "endpoint %q is held under lease %d, not %d", request.Endpoint, lease.GetNumber(), request.LeaseNumber)
 	}
+	if request.Started {
+		return planStart(order, request.LeaseNumber)
+	}
 	next := proto.CloneOf(order)
 	next.Done = true
 	next.Failed = request.Failed
@@ -94,6 +100,20 @@
 	return &wire.ConfigDelta{Orders: []*wire.Order{next}}, nil
 }
 
+// planStart lets one lease act on an order. A gate that comes after it must not
+// act again, because the first one may have done so.
+func planStart(order *wire.Order, lease uint64) (*wire.ConfigDelta, error) {
+	switch order.StartedLease {
+	case lease:
+		return nil, nil
+	case 0:
+		next := proto.CloneOf(order)
+		next.StartedLease = lease
+		return &wire.ConfigDelta{Orders: []*wire.Order{next}}, nil
+	}
+	return nil, fault.New(fault.Conflict, "order %d was begun under lease %d", order.Number, order.StartedLease)
+}
+
 func findOrder(orders []*wire.Order, number uint64) *wire.Order {
 	for _, order := range orders {
 		if order.Number == number {
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -100,6 +100,9 @@
 	h.Set("X-Priority", strconv.FormatInt(call.Priority, 10))
 	h.Set("X-Prompt-Tokens", strconv.FormatUint(call.PromptTokens, 10))
 	h.Set("X-Max-Output-Tokens", strconv.FormatUint(uint64(call.OutputTokens), 10))
+	if len(call.KvImports) > 0 {
+		h.Set("X-Kv-Import", strings.Join(call.KvImports, ","))
+	}
 	h.Set("X-Fence", strconv.FormatUint(call.Fence, 10))
 }
 
