Restart the stand-in while idle, before a burst

The test passed with the bound on unconfirmed dispatches taken out, since the hung attempts held all places. A restart while nothing runs, with a burst right after it, makes it fail then.

--- a/role/agent/coldstart_test.go
+++ b/role/agent/coldstart_test.go
@@ -66,7 +66,7 @@
 }
 
 // The endpoint restarts again and again, with and without its connections
-// breaking, while callers keep it full: it is never given more than it can
+// breaking, while callers keep it full and while it is idle before a burst: it is never given more than it can
 // carry, every attempt ends, and its memory returns to zero.
 func TestEndpointRestartsUnderLoad(t *testing.T) {
 	n, address := startNeighbours(t)
@@ -114,6 +114,7 @@
 func loadWhileRestarting(t *testing.T, client wire.GateClient, engine *fakeendpoint.Endpoint) (whole int) {
 	over := make(chan struct{})
 	var mu sync.Mutex
+	var idle sync.RWMutex // held by the restart that a burst of all callers follows
 	var group sync.WaitGroup
 	for caller := range callers {
 		group.Go(func() {
@@ -123,7 +124,9 @@
 					return
 				default:
 				}
+				idle.RLock()
 				fault, all := carry(client, fmt.Sprintf("a%d-%d", caller, i))
+				idle.RUnlock()
 				mu.Lock()
 				if fault != "" {
 					t.Error(fault)
@@ -138,7 +141,16 @@
 	}
 	for i := range restarts {
 		time.Sleep(time.Duration(100+37*i) * time.Millisecond)
-		engine.Restart(i%2 == 0)
+		switch i % 3 {
+		case 0:
+			engine.Restart(true)
+		case 1:
+			engine.Restart(false)
+		case 2:
+			idle.Lock()
+			engine.Restart(false)
+			idle.Unlock()
+		}
 	}
 	close(over)
 	group.Wait()
