--- a/coordination/gate/admission.go
+++ b/coordination/gate/admission.go
@@ -35,8 +35,8 @@
 	if open.GateInstance != "" && open.GateInstance != g.instance {
 		return nil, outOfService("this gate was restarted").After(retrySoon)
 	}
-	if open.Attempt == "" {
-		return nil, fault.New(fault.InvalidRequest, "attempt has no identity")
+	if open.Attempt == "" || len(open.Attempt) > maxIDBytes {
+		return nil, fault.New(fault.InvalidRequest, "attempt identity has %d bytes, 1 to %d are taken", len(open.Attempt), maxIDBytes)
 	}
 	if rec := g.records.get(open.Attempt); rec != nil {
 		return nil, seenBefore(rec)
--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -177,7 +177,7 @@
 	a.record.state = wire.AttemptState_ATTEMPT_STATE_DONE
 	a.record.failure = end.Failure
 	if !a.open.Repeatable {
-		a.record.outcome = outcome
+		a.gate.records.settle(a.record, outcome)
 	}
 	a.end(&wire.AttemptDown{Of: &wire.AttemptDown_End{End: end}})
 }
--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -115,10 +115,21 @@
 		ContentType: a.open.ContentType, Body: a.body,
 		Priority: enginePriority(a.open), PromptTokens: a.open.PromptTokens,
 		OutputTokens: a.open.OutputTokens, Fence: g.lease.number,
-		Written: a.markWritten, KvImports: a.open.KvImports,
+		Ready: a.ready, Written: a.markWritten, KvImports: a.open.KvImports,
 	}
 }
 
+// ready repeats the checks once a connection stands, which may have taken long.
+func (a *Attempt) ready() error {
+	g := a.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if refusal := g.available(time.Now()); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 func (a *Attempt) markWritten() {
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
--- a/coordination/gate/port.go
+++ b/coordination/gate/port.go
@@ -36,8 +36,9 @@
 	PromptTokens uint64
 	OutputTokens uint32
 	Fence        uint64
-	KvImports    []string // blocks at the endpoint that are the prompt's prefix
-	Written      func()   // called once the whole request has been written
+	KvImports    []string     // blocks at the endpoint that are the prompt's prefix
+	Ready        func() error // asked right before the body leaves; an error stops the call
+	Written      func()       // called once the whole request has been written
 }
 
 // Answer is the endpoint's answer to a call.
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -68,6 +68,23 @@
 // onlyReader hides the other methods of a body, so that it cannot be rewound.
 type onlyReader struct{ io.Reader }
 
+// checkedReader asks whether the call may still go out before its first byte.
+// It cannot be rewound either.
+type checkedReader struct {
+	ready  func() error
+	reader io.Reader
+}
+
+func (c *checkedReader) Read(p []byte) (int, error) {
+	if c.ready != nil {
+		if err := c.ready(); err != nil {
+			return 0, err
+		}
+		c.ready = nil
+	}
+	return c.reader.Read(p)
+}
+
 // Send sends an attempt once.
 func (c *Client) Send(ctx context.Context, call *gate.Call) (*gate.Answer, error) {
 	target, err := c.url(call.Path)
@@ -81,7 +98,7 @@
 	}}
 	var body io.Reader
 	if len(call.Body) > 0 {
-		body = onlyReader{bytes.NewReader(call.Body)}
+		body = &checkedReader{ready: call.Ready, reader: bytes.NewReader(call.Body)}
 	}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, target, body)
 	if err != nil {
