Let ended answers give way to running ones

Answers are kept for half a minute after their end, unacknowledged up to a quarter of a megabyte each; at the peak these would have filled the bound of all buffers and held up every running answer until they expired.

--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -107,6 +107,9 @@
 func (a *Attempt) Attach() {
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
+	if a.readers == 0 && a.stage == stageEnded {
+		a.gate.budget.removeIdle(a.replay)
+	}
 	a.readers++
 	a.unread++
 }
@@ -117,7 +120,11 @@
 	defer a.gate.mu.Unlock()
 	a.readers--
 	a.unread++
-	if a.readers > 0 || a.stage == stageEnded {
+	if a.readers > 0 {
+		return
+	}
+	if a.stage == stageEnded {
+		a.gate.budget.addIdle(a.replay)
 		return
 	}
 	generation := a.unread
@@ -187,6 +194,9 @@
 	a.body = nil
 	a.gate.bodyBytes -= a.open.BodyBytes
 	a.replay.finish(last)
+	if a.readers == 0 {
+		a.gate.budget.addIdle(a.replay)
+	}
 	a.stop()
 	time.AfterFunc(keepAnswer, a.forget)
 }
@@ -196,6 +206,7 @@
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
 	a.record.attempt = nil
+	a.gate.budget.removeIdle(a.replay)
 	a.replay.release()
 	a.cancel(nil)
 }
--- a/coordination/gate/engine_test.go
+++ b/coordination/gate/engine_test.go
@@ -22,6 +22,9 @@
 // noticeDelay is how late an endpoint notices a closed connection.
 const noticeDelay = 30 * time.Millisecond
 
+// testReplayBytes holds the answers of the tests but the long one.
+const testReplayBytes = 2 << 20
+
 // engine is an endpoint in memory that checks its own rules.
 type engine struct {
 	delay      time.Duration // between the write of a request and its arrival
@@ -269,7 +272,7 @@
 	r := &rig{engine: e, control: c, store: configsync.NewStore()}
 	ctx, stop := context.WithCancel(context.Background())
 	r.cancel = stop
-	r.Gate = gate.New(gate.Options{DataCentre: "dc1", Address: "gate", Configuration: r.store, Endpoint: e, Leases: r.control, Orders: r.control})
+	r.Gate = gate.New(gate.Options{DataCentre: "dc1", Address: "gate", Configuration: r.store, Endpoint: e, Leases: r.control, Orders: r.control, ReplayBytes: testReplayBytes})
 	var mu sync.Mutex
 	on := true
 	r.fresh = func(keep bool) { mu.Lock(); on = keep; mu.Unlock() }
@@ -329,3 +332,23 @@
 		}
 	}
 }
+
+// readToEnd reads an answer without acknowledging it.
+func readToEnd(a *gate.Attempt) (last *wire.AttemptDown) {
+	for from := uint64(1); ; from = last.Sequence + 1 {
+		messages, done, err := a.Read(context.Background(), from)
+		if done || err != nil {
+			return last
+		}
+		last = messages[len(messages)-1]
+	}
+}
+
+func (r *rig) find(t *testing.T, id string) *gate.Attempt {
+	t.Helper()
+	a, err := r.Find(&wire.ResumeRequest{Attempt: id, Organisation: "o", GateInstance: r.Instance()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -28,6 +28,7 @@
 	Endpoint      Endpoint
 	Leases        Leases
 	Orders        OrderReporter
+	ReplayBytes   int // of unacknowledged answers, DefaultReplayBytes when 0
 }
 
 // Gate guards one endpoint.
@@ -69,7 +70,7 @@
 	return &Gate{
 		options:    options,
 		instance:   rand.Text(),
-		budget:     newBudget(),
+		budget:     newBudget(options.ReplayBytes),
 		probe:      make(chan struct{}, 1),
 		changed:    make(chan struct{}, 1),
 		memory:     newMemory(),
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -151,6 +151,31 @@
 	})
 }
 
+// Answers that ended unacknowledged give way to those that run.
+func TestEndedAnswersGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.tokens, e.gap = 30_000, time.Microsecond // about 600 kB each
+		r := newRig(e, inService)
+		defer r.stop()
+		for i := range 6 {
+			a := r.submit(t, open(fmt.Sprint("a", i), true))
+			start := time.Now()
+			last := readToEnd(a)
+			a.Detach()
+			if last.GetEnd().GetFailure() != nil || time.Since(start) > 2*time.Second {
+				t.Errorf("answer %d ended after %s with %v", i, time.Since(start), last)
+			}
+		}
+		if _, _, err := r.find(t, "a0").Read(t.Context(), 1); err == nil {
+			t.Error("the oldest answer is still kept")
+		}
+		if messages, _, err := r.find(t, "a5").Read(t.Context(), 1); err != nil || len(messages) != 30_002 {
+			t.Errorf("the newest answer has %d messages left (%v)", len(messages), err)
+		}
+	})
+}
+
 // Without a reader a repeatable attempt is cancelled; one that may not be
 // repeated runs on, and its outcome is told.
 func TestAbandonedAttempts(t *testing.T) {
--- a/coordination/gate/replay.go
+++ b/coordination/gate/replay.go
@@ -8,40 +8,11 @@
 )
 
 const (
-	maxReplayBytes = 1 << 20  // of one attempt, unacknowledged
-	maxReplayTotal = 64 << 20 // of one gate, unacknowledged
+	maxReplayBytes = 1 << 20 // of one attempt, unacknowledged
 	// maxChunkBytes bounds the data of one chunk.
 	maxChunkBytes = 64 << 10
 )
 
-// budget bounds the bytes that all replay buffers of a gate hold.
-type budget struct {
-	mu    sync.Mutex
-	used  int
-	freed chan struct{}
-}
-
-func newBudget() *budget { return &budget{freed: make(chan struct{})} }
-
-// take adds n bytes; when the total is full it returns a channel to wait on.
-func (b *budget) take(n int) <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.used > 0 && b.used+n > maxReplayTotal {
-		return b.freed
-	}
-	b.used += n
-	return nil
-}
-
-func (b *budget) give(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= n
-	close(b.freed)
-	b.freed = make(chan struct{})
-}
-
 // replay keeps the unacknowledged part of one attempt's answer. The messages
 // count from 1; sequence 0, the acceptance, is not kept.
 type replay struct {
