Let a replica ask again until its admission is committed

A learner that held an uncommitted list naming itself took itself for a member and stopped asking; once another leader replaced that entry it stayed outside for good.

The model's rule for losing a folder also looks at member lists that are not applied yet: it used to take a second folder while a promotion of the first loser was on its way, which is two hosts at once out of four voters.

--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -84,9 +84,9 @@
 	return add, nil
 }
 
-// join works until this replica belongs to a group.
+// join works until this replica's membership of a group is committed.
 func (r *Replica) join(ctx context.Context) {
-	for len(r.Status().Members) == 0 {
+	for !r.Status().Joined {
 		group, empty := r.inquire(ctx)
 		switch {
 		case group != "":
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
+	"io"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -43,6 +45,7 @@
 	JoinInterval     time.Duration
 	SnapshotInterval uint64          // entries applied between snapshots
 	KeptEntries      uint64          // entries kept behind a snapshot for peers that lag
+	Entropy          io.Reader       // of identities; nil for the system's source
 	Random           func(n int) int // uniform in [0,n); nil for the runtime's source
 }
 
@@ -71,6 +74,9 @@
 	if o.Files == nil {
 		o.Files = wal.Disk{}
 	}
+	if o.Entropy == nil {
+		o.Entropy = cryptorand.Reader
+	}
 	if o.Random == nil {
 		o.Random = rand.IntN
 	}
@@ -96,6 +102,7 @@
 	SnapshotIndex uint64
 	Members       []*wire.Member // in force, perhaps uncommitted
 	LeaderSince   time.Time      // when this replica first saw the present leader
+	Joined        bool           // an applied member list holds this replica, or once held it
 }
 
 // Replica is one member of the control group. It implements wire.PeerServer.
@@ -131,7 +138,7 @@
 // the replica.
 func Open(options Options) (*Replica, error) {
 	options.setDefaults()
-	log, state, err := wal.Open(options.Folder, options.Files)
+	log, state, err := wal.Open(options.Folder, options.Files, options.Entropy)
 	if err != nil {
 		return nil, err
 	}
@@ -234,6 +241,17 @@
 	}
 }
 
+// joined reports whether this replica's membership has been committed. A list
+// that is only appended may yet be replaced by one without this replica.
+func (r *Replica) joined(applied uint64) bool {
+	for _, m := range r.raft.MembersAt(applied) {
+		if m.Id == r.id {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Replica) publish() {
 	s := r.raft.Status()
 	next := &Status{
@@ -246,6 +264,7 @@
 		FirstIndex:    s.FirstIndex,
 		SnapshotIndex: s.SnapshotIndex,
 		Members:       s.Members,
+		Joined:        r.joined(s.Applied),
 	}
 	for _, m := range s.Members {
 		if m.Id == s.Leader {
--- a/coordination/replica/sim_test.go
+++ b/coordination/replica/sim_test.go
@@ -22,9 +22,10 @@
 	net     []*wire.PeerMessage
 	blocked map[[2]string]bool // from and to address
 
-	order    []string          // operations in the order of the log
-	entries  map[uint64]string // what was applied at each index
-	leaders  map[uint64]string // by term
+	order    []string            // operations in the order of the log
+	entries  map[uint64]string   // what was applied at each index
+	leaders  map[uint64]string   // by term
+	hosts    map[string]*simNode // by identity
 	acked    []string
 	refused  map[string]bool
 	waiting  []*waiting
@@ -46,7 +47,6 @@
 
 type waiting struct {
 	node  *simNode
-	owner *Replica
 	id    string
 	acked int
 	done  chan result
@@ -55,7 +55,7 @@
 func newSim(t interface{ Fatalf(string, ...any) }, seed uint64, n int) *sim {
 	s := &sim{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), blocked: map[[2]string]bool{},
-		entries: map[uint64]string{}, leaders: map[uint64]string{}, refused: map[string]bool{}, counts: map[string]int{},
+		entries: map[uint64]string{}, leaders: map[uint64]string{}, refused: map[string]bool{}, hosts: map[string]*simNode{}, counts: map[string]int{},
 	}
 	for i := range n {
 		node := &simNode{sim: s, address: fmt.Sprint("host-", i), fs: faultfs.New(s.random.IntN), lost: map[string]bool{}}
@@ -117,11 +117,19 @@
 	return nil
 }
 
+// Read gives the identities of a run from its seed.
+func (s *sim) Read(data []byte) (int, error) {
+	for i := range data {
+		data[i] = byte(s.random.Uint32())
+	}
+	return len(data), nil
+}
+
 func (s *sim) start(n *simNode) {
 	n.fs.Restart()
 	n.log = nil
 	r, err := Open(Options{
-		Folder: "/data", Address: n.address, Machine: n, Files: n.fs, Random: s.random.IntN,
+		Folder: "/data", Address: n.address, Machine: n, Files: n.fs, Random: s.random.IntN, Entropy: s,
 		SnapshotInterval: 12, KeptEntries: 4,
 	})
 	if err != nil {
@@ -136,6 +144,7 @@
 		}
 	}
 	n.replica = r
+	s.hosts[r.id] = n
 	s.process(n)
 }
 
@@ -291,22 +300,14 @@
 	s.process(n)
 }
 
+// node returns the host of an identity, which may run under a newer one.
 func (s *sim) node(id string) *simNode {
-	for _, n := range s.nodes {
-		if n.replica != nil && n.replica.id == id {
-			return n
-		}
+	if n := s.hosts[id]; n.replica != nil {
+		return n
 	}
 	return nil
 }
 
-func (s *sim) address(id string) string {
-	if n := s.node(id); n != nil {
-		return n.address
-	}
-	return ""
-}
-
 // deliver hands over message i; keep leaves a duplicate in the network.
 func (s *sim) deliver(i int, keep bool) {
 	m := s.net[i]
@@ -326,7 +327,7 @@
 	if from.replica == nil || to.replica == nil || from == to || s.blocked[[2]string{from.address, to.address}] {
 		return
 	}
-	if len(from.replica.raft.Status().Members) > 0 {
+	if from.replica.Status().Joined {
 		return
 	}
 	change, err := admission(to.replica.raft.Status().Members, &wire.JoinRequest{Id: from.replica.id, Address: from.address})
@@ -337,22 +338,31 @@
 	s.process(to)
 }
 
-// mayLose reports whether a folder may be lost: the newest applied members
-// are at least three voters, all of which still have their folders.
+// mayLose reports whether a folder may be lost: the newest applied members are
+// at least three voters, and no member of that list, or of a newer one that is
+// not committed yet, has lost its folder before.
 func (s *sim) mayLose() bool {
-	voters := 0
-	for _, m := range s.config {
-		if m.Learner || m.Removed {
-			continue
+	for _, n := range s.nodes {
+		if n.replica == nil {
+			return false
+		}
+		st := n.replica.raft.Status()
+		if st.MembersIndex > s.configAt && s.anyLost(st.Members) {
+			return false
 		}
-		voters++
+	}
+	return len(activeVoters(s.config)) >= 3 && !s.anyLost(s.config)
+}
+
+func (s *sim) anyLost(members []*wire.Member) bool {
+	for _, m := range members {
 		for _, n := range s.nodes {
-			if n.lost[m.Id] {
-				return false
+			if !m.Removed && n.lost[m.Id] {
+				return true
 			}
 		}
 	}
-	return voters >= 3
+	return false
 }
 
 func (s *sim) lose(n *simNode) {
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -4,7 +4,6 @@
 package wal
 
 import (
-	"crypto/rand"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -51,8 +50,8 @@
 }
 
 // Open locks a folder, reads it, and starts a new log file with what is still
-// needed. An empty folder gets a new random identity.
-func Open(folder string, files FileSystem) (*Log, *State, error) {
+// needed. An empty folder gets a new identity, read from entropy.
+func Open(folder string, files FileSystem, entropy io.Reader) (*Log, *State, error) {
 	if err := files.MkdirAll(folder); err != nil {
 		return nil, nil, fault.Wrap(err, fault.Internal, "the data folder %s can't be made", folder)
 	}
@@ -64,7 +63,7 @@
 		return nil, nil, fault.Wrap(err, fault.Conflict, "the data folder %s is in use by another process", folder)
 	}
 	l := &Log{folder: folder, files: files, lock: lock}
-	state, err := l.load()
+	state, err := l.load(entropy)
 	if err != nil {
 		_ = lock.Close()
 		return nil, nil, err
@@ -72,7 +71,7 @@
 	return l, state, nil
 }
 
-func (l *Log) load() (*State, error) {
+func (l *Log) load(entropy io.Reader) (*State, error) {
 	names, err := l.files.ReadDir(l.folder)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "the data folder %s can't be read", l.folder)
@@ -89,7 +88,7 @@
 	if err := l.rewrite(state.HardState, state.Snapshot, state.Entries); err != nil {
 		return nil, err
 	}
-	if err := l.identify(names, state); err != nil {
+	if err := l.identify(names, state, entropy); err != nil {
 		return nil, err
 	}
 	l.clean(names, state.Snapshot.GetIndex())
@@ -97,7 +96,7 @@
 }
 
 // identify reads the identity, or makes one in a folder without any state.
-func (l *Log) identify(names []string, state *State) error {
+func (l *Log) identify(names []string, state *State, entropy io.Reader) error {
 	path := filepath.Join(l.folder, identityName)
 	if slices.Contains(names, identityName) {
 		data, err := l.files.ReadFile(path)
@@ -114,7 +113,7 @@
 		return fault.New(fault.Corrupt, "%s has a log but no identity", l.folder)
 	}
 	raw := make([]byte, identityBytes)
-	if _, err := rand.Read(raw); err != nil {
+	if _, err := io.ReadFull(entropy, raw); err != nil {
 		return err
 	}
 	state.ID, state.Created = hex.EncodeToString(raw), true
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -1,8 +1,9 @@
 package wal_test
 
 import (
+	"crypto/rand"
 	"errors"
-	"math/rand/v2"
+	mathrand "math/rand/v2"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -16,7 +17,7 @@
 const folder = "/data"
 
 func disk(seed uint64) *faultfs.FS {
-	return faultfs.New(rand.New(rand.NewPCG(seed, 1)).IntN)
+	return faultfs.New(mathrand.New(mathrand.NewPCG(seed, 1)).IntN)
 }
 
 func entry(index, term uint64) *wire.LogEntry {
@@ -25,7 +26,7 @@
 
 func mustOpen(t *testing.T, fs wal.FileSystem) (*wal.Log, *wal.State) {
 	t.Helper()
-	l, s, err := wal.Open(folder, fs)
+	l, s, err := wal.Open(folder, fs, rand.Reader)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -43,7 +44,7 @@
 // workload saves entries, replaces two of them and takes snapshots until an
 // operation fails.
 func workload(fs wal.FileSystem) (a acknowledged) {
-	l, s, err := wal.Open(folder, fs)
+	l, s, err := wal.Open(folder, fs, rand.Reader)
 	if err != nil {
 		return a
 	}
@@ -79,7 +80,7 @@
 			fs.CrashAt = point
 			a := workload(fs)
 			fs.Restart()
-			l, s, err := wal.Open(folder, fs)
+			l, s, err := wal.Open(folder, fs, rand.Reader)
 			if err != nil {
 				t.Fatalf("point %d seed %d: %v", point, seed, err)
 			}
@@ -159,7 +160,7 @@
 	_ = l.Close()
 	for offset := range middle {
 		fs.Flip(path, offset)
-		_, _, err := wal.Open(folder, fs)
+		_, _, err := wal.Open(folder, fs, rand.Reader)
 		if fault.KindOf(err) != fault.Corrupt || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), "byte ") {
 			t.Fatalf("byte %d: %v", offset, err)
 		}
@@ -200,7 +201,7 @@
 		t.Fatal(err)
 	}
 	for range 2 {
-		if _, _, err := wal.Open(folder, fs); fault.KindOf(err) != fault.Corrupt {
+		if _, _, err := wal.Open(folder, fs, rand.Reader); fault.KindOf(err) != fault.Corrupt {
 			t.Fatalf("opened under the old identity: %v", err)
 		}
 	}
@@ -208,15 +209,15 @@
 
 func TestFolderIsLocked(t *testing.T) {
 	path := t.TempDir()
-	l, first, err := wal.Open(path, wal.Disk{})
+	l, first, err := wal.Open(path, wal.Disk{}, rand.Reader)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := wal.Open(path, wal.Disk{}); fault.KindOf(err) != fault.Conflict {
+	if _, _, err := wal.Open(path, wal.Disk{}, rand.Reader); fault.KindOf(err) != fault.Conflict {
 		t.Fatalf("second open: %v", err)
 	}
 	_ = l.Close()
-	_, second, err := wal.Open(path, wal.Disk{})
+	_, second, err := wal.Open(path, wal.Disk{}, rand.Reader)
 	if err != nil || second.ID != first.ID || second.Created {
 		t.Fatalf("reopened: %v", err)
 	}
