--- a/coordination/raft/progress.go
+++ b/coordination/raft/progress.go
@@ -25,8 +25,20 @@
 	}
 	p.waited++
 	if p.waited >= retryTicks {
-		p.snapshot = 0
-		p.probing, p.paused = true, false
+		p.snapshotLost()
+	}
+}
+
+func (p *progress) snapshotLost() {
+	p.snapshot = 0
+	p.probing, p.paused = true, false
+}
+
+// SnapshotLost reports that a snapshot did not reach a peer, so that it is sent
+// again without waiting.
+func (r *Raft) SnapshotLost(id string) {
+	if p := r.peers[id]; p != nil && p.snapshot != 0 {
+		p.snapshotLost()
 	}
 }
 
--- a/coordination/raft/raft.go
+++ b/coordination/raft/raft.go
@@ -31,6 +31,8 @@
 const (
 	maxAppendBytes    = 1 << 20
 	maxInflightWindow = 4096 // entries sent and not yet acknowledged by one peer
+
+	snapshotRetryElections = 20 // election timeouts after which a snapshot is sent again
 )
 
 // Config sets up a replica.
@@ -161,7 +163,7 @@
 		r.broadcastHeartbeat()
 	}
 	for _, p := range r.peers {
-		p.tick(2 * r.electionTicks)
+		p.tick(snapshotRetryElections * r.electionTicks)
 	}
 }
 
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -76,6 +76,11 @@
 	if err != nil || next == nil {
 		return nil, err
 	}
+	for _, m := range members {
+		if m.Id == q.Id {
+			return add, nil
+		}
+	}
 	for _, m := range members {
 		if m.Address == q.Address && !m.Removed {
 			return &wire.MemberChange{RemoveId: m.Id}, nil
--- a/coordination/replica/members.go
+++ b/coordination/replica/members.go
@@ -81,13 +81,30 @@
 			return nil, fault.New(fault.Conflict, "replica %s was removed and can't return; start it with an empty data folder", m.Id)
 		}
 		if m.Id == change.AddId {
-			return nil, nil
+			return withAddress(members, m, change.AddAddress)
 		}
 	}
 	added := &wire.Member{Id: change.AddId, Address: change.AddAddress, Learner: true}
 	return append(slices.Clone(members), added), nil
 }
 
+// withAddress returns the list with a member's new address, nil when it is the
+// same as before.
+func withAddress(members []*wire.Member, member *wire.Member, address string) ([]*wire.Member, error) {
+	if member.Address == address {
+		return nil, nil
+	}
+	next := slices.Clone(members)
+	for i, m := range members {
+		if m.Id == member.Id {
+			next[i] = &wire.Member{Id: m.Id, Address: address, Learner: m.Learner}
+		} else if m.Address == address && !m.Removed {
+			return nil, fault.New(fault.Conflict, "the address %s belongs to replica %s", address, m.Id)
+		}
+	}
+	return next, nil
+}
+
 func withoutMember(members []*wire.Member, id string) ([]*wire.Member, error) {
 	at := slices.IndexFunc(members, func(m *wire.Member) bool { return m.Id == id })
 	if at < 0 {
@@ -148,13 +165,26 @@
 type transferRequest struct{ done chan error }
 
 func (q transferRequest) run(r *Replica) {
-	if err := r.raft.Transfer(); err != nil {
+	voters := 0
+	for _, m := range r.raft.Status().Members {
+		if !m.Learner && !m.Removed {
+			voters++
+		}
+	}
+	if err := r.raft.Transfer(); err != nil || voters < 2 {
 		q.done <- nil
 		return
 	}
 	r.transfers = append(r.transfers, q.done)
 }
 
+// retryTransfer asks again when an earlier attempt was given up.
+func (r *Replica) retryTransfer() {
+	if len(r.transfers) > 0 {
+		_ = r.raft.Transfer()
+	}
+}
+
 // Transfer hands leadership to another voter and returns when this replica no
 // longer leads, or with ctx.
 func (r *Replica) Transfer(ctx context.Context) error {
--- a/coordination/replica/outbox.go
+++ b/coordination/replica/outbox.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"sync"
-	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"google.golang.org/grpc"
@@ -20,6 +19,7 @@
 // and connection; what doesn't fit or fails is dropped, the core sends again.
 type outbox struct {
 	options *Options
+	lost    func(id string) // told of snapshots that did not arrive
 	ctx     context.Context
 	cancel  context.CancelFunc
 	work    sync.WaitGroup
@@ -35,10 +35,11 @@
 	snapshots chan *wire.PeerMessage
 }
 
-func newOutbox(options *Options) *outbox {
+func newOutbox(options *Options, snapshotLost func(id string)) *outbox {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &outbox{
 		options:   options,
+		lost:      snapshotLost,
 		ctx:       ctx,
 		cancel:    cancel,
 		addresses: make(map[string]string),
@@ -83,8 +84,8 @@
 		snapshots: make(chan *wire.PeerMessage, 1),
 	}
 	o.peers[address] = p
-	o.work.Go(func() { p.run(p.queue, o.options.PeerTimeout) })
-	o.work.Go(func() { p.run(p.snapshots, o.options.SnapshotTimeout) })
+	o.work.Go(p.sendMessages)
+	o.work.Go(p.sendSnapshots)
 	return p
 }
 
@@ -99,37 +100,75 @@
 	}
 }
 
-// run sends one queue, over a connection that a failed call replaces.
-func (p *peer) run(queue chan *wire.PeerMessage, timeout time.Duration) {
-	var conn grpc.ClientConnInterface
-	defer func() { closeConn(conn) }()
+// sendMessages sends the queue of ordinary messages.
+func (p *peer) sendMessages() {
+	link := &peerLink{peer: p}
+	defer link.drop()
 	for {
 		select {
 		case <-p.box.ctx.Done():
 			return
-		case m := <-queue:
-			batch := collect(m, queue)
-			if conn == nil {
-				conn, _ = p.box.options.Dial(p.address)
-			}
-			if conn == nil {
-				continue
-			}
-			if err := p.call(conn, batch, timeout); err != nil {
-				closeConn(conn)
-				conn = nil
+		case m := <-p.queue:
+			_ = link.call(collect(m, p.queue))
+		}
+	}
+}
+
+// sendSnapshots sends snapshots in parts, on a connection of their own so that
+// heartbeats don't wait behind them.
+func (p *peer) sendSnapshots() {
+	link := &peerLink{peer: p}
+	defer link.drop()
+	for {
+		select {
+		case <-p.box.ctx.Done():
+			return
+		case m := <-p.snapshots:
+			if err := sendParts(link, m); err != nil {
+				p.box.lost(m.To)
 			}
 		}
 	}
 }
 
-func (p *peer) call(conn grpc.ClientConnInterface, batch *wire.PeerMessages, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(p.box.ctx, timeout)
+func sendParts(link *peerLink, m *wire.PeerMessage) error {
+	for _, part := range split(m) {
+		if err := link.call(&wire.PeerMessages{Messages: []*wire.PeerMessage{part}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// peerLink is a connection that a failed call replaces: one that has gone
+// silent can't hold up later messages.
+type peerLink struct {
+	peer *peer
+	conn grpc.ClientConnInterface
+}
+
+func (l *peerLink) call(batch *wire.PeerMessages) error {
+	if l.conn == nil {
+		conn, err := l.peer.box.options.Dial(l.peer.address)
+		if err != nil {
+			return err
+		}
+		l.conn = conn
+	}
+	ctx, cancel := context.WithTimeout(l.peer.box.ctx, l.peer.box.options.PeerTimeout)
 	defer cancel()
-	_, err := wire.NewPeerClient(conn).Step(ctx, batch)
+	_, err := wire.NewPeerClient(l.conn).Step(ctx, batch)
+	if err != nil {
+		l.drop()
+	}
 	return err
 }
 
+func (l *peerLink) drop() {
+	closeConn(l.conn)
+	l.conn = nil
+}
+
 // collect takes further queued messages up to a size.
 func collect(first *wire.PeerMessage, queue chan *wire.PeerMessage) *wire.PeerMessages {
 	batch := &wire.PeerMessages{Messages: []*wire.PeerMessage{first}}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -41,7 +41,6 @@
 	HeartbeatTicks   int
 	ElectionTicks    int // elections start after one to two times this
 	PeerTimeout      time.Duration
-	SnapshotTimeout  time.Duration
 	JoinInterval     time.Duration
 	SnapshotInterval uint64          // entries applied between snapshots
 	KeptEntries      uint64          // entries kept behind a snapshot for peers that lag
@@ -54,7 +53,6 @@
 	defaultHeartbeatTicks   = 2
 	defaultElectionTicks    = 10
 	defaultPeerTimeout      = 500 * time.Millisecond
-	defaultSnapshotTimeout  = 10 * time.Second
 	defaultJoinInterval     = 300 * time.Millisecond
 	defaultSnapshotInterval = 1000
 	defaultKeptEntries      = 500
@@ -67,7 +65,6 @@
 	setDefault(&o.HeartbeatTicks, defaultHeartbeatTicks)
 	setDefault(&o.ElectionTicks, defaultElectionTicks)
 	setDefault(&o.PeerTimeout, defaultPeerTimeout)
-	setDefault(&o.SnapshotTimeout, defaultSnapshotTimeout)
 	setDefault(&o.JoinInterval, defaultJoinInterval)
 	setDefault(&o.SnapshotInterval, defaultSnapshotInterval)
 	setDefault(&o.KeptEntries, defaultKeptEntries)
@@ -102,7 +99,7 @@
 	SnapshotIndex uint64
 	Members       []*wire.Member // in force, perhaps uncommitted
 	LeaderSince   time.Time      // when this replica first saw the present leader
-	Joined        bool           // an applied member list holds this replica, or once held it
+	Joined        bool           // an applied member list holds this replica, at its address or as removed
 }
 
 // Replica is one member of the control group. It implements wire.PeerServer.
@@ -117,6 +114,7 @@
 	logger  *logs.Logger
 	status  atomic.Pointer[Status]
 	outbox  *outbox
+	parts   assembly
 	send    func([]*wire.PeerMessage, []*wire.Member)
 
 	inbox    chan *wire.PeerMessage
@@ -175,7 +173,7 @@
 		HeartbeatTicks: options.HeartbeatTicks,
 		Random:         options.Random,
 	})
-	r.outbox = newOutbox(&r.options)
+	r.outbox = newOutbox(&r.options, r.snapshotLost)
 	r.send = r.outbox.send
 	if state.TornBytes > 0 {
 		r.logger.Warn().Int("bytes", state.TornBytes).Msg("A torn tail was cut from the log.")
@@ -197,7 +195,7 @@
 	defer close(r.stopped)
 	defer r.log.Close()
 	defer r.outbox.close()
-	defer r.failAll()
+	defer r.end()
 	go r.join(ctx)
 	ticker := time.NewTicker(r.options.Tick)
 	defer ticker.Stop()
@@ -208,6 +206,7 @@
 		case <-ticker.C:
 			r.raft.Tick()
 			r.promoteLearners()
+			r.retryTransfer()
 		case m := <-r.inbox:
 			r.step(m)
 		case q := <-r.requests:
@@ -224,7 +223,9 @@
 
 func (r *Replica) step(m *wire.PeerMessage) {
 	r.outbox.learn(m.From, m.FromAddress)
-	r.raft.Step(m)
+	if whole := r.parts.add(m); whole != nil {
+		r.raft.Step(whole)
+	}
 }
 
 // drain takes in what else waits, so that one sync serves all of it.
@@ -241,11 +242,12 @@
 	}
 }
 
-// joined reports whether this replica's membership has been committed. A list
+// joined reports whether this replica's membership, at its present address, has
+// been committed. A list
 // that is only appended may yet be replaced by one without this replica.
 func (r *Replica) joined(applied uint64) bool {
 	for _, m := range r.raft.MembersAt(applied) {
-		if m.Id == r.id {
+		if m.Id == r.id && (m.Removed || m.Address == r.options.Address) {
 			return true
 		}
 	}
--- a/coordination/replica/requests.go
+++ b/coordination/replica/requests.go
@@ -203,7 +203,11 @@
 	clear(r.promoteAfter)
 }
 
-func (r *Replica) failAll() {
+// end answers all that waits and gives up leadership in the status.
+func (r *Replica) end() {
+	last := r.Status()
+	last.Leader, last.LeaderAddress, last.IsLeader = "", "", false
+	r.status.Store(&last)
 	for _, q := range r.reads {
 		q.done <- result{err: notLeader()}
 	}
