--- a/coordination/replica/cluster_test.go
+++ b/coordination/replica/cluster_test.go
@@ -60,8 +60,11 @@
 
 type cluster struct {
 	t     testing.TB
+	dial  func(string) (grpc.ClientConnInterface, error)
 	peers []string
 	nodes []*node
+
+	founders int // replicas started with Bootstrap
 }
 
 func dial(address string) (grpc.ClientConnInterface, error) {
@@ -70,20 +73,29 @@
 
 // newCluster starts n replicas with empty folders, the first with Bootstrap.
 func newCluster(t testing.TB, n int) *cluster {
-	c := &cluster{t: t}
+	c := &cluster{t: t, dial: dial, founders: 1}
+	c.create(n)
+	return c
+}
+
+func newAddress(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (c *cluster) create(n int) {
 	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.peers = append(c.peers, listener.Addr().String())
-		c.nodes = append(c.nodes, &node{address: listener.Addr().String(), folder: t.TempDir()})
-		_ = listener.Close()
+		address := newAddress(c.t)
+		c.peers = append(c.peers, address)
+		c.nodes = append(c.nodes, &node{address: address, folder: c.t.TempDir()})
 	}
 	for i := range n {
 		c.start(i)
 	}
-	return c
 }
 
 func (c *cluster) start(i int) {
@@ -91,8 +103,8 @@
 	n := c.nodes[i]
 	n.machine = &ledger{}
 	r, err := Open(Options{
-		Folder: n.folder, Address: n.address, Peers: c.peers, Bootstrap: i == 0,
-		Machine: n.machine, Dial: dial, SnapshotInterval: 100, KeptEntries: 20,
+		Folder: n.folder, Address: n.address, Peers: c.peers, Bootstrap: i < c.founders,
+		Machine: n.machine, Dial: c.dial, SnapshotInterval: 100, KeptEntries: 20,
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- /dev/null
+++ b/coordination/replica/link_test.go
@@ -0,0 +1,90 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"google.golang.org/grpc"
+)
+
+func TestSnapshotLongerThanAMessageArrives(t *testing.T) {
+	c := newCluster(t, 3)
+	c.eventually("three voters", c.voters(3))
+	body := strings.Repeat("x", 100<<10)
+	for i := range 120 {
+		c.propose(fmt.Sprint(i, body))
+	}
+	c.nodes[2].stop()
+	c.nodes[2].folder = t.TempDir()
+	c.start(2)
+	c.eventually("the replacement holds all", c.holds(2, 120))
+	if s := c.nodes[2].replica.Status(); s.SnapshotIndex == 0 {
+		t.Fatal("no snapshot was needed")
+	}
+}
+
+func TestMemberReturnsAtAnotherAddress(t *testing.T) {
+	c := newCluster(t, 3)
+	c.eventually("three voters", c.voters(3))
+	n := c.nodes[2]
+	id := n.replica.ID()
+	n.stop()
+	n.address = newAddress(t)
+	c.start(2)
+	c.eventually("the new address is known", func() bool {
+		l := c.leader()
+		if l == nil {
+			return false
+		}
+		for _, m := range l.replica.Status().Members {
+			if m.Id == id && m.Address == n.address && !m.Learner {
+				return true
+			}
+		}
+		return false
+	})
+	c.propose("after")
+	c.eventually("it follows", c.holds(2, 1))
+}
+
+// silentConn takes calls and never answers.
+type silentConn struct{ grpc.ClientConnInterface }
+
+func (silentConn) Invoke(ctx context.Context, _ string, _, _ any, _ ...grpc.CallOption) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	var silent atomic.Bool
+	var opened atomic.Int64
+	c := &cluster{t: t, founders: 1, dial: func(address string) (grpc.ClientConnInterface, error) {
+		// Every second connection is silent while the fault lasts.
+		if opened.Add(1)%2 == 0 && silent.Load() {
+			return silentConn{}, nil
+		}
+		return dial(address)
+	}}
+	c.create(3)
+	c.eventually("three voters", c.voters(3))
+	silent.Store(true)
+	for i := range 3 {
+		c.nodes[2].stop()
+		c.start(2)
+		c.propose(fmt.Sprint(i))
+		c.eventually("the restarted replica follows", c.holds(2, i+1))
+	}
+}
+
+func TestSeveralFoundersMakeOneGroup(t *testing.T) {
+	c := &cluster{t: t, dial: dial, founders: 3}
+	c.create(3)
+	c.eventually("three voters", c.voters(3))
+	c.propose("one")
+	for i := range c.nodes {
+		c.eventually("all follow", c.holds(i, 1))
+	}
+}
