--- a/coordination/replica/process.go
+++ b/coordination/replica/process.go
@@ -37,6 +37,9 @@
 		r.hard = ready.HardState
 	}
 	if ready.Snapshot != nil {
+		if err := r.discardSnapshot(); err != nil {
+			return err
+		}
 		if err := r.log.SaveSnapshot(ready.Snapshot, r.hard, ready.Entries); err != nil {
 			return err
 		}
@@ -101,36 +104,3 @@
 	}
 	return nil
 }
-
-// maybeSnapshot writes a snapshot when enough entries have been applied since
-// the last one and the log has grown to its size, so that a large state is not
-// written again for a few small changes.
-func (r *Replica) maybeSnapshot() error {
-	s := r.raft.Status()
-	if s.Applied < r.snapshotted+r.options.SnapshotInterval || r.log.Bytes() < r.snapshotBytes {
-		return nil
-	}
-	state, err := r.machine.Snapshot()
-	if err != nil {
-		return fault.Wrap(err, fault.Internal, "the state can't be encoded")
-	}
-	term, ok := r.raft.TermAt(s.Applied)
-	if !ok {
-		return nil
-	}
-	snapshot := &wire.LogSnapshot{
-		Index:   s.Applied,
-		Term:    term,
-		Members: r.raft.MembersAt(s.Applied),
-		TimeMs:  r.lastTime,
-		State:   state,
-	}
-	if err := r.log.SaveSnapshot(snapshot, r.hard, r.raft.Entries(s.Applied+1)); err != nil {
-		return err
-	}
-	r.snapshotted = s.Applied
-	r.snapshotBytes = int64(len(state))
-	keepFrom := s.Applied + 1 - min(s.Applied, r.options.KeptEntries)
-	r.raft.Compact(snapshot, keepFrom)
-	return nil
-}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -116,6 +116,8 @@
 	outbox  *outbox
 	parts   assembly
 	send    func([]*wire.PeerMessage, []*wire.Member)
+	spawn   func(func()) // runs work beside the replica's goroutine
+	written chan writtenSnapshot
 
 	inbox    chan *wire.PeerMessage
 	requests chan request
@@ -124,6 +126,7 @@
 	// Owned by the goroutine of Run.
 	hard        *wire.HardState
 	lastTime    uint64 // highest command time in the log, in ms
+	writing     bool   // a snapshot is being written
 	snapshotted uint64
 	// Size of the last snapshot's state.
 	snapshotBytes int64
@@ -178,6 +181,8 @@
 	})
 	r.outbox = newOutbox(&r.options, r.snapshotLost)
 	r.send = r.outbox.send
+	r.spawn = func(work func()) { go work() }
+	r.written = make(chan writtenSnapshot, 1)
 	if state.TornBytes > 0 {
 		r.logger.Warn().Int("bytes", state.TornBytes).Msg("A torn tail was cut from the log.")
 	}
@@ -210,6 +215,10 @@
 			r.raft.Tick()
 			r.promoteLearners()
 			r.retryTransfer()
+		case w := <-r.written:
+			if err := r.useSnapshot(w); err != nil {
+				return r.failed(err)
+			}
 		case m := <-r.inbox:
 			r.step(m)
 		case q := <-r.requests:
@@ -218,12 +227,16 @@
 		r.drain()
 		r.raft.FlushReads()
 		if err := r.process(); err != nil {
-			r.logger.Error().Err(err).Msg("The data folder failed; the replica ends.")
-			return err
+			return r.failed(err)
 		}
 	}
 }
 
+func (r *Replica) failed(err error) error {
+	r.logger.Error().Err(err).Msg("The replica can't go on and ends.")
+	return err
+}
+
 func (r *Replica) step(m *wire.PeerMessage) {
 	r.outbox.learn(m.From, m.FromAddress)
 	if whole := r.parts.add(m); whole != nil {
--- a/coordination/replica/requests.go
+++ b/coordination/replica/requests.go
@@ -205,6 +205,9 @@
 
 // end answers all that waits and gives up leadership in the status.
 func (r *Replica) end() {
+	if r.writing {
+		<-r.written
+	}
 	last := r.Status()
 	last.Leader, last.LeaderAddress, last.IsLeader = "", "", false
 	r.status.Store(&last)
--- a/coordination/replica/sim_test.go
+++ b/coordination/replica/sim_test.go
@@ -143,6 +143,7 @@
 			s.net = append(s.net, proto.Clone(m).(*wire.PeerMessage))
 		}
 	}
+	r.spawn = func(work func()) { work() }
 	n.replica = r
 	s.hosts[r.id] = n
 	s.process(n)
@@ -153,7 +154,11 @@
 		return
 	}
 	n.replica.raft.FlushReads()
-	if err := n.replica.process(); err != nil {
+	err := n.replica.process()
+	if err == nil && n.replica.writing && s.random.IntN(3) == 0 {
+		err = n.replica.useSnapshot(<-n.replica.written)
+	}
+	if err != nil {
 		if !n.fs.Crashed() {
 			s.t.Fatalf("%s failed: %v", n.address, err)
 		}
--- a/state/wal/save.go
+++ b/state/wal/save.go
@@ -25,16 +25,28 @@
 // SaveSnapshot syncs a snapshot and starts a new log file that holds only the
 // hard state and the entries behind the snapshot. Older files are removed.
 func (l *Log) SaveSnapshot(snapshot *wire.LogSnapshot, hard *wire.HardState, tail []*wire.LogEntry) error {
-	if l.failed != nil {
-		return l.failed
-	}
+	return l.UseSnapshot(snapshot, hard, tail, l.WriteSnapshot(snapshot))
+}
+
+// WriteSnapshot syncs a snapshot that the log doesn't use yet. Alone among the
+// methods it may run beside Save, but not beside UseSnapshot or SaveSnapshot.
+func (l *Log) WriteSnapshot(snapshot *wire.LogSnapshot) error {
 	payload, err := proto.Marshal(snapshot)
 	if err != nil {
-		return l.fail(err)
-	}
-	if err := l.writeWhole(snapshotName(snapshot.Index), encodeFrame(0, payload)); err != nil {
 		return err
 	}
+	return l.writeWhole(snapshotName(snapshot.Index), encodeFrame(0, payload))
+}
+
+// UseSnapshot starts a log file on a snapshot, given what WriteSnapshot
+// returned for it, and removes older files.
+func (l *Log) UseSnapshot(snapshot *wire.LogSnapshot, hard *wire.HardState, tail []*wire.LogEntry, written error) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if written != nil {
+		return l.fail(written)
+	}
 	if err := l.rewrite(hard, snapshot, tail); err != nil {
 		return err
 	}
@@ -87,12 +99,12 @@
 	path := filepath.Join(l.folder, name)
 	file, err := l.writeTemporary(path, data)
 	if err != nil {
-		return l.fail(err)
+		return err
 	}
 	if err := file.Close(); err != nil {
-		return l.fail(err)
+		return err
 	}
-	return l.fail(l.publish(path))
+	return l.publish(path)
 }
 
 func (l *Log) writeTemporary(path string, data []byte) (File, error) {
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -117,7 +117,7 @@
 		return err
 	}
 	state.ID, state.Created = hex.EncodeToString(raw), true
-	return l.writeWhole(identityName, []byte(state.ID+"\n"))
+	return l.fail(l.writeWhole(identityName, []byte(state.ID+"\n")))
 }
 
 func newest(names []string, prefix string) string {
