--- a/cmd/apricotspoke-agent/main.go
+++ b/cmd/apricotspoke-agent/main.go
@@ -10,11 +10,13 @@
 
 	"github.com/apricotspoke/apricotspoke/role/agent"
 	"github.com/apricotspoke/apricotspoke/settings"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 )
 
 func main() {
 	var options agent.Options
 	settings.Parse("apricotspoke-agent", &options)
+	logs.SetLevel(options.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := run(ctx, &options); err != nil {
@@ -24,7 +26,7 @@
 }
 
 func run(ctx context.Context, options *agent.Options) error {
-	process, err := agent.New(options, nil)
+	process, err := agent.New(options)
 	if err != nil {
 		return err
 	}
--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"sync"
 	"time"
 
@@ -31,11 +32,14 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	sequence uint64 // of the last lease request
 }
 
-// NewQuota returns a quota that holds nothing; Run fills it.
+// NewQuota returns a quota that holds nothing; Run fills it. Its name towards
+// control is new each time: what an earlier process of this entry held is not
+// its own, and its request sequence starts again.
 func NewQuota(entry string, leaser Leaser) *Quota {
-	return &Quota{entry: entry, leaser: leaser, wake: make(chan struct{}, 1), accounts: make(map[string]*account)}
+	return &Quota{entry: entry + "/" + rand.Text(), leaser: leaser, wake: make(chan struct{}, 1), accounts: make(map[string]*account)}
 }
 
 // Hold is the quota of one request. Release gives back what it did not use.
@@ -210,7 +214,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	request := &wire.LeaseRequest{Entry: q.entry}
+	q.sequence++
+	request := &wire.LeaseRequest{Entry: q.entry, Sequence: q.sequence}
 	for organisation, a := range q.accounts {
 		if a.used == 0 && now.Sub(a.lastTake) > forgetAfter {
 			delete(q.accounts, organisation)
@@ -243,7 +248,8 @@
 func (q *Quota) returnAll() *wire.LeaseRequest {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	request := &wire.LeaseRequest{Entry: q.entry}
+	q.sequence++
+	request := &wire.LeaseRequest{Entry: q.entry, Sequence: q.sequence}
 	for organisation, a := range q.accounts {
 		a.expire(time.Now())
 		request.Demands = append(request.Demands, &wire.QuotaDemand{
--- a/coordination/claims/keeper.go
+++ b/coordination/claims/keeper.go
@@ -40,7 +40,7 @@
 	// whether the attempt ran.
 	Run(ctx context.Context, choice routing.Choice, attempt string, job *relay.Job) (*wire.Outcome, error)
 	// Choose picks an endpoint.
-	Choose(route *routing.Request) (routing.Choice, error)
+	Choose(job *relay.Job) (routing.Choice, error)
 }
 
 // Request is one non-repeatable request.
@@ -113,8 +113,7 @@
 func (r *roundOver) Error() string { return "claim again" }
 
 func (k *Keeper) round(ctx context.Context, request *Request, refused error) (*Answer, error) {
-	request.Job.Route.Now = time.Now()
-	choice, err := k.runner.Choose(&request.Job.Route)
+	choice, err := k.runner.Choose(request.Job)
 	if err != nil {
 		return k.withoutEndpoint(ctx, request, firstOf(refused, err))
 	}
@@ -164,7 +163,7 @@
 	for {
 		response, err := k.claimOnce(ctx, message)
 		if err == nil && !mayPass(response.Failure) {
-			return ownIsGranted(response, origin.Attempt), fault.FromWire(response.Failure)
+			return answered(response, origin.Attempt)
 		}
 		if err == nil {
 			err = fault.FromWire(response.Failure)
@@ -175,6 +174,20 @@
 	}
 }
 
+// answered turns control's answer to a claim into a result. A reused key tells
+// nothing of whether the earlier request ran.
+func answered(response *wire.ClaimResponse, attempt string) (*wire.ClaimResponse, error) {
+	err := fault.FromWire(response.Failure)
+	switch {
+	case err == nil:
+		return ownIsGranted(response, attempt), nil
+	case fault.KindOf(err) == fault.KeyReused:
+		return nil, &Uncertain{err}
+	default:
+		return nil, err
+	}
+}
+
 // ownIsGranted takes the answer to a claim that was made twice because the first
 // answer was lost: the open claim that it finds is this request's own.
 func ownIsGranted(response *wire.ClaimResponse, attempt string) *wire.ClaimResponse {
--- a/coordination/gate/engine_test.go
+++ b/coordination/gate/engine_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +18,9 @@
 
 var errReset = errors.New("connection reset")
 
+// noticeDelay is how late an endpoint notices a closed connection.
+const noticeDelay = 30 * time.Millisecond
+
 // engine is an endpoint in memory that checks its own rules.
 type engine struct {
 	delay      time.Duration // between the write of a request and its arrival
@@ -54,10 +59,7 @@
 	if call.Written != nil {
 		call.Written()
 	}
-	time.Sleep(e.delay)
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
-	}
+	time.Sleep(e.delay) // what was written arrives, also when the sender has given up
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sends = append(e.sends, call.Attempt)
@@ -85,10 +87,11 @@
 func (e *engine) stream(ctx context.Context, id string, w *work, out *io.PipeWriter, from, breakAfter int, text func(int) string) {
 	for i := from; i <= e.tokens; i++ {
 		select {
-		case <-time.After(e.gap):
+		case <-time.After(e.pace()):
 		case <-ctx.Done():
-			e.drop(id, w)
 			out.CloseWithError(ctx.Err())
+			time.Sleep(noticeDelay)
+			e.drop(id, w)
 			return
 		case <-w.stop:
 			if w.kill == nil {
@@ -178,6 +181,31 @@
 	return nil
 }
 
+func (e *engine) pace() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gap
+}
+
+func (e *engine) setPace(gap time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gap = gap
+}
+
+// left names the attempts at the endpoint, in order.
+func (e *engine) left() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.active))
+}
+
+func (e *engine) blocksLeft() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.blocks)
+}
+
 // restart turns the endpoint cold; with kill nil its connections go silent.
 func (e *engine) restart(kill error) {
 	e.mu.Lock()
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -63,6 +63,7 @@
 		r.control.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		expect(open("a7", true), fault.OutOfService)
+		synctest.Wait()
 		if got := r.engine.runs["a1"]; got != 1 || len(r.engine.runs) != 1 {
 			t.Errorf("runs are %v", r.engine.runs)
 		}
@@ -85,6 +86,7 @@
 		if kind := last.GetRefused().GetFailure().GetKind(); kind != string(fault.NotCurrent) {
 			t.Errorf("queued attempt ended with %v", last)
 		}
+		synctest.Wait()
 		state := r.Inquire(&wire.InquireRequest{Attempt: "a3"}).State
 		if state != wire.AttemptState_ATTEMPT_STATE_REFUSED || e.runs["a3"] != 0 {
 			t.Errorf("state %v, runs %d", state, e.runs["a3"])
@@ -143,8 +145,8 @@
 			t.Errorf("ended with %v", last)
 		}
 		time.Sleep(time.Second)
-		if r.Used() != 0 || len(e.active) != 0 {
-			t.Errorf("%d tokens and %d attempts left", r.Used(), len(e.active))
+		if r.Used() != 0 || len(e.left()) != 0 {
+			t.Errorf("%d tokens and %d attempts left", r.Used(), len(e.left()))
 		}
 	})
 }
@@ -160,8 +162,8 @@
 		r.submit(t, open("repeatable", true)).Detach()
 		r.submit(t, open("once", false)).Detach()
 		time.Sleep(6 * time.Second)
-		if _, runs := e.active["repeatable"]; runs || len(e.active) != 1 {
-			t.Errorf("active: %v", e.active)
+		if got := fmt.Sprint(e.left()); got != "[once]" {
+			t.Errorf("active: %v", got)
 		}
 		time.Sleep(6 * time.Second)
 		told := r.Inquire(&wire.InquireRequest{Attempt: "once", GateInstance: r.Instance()})
@@ -194,25 +196,32 @@
 	})
 }
 
-// fault plan of one random run.
+// plan is one random run: bursts of attempts around unnoticed restarts.
 type plan struct {
 	Restarts []int  // milliseconds
 	Kill     []bool // whether the restart breaks connections
-	Starts   []int  // milliseconds, one for each attempt
+	Bursts   []int  // milliseconds, one for each attempt
 	Cancels  []int  // milliseconds after the start, 0 for none
 	Delay    int    // milliseconds from write to arrival
+	Gap      int    // milliseconds between events
 }
 
 func drawPlan(t *rapid.T) plan {
 	n := rapid.IntRange(1, 3).Draw(t, "restarts")
-	m := rapid.IntRange(10, 60).Draw(t, "attempts")
-	return plan{
-		Restarts: rapid.SliceOfN(rapid.IntRange(1, 900), n, n).Draw(t, "at"),
+	m := rapid.IntRange(30, 90).Draw(t, "attempts")
+	p := plan{
+		Restarts: rapid.SliceOfN(rapid.IntRange(1, 300), n, n).Draw(t, "at"),
 		Kill:     rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, "kill"),
-		Starts:   rapid.SliceOfN(rapid.IntRange(0, 1000), m, m).Draw(t, "starts"),
-		Cancels:  rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 1, 2, 5, 30}), m, m).Draw(t, "cancels"),
+		Cancels:  rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 1, 5, 30, 200, 400}), m, m).Draw(t, "cancels"),
 		Delay:    rapid.IntRange(0, 5).Draw(t, "delay"),
+		Gap:      rapid.IntRange(5, 40).Draw(t, "gap"),
 	}
+	near := append([]int{0, 50, 100}, p.Restarts...)
+	for i := range m {
+		burst := rapid.SampledFrom(near).Draw(t, "burst")
+		p.Bursts = append(p.Bursts, max(0, burst+rapid.IntRange(-3, 3).Draw(t, fmt.Sprint("shift", i))))
+	}
+	return p
 }
 
 // Whatever dies or is cancelled, whenever the endpoint restarts unnoticed: it
@@ -234,8 +243,12 @@
 	e.delay = time.Duration(p.Delay) * time.Millisecond
 	r := newRig(e, inService)
 	defer r.stop()
-	ended := make(chan string, len(p.Starts))
-	for i, at := range p.Starts {
+	for i := range 20 {
+		collect(r.submit(t, open(fmt.Sprint("warm", i), true)), 1)
+	}
+	e.setPace(time.Duration(p.Gap) * time.Millisecond)
+	ended := make(chan string, len(p.Bursts))
+	for i, at := range p.Bursts {
 		go func() {
 			time.Sleep(time.Duration(at) * time.Millisecond)
 			ended <- r.once(fmt.Sprint("a", i), time.Duration(p.Cancels[i])*time.Millisecond)
@@ -251,12 +264,13 @@
 			}
 		}()
 	}
-	for range p.Starts {
+	for range p.Bursts {
 		if fault := <-ended; fault != "" {
 			problems = append(problems, fault)
 		}
 	}
 	time.Sleep(5 * time.Second)
+	synctest.Wait()
 	if used := r.Used(); used != 0 {
 		problems = append(problems, fmt.Sprintf("%d tokens stay reserved", used))
 	}
@@ -265,8 +279,8 @@
 			problems = append(problems, fmt.Sprintf("%s ran %d times", id, n))
 		}
 	}
-	if len(e.active) != 0 {
-		problems = append(problems, fmt.Sprintf("%d attempts left at the endpoint", len(e.active)))
+	if left := e.left(); len(left) != 0 {
+		problems = append(problems, fmt.Sprintf("%v left at the endpoint", left))
 	}
 	return append(problems, e.breaches...)
 }
@@ -297,6 +311,31 @@
 	return ""
 }
 
+// A gate that was started anew counts what its predecessor left as load, and
+// cancels it before its own work goes in.
+func TestRestartedGateClearsUnknownWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		first := newRig(e, inService)
+		e.setPace(time.Hour)
+		first.submit(t, open("old1", true))
+		first.submit(t, open("old2", true))
+		time.Sleep(100 * time.Millisecond)
+		first.cancel()
+		second := newRig(e, inService)
+		defer second.stop()
+		defer first.stop()
+		e.setPace(time.Millisecond)
+		if text, _ := collect(second.submit(t, open("new", true)), 1); text != wholeAnswer(4) {
+			t.Errorf("answer is %q", text)
+		}
+		synctest.Wait()
+		if got := fmt.Sprint(e.left(), e.breaches); got != "[] []" {
+			t.Errorf("left and breaches: %v", got)
+		}
+	})
+}
+
 // Blocks and memory of a group reservation go with it, whoever dies.
 func TestGroupReservationIsFreed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -310,12 +349,12 @@
 		segment := open("a1", true)
 		segment.Path, segment.Reservation = "/kv/prefill", "g"
 		collect(r.submit(t, segment), 1)
-		if len(e.blocks) != 1 {
-			t.Errorf("blocks are %v", e.blocks)
+		if got := e.blocksLeft(); got != 1 {
+			t.Errorf("%d blocks", got)
 		}
 		time.Sleep(3 * time.Second) // the reservation expires
-		if r.Used() != 0 || len(e.blocks) != 0 {
-			t.Errorf("%d tokens and %d blocks left", r.Used(), len(e.blocks))
+		if r.Used() != 0 || e.blocksLeft() != 0 {
+			t.Errorf("%d tokens and %d blocks left", r.Used(), e.blocksLeft())
 		}
 	})
 }
@@ -333,6 +372,7 @@
 		r := newRig(e, config)
 		defer r.stop()
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		if got := fmt.Sprint(e.orders, r.control.done); got != "[12 20] [12 20]" {
 			t.Errorf("orders and reports are %s", got)
 		}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -55,6 +55,7 @@
 		maxRate, maxBurst, maxSlots := contract.RequestsPerSecond, contract.RequestBurst, contract.Concurrency
 		var spentRequests, spentTokens []spending
 		entries := []*entryModel{{name: "e0"}, {name: "e1"}, {name: "e2"}}
+		changes := rapid.Bool().Draw(t, "contract changes")
 		for range 150 {
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 200, 900, 1999, 2001}).Draw(t, "ms")) * time.Millisecond)
 			e := rapid.SampledFrom(entries).Draw(t, "entry")
@@ -65,6 +66,9 @@
 			case 1: // another replica leads
 				ledger = NewLedger(now)
 			case 2:
+				if !changes {
+					continue
+				}
 				contract.RequestsPerSecond = float64(rapid.IntRange(1, 10).Draw(t, "rate"))
 				contract.RequestBurst = float64(rapid.IntRange(1, 20).Draw(t, "burst"))
 				contract.Concurrency = uint32(rapid.IntRange(1, 5).Draw(t, "concurrency"))
@@ -105,7 +109,7 @@
 	}
 	e.slots = min(e.slots, max(demand.ConcurrencyWanted, e.used))
 	request := &wire.LeaseRequest{Entry: e.name, Sequence: e.sequence}
-	if !ledger.InOrder(request) {
+	if !ledger.InOrder(sentAt, request) {
 		t.Fatal("a request in order was refused")
 	}
 	*now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 5, 300}).Draw(t, "delay")) * time.Millisecond)
@@ -162,8 +166,27 @@
 		sequence uint64
 		ok       bool
 	}{{1, true}, {3, true}, {2, false}, {3, false}, {4, true}} {
-		if ok := ledger.InOrder(&wire.LeaseRequest{Entry: "e", Sequence: c.sequence}); ok != c.ok {
+		if ok := ledger.InOrder(epoch, &wire.LeaseRequest{Entry: "e", Sequence: c.sequence}); ok != c.ok {
 			t.Error(fmt.Sprint("request ", i, ": ", ok))
 		}
 	}
+	ledger.InOrder(epoch.Add(2*sequenceLife), &wire.LeaseRequest{Entry: "other", Sequence: 1})
+	if len(ledger.sequences) != 1 {
+		t.Error("ended entries are kept for ever")
+	}
+}
+
+// What a dead entry held may have been spent just before it expired, so the
+// room that it leaves is filled at the rate, not at once.
+func TestExpiredHoldingIsRefilledAtTheRate(t *testing.T) {
+	contract := &wire.Contract{Organisation: "o", RequestsPerSecond: 10, RequestBurst: 20}
+	ledger := NewLedger(epoch.Add(-time.Hour))
+	demand := &wire.QuotaDemand{Organisation: "o", Requests: 20}
+	if grant := ledger.Lease(epoch, "dead", demand, contract); grant.Requests != 20 {
+		t.Fatalf("a full bucket gave %v", grant.Requests)
+	}
+	grant := ledger.Lease(epoch.Add(Life+100*time.Millisecond), "other", demand, contract)
+	if grant.Requests < 0.9 || grant.Requests > 1.1 {
+		t.Fatalf("0.1 s after the expiry %v were granted, 1 is there", grant.Requests)
+	}
 }
--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -12,10 +12,12 @@
 
 	"go.uber.org/dig"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/transport/controlclient"
 	"github.com/apricotspoke/apricotspoke/transport/endpoint"
@@ -28,6 +30,11 @@
 	// reportLeaving is the time for entries to hear that the gate is leaving.
 	reportLeaving     = 500 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
+	// A connection whose other end is gone without a word ends its streams.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+	// lastReaders is the time for entries to read the end of their answers.
+	lastReaders = 30 * time.Second
 )
 
 var log = logs.For("agent")
@@ -41,18 +48,20 @@
 	sender   *gatereport.Sender
 	pool     *link.Pool
 	server   *grpc.Server
+	role     *control.Role // nil without a data folder
 }
 
-// New wires an agent. Further servers of the same process are added by
-// register, which may be nil.
-func New(options *Options, register func(grpc.ServiceRegistrar)) (*Agent, error) {
+// New wires an agent; with a data folder it hosts the control role too.
+func New(options *Options) (*Agent, error) {
 	container := dig.New()
 	providers := []any{
 		func() *Options { return options },
 		func() *link.Pool { return link.NewPool(link.Security{}) },
 		configsync.NewStore,
 		endpoint.NewClient,
-		newControl,
+		newControlClient,
+		newProcess,
+		newControlRole,
 		newGate,
 		newFollower,
 		newSender,
@@ -67,15 +76,12 @@
 	var agent *Agent
 	err := container.Invoke(func(a *Agent) { agent = a })
 	if err != nil {
-		return nil, err
-	}
-	if register != nil {
-		register(agent.server)
+		return nil, dig.RootCause(err)
 	}
 	return agent, nil
 }
 
-func newControl(options *Options, pool *link.Pool) *controlclient.Client {
+func newControlClient(options *Options, pool *link.Pool) *controlclient.Client {
 	return controlclient.New(pool, options.Control)
 }
 
@@ -86,8 +92,20 @@
 	})
 }
 
-func newFollower(options *Options, store *configsync.Store, pool *link.Pool) *configsync.Follower {
-	process := &wire.ProcessInfo{Id: options.ID, Role: "agent", DataCentre: options.DataCentre, Address: options.Listen}
+func newProcess(options *Options) *wire.ProcessInfo {
+	return &wire.ProcessInfo{Id: options.ID, Role: "agent", DataCentre: options.DataCentre, Address: options.Listen}
+}
+
+// newControlRole returns the control role, or nil without a data folder.
+func newControlRole(options *Options, process *wire.ProcessInfo, store *configsync.Store, pool *link.Pool) (*control.Role, error) {
+	if !options.Enabled() {
+		return nil, nil
+	}
+	config := &control.Config{Options: options.Options, Process: process, Peers: options.Control}
+	return control.New(config, store, pool)
+}
+
+func newFollower(options *Options, process *wire.ProcessInfo, store *configsync.Store, pool *link.Pool) *configsync.Follower {
 	peers := controlclient.Peers(pool, slices.Concat(options.Control, options.Entries))
 	return configsync.NewFollower(store, process, func() []configsync.Peer { return peers })
 }
@@ -96,16 +114,21 @@
 	return gatereport.NewSender(g, pool, slices.Concat(options.Entries, options.Control))
 }
 
-func newServer(g *gate.Gate, store *configsync.Store) *grpc.Server {
-	server := link.NewServer(link.Security{})
+func newServer(g *gate.Gate, store *configsync.Store, role *control.Role) *grpc.Server {
+	server := link.NewServer(link.Security{}, grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}))
 	wire.RegisterGateServer(server, gateserver.New(g))
+	if role != nil {
+		role.Register(server)
+		role.RegisterShared(server)
+		return server
+	}
 	wire.RegisterConfigServer(server, gateserver.NewConfigServer(store))
 	return server
 }
 
 func newAgent(options *Options, g *gate.Gate, client *endpoint.Client, follower *configsync.Follower,
-	sender *gatereport.Sender, pool *link.Pool, server *grpc.Server) *Agent {
-	return &Agent{options: options, gate: g, client: client, follower: follower, sender: sender, pool: pool, server: server}
+	sender *gatereport.Sender, pool *link.Pool, server *grpc.Server, role *control.Role) *Agent {
+	return &Agent{role: role, options: options, gate: g, client: client, follower: follower, sender: sender, pool: pool, server: server}
 }
 
 // Run serves until ctx ends, then refuses new work and waits for what runs, up
@@ -122,13 +145,14 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
+	controlEnded := a.runControl(background, failed)
 	go func() { failed <- a.server.Serve(fleet) }()
 	servers := a.serveHTTP(announce, failed)
 	go a.follower.Run(background)
 	go a.gate.Run(background)
 	go a.sender.Run(background)
-	go a.client.FollowCache(background, a.gate.AddCacheEvents)
+	go a.client.FollowCache(background, a.gate.IsEngine, a.gate.AddCacheEvents)
 	log.Info().Str("id", a.options.ID).Str("instance", a.gate.Instance()).Str("listen", a.options.Listen).Msg("agent started")
 	select {
 	case <-ctx.Done():
@@ -136,6 +160,8 @@
 	case err = <-failed:
 	}
 	a.drain()
+	stop() // control hands its leadership over while its server still answers
+	<-controlEnded
 	a.server.Stop()
 	for _, s := range servers {
 		_ = s.Close()
@@ -144,6 +170,23 @@
 	return err
 }
 
+// runControl runs the control role, if there is one; a failure of its data
+// folder ends the process.
+func (a *Agent) runControl(ctx context.Context, failed chan<- error) <-chan struct{} {
+	ended := make(chan struct{})
+	if a.role == nil {
+		close(ended)
+		return ended
+	}
+	go func() {
+		defer close(ended)
+		if err := a.role.Run(ctx); err != nil {
+			failed <- err
+		}
+	}()
+	return ended
+}
+
 func (a *Agent) serveHTTP(announce net.Listener, failed chan<- error) []*http.Server {
 	serve := func(listener net.Listener, handler http.Handler) *http.Server {
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
@@ -184,5 +227,7 @@
 	if !a.gate.Drain(ctx) {
 		log.Warn().Int("running", a.gate.Busy()).Msg("drain limit passed")
 	}
-	a.gate.AwaitReaders(ctx)
+	last, cancelLast := context.WithTimeout(ctx, lastReaders)
+	defer cancelLast()
+	a.gate.AwaitReaders(last)
 }
--- a/role/entry/wiring.go
+++ b/role/entry/wiring.go
@@ -12,6 +12,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/callerhttp"
@@ -38,6 +39,9 @@
 		newPool, newPolicy, newRouter, newControlClient, newLinks, newQuota,
 		newRelay, newKeeper, newFollower, newCallers, newFleetServer, newEntry,
 	}
+	if options.ControlRole.Enabled() {
+		constructors = append(constructors, newControlRole)
+	}
 	for _, constructor := range append(constructors, extra...) {
 		if err := container.Provide(constructor); err != nil {
 			return nil, fmt.Errorf("wiring: %w", err)
@@ -82,17 +86,34 @@
 	return admission.NewQuota(o.ID, client)
 }
 
-func newRelay(gates relay.Gates, router *routing.Router, budget *relay.Budget) *relay.Relay {
-	return relay.New(gates, router, budget)
+func newRelay(gates relay.Gates, store *configsync.Store, router *routing.Router, budget *relay.Budget) *relay.Relay {
+	return relay.New(gates, store, router, budget)
 }
 
-func newKeeper(client *controllink.Client, gates relay.Gates, r *relay.Relay, router *routing.Router, bodies *callerhttp.Bodies) *claims.Keeper {
-	return claims.NewKeeper(client, gates, callerhttp.NewOnceRunner(r, router, bodies))
+func newKeeper(client *controllink.Client, gates relay.Gates, r *relay.Relay, bodies *callerhttp.Bodies) *claims.Keeper {
+	return claims.NewKeeper(client, gates, callerhttp.NewOnceRunner(r, bodies))
 }
 
 func newFollower(store *configsync.Store, o *Options, pool *link.Pool, table *routing.Table) *configsync.Follower {
-	process := &wire.ProcessInfo{Id: o.ID, Role: "entry", DataCentre: o.DataCentre, Address: o.Listen}
-	return configsync.NewFollower(store, process, func() []configsync.Peer { return configPeers(o, pool, table) })
+	return configsync.NewFollower(store, processInfo(o), func() []configsync.Peer { return configPeers(o, pool, table) })
+}
+
+// newControlRole opens the control role of a process that hosts it.
+func newControlRole(o *Options, store *configsync.Store, pool *link.Pool, s security) (Control, error) {
+	role, err := control.New(&control.Config{
+		Options:  o.ControlRole,
+		Process:  processInfo(o),
+		Peers:    o.Control,
+		Security: s.Security,
+	}, store, pool)
+	if err != nil {
+		return nil, err
+	}
+	return role, nil
+}
+
+func processInfo(o *Options) *wire.ProcessInfo {
+	return &wire.ProcessInfo{Id: o.ID, Role: "entry", DataCentre: o.DataCentre, Address: o.Listen}
 }
 
 // maxFallbackPeers bounds the gates that are asked for the configuration.
@@ -129,6 +150,7 @@
 	Bodies  *callerhttp.Bodies
 	Drain   *callerhttp.Drain
 	Metrics *metrics.Registry
+	Log     *logs.Logger
 }
 
 func newCallers(p callerParts, table *routing.Table) *callerhttp.Server {
@@ -148,12 +170,26 @@
 		Bodies:  p.Bodies,
 		Drain:   p.Drain,
 		Metrics: p.Metrics,
+		Log:     p.Log,
 	}
 }
 
-func newFleetServer(s security, store *configsync.Store, table *routing.Table) *grpc.Server {
+// hosted is the control role, if this process hosts it.
+type hosted struct {
+	dig.In
+
+	Control Control `optional:"true"`
+}
+
+func newFleetServer(s security, store *configsync.Store, table *routing.Table, h hosted) *grpc.Server {
 	server := link.NewServer(s.Security)
-	wire.RegisterAnnounceServer(server, gatelink.NewAnnounce(table))
-	wire.RegisterConfigServer(server, controllink.NewConfigServer(store))
+	if h.Control == nil {
+		wire.RegisterAnnounceServer(server, gatelink.NewAnnounce(table, nil))
+		wire.RegisterConfigServer(server, controllink.NewConfigServer(store, nil))
+		return server
+	}
+	h.Control.Register(server)
+	wire.RegisterAnnounceServer(server, gatelink.NewAnnounce(table, h.Control.Observe))
+	wire.RegisterConfigServer(server, controllink.NewConfigServer(store, h.Control.ObserveProcess))
 	return server
 }
