Ask again when the answer to a claim is lost

Claims and settlements name their attempt, so both are made again. The fake control of the tests answers with copies: its records changed while they were being sent, which the race detector reported.

--- /dev/null
+++ b/coordination/claims/claim_retry_test.go
@@ -0,0 +1,71 @@
+package claims
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/relay"
+	"github.com/apricotspoke/apricotspoke/coordination/routing"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// lossyControl commits each claim and settlement, and loses its first answers.
+type lossyControl struct {
+	lost    int
+	claimed string
+	settled wire.ClaimState
+}
+
+func (c *lossyControl) lose() *wire.Failure {
+	if c.lost == 0 {
+		return nil
+	}
+	c.lost--
+	return fault.ToWire(fault.New(fault.OutcomeUnknown, "the leader did not answer"))
+}
+
+func (c *lossyControl) Claim(_ context.Context, r *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+	granted := c.claimed == ""
+	if granted {
+		c.claimed = r.Attempt
+	}
+	if f := c.lose(); f != nil {
+		return &wire.ClaimResponse{Failure: f}, nil
+	}
+	return &wire.ClaimResponse{Granted: granted, Existing: &wire.ClaimRecord{Attempt: c.claimed}}, nil
+}
+
+func (c *lossyControl) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleResponse, error) {
+	c.settled = r.State
+	return &wire.SettleResponse{}, nil
+}
+
+type countingRunner struct{ runs int }
+
+func (r *countingRunner) Choose(*relay.Job) (routing.Choice, error) {
+	return routing.Choice{Endpoint: &routing.Endpoint{Report: &wire.GateReport{}}}, nil
+}
+
+func (r *countingRunner) Run(context.Context, routing.Choice, string, *relay.Job) (*wire.Outcome, error) {
+	r.runs++
+	return &wire.Outcome{Status: 201}, nil
+}
+
+// A leader that dies with a claim in its hands leaves the claim's outcome
+// unknown, not that of the request: nothing was dispatched yet.
+func TestLostAnswerToAClaimIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control, runner := &lossyControl{lost: 2}, &countingRunner{}
+		job := &relay.Job{Open: &wire.AttemptOpen{}, WholeBy: time.Now().Add(time.Minute)}
+		answer, err := NewKeeper(control, nil, runner).Run(t.Context(), &Request{Key: "k", Job: job})
+		if err != nil || answer.Outcome.Status != 201 || runner.runs != 1 {
+			t.Fatalf("answer %v, %v after %d runs", answer, err, runner.runs)
+		}
+		if control.settled != wire.ClaimState_CLAIM_STATE_DONE {
+			t.Errorf("settled as %v", control.settled)
+		}
+	})
+}
--- a/coordination/claims/keeper.go
+++ b/coordination/claims/keeper.go
@@ -162,18 +162,11 @@
 	}
 	for {
 		response, err := k.claimOnce(ctx, message)
-		if err == nil && response.Failure != nil {
-			err = fault.FromWire(response.Failure)
-			switch fault.KindOf(err) {
-			case fault.NotLeader, fault.NotCurrent:
-			case fault.KeyReused:
-				return nil, &Uncertain{err}
-			default:
-				return nil, err
-			}
+		if err == nil && !mayPass(response.Failure) {
+			return ownIsGranted(response, origin.Attempt), claimRefused(response.Failure)
 		}
 		if err == nil {
-			return ownIsGranted(response, origin.Attempt), nil
+			err = fault.FromWire(response.Failure)
 		}
 		if !pause(ctx, retryPause) {
 			return nil, &Uncertain{fault.Wrap(err, fault.NotCurrent, "the claim could not be recorded").After(inProgressRetry)}
@@ -181,6 +174,16 @@
 	}
 }
 
+// claimRefused is control's reason. A key that was used for another request
+// leaves open whether that one ran.
+func claimRefused(f *wire.Failure) error {
+	err := fault.FromWire(f)
+	if f.GetKind() == string(fault.KeyReused) {
+		return &Uncertain{err}
+	}
+	return err
+}
+
 // ownIsGranted takes the answer to a claim that was made twice because the first
 // answer was lost: the open claim that it finds is this request's own.
 func ownIsGranted(response *wire.ClaimResponse, attempt string) *wire.ClaimResponse {
@@ -256,8 +259,15 @@
 	}
 }
 
+// mayPass reports whether a call to control is to be made again. A claim and its
+// settlement name their attempt, so a first one that was carried out after all
+// does no harm.
 func mayPass(f *wire.Failure) bool {
-	return f != nil && (f.Kind == string(fault.NotLeader) || f.Kind == string(fault.NotCurrent))
+	switch fault.Kind(f.GetKind()) {
+	case fault.NotLeader, fault.NotCurrent, fault.OutcomeUnknown:
+		return true
+	}
+	return false
 }
 
 // bounded is the outcome as it is recorded: without a body that is too long.
--- a/role/entry/fakes_test.go
+++ b/role/entry/fakes_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 )
 
 // plan is what a fake gate does with one attempt.
@@ -215,7 +216,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	have := c.claims[r.Key]
-	response := &wire.ClaimResponse{Existing: have}
+	response := &wire.ClaimResponse{Existing: proto.CloneOf(have)}
 	if have == nil || have.State == wire.ClaimState_CLAIM_STATE_NOT_RUN {
 		c.claims[r.Key] = &wire.ClaimRecord{Organisation: r.Organisation, Key: r.Key, RequestDigest: r.RequestDigest,
 			Attempt: r.Attempt, GateInstance: r.GateInstance, GateAddress: r.GateAddress}
@@ -239,7 +240,7 @@
 		return &wire.SettleResponse{Failure: fault.ToWire(fault.New(fault.Conflict, "another attempt"))}, nil
 	}
 	have.State, have.Outcome = r.State, r.Outcome
-	return &wire.SettleResponse{Record: have}, nil
+	return &wire.SettleResponse{Record: proto.CloneOf(have)}, nil
 }
 
 func (c *fakeControl) Lease(_ context.Context, r *wire.LeaseRequest) (*wire.LeaseResponse, error) {
--- a/transport/controllink/client.go
+++ b/transport/controllink/client.go
@@ -76,7 +76,11 @@
 
 // elsewhere reports whether another replica may be able to answer.
 func elsewhere(f *wire.Failure) bool {
-	return f != nil && (f.Kind == string(fault.NotLeader) || f.Kind == string(fault.NotCurrent))
+	switch fault.Kind(f.GetKind()) {
+	case fault.NotLeader, fault.NotCurrent, fault.OutcomeUnknown:
+		return true
+	}
+	return false
 }
 
 func tryOne[T any](ctx context.Context, c *Client, address string, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
