--- a/coordination/claims/keeper.go
+++ b/coordination/claims/keeper.go
@@ -163,7 +163,7 @@
 	for {
 		response, err := k.claimOnce(ctx, message)
 		if err == nil && !mayPass(response.Failure) {
-			return answered(response, origin.Attempt)
+			return ownIsGranted(response, origin.Attempt), claimRefused(response.Failure)
 		}
 		if err == nil {
 			err = fault.FromWire(response.Failure)
@@ -174,18 +174,14 @@
 	}
 }
 
-// answered turns control's answer to a claim into a result. A reused key tells
-// nothing of whether the earlier request ran.
-func answered(response *wire.ClaimResponse, attempt string) (*wire.ClaimResponse, error) {
-	err := fault.FromWire(response.Failure)
-	switch {
-	case err == nil:
-		return ownIsGranted(response, attempt), nil
-	case fault.KindOf(err) == fault.KeyReused:
-		return nil, &Uncertain{err}
-	default:
-		return nil, err
+// claimRefused is control's reason. A key that was used for another request
+// leaves open whether that one ran.
+func claimRefused(f *wire.Failure) error {
+	err := fault.FromWire(f)
+	if f.GetKind() == string(fault.KeyReused) {
+		return &Uncertain{err}
 	}
+	return err
 }
 
 // ownIsGranted takes the answer to a claim that was made twice because the first
