Keep quota for the time in which a new control leader grants none

It now holds 2.5 s of demand, at most half of the burst, and for contracts that are ample keeps two requests and a slot for 30 s when idle. Small contracts keep none, as entries would hoard them.

--- a/coordination/admission/account.go
+++ b/coordination/admission/account.go
@@ -8,17 +8,21 @@
 )
 
 const (
-	prefetchFor  = 500 * time.Millisecond // demand held in advance
-	idleAfter    = 2 * time.Second        // without requests, all unspent quota goes back
-	forgetAfter  = 30 * time.Second
-	standing     = 2.0 // requests held in advance at least
-	surplus      = 3.0 // times the target above which quota goes back
-	rateSmooth   = 0.3 // weight of the newest interval in the demand rate
-	slotHeadroom = 4   // one spare slot per this many used
+	prefetchFor  = 2500 * time.Millisecond // demand held in advance: a new leader grants nothing for about as long
+	idleAfter    = 2 * time.Second         // without requests, all but the standing part goes back
+	forgetAfter  = 30 * time.Second        // without requests, the standing part goes back too
+	standing     = 2.0                     // requests held in advance at least
+	surplus      = 1.5                     // times the target above which quota goes back
+	mostOfBurst  = 0.5                     // of the contract's burst held in advance at most
+	standingPart = 8                       // a contract must allow this many times what is left standing
+	rateSmooth   = 0.3                     // weight of the newest interval in the demand rate
+	slotHeadroom = 4                       // one spare slot per this many used
 )
 
 // account is the part of one contract that the entry holds.
 type account struct {
+	contract         *wire.Contract
+	takeTokens       float64 // smoothed tokens of one request
 	requests, tokens float64 // unspent
 	slots, used      uint32
 	validUntil       time.Time
@@ -32,8 +36,8 @@
 	changed                        chan struct{} // closed by the next lease
 }
 
-func newAccount(now time.Time) *account {
-	return &account{leasedAt: now, lastTake: now, changed: make(chan struct{})}
+func newAccount(contract *wire.Contract, now time.Time) *account {
+	return &account{contract: contract, leasedAt: now, lastTake: now, changed: make(chan struct{})}
 }
 
 func (a *account) take(tokens float64, now time.Time) bool {
@@ -45,6 +49,7 @@
 	a.used++
 	a.spentRequests++
 	a.spentTokens += tokens
+	a.takeTokens += rateSmooth * (tokens - a.takeTokens)
 	return true
 }
 
@@ -53,35 +58,58 @@
 func (a *account) demand(organisation string, now time.Time) *wire.QuotaDemand {
 	a.expire(now)
 	a.measure(now)
-	d := &wire.QuotaDemand{Organisation: organisation, ConcurrencyHeld: a.used}
+	d := &wire.QuotaDemand{Organisation: organisation}
 	targetRequests, targetTokens := a.targets(now)
-	d.Requests = math.Max(0, targetRequests-a.requests)
-	d.Tokens = math.Max(0, targetTokens-a.tokens)
-	if a.requests > surplus*targetRequests {
-		d.ReturnedRequests = a.requests - targetRequests
-		a.requests = targetRequests
-	}
-	if a.tokens > surplus*targetTokens {
-		d.ReturnedTokens = a.tokens - targetTokens
-		a.tokens = targetTokens
-	}
+	d.Requests, d.ReturnedRequests = adjust(&a.requests, targetRequests)
+	d.Tokens, d.ReturnedTokens = adjust(&a.tokens, targetTokens)
 	d.HeldRequests, d.HeldTokens = a.requests, a.tokens
-	d.ConcurrencyWanted = a.used + uint32(a.waitingRequests)
-	if now.Sub(a.lastTake) < idleAfter {
-		d.ConcurrencyWanted += 1 + a.used/slotHeadroom
-	}
+	spare := a.spareSlots(now)
+	d.ConcurrencyWanted = a.used + uint32(a.waitingRequests) + spare
 	a.slots = min(a.slots, d.ConcurrencyWanted) // slots not wanted are handed back
+	d.ConcurrencyHeld = a.used
+	if a.contract.Concurrency >= standingPart {
+		d.ConcurrencyHeld = max(a.used, min(a.slots, a.used+spare))
+	}
 	return d
 }
 
+// adjust returns what is wanted to reach the target, or hands back what lies
+// far above it.
+func adjust(held *float64, target float64) (wanted, returned float64) {
+	if *held > surplus*target {
+		returned = *held - target
+		*held = target
+	}
+	return math.Max(0, target-*held), returned
+}
+
+// targets is what to hold: enough for the demand until a new control leader
+// grants again, within a part of the contract's burst.
 func (a *account) targets(now time.Time) (requests, tokens float64) {
-	if now.Sub(a.lastTake) >= idleAfter {
-		return a.waitingRequests, a.waitingTokens
+	ahead, least := prefetchFor.Seconds(), a.standing()
+	requests, tokens = least, least*a.takeTokens
+	if now.Sub(a.lastTake) < idleAfter {
+		requests = math.Max(standing, math.Min(a.rateRequests*ahead, mostOfBurst*a.contract.RequestBurst))
+		tokens = math.Max(tokens, math.Min(a.rateTokens*ahead, mostOfBurst*a.contract.TokenBurst))
+	}
+	return a.waitingRequests + requests, a.waitingTokens + tokens
+}
+
+// standing is the number of requests kept for an idle organisation, so that its
+// next one is served while control elects a leader. Small contracts keep none:
+// entries would hoard them.
+func (a *account) standing() float64 {
+	if a.contract.RequestBurst < standing*standingPart || a.contract.TokenBurst < standing*standingPart*a.takeTokens {
+		return 0
+	}
+	return standing
+}
+
+func (a *account) spareSlots(now time.Time) uint32 {
+	if now.Sub(a.lastTake) >= idleAfter && a.contract.Concurrency < standingPart {
+		return 0
 	}
-	ahead := prefetchFor.Seconds()
-	requests = a.waitingRequests + math.Max(standing, a.rateRequests*ahead)
-	tokens = a.waitingTokens + a.rateTokens*ahead
-	return requests, tokens
+	return 1 + a.used/slotHeadroom
 }
 
 func (a *account) measure(now time.Time) {
--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -41,25 +41,26 @@
 
 // Hold is the quota of one request. Release gives back what it did not use.
 type Hold struct {
-	quota        *Quota
-	organisation string
-	tokens       float64
-	once         sync.Once
+	quota    *Quota
+	contract *wire.Contract
+	tokens   float64
+	once     sync.Once
 }
 
 // Take takes one request, its tokens and a slot, without waiting when the
 // contract is known to be used up. The error is LimitExceeded, or NotCurrent
 // when control can't be reached for a lease.
-func (q *Quota) Take(ctx context.Context, organisation string, tokens uint64) (*Hold, error) {
+func (q *Quota) Take(ctx context.Context, contract *wire.Contract, tokens uint64) (*Hold, error) {
+	organisation := contract.Organisation
 	deadline := time.NewTimer(leaseWait)
 	defer deadline.Stop()
 	for range leaseRounds {
-		changed, err := q.tryTake(organisation, float64(tokens))
+		changed, err := q.tryTake(contract, float64(tokens))
 		if err != nil {
 			return nil, err
 		}
 		if changed == nil {
-			return &Hold{quota: q, organisation: organisation, tokens: float64(tokens)}, nil
+			return &Hold{quota: q, contract: contract, tokens: float64(tokens)}, nil
 		}
 		err = q.await(ctx, changed, deadline.C)
 		q.stopWaiting(organisation, float64(tokens))
@@ -72,11 +73,11 @@
 
 // tryTake returns nil when the quota was taken, or a channel that is closed by
 // the next lease.
-func (q *Quota) tryTake(organisation string, tokens float64) (<-chan struct{}, error) {
+func (q *Quota) tryTake(contract *wire.Contract, tokens float64) (<-chan struct{}, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	a := q.account(organisation, now)
+	a := q.account(contract, now)
 	a.lastTake = now
 	if a.take(tokens, now) {
 		return nil, nil
@@ -90,12 +91,13 @@
 	return a.changed, nil
 }
 
-func (q *Quota) account(organisation string, now time.Time) *account {
-	a, ok := q.accounts[organisation]
+func (q *Quota) account(contract *wire.Contract, now time.Time) *account {
+	a, ok := q.accounts[contract.Organisation]
 	if !ok {
-		a = newAccount(now)
-		q.accounts[organisation] = a
+		a = newAccount(contract, now)
+		q.accounts[contract.Organisation] = a
 	}
+	a.contract = contract
 	return a
 }
 
@@ -136,7 +138,7 @@
 	h.once.Do(func() {
 		h.quota.mu.Lock()
 		defer h.quota.mu.Unlock()
-		a := h.quota.account(h.organisation, time.Now())
+		a := h.quota.account(h.contract, time.Now())
 		if a.used > 0 {
 			a.used--
 		}
@@ -151,7 +153,7 @@
 	h.once.Do(func() {
 		h.quota.mu.Lock()
 		defer h.quota.mu.Unlock()
-		a := h.quota.account(h.organisation, time.Now())
+		a := h.quota.account(h.contract, time.Now())
 		if a.used > 0 {
 			a.used--
 		}
--- a/coordination/admission/quota_test.go
+++ b/coordination/admission/quota_test.go
@@ -21,6 +21,7 @@
 	returned float64
 	slots    uint32
 	down     bool
+	young    bool // a new leader: it lets entries keep what they hold and grants nothing
 }
 
 func (b *bucket) Lease(_ context.Context, r *wire.LeaseRequest) (*wire.LeaseResponse, error) {
@@ -36,6 +37,10 @@
 	for _, d := range r.Demands {
 		b.left += d.ReturnedRequests
 		b.returned += d.ReturnedRequests
+		if b.young {
+			response.Grants = append(response.Grants, &wire.QuotaGrant{Organisation: d.Organisation, Concurrency: d.ConcurrencyHeld, ValidMs: 1000, RetryAfterMs: 2000})
+			continue
+		}
 		given := min(d.Requests, float64(int(b.left)))
 		b.left -= given
 		b.granted += given
@@ -49,6 +54,8 @@
 	return response, nil
 }
 
+var small = &wire.Contract{Organisation: "a", RequestBurst: 5, TokenBurst: 1e6, Concurrency: 4}
+
 func run(t *testing.T, test func(ctx context.Context, b *bucket, q *Quota)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -68,7 +75,7 @@
 		taken, refused := 0, 0
 		for range 1000 { // 100 a second for 10 s
 			started := time.Now()
-			hold, err := q.Take(ctx, "a", 10)
+			hold, err := q.Take(ctx, small, 10)
 			if err == nil {
 				taken++
 				hold.Release(10)
@@ -91,13 +98,13 @@
 	run(t, func(ctx context.Context, b *bucket, q *Quota) {
 		var holds []*Hold
 		for range 4 {
-			hold, err := q.Take(ctx, "a", 1)
+			hold, err := q.Take(ctx, small, 1)
 			if err != nil {
 				t.Fatal(err)
 			}
 			holds = append(holds, hold)
 		}
-		if _, err := q.Take(ctx, "a", 1); fault.KindOf(err) != fault.LimitExceeded {
+		if _, err := q.Take(ctx, small, 1); fault.KindOf(err) != fault.LimitExceeded {
 			t.Errorf("a fifth at once: %v", err)
 		}
 		holds[0].Release(1)
@@ -109,7 +116,7 @@
 		time.Sleep(time.Second)
 		ended, stop := context.WithCancel(ctx)
 		stop()
-		if hold, err := q.Take(ended, "a", 1); err == nil {
+		if hold, err := q.Take(ended, small, 1); err == nil {
 			hold.Refund()
 		}
 		holds[2].Release(1)
@@ -123,7 +130,7 @@
 // Unspent quota goes back when demand ends, and none is spent after its lease.
 func TestUnspentQuotaGoesBackAndLapses(t *testing.T) {
 	run(t, func(ctx context.Context, b *bucket, q *Quota) {
-		hold, err := q.Take(ctx, "a", 1)
+		hold, err := q.Take(ctx, small, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -137,7 +144,7 @@
 		b.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		started := time.Now()
-		if _, err := q.Take(ctx, "a", 1); fault.KindOf(err) != fault.NotCurrent || time.Since(started) > 2*time.Second {
+		if _, err := q.Take(ctx, small, 1); fault.KindOf(err) != fault.NotCurrent || time.Since(started) > 2*time.Second {
 			t.Errorf("without control: %v after %s", err, time.Since(started))
 		}
 	})
@@ -163,3 +170,34 @@
 		}
 	}
 }
+
+// While a new control leader grants nothing, an organisation of ample contract
+// is served on, also after a pause.
+func TestQuotaOutlastsAChangeOfLeader(t *testing.T) {
+	ample := &wire.Contract{Organisation: "a", RequestBurst: 1000, TokenBurst: 1e6, Concurrency: 100}
+	for _, pause := range []time.Duration{0, 10 * time.Second} {
+		run(t, func(ctx context.Context, b *bucket, q *Quota) {
+			for range 20 {
+				hold, err := q.Take(ctx, ample, 10)
+				if err != nil {
+					t.Fatal(err)
+				}
+				hold.Release(10)
+				time.Sleep(250 * time.Millisecond)
+			}
+			time.Sleep(pause)
+			b.mu.Lock()
+			b.young = true
+			b.mu.Unlock()
+			time.Sleep(300 * time.Millisecond)
+			for range 2 {
+				hold, err := q.Take(ctx, ample, 10)
+				if err != nil {
+					t.Fatalf("after a pause of %s: %v", pause, err)
+				}
+				hold.Release(10)
+				time.Sleep(500 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/transport/callerhttp/call.go
+++ b/transport/callerhttp/call.go
@@ -147,5 +147,5 @@
 func (c *call) take(output uint32) (*admission.Hold, error) {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadlines.Whole)
 	defer cancel()
-	return c.server.Quota.Take(ctx, c.contract.Organisation, c.tokens+uint64(output))
+	return c.server.Quota.Take(ctx, c.contract, c.tokens+uint64(output))
 }
