--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -86,6 +86,7 @@
 		return nil, nil
 	}
 	if wait := a.deniedUntil.Sub(now); wait > 0 {
+		a.asked(tokens)
 		return nil, limitExceeded(wait)
 	}
 	a.waitingRequests++
@@ -147,7 +148,7 @@
 		}
 		unused := max(0, h.tokens-float64(usedTokens))
 		a.tokens += unused
-		a.spentTokens = max(0, a.spentTokens-unused)
+		a.askedTokens = max(0, a.askedTokens-unused)
 	})
 }
 
@@ -162,8 +163,8 @@
 		}
 		a.requests++
 		a.tokens += h.tokens
-		a.spentRequests = max(0, a.spentRequests-1)
-		a.spentTokens = max(0, a.spentTokens-h.tokens)
+		a.askedRequests = max(0, a.askedRequests-1)
+		a.askedTokens = max(0, a.askedTokens-h.tokens)
 	})
 }
 
