--- a/coordination/quota/entries_test.go
+++ b/coordination/quota/entries_test.go
@@ -36,10 +36,10 @@
 }
 
 // use takes requests for a while and returns how many it got.
-func use(q *admission.Quota, every, lasting time.Duration) int {
+func use(q *admission.Quota, contract *wire.Contract, every, lasting time.Duration) int {
 	taken := 0
 	for end := time.Now().Add(lasting); time.Now().Before(end); time.Sleep(every) {
-		hold, err := q.Take(context.Background(), "o", 1)
+		hold, err := q.Take(context.Background(), contract, 1)
 		if err != nil {
 			continue
 		}
@@ -67,12 +67,12 @@
 		var steady, killed, restarted int
 		q1, stop1 := start()
 		q2, kill := start()
-		wait.Go(func() { steady = use(q1, 10*time.Millisecond, 20*time.Second) })
+		wait.Go(func() { steady = use(q1, l.contract, 10*time.Millisecond, 20*time.Second) })
 		wait.Go(func() {
-			killed = use(q2, 10*time.Millisecond, 10*time.Second)
+			killed = use(q2, l.contract, 10*time.Millisecond, 10*time.Second)
 			kill()
 			q3, stop3 := start()
-			restarted = use(q3, 10*time.Millisecond, 10*time.Second)
+			restarted = use(q3, l.contract, 10*time.Millisecond, 10*time.Second)
 			stop3()
 		})
 		wait.Wait()
