--- a/prove/fleet_test.go
+++ b/prove/fleet_test.go
@@ -169,3 +169,10 @@
 	}
 	f.checkInvariants()
 }
+
+// cutOffFromControl partitions a process from all control replicas.
+func (f *fixture) cutOffFromControl(name string) {
+	for _, proxy := range f.Links.Touching(name, func(other string) bool { return strings.HasPrefix(other, "control") }) {
+		proxy.Partition()
+	}
+}
--- a/prove/harness_test.go
+++ b/prove/harness_test.go
@@ -167,13 +167,6 @@
 	return runs
 }
 
-// control returns the proxies between a process and all control replicas.
-func (f *fixture) cutOffFromControl(name string) {
-	for _, proxy := range f.Links.Touching(name, func(other string) bool { return strings.HasPrefix(other, "control") }) {
-		proxy.Partition()
-	}
-}
-
 // stream is one streamed completion that runs in the background.
 type stream struct {
 	prompt string
