--- a/ctl/app.go
+++ b/ctl/app.go
@@ -32,6 +32,8 @@
 	Output      string   `long:"output" env:"APRICOTSPOKE_OUTPUT" choice:"table" choice:"json" default:"table" description:"Form of what is printed"`
 	OperationID string   `long:"operation-id" env:"APRICOTSPOKE_OPERATION_ID" description:"Identity of the change; a resend under the same one has no second effect"`
 	DryRun      bool     `long:"dry-run" env:"APRICOTSPOKE_DRY_RUN" description:"Check the change without making it"`
+
+	Links link.Options `group:"Links"`
 }
 
 // app carries out one command.
@@ -56,7 +58,7 @@
 			time.Sleep(roundPause)
 		}
 		for _, address := range addresses {
-			response, err := try(address, send)
+			response, err := try(a, address, send)
 			if err == nil {
 				return response, nil
 			}
@@ -73,9 +75,13 @@
 	return none, last
 }
 
-func try[R any](address string, send func(ctx context.Context, client wire.OperatorClient) (R, error)) (R, error) {
+func try[R any](a *app, address string, send func(ctx context.Context, client wire.OperatorClient) (R, error)) (R, error) {
 	var none R
-	conn, err := link.Dial(address, link.Security{})
+	security, err := a.options.Links.Security()
+	if err != nil {
+		return none, err
+	}
+	conn, err := link.Dial(address, security)
 	if err != nil {
 		return none, fault.Wrap(err, fault.InvalidRequest, "control address %q is wrong", address)
 	}
--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -56,7 +56,8 @@
 	container := dig.New()
 	providers := []any{
 		func() *Options { return options },
-		func() *link.Pool { return link.NewPool(link.Security{}) },
+		newSecurity,
+		link.NewPool,
 		configsync.NewStore,
 		endpoint.NewClient,
 		newControlClient,
@@ -81,6 +82,9 @@
 	return agent, nil
 }
 
+// newSecurity loads the files that secure this process's links.
+func newSecurity(options *Options) (link.Security, error) { return options.Links.Security() }
+
 func newControlClient(options *Options, pool *link.Pool) *controlclient.Client {
 	return controlclient.New(pool, options.Control)
 }
@@ -97,11 +101,11 @@
 }
 
 // newControlRole returns the control role, or nil without a data folder.
-func newControlRole(options *Options, process *wire.ProcessInfo, store *configsync.Store, pool *link.Pool) (*control.Role, error) {
+func newControlRole(options *Options, process *wire.ProcessInfo, store *configsync.Store, pool *link.Pool, security link.Security) (*control.Role, error) {
 	if !options.Enabled() {
 		return nil, nil
 	}
-	config := &control.Config{Options: options.Options, Process: process, Peers: options.Control}
+	config := &control.Config{Options: options.Options, Process: process, Peers: options.Control, Security: security}
 	return control.New(config, store, pool)
 }
 
@@ -114,8 +118,8 @@
 	return gatereport.NewSender(g, pool, slices.Concat(options.Entries, options.Control))
 }
 
-func newServer(g *gate.Gate, store *configsync.Store, role *control.Role) *grpc.Server {
-	server := link.NewServer(link.Security{}, grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}))
+func newServer(g *gate.Gate, store *configsync.Store, role *control.Role, security link.Security) *grpc.Server {
+	server := link.NewServer(security, grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}))
 	wire.RegisterGateServer(server, gateserver.New(g))
 	if role != nil {
 		role.Register(server)
--- a/role/agent/options.go
+++ b/role/agent/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/settings"
+	"github.com/apricotspoke/apricotspoke/transport/link"
 )
 
 const maxDrainLimit = 24 * time.Hour
@@ -20,6 +21,7 @@
 	HTTPListen     string        `long:"http-listen" env:"APRICOTSPOKE_HTTP_LISTEN" description:"HTTP address for metrics and health, none when empty"`
 	DrainLimit     time.Duration `long:"drain-limit" env:"APRICOTSPOKE_DRAIN_LIMIT" default:"10m" description:"longest wait for running attempts at shutdown"`
 	LogLevel       string        `long:"log-level" env:"APRICOTSPOKE_LOG_LEVEL" default:"info" description:"least level that is logged: debug, info, warn or error"`
+	Links          link.Options  `group:"Links"`
 	control.Options
 }
 
@@ -38,6 +40,7 @@
 		faults.Address("http-listen", o.HTTPListen)
 	}
 	faults.OneOf("log-level", o.LogLevel, "debug", "info", "warn", "error")
+	faults = append(faults, o.Links.Check()...)
 	settings.Range(&faults, "drain-limit", o.DrainLimit, time.Second, maxDrainLimit)
 	return append(faults, o.Options.Check()...)
 }
--- a/role/control/program.go
+++ b/role/control/program.go
@@ -24,19 +24,20 @@
 
 // ProgramOptions are the settings of apricotspoke-control.
 type ProgramOptions struct {
-	ID         string   `long:"id" env:"APRICOTSPOKE_ID" required:"yes" description:"Name of this process"`
-	DataCentre string   `long:"data-centre" env:"APRICOTSPOKE_DATA_CENTRE" required:"yes" description:"Data centre of this process"`
-	Listen     string   `long:"listen" env:"APRICOTSPOKE_LISTEN" required:"yes" description:"gRPC address, as the fleet reaches it"`
-	Control    []string `long:"control" env:"APRICOTSPOKE_CONTROL" env-delim:"," required:"yes" description:"gRPC addresses of the control replicas; repeat for each"`
-	HTTPListen string   `long:"http-listen" env:"APRICOTSPOKE_HTTP_LISTEN" description:"Address of /metrics, /healthz and /readyz"`
-	LogLevel   string   `long:"log-level" env:"APRICOTSPOKE_LOG_LEVEL" default:"info" description:"Least level of the lines logged: debug, info, warn or error"`
+	ID         string       `long:"id" env:"APRICOTSPOKE_ID" required:"yes" description:"Name of this process"`
+	DataCentre string       `long:"data-centre" env:"APRICOTSPOKE_DATA_CENTRE" required:"yes" description:"Data centre of this process"`
+	Listen     string       `long:"listen" env:"APRICOTSPOKE_LISTEN" required:"yes" description:"gRPC address, as the fleet reaches it"`
+	Control    []string     `long:"control" env:"APRICOTSPOKE_CONTROL" env-delim:"," required:"yes" description:"gRPC addresses of the control replicas; repeat for each"`
+	HTTPListen string       `long:"http-listen" env:"APRICOTSPOKE_HTTP_LISTEN" description:"Address of /metrics, /healthz and /readyz"`
+	LogLevel   string       `long:"log-level" env:"APRICOTSPOKE_LOG_LEVEL" default:"info" description:"Least level of the lines logged: debug, info, warn or error"`
+	Links      link.Options `group:"Links"`
 	Options
 }
 
 // Check returns every fault of the settings.
 func (o *ProgramOptions) Check() []error {
 	o.Control = settings.SplitList(o.Control)
-	faults := o.Options.Check()
+	faults := append(o.Options.Check(), o.Links.Check()...)
 	if !o.Enabled() {
 		faults = append(faults, errors.New("--data-folder: a folder on a disk is needed"))
 	}
@@ -58,21 +59,26 @@
 	logs.SetLevel(o.LogLevel)
 	log := logs.For("control")
 	store := configsync.NewStore()
-	pool := link.NewPool(link.Security{})
+	security, err := o.Links.Security()
+	if err != nil {
+		return err
+	}
+	pool := link.NewPool(security)
 	defer pool.Close()
 	listener, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return err
 	}
 	role, err := New(&Config{
-		Options: o.Options,
-		Process: &wire.ProcessInfo{Id: o.ID, Role: "control", DataCentre: o.DataCentre, Address: o.Listen},
-		Peers:   o.Control,
+		Options:  o.Options,
+		Process:  &wire.ProcessInfo{Id: o.ID, Role: "control", DataCentre: o.DataCentre, Address: o.Listen},
+		Peers:    o.Control,
+		Security: security,
 	}, store, pool)
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
-	server := link.NewServer(link.Security{})
+	server := link.NewServer(security)
 	role.Register(server)
 	role.RegisterShared(server)
 	web := newHTTPServer(o.HTTPListen, store, role)
--- a/role/entry/options.go
+++ b/role/entry/options.go
@@ -9,6 +9,7 @@
 	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/settings"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/transport/link"
 )
 
 const maxDrainLimit = 24 * time.Hour
@@ -26,6 +27,9 @@
 	DrainLimit   time.Duration `long:"drain-limit" env:"APRICOTSPOKE_DRAIN_LIMIT" default:"10m" description:"longest wait for running requests at shutdown"`
 	ReadyGrace   time.Duration `long:"ready-grace" env:"APRICOTSPOKE_READY_GRACE" default:"1s" description:"time between failing readiness and closing the listener"`
 
+	// Links secures the connections to the other processes.
+	Links link.Options `group:"Links"`
+
 	// ControlRole is hosted when its data folder is set.
 	ControlRole control.Options `group:"Control role"`
 }
@@ -45,5 +49,6 @@
 	}
 	settings.Range(&faults, "drain-limit", o.DrainLimit, time.Second, maxDrainLimit)
 	settings.Range(&faults, "ready-grace", o.ReadyGrace, 0, o.DrainLimit)
+	faults = append(faults, o.Links.Check()...)
 	return append(faults, o.ControlRole.Check()...)
 }
--- a/role/entry/wiring.go
+++ b/role/entry/wiring.go
@@ -23,8 +23,7 @@
 	"google.golang.org/grpc"
 )
 
-// Build wires an entry. Extra constructors may provide the Control role, and
-// link.Security in place of plain text.
+// Build wires an entry. Extra constructors may provide the Control role.
 func Build(options *Options, extra ...any) (*Entry, error) {
 	container := dig.New()
 	constructors := []any{
@@ -36,7 +35,7 @@
 		relay.NewBudget,
 		callerhttp.NewBodies,
 		callerhttp.NewDrain,
-		newPool, newPolicy, newRouter, newControlClient, newLinks, newQuota,
+		newSecurity, newPool, newPolicy, newRouter, newControlClient, newLinks, newQuota,
 		newRelay, newKeeper, newFollower, newCallers, newFleetServer, newEntry,
 	}
 	if options.ControlRole.Enabled() {
@@ -52,13 +51,10 @@
 	return entry, dig.RootCause(err)
 }
 
-type security struct {
-	dig.In
-
-	Security link.Security `optional:"true"`
-}
+// newSecurity loads the files that secure this process's links.
+func newSecurity(o *Options) (link.Security, error) { return o.Links.Security() }
 
-func newPool(s security) *link.Pool { return link.NewPool(s.Security) }
+func newPool(security link.Security) *link.Pool { return link.NewPool(security) }
 
 func newPolicy(o *Options) (routing.Policy, error) { return routing.NewPolicy(o.Policy) }
 
@@ -99,12 +95,12 @@
 }
 
 // newControlRole opens the control role of a process that hosts it.
-func newControlRole(o *Options, store *configsync.Store, pool *link.Pool, s security) (Control, error) {
+func newControlRole(o *Options, store *configsync.Store, pool *link.Pool, security link.Security) (Control, error) {
 	role, err := control.New(&control.Config{
 		Options:  o.ControlRole,
 		Process:  processInfo(o),
 		Peers:    o.Control,
-		Security: s.Security,
+		Security: security,
 	}, store, pool)
 	if err != nil {
 		return nil, err
@@ -181,8 +177,8 @@
 	Control Control `optional:"true"`
 }
 
-func newFleetServer(s security, store *configsync.Store, table *routing.Table, h hosted) *grpc.Server {
-	server := link.NewServer(s.Security)
+func newFleetServer(security link.Security, store *configsync.Store, table *routing.Table, h hosted) *grpc.Server {
+	server := link.NewServer(security)
 	if h.Control == nil {
 		wire.RegisterAnnounceServer(server, gatelink.NewAnnounce(table, nil))
 		wire.RegisterConfigServer(server, controllink.NewConfigServer(store, nil))
