--- a/transport/link/options.go
+++ b/transport/link/options.go
@@ -9,10 +9,6 @@
 	Authority   string `long:"tls-authority" env:"APRICOTSPOKE_TLS_AUTHORITY" description:"PEM file of the authority that signs the fleet's certificates"`
 }
 
-func (o Options) files() Files {
-	return Files{Certificate: o.Certificate, Key: o.Key, Authority: o.Authority}
-}
-
 // Check returns every fault of the settings, unreadable files included.
 func (o Options) Check() []error {
 	set := 0
@@ -31,4 +27,4 @@
 }
 
 // Security loads the files.
-func (o Options) Security() (Security, error) { return Load(o.files()) }
+func (o Options) Security() (Security, error) { return Load(Files(o)) }
