--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -52,6 +52,7 @@
 	answered  bool
 	firstSeen bool // the first part of the answer is there
 	usesGroup bool
+	kvName    string // the work's name in the body of a KV call
 	readers   int
 	unread    int // generation of the grace timer
 }
@@ -78,6 +79,7 @@
 		return 0, g.ramp.isCold()
 	}
 	a.body = body
+	a.kvName = kvWork(a.open, body)
 	a.stage = stageQueued
 	g.queue.add(&waiting{attempt: a, priority: a.open.Priority, prefill: a.open.PromptTokens, since: time.Now()})
 	position = len(g.queue.items)
@@ -105,6 +107,9 @@
 func (a *Attempt) Attach() {
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
+	if a.readers == 0 && a.stage == stageEnded {
+		a.gate.budget.removeIdle(a.replay)
+	}
 	a.readers++
 	a.unread++
 }
@@ -115,7 +120,11 @@
 	defer a.gate.mu.Unlock()
 	a.readers--
 	a.unread++
-	if a.readers > 0 || a.stage == stageEnded {
+	if a.readers > 0 {
+		return
+	}
+	if a.stage == stageEnded {
+		a.gate.budget.addIdle(a.replay)
 		return
 	}
 	generation := a.unread
@@ -175,7 +184,7 @@
 	a.record.state = wire.AttemptState_ATTEMPT_STATE_DONE
 	a.record.failure = end.Failure
 	if !a.open.Repeatable {
-		a.record.outcome = outcome
+		a.gate.records.settle(a.record, outcome)
 	}
 	a.end(&wire.AttemptDown{Of: &wire.AttemptDown_End{End: end}})
 }
@@ -185,6 +194,9 @@
 	a.body = nil
 	a.gate.bodyBytes -= a.open.BodyBytes
 	a.replay.finish(last)
+	if a.readers == 0 {
+		a.gate.budget.addIdle(a.replay)
+	}
 	a.stop()
 	time.AfterFunc(keepAnswer, a.forget)
 }
@@ -194,6 +206,7 @@
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
 	a.record.attempt = nil
+	a.gate.budget.removeIdle(a.replay)
 	a.replay.release()
 	a.cancel(nil)
 }
--- a/coordination/gate/engine_test.go
+++ b/coordination/gate/engine_test.go
@@ -5,12 +5,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -19,6 +22,9 @@
 // noticeDelay is how late an endpoint notices a closed connection.
 const noticeDelay = 30 * time.Millisecond
 
+// testReplayBytes holds the answers of the tests but the long one.
+const testReplayBytes = 2 << 20
+
 // engine is an endpoint in memory that checks its own rules.
 type engine struct {
 	delay      time.Duration // between the write of a request and its arrival
@@ -85,7 +91,7 @@
 func (e *engine) stream(ctx context.Context, id string, w *work, out *io.PipeWriter, from, breakAfter int, text func(int) string) {
 	for i := from; i <= e.tokens; i++ {
 		select {
-		case <-time.After(e.gap):
+		case <-time.After(e.pace()):
 		case <-ctx.Done():
 			out.CloseWithError(ctx.Err())
 			time.Sleep(noticeDelay)
@@ -179,6 +185,31 @@
 	return nil
 }
 
+func (e *engine) pace() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gap
+}
+
+func (e *engine) setPace(gap time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gap = gap
+}
+
+// left names the attempts at the endpoint, in order.
+func (e *engine) left() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.active))
+}
+
+func (e *engine) blocksLeft() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.blocks)
+}
+
 // restart turns the endpoint cold; with kill nil its connections go silent.
 func (e *engine) restart(kill error) {
 	e.mu.Lock()
@@ -195,21 +226,33 @@
 
 // control is a control group in memory.
 type control struct {
-	mu   sync.Mutex
-	deny bool
-	done []uint64
+	mu    sync.Mutex
+	deny  bool
+	lease uint64
+	done  []uint64
+	begun map[uint64]uint64 // lease by order
 }
 
 func (c *control) Acquire(context.Context, *wire.GateLeaseRequest) (*wire.GateLeaseResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &wire.GateLeaseResponse{Held: !c.deny, Number: 7, ValidMs: 2000}, nil
+	return &wire.GateLeaseResponse{Held: !c.deny, Number: c.lease + 7, ValidMs: 2000}, nil
 }
 
 func (c *control) Done(_ context.Context, request *wire.OrderDoneRequest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.done = append(c.done, request.Number)
+	if !request.Started {
+		c.done = append(c.done, request.Number)
+		return nil
+	}
+	if holder, begun := c.begun[request.Number]; begun && holder != request.LeaseNumber {
+		return fault.New(fault.Conflict, "begun under lease %d", holder)
+	}
+	if c.begun == nil {
+		c.begun = map[uint64]uint64{}
+	}
+	c.begun[request.Number] = request.LeaseNumber
 	return nil
 }
 
@@ -223,11 +266,13 @@
 	cancel  context.CancelFunc
 }
 
-func newRig(e *engine, config *wire.FleetConfig) *rig {
-	r := &rig{engine: e, control: &control{}, store: configsync.NewStore()}
+func newRig(e *engine, config *wire.FleetConfig) *rig { return newRigAt(e, config, &control{}) }
+
+func newRigAt(e *engine, config *wire.FleetConfig, c *control) *rig {
+	r := &rig{engine: e, control: c, store: configsync.NewStore()}
 	ctx, stop := context.WithCancel(context.Background())
 	r.cancel = stop
-	r.Gate = gate.New(gate.Options{DataCentre: "dc1", Address: "gate", Configuration: r.store, Endpoint: e, Leases: r.control, Orders: r.control})
+	r.Gate = gate.New(gate.Options{DataCentre: "dc1", Address: "gate", Configuration: r.store, Endpoint: e, Leases: r.control, Orders: r.control, ReplayBytes: testReplayBytes})
 	var mu sync.Mutex
 	on := true
 	r.fresh = func(keep bool) { mu.Lock(); on = keep; mu.Unlock() }
@@ -287,3 +332,23 @@
 		}
 	}
 }
+
+// readToEnd reads an answer without acknowledging it.
+func readToEnd(a *gate.Attempt) (last *wire.AttemptDown) {
+	for from := uint64(1); ; from = last.Sequence + 1 {
+		messages, done, err := a.Read(context.Background(), from)
+		if done || err != nil {
+			return last
+		}
+		last = messages[len(messages)-1]
+	}
+}
+
+func (r *rig) find(t *testing.T, id string) *gate.Attempt {
+	t.Helper()
+	a, err := r.Find(&wire.ResumeRequest{Attempt: id, Organisation: "o", GateInstance: r.Instance()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -115,10 +115,21 @@
 		ContentType: a.open.ContentType, Body: a.body,
 		Priority: enginePriority(a.open), PromptTokens: a.open.PromptTokens,
 		OutputTokens: a.open.OutputTokens, Fence: g.lease.number,
-		Written: a.markWritten,
+		Ready: a.ready, Written: a.markWritten, KvImports: a.open.KvImports,
 	}
 }
 
+// ready repeats the checks once a connection stands, which may have taken long.
+func (a *Attempt) ready() error {
+	g := a.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if refusal := g.available(time.Now()); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 func (a *Attempt) markWritten() {
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
@@ -213,10 +224,10 @@
 	if !strings.HasPrefix(answer.ContentType, "text/event-stream") {
 		return a.relayWhole(answer.Body, outcome)
 	}
-	events := newEventReader(answer.Body, a.gate.isEngine())
+	events := newEventReader(answer.Body, a.gate.IsEngine())
 	for resumes := 0; ; resumes++ {
 		err := a.relayEvents(events, outcome)
-		if err == nil || a.ctx.Err() != nil || resumes == maxResumes || !a.gate.isEngine() {
+		if err == nil || a.ctx.Err() != nil || resumes == maxResumes || !a.gate.IsEngine() {
 			return err
 		}
 		again, resumeErr := a.gate.options.Endpoint.Resume(a.ctx, a.open.Attempt, events.lastID+1)
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -63,6 +63,7 @@
 		r.control.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		expect(open("a7", true), fault.OutOfService)
+		synctest.Wait()
 		if got := r.engine.runs["a1"]; got != 1 || len(r.engine.runs) != 1 {
 			t.Errorf("runs are %v", r.engine.runs)
 		}
@@ -85,6 +86,7 @@
 		if kind := last.GetRefused().GetFailure().GetKind(); kind != string(fault.NotCurrent) {
 			t.Errorf("queued attempt ended with %v", last)
 		}
+		synctest.Wait()
 		state := r.Inquire(&wire.InquireRequest{Attempt: "a3"}).State
 		if state != wire.AttemptState_ATTEMPT_STATE_REFUSED || e.runs["a3"] != 0 {
 			t.Errorf("state %v, runs %d", state, e.runs["a3"])
@@ -143,8 +145,33 @@
 			t.Errorf("ended with %v", last)
 		}
 		time.Sleep(time.Second)
-		if r.Used() != 0 || len(e.active) != 0 {
-			t.Errorf("%d tokens and %d attempts left", r.Used(), len(e.active))
+		if r.Used() != 0 || len(e.left()) != 0 {
+			t.Errorf("%d tokens and %d attempts left", r.Used(), len(e.left()))
+		}
+	})
+}
+
+// Answers that ended unacknowledged give way to those that run.
+func TestEndedAnswersGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.tokens, e.gap = 30_000, time.Microsecond // about 600 kB each
+		r := newRig(e, inService)
+		defer r.stop()
+		for i := range 6 {
+			a := r.submit(t, open(fmt.Sprint("a", i), true))
+			start := time.Now()
+			last := readToEnd(a)
+			a.Detach()
+			if last.GetEnd().GetFailure() != nil || time.Since(start) > 2*time.Second {
+				t.Errorf("answer %d ended after %s with %v", i, time.Since(start), last)
+			}
+		}
+		if _, _, err := r.find(t, "a0").Read(t.Context(), 1); err == nil {
+			t.Error("the oldest answer is still kept")
+		}
+		if messages, _, err := r.find(t, "a5").Read(t.Context(), 1); err != nil || len(messages) != 30_002 {
+			t.Errorf("the newest answer has %d messages left (%v)", len(messages), err)
 		}
 	})
 }
@@ -160,8 +187,8 @@
 		r.submit(t, open("repeatable", true)).Detach()
 		r.submit(t, open("once", false)).Detach()
 		time.Sleep(6 * time.Second)
-		if _, runs := e.active["repeatable"]; runs || len(e.active) != 1 {
-			t.Errorf("active: %v", e.active)
+		if got := fmt.Sprint(e.left()); got != "[once]" {
+			t.Errorf("active: %v", got)
 		}
 		time.Sleep(6 * time.Second)
 		told := r.Inquire(&wire.InquireRequest{Attempt: "once", GateInstance: r.Instance()})
@@ -244,7 +271,7 @@
 	for i := range 20 {
 		collect(r.submit(t, open(fmt.Sprint("warm", i), true)), 1)
 	}
-	e.gap = time.Duration(p.Gap) * time.Millisecond
+	e.setPace(time.Duration(p.Gap) * time.Millisecond)
 	ended := make(chan string, len(p.Bursts))
 	for i, at := range p.Bursts {
 		go func() {
@@ -268,6 +295,7 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
+	synctest.Wait()
 	if used := r.Used(); used != 0 {
 		problems = append(problems, fmt.Sprintf("%d tokens stay reserved", used))
 	}
@@ -276,8 +304,8 @@
 			problems = append(problems, fmt.Sprintf("%s ran %d times", id, n))
 		}
 	}
-	if len(e.active) != 0 {
-		problems = append(problems, fmt.Sprintf("%d attempts left at the endpoint", len(e.active)))
+	if left := e.left(); len(left) != 0 {
+		problems = append(problems, fmt.Sprintf("%v left at the endpoint", left))
 	}
 	return append(problems, e.breaches...)
 }
@@ -308,6 +336,31 @@
 	return ""
 }
 
+// A gate that was started anew counts what its predecessor left as load, and
+// cancels it before its own work goes in.
+func TestRestartedGateClearsUnknownWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		first := newRig(e, inService)
+		e.setPace(time.Hour)
+		first.submit(t, open("old1", true))
+		first.submit(t, open("old2", true))
+		time.Sleep(100 * time.Millisecond)
+		first.cancel()
+		second := newRig(e, inService)
+		defer second.stop()
+		defer first.stop()
+		e.setPace(time.Millisecond)
+		if text, _ := collect(second.submit(t, open("new", true)), 1); text != wholeAnswer(4) {
+			t.Errorf("answer is %q", text)
+		}
+		synctest.Wait()
+		if got := fmt.Sprint(e.left(), e.breaches); got != "[] []" {
+			t.Errorf("left and breaches: %v", got)
+		}
+	})
+}
+
 // Blocks and memory of a group reservation go with it, whoever dies.
 func TestGroupReservationIsFreed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -321,12 +374,12 @@
 		segment := open("a1", true)
 		segment.Path, segment.Reservation = "/kv/prefill", "g"
 		collect(r.submit(t, segment), 1)
-		if len(e.blocks) != 1 {
-			t.Errorf("blocks are %v", e.blocks)
+		if got := e.blocksLeft(); got != 1 {
+			t.Errorf("%d blocks", got)
 		}
 		time.Sleep(3 * time.Second) // the reservation expires
-		if r.Used() != 0 || len(e.blocks) != 0 {
-			t.Errorf("%d tokens and %d blocks left", r.Used(), len(e.blocks))
+		if r.Used() != 0 || e.blocksLeft() != 0 {
+			t.Errorf("%d tokens and %d blocks left", r.Used(), e.blocksLeft())
 		}
 	})
 }
@@ -344,8 +397,16 @@
 		r := newRig(e, config)
 		defer r.stop()
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		if got := fmt.Sprint(e.orders, r.control.done); got != "[12 20] [12 20]" {
 			t.Errorf("orders and reports are %s", got)
 		}
+		later := &control{lease: 1, begun: r.control.begun}
+		defer newRigAt(e, config, later).stop() // a restarted gate, the orders still pending
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if got := fmt.Sprint(e.orders, later.done); got != "[12 20] [12 20]" {
+			t.Errorf("after a restart orders and reports are %s", got)
+		}
 	})
 }
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -76,6 +76,11 @@
 	if err != nil || next == nil {
 		return nil, err
 	}
+	for _, m := range members {
+		if m.Id == q.Id {
+			return add, nil
+		}
+	}
 	for _, m := range members {
 		if m.Address == q.Address && !m.Removed {
 			return &wire.MemberChange{RemoveId: m.Id}, nil
@@ -84,9 +89,9 @@
 	return add, nil
 }
 
-// join works until this replica belongs to a group.
+// join works until this replica's membership of a group is committed.
 func (r *Replica) join(ctx context.Context) {
-	for len(r.Status().Members) == 0 {
+	for !r.Status().Joined {
 		group, empty := r.inquire(ctx)
 		switch {
 		case group != "":
--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -190,7 +190,7 @@
 		ID: "agent1", DataCentre: "dc1", Listen: freeAddress(t), AnnounceListen: freeAddress(t),
 		Control: []string{address}, DrainLimit: time.Minute,
 	}
-	agent, err := New(options, nil)
+	agent, err := New(options)
 	if err != nil {
 		t.Fatal(err)
 	}
