--- a/coordination/control/quotas_test.go
+++ b/coordination/control/quotas_test.go
@@ -35,14 +35,14 @@
 	at []time.Time
 }
 
-func (a *admitted) run(ctx context.Context, group *fakeGroup, random *rand.Rand) {
+func (a *admitted) run(ctx context.Context, group *fakeGroup, contract *wire.Contract, random *rand.Rand) {
 	for ctx.Err() == nil {
 		life, kill := context.WithTimeout(ctx, time.Duration(1+random.IntN(20))*time.Second)
 		q := admission.NewQuota("entry", &anyLeader{group, rand.New(rand.NewPCG(random.Uint64(), 0))})
 		var running sync.WaitGroup
 		running.Go(func() { q.Run(life) })
 		for life.Err() == nil {
-			if hold, err := q.Take(life, "o", 1); err == nil {
+			if hold, err := q.Take(life, contract, 1); err == nil {
 				a.mu.Lock()
 				a.at = append(a.at, time.Now())
 				a.mu.Unlock()
@@ -65,15 +65,17 @@
 			defer cancel()
 			group := newFakeGroup(rand.New(rand.NewPCG(seed, 0)))
 			hash := sha256.Sum256([]byte("key"))
-			group.replicas[0].commit(&wire.Command{Of: &wire.Command_Apply{Apply: &wire.ApplyRequest{OperationId: "put", Change: &wire.Change{Of: &wire.Change_PutContract{PutContract: &wire.Contract{
+			contract := &wire.Contract{
 				Organisation: "o", KeyHashes: [][]byte{hash[:]}, Models: []string{"m"}, Concurrency: 100, Share: 1, MaxPromptTokens: 1, MaxOutputTokens: 1,
 				RequestsPerSecond: rate, RequestBurst: burst, TokensPerSecond: 1e6, TokenBurst: 1e6,
 				Deadlines: []*wire.DeadlineBand{{UpToTokens: 1, FirstTokenMs: 1, WholeAnswerMs: 1}},
-			}}}}}})
+			}
+			put := &wire.Change{Of: &wire.Change_PutContract{PutContract: contract}}
+			group.replicas[0].commit(&wire.Command{Of: &wire.Command_Apply{Apply: &wire.ApplyRequest{OperationId: "put", Change: put}}})
 			var a admitted
 			var wait sync.WaitGroup
 			for i := range 3 {
-				wait.Go(func() { a.run(ctx, group, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
+				wait.Go(func() { a.run(ctx, group, contract, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 			}
 			for _, service := range group.services {
 				wait.Go(func() { _ = service.Run(ctx) })
