--- /dev/null
+++ b/coordination/replica/invariants_test.go
@@ -0,0 +1,139 @@
+package replica
+
+import (
+	"slices"
+
+	"github.com/apricotspoke/apricotspoke/coordination/raft"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"google.golang.org/protobuf/proto"
+)
+
+func (s *sim) check(n *simNode) {
+	s.answers()
+	st := n.replica.raft.Status()
+	if st.Role != raft.Leader {
+		return
+	}
+	if was := s.leaders[st.Term]; was != "" && was != n.replica.id {
+		s.t.Fatalf("election safety: two leaders in term %d", st.Term)
+	}
+	if s.leaders[st.Term] == "" {
+		s.counts["leader elected"]++
+		s.leaders[st.Term] = n.replica.id
+		s.checkComplete(n, st)
+	}
+}
+
+// checkComplete checks that a new leader holds whatever was ever applied.
+func (s *sim) checkComplete(n *simNode, st raft.Status) {
+	for index, what := range s.entries {
+		if index > st.LastIndex {
+			s.t.Fatalf("leader completeness: entry %d is beyond the log of %s, which ends at %d", index, n.address, st.LastIndex)
+		}
+		held := n.replica.raft.Entries(index)
+		if index < st.FirstIndex || len(held) == 0 {
+			continue
+		}
+		if c := decodeCommand(held[0]); c == nil || c.GetApply().GetOperationId() != what {
+			s.t.Fatalf("leader completeness: %s holds another entry at %d", n.address, index)
+		}
+	}
+}
+
+func (s *sim) checkLogMatching() {
+	for i, a := range s.nodes {
+		for _, b := range s.nodes[i+1:] {
+			if a.replica != nil && b.replica != nil {
+				s.checkPair(a, b)
+			}
+		}
+	}
+}
+
+func (s *sim) checkPair(a, b *simNode) {
+	agree := false
+	ra, rb := a.replica.raft, b.replica.raft
+	low := max(ra.Status().FirstIndex, rb.Status().FirstIndex)
+	for i := min(ra.Status().LastIndex, rb.Status().LastIndex); i >= low && i > 0; i-- {
+		ea, eb := ra.Entries(i)[0], rb.Entries(i)[0]
+		if ea.Term == eb.Term {
+			agree = true
+		}
+		if agree && !proto.Equal(ea, eb) {
+			s.t.Fatalf("log matching: %s and %s differ at %d", a.address, b.address, i)
+		}
+	}
+}
+
+func (s *sim) answers() {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiting) bool {
+		select {
+		case a := <-w.done:
+			s.answered(w, a.err)
+			return true
+		default:
+			return false
+		}
+	})
+	s.reads = slices.DeleteFunc(s.reads, func(w *waiting) bool {
+		select {
+		case a := <-w.done:
+			if a.err == nil {
+				s.counts["confirmed read"]++
+				s.checkRead(w)
+			}
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+func (s *sim) answered(w *waiting, err error) {
+	if err == nil {
+		s.acked = append(s.acked, w.id)
+		s.counts["acknowledged"]++
+	} else if fault.KindOf(err).NotRun() {
+		s.refused[w.id] = true
+	} else {
+		s.counts["outcome unknown"]++
+	}
+}
+
+// checkRead checks that a confirmed read sees all that was acknowledged before
+// it was asked for.
+func (s *sim) checkRead(w *waiting) {
+	seen := make(map[string]bool)
+	for _, id := range w.node.log {
+		seen[id] = true
+	}
+	for _, id := range s.acked[:w.acked] {
+		if !seen[id] {
+			s.t.Fatalf("stale read: %s confirmed one without %s", w.node.address, id)
+		}
+	}
+}
+
+func (s *sim) checkOutcome() {
+	times := make(map[string]int)
+	for _, id := range s.order {
+		times[id]++
+	}
+	for _, id := range s.acked {
+		if times[id] != 1 {
+			s.t.Fatalf("acknowledged %s is there %d times", id, times[id])
+		}
+	}
+	for id := range s.refused {
+		if times[id] != 0 {
+			s.t.Fatalf("refused %s was committed", id)
+		}
+	}
+}
+
+func (s *sim) applied(index uint64, what string) {
+	if was, ok := s.entries[index]; ok && was != what {
+		s.t.Fatalf("index %d was applied as %q and as %q", index, was, what)
+	}
+	s.entries[index] = what
+}
--- a/coordination/replica/model_test.go
+++ b/coordination/replica/model_test.go
@@ -56,7 +56,7 @@
 }
 
 func (s *sim) fault(n, other *simNode) {
-	switch s.random.IntN(14) {
+	switch s.random.IntN(17) {
 	case 0:
 		s.blocked[[2]string{n.address, other.address}] = true
 	case 1:
@@ -75,7 +75,12 @@
 	case 12:
 		s.lose(n)
 	case 13:
-		if n.replica != nil {
+		s.counts["freeze"]++
+		n.frozen = true
+	case 14, 15:
+		s.wake(n)
+	case 16:
+		if n.running() {
 			_ = n.replica.raft.Transfer()
 			s.process(n)
 		}
@@ -111,7 +116,7 @@
 		}
 	})
 	t.Log(total)
-	for _, what := range []string{"acknowledged", "confirmed read", "outcome unknown", "leader elected", "lost folder", "crash", "crash at a disk operation", "partition"} {
+	for _, what := range []string{"acknowledged", "confirmed read", "outcome unknown", "leader elected", "lost folder", "crash", "crash at a disk operation", "partition", "freeze"} {
 		if total[what] == 0 {
 			t.Errorf("the model never caused: %s", what)
 		}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -21,6 +21,8 @@
 type Machine interface {
 	// Apply executes a command; its result depends on the state and command only.
 	Apply(index uint64, command *wire.Command) any
+	// ApplyMembers takes the member list, in which removed identities stay for
+	// a while, marked as such.
 	ApplyMembers(index uint64, members []*wire.Member)
 	Snapshot() ([]byte, error)
 	Restore(snapshot []byte) error
@@ -97,7 +99,7 @@
 	Applied       uint64
 	FirstIndex    uint64
 	SnapshotIndex uint64
-	Members       []*wire.Member // in force, perhaps uncommitted
+	Members       []*wire.Member // in force, perhaps uncommitted; also removed ones
 	LeaderSince   time.Time      // when this replica first saw the present leader
 	Joined        bool           // an applied member list holds this replica, at its address or as removed
 }
--- a/coordination/replica/sim_test.go
+++ b/coordination/replica/sim_test.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/apricotspoke/apricotspoke/coordination/raft"
-	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/wal/faultfs"
 	"google.golang.org/protobuf/proto"
@@ -43,8 +41,13 @@
 	replica *Replica // nil while down
 	lost    map[string]bool
 	log     []string
+	frozen  bool // takes no step; what is sent to it waits
+	held    []*wire.PeerMessage
 }
 
+// running reports whether the replica can take a step.
+func (n *simNode) running() bool { return n.replica != nil && !n.frozen }
+
 type waiting struct {
 	node  *simNode
 	id    string
@@ -87,13 +90,6 @@
 	}
 }
 
-func (s *sim) applied(index uint64, what string) {
-	if was, ok := s.entries[index]; ok && was != what {
-		s.t.Fatalf("index %d was applied as %q and as %q", index, was, what)
-	}
-	s.entries[index] = what
-}
-
 func (n *simNode) ApplyMembers(index uint64, members []*wire.Member) {
 	if index > n.sim.configAt {
 		n.sim.config, n.sim.configAt = members, index
@@ -140,7 +136,7 @@
 	}
 	r.send = func(messages []*wire.PeerMessage, _ []*wire.Member) {
 		for _, m := range messages {
-			s.net = append(s.net, proto.Clone(m).(*wire.PeerMessage))
+			s.net = append(s.net, proto.CloneOf(m))
 		}
 	}
 	r.spawn = func(work func()) { work() }
@@ -169,114 +165,15 @@
 	s.check(n)
 }
 
-func (s *sim) check(n *simNode) {
-	s.answers()
-	st := n.replica.raft.Status()
-	if st.Role != raft.Leader {
-		return
-	}
-	if was := s.leaders[st.Term]; was != "" && was != n.replica.id {
-		s.t.Fatalf("election safety: two leaders in term %d", st.Term)
-	}
-	if s.leaders[st.Term] == "" {
-		s.counts["leader elected"]++
-		s.leaders[st.Term] = n.replica.id
-		s.checkComplete(n, st)
-	}
-}
-
-// checkComplete checks that a new leader holds whatever was ever applied.
-func (s *sim) checkComplete(n *simNode, st raft.Status) {
-	for index, what := range s.entries {
-		if index > st.LastIndex {
-			s.t.Fatalf("leader completeness: entry %d is beyond the log of %s, which ends at %d", index, n.address, st.LastIndex)
-		}
-		held := n.replica.raft.Entries(index)
-		if index < st.FirstIndex || len(held) == 0 {
-			continue
-		}
-		if c := decodeCommand(held[0]); c == nil || c.GetApply().GetOperationId() != what {
-			s.t.Fatalf("leader completeness: %s holds another entry at %d", n.address, index)
-		}
-	}
-}
-
-func (s *sim) checkLogMatching() {
-	for i, a := range s.nodes {
-		for _, b := range s.nodes[i+1:] {
-			if a.replica != nil && b.replica != nil {
-				s.checkPair(a, b)
-			}
-		}
-	}
-}
-
-func (s *sim) checkPair(a, b *simNode) {
-	agree := false
-	ra, rb := a.replica.raft, b.replica.raft
-	low := max(ra.Status().FirstIndex, rb.Status().FirstIndex)
-	for i := min(ra.Status().LastIndex, rb.Status().LastIndex); i >= low && i > 0; i-- {
-		ea, eb := ra.Entries(i)[0], rb.Entries(i)[0]
-		if ea.Term == eb.Term {
-			agree = true
-		}
-		if agree && !proto.Equal(ea, eb) {
-			s.t.Fatalf("log matching: %s and %s differ at %d", a.address, b.address, i)
-		}
-	}
-}
-
-func (s *sim) answers() {
-	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiting) bool {
-		select {
-		case a := <-w.done:
-			s.answered(w, a.err)
-			return true
-		default:
-			return false
-		}
-	})
-	s.reads = slices.DeleteFunc(s.reads, func(w *waiting) bool {
-		select {
-		case a := <-w.done:
-			if a.err == nil {
-				s.counts["confirmed read"]++
-				s.checkRead(w)
-			}
-			return true
-		default:
-			return false
-		}
-	})
-}
-
-func (s *sim) answered(w *waiting, err error) {
-	if err == nil {
-		s.acked = append(s.acked, w.id)
-		s.counts["acknowledged"]++
-	} else if fault.KindOf(err).NotRun() {
-		s.refused[w.id] = true
-	} else {
-		s.counts["outcome unknown"]++
-	}
-}
-
-// checkRead checks that a confirmed read sees all that was acknowledged before
-// it was asked for.
-func (s *sim) checkRead(w *waiting) {
-	seen := make(map[string]bool)
-	for _, id := range w.node.log {
-		seen[id] = true
-	}
-	for _, id := range s.acked[:w.acked] {
-		if !seen[id] {
-			s.t.Fatalf("stale read: %s confirmed one without %s", w.node.address, id)
-		}
-	}
+// wake ends a freeze; what waited arrives before the next tick.
+func (s *sim) wake(n *simNode) {
+	n.frozen = false
+	s.net = append(n.held, s.net...)
+	n.held = nil
 }
 
 func (s *sim) tick(n *simNode) {
-	if n.replica == nil {
+	if !n.running() {
 		return
 	}
 	n.replica.raft.Tick()
@@ -285,7 +182,7 @@
 }
 
 func (s *sim) propose(n *simNode) {
-	if n.replica == nil {
+	if !n.running() {
 		return
 	}
 	s.proposed++
@@ -296,7 +193,7 @@
 }
 
 func (s *sim) read(n *simNode) {
-	if n.replica == nil {
+	if !n.running() {
 		return
 	}
 	w := &waiting{node: n, acked: len(s.acked), done: make(chan result, 1)}
@@ -323,13 +220,17 @@
 	if n == nil || s.blocked[[2]string{m.FromAddress, n.address}] {
 		return
 	}
-	n.replica.step(proto.Clone(m).(*wire.PeerMessage))
+	if n.frozen {
+		n.held = append(n.held, m)
+		return
+	}
+	n.replica.step(proto.CloneOf(m))
 	s.process(n)
 }
 
 // join asks the replica at to to admit the one at from, as the Join call does.
 func (s *sim) join(from, to *simNode) {
-	if from.replica == nil || to.replica == nil || from == to || s.blocked[[2]string{from.address, to.address}] {
+	if !from.running() || !to.running() || from == to || s.blocked[[2]string{from.address, to.address}] {
 		return
 	}
 	if from.replica.Status().Joined {
@@ -371,7 +272,7 @@
 }
 
 func (s *sim) lose(n *simNode) {
-	if n.replica == nil || !s.mayLose() {
+	if !n.running() || !s.mayLose() {
 		return
 	}
 	s.counts["lost folder"]++
@@ -386,6 +287,7 @@
 	for round := range 4000 {
 		for _, n := range s.nodes {
 			n.fs.CrashAt = 0
+			s.wake(n)
 			if n.replica == nil {
 				s.start(n)
 			}
@@ -426,20 +328,3 @@
 	}
 	return ids
 }
-
-func (s *sim) checkOutcome() {
-	times := make(map[string]int)
-	for _, id := range s.order {
-		times[id]++
-	}
-	for _, id := range s.acked {
-		if times[id] != 1 {
-			s.t.Fatalf("acknowledged %s is there %d times", id, times[id])
-		}
-	}
-	for id := range s.refused {
-		if times[id] != 0 {
-			s.t.Fatalf("refused %s was committed", id)
-		}
-	}
-}
