--- /dev/null
+++ b/coordination/admission/account.go
@@ -0,0 +1,149 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+const (
+	prefetchFor  = 2500 * time.Millisecond // demand held in advance: a new leader grants nothing for about as long
+	idleAfter    = 2 * time.Second         // without requests, all but the standing part goes back
+	forgetAfter  = 30 * time.Second        // without requests, the standing part goes back too
+	standing     = 2.0                     // requests held in advance at least
+	surplus      = 1.5                     // times the target above which quota goes back
+	mostOfBurst  = 0.5                     // of the contract's burst held in advance at most
+	standingPart = 8                       // a contract must allow this many times what is left standing
+	rateSmooth   = 0.3                     // weight of the newest interval in the demand rate
+	slotHeadroom = 4                       // one spare slot per this many used
+)
+
+// account is the part of one contract that the entry holds.
+type account struct {
+	contract         *wire.Contract
+	takeTokens       float64 // smoothed tokens of one request
+	requests, tokens float64 // unspent
+	slots, used      uint32
+	validUntil       time.Time
+	deniedUntil      time.Time
+	lastTake         time.Time
+
+	waitingRequests, waitingTokens float64 // demand of those that wait
+	askedRequests, askedTokens     float64 // since the last lease, refused ones included
+	rateRequests, rateTokens       float64 // per second
+	leasedAt                       time.Time
+	changed                        chan struct{} // closed by the next lease
+}
+
+func newAccount(contract *wire.Contract, now time.Time) *account {
+	return &account{contract: contract, leasedAt: now, lastTake: now, changed: make(chan struct{})}
+}
+
+func (a *account) take(tokens float64, now time.Time) bool {
+	if now.After(a.validUntil) || a.requests < 1 || a.tokens < tokens || a.used >= a.slots {
+		return false
+	}
+	a.requests--
+	a.tokens -= tokens
+	a.used++
+	a.asked(tokens)
+	a.takeTokens += rateSmooth * (tokens - a.takeTokens)
+	return true
+}
+
+// asked counts towards the demand that the next lease states. Demand that is
+// refused counts too: else an entry that got little would go on asking for little.
+func (a *account) asked(tokens float64) {
+	a.askedRequests++
+	a.askedTokens += tokens
+}
+
+// demand is what the next lease asks for. Quota that it hands back is taken off
+// at once: it must not be spent whether or not the message arrives.
+func (a *account) demand(organisation string, now time.Time) *wire.QuotaDemand {
+	a.expire(now)
+	a.measure(now)
+	d := &wire.QuotaDemand{Organisation: organisation}
+	targetRequests, targetTokens := a.targets(now)
+	d.Requests, d.ReturnedRequests = adjust(&a.requests, targetRequests)
+	d.Tokens, d.ReturnedTokens = adjust(&a.tokens, targetTokens)
+	d.HeldRequests, d.HeldTokens = a.requests, a.tokens
+	spare := a.spareSlots(now)
+	d.ConcurrencyWanted = a.used + uint32(a.waitingRequests) + spare
+	a.slots = min(a.slots, d.ConcurrencyWanted) // slots not wanted are handed back
+	d.ConcurrencyHeld = a.used
+	if a.contract.Concurrency >= standingPart {
+		d.ConcurrencyHeld = max(a.used, min(a.slots, a.used+spare))
+	}
+	return d
+}
+
+// adjust returns what is wanted to reach the target, or hands back what lies
+// far above it.
+func adjust(held *float64, target float64) (wanted, returned float64) {
+	if *held > surplus*target {
+		returned = *held - target
+		*held = target
+	}
+	return math.Max(0, target-*held), returned
+}
+
+// targets is what to hold: enough for the demand until a new control leader
+// grants again, within a part of the contract's burst.
+func (a *account) targets(now time.Time) (requests, tokens float64) {
+	ahead, least := prefetchFor.Seconds(), a.standing()
+	requests, tokens = least, least*a.takeTokens
+	if now.Sub(a.lastTake) < idleAfter {
+		requests = math.Max(standing, math.Min(a.rateRequests*ahead, mostOfBurst*a.contract.RequestBurst))
+		tokens = math.Max(tokens, math.Min(a.rateTokens*ahead, mostOfBurst*a.contract.TokenBurst))
+	}
+	return a.waitingRequests + requests, a.waitingTokens + tokens
+}
+
+// standing is the number of requests kept for an idle organisation, so that its
+// next one is served while control elects a leader. Small contracts keep none:
+// entries would hoard them.
+func (a *account) standing() float64 {
+	if a.contract.RequestBurst < standing*standingPart || a.contract.TokenBurst < standing*standingPart*a.takeTokens {
+		return 0
+	}
+	return standing
+}
+
+func (a *account) spareSlots(now time.Time) uint32 {
+	if now.Sub(a.lastTake) >= idleAfter && a.contract.Concurrency < standingPart {
+		return 0
+	}
+	return 1 + a.used/slotHeadroom
+}
+
+func (a *account) measure(now time.Time) {
+	elapsed := now.Sub(a.leasedAt).Seconds()
+	if elapsed < 0.05 {
+		return
+	}
+	a.rateRequests += rateSmooth * (a.askedRequests/elapsed - a.rateRequests)
+	a.rateTokens += rateSmooth * (a.askedTokens/elapsed - a.rateTokens)
+	a.askedRequests, a.askedTokens = 0, 0
+	a.leasedAt = now
+}
+
+func (a *account) expire(now time.Time) {
+	if now.After(a.validUntil) {
+		a.requests, a.tokens, a.slots = 0, 0, 0
+	}
+}
+
+func (a *account) grant(g *wire.QuotaGrant, sentAt, now time.Time) {
+	a.requests += g.Requests
+	a.tokens += g.Tokens
+	a.slots = g.Concurrency
+	a.validUntil = sentAt.Add(time.Duration(g.ValidMs) * time.Millisecond)
+	a.deniedUntil = time.Time{}
+	if g.RetryAfterMs > 0 {
+		a.deniedUntil = now.Add(time.Duration(g.RetryAfterMs) * time.Millisecond)
+	}
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
--- /dev/null
+++ b/role/agent/options.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/role/control"
+	"github.com/apricotspoke/apricotspoke/settings"
+)
+
+const maxDrainLimit = 24 * time.Hour
+
+// Options are the static settings of an agent.
+type Options struct {
+	ID             string        `long:"id" env:"APRICOTSPOKE_ID" description:"name of this process"`
+	DataCentre     string        `long:"data-centre" env:"APRICOTSPOKE_DATA_CENTRE" description:"data centre of this host"`
+	Listen         string        `long:"listen" env:"APRICOTSPOKE_LISTEN" description:"gRPC address of the fleet"`
+	AnnounceListen string        `long:"announce-listen" env:"APRICOTSPOKE_ANNOUNCE_LISTEN" description:"HTTP address for the endpoint beside this process"`
+	Control        []string      `long:"control" env:"APRICOTSPOKE_CONTROL" env-delim:"," description:"gRPC address of a control replica, repeated"`
+	Entries        []string      `long:"entries" env:"APRICOTSPOKE_ENTRIES" env-delim:"," description:"gRPC address of an entry, repeated"`
+	HTTPListen     string        `long:"http-listen" env:"APRICOTSPOKE_HTTP_LISTEN" description:"HTTP address for metrics and health, none when empty"`
+	DrainLimit     time.Duration `long:"drain-limit" env:"APRICOTSPOKE_DRAIN_LIMIT" default:"10m" description:"longest wait for running attempts at shutdown"`
+	LogLevel       string        `long:"log-level" env:"APRICOTSPOKE_LOG_LEVEL" default:"info" description:"least level that is logged: debug, info, warn or error"`
+	control.Options
+}
+
+// Check implements settings.Checker.
+func (o *Options) Check() []error {
+	var faults settings.Faults
+	faults.Required("id", o.ID)
+	faults.Required("data-centre", o.DataCentre)
+	faults.Address("listen", o.Listen)
+	faults.Address("announce-listen", o.AnnounceListen)
+	faults.Addresses("control", o.Control)
+	for _, entry := range o.Entries {
+		faults.Address("entries", entry)
+	}
+	if o.HTTPListen != "" {
+		faults.Address("http-listen", o.HTTPListen)
+	}
+	faults.OneOf("log-level", o.LogLevel, "debug", "info", "warn", "error")
+	settings.Range(&faults, "drain-limit", o.DrainLimit, time.Second, maxDrainLimit)
+	return append(faults, o.Options.Check()...)
+}
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -97,16 +97,19 @@
 	}
 }
 
-// mergeOrder replaces the order of that number, or adds it. Slices of earlier
+// mergeOrder replaces, adds or removes the order of that number. Slices of earlier
 // views stay untouched.
 func (v *View) mergeOrder(o *wire.Order) {
 	orders := slices.Clone(v.orders[o.Endpoint])
 	at, found := slices.BinarySearchFunc(orders, o.Number, func(have *wire.Order, number uint64) int {
 		return int(int64(have.Number) - int64(number))
 	})
-	if found {
+	switch {
+	case found && o.Removed:
+		orders = slices.Delete(orders, at, at+1)
+	case found:
 		orders[at] = o
-	} else {
+	case !o.Removed:
 		orders = slices.Insert(orders, at, o)
 	}
 	v.orders[o.Endpoint] = orders
@@ -171,3 +174,17 @@
 	slices.SortFunc(list, func(a, b T) int { return strings.Compare(name(a), name(b)) })
 	return list
 }
+
+// DataCentre returns what operators set for a data centre, or nil.
+func (v *View) DataCentre(name string) *wire.DataCentre { return v.dataCentres[name] }
+
+// Endpoint returns what operators set for an endpoint, or nil.
+func (v *View) Endpoint(name string) *wire.EndpointPolicy { return v.endpoints[name] }
+
+// ContractByHash returns the contract that the key of this hash opens, or nil.
+func (v *View) ContractByHash(hash KeyHash) *wire.Contract { return v.keys[hash] }
+
+// Contracts returns every contract in order of organisation.
+func (v *View) Contracts() []*wire.Contract {
+	return sorted(v.contracts, func(c *wire.Contract) string { return c.Organisation })
+}
