--- a/coordination/gate/monitor.go
+++ b/coordination/gate/monitor.go
@@ -9,21 +9,45 @@
 )
 
 const (
-	probeIdle     = 250 * time.Millisecond // between probes that nobody asked for
+	probeBusy     = 250 * time.Millisecond // between probes that nobody asked for
+	probeIdle     = 500 * time.Millisecond // the same while nothing runs
 	probeTimeout  = time.Second
 	probeMinPause = time.Millisecond
 	probeMaxPause = 20 * time.Millisecond
-	loadInterval  = 100 * time.Millisecond
+	loadBusy      = 100 * time.Millisecond // between load reports
+	loadIdle      = 500 * time.Millisecond
 	tickInterval  = 50 * time.Millisecond
+	tickIdle      = 200 * time.Millisecond
 )
 
 // Run keeps the gate's picture of its endpoint until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	go g.probeLoop(ctx)
-	go every(ctx, loadInterval, g.pollLoad)
+	go g.loadLoop(ctx)
 	go g.leaseLoop(ctx)
 	go g.orderLoop(ctx)
-	every(ctx, tickInterval, g.tick)
+	for ctx.Err() == nil {
+		g.tick(ctx)
+		wait(ctx, g.pace(tickInterval, tickIdle))
+	}
+}
+
+// loadLoop asks for load reports, seldom while nothing runs.
+func (g *Gate) loadLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.pollLoad(ctx)
+		wait(ctx, g.pace(loadBusy, loadIdle))
+	}
+}
+
+// pace is an interval that depends on whether anything runs or waits.
+func (g *Gate) pace(busy, idle time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.running)+len(g.foreign)+len(g.queue.items) > 0 {
+		return busy
+	}
+	return idle
 }
 
 func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
@@ -40,13 +64,13 @@
 }
 
 // probeLoop probes on demand, again while dispatches stay unconfirmed, and at
-// the least every probeIdle.
+// the least every probeBusy or probeIdle.
 func (g *Gate) probeLoop(ctx context.Context) {
 	pause := probeMinPause
 	for ctx.Err() == nil {
 		if g.probeOnce(ctx) {
 			pause = probeMinPause
-			g.awaitProbe(ctx, probeIdle)
+			g.awaitProbe(ctx, g.pace(probeBusy, probeIdle))
 			continue
 		}
 		wait(ctx, pause)
--- a/coordination/gate/orders.go
+++ b/coordination/gate/orders.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	orderInterval = 100 * time.Millisecond // between looks at pending orders
+	orderInterval = 250 * time.Millisecond // between looks at pending orders
 	orderTimeout  = 2 * time.Minute
 	reportTimeout = time.Second
 	// weightPause is the least time between two orders that load weights.
