Let an entry be ready only once gates can have found it

After a restart an entry answered out_of_service to its first requests: its configuration was current within milliseconds, while gates dial again after up to a second. Readiness now waits 1.5 s (--ready-wait). Waiting for the first report was ruled out: a fleet without endpoints would never be ready, and one report says nothing of the other gates.

The new unit test covers the wait.

--- a/role/entry/options.go
+++ b/role/entry/options.go
@@ -24,6 +24,7 @@
 	Policy       string        `long:"policy" env:"APRICOTSPOKE_POLICY" default:"adaptive" description:"routing policy"`
 	ResumeSecret string        `long:"resume-secret" env:"APRICOTSPOKE_RESUME_SECRET" secret:"true" description:"secret of the fleet that signs resume tokens"`
 	DrainLimit   time.Duration `long:"drain-limit" env:"APRICOTSPOKE_DRAIN_LIMIT" default:"10m" description:"longest wait for running requests at shutdown"`
+	ReadyWait    time.Duration `long:"ready-wait" env:"APRICOTSPOKE_READY_WAIT" default:"1500ms" description:"time after the start in which gates find this entry and it is not yet ready"`
 	ReadyGrace   time.Duration `long:"ready-grace" env:"APRICOTSPOKE_READY_GRACE" default:"1s" description:"time between failing readiness and closing the listener"`
 
 	// ControlRole is hosted when its data folder is set.
--- a/role/entry/wiring.go
+++ b/role/entry/wiring.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/admission"
 	"github.com/apricotspoke/apricotspoke/coordination/claims"
@@ -171,6 +172,8 @@
 		Drain:   p.Drain,
 		Metrics: p.Metrics,
 		Log:     p.Log,
+
+		ReadyFrom: time.Now().Add(p.Options.ReadyWait),
 	}
 }
 
--- /dev/null
+++ b/transport/callerhttp/ready_test.go
@@ -0,0 +1,32 @@
+package callerhttp
+
+import (
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// A fresh entry is current before the gates have found it again; a balancer
+// that sends it work then would get refusals only.
+func TestNotReadyBeforeGatesCanHaveReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Store: configsync.NewStore(), Drain: NewDrain(), ReadyFrom: time.Now().Add(time.Second)}
+		status := func() int {
+			s.Store.Update(&wire.SyncResponse{Revision: 1, Snapshot: &wire.FleetConfig{Revision: 1}}, time.Now())
+			w := httptest.NewRecorder()
+			s.ready(w, nil)
+			return w.Code
+		}
+		if got := status(); got != 503 {
+			t.Errorf("at the start: %d", got)
+		}
+		time.Sleep(time.Second)
+		if got := status(); got != 200 {
+			t.Errorf("after the wait: %d", got)
+		}
+	})
+}
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -28,6 +28,9 @@
 	Drain   *Drain
 	Metrics *metrics.Registry
 	Log     *logs.Logger
+	// ReadyFrom is when the process may be ready at the earliest: until then
+	// gates may not have reported to it yet.
+	ReadyFrom time.Time
 }
 
 // drainRetry is told while the process shuts down; the balancer has left it by then.
@@ -65,6 +68,10 @@
 		writeFault(w, err)
 		return
 	}
+	if wait := time.Until(s.ReadyFrom); wait > 0 {
+		writeFault(w, fault.New(fault.NotCurrent, "gates may not have reported yet").After(wait))
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
