--- a/coordination/replica/process.go
+++ b/coordination/replica/process.go
@@ -37,11 +37,15 @@
 		r.hard = ready.HardState
 	}
 	if ready.Snapshot != nil {
+		if err := r.discardSnapshot(); err != nil {
+			return err
+		}
 		if err := r.log.SaveSnapshot(ready.Snapshot, r.hard, ready.Entries); err != nil {
 			return err
 		}
 		r.lastTime = max(r.lastTime, ready.Snapshot.TimeMs)
 		r.snapshotted = ready.Snapshot.Index
+		r.snapshotBytes = int64(len(ready.Snapshot.State))
 		r.noteTimes(ready.Entries)
 		return r.restore(ready.Snapshot)
 	}
@@ -100,34 +104,3 @@
 	}
 	return nil
 }
-
-// maybeSnapshot writes a snapshot when enough entries have been applied since
-// the last one.
-func (r *Replica) maybeSnapshot() error {
-	s := r.raft.Status()
-	if s.Applied < r.snapshotted+r.options.SnapshotInterval {
-		return nil
-	}
-	state, err := r.machine.Snapshot()
-	if err != nil {
-		return fault.Wrap(err, fault.Internal, "the state can't be encoded")
-	}
-	term, ok := r.raft.TermAt(s.Applied)
-	if !ok {
-		return nil
-	}
-	snapshot := &wire.LogSnapshot{
-		Index:   s.Applied,
-		Term:    term,
-		Members: r.raft.MembersAt(s.Applied),
-		TimeMs:  r.lastTime,
-		State:   state,
-	}
-	if err := r.log.SaveSnapshot(snapshot, r.hard, r.raft.Entries(s.Applied+1)); err != nil {
-		return err
-	}
-	r.snapshotted = s.Applied
-	keepFrom := s.Applied + 1 - min(s.Applied, r.options.KeptEntries)
-	r.raft.Compact(snapshot, keepFrom)
-	return nil
-}
