Prove the invariants under mixed faults

Callers act on what they are told: one that is told "not run" and gives up must find no run at the end.

--- a/prove/load_test.go
+++ b/prove/load_test.go
@@ -31,7 +31,7 @@
 				default:
 				}
 				s := f.startStream(job%len(f.Entries), fmt.Sprintf("job %d request %d", job, i), tokens)
-				if l.count(s) == outcomeRefused {
+				if !l.count(s) {
 					time.Sleep(resendPause)
 				}
 			}
@@ -40,30 +40,24 @@
 	return l
 }
 
-type outcome int
-
-const (
-	outcomeRight outcome = iota
-	outcomeRefused
-	outcomeFaulty
-)
-
-func (l *load) count(s *stream) outcome {
+// count records a stream and reports whether its answer was right.
+func (l *load) count(s *stream) bool {
 	result := s.wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !s.honest() || result.Total > wholeDeadline+deadlineSlack {
+		l.wrong = append(l.wrong, describe(result))
+	}
 	switch {
 	case s.right():
 		l.right++
-		return outcomeRight
+		return true
 	case result.NotRun() && result.RetryAfter() != "":
 		l.refused++
-		return outcomeRefused
-	case !s.honest():
-		l.wrong = append(l.wrong, describe(result))
+	default:
+		l.faulty = append(l.faulty, describe(result))
 	}
-	l.faulty = append(l.faulty, describe(result))
-	return outcomeFaulty
+	return false
 }
 
 func (l *load) stop() {
--- a/trials/cluster/links.go
+++ b/trials/cluster/links.go
@@ -1,8 +1,10 @@
 package cluster
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/apricotspoke/apricotspoke/transport/link"
@@ -30,6 +32,24 @@
 	return nil, fmt.Errorf("no proxy from %s to %s", from, to)
 }
 
+// Link is a proxied link; From opens the connections.
+type Link struct {
+	From, To string
+	Proxy    *faultproxy.Proxy
+}
+
+// All returns every link in a fixed order.
+func (l *Links) All() []Link {
+	var links []Link
+	for ends, proxy := range l.proxies {
+		links = append(links, Link{ends.From, ends.To, proxy})
+	}
+	slices.SortFunc(links, func(a, b Link) int {
+		return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To))
+	})
+	return links
+}
+
 // Touching returns all proxies of a process, both ways, whose other end is
 // accepted by the filter.
 func (l *Links) Touching(name string, other func(string) bool) []*faultproxy.Proxy {
