--- a/coordination/admission/account.go
+++ b/coordination/admission/account.go
@@ -16,13 +16,14 @@
 	mostOfBurst  = 0.5                     // of the contract's burst held in advance at most
 	standingPart = 8                       // a contract must allow this many times what is left standing
 	rateSmooth   = 0.3                     // weight of the newest interval in the demand rate
+	takeDecay    = 0.9                     // of the largest request, for each later one
 	slotHeadroom = 4                       // one spare slot per this many used
 )
 
 // account is the part of one contract that the entry holds.
 type account struct {
 	contract         *wire.Contract
-	takeTokens       float64 // smoothed tokens of one request
+	takeTokens       float64 // tokens of the largest of the latest requests
 	requests, tokens float64 // unspent
 	slots, used      uint32
 	validUntil       time.Time
@@ -49,7 +50,7 @@
 	a.used++
 	a.spentRequests++
 	a.spentTokens += tokens
-	a.takeTokens += rateSmooth * (tokens - a.takeTokens)
+	a.takeTokens = math.Max(tokens, takeDecay*a.takeTokens)
 	return true
 }
 
--- a/transport/controllink/client.go
+++ b/transport/controllink/client.go
@@ -16,8 +16,12 @@
 	"google.golang.org/grpc/status"
 )
 
-// tryTimeout bounds a call to one replica, so that a silent one is left for the next.
-const tryTimeout = 700 * time.Millisecond
+// Bounds of a call to one replica, so that a silent one is left for the next. A
+// claim waits for a quorum's disks, a lease does not.
+const (
+	claimTimeout = 700 * time.Millisecond
+	leaseTimeout = 300 * time.Millisecond
+)
 
 // Client calls whichever replica answers. All its calls may be repeated: a
 // claim and its settlement name their attempt, and a lost lease only lapses.
@@ -34,21 +38,21 @@
 
 // Claim asks for the right to run a non-repeatable request.
 func (c *Client) Claim(ctx context.Context, request *wire.ClaimRequest) (*wire.ClaimResponse, error) {
-	return try(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*wire.ClaimResponse, error) {
+	return try(ctx, c, claimTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.ClaimResponse, error) {
 		return wire.NewClaimsClient(conn).Claim(ctx, request)
 	})
 }
 
 // Settle records what became of an attempt.
 func (c *Client) Settle(ctx context.Context, request *wire.SettleRequest) (*wire.SettleResponse, error) {
-	return try(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*wire.SettleResponse, error) {
+	return try(ctx, c, claimTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.SettleResponse, error) {
 		return wire.NewClaimsClient(conn).Settle(ctx, request)
 	})
 }
 
 // Lease asks for parts of contracts.
 func (c *Client) Lease(ctx context.Context, request *wire.LeaseRequest) (*wire.LeaseResponse, error) {
-	return try(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*wire.LeaseResponse, error) {
+	return try(ctx, c, leaseTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.LeaseResponse, error) {
 		return wire.NewQuotasClient(conn).Lease(ctx, request)
 	})
 }
@@ -57,12 +61,12 @@
 
 var errNoReplica = errors.New("no control replica is named in the settings")
 
-func try[T failing](ctx context.Context, c *Client, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
+func try[T failing](ctx context.Context, c *Client, timeout time.Duration, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
 	var response T
 	err := errNoReplica
 	for range c.addresses {
 		at := c.preferred.Load()
-		response, err = tryOne(ctx, c, c.addresses[at%uint64(len(c.addresses))], call)
+		response, err = tryOne(ctx, c, c.addresses[at%uint64(len(c.addresses))], timeout, call)
 		if err == nil && !elsewhere(response.GetFailure()) {
 			return response, nil
 		}
@@ -83,8 +87,8 @@
 	return false
 }
 
-func tryOne[T any](ctx context.Context, c *Client, address string, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+func tryOne[T any](ctx context.Context, c *Client, address string, timeout time.Duration, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := c.pool.Get(address)
 	if err != nil {
