--- a/coordination/routing/picker.go
+++ b/coordination/routing/picker.go
@@ -13,6 +13,17 @@
 	Pick(candidates []Candidate) Candidate
 }
 
+// IntN gives a random number from 0 up to and without n. A nil one uses the
+// shared source; experiments set their own, so that runs repeat.
+type IntN func(n int) int
+
+func (f IntN) below(n int) int {
+	if f == nil {
+		return rand.IntN(n)
+	}
+	return f(n)
+}
+
 const (
 	nearRatio   = 0.10  // share of the least cost within which candidates are equal
 	nearSeconds = 0.005 // and the least difference that counts
@@ -20,10 +31,10 @@
 
 // NearBestPicker takes one at random of those whose cost is near the least, so
 // that entries which see the same reports do not all choose the same endpoint.
-type NearBestPicker struct{}
+type NearBestPicker struct{ Random IntN }
 
 // Pick implements Picker.
-func (NearBestPicker) Pick(candidates []Candidate) Candidate {
+func (p NearBestPicker) Pick(candidates []Candidate) Candidate {
 	least := candidates[0].Cost
 	for _, c := range candidates {
 		least = min(least, c.Cost)
@@ -35,7 +46,7 @@
 			continue
 		}
 		near++
-		if rand.IntN(near) == 0 {
+		if p.Random.below(near) == 0 {
 			chosen = c
 		}
 	}
--- a/coordination/routing/picker_baseline.go
+++ b/coordination/routing/picker_baseline.go
@@ -1,16 +1,13 @@
 package routing
 
-import (
-	"math/rand/v2"
-	"sync/atomic"
-)
+import "sync/atomic"
 
 // RandomPicker takes any candidate.
-type RandomPicker struct{}
+type RandomPicker struct{ Random IntN }
 
 // Pick implements Picker.
-func (RandomPicker) Pick(candidates []Candidate) Candidate {
-	return candidates[rand.IntN(len(candidates))]
+func (p RandomPicker) Pick(candidates []Candidate) Candidate {
+	return candidates[p.Random.below(len(candidates))]
 }
 
 // RoundRobinPicker takes the candidates in turn.
@@ -22,17 +19,17 @@
 }
 
 // LeastPicker takes a candidate of least cost, any of equal ones.
-type LeastPicker struct{}
+type LeastPicker struct{ Random IntN }
 
 // Pick implements Picker.
-func (LeastPicker) Pick(candidates []Candidate) Candidate {
+func (p LeastPicker) Pick(candidates []Candidate) Candidate {
 	chosen, equal := candidates[0], 1
 	for _, c := range candidates[1:] {
 		if c.Cost < chosen.Cost {
 			chosen, equal = c, 1
 		} else if c.Cost == chosen.Cost {
 			equal++
-			if rand.IntN(equal) == 0 {
+			if p.Random.below(equal) == 0 {
 				chosen = c
 			}
 		}
--- a/coordination/routing/policy.go
+++ b/coordination/routing/policy.go
@@ -13,16 +13,19 @@
 var PolicyNames = []string{"adaptive", "random", "round-robin", "fewest-outstanding"}
 
 // NewPolicy returns the policy of that name.
-func NewPolicy(name string) (Policy, error) {
+func NewPolicy(name string) (Policy, error) { return NewSeededPolicy(name, nil) }
+
+// NewSeededPolicy returns the policy of that name with a random source of its own.
+func NewSeededPolicy(name string, random IntN) (Policy, error) {
 	switch name {
 	case "adaptive":
-		return Policy{name, []Scorer{FirstTokenScorer{}, PrefixScorer{}, LengthScorer{}}, NearBestPicker{}}, nil
+		return Policy{name, []Scorer{FirstTokenScorer{}, PrefixScorer{}, LengthScorer{}}, NearBestPicker{random}}, nil
 	case "random":
-		return Policy{name, nil, RandomPicker{}}, nil
+		return Policy{name, nil, RandomPicker{random}}, nil
 	case "round-robin":
 		return Policy{name, nil, &RoundRobinPicker{}}, nil
 	case "fewest-outstanding":
-		return Policy{name, []Scorer{OutstandingScorer{}}, LeastPicker{}}, nil
+		return Policy{name, []Scorer{OutstandingScorer{}}, LeastPicker{random}}, nil
 	}
 	return Policy{}, fmt.Errorf("unknown policy %q: use one of %v", name, PolicyNames)
 }
