Predict the first token by the work that goes first

Cause: the router counted all queued prompts ahead of a new one, though gates and engines take short prompts first. Short prompts were refused as too late beside long ones. Gates now report their queue by length class (EndpointLoad.gate_prefill_classes) and the router counts the classes up to the prompt's own.

--- a/coordination/gate/report.go
+++ b/coordination/gate/report.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/apricotspoke/apricotspoke/protocol/prompt"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -67,6 +68,7 @@
 	load.GateWaiting = uint32(len(g.queue.items))
 	load.GatePrefillTokens = 0
 	load.AttemptsSeen = nil
+	load.GatePrefillClasses = make([]uint64, prompt.Classes)
 	for _, a := range g.running {
 		g.countIn(load, a)
 	}
@@ -79,6 +81,7 @@
 func (g *Gate) countIn(load *wire.EndpointLoad, a *Attempt) {
 	if !a.firstSeen {
 		load.GatePrefillTokens += a.open.PromptTokens
+		load.GatePrefillClasses[prompt.Class(a.open.PromptTokens)] += a.open.PromptTokens
 	}
 	if len(load.AttemptsSeen) < maxSeen {
 		load.AttemptsSeen = append(load.AttemptsSeen, a.open.Attempt)
--- a/coordination/routing/endpoint.go
+++ b/coordination/routing/endpoint.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/prompt"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -33,6 +34,20 @@
 	return max(load.GetQueuedPrefillTokens(), load.GetGatePrefillTokens()) + e.Own.UnseenTokens()
 }
 
+// aheadTokens is the prefill work that goes before a new prompt. Gates and
+// engines take shorter prompts first, so longer ones do not count.
+func (e *Endpoint) aheadTokens(tokens uint64) uint64 {
+	class, classes := prompt.Class(tokens), e.Report.GetLoad().GetGatePrefillClasses()
+	if len(classes) == 0 {
+		return e.queuedTokens()
+	}
+	ahead := e.Own.UnseenUpTo(class)
+	for _, queued := range classes[:min(class+1, len(classes))] {
+		ahead += queued
+	}
+	return ahead
+}
+
 // outstanding is the number of attempts that run or wait at the endpoint.
 func (e *Endpoint) outstanding() uint64 {
 	load := e.Report.GetLoad()
--- a/coordination/routing/ownwork.go
+++ b/coordination/routing/ownwork.go
@@ -4,12 +4,14 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+
+	"github.com/apricotspoke/apricotspoke/protocol/prompt"
 )
 
 // OwnWork counts the attempts that this entry has running at an endpoint, and
 // of them those that no report counts yet.
 type OwnWork struct {
-	unseenTokens   atomic.Int64
+	unseenTokens   [prompt.Classes]atomic.Int64 // by length class
 	unseenAttempts atomic.Int64
 	running        atomic.Int64
 	long           atomic.Int64 // attempts above the length boundary before their first token
@@ -29,7 +31,20 @@
 func NewOwnWork() *OwnWork { return &OwnWork{attempts: make(map[string]*ownAttempt)} }
 
 // UnseenTokens is the prompt length of the attempts that no report counts yet.
-func (w *OwnWork) UnseenTokens() uint64 { return uint64(max(0, w.unseenTokens.Load())) }
+func (w *OwnWork) UnseenTokens() uint64 { return w.UnseenUpTo(prompt.Classes - 1) }
+
+// UnseenUpTo is the same for prompts up to a length class.
+func (w *OwnWork) UnseenUpTo(class int) uint64 {
+	var sum int64
+	for i := range class + 1 {
+		sum += w.unseenTokens[i].Load()
+	}
+	return uint64(max(0, sum))
+}
+
+func (w *OwnWork) addUnseen(tokens int64, sign int64) {
+	w.unseenTokens[prompt.Class(uint64(tokens))].Add(sign * tokens)
+}
 
 // UnseenAttempts is the number of attempts that no report counts yet.
 func (w *OwnWork) UnseenAttempts() uint64 { return uint64(max(0, w.unseenAttempts.Load())) }
@@ -49,7 +64,7 @@
 	}
 	w.attempts[attempt] = &ownAttempt{tokens: int64(tokens), waiting: true, long: long}
 	w.running.Add(1)
-	w.unseenTokens.Add(int64(tokens))
+	w.addUnseen(int64(tokens), 1)
 	w.unseenAttempts.Add(1)
 	if long {
 		w.long.Add(1)
@@ -99,7 +114,7 @@
 		w.long.Add(-1)
 	}
 	if !a.seen {
-		w.unseenTokens.Add(-a.tokens)
+		w.addUnseen(a.tokens, -1)
 	}
 }
 
@@ -110,7 +125,7 @@
 	a.seen = true
 	w.unseenAttempts.Add(-1)
 	if a.waiting {
-		w.unseenTokens.Add(-a.tokens)
+		w.addUnseen(a.tokens, -1)
 	}
 }
 
--- a/coordination/routing/scorer_firsttoken.go
+++ b/coordination/routing/scorer_firsttoken.go
@@ -14,7 +14,7 @@
 func (FirstTokenScorer) Cost(r *Request, e *Endpoint) float64 {
 	load := e.Report.GetLoad()
 	perToken := load.GetDecodeMsPerToken() / 1000
-	cost := float64(e.queuedTokens()+r.Tokens)/e.prefillRate() + perToken
+	cost := float64(e.aheadTokens(r.Tokens)+r.Tokens)/e.prefillRate() + perToken
 	limit := uint64(max(1, e.Report.AdmitLimit))
 	if outstanding := e.outstanding(); outstanding >= limit {
 		cost += perToken * slotTokens * float64(outstanding-limit+1) / float64(limit)
--- a/protocol/prompt/prompt.go
+++ b/protocol/prompt/prompt.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"math/bits"
 )
 
 const (
@@ -15,6 +16,13 @@
 	MaxBlocks = 64
 )
 
+// Classes is the number of length classes.
+const Classes = 24
+
+// Class is the length class of a prompt, its size in powers of two. Engines are
+// asked to compute prompts of a lower class first.
+func Class(tokens uint64) int { return min(bits.Len64(tokens), Classes-1) }
+
 // Tokens estimates the tokens of a text of the given length in bytes, rounded up.
 func Tokens(bytes int) uint64 {
 	return uint64(bytes+bytesPerToken-1) / bytesPerToken
