Let short attempts pass one that waits long for memory

Cause: after 2 s a prompt that did not fit held back all behind it until memory was free, which takes tens of seconds for the longest ones. Now those behind it pass as long as they leave enough of the whole memory for it.

--- a/bench/engine.go
+++ b/bench/engine.go
@@ -20,10 +20,12 @@
 	chunkTokens   = 2048                  // prompt tokens computed in one step
 	stepTime      = 5 * time.Millisecond  // of a step without prompts and streams
 	streamTime    = 50 * time.Microsecond // added by each stream that decodes
+	wakeTime      = 100 * time.Microsecond
 	answerDelay   = 500 * time.Microsecond
 	loadLag       = 200 * time.Millisecond
 	loadSampling  = 50 * time.Millisecond
-	prefillRate   = 40_000.0 // tokens per second, without the time of the step
+	samplePhase   = 7310 * time.Microsecond // no two timers of a gate coincide
+	prefillRate   = 40_000.0                // tokens per second, without the time of the step
 	memoryTokens  = 1_200_000
 	concurrency   = 32
 	coldLimit     = 4
@@ -82,7 +84,7 @@
 func (e *Engine) admissible() int { return min(coldLimit+e.finished, concurrency) }
 
 // Send implements gate.Endpoint.
-func (e *Engine) Send(_ context.Context, call *gate.Call) (*gate.Answer, error) {
+func (e *Engine) Send(ctx context.Context, call *gate.Call) (*gate.Answer, error) {
 	call.Written()
 	time.Sleep(answerDelay)
 	e.mu.Lock()
@@ -95,6 +97,7 @@
 		e.Breaches++
 	}
 	reader, writer := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
 	w := &work{id: call.Attempt, at: time.Now(), priority: call.Priority, tokens: call.PromptTokens,
 		output: int(call.OutputTokens), blocks: decodeBlocks(call.Body), out: writer}
 	held := e.cache.held(w.blocks)
@@ -125,6 +128,7 @@
 			case <-e.wake:
 			case <-ctx.Done():
 			}
+			sleep(ctx, wakeTime) // all that comes at one moment is planned together
 			continue
 		}
 		time.Sleep(took)
@@ -209,6 +213,7 @@
 
 // sampleLoad keeps load reports, so that those given out lag.
 func (e *Engine) sampleLoad(ctx context.Context) {
+	sleep(ctx, samplePhase)
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		s := sample{time.Now(), gate.Load{BootID: e.bootID(), Admissible: e.admissible(), Report: e.load()}}
@@ -262,7 +267,12 @@
 	time.Sleep(answerDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.work = slices.DeleteFunc(e.work, func(w *work) bool { return w.id == id })
+	e.work = slices.DeleteFunc(e.work, func(w *work) bool {
+		if w.id == id {
+			_ = w.out.CloseWithError(io.ErrUnexpectedEOF)
+		}
+		return w.id == id
+	})
 	return nil
 }
 
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	model         = "m1"
 	reportEvery   = 250 * time.Millisecond
 	reportDelay   = 2 * time.Millisecond
+	reportPhase   = 11770 * time.Microsecond
+	changedPhase  = 1370 * time.Microsecond
 	announceEvery = time.Second
 	leaseTime     = 3 * time.Second
 	settleTime    = 2 * time.Second
@@ -102,7 +105,7 @@
 		if o.Scorers != nil {
 			policy.Scorers = o.Scorers
 		}
-		policy.Scorers = append(policy.Scorers, o.Lane.scorers()...)
+		policy.Scorers = append(slices.Clip(policy.Scorers), o.Lane.scorers()...)
 		table := routing.NewTable()
 		f.entries = append(f.entries, &entry{table, routing.NewRouter(table, policy), relay.NewBudget()})
 	}
@@ -145,6 +148,7 @@
 
 // report tells the entries of a gate at intervals and when it asks for it.
 func (f *Fleet) report(g *gate.Gate) {
+	sleep(f.ctx, reportPhase)
 	for f.ctx.Err() == nil {
 		if report := g.Report(0); report != nil {
 			time.Sleep(reportDelay)
@@ -155,6 +159,7 @@
 		timer := time.NewTimer(reportEvery)
 		select {
 		case <-g.Changed():
+			sleep(f.ctx, changedPhase)
 		case <-timer.C:
 		case <-f.ctx.Done():
 		}
--- /dev/null
+++ b/bench/ways.go
@@ -0,0 +1,35 @@
+package bench
+
+import (
+	"fmt"
+
+	"github.com/apricotspoke/apricotspoke/coordination/routing"
+)
+
+// Ways compares ways to keep short requests off the path of long prefills.
+func Ways(s Setting, boundary uint64, lanes []int) (alone Figures, list []Figures, err error) {
+	s.Options.Policy = "adaptive"
+	if alone, err = s.Alone(); err != nil {
+		return alone, nil, err
+	}
+	shared := []routing.Scorer{routing.FirstTokenScorer{}, routing.PrefixScorer{}}
+	add := func(name string) error {
+		figures, err := s.Measure(name)
+		list = append(list, figures)
+		return err
+	}
+	if err = add("adaptive boundary"); err != nil {
+		return alone, nil, err
+	}
+	s.Options.Scorers = shared
+	if err = add("shared"); err != nil {
+		return alone, nil, err
+	}
+	for _, count := range lanes {
+		s.Options.Lane = Lane{Endpoints: count, Tokens: boundary}
+		if err = add(fmt.Sprintf("lane of %d to %dk", count, boundary/1000)); err != nil {
+			return alone, nil, err
+		}
+	}
+	return alone, list, nil
+}
--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -52,6 +52,7 @@
 	answered  bool
 	firstSeen bool // the first part of the answer is there
 	usesGroup bool
+	passing   bool   // dispatched before one that waits for memory
 	kvName    string // the work's name in the body of a KV call
 	readers   int
 	unread    int // generation of the grace timer
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -177,7 +177,7 @@
 		return
 	}
 	for len(g.queue.items) > 0 && g.hasRoom() {
-		a := g.queue.next(now, g.reserve)
+		a := g.queue.next(now, g.reserve, g.passes)
 		if a == nil {
 			return
 		}
@@ -199,6 +199,18 @@
 	return g.memory.take(a.open.Attempt, a.tokens())
 }
 
+// passes says whether an attempt may go before one that waits for memory: those
+// that passed must leave enough of the whole for it.
+func (g *Gate) passes(blocked, a *Attempt) bool {
+	passing := a.tokens()
+	for _, r := range g.running {
+		if r.passing {
+			passing += r.tokens()
+		}
+	}
+	return blocked.tokens()+passing <= g.memory.total
+}
+
 // remove ends an attempt's claim on the endpoint. The caller holds mu.
 func (g *Gate) remove(a *Attempt) {
 	if g.running[a.open.Attempt] == a {
--- a/coordination/gate/queue.go
+++ b/coordination/gate/queue.go
@@ -41,19 +41,24 @@
 	return float64(w.prefill) - ageingRate*now.Sub(w.since).Seconds()
 }
 
-// next takes out the first attempt that fits. One that has waited long without
-// fitting holds back those behind it, so that it is not starved.
-func (q *queue) next(now time.Time, fits func(*Attempt) bool) *Attempt {
+// next takes out the first attempt that fits. Behind one that has waited long
+// without fitting, only those go on that may pass it, so that it is not starved.
+func (q *queue) next(now time.Time, fits func(*Attempt) bool, passes func(blocked, a *Attempt) bool) *Attempt {
 	slices.SortStableFunc(q.items, func(a, b *waiting) int {
 		return cmp.Or(-cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank(now), b.rank(now)))
 	})
+	var blocked *Attempt
 	for _, w := range q.items {
+		if blocked != nil && !passes(blocked, w.attempt) {
+			continue
+		}
 		if fits(w.attempt) {
 			q.remove(w.attempt)
+			w.attempt.passing = blocked != nil
 			return w.attempt
 		}
-		if now.Sub(w.since) > skipFor {
-			return nil
+		if blocked == nil && now.Sub(w.since) > skipFor {
+			blocked = w.attempt
 		}
 	}
 	return nil
