Compare three random candidates by their full cost

Cause: reports are up to 250 ms old, so all entries sent short prompts to the same few endpoints, where they waited for each other.

--- a/bench/caller.go
+++ b/bench/caller.go
@@ -38,6 +38,8 @@
 	Err        error         // nil for a whole answer
 	Met        bool          // whole and in time
 	Attempts   int           // sent to an engine or a gate's queue
+	Refusals   int           // of the attempts
+	Returned   bool          // it was refused and came again after Retry-After
 	Endpoint   string
 }
 
@@ -78,12 +80,27 @@
 	var all sync.WaitGroup
 	for i, job := range jobs {
 		time.Sleep(time.Until(start.Add(job.At)))
-		all.Go(func() { outcomes[i] = f.one(job, take) })
+		all.Go(func() {
+			outcomes[i] = f.one(job, take)
+			if after := retryAfter(outcomes[i]); f.again && after > 0 {
+				time.Sleep(after)
+				outcomes[i] = f.one(job, take)
+				outcomes[i].Returned = true
+			}
+		})
 	}
 	all.Wait()
 	return outcomes
 }
 
+// retryAfter is when a refused caller is to return, 0 when it was not refused.
+func retryAfter(o Outcome) time.Duration {
+	if !o.Refused() {
+		return 0
+	}
+	return fault.From(o.Err).RetryAfter
+}
+
 func (f *Fleet) one(job Job, take Take) Outcome {
 	due := time.Now()
 	at := job.Number % len(f.entries)
@@ -128,6 +145,7 @@
 			return
 		}
 		if o.Refused() {
+			o.Refusals++
 			if refusals++; refusals >= maxRefusals {
 				return
 			}
@@ -139,7 +157,7 @@
 }
 
 func (f *Fleet) attempt(choice routing.Choice, job Job, o *Outcome, due time.Time, limits admission.Deadlines) error {
-	id := fmt.Sprintf("r%07d-%d", job.Number, o.Attempts)
+	id := fmt.Sprintf("r%07d-%d-%d", job.Number, due.UnixNano(), o.Attempts)
 	own := choice.Endpoint.Own
 	own.Start(id, uint64(job.PromptTokens), choice.Long)
 	defer own.End(id)
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -21,7 +21,8 @@
 	stepTime      = 5 * time.Millisecond  // of a step without prompts and streams
 	streamTime    = 50 * time.Microsecond // added by each stream that decodes
 	wakeTime      = 100 * time.Microsecond
-	answerDelay   = 500 * time.Microsecond
+	loadDelay     = 313 * time.Microsecond
+	answerDelay   = 537 * time.Microsecond
 	loadLag       = 200 * time.Millisecond
 	loadSampling  = 50 * time.Millisecond
 	samplePhase   = 7310 * time.Microsecond // no two timers of a gate coincide
@@ -240,6 +241,7 @@
 
 // Load implements gate.Endpoint.
 func (e *Engine) Load(context.Context) (*gate.Load, error) {
+	time.Sleep(loadDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.lag) == 0 {
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -51,6 +51,7 @@
 	list    []*gate.Gate
 	entries []*entry
 	cancel  context.CancelFunc
+	again   bool // refused callers return once
 	ctx     context.Context
 }
 
@@ -125,6 +126,7 @@
 	f.list = append(f.list, g)
 	f.gates[name] = g
 	time.Sleep(time.Duration(i) * 137 * time.Microsecond) // gates do not tick together
+	f.announceOnce(e, g)                                  // before the gate asks, so that its timers start alike
 	go e.run(f.ctx)
 	go e.sampleLoad(f.ctx)
 	go e.deliver(f.ctx, g)
@@ -137,15 +139,19 @@
 
 func (f *Fleet) announce(e *Engine, g *gate.Gate) {
 	for f.ctx.Err() == nil {
-		e.mu.Lock()
-		boot := e.bootID()
-		e.mu.Unlock()
-		_ = g.Announce(gate.Info{Endpoint: e.name, Address: e.name, Models: []string{model}, BootID: boot,
-			MemoryTokens: memoryTokens, Concurrency: concurrency, ColdLimit: coldLimit, PrefillRate: StepRate, DecodeMs: 5})
 		sleep(f.ctx, announceEvery)
+		f.announceOnce(e, g)
 	}
 }
 
+func (f *Fleet) announceOnce(e *Engine, g *gate.Gate) {
+	e.mu.Lock()
+	boot := e.bootID()
+	e.mu.Unlock()
+	_ = g.Announce(gate.Info{Endpoint: e.name, Address: e.name, Models: []string{model}, BootID: boot,
+		MemoryTokens: memoryTokens, Concurrency: concurrency, ColdLimit: coldLimit, PrefillRate: StepRate, DecodeMs: 5})
+}
+
 // report tells the entries of a gate at intervals and when it asks for it.
 func (f *Fleet) report(g *gate.Gate) {
 	sleep(f.ctx, reportPhase)
--- a/coordination/routing/policy.go
+++ b/coordination/routing/policy.go
@@ -19,7 +19,7 @@
 func NewSeededPolicy(name string, random IntN) (Policy, error) {
 	switch name {
 	case "adaptive":
-		return Policy{name, []Scorer{FirstTokenScorer{}, PrefixScorer{}, LengthScorer{}}, NearBestPicker{random}}, nil
+		return Policy{name, []Scorer{FirstTokenScorer{}, PrefixScorer{}, LengthScorer{}}, SampledPicker{random}}, nil
 	case "random":
 		return Policy{name, nil, RandomPicker{random}}, nil
 	case "round-robin":
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -229,6 +229,21 @@
 	}
 }
 
+// Of the costs, at most as many are above the one taken as a sample leaves out.
+func TestSampledPickerAvoidsTheWorst(t *testing.T) {
+	candidates := make([]Candidate, 10)
+	taken := map[float64]int{}
+	for range 2000 {
+		for i := range candidates {
+			candidates[i] = Candidate{Cost: float64(i + 1)}
+		}
+		taken[(SampledPicker{}).Pick(candidates).Cost]++
+	}
+	if taken[9] > 0 || taken[10] > 0 || taken[1] < taken[8] || len(taken) < 5 {
+		t.Errorf("taken by cost: %v", taken)
+	}
+}
+
 func fleetOf(b testing.TB, size int) (*Router, *Request) {
 	var reports []*wire.GateReport
 	prefix := make([]uint64, 64)
