Count what the endpoint computes in a gate's deadline check

Cause: the check counted the gate's queue alone, so at twice the capacity many requests were admitted that could not begin in time.

--- a/coordination/gate/admission.go
+++ b/coordination/gate/admission.go
@@ -133,7 +133,7 @@
 	if g.info.Service != "" || g.info.PrefillRate <= 0 {
 		return nil
 	}
-	tokens := g.queue.ahead(open.Priority, open.PromptTokens)
+	tokens := g.queue.ahead(open.Priority, open.PromptTokens) + g.computing(open)
 	if len(open.PrefixBlocks) == 0 {
 		tokens += open.PromptTokens // a prompt with a known prefix may be cached
 	}
@@ -145,6 +145,17 @@
 	return nil
 }
 
+// computing sums the prompt tokens at the endpoint that go before a new attempt.
+func (g *Gate) computing(open *wire.AttemptOpen) uint64 {
+	var sum uint64
+	for _, a := range g.running {
+		if !a.firstSeen && enginePriority(a.open) >= enginePriority(open) {
+			sum += a.open.PromptTokens
+		}
+	}
+	return sum
+}
+
 // firstTokenLeft is the time left for the first token; an attempt without a
 // deadline for it, such as one to a plain service, has that of the whole answer.
 func firstTokenLeft(open *wire.AttemptOpen) time.Duration {
