Send a leader's entries before its own sync

A commit took the leader's sync and then the followers'; they now run beside each other. Entries leave early only in a term that is already synced, and the leader counts itself only up to what it has synced.

--- a/coordination/replica/process.go
+++ b/coordination/replica/process.go
@@ -8,16 +8,21 @@
 )
 
 // process does all work that the core has ready: sync, then send, then apply.
+// A leader's entries leave before its own sync, which then runs beside those of
+// the followers; the core counts them as its own only once they are synced.
 func (r *Replica) process() error {
 	for {
 		ready := r.raft.Ready()
 		if ready.Empty() {
 			break
 		}
+		members := r.raft.Status().Members
+		early, late := r.splitMessages(ready)
+		r.send(early, members)
 		if err := r.save(ready); err != nil {
 			return err
 		}
-		r.send(ready.Messages, r.raft.Status().Members)
+		r.send(late, members)
 		if err := r.apply(ready); err != nil {
 			return err
 		}
@@ -32,6 +37,27 @@
 	return nil
 }
 
+// splitMessages returns the messages that may leave before the sync, and the
+// others. Those of a leader whose term is synced promise nothing of its log.
+func (r *Replica) splitMessages(ready raft.Ready) (early, late []*wire.PeerMessage) {
+	for _, m := range ready.Messages {
+		if ready.HardState == nil && m.Term == r.hard.Term && fromLeader(m) {
+			early = append(early, m)
+		} else {
+			late = append(late, m)
+		}
+	}
+	return early, late
+}
+
+func fromLeader(m *wire.PeerMessage) bool {
+	switch m.Kind {
+	case wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND, wire.PeerMessageKind_PEER_MESSAGE_KIND_HEARTBEAT:
+		return true
+	}
+	return false
+}
+
 func (r *Replica) save(ready raft.Ready) error {
 	if ready.HardState != nil {
 		r.hard = ready.HardState
