--- a/coordination/raft/raft_test.go
+++ b/coordination/raft/raft_test.go
@@ -135,3 +135,22 @@
 		t.Fatal("two majorities that don't meet")
 	}
 }
+
+func TestLeaderCountsItselfOnlyUpToItsSync(t *testing.T) {
+	r := replica("a", 2)
+	elect(t, r)
+	r.Step(&wire.PeerMessage{Kind: appendReply, From: "b", To: "a", Term: r.term, Index: 2})
+	index, _, err := r.Propose([]byte("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready := r.Ready()
+	r.Step(&wire.PeerMessage{Kind: appendReply, From: "b", To: "a", Term: r.term, Index: index})
+	if r.Status().Commit >= index {
+		t.Fatal("committed with one synced copy of three")
+	}
+	r.Advance(ready)
+	if r.Status().Commit != index {
+		t.Fatal("not committed with two synced copies")
+	}
+}
--- a/coordination/replica/snapshot_test.go
+++ b/coordination/replica/snapshot_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/wal"
+	"github.com/apricotspoke/apricotspoke/state/wal/faultfs"
+	"google.golang.org/protobuf/proto"
 )
 
 // gatedFiles holds up the sync of snapshots until the gate is closed.
@@ -88,3 +92,43 @@
 		t.Fatalf("the snapshot holds %d operations", n)
 	}
 }
+
+// TestReceivedSnapshotOvertakesOwn crashes at each point of taking in a
+// snapshot and an entry while the replica's own, older snapshot is written.
+func TestReceivedSnapshotOvertakesOwn(t *testing.T) {
+	for point := 1; ; point++ {
+		s := newSim(t, 1, 1)
+		s.random = rand.New(rand.NewPCG(uint64(point), 1))
+		n := s.nodes[0]
+		n.fs = faultfs.New(s.random.IntN)
+		s.start(n)
+		older := &wire.LogSnapshot{Index: 5, Term: 1, State: snapshotOf(t, n)}
+		r := n.replica
+		r.writing = true
+		r.written <- writtenSnapshot{older, r.log.WriteSnapshot(older)}
+		newer, err := proto.Marshal(&wire.LogSnapshot{Index: 50, Term: 2, State: snapshotOf(t, n)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.fs.CrashAt = n.fs.Points() + point
+		r.raft.Step(&wire.PeerMessage{Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_SNAPSHOT, From: "x", To: r.id, Term: 2, Index: 50, LogTerm: 2, Snapshot: newer})
+		r.raft.Step(&wire.PeerMessage{Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND, From: "x", To: r.id, Term: 2, Index: 50, LogTerm: 2,
+			Entries: []*wire.LogEntry{{Index: 51, Term: 2}}})
+		if err := r.process(); err == nil && !n.fs.Crashed() {
+			if st := r.raft.Status(); st.SnapshotIndex != 50 || st.LastIndex != 51 {
+				t.Fatalf("snapshot %d, last %d", st.SnapshotIndex, st.LastIndex)
+			}
+			return
+		}
+		s.start(n) // fails the test when the folder does not open
+	}
+}
+
+func snapshotOf(t *testing.T, n *simNode) []byte {
+	t.Helper()
+	data, err := n.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
