--- a/prove/booking_test.go
+++ b/prove/booking_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/trials/caller"
@@ -23,3 +24,13 @@
 		time.Sleep(resendPause)
 	}
 }
+
+// bookBoth sends one booking through both entries at the same moment until its
+// outcome is known to each.
+func (f *fixture) bookBoth(visit string) (first, second caller.Result) {
+	var both sync.WaitGroup
+	both.Go(func() { first = f.bookUntilSettled(0, visit) })
+	both.Go(func() { second = f.bookUntilSettled(1, visit) })
+	both.Wait()
+	return first, second
+}
--- a/prove/harness_test.go
+++ b/prove/harness_test.go
@@ -55,8 +55,9 @@
 // fixture is a fleet with one organisation and a client.
 type fixture struct {
 	*cluster.Cluster
-	t      *testing.T
-	client *caller.Client
+	t            *testing.T
+	client       *caller.Client
+	bookDeadline time.Duration // that callers set for bookings; 0 leaves it to the contract
 }
 
 func engine(name, dataCentre string, flags ...string) cluster.EndpointOptions {
@@ -154,7 +155,7 @@
 func (f *fixture) book(entry int, idempotencyKey string) caller.Result {
 	return f.client.Send(f.t.Context(), caller.Request{
 		Entry: f.Entries[entry].HTTP, Method: "POST", Path: "/services/booking/book", Key: key,
-		IdempotencyKey: idempotencyKey,
+		IdempotencyKey: idempotencyKey, Deadline: f.bookDeadline,
 		Body:           fmt.Appendf(nil, `{"reference":%q}`, idempotencyKey),
 	})
 }
--- a/prove/short_test.go
+++ b/prove/short_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"fmt"
-	"sync"
 	"testing"
-
-	"github.com/apricotspoke/apricotspoke/trials/caller"
 )
 
 // TestWholePathWithControlReplicasKilled kills each control replica in turn:
@@ -29,14 +26,9 @@
 // each has its answer: one run, equal answers.
 func (f *fixture) bookTwice(visit string) {
 	f.t.Helper()
-	var results [2]caller.Result
-	var both sync.WaitGroup
-	for i := range results {
-		both.Go(func() { results[i] = f.bookUntilSettled(i, visit) })
-	}
-	both.Wait()
-	if !results[0].OK() || string(results[0].Body) != string(results[1].Body) {
-		f.t.Errorf("booking %s: %s and %s", visit, describe(results[0]), describe(results[1]))
+	first, second := f.bookBoth(visit)
+	if !first.OK() || string(first.Body) != string(second.Body) {
+		f.t.Errorf("booking %s: %s and %s", visit, describe(first), describe(second))
 	}
 	if runs := f.keyRuns(visit); runs != 1 {
 		f.t.Errorf("booking %s ran %d times", visit, runs)
--- a/trials/cluster/ctl.go
+++ b/trials/cluster/ctl.go
@@ -5,10 +5,12 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 )
@@ -62,3 +64,44 @@
 	_, err := c.Ctl(ctx, "data-centre", "in", dataCentre)
 	return err
 }
+
+// Member is a control replica as the group knows it.
+type Member struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Learner bool   `json:"learner"`
+	Removed bool   `json:"removed"`
+}
+
+type memberList struct {
+	Members []Member `json:"members"`
+}
+
+// Voters lists the control replicas that vote.
+func (c *Cluster) Voters(ctx context.Context) ([]Member, error) {
+	out, err := c.Ctl(ctx, "--output=json", "member", "list")
+	if err != nil {
+		return nil, err
+	}
+	var list memberList
+	if err := json.Unmarshal([]byte(out), &list); err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(list.Members, func(m Member) bool { return m.Learner || m.Removed }), nil
+}
+
+// AwaitVoter waits until a new replica votes at an address in place of an old one.
+func (c *Cluster) AwaitVoter(ctx context.Context, address, oldID string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return Poll(ctx, func(ctx context.Context) error {
+		voters, err := c.Voters(ctx)
+		if err != nil {
+			return err
+		}
+		if !slices.ContainsFunc(voters, func(m Member) bool { return m.Address == address && m.ID != oldID }) {
+			return fmt.Errorf("no new replica votes at %s", address)
+		}
+		return nil
+	})
+}
