--- a/prove/harness_test.go
+++ b/prove/harness_test.go
@@ -156,7 +156,7 @@
 	return f.client.Send(f.t.Context(), caller.Request{
 		Entry: f.Entries[entry].HTTP, Method: "POST", Path: "/services/booking/book", Key: key,
 		IdempotencyKey: idempotencyKey, Deadline: f.bookDeadline,
-		Body:           fmt.Appendf(nil, `{"reference":%q}`, idempotencyKey),
+		Body: fmt.Appendf(nil, `{"reference":%q}`, idempotencyKey),
 	})
 }
 
