Test that the invariant checker finds what it is for

A checker that finds nothing proves nothing: a stand-in that is sent work above its limit, a key twice, or left with work must be reported as such.

--- /dev/null
+++ b/trials/cluster/invariants_test.go
@@ -0,0 +1,54 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/fakeendpoint"
+)
+
+// The checker must find what a gate that breaks the rules would cause.
+func TestCheckFindsBreachesDoubledRunsAndHeldMemory(t *testing.T) {
+	stand := func(config fakeendpoint.Config) *Endpoint {
+		config.ColdConcurrency, config.Concurrency, config.MemoryTokens, config.PrefillTokensPerSecond = 1, 1, 1000, 1
+		e := fakeendpoint.New(config)
+		go e.Run(t.Context())
+		server := httptest.NewServer(e.Handler())
+		t.Cleanup(server.Close)
+		return &Endpoint{Process: &Process{Name: "e"}, HTTP: strings.TrimPrefix(server.URL, "http://")}
+	}
+	post := func(e *Endpoint, path, attempt, body string) {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.HTTP+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("X-Attempt-Id", attempt)
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			response.Body.Close()
+		}
+	}
+	want := func(e *Endpoint, text string) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := e.check(ctx); err == nil || !strings.Contains(err.Error(), text) {
+			t.Errorf("got %v, want %q", err, text)
+		}
+	}
+	slow := `{"model":"m1","prompt":"a prompt of some tokens, of which one is read each second"}`
+	engine := stand(fakeendpoint.Config{Models: []string{"m1"}})
+	post(engine, "/v1/completions", "a1", slow)
+	want(engine, "tokens of memory are still in use")
+	post(engine, "/v1/completions", "a2", slow)
+	want(engine, "breach of concurrency by attempt a2")
+	service := stand(fakeendpoint.Config{Service: "booking"})
+	post(service, "/book", "b1", `{"reference":"k"}`)
+	post(service, "/book", "b2", `{"reference":"k"}`)
+	want(service, "key k ran 2 times")
+}
