Ask for standing quota with the first request

The standing part was measured at the first success, so a leader killed within milliseconds of it left one token in hand and every later request was refused until the new leader granted again.

--- a/coordination/admission/account.go
+++ b/coordination/admission/account.go
@@ -11,10 +11,12 @@
 	prefetchFor  = 2500 * time.Millisecond // demand held in advance: a new leader grants nothing for about as long
 	idleAfter    = 2 * time.Second         // without requests, all but the standing part goes back
 	forgetAfter  = 30 * time.Second        // without requests, the standing part goes back too
-	standing     = 2.0                     // requests held in advance at least
+	standing     = 2.0                     // requests held in advance at least while in demand
 	surplus      = 1.5                     // times the target above which quota goes back
 	mostOfBurst  = 0.5                     // of the contract's burst held in advance at most
-	standingPart = 8                       // a contract must allow this many times what is left standing
+	burstPart    = 64                      // of a contract's burst, one part is left standing in an idle entry
+	slotPart     = 16                      // and of its concurrency
+	mostStanding = 16                      // requests left standing at most
 	rateSmooth   = 0.3                     // weight of the newest interval in the demand rate
 	takeDecay    = 0.9                     // of the largest request, for each later one
 	slotHeadroom = 4                       // one spare slot per this many used
@@ -41,6 +43,12 @@
 	return &account{contract: contract, leasedAt: now, lastTake: now, changed: make(chan struct{})}
 }
 
+// ask notes a request, whether or not it can be served from what is held.
+func (a *account) ask(tokens float64, now time.Time) {
+	a.lastTake = now
+	a.takeTokens = math.Max(tokens, takeDecay*a.takeTokens)
+}
+
 func (a *account) take(tokens float64, now time.Time) bool {
 	if now.After(a.validUntil) || a.requests < 1 || a.tokens < tokens || a.used >= a.slots {
 		return false
@@ -50,7 +58,6 @@
 	a.used++
 	a.spentRequests++
 	a.spentTokens += tokens
-	a.takeTokens = math.Max(tokens, takeDecay*a.takeTokens)
 	return true
 }
 
@@ -68,7 +75,7 @@
 	d.ConcurrencyWanted = a.used + uint32(a.waitingRequests) + spare
 	a.slots = min(a.slots, d.ConcurrencyWanted) // slots not wanted are handed back
 	d.ConcurrencyHeld = a.used
-	if a.contract.Concurrency >= standingPart {
+	if a.contract.Concurrency >= slotPart {
 		d.ConcurrencyHeld = max(a.used, min(a.slots, a.used+spare))
 	}
 	return d
@@ -90,7 +97,7 @@
 	ahead, least := prefetchFor.Seconds(), a.standing()
 	requests, tokens = least, least*a.takeTokens
 	if now.Sub(a.lastTake) < idleAfter {
-		requests = math.Max(standing, math.Min(a.rateRequests*ahead, mostOfBurst*a.contract.RequestBurst))
+		requests = math.Max(math.Max(standing, requests), math.Min(a.rateRequests*ahead, mostOfBurst*a.contract.RequestBurst))
 		tokens = math.Max(tokens, math.Min(a.rateTokens*ahead, mostOfBurst*a.contract.TokenBurst))
 	}
 	return a.waitingRequests + requests, a.waitingTokens + tokens
@@ -100,17 +107,19 @@
 // next one is served while control elects a leader. Small contracts keep none:
 // entries would hoard them.
 func (a *account) standing() float64 {
-	if a.contract.RequestBurst < standing*standingPart || a.contract.TokenBurst < standing*standingPart*a.takeTokens {
-		return 0
+	requests := a.contract.RequestBurst / burstPart
+	if a.takeTokens > 0 {
+		requests = math.Min(requests, a.contract.TokenBurst/burstPart/a.takeTokens)
 	}
-	return standing
+	return math.Floor(math.Min(requests, mostStanding))
 }
 
 func (a *account) spareSlots(now time.Time) uint32 {
-	if now.Sub(a.lastTake) >= idleAfter && a.contract.Concurrency < standingPart {
-		return 0
+	spare := min(a.contract.Concurrency/slotPart, 1+a.used/slotHeadroom)
+	if now.Sub(a.lastTake) < idleAfter {
+		spare = max(spare, 1)
 	}
-	return 1 + a.used/slotHeadroom
+	return spare
 }
 
 func (a *account) measure(now time.Time) {
--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -78,7 +78,7 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	a := q.account(contract, now)
-	a.lastTake = now
+	a.ask(tokens, now)
 	if a.take(tokens, now) {
 		return nil, nil
 	}
--- a/coordination/admission/quota_test.go
+++ b/coordination/admission/quota_test.go
@@ -31,7 +31,7 @@
 	if b.down {
 		return nil, errors.New("down")
 	}
-	b.left = min(5, b.left+10*time.Since(b.filled).Seconds())
+	b.left = min(max(5, b.left), b.left+10*time.Since(b.filled).Seconds())
 	b.filled = time.Now()
 	response := &wire.LeaseResponse{}
 	for _, d := range r.Demands {
@@ -175,17 +175,24 @@
 // is served on, also after a pause.
 func TestQuotaOutlastsAChangeOfLeader(t *testing.T) {
 	ample := &wire.Contract{Organisation: "a", RequestBurst: 1000, TokenBurst: 1e6, Concurrency: 100}
-	for _, pause := range []time.Duration{0, 10 * time.Second} {
+	cases := []struct {
+		requests int
+		pause    time.Duration
+	}{{1, 0}, {20, 0}, {20, 10 * time.Second}}
+	for _, c := range cases {
 		run(t, func(ctx context.Context, b *bucket, q *Quota) {
-			for range 20 {
+			b.left = 500
+			for i := range c.requests {
 				hold, err := q.Take(ctx, ample, 10)
 				if err != nil {
 					t.Fatal(err)
 				}
 				hold.Release(10)
-				time.Sleep(250 * time.Millisecond)
+				if i > 0 {
+					time.Sleep(250 * time.Millisecond)
+				}
 			}
-			time.Sleep(pause)
+			time.Sleep(c.pause)
 			b.mu.Lock()
 			b.young = true
 			b.mu.Unlock()
@@ -193,7 +200,7 @@
 			for range 2 {
 				hold, err := q.Take(ctx, ample, 10)
 				if err != nil {
-					t.Fatalf("after a pause of %s: %v", pause, err)
+					t.Fatalf("after %d requests and %s: %v", c.requests, c.pause, err)
 				}
 				hold.Release(10)
 				time.Sleep(500 * time.Millisecond)
