--- a/bench/policy_test.go
+++ b/bench/policy_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,45 +10,46 @@
 	"github.com/apricotspoke/apricotspoke/trials/workload"
 )
 
-var seed = flag.Uint64("seed", 1, "seed of the plans and the fleets")
+const (
+	peak        = 20 * time.Second
+	outFor      = 60 * time.Second
+	floodFactor = 10
+	slowdown    = 1.1 // most of short requests, beside long ones and beside a flood
+)
+
+var (
+	seed          = flag.Uint64("seed", 1, "seed of the plans and the fleets")
+	withoutPrefix = []routing.Scorer{routing.FirstTokenScorer{}, routing.LengthScorer{}}
+)
 
-func named(t *testing.T, name string) workload.Workload {
+func base(t *testing.T, name string, load float64) Setting {
 	w, err := workload.Named(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return w
+	check(t, err)
+	return Setting{Workload: w, Load: load, Warm: 30 * time.Second, Measured: 40 * time.Second, Options: Base(*seed, "adaptive")}
 }
 
-func TestFigures(t *testing.T) {
-	for _, name := range []string{"kartuli", "kitamura"} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := Setting{Workload: named(t, name), Load: 0.8, Warm: 40 * time.Second, Measured: 80 * time.Second, Options: Base(*seed, "")}
-				alone, list, err := Policies(s)
-				if err != nil {
-					t.Fatal(err)
-				}
-				Print(os.Stdout, name, alone, list)
-			})
-		})
+// brief is a setting for runs above capacity, which are slow to compute.
+func brief(t *testing.T) Setting {
+	s := base(t, "kitamura", 1)
+	s.Warm, s.Measured = 20*time.Second, 20*time.Second
+	return s
+}
+
+func bubble(t *testing.T, name string, do func(*testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, do) })
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
 	}
 }
 
-func TestWays(t *testing.T) {
+// each runs a check on both crews' workloads.
+func each(t *testing.T, do func(t *testing.T, name string)) {
 	for _, name := range []string{"kartuli", "kitamura"} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := Setting{Workload: named(t, name), Load: 0.8, Warm: 40 * time.Second, Measured: 80 * time.Second, Options: Base(*seed, "")}
-				alone, list, err := Ways(s, 4000, []int{2, 3, 4})
-				if err != nil {
-					t.Fatal(err)
-				}
-				Print(os.Stdout, name, alone, list)
-			})
-		})
+		bubble(t, name, func(t *testing.T) { do(t, name) })
 	}
 }
 
@@ -59,68 +58,125 @@
 	var runs [2][]Outcome
 	for i := range runs {
 		synctest.Test(t, func(t *testing.T) {
-			s := Setting{Workload: named(t, "kitamura"), Load: 0.8, Measured: 20 * time.Second, Options: Base(*seed, "adaptive")}
-			outcomes, _, err := s.Run()
-			if err != nil {
-				t.Fatal(err)
-			}
+			outcomes, _, err := base(t, "kitamura", 0.8).Run()
+			check(t, err)
 			runs[i] = outcomes
 		})
 	}
-	var first string
-	least := time.Hour
 	for i, a := range runs[0] {
-		b := runs[1][i]
-		if a.FirstToken == b.FirstToken && a.Endpoint == b.Endpoint {
-			continue
+		if b := runs[1][i]; a.FirstToken != b.FirstToken || a.Endpoint != b.Endpoint {
+			t.Fatalf("request %d: %+v and then %+v", i, a, b)
 		}
-		at := a.At + min(a.FirstToken, b.FirstToken)
-		if a.Endpoint != b.Endpoint {
-			at = a.At
+	}
+}
+
+func TestShortBesideLong(t *testing.T) {
+	each(t, func(t *testing.T, name string) {
+		s := base(t, name, 0.8)
+		alone, err := s.Alone()
+		check(t, err)
+		beside, err := s.Measure("adaptive")
+		check(t, err)
+		if ratio := float64(beside.Short) / float64(alone.Short); ratio > slowdown {
+			t.Errorf("short p95 beside long ones is %.3f of what it is without them", ratio)
 		}
-		if at < least {
-			least, first = at, fmt.Sprintf("at %s request %d: %+v and then %+v", at, i, a, b)
+	})
+}
+
+func TestNoLengthStarves(t *testing.T) {
+	each(t, func(t *testing.T, name string) {
+		figures, err := base(t, name, 0.8).Measure("adaptive")
+		check(t, err)
+		if figures.Starved > 0 || figures.Breaches > 0 {
+			t.Errorf("%d of %d neither in time nor refused at once, %d breaches", figures.Starved, figures.Requests, figures.Breaches)
 		}
-	}
-	if first != "" {
-		t.Error(first)
-	}
+	})
 }
 
-func base(t *testing.T, name string, load float64) Setting {
-	return Setting{Workload: named(t, name), Load: load, Warm: 30 * time.Second, Measured: 40 * time.Second, Options: Base(*seed, "adaptive")}
+func TestLongThroughputIsKept(t *testing.T) {
+	each(t, func(t *testing.T, name string) {
+		s := base(t, name, 0.8)
+		adaptive, err := s.Measure("adaptive")
+		check(t, err)
+		s.Options.Policy = "fewest-outstanding"
+		fewest, err := s.Measure("fewest-outstanding")
+		check(t, err)
+		if adaptive.LongRate < 0.9*fewest.LongRate {
+			t.Errorf("long prompts: %.0f tokens a second of %.0f", adaptive.LongRate, fewest.LongRate)
+		}
+	})
 }
 
-func bubble(t *testing.T, name string, do func(*testing.T)) {
-	t.Run(name, func(t *testing.T) {
-		t.Parallel()
-		synctest.Test(t, do)
+func TestOverloadKeepsGoodput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, err := Overload(brief(t))
+		check(t, err)
+		if f.Answers < 0.95 || f.Tokens < 0.95 || f.NoRetryAfter > 0 {
+			t.Errorf("%+v", f)
+		}
+	})
+}
+
+func TestOverloadRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, err := Overload(brief(t))
+		check(t, err)
+		if f.Late > 0 {
+			t.Errorf("%d of %d neither in time nor refused at once, the longest refusal after %s", f.Late, f.Requests, f.LongestRefusal)
+		}
 	})
 }
 
-func TestScenarios(t *testing.T) {
-	bubble(t, "overload", func(t *testing.T) {
-		f, err := Overload(base(t, "kitamura", 1))
-		f.Print(os.Stdout, "kitamura")
-		_ = err
+func TestRefusedCallersAreServedOnReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		returned, served, err := Returns(base(t, "kitamura", 2), peak)
+		check(t, err)
+		if returned == 0 || served <= 0.5 {
+			t.Errorf("%.3f of %d", served, returned)
+		}
 	})
-	bubble(t, "returns", func(t *testing.T) {
-		n, served, err := Returns(base(t, "kitamura", 2), 10*time.Second)
-		fmt.Println("returns", n, served, err)
+}
+
+func TestSickEngineDoesNotMultiplyLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		attempts, _, err := Sick(base(t, "kitamura", 0.6))
+		check(t, err)
+		if attempts > 1.1 {
+			t.Errorf("%.3f attempts a request", attempts)
+		}
 	})
-	bubble(t, "sick", func(t *testing.T) {
-		attempts, met, err := Sick(base(t, "kitamura", 0.6))
-		fmt.Println("sick", attempts, met, err)
+}
+
+func TestDataCentreLeavesAndReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, err := Leave(base(t, "kitamura", 0.55), outFor)
+		check(t, err)
+		if f.Breaches > 0 || f.PeakCold > coldLimit || min(f.Leaving, f.Returning) < 0.99*f.Before {
+			t.Errorf("%+v", f)
+		}
 	})
-	bubble(t, "leave", func(t *testing.T) {
-		f, err := Leave(base(t, "kitamura", 0.55), 60*time.Second)
-		fmt.Printf("leave %+v %v\n", f, err)
+}
+
+func TestFloodLeavesOthersAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, err := Flood(base(t, "kitamura", 0.6), floodFactor)
+		check(t, err)
+		if float64(f.Beside) > slowdown*float64(f.Before) || f.Admitted > 1.2 {
+			t.Errorf("%+v", f)
+		}
 	})
-	bubble(t, "prefix", func(t *testing.T) {
+}
+
+func TestPrefixReuseMakesNoHotSpot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		s := base(t, "kitamura", 0.8)
-		a, _ := Prefixes(s, "adaptive")
-		s.Options.Scorers = []routing.Scorer{routing.FirstTokenScorer{}, routing.LengthScorer{}}
-		b, _ := Prefixes(s, "without prefix scorer")
-		fmt.Printf("prefix %+v\n%+v\n", a, b)
+		with, err := Prefixes(s, "with")
+		check(t, err)
+		s.Options.Scorers = withoutPrefix
+		without, err := Prefixes(s, "without")
+		check(t, err)
+		if even := 1 / float64(s.Options.Endpoints); with.Reuse <= without.Reuse || with.MostShare > 2*even {
+			t.Errorf("%+v against %+v", with, without)
+		}
 	})
 }
--- a/cmd/apricotspoke-load/run.go
+++ b/cmd/apricotspoke-load/run.go
@@ -28,6 +28,7 @@
 	MemoryTokens    uint64        `long:"memory-tokens" env:"APRICOTSPOKE_MEMORY_TOKENS" default:"1200000" description:"memory of each endpoint"`
 	Concurrency     int           `long:"concurrency" env:"APRICOTSPOKE_CONCURRENCY" default:"32" description:"attempts at once on each endpoint"`
 	ColdConcurrency int           `long:"cold-concurrency" env:"APRICOTSPOKE_COLD_CONCURRENCY" default:"2" description:"attempts at once after a start"`
+	Policy          string        `long:"policy" env:"APRICOTSPOKE_POLICY" default:"adaptive" description:"routing policy of the entries"`
 	JSON            string        `long:"json" env:"APRICOTSPOKE_JSON" description:"file for the report"`
 	Plot            string        `long:"plot" env:"APRICOTSPOKE_PLOT" description:"file for the plot, .svg or .png"`
 }
@@ -92,6 +93,7 @@
 		MemoryTokens:    c.MemoryTokens,
 		Concurrency:     c.Concurrency,
 		ColdConcurrency: c.ColdConcurrency,
+		Policy:          c.Policy,
 	}
 }
 
--- a/trials/cluster/cluster.go
+++ b/trials/cluster/cluster.go
@@ -23,6 +23,7 @@
 	Seed        uint64
 	Controls    int
 	Entries     int
+	Policy      string   // of the entries, empty for their default
 	DataCentres []string // controls and entries are spread over them in turn
 	Endpoints   []EndpointOptions
 	Proxied     bool // a fault proxy on each link
@@ -182,6 +183,9 @@
 		"--listen=" + entry.Address,
 		"--http-listen=" + entry.HTTP,
 	}
+	if c.options.Policy != "" {
+		flags = append(flags, "--policy="+c.options.Policy)
+	}
 	flags = append(flags, repeated("--control", c.controlTargets())...)
 	env = append(env, "APRICOTSPOKE_RESUME_SECRET="+c.resumeSecret)
 	entry.Process = newProcess(c.options.Folder, name, "apricotspoke-entry", env, flags...)
--- a/trials/experiment/fleet.go
+++ b/trials/experiment/fleet.go
@@ -24,6 +24,7 @@
 	MemoryTokens    uint64
 	Concurrency     int
 	ColdConcurrency int
+	Policy          string // of the entries, empty for their default
 }
 
 // Key is the bearer key of an organisation in trials.
@@ -43,7 +44,7 @@
 }
 
 func (f Fleet) options() cluster.Options {
-	o := cluster.Options{Folder: f.Folder, Seed: f.Seed, Controls: 3, Entries: f.Entries}
+	o := cluster.Options{Folder: f.Folder, Seed: f.Seed, Controls: 3, Entries: f.Entries, Policy: f.Policy}
 	for i := range f.DataCentres {
 		name := fmt.Sprintf("dc%d", i+1)
 		o.DataCentres = append(o.DataCentres, name)
