Foresee the shorter prompts that pass an admitted one

Cause: a gate's deadline check took the whole prefill rate, though shorter prompts that come later go first. It now counts on what the rate of arriving tokens of higher engine priority leaves.

--- a/coordination/gate/admission.go
+++ b/coordination/gate/admission.go
@@ -18,6 +18,8 @@
 	// queueFactor bounds the queue in multiples of the full concurrency.
 	queueFactor = 4
 	minQueue    = 32
+	// leastShare of the prefill rate is counted on beside shorter prompts.
+	leastShare = 0.05
 )
 
 // enginePaths are the paths of a model engine that attempts may name.
@@ -126,7 +128,7 @@
 	return nil
 }
 
-func (g *Gate) checkDeadline(open *wire.AttemptOpen, _ time.Time) *fault.Error {
+func (g *Gate) checkDeadline(open *wire.AttemptOpen, now time.Time) *fault.Error {
 	if open.WholeAnswerMs == 0 {
 		return fault.New(fault.DeadlineUnmeetable, "deadline has passed").After(retrySoon)
 	}
@@ -137,7 +139,8 @@
 	if len(open.PrefixBlocks) == 0 {
 		tokens += open.PromptTokens // a prompt with a known prefix may be cached
 	}
-	need := time.Duration(float64(tokens) / g.info.PrefillRate * float64(time.Second))
+	rate := max(leastShare*g.info.PrefillRate, g.info.PrefillRate-g.flow.above(enginePriority(open), now))
+	need := time.Duration(float64(tokens) / rate * float64(time.Second))
 	left := firstTokenLeft(open)
 	if need > left {
 		return fault.New(fault.DeadlineUnmeetable, "first token needs %s, %s are left", need.Round(time.Millisecond), left).After(need - left)
--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -82,6 +82,7 @@
 	a.body = body
 	a.kvName = kvWork(a.open, body)
 	a.stage = stageQueued
+	g.flow.add(enginePriority(a.open), a.open.PromptTokens, time.Now())
 	g.queue.add(&waiting{attempt: a, priority: a.open.Priority, prefill: a.open.PromptTokens, since: time.Now()})
 	position = len(g.queue.items)
 	go a.run()
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -48,6 +48,7 @@
 	doubtedAt   time.Time
 	memory      memory
 	queue       queue
+	flow        flow
 	records     records
 	running     map[string]*Attempt // at the endpoint, as far as is known
 	foreign     map[string]struct{} // at the endpoint, not sent by this gate
