Confirm the reads of a group of one

An idle group of one never confirmed its leader: a heartbeat round without peers leaves nothing to do, so nothing counted the leader's own vote. Seen with a lone control process, whose command line ended with exit code 6 on each of 3 tries. The new test failed, and passes now.

--- a/coordination/raft/raft.go
+++ b/coordination/raft/raft.go
@@ -214,10 +214,12 @@
 	return nil
 }
 
-// FlushReads sends one heartbeat round for the reads that wait for one.
+// FlushReads sends one heartbeat round for the reads that wait for one. An only
+// voter has no answer to wait for.
 func (r *Raft) FlushReads() {
 	if n := len(r.pendingReads); n > 0 && r.pendingReads[n-1].round > r.round {
 		r.broadcastHeartbeat()
+		r.confirmReads()
 	}
 }
 
