Spread a prompt over a group of endpoints

A prompt longer than the memory of every endpoint was refused as out of service. It is now cut at prefix block borders; the entry reserves memory at all members or none, in order of name, has the segments prefilled under that reservation and runs the attempt at the last member, which reads the earlier blocks from their places.

Ruled out: waiting with some reservations held (two groups can wait for each other), a table of groups in control (commits for each group, none without a leader), copying blocks to the last member (its memory is too small). The gate needs no further call: segments are attempts, so its cold limit, queue and deadlines hold for them.

Found on the way: reports of memory lag, so a group was refused right after another had ended; the gates are now asked where reports show too little. A segment's answer could be lost and its block stay; its name is now noted before it is sent. A restarted gate did not know the blocks of the one before; each probe lists them and strays are deleted before anything is dispatched. A reservation could not be renewed while its data centre was out, which would have cut running work.

--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -53,6 +53,7 @@
 	firstSeen bool // the first part of the answer is there
 	usesGroup bool
 	kvName    string // the work's name in the body of a KV call
+	block     string // the KV block that it will leave, also its name in the endpoint's list
 	readers   int
 	unread    int // generation of the grace timer
 }
@@ -80,6 +81,7 @@
 	}
 	a.body = body
 	a.kvName = kvWork(a.open, body)
+	g.expectBlock(a, body)
 	a.stage = stageQueued
 	g.queue.add(&waiting{attempt: a, priority: a.open.Priority, prefill: a.open.PromptTokens, since: time.Now()})
 	position = len(g.queue.items)
--- a/coordination/gate/engine_test.go
+++ b/coordination/gate/engine_test.go
@@ -72,14 +72,18 @@
 		e.breaches = append(e.breaches, fmt.Sprintf("%s arrived at %d of %d", call.Attempt, len(e.active), e.admissible))
 	}
 	w := &work{boot: e.boot, stop: make(chan struct{})}
-	e.active[call.Attempt] = w
+	id := call.Attempt
+	if call.Path == "/kv/prefill" {
+		id += "-0" // its segment
+	}
+	e.active[id] = w
 	contentType := "text/event-stream"
 	reader, writer := io.Pipe()
 	if call.Path != "/v1/completions" {
 		contentType = "application/json"
-		block := "b-" + call.Attempt
+		block := id
 		e.blocks[block] = true
-		go e.stream(ctx, call.Attempt, w, writer, 1, 0, func(int) string { return `{"block":"` + block + `"}` })
+		go e.stream(ctx, id, w, writer, 1, 0, func(int) string { return `{"block":"` + block + `"}` })
 	} else {
 		go e.stream(ctx, call.Attempt, w, writer, 1, e.breakAfter, event)
 	}
@@ -162,6 +166,7 @@
 	for id := range e.active {
 		l.Attempts = append(l.Attempts, id)
 	}
+	l.Blocks = slices.Collect(maps.Keys(e.blocks))
 	return l, nil
 }
 
@@ -314,7 +319,11 @@
 		t.Fatalf("%s refused: %v", o.Attempt, refusal)
 	}
 	a.Attach()
-	a.Submit(nil)
+	var body []byte
+	if o.Path == "/kv/prefill" {
+		body = fmt.Appendf(nil, `{"attempt":%q,"segment":0}`, o.Attempt)
+	}
+	a.Submit(body)
 	return a
 }
 
--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -316,7 +317,7 @@
 	}
 	for g.atEndpoint(a) {
 		ctx, cancel := context.WithTimeout(context.Background(), withdrawWait)
-		err := g.options.Endpoint.Cancel(ctx, a.open.Attempt)
+		err := g.options.Endpoint.Cancel(ctx, cmp.Or(a.block, a.open.Attempt))
 		cancel()
 		if err == nil {
 			g.mu.Lock()
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -52,6 +52,8 @@
 	running     map[string]*Attempt // at the endpoint, as far as is known
 	foreign     map[string]struct{} // at the endpoint, not sent by this gate
 	cancelling  map[string]struct{} // foreign attempts being cancelled
+	strays      int                 // KV blocks at the endpoint that no reservation names
+	sweeping    map[string]struct{} // of them, those being deleted
 	bodyBytes   uint64
 	leaving     bool
 	load        *wire.EndpointLoad
@@ -78,6 +80,7 @@
 		running:    make(map[string]*Attempt),
 		foreign:    make(map[string]struct{}),
 		cancelling: make(map[string]struct{}),
+		sweeping:   make(map[string]struct{}),
 	}
 }
 
@@ -167,7 +170,7 @@
 	if len(g.running)+len(g.foreign) >= g.ramp.limit() {
 		return false
 	}
-	return g.unconfirmed() < g.ramp.cold
+	return g.strays == 0 && g.unconfirmed() < g.ramp.cold
 }
 
 // pump dispatches waiting attempts while there is room. The caller holds mu.
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -384,6 +384,53 @@
 	})
 }
 
+// A segment cancelled on its way, and one whose gate was restarted, leave no
+// block and no memory; a reservation is renewed while its data centre is out.
+func TestSegmentsLeaveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		r := newRig(e, inService)
+		reserve := &wire.ReserveRequest{Reservation: "g", MemoryTokens: 60_000, ValidMs: 20_000}
+		r.Reserve(reserve)
+		e.setPace(time.Second)
+		segment := open("a1", true)
+		segment.Path, segment.Reservation = "/kv/prefill", "g"
+		a := r.submit(t, segment)
+		time.Sleep(200 * time.Millisecond)
+		if e.blocksLeft() != 1 {
+			t.Errorf("a running segment has %d blocks", e.blocksLeft())
+		}
+		a.Cancel()
+		r.Release(t.Context(), "g")
+		time.Sleep(time.Second)
+		if r.Used() != 0 || e.blocksLeft() != 0 || len(e.left()) != 0 {
+			t.Errorf("cancelled: %d tokens, %d blocks, %v left", r.Used(), e.blocksLeft(), e.left())
+		}
+
+		e.setPace(time.Millisecond)
+		reserve.Reservation, segment.Attempt, segment.Reservation = "h", "a2", "h"
+		r.Reserve(reserve)
+		collect(r.submit(t, segment), 1)
+		out := &wire.FleetConfig{Revision: 6, DataCentres: []*wire.DataCentre{{Name: "dc1", Out: true}}}
+		r.store.Update(&wire.SyncResponse{Revision: 6, Snapshot: out}, time.Now())
+		time.Sleep(100 * time.Millisecond)
+		if !r.Reserve(reserve).Held || e.blocksLeft() != 1 {
+			t.Errorf("a held reservation is not renewed, %d blocks", e.blocksLeft())
+		}
+		reserve.Reservation = "new"
+		if r.Reserve(reserve).Held {
+			t.Error("a new reservation is held in a data centre that is out")
+		}
+		r.cancel() // the gate is gone, its reservation with it
+		again := newRigAt(e, inService, &control{lease: 1})
+		defer again.stop()
+		time.Sleep(2 * time.Second)
+		if again.Used() != 0 || e.blocksLeft() != 0 {
+			t.Errorf("after a restart: %d tokens and %d blocks left", again.Used(), e.blocksLeft())
+		}
+	})
+}
+
 // Orders are carried out once each, in ascending number, also when the
 // configuration still shows them as pending.
 func TestOrdersOnceInOrder(t *testing.T) {
--- a/coordination/gate/group.go
+++ b/coordination/gate/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +15,8 @@
 // maxReservation bounds the validity of a group reservation; it may be renewed.
 const maxReservation = 30 * time.Second
 
+const kvPrefill = "/kv/prefill"
+
 // Reserve makes or renews a group reservation.
 func (g *Gate) Reserve(request *wire.ReserveRequest) *wire.ReserveResponse {
 	g.mu.Lock()
@@ -25,8 +28,8 @@
 	if request.GateInstance != "" && request.GateInstance != g.instance {
 		return refuse(outOfService("this gate was restarted"))
 	}
-	if refusal := g.available(now); refusal != nil {
-		return refuse(refusal)
+	if refusal := g.available(now); refusal != nil && !g.memory.held(request.Reservation) {
+		return refuse(refusal) // one that is held is renewed: running work goes on
 	}
 	if request.Reservation == "" || request.MemoryTokens == 0 {
 		return refuse(fault.New(fault.InvalidRequest, "reservation needs a name and an amount"))
@@ -35,7 +38,7 @@
 	if !g.memory.hold(request.Reservation, request.MemoryTokens, now.Add(valid)) {
 		return refuse(fault.New(fault.Overloaded, "endpoint %s has %d tokens free", g.info.Endpoint, g.memory.free()).After(retrySoon))
 	}
-	return &wire.ReserveResponse{Held: true, FreeTokens: g.memory.free()}
+	return &wire.ReserveResponse{Held: true, FreeTokens: g.memory.free(), EndpointAddress: g.info.Address}
 }
 
 // Release gives up a group reservation. Its blocks are deleted first.
@@ -46,6 +49,78 @@
 	g.dropClosedGroups(ctx)
 }
 
+// expectBlock notes the block that a prefill will leave, before it is sent: its
+// answer may be lost. The caller holds mu.
+func (g *Gate) expectBlock(a *Attempt, body []byte) {
+	r, ok := g.memory.groups[a.open.Reservation]
+	if !ok || a.open.Path != kvPrefill {
+		return
+	}
+	var call struct {
+		Attempt string
+		Segment int
+	}
+	if json.Unmarshal(body, &call) == nil {
+		a.block = fmt.Sprintf("%s-%d", call.Attempt, call.Segment)
+		r.blocks = append(r.blocks, a.block)
+	}
+}
+
+// sweepBlocks deletes the listed blocks that belong to no reservation: a gate
+// before this one, or a call whose answer was lost, left them. Nothing is
+// dispatched until they are gone, since the ledger does not count their memory.
+// The caller holds mu.
+func (g *Gate) sweepBlocks(listed []string) {
+	g.strays = 0
+	if g.namesBlocks() {
+		return
+	}
+	mayDelete := g.lease.held(time.Now())
+	known := g.knownBlocks()
+	for _, block := range listed {
+		if _, ok := known[block]; ok {
+			continue
+		}
+		g.strays++
+		if _, busy := g.sweeping[block]; mayDelete && !busy {
+			g.sweeping[block] = struct{}{}
+			go g.deleteStray(block)
+		}
+	}
+}
+
+func (g *Gate) knownBlocks() map[string]struct{} {
+	known := make(map[string]struct{})
+	for _, r := range g.memory.groups {
+		for _, block := range r.blocks {
+			known[block] = struct{}{}
+		}
+	}
+	return known
+}
+
+// namesBlocks says whether a call runs that leaves a block of unknown name.
+func (g *Gate) namesBlocks() bool {
+	for _, a := range g.running {
+		if strings.HasPrefix(a.open.Path, "/kv/") && a.open.Path != kvPrefill {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) deleteStray(block string) {
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawWait)
+	defer cancel()
+	err := g.options.Endpoint.DeleteBlock(ctx, block) // listed again, it is deleted again
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.sweeping, block)
+	if err == nil {
+		notify(g.probe)
+	}
+}
+
 // kvWork reads the name under which the endpoint lists the work of a KV call.
 func kvWork(open *wire.AttemptOpen, body []byte) string {
 	if !strings.HasPrefix(open.Path, "/kv/") {
@@ -85,7 +160,9 @@
 		return
 	}
 	if r, ok := g.memory.groups[a.open.Reservation]; ok {
-		r.blocks = append(r.blocks, made.Block)
+		if !slices.Contains(r.blocks, made.Block) {
+			r.blocks = append(r.blocks, made.Block)
+		}
 	}
 }
 
@@ -119,4 +196,8 @@
 	defer g.mu.Unlock()
 	r.blocks = left
 	r.deleting = false
+	if len(left) == 0 {
+		g.dropClosedGroups(ctx)
+		g.pump()
+	}
 }
--- a/coordination/gate/memory.go
+++ b/coordination/gate/memory.go
@@ -64,6 +64,12 @@
 	return true
 }
 
+// held says whether a group reservation is there and not given up.
+func (m *memory) held(name string) bool {
+	r, ok := m.groups[name]
+	return ok && !r.closed
+}
+
 // use binds an attempt to a group reservation.
 func (m *memory) use(name string) bool {
 	r, ok := m.groups[name]
--- a/coordination/gate/monitor.go
+++ b/coordination/gate/monitor.go
@@ -145,6 +145,7 @@
 	}
 	g.confirm(listed, sentAt)
 	g.countForeign(listed)
+	g.sweepBlocks(listing.Blocks)
 	g.pump()
 }
 
--- a/coordination/gate/port.go
+++ b/coordination/gate/port.go
@@ -55,6 +55,7 @@
 type Listing struct {
 	BootID   string
 	Attempts []string
+	Blocks   []string // KV blocks kept there
 }
 
 // Load is the endpoint's own load report. It lags.
--- /dev/null
+++ b/coordination/group/group_test.go
@@ -0,0 +1,111 @@
+package group
+
+import (
+	"fmt"
+	"iter"
+	"maps"
+	"testing"
+
+	"github.com/apricotspoke/apricotspoke/protocol/prompt"
+	"pgregory.net/rapid"
+)
+
+// A plan covers the prompt, fits each member and cuts at block borders; there is
+// one whenever whole blocks of the free memory are enough.
+func TestPlanFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tokens := rapid.Uint64Range(1, 1_500_000).Draw(t, "tokens")
+		output := rapid.Uint64Range(0, 60_000).Draw(t, "output")
+		var candidates []Candidate
+		var sum, room, most uint64
+		free := map[string]uint64{}
+		for i, size := range rapid.SliceOfN(rapid.Uint64Range(0, 500_000), 2, 7).Draw(t, "sizes") {
+			name := fmt.Sprint("e", i)
+			candidates = append(candidates, Candidate{Name: name, Free: size})
+			free[name] = size
+			room += size / prompt.BlockTokens * prompt.BlockTokens
+			most = max(most, size)
+		}
+		members := Plan(tokens, output, candidates)
+		fits := room >= tokens+output+prompt.BlockTokens && most >= output+prompt.BlockTokens
+		if members == nil && fits && tokens > most {
+			t.Fatalf("no plan for %d tokens in %v", tokens, candidates)
+		}
+		for i, m := range members {
+			last := i == len(members)-1
+			if m.Reserve > free[m.Name] || m.Tokens == 0 || !last && m.Tokens%prompt.BlockTokens != 0 || last && m.Reserve != m.Tokens+output {
+				t.Fatalf("member %+v of %d free, last %v", m, free[m.Name], last)
+			}
+			free[m.Name] = 0
+			sum += m.Tokens
+		}
+		if members != nil && sum != tokens {
+			t.Fatalf("%d of %d tokens", sum, tokens)
+		}
+	})
+}
+
+// owner is the ledger of one group on a fleet; each call first gives up its turn.
+type owner struct {
+	free, held map[string]uint64
+	turn       func(struct{}) bool
+	members    []Member
+}
+
+func (o *owner) Reserve(m Member) Reply {
+	o.turn(struct{}{})
+	if o.free[m.Name] < m.Reserve {
+		return Reply{Free: o.free[m.Name]}
+	}
+	o.free[m.Name] -= m.Reserve
+	o.held[m.Name] += m.Reserve
+	return Reply{Held: true}
+}
+
+func (o *owner) Release(m Member) {
+	o.turn(struct{}{})
+	o.free[m.Name] += o.held[m.Name]
+	delete(o.held, m.Name)
+}
+
+// Two groups at once on a fleet with room for one, their calls in any order: one
+// gets all it needs, the other holds nothing and gets its own afterwards.
+func TestTwoGroupsNeverBlockEachOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const size, tokens, output = 450_000, 1_000_000, 1000
+		free := map[string]uint64{"e1": size, "e2": size, "e3": size}
+		run := func(o *owner) iter.Seq[struct{}] {
+			return func(yield func(struct{}) bool) {
+				o.turn = yield
+				o.members = Reserve(tokens, output, []Candidate{{"e1", size, size}, {"e2", 0, size}, {"e3", 10_000, size}}, o)
+			}
+		}
+		var groups [2]*owner
+		var steps [2]func() (struct{}, bool)
+		for i := range groups {
+			groups[i] = &owner{free: free, held: map[string]uint64{}}
+			step, stop := iter.Pull(run(groups[i]))
+			defer stop()
+			steps[i] = step
+		}
+		for more := [2]bool{true, true}; more[0] || more[1]; {
+			i := rapid.IntRange(0, 1).Draw(t, "next")
+			_, more[i] = steps[i]()
+		}
+		winner, other := groups[0], groups[1]
+		if winner.members == nil {
+			winner, other = other, winner
+		}
+		if winner.members == nil || other.members != nil || len(other.held) > 0 {
+			t.Fatalf("%v and %v are held", winner.held, other.held)
+		}
+		for name, tokens := range maps.All(winner.held) {
+			free[name] += tokens
+		}
+		for range run(other) {
+		}
+		if other.members == nil {
+			t.Fatal("the refused group does not fit after the other")
+		}
+	})
+}
--- /dev/null
+++ b/coordination/relay/grouplease.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/group"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+const (
+	groupValid   = 8 * time.Second // of a reservation that is not renewed
+	groupRenewal = 2 * time.Second
+	reserveWait  = time.Second // for one call
+)
+
+// groupLease holds the reservations of one group. It implements group.Ledger.
+type groupLease struct {
+	ctx    context.Context
+	gates  Gates
+	spread *spread
+
+	mu        sync.Mutex
+	addresses map[string]string // of the members' endpoints
+}
+
+func newGroupLease(ctx context.Context, gates Gates, s *spread) *groupLease {
+	return &groupLease{ctx: ctx, gates: gates, spread: s, addresses: make(map[string]string)}
+}
+
+// Reserve implements group.Ledger.
+func (l *groupLease) Reserve(m group.Member) group.Reply {
+	reply, err := l.reserve(m)
+	if err != nil {
+		return group.Reply{}
+	}
+	if fault.KindOf(fault.FromWire(reply.Failure)) == fault.Overloaded {
+		return group.Reply{Free: reply.FreeTokens}
+	}
+	if reply.Held {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.addresses[m.Name] = reply.EndpointAddress
+	}
+	return group.Reply{Held: reply.Held && reply.EndpointAddress != ""}
+}
+
+func (l *groupLease) address(member string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addresses[member]
+}
+
+func (l *groupLease) reserve(m group.Member) (*wire.ReserveResponse, error) {
+	report := l.spread.endpoints[m.Name].Report
+	gate, err := l.gates.Gate(report.GateAddress)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, reserveWait)
+	defer cancel()
+	return gate.Reserve(ctx, &wire.ReserveRequest{
+		Reservation: l.spread.name, GateInstance: report.GateInstance, MemoryTokens: m.Reserve,
+		ValidMs: uint32(groupValid.Milliseconds()), Request: l.spread.job.Open.Request,
+	})
+}
+
+// Release implements group.Ledger. One that does not get through expires.
+func (l *groupLease) Release(m group.Member) {
+	gate, err := l.gates.Gate(l.spread.endpoints[m.Name].Report.GateAddress)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(l.ctx), cancelTimeout)
+	defer cancel()
+	_, _ = gate.Release(ctx, &wire.ReleaseRequest{Reservation: l.spread.name})
+}
+
+// releaseAll releases without keeping the caller waiting.
+func (l *groupLease) releaseAll(members []group.Member) {
+	for _, m := range members {
+		go l.Release(m)
+	}
+}
+
+// renew keeps a reservation until the context ends, and ends it when the gate
+// no longer holds the reservation.
+func (l *groupLease) renew(m group.Member, cancel context.CancelCauseFunc) {
+	ticker := time.NewTicker(groupRenewal)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-l.ctx.Done():
+			return
+		}
+		if reply, err := l.reserve(m); err == nil && !reply.Held {
+			cancel(fault.New(fault.EndpointFailed, "endpoint %s no longer holds its segment", m.Name))
+			return
+		}
+	}
+}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -23,6 +23,10 @@
 	Body         []byte
 	FirstTokenBy time.Time // for streamed answers
 	WholeBy      time.Time
+	// Grow takes more of the bound on bytes held, until the request ends; may be nil.
+	Grow func(bytes int) error
+
+	grown bool
 }
 
 // Sink takes an answer on its way to the caller.
@@ -147,6 +151,9 @@
 func (r *Relay) attempt(ctx context.Context, job *Job, sink Sink, first *time.Timer) (*wire.End, Origin, error) {
 	choice, err := r.Choose(job)
 	if err != nil {
+		if text := r.longText(job, err); text != "" {
+			return r.runGroup(ctx, job, text, sink, func() { first.Stop() })
+		}
 		return nil, Origin{}, err
 	}
 	return r.RunAt(ctx, choice, NewAttemptID(), job, sink, func() { first.Stop() })
@@ -182,20 +189,24 @@
 // RunAt runs one attempt at a chosen endpoint. began is called at the first chunk.
 func (r *Relay) RunAt(ctx context.Context, choice routing.Choice, id string, job *Job, sink Sink, began func()) (*wire.End, Origin, error) {
 	origin := OriginOf(choice, id, job)
-	own := choice.Endpoint.Own
-	own.Start(id, job.Route.Tokens, choice.Long)
+	end, err := r.runAttempt(ctx, choice.Endpoint, choice.Long, origin, openFor(job, origin), job.Body, sink, began)
+	return end, origin, err
+}
+
+func (r *Relay) runAttempt(ctx context.Context, endpoint *routing.Endpoint, long bool, origin Origin, open *wire.AttemptOpen, body []byte, sink Sink, began func()) (*wire.End, error) {
+	own, id := endpoint.Own, origin.Attempt
+	own.Start(id, open.PromptTokens, long)
 	defer own.End(id)
-	a := Start(ctx, r.gates, origin, openFor(job, origin), job.Body)
-	if job.Open.Repeatable {
+	a := Start(ctx, r.gates, origin, open, body)
+	if open.Repeatable {
 		defer a.Close()
 	} else {
 		defer a.Abandon() // it may be taking effect: its gate is asked what became of it
 	}
-	end, err := Follow(a, origin, sink, func() {
+	return Follow(a, origin, sink, func() {
 		own.FirstToken(id)
 		began()
 	})
-	return end, origin, err
 }
 
 func openFor(job *Job, origin Origin) *wire.AttemptOpen {
--- a/role/entry/fakes_test.go
+++ b/role/entry/fakes_test.go
@@ -53,6 +53,30 @@
 	cancels  int
 	resumes  int
 	dead     bool
+	held     map[string]uint64 // reservations
+	reserved int
+	full     bool // refuses reservations
+}
+
+// gateMemory is the memory of each fake gate's model endpoint in tokens.
+const gateMemory = 1600
+
+func (g *fakeGate) Reserve(_ context.Context, r *wire.ReserveRequest) (*wire.ReserveResponse, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, again := g.held[r.Reservation]; g.full || !again && len(g.held) > 0 {
+		return &wire.ReserveResponse{Failure: fault.ToWire(fault.New(fault.Overloaded, "full"))}, nil
+	}
+	g.reserved++
+	g.held[r.Reservation] = r.MemoryTokens
+	return &wire.ReserveResponse{Held: true, EndpointAddress: "endpoint-of-" + r.GateInstance}, nil
+}
+
+func (g *fakeGate) Release(_ context.Context, r *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.held, r.Reservation)
+	return &wire.ReleaseResponse{}, nil
 }
 
 func (g *fakeGate) Attempt(stream wire.Gate_AttemptServer) error {
@@ -313,7 +337,7 @@
 		wire.RegisterQuotasServer(s, b.control)
 	})
 	for range gates {
-		g := &fakeGate{plan: doing, attempts: map[string]*seenAttempt{}, refused: map[string]bool{}}
+		g := &fakeGate{plan: doing, attempts: map[string]*seenAttempt{}, refused: map[string]bool{}, held: map[string]uint64{}}
 		g.address = serveGRPC(t, func(s *grpc.Server) { wire.RegisterGateServer(s, g) })
 		b.gates = append(b.gates, g)
 	}
@@ -366,7 +390,8 @@
 		stream, err := wire.NewAnnounceClient(conn).Reports(ctx)
 		for n := uint64(1); err == nil; n++ {
 			report := &wire.GateReport{Sequence: n, GateInstance: name, GateAddress: gate, Endpoint: "m" + name, DataCentre: "d1",
-				Models: []string{"m1"}, Ready: true, AdmitLimit: 8, Load: &wire.EndpointLoad{PrefillTokensPerSecond: 1e6, DecodeMsPerToken: 1}}
+				Models: []string{"m1"}, Ready: true, AdmitLimit: 8, Load: &wire.EndpointLoad{
+					PrefillTokensPerSecond: 1e6, DecodeMsPerToken: 1, MemoryTokensTotal: gateMemory}}
 			service := &wire.GateReport{Sequence: n, GateInstance: name, GateAddress: gate, Endpoint: "s" + name, DataCentre: "d1",
 				Service: "booking", Ready: true, AdmitLimit: 8, Load: &wire.EndpointLoad{}}
 			err = errors.Join(stream.Send(report), stream.Send(service))
--- a/transport/callerhttp/call.go
+++ b/transport/callerhttp/call.go
@@ -133,7 +133,7 @@
 	open.ContentType = c.r.Header.Get("Content-Type")
 	open.PromptTokens = c.tokens
 	open.Priority = c.contract.Priority
-	job := &relay.Job{Open: open, Body: c.body, FirstTokenBy: c.deadlines.FirstToken, WholeBy: c.deadlines.Whole}
+	job := &relay.Job{Open: open, Body: c.body, FirstTokenBy: c.deadlines.FirstToken, WholeBy: c.deadlines.Whole, Grow: c.bodyHold.grow}
 	job.Route.Tokens = c.tokens
 	job.Route.OutputTokens = uint64(open.OutputTokens)
 	job.Route.Prefix = open.PrefixBlocks
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -180,6 +180,7 @@
 type listing struct {
 	BootID   string   `json:"boot_id"`
 	Attempts []string `json:"attempts"`
+	Blocks   []string `json:"blocks"`
 }
 
 // List returns the boot id of this moment and the attempts there. A plain
@@ -193,7 +194,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &gate.Listing{BootID: l.BootID, Attempts: l.Attempts}, nil
+	return &gate.Listing{BootID: l.BootID, Attempts: l.Attempts, Blocks: l.Blocks}, nil
 }
 
 type loadReport struct {
--- a/trials/fakeendpoint/completions.go
+++ b/trials/fakeendpoint/completions.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -68,12 +69,12 @@
 	if !known {
 		return nil, fmt.Errorf("the model %q is not loaded", request.Model)
 	}
-	imported, err := e.importedTokens(r.Header.Get("X-Kv-Import"))
+	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
+	text := request.Text()
+	imported, err := e.readImports(r, importNames(r.Header.Get("X-Kv-Import")), text)
 	if err != nil {
 		return nil, err
 	}
-	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
-	text := request.Text()
 	tokens := prompt.Tokens(len(text))
 	own := tokens - min(tokens, imported)
 	return &attempt{
@@ -148,6 +149,7 @@
 	for _, a := range e.byPriority() {
 		list.Attempts = append(list.Attempts, a.id)
 	}
+	list.Blocks = slices.Sorted(maps.Keys(e.blocks))
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, list)
 }
@@ -169,6 +171,7 @@
 type attemptList struct {
 	BootID   string   `json:"boot_id"`
 	Attempts []string `json:"attempts"`
+	Blocks   []string `json:"blocks"`
 }
 
 type completion struct {
--- a/trials/fakeendpoint/endpoint.go
+++ b/trials/fakeendpoint/endpoint.go
@@ -36,7 +36,7 @@
 	bootBroken   chan struct{} // closed when connections of this boot are cut
 	attempts     map[string]*attempt
 	recent       map[string]*attempt // ended, still resumable
-	blocks       map[string]uint64   // tokens of each exported block
+	blocks       map[string]kvBlock  // kept until they are deleted
 	arrivals     uint64
 	finished     int // since the boot
 	memoryUsed   uint64
@@ -86,7 +86,7 @@
 	e.bootBroken = make(chan struct{})
 	e.attempts = make(map[string]*attempt)
 	e.recent = make(map[string]*attempt)
-	e.blocks = make(map[string]uint64)
+	e.blocks = make(map[string]kvBlock)
 	e.finished = 0
 	e.memoryUsed = 0
 	e.prefillSpare = 0
--- a/trials/fakeendpoint/kv.go
+++ b/trials/fakeendpoint/kv.go
@@ -1,6 +1,7 @@
 package fakeendpoint
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,8 @@
 type kvBlock struct {
 	Block  string `json:"block"`
 	Tokens uint64 `json:"tokens"`
+	Bytes  int    `json:"bytes,omitempty"`  // of the segment's text
+	Digest string `json:"digest,omitempty"` // of that text
 }
 
 type kvPrefill struct {
@@ -33,24 +36,50 @@
 
 var errMemory = errors.New("out of memory")
 
-// importedTokens adds up the named blocks, all of which must be held here.
-func (e *Endpoint) importedTokens(names string) (uint64, error) {
-	if names == "" {
-		return 0, nil
+func importNames(header string) []string {
+	if header == "" {
+		return nil
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	return strings.Split(header, ",")
+}
+
+// readImports reads the named blocks and adds up their tokens. A block of a
+// segment must be of the text at its place, where the text is known.
+func (e *Endpoint) readImports(r *http.Request, names []string, text string) (uint64, error) {
 	var tokens uint64
-	for name := range strings.SplitSeq(names, ",") {
-		held, ok := e.blocks[name]
-		if !ok {
-			return 0, fmt.Errorf("the block %q is not held here", name)
+	for _, name := range names {
+		block, err := e.readBlock(r, name)
+		if err != nil {
+			return 0, err
+		}
+		tokens += block.Tokens
+		if block.Digest == "" || text == "" {
+			continue
 		}
-		tokens += held
+		if block.Bytes > len(text) || digest(text[:block.Bytes]) != block.Digest {
+			return 0, fmt.Errorf("the block %q is of another text", name)
+		}
+		text = text[block.Bytes:]
 	}
 	return tokens, nil
 }
 
+// readBlock finds a block here, or reads it from the endpoint that keeps it.
+func (e *Endpoint) readBlock(r *http.Request, name string) (kvBlock, error) {
+	if strings.HasPrefix(name, "http://") {
+		return fetchBlock(r, name)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	block, ok := e.blocks[name]
+	if !ok {
+		return block, fmt.Errorf("the block %q is not held here", name)
+	}
+	return block, nil
+}
+
+func digest(text string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(text))) }
+
 func (e *Endpoint) keepBlock(block kvBlock) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -60,7 +89,7 @@
 	if e.memoryUsed+block.Tokens > e.config.MemoryTokens {
 		return errMemory
 	}
-	e.blocks[block.Block] = block.Tokens
+	e.blocks[block.Block] = block
 	e.memoryUsed += block.Tokens
 	return nil
 }
@@ -71,12 +100,12 @@
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
-	if _, err := e.importedTokens(strings.Join(request.Imports, ",")); err != nil {
+	if _, err := e.readImports(r, request.Imports, ""); err != nil {
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
 	name := fmt.Sprintf("%s-%d", request.Attempt, request.Segment)
-	block := kvBlock{Block: name, Tokens: request.Tokens}
+	block := kvBlock{Block: name, Tokens: request.Tokens, Bytes: len(request.Text), Digest: digest(request.Text)}
 	if err := e.keepBlock(block); err != nil {
 		refuse(w, http.StatusInsufficientStorage, err)
 		return
@@ -151,13 +180,13 @@
 func (e *Endpoint) serveKvBlock(w http.ResponseWriter, r *http.Request) {
 	name := chi.URLParam(r, "block")
 	e.mu.Lock()
-	tokens, ok := e.blocks[name]
+	block, ok := e.blocks[name]
 	e.mu.Unlock()
 	if !ok {
 		http.Error(w, "the block is not held here", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, kvBlock{Block: name, Tokens: tokens})
+	writeJSON(w, http.StatusOK, block)
 }
 
 func (e *Endpoint) serveKvDelete(w http.ResponseWriter, r *http.Request) {
@@ -168,8 +197,8 @@
 func (e *Endpoint) freeBlock(name string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if tokens, ok := e.blocks[name]; ok {
+	if block, ok := e.blocks[name]; ok {
 		delete(e.blocks, name)
-		e.memoryUsed -= tokens
+		e.memoryUsed -= block.Tokens
 	}
 }
