Report to control once a second, and once to a process that is entry and control

Cause: an idle agent spent its time on wake-ups: four reports a second to each entry and each control replica, with as many acknowledgements. Half of its profile was the scheduler. Control only shows reports to operators. Ruled out: serialisation and garbage collection, each a small part of the profile.

--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -115,7 +115,7 @@
 }
 
 func newSender(options *Options, g *gate.Gate, pool *link.Pool) *gatereport.Sender {
-	return gatereport.NewSender(g, pool, slices.Concat(options.Entries, options.Control))
+	return gatereport.NewSender(g, pool, options.Entries, options.Control)
 }
 
 func newServer(g *gate.Gate, store *configsync.Store, role *control.Role, security link.Security) *grpc.Server {
--- a/transport/gatereport/sender.go
+++ b/transport/gatereport/sender.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,33 +15,55 @@
 )
 
 const (
-	interval     = 250 * time.Millisecond
-	silentAfter  = time.Second // without an acknowledgement the connection is replaced
-	reopenPause  = 100 * time.Millisecond
-	wakeCapacity = 1
+	entryInterval   = 250 * time.Millisecond // entries route by the reports
+	controlInterval = time.Second            // control shows them to operators
+	silentIntervals = 4                      // without an acknowledgement the connection is replaced
+	reopenPause     = 100 * time.Millisecond
+	wakeCapacity    = 1
 )
 
-// Sender keeps one stream of reports to each address.
+// target is a process that takes reports.
+type target struct {
+	address  string
+	interval time.Duration
+	wake     chan struct{}
+}
+
+// silentAfter is how long an acknowledgement may be missing.
+func (t target) silentAfter() time.Duration { return silentIntervals * t.interval }
+
+// Sender keeps one stream of reports to each process.
 type Sender struct {
-	gate      *gate.Gate
-	pool      *link.Pool
-	addresses []string
-	wake      []chan struct{}
+	gate    *gate.Gate
+	pool    *link.Pool
+	targets []target
 }
 
-// NewSender returns a sender to the addresses.
-func NewSender(g *gate.Gate, pool *link.Pool, addresses []string) *Sender {
-	s := &Sender{gate: g, pool: pool, addresses: addresses}
-	for range addresses {
-		s.wake = append(s.wake, make(chan struct{}, wakeCapacity))
+// NewSender returns a sender to the entries and to control. A process that is
+// both gets one stream.
+func NewSender(g *gate.Gate, pool *link.Pool, entries, control []string) *Sender {
+	s := &Sender{gate: g, pool: pool}
+	for _, address := range entries {
+		s.add(address, entryInterval)
+	}
+	for _, address := range control {
+		s.add(address, controlInterval)
 	}
 	return s
 }
 
+func (s *Sender) add(address string, interval time.Duration) {
+	known := func(t target) bool { return t.address == address }
+	if slices.ContainsFunc(s.targets, known) {
+		return
+	}
+	s.targets = append(s.targets, target{address: address, interval: interval, wake: make(chan struct{}, wakeCapacity)})
+}
+
 // Run sends reports until ctx ends.
 func (s *Sender) Run(ctx context.Context) {
-	for i, address := range s.addresses {
-		go s.keep(ctx, address, s.wake[i])
+	for _, t := range s.targets {
+		go s.keep(ctx, t)
 	}
 	for {
 		select {
@@ -53,37 +76,37 @@
 }
 
 func (s *Sender) wakeAll() {
-	for _, wake := range s.wake {
+	for _, t := range s.targets {
 		select {
-		case wake <- struct{}{}:
+		case t.wake <- struct{}{}:
 		default:
 		}
 	}
 }
 
-// keep opens a stream to an address again and again.
-func (s *Sender) keep(ctx context.Context, address string, wake <-chan struct{}) {
+// keep opens a stream to a process again and again.
+func (s *Sender) keep(ctx context.Context, t target) {
 	for ctx.Err() == nil {
 		if s.gate.Endpoint() == "" {
 			pause(ctx, reopenPause)
 			continue
 		}
-		conn, err := s.pool.Get(address)
-		if err == nil && s.stream(ctx, conn, wake) {
-			s.pool.Replace(address, conn)
+		conn, err := s.pool.Get(t.address)
+		if err == nil && s.stream(ctx, conn, t) {
+			s.pool.Replace(t.address, conn)
 		}
 		pause(ctx, reopenPause)
 	}
 }
 
 // stream sends until the stream fails; true when it went silent.
-func (s *Sender) stream(ctx context.Context, conn *grpc.ClientConn, wake <-chan struct{}) bool {
+func (s *Sender) stream(ctx context.Context, conn *grpc.ClientConn, t target) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var heard atomic.Int64
 	opened := time.Now()
-	silent := func() bool { return time.Since(opened)-time.Duration(heard.Load()) > silentAfter }
-	watch := time.AfterFunc(silentAfter, cancel) // opening a stream may block too
+	silent := func() bool { return time.Since(opened)-time.Duration(heard.Load()) > t.silentAfter() }
+	watch := time.AfterFunc(t.silentAfter(), cancel) // opening a stream may block too
 	defer watch.Stop()
 	stream, err := wire.NewAnnounceClient(conn).Reports(ctx)
 	if err != nil {
@@ -93,17 +116,17 @@
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		s.sendReports(ctx, stream, wake)
+		s.sendReports(ctx, stream, t)
 	}()
 	for {
 		select {
 		case <-sent:
 			return silent()
-		case <-time.After(interval):
+		case <-time.After(t.interval):
 			if silent() {
 				return true
 			}
-			watch.Reset(silentAfter)
+			watch.Reset(t.silentAfter())
 		}
 	}
 }
@@ -118,8 +141,8 @@
 	}
 }
 
-func (s *Sender) sendReports(ctx context.Context, stream wire.Announce_ReportsClient, wake <-chan struct{}) {
-	ticker := time.NewTicker(interval)
+func (s *Sender) sendReports(ctx context.Context, stream wire.Announce_ReportsClient, t target) {
+	ticker := time.NewTicker(t.interval)
 	defer ticker.Stop()
 	var cacheAfter uint64
 	for {
@@ -131,7 +154,8 @@
 		}
 		select {
 		case <-ticker.C:
-		case <-wake:
+		case <-t.wake:
+			ticker.Reset(t.interval)
 		case <-ctx.Done():
 			return
 		}
