--- a/coordination/gate/admission.go
+++ b/coordination/gate/admission.go
@@ -18,6 +18,8 @@
 	// queueFactor bounds the queue in multiples of the full concurrency.
 	queueFactor = 4
 	minQueue    = 32
+	// leastShare of the prefill rate is counted on beside shorter prompts.
+	leastShare = 0.05
 )
 
 // enginePaths are the paths of a model engine that attempts may name.
@@ -126,18 +128,19 @@
 	return nil
 }
 
-func (g *Gate) checkDeadline(open *wire.AttemptOpen, _ time.Time) *fault.Error {
+func (g *Gate) checkDeadline(open *wire.AttemptOpen, now time.Time) *fault.Error {
 	if open.WholeAnswerMs == 0 {
 		return fault.New(fault.DeadlineUnmeetable, "deadline has passed").After(retrySoon)
 	}
 	if g.info.Service != "" || g.info.PrefillRate <= 0 {
 		return nil
 	}
-	tokens := g.queue.ahead(open.Priority, open.PromptTokens)
+	tokens := g.queue.ahead(open.Priority, open.PromptTokens) + g.computing(open)
 	if len(open.PrefixBlocks) == 0 {
 		tokens += open.PromptTokens // a prompt with a known prefix may be cached
 	}
-	need := time.Duration(float64(tokens) / g.info.PrefillRate * float64(time.Second))
+	rate := max(leastShare*g.info.PrefillRate, g.info.PrefillRate-g.flow.above(enginePriority(open), now))
+	need := time.Duration(float64(tokens) / rate * float64(time.Second))
 	left := firstTokenLeft(open)
 	if need > left {
 		return fault.New(fault.DeadlineUnmeetable, "first token needs %s, %s are left", need.Round(time.Millisecond), left).After(need - left)
@@ -145,6 +148,17 @@
 	return nil
 }
 
+// computing sums the prompt tokens at the endpoint that go before a new attempt.
+func (g *Gate) computing(open *wire.AttemptOpen) uint64 {
+	var sum uint64
+	for _, a := range g.running {
+		if !a.firstSeen && enginePriority(a.open) >= enginePriority(open) {
+			sum += a.open.PromptTokens
+		}
+	}
+	return sum
+}
+
 // firstTokenLeft is the time left for the first token; an attempt without a
 // deadline for it, such as one to a plain service, has that of the whole answer.
 func firstTokenLeft(open *wire.AttemptOpen) time.Duration {
--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -52,6 +52,7 @@
 	answered  bool
 	firstSeen bool // the first part of the answer is there
 	usesGroup bool
+	passing   bool   // dispatched before one that waits for memory
 	kvName    string // the work's name in the body of a KV call
 	block     string // the KV block that it will leave, also its name in the endpoint's list
 	readers   int
@@ -83,6 +84,7 @@
 	a.kvName = kvWork(a.open, body)
 	g.expectBlock(a, body)
 	a.stage = stageQueued
+	g.flow.add(enginePriority(a.open), a.open.PromptTokens, time.Now())
 	g.queue.add(&waiting{attempt: a, priority: a.open.Priority, prefill: a.open.PromptTokens, since: time.Now()})
 	position = len(g.queue.items)
 	go a.run()
