--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -59,6 +59,7 @@
 	cache       []*wire.CacheEvent
 	cacheSeq    uint64
 	lastOrder   uint64
+	weightsSent time.Time // when an order that loads weights was last sent; of the order loop alone
 	reports     uint64
 	toldReady   bool // as last reported
 	toldCold    bool
--- a/coordination/gate/orders.go
+++ b/coordination/gate/orders.go
@@ -24,15 +24,13 @@
 
 // orderLoop carries out pending orders one by one, in ascending number.
 func (g *Gate) orderLoop(ctx context.Context) {
-	var lastWeights time.Time
 	every(ctx, orderInterval, func(ctx context.Context) {
 		order, fence := g.nextOrder()
 		if order == nil {
 			return
 		}
 		if loadsWeights(order.Kind) {
-			wait(ctx, weightPause-time.Since(lastWeights))
-			lastWeights = time.Now()
+			wait(ctx, weightPause-time.Since(g.weightsSent))
 		}
 		if done := g.carryOut(ctx, order, fence); done != nil {
 			g.reportOrder(ctx, done)
@@ -97,6 +95,9 @@
 		done.Failed, done.Result = true, "outcome unknown: an earlier gate began it; check the endpoint before ordering again"
 		return done
 	}
+	if loadsWeights(order.Kind) {
+		g.weightsSent = time.Now()
+	}
 	done.Result, err = g.sendOrder(ctx, order, fence)
 	switch {
 	case errors.Is(err, ErrFenced):
--- a/trials/cluster/cluster.go
+++ b/trials/cluster/cluster.go
@@ -73,6 +73,7 @@
 	Endpoints []*Endpoint
 	Links     *Links
 
+	replacements []*Agent
 	options      Options
 	operatorKey  string
 	resumeSecret string
@@ -194,18 +195,21 @@
 	if err != nil {
 		return err
 	}
-	agent := endpoint.Agent
+	c.planAgent(agentName, o.DataCentre, endpoint.Agent, env)
+	return c.planStandIn(o, endpoint, agentName)
+}
+
+func (c *Cluster) planAgent(name, dataCentre string, agent *Agent, env []string) {
 	flags := []string{
-		"--id=" + agentName,
-		"--data-centre=" + o.DataCentre,
+		"--id=" + name,
+		"--data-centre=" + dataCentre,
 		"--listen=" + agent.Address,
 		"--http-listen=" + agent.HTTP,
 		"--announce-listen=" + agent.Announce,
 	}
 	flags = append(flags, repeated("--control", c.controlTargets())...)
 	flags = append(flags, repeated("--entries", c.entryTargets())...)
-	agent.Process = newProcess(c.options.Folder, agentName, "apricotspoke-agent", env, flags...)
-	return c.planStandIn(o, endpoint, agentName)
+	agent.Process = newProcess(c.options.Folder, name, "apricotspoke-agent", env, flags...)
 }
 
 func (c *Cluster) planStandIn(o EndpointOptions, endpoint *Endpoint, agentName string) error {
@@ -281,6 +285,9 @@
 	for _, endpoint := range c.Endpoints {
 		list = append(list, endpoint.Agent.Process, endpoint.Process)
 	}
+	for _, agent := range c.replacements {
+		list = append(list, agent.Process)
+	}
 	return list
 }
 
--- a/trials/cluster/ctl.go
+++ b/trials/cluster/ctl.go
@@ -19,9 +19,18 @@
 
 // Ctl runs apricotspokectl as an operator and returns its output.
 func (c *Cluster) Ctl(ctx context.Context, args ...string) (string, error) {
+	return c.ctl(ctx, c.controlTargets(), args)
+}
+
+// CtlThrough runs apricotspokectl with one control replica alone.
+func (c *Cluster) CtlThrough(ctx context.Context, control int, args ...string) (string, error) {
+	return c.ctl(ctx, c.controlTargets()[control:control+1], args)
+}
+
+func (c *Cluster) ctl(ctx context.Context, replicas []target, args []string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, ctlTimeout)
 	defer cancel()
-	flags := repeated("--control", c.controlTargets())
+	flags := repeated("--control", replicas)
 	cmd := exec.CommandContext(ctx, filepath.Join(Bin(), "apricotspokectl"), append(flags, args...)...)
 	cmd.Env = append(os.Environ(), "APRICOTSPOKE_OPERATOR_KEY="+c.operatorKey)
 	var out, failure bytes.Buffer
--- a/trials/cluster/invariants.go
+++ b/trials/cluster/invariants.go
@@ -39,6 +39,11 @@
 	return e.debug(ctx, "slow", fmt.Sprintf(`{"factor":%g}`, factor))
 }
 
+// AnnounceTo makes the stand-in announce itself to another agent.
+func (e *Endpoint) AnnounceTo(ctx context.Context, agent *Agent) error {
+	return e.debug(ctx, "agent", fmt.Sprintf(`{"agent":%q}`, "http://"+agent.Announce))
+}
+
 func (e *Endpoint) debug(ctx context.Context, name, body string) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.HTTP+"/debug/"+name, strings.NewReader(body))
 	if err != nil {
--- /dev/null
+++ b/trials/cluster/replacement.go
@@ -0,0 +1,25 @@
+package cluster
+
+import "errors"
+
+// StartReplacement starts a further agent for an endpoint. The endpoint knows it
+// only by announcements that are led to it.
+func (c *Cluster) StartReplacement(name string, endpoint int) (*Agent, error) {
+	agent := &Agent{}
+	var errs []error
+	for _, address := range []*string{&agent.Address, &agent.HTTP, &agent.Announce} {
+		var err error
+		*address, err = freeAddress()
+		errs = append(errs, err)
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	env, err := c.environment(name, append(c.controlTargets(), c.entryTargets()...))
+	if err != nil {
+		return nil, err
+	}
+	c.planAgent(name, c.options.Endpoints[endpoint].DataCentre, agent, env)
+	c.replacements = append(c.replacements, agent)
+	return agent, agent.Start()
+}
--- a/trials/fakeendpoint/announce.go
+++ b/trials/fakeendpoint/announce.go
@@ -69,7 +69,10 @@
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.config.Agent+"/announce", bytes.NewReader(body))
+	e.mu.Lock()
+	agent := e.config.Agent
+	e.mu.Unlock()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, agent+"/announce", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/trials/fakeendpoint/debug.go
+++ b/trials/fakeendpoint/debug.go
@@ -44,6 +44,23 @@
 	Factor float64 `json:"factor"`
 }
 
+type agentRequest struct {
+	Agent string `json:"agent"` // base URL of its announce address
+}
+
+// serveAgent makes the stand-in announce itself to another agent.
+func (e *Endpoint) serveAgent(w http.ResponseWriter, r *http.Request) {
+	var request agentRequest
+	if err := readJSON(w, r, &request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.config.Agent = request.Agent
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (e *Endpoint) serveState(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, e.State())
 }
--- a/trials/fakeendpoint/http.go
+++ b/trials/fakeendpoint/http.go
@@ -22,6 +22,7 @@
 	r.Get("/debug/state", e.serveState)
 	r.Post("/debug/restart", e.serveRestart)
 	r.Post("/debug/slow", e.serveSlow)
+	r.Post("/debug/agent", e.serveAgent)
 	r.Post("/orders", e.serveOrder)
 	if e.config.Service != "" {
 		r.Post("/book", e.carry(e.serveBook))
--- a/trials/fakeendpoint/orders.go
+++ b/trials/fakeendpoint/orders.go
@@ -13,6 +13,8 @@
 	Fence    uint64 `json:"fence"`
 	Kind     string `json:"kind"`
 	Argument string `json:"argument"`
+
+	Arrived time.Time `json:"arrived"` // set by the stand-in
 }
 
 type orderResult struct {
@@ -42,6 +44,7 @@
 		return errOldNumber
 	}
 	e.highestOrder = max(e.highestOrder, order.Number)
+	order.Arrived = time.Now()
 	e.orders = append(e.orders, order)
 	return nil
 }
