--- a/prove/harness_test.go
+++ b/prove/harness_test.go
@@ -70,15 +70,20 @@
 }
 
 func start(t *testing.T, proxied bool, endpoints ...cluster.EndpointOptions) *fixture {
+	t.Helper()
+	return startWith(t, cluster.Options{Proxied: proxied, Endpoints: endpoints})
+}
+
+// startWith starts three control replicas and two entries in three data centres.
+func startWith(t *testing.T, options cluster.Options) *fixture {
 	t.Helper()
 	folder, err := os.MkdirTemp("", "apricotspoke-prove-")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := cluster.Start(t.Context(), cluster.Options{
-		Folder: folder, Seed: 1, Controls: 3, Entries: 2, Proxied: proxied,
-		DataCentres: []string{"dc1", "dc2", "dc3"}, Endpoints: endpoints,
-	})
+	options.Folder, options.Seed, options.Controls, options.Entries = folder, 1, 3, 2
+	options.DataCentres = []string{"dc1", "dc2", "dc3"}
+	c, err := cluster.Start(t.Context(), options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -174,6 +179,7 @@
 	tokens int
 	began  chan struct{} // closed at the first text
 	ended  chan struct{}
+	cancel context.CancelFunc // the caller goes
 	result caller.Result
 }
 
@@ -200,6 +206,7 @@
 		answer.Request{Model: model, Prompt: prompt, MaxTokens: tokens, Stream: true})
 	request.OnText = sync.OnceFunc(func() { close(s.began) })
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(f.t.Context()), endLimit)
+	s.cancel = cancel
 	go func() {
 		defer cancel()
 		s.result = f.client.Send(ctx, request)
--- /dev/null
+++ b/prove/restart_test.go
@@ -0,0 +1,182 @@
+//go:build prove
+
+package prove
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/faultproxy"
+)
+
+const (
+	manyChanges     = 1000
+	changers        = 8
+	snapshotEntries = 1000 // log entries after which a snapshot is due
+	snapshotSlack   = 200  // entries that may come while one is written
+)
+
+// replicaStatus is what one control replica says of its log.
+type replicaStatus struct {
+	Commit        uint64 `json:"commit,string"`
+	FirstLogIndex uint64 `json:"first_log_index,string"`
+	SnapshotIndex uint64 `json:"snapshot_index,string"`
+}
+
+// TestThousandChangesThenRestart makes a thousand changes and kills every
+// process: the state is equal afterwards, and each replica reads a snapshot and
+// the entries since, not the whole history.
+func TestThousandChangesThenRestart(t *testing.T) {
+	f := start(t, false, engine("engine1", "dc1"))
+	var all sync.WaitGroup
+	for changer := range changers {
+		all.Go(func() {
+			for n := range manyChanges / changers {
+				state := []string{"out", "in"}[n%2]
+				f.settled("data-centre", state, fmt.Sprint("centre", changer), "--operation-id", fmt.Sprintf("change-%d-%d", changer, n))
+			}
+		})
+	}
+	all.Wait()
+	f.putOrganisation("last")
+	before := f.readState()
+	for _, p := range f.everyProcess() {
+		f.must(p.Kill())
+	}
+	for _, p := range f.everyProcess() {
+		f.must(p.Start())
+	}
+	f.must(f.AwaitReady(t.Context()))
+	if after := f.readState(); after != before {
+		t.Errorf("before the restart:\n%s\nafter it:\n%s", before, after)
+	}
+	for i := range f.Controls {
+		s := f.statusOf(i)
+		t.Logf("control %d: commit %d, log from %d, snapshot at %d", i+1, s.Commit, s.FirstLogIndex, s.SnapshotIndex)
+		if s.SnapshotIndex == 0 || s.FirstLogIndex > s.SnapshotIndex+1 || s.Commit-s.FirstLogIndex > snapshotEntries+snapshotSlack {
+			t.Errorf("control %d would read from %d to %d", i+1, s.FirstLogIndex, s.Commit)
+		}
+	}
+	f.completeWithin(serveLimit, 0, "after the restart", 8)
+	f.completeWithin(serveLimit, 1, "after the restart", 8)
+	f.checkInvariants()
+}
+
+func (f *fixture) everyProcess() []process {
+	list := []process{}
+	for _, c := range f.Controls {
+		list = append(list, c)
+	}
+	for _, e := range f.Entries {
+		list = append(list, e)
+	}
+	for _, e := range f.Endpoints {
+		list = append(list, e.Agent, e)
+	}
+	return list
+}
+
+// readState returns what operators read of contracts, data centres and orders.
+func (f *fixture) readState() string {
+	f.t.Helper()
+	state := ""
+	for _, object := range []string{"contract", "data-centre", "order"} {
+		out, err := f.Ctl(f.t.Context(), object, "list", "--output", "json")
+		f.must(err)
+		state += out
+	}
+	return state
+}
+
+func (f *fixture) statusOf(control int) replicaStatus {
+	f.t.Helper()
+	var status replicaStatus
+	out, err := f.CtlThrough(f.t.Context(), control, "status", "--output", "json")
+	f.must(err)
+	f.must(json.Unmarshal([]byte(out), &status))
+	return status
+}
+
+// TestColdAgainWhileGateRestarts turns an endpoint cold, again during its ramp,
+// and restarts its gate while work runs, with both entries sending.
+func TestColdAgainWhileGateRestarts(t *testing.T) {
+	f := start(t, false, engine("engine1", "dc1"), engine("engine2", "dc2"))
+	background := f.startLoad(16, 40)
+	for round := range 4 {
+		e := f.Endpoints[round%2]
+		sleep(time.Second)
+		f.must(e.Turn(t.Context(), false))
+		sleep(150 * time.Millisecond)
+		f.must(e.Agent.Kill())
+		f.must(e.Turn(t.Context(), round < 2))
+		f.must(e.Agent.Start())
+		f.must(f.AwaitReady(t.Context()))
+		sleep(300 * time.Millisecond)
+		f.must(e.Turn(t.Context(), false))
+	}
+	sleep(2 * time.Second)
+	background.stop()
+	t.Logf("load: %d right, %d refused, %d faulty", background.right, background.refused, len(background.faulty))
+	if background.right == 0 || len(background.wrong) > 0 {
+		t.Errorf("%d right, wrong: %v", background.right, background.wrong)
+	}
+	f.checkInvariants()
+}
+
+// TestMemoryFreedAfterDeaths ends an entry, a gate and the callers while their
+// requests run: the endpoint's memory in use goes back to zero each time.
+func TestMemoryFreedAfterDeaths(t *testing.T) {
+	f := start(t, true, engine("engine1", "dc1", "--cold-concurrency=16"))
+	for i, c := range []struct {
+		name   string
+		kill   func() error
+		repair func() error
+	}{
+		{"entry", f.Entries[0].Kill, f.Entries[0].Start},
+		{"gate", f.Endpoints[0].Agent.Kill, f.Endpoints[0].Agent.Start},
+		{"callers", nothing, nothing},
+		{"links from the entries and callers", f.silenceEntries, nothing},
+	} {
+		f.completeWithin(serveLimit, 0, c.name, 8)
+		f.completeWithin(serveLimit, 1, c.name, 8)
+		streams := f.startStreams(6, 4000+i)
+		f.requireMemoryInUse(streams)
+		f.must(c.kill())
+		for _, s := range streams {
+			s.cancel()
+		}
+		f.must(c.repair())
+		f.must(f.AwaitReady(t.Context()))
+		f.requireHonest(streams)
+		started := time.Now()
+		f.checkInvariants()
+		t.Logf("%s gone: no memory in use %s after the last answer", c.name, time.Since(started).Round(time.Millisecond))
+	}
+}
+
+func nothing() error { return nil }
+
+func (f *fixture) requireMemoryInUse(streams []*stream) {
+	f.t.Helper()
+	state, err := f.Endpoints[0].State(f.t.Context())
+	f.must(err)
+	if state.MemoryTokensUsed == 0 || state.Running == 0 {
+		f.requireRight(streams)
+		f.t.Fatalf("%d tokens of memory and %d attempts before the death", state.MemoryTokensUsed, state.Running)
+	}
+}
+
+func (f *fixture) silenceEntries() error {
+	for i := range f.Entries {
+		proxy, err := f.Links.Between("entry"+strconv.Itoa(i+1), "agent-engine1")
+		if err != nil {
+			return err
+		}
+		proxy.Silence(faultproxy.Both)
+	}
+	return nil
+}
--- a/trials/cluster/cluster.go
+++ b/trials/cluster/cluster.go
@@ -25,7 +25,8 @@
 	Entries     int
 	DataCentres []string // controls and entries are spread over them in turn
 	Endpoints   []EndpointOptions
-	Proxied     bool // a fault proxy on each link
+	Proxied     bool       // a fault proxy on each link
+	Authority   *Authority // signs a certificate for each process; nil for plain text
 }
 
 // EndpointOptions describes an endpoint and the agent beside it.
@@ -226,10 +227,12 @@
 }
 
 func (c *Cluster) environment(name string, targets []target) ([]string, error) {
-	if !c.options.Proxied {
-		return nil, nil
+	env, err := c.options.Authority.environment(name)
+	if err != nil || !c.options.Proxied {
+		return env, err
 	}
-	return c.Links.detours(name, targets)
+	detours, err := c.Links.detours(name, targets)
+	return append(env, detours...), err
 }
 
 func (c *Cluster) dataCentre(i int) string {
--- a/trials/cluster/ctl.go
+++ b/trials/cluster/ctl.go
@@ -32,7 +32,12 @@
 	defer cancel()
 	flags := repeated("--control", replicas)
 	cmd := exec.CommandContext(ctx, filepath.Join(Bin(), "apricotspokectl"), append(flags, args...)...)
+	credentials, err := c.options.Authority.environment("operator")
+	if err != nil {
+		return "", err
+	}
 	cmd.Env = append(os.Environ(), "APRICOTSPOKE_OPERATOR_KEY="+c.operatorKey)
+	cmd.Env = append(cmd.Env, credentials...)
 	var out, failure bytes.Buffer
 	cmd.Stdout = &out
 	cmd.Stderr = &failure
