--- a/trials/cluster/cluster.go
+++ b/trials/cluster/cluster.go
@@ -26,7 +26,8 @@
 	Policy      string   // of the entries, empty for their default
 	DataCentres []string // controls and entries are spread over them in turn
 	Endpoints   []EndpointOptions
-	Proxied     bool // a fault proxy on each link
+	Proxied     bool       // a fault proxy on each link
+	Authority   *Authority // signs a certificate for each process; nil for plain text
 }
 
 // EndpointOptions describes an endpoint and the agent beside it.
@@ -74,6 +75,7 @@
 	Endpoints []*Endpoint
 	Links     *Links
 
+	replacements []*Agent
 	options      Options
 	operatorKey  string
 	resumeSecret string
@@ -198,18 +200,21 @@
 	if err != nil {
 		return err
 	}
-	agent := endpoint.Agent
+	c.planAgent(agentName, o.DataCentre, endpoint.Agent, env)
+	return c.planStandIn(o, endpoint, agentName)
+}
+
+func (c *Cluster) planAgent(name, dataCentre string, agent *Agent, env []string) {
 	flags := []string{
-		"--id=" + agentName,
-		"--data-centre=" + o.DataCentre,
+		"--id=" + name,
+		"--data-centre=" + dataCentre,
 		"--listen=" + agent.Address,
 		"--http-listen=" + agent.HTTP,
 		"--announce-listen=" + agent.Announce,
 	}
 	flags = append(flags, repeated("--control", c.controlTargets())...)
 	flags = append(flags, repeated("--entries", c.entryTargets())...)
-	agent.Process = newProcess(c.options.Folder, agentName, "apricotspoke-agent", env, flags...)
-	return c.planStandIn(o, endpoint, agentName)
+	agent.Process = newProcess(c.options.Folder, name, "apricotspoke-agent", env, flags...)
 }
 
 func (c *Cluster) planStandIn(o EndpointOptions, endpoint *Endpoint, agentName string) error {
@@ -226,10 +231,12 @@
 }
 
 func (c *Cluster) environment(name string, targets []target) ([]string, error) {
-	if !c.options.Proxied {
-		return nil, nil
+	env, err := c.options.Authority.environment(name)
+	if err != nil || !c.options.Proxied {
+		return env, err
 	}
-	return c.Links.detours(name, targets)
+	detours, err := c.Links.detours(name, targets)
+	return append(env, detours...), err
 }
 
 func (c *Cluster) dataCentre(i int) string {
@@ -285,6 +292,9 @@
 	for _, endpoint := range c.Endpoints {
 		list = append(list, endpoint.Agent.Process, endpoint.Process)
 	}
+	for _, agent := range c.replacements {
+		list = append(list, agent.Process)
+	}
 	return list
 }
 
