Send an attempt again that its gate never saw

Cause: after a cut heals, the opening of an attempt may be lost with the old link. The gate answers the resumption that it keeps no such attempt; the relay took that for a failure and left out the endpoint, so with one endpoint the caller got 502 with most of its deadline left. Ruled out: the retry budget (full) and the deadline (seconds left). Now the gate is asked and records the attempt as refused for good, which proves that it will never run; the request then goes on to any gate, this one too.

--- a/coordination/relay/attempt.go
+++ b/coordination/relay/attempt.go
@@ -36,7 +36,10 @@
 }
 
 // Refusal is a gate's proof that an attempt did not run and never will.
-type Refusal struct{ Cause error }
+type Refusal struct {
+	Cause  error
+	Unseen bool // the attempt was lost on its way, so its gate may be tried again
+}
 
 // Error implements error.
 func (r *Refusal) Error() string { return "refused: " + r.Cause.Error() }
--- /dev/null
+++ b/coordination/relay/lost.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	inquireTimeout = time.Second
+	unseenRetry    = 500 * time.Millisecond
+)
+
+// refuseLost turns the failure of an attempt that its gate does not know into a
+// refusal, once the gate has recorded that the attempt will never run. Any
+// other outcome stays as it is.
+func (r *Relay) refuseLost(ctx context.Context, origin Origin, outcome error) error {
+	var failed *attemptFailure
+	if !errors.As(outcome, &failed) || status.Code(failed.cause) != codes.NotFound {
+		return outcome
+	}
+	gate, err := r.gates.Gate(origin.GateAddress)
+	if err != nil {
+		return outcome
+	}
+	ctx, cancel := context.WithTimeout(ctx, inquireTimeout)
+	defer cancel()
+	answer, err := gate.Inquire(ctx, &wire.InquireRequest{
+		Attempt:        origin.Attempt,
+		RefuseIfUnseen: true,
+		GateInstance:   origin.GateInstance,
+	})
+	if err != nil {
+		return outcome
+	}
+	switch answer.State {
+	case wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN, wire.AttemptState_ATTEMPT_STATE_REFUSED:
+		cause := fault.New(fault.Overloaded, "the attempt did not reach its endpoint").After(unseenRetry)
+		return &Refusal{Cause: cause, Unseen: true}
+	}
+	return outcome
+}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -79,14 +79,23 @@
 		if ctx.Err() != nil {
 			return nil, origin, context.Cause(ctx)
 		}
+		err = r.refuseLost(ctx, origin, err)
 		past.add(err)
 		if !r.mayRepeat(err, job, sink, past.refusals) {
 			return nil, origin, past.reason(err)
 		}
-		job.Route.Excluded = append(job.Route.Excluded, origin.Endpoint)
+		if !unseen(err) {
+			job.Route.Excluded = append(job.Route.Excluded, origin.Endpoint)
+		}
 	}
 }
 
+// unseen reports whether the attempt was lost on its way to the gate.
+func unseen(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && refusal.Unseen
+}
+
 func wholeTimeout() error {
 	return fault.New(fault.Timeout, "the answer was not whole by its deadline")
 }
--- a/role/entry/entry_test.go
+++ b/role/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -215,6 +216,24 @@
 	}
 }
 
+// A gate that never saw an attempt may be given the request again, also when it
+// is the only one.
+func TestAttemptLostOnItsWayIsSentAgain(t *testing.T) {
+	var calls atomic.Int64
+	b := newBed(t, 1, func(int, *wire.AttemptOpen) plan {
+		if calls.Add(1) == 1 {
+			return plan{unseen: true}
+		}
+		return plan{chunks: []string{"whole"}, status: 200}
+	})
+	if got := b.do("POST", "/v1/completions", wholeBody); got.status != 200 || got.body != "whole" {
+		t.Errorf("answer %d %s", got.status, got.body)
+	}
+	if refused := len(b.gates[0].refused); refused != 1 {
+		t.Errorf("%d attempts refused for good, want the lost one", refused)
+	}
+}
+
 // What operators change while a body is on its way holds for the request.
 func TestChangeDuringUploadIsInForce(t *testing.T) {
 	b := newBed(t, 1, always(plan{chunks: []string{"x"}, status: 200}))
