--- a/transport/callerhttp/call.go
+++ b/transport/callerhttp/call.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	metricRequests   = "entry_requests"
-	metricFirstToken = "entry_first_token_ms"
-	metricAnswer     = "entry_answer_ms"
-	maxKeyBytes      = 255
-	maxDeadline      = 24 * time.Hour
+	metricRequests      = "entry_requests"
+	metricFirstToken    = "entry_first_token_ms"
+	metricBetweenTokens = "entry_between_tokens_ms"
+	metricAnswer        = "entry_answer_ms"
+	maxKeyBytes         = 255
+	maxDeadline         = 24 * time.Hour
 )
 
 // call is one request of a caller on its way through the entry.
@@ -120,9 +121,11 @@
 	c.server.Metrics.Count(metricRequests, metrics.Labels{Organisation: c.contract.GetOrganisation(), Class: outcome})
 }
 
-func (c *call) time(metric string) {
+func (c *call) time(metric string) { c.observe(metric, time.Since(c.startedAt)) }
+
+func (c *call) observe(metric string, d time.Duration) {
 	labels := metrics.Labels{Organisation: c.contract.GetOrganisation(), Class: admission.LengthClass(c.tokens)}
-	c.server.Metrics.Time(metric, labels, time.Since(c.startedAt))
+	c.server.Metrics.Time(metric, labels, d)
 }
 
 // job returns the relay's form of the request.
--- a/transport/callerhttp/handlers.go
+++ b/transport/callerhttp/handlers.go
@@ -157,6 +157,9 @@
 	}
 	hold.Release(c.tokens + sink.used)
 	c.finished(end.Status)
+	if between := sink.betweenTokens(); between > 0 {
+		c.observe(metricBetweenTokens, between)
+	}
 	sink.finish(end, origin)
 }
 
--- a/transport/callerhttp/sse.go
+++ b/transport/callerhttp/sse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
@@ -32,6 +33,7 @@
 	partial []byte // an event without its end
 	closing []byte // the event that closes the stream
 	used    uint64 // tokens generated
+	firstAt time.Time
 }
 
 // Chunk implements relay.Sink.
@@ -66,6 +68,7 @@
 		return
 	}
 	s.started = true
+	s.firstAt = time.Now()
 	header := s.w.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
@@ -77,6 +80,15 @@
 	}
 }
 
+// betweenTokens is the mean time from one generated token to the next, 0 for an
+// answer of less than two.
+func (s *streamSink) betweenTokens() time.Duration {
+	if !s.started || s.used < 2 {
+		return 0
+	}
+	return time.Since(s.firstAt) / time.Duration(s.used-1)
+}
+
 func (s *streamSink) events(sequence uint64, data []byte) error {
 	s.partial = append(s.partial, bytes.ReplaceAll(data, []byte("\r\n"), []byte("\n"))...)
 	if len(s.partial) > maxBodyBytes {
