Keep one client of control and one way to wait

transport/controlclient did again what transport/controllink did, with another rule for the next replica; the agent now uses the latter. Behaviour is the same but that an agent's lease and order calls try the next replica within the same call.

--- a/coordination/claims/inquire.go
+++ b/coordination/claims/inquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -30,7 +31,7 @@
 		if running && cause == nil && time.Since(asked) >= runningWait {
 			return nil, inProgress()
 		}
-		if !running && time.Since(asked) >= inquireFor || !pause(ctx, retryPause) {
+		if !running && time.Since(asked) >= inquireFor || !wait.For(ctx, retryPause) {
 			return k.undecided(running, cause, err)
 		}
 	}
--- a/coordination/claims/keeper.go
+++ b/coordination/claims/keeper.go
@@ -13,6 +13,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -168,7 +169,7 @@
 		if err == nil {
 			err = fault.FromWire(response.Failure)
 		}
-		if !pause(ctx, retryPause) {
+		if !wait.For(ctx, retryPause) {
 			return nil, &Uncertain{fault.Wrap(err, fault.NotCurrent, "the claim could not be recorded").After(inProgressRetry)}
 		}
 	}
@@ -253,7 +254,7 @@
 		if err == nil && !mayPass(response.Failure) {
 			return response.Failure == nil
 		}
-		if !pause(ctx, retryPause) {
+		if !wait.For(ctx, retryPause) {
 			return false
 		}
 	}
@@ -278,17 +279,6 @@
 	return &wire.Outcome{Status: outcome.Status, ContentType: outcome.ContentType, Truncated: true}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func inProgress() error {
 	return fault.New(fault.InProgress, "a request with this idempotency key is running").After(inProgressRetry)
 }
--- a/coordination/configsync/follower.go
+++ b/coordination/configsync/follower.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -43,12 +44,12 @@
 	for ctx.Err() == nil {
 		peers := f.peers()
 		if len(peers) == 0 {
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 			continue
 		}
 		if !f.ask(ctx, peers[at%len(peers)]) {
 			at++
-			pause(ctx, retryPause+rand.N(retryPause))
+			wait.For(ctx, retryPause+rand.N(retryPause))
 		}
 	}
 }
@@ -78,12 +79,3 @@
 	f.store.Update(response, sentAt)
 	return f.store.CurrentAt().After(before) || time.Since(before) < syncWait
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/coordination/gate/acquire.go
+++ b/coordination/gate/acquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -22,7 +23,7 @@
 // leaseLoop acquires the lease and keeps it.
 func (g *Gate) leaseLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, g.acquire(ctx))
+		wait.For(ctx, g.acquire(ctx))
 	}
 }
 
--- a/coordination/gate/inquire.go
+++ b/coordination/gate/inquire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -61,7 +62,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		wait(ctx, tickInterval)
+		wait.For(ctx, tickInterval)
 	}
 	return true
 }
@@ -70,7 +71,7 @@
 // last part of every answer is on its way before the process stops.
 func (g *Gate) AwaitReaders(ctx context.Context) {
 	for g.readers() > 0 && ctx.Err() == nil {
-		wait(ctx, tickInterval)
+		wait.For(ctx, tickInterval)
 	}
 }
 
--- a/coordination/gate/monitor.go
+++ b/coordination/gate/monitor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -28,7 +29,7 @@
 	go g.orderLoop(ctx)
 	for ctx.Err() == nil {
 		g.tick(ctx)
-		wait(ctx, g.pace(tickInterval, tickIdle))
+		wait.For(ctx, g.pace(tickInterval, tickIdle))
 	}
 }
 
@@ -36,7 +37,7 @@
 func (g *Gate) loadLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		g.pollLoad(ctx)
-		wait(ctx, g.pace(loadBusy, loadIdle))
+		wait.For(ctx, g.pace(loadBusy, loadIdle))
 	}
 }
 
@@ -73,7 +74,7 @@
 			g.awaitProbe(ctx, g.pace(probeBusy, probeIdle))
 			continue
 		}
-		wait(ctx, pause)
+		wait.For(ctx, pause)
 		pause = min(2*pause, probeMaxPause)
 	}
 }
@@ -88,15 +89,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // probeOnce asks the endpoint for its boot and attempts; it reports whether
 // nothing is left to confirm.
 func (g *Gate) probeOnce(ctx context.Context) bool {
--- a/coordination/gate/orders.go
+++ b/coordination/gate/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -30,7 +31,7 @@
 			return
 		}
 		if loadsWeights(order.Kind) {
-			wait(ctx, weightPause-time.Since(g.weightsSent))
+			wait.For(ctx, weightPause-time.Since(g.weightsSent))
 		}
 		if done := g.carryOut(ctx, order, fence); done != nil {
 			g.reportOrder(ctx, done)
@@ -147,7 +148,7 @@
 		if err == nil || fault.KindOf(err) == fault.NotFound {
 			return
 		}
-		wait(ctx, acquirePause)
+		wait.For(ctx, acquirePause)
 	}
 }
 
--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -10,20 +10,19 @@
 	"slices"
 	"time"
 
-	"go.uber.org/dig"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/keepalive"
-
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
-	"github.com/apricotspoke/apricotspoke/transport/controlclient"
+	"github.com/apricotspoke/apricotspoke/transport/controllink"
 	"github.com/apricotspoke/apricotspoke/transport/endpoint"
 	"github.com/apricotspoke/apricotspoke/transport/gatereport"
 	"github.com/apricotspoke/apricotspoke/transport/gateserver"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"go.uber.org/dig"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 )
 
 const (
@@ -85,11 +84,11 @@
 // newSecurity loads the files that secure this process's links.
 func newSecurity(options *Options) (link.Security, error) { return options.Links.Security() }
 
-func newControlClient(options *Options, pool *link.Pool) *controlclient.Client {
-	return controlclient.New(pool, options.Control)
+func newControlClient(options *Options, pool *link.Pool) *controllink.Client {
+	return controllink.NewClient(pool, options.Control)
 }
 
-func newGate(options *Options, store *configsync.Store, client *endpoint.Client, control *controlclient.Client) *gate.Gate {
+func newGate(options *Options, store *configsync.Store, client *endpoint.Client, control *controllink.Client) *gate.Gate {
 	return gate.New(gate.Options{
 		DataCentre: options.DataCentre, Address: options.Listen,
 		Configuration: store, Endpoint: client, Leases: control, Orders: control,
@@ -110,7 +109,7 @@
 }
 
 func newFollower(options *Options, process *wire.ProcessInfo, store *configsync.Store, pool *link.Pool) *configsync.Follower {
-	peers := controlclient.Peers(pool, slices.Concat(options.Control, options.Entries))
+	peers := controllink.Peers(pool, slices.Concat(options.Control, options.Entries))
 	return configsync.NewFollower(store, process, func() []configsync.Peer { return peers })
 }
 
@@ -126,7 +125,7 @@
 		role.RegisterShared(server)
 		return server
 	}
-	wire.RegisterConfigServer(server, gateserver.NewConfigServer(store))
+	wire.RegisterConfigServer(server, controllink.NewConfigServer(store, nil))
 	return server
 }
 
--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -13,12 +13,11 @@
 	"testing"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
-	"github.com/apricotspoke/apricotspoke/transport/gateserver"
+	"github.com/apricotspoke/apricotspoke/transport/controllink"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"google.golang.org/grpc"
 )
 
 // neighbours plays control and an entry on one address.
@@ -120,7 +119,7 @@
 	wire.RegisterGateLeasesServer(server, n)
 	wire.RegisterOrderReportsServer(server, n)
 	wire.RegisterAnnounceServer(server, n)
-	wire.RegisterConfigServer(server, gateserver.NewConfigServer(store))
+	wire.RegisterConfigServer(server, controllink.NewConfigServer(store, nil))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/transport/controllink/client.go
+++ b/transport/controllink/client.go
@@ -24,7 +24,8 @@
 )
 
 // Client calls whichever replica answers. All its calls may be repeated: a
-// claim and its settlement name their attempt, and a lost lease only lapses.
+// claim and its settlement name their attempt, a result names its order, and a
+// lost lease only lapses.
 type Client struct {
 	pool      *link.Pool
 	addresses []string
@@ -57,6 +58,28 @@
 	})
 }
 
+// Acquire asks for the lease of an endpoint.
+func (c *Client) Acquire(ctx context.Context, request *wire.GateLeaseRequest) (*wire.GateLeaseResponse, error) {
+	response, err := try(ctx, c, leaseTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.GateLeaseResponse, error) {
+		return wire.NewGateLeasesClient(conn).Acquire(ctx, request)
+	})
+	if err == nil && response.Failure != nil {
+		return nil, fault.FromWire(response.Failure)
+	}
+	return response, err
+}
+
+// Done reports the start or the result of an order.
+func (c *Client) Done(ctx context.Context, request *wire.OrderDoneRequest) error {
+	response, err := try(ctx, c, claimTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.OrderDoneResponse, error) {
+		return wire.NewOrderReportsClient(conn).Done(ctx, request)
+	})
+	if err != nil {
+		return err
+	}
+	return fault.FromWire(response.Failure)
+}
+
 type failing interface{ GetFailure() *wire.Failure }
 
 var errNoReplica = errors.New("no control replica is named in the settings")
--- a/transport/controllink/config.go
+++ b/transport/controllink/config.go
@@ -46,6 +46,15 @@
 	return &ConfigPeer{pool: pool, address: address}
 }
 
+// Peers returns the neighbours at the addresses, in their order.
+func Peers(pool *link.Pool, addresses []string) []configsync.Peer {
+	peers := make([]configsync.Peer, 0, len(addresses))
+	for _, address := range addresses {
+		peers = append(peers, NewConfigPeer(pool, address))
+	}
+	return peers
+}
+
 // Sync implements configsync.Peer.
 func (p *ConfigPeer) Sync(ctx context.Context, request *wire.SyncRequest) (*wire.SyncResponse, error) {
 	conn, err := p.pool.Get(p.address)
--- a/transport/endpoint/cache.go
+++ b/transport/endpoint/cache.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -33,23 +34,23 @@
 	var after uint64
 	for ctx.Err() == nil {
 		if !has() {
-			pause(ctx)
+			wait.For(ctx, cachePause)
 			continue
 		}
 		answer, err := c.cacheAfter(ctx, after)
 		if err != nil {
-			pause(ctx)
+			wait.For(ctx, cachePause)
 			continue
 		}
 		if answer.Sequence < after {
 			after = 0 // the endpoint was restarted and counts anew
-			pause(ctx)
+			wait.For(ctx, cachePause)
 			continue
 		}
 		after = answer.Sequence
 		receive(toWire(answer.Events), answer.Sequence)
 		if len(answer.Events) == 0 {
-			pause(ctx)
+			wait.For(ctx, cachePause)
 		}
 	}
 }
@@ -75,12 +76,3 @@
 	}
 	return list
 }
-
-func pause(ctx context.Context) {
-	timer := time.NewTimer(cachePause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/transport/gatelink/links.go
+++ b/transport/gatelink/links.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"google.golang.org/grpc"
@@ -70,7 +71,7 @@
 			l.mu.Unlock()
 			continue
 		}
-		sleep(l.ctx, beatEvery)
+		wait.For(l.ctx, beatEvery)
 	}
 }
 
@@ -131,15 +132,6 @@
 		if stream.Send(&wire.BeatMessage{Sequence: sequence}) != nil {
 			return
 		}
-		sleep(ctx, beatEvery)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wait.For(ctx, beatEvery)
 	}
 }
--- a/transport/gatereport/sender.go
+++ b/transport/gatereport/sender.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"google.golang.org/grpc"
 )
 
 const (
@@ -88,14 +88,14 @@
 func (s *Sender) keep(ctx context.Context, t target) {
 	for ctx.Err() == nil {
 		if s.gate.Endpoint() == "" {
-			pause(ctx, reopenPause)
+			wait.For(ctx, reopenPause)
 			continue
 		}
 		conn, err := s.pool.Get(t.address)
 		if err == nil && s.stream(ctx, conn, t) {
 			s.pool.Replace(t.address, conn)
 		}
-		pause(ctx, reopenPause)
+		wait.For(ctx, reopenPause)
 	}
 }
 
@@ -161,12 +161,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/trials/experiment/runner.go
+++ b/trials/experiment/runner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/trials/answer"
 	"github.com/apricotspoke/apricotspoke/trials/caller"
 	"github.com/apricotspoke/apricotspoke/trials/workload"
@@ -31,7 +32,7 @@
 	started := time.Now()
 	for _, planned := range r.Plan {
 		due := started.Add(planned.At)
-		if !sleepUntil(ctx, due) {
+		if !wait.For(ctx, time.Until(due)) {
 			break
 		}
 		requests.Go(func() { r.send(ctx, client, recorder, planned, due) })
@@ -70,14 +71,3 @@
 	}
 	return Failed
 }
-
-func sleepUntil(ctx context.Context, due time.Time) bool {
-	timer := time.NewTimer(time.Until(due))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
