Say "not run" of a request only when no sending of it can have run

Cause: an entry that refuses before it looks at the claim (limits, draining, not current, malformed) knows nothing of an earlier sending under the same key, but answered X-Not-Run: true. A caller whose first answer was lost would then take a booking that ran for one that did not. Ruled out: looking at the claim first (an entry that is not current can't), and leaving the header out (a first sending would lose a true statement). Such a refusal now says X-Not-Run: this-sending. TestRefusalSpeaksForItsOwnSendingOnly failed before and passes now.

--- a/role/entry/once_test.go
+++ b/role/entry/once_test.go
@@ -110,3 +110,16 @@
 		t.Errorf("%d runs", b.runs())
 	}
 }
+
+// A sending that is refused before its claim is looked at says nothing of an
+// earlier one under the same key.
+func TestRefusalSpeaksForItsOwnSendingOnly(t *testing.T) {
+	b := newBed(t, 1, always(plan{chunks: []string{"booked"}, status: 200}))
+	if got := b.do("POST", visitPath, visitBody, "Idempotency-Key", "k"); got.status != 200 {
+		t.Fatalf("the first sending got %d %s", got.status, got.body)
+	}
+	got := b.do("POST", visitPath, visitBody, "Idempotency-Key", "k", "X-Deadline-Ms", "0")
+	if got.status != 400 || got.header.Get("X-Not-Run") != "this-sending" {
+		t.Errorf("the second sending got %d, X-Not-Run %q", got.status, got.header.Get("X-Not-Run"))
+	}
+}
--- a/transport/callerhttp/faults.go
+++ b/transport/callerhttp/faults.go
@@ -48,15 +48,30 @@
 	return fault.From(err)
 }
 
-// writeFault answers with an error. Not-run is only said when no sending of the
-// request can have run.
-func writeFault(w http.ResponseWriter, err error) {
+// scope says for what a refusal speaks. It is the value of X-Not-Run.
+type scope string
+
+const (
+	wholeRequest scope = "true"         // no sending of the request has run or will run
+	thisSending  scope = "this-sending" // an earlier one under the same key may have run
+)
+
+// scopeOf is the scope of a refusal before the claim of a request is known.
+func scopeOf(r *http.Request) scope {
+	if r.Header.Get(keyHeader) != "" {
+		return thisSending
+	}
+	return wholeRequest
+}
+
+// writeFault answers with an error. Not-run is only said as far as it is known.
+func writeFault(w http.ResponseWriter, err error, of scope) {
 	e := typed(err)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	var uncertain *claims.Uncertain
 	if e.Kind.NotRun() && !errors.As(err, &uncertain) {
-		header.Set("X-Not-Run", "true")
+		header.Set("X-Not-Run", string(of))
 	}
 	if wait := retryAfter(e); wait > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -51,25 +51,25 @@
 		r.HandleFunc("/services/{service}/*", s.service)
 	})
 	mux.NotFound(func(w http.ResponseWriter, r *http.Request) {
-		writeFault(w, fault.New(fault.NotFound, "there is nothing at %s", r.URL.Path))
+		writeFault(w, fault.New(fault.NotFound, "there is nothing at %s", r.URL.Path), scopeOf(r))
 	})
 	mux.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
-		writeFault(w, fault.New(fault.InvalidRequest, "%s does not take %s", r.URL.Path, r.Method))
+		writeFault(w, fault.New(fault.InvalidRequest, "%s does not take %s", r.URL.Path, r.Method), scopeOf(r))
 	})
 	return mux
 }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if s.Drain.Begun() {
-		writeFault(w, draining())
+		writeFault(w, draining(), wholeRequest)
 		return
 	}
 	if _, err := s.Store.Current(); err != nil {
-		writeFault(w, err)
+		writeFault(w, err, wholeRequest)
 		return
 	}
 	if wait := time.Until(s.ReadyFrom); wait > 0 {
-		writeFault(w, fault.New(fault.NotCurrent, "gates may not have reported yet").After(wait))
+		writeFault(w, fault.New(fault.NotCurrent, "gates may not have reported yet").After(wait), wholeRequest)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
@@ -83,7 +83,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.Drain.Enter() {
 			w.Header().Set("Connection", "close")
-			writeFault(w, draining())
+			writeFault(w, draining(), scopeOf(r))
 			return
 		}
 		defer s.Drain.Leave()
--- a/transport/callerhttp/sse.go
+++ b/transport/callerhttp/sse.go
@@ -169,7 +169,7 @@
 // fail ends the answer with an error: an event if part of it has gone out.
 func (s *streamSink) fail(err error) {
 	if !s.started {
-		writeFault(s.w, err)
+		writeFault(s.w, err, wholeRequest)
 		return
 	}
 	_ = s.write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", encodeFault(typed(err))))
--- a/trials/caller/caller.go
+++ b/trials/caller/caller.go
@@ -65,6 +65,10 @@
 // NotRun reports whether the answer says that nothing ran.
 func (r Result) NotRun() bool { return r.Header.Get("X-Not-Run") == "true" }
 
+// SendingNotRun reports whether the answer says so of this sending only: an
+// earlier one under the same idempotency key may have run.
+func (r Result) SendingNotRun() bool { return r.Header.Get("X-Not-Run") == "this-sending" }
+
 // RetryAfter is the answer's Retry-After, in seconds; empty without one.
 func (r Result) RetryAfter() string { return r.Header.Get("Retry-After") }
 
