--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -80,7 +80,7 @@
 	}
 	outcome := &wire.Outcome{Status: uint32(answer.Status), ContentType: answer.ContentType}
 	if err := a.relay(answer, outcome); err != nil {
-		a.broken(err, answer)
+		a.broken(err)
 		return
 	}
 	a.complete(answer, outcome)
@@ -187,7 +187,7 @@
 }
 
 // broken ends an attempt whose answer broke off.
-func (a *Attempt) broken(err error, _ *Answer) {
+func (a *Attempt) broken(err error) {
 	g := a.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/coordination/relay/attempt.go
+++ b/coordination/relay/attempt.go
@@ -158,6 +158,9 @@
 	if reason == nil {
 		reason = fault.New(fault.Overloaded, "the gate gave no reason")
 	}
+	if fault.KindOf(reason) == fault.InProgress { // an earlier arrival of the attempt runs
+		return fault.Wrap(reason, fault.EndpointFailed, "the attempt arrived twice")
+	}
 	a.finished = true
 	return &Refusal{Cause: reason}
 }
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"errors"
 	"testing"
 
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"pgregory.net/rapid"
 )
@@ -63,3 +65,15 @@
 		}
 	})
 }
+
+// A gate that refuses a second arrival because the first one runs has not said
+// that nothing ran.
+func TestSecondArrivalIsNoProof(t *testing.T) {
+	var refusal *Refusal
+	if err := new(Attempt).refused(fault.New(fault.InProgress, "it runs")); errors.As(err, &refusal) {
+		t.Errorf("%v counts as a proof that nothing ran", err)
+	}
+	if err := new(Attempt).refused(fault.New(fault.Overloaded, "full")); !errors.As(err, &refusal) {
+		t.Errorf("%v is no refusal", err)
+	}
+}
