--- a/state/contract/contract_test.go
+++ b/state/contract/contract_test.go
@@ -14,7 +14,7 @@
 organisation: kartuli
 keys:
   - key: secret
-  - "key:other secret"
+  - "key: other secret"
   - sha256:HASH
 models: [proofs]
 services: [orders]
--- a/state/contract/file.go
+++ b/state/contract/file.go
@@ -71,6 +71,7 @@
 		return nil
 	}
 	plain, ok := strings.CutPrefix(text, keyPrefix)
+	plain = strings.TrimSpace(plain)
 	if !ok || plain == "" {
 		return keyFault(node, "give sha256:HEX or key:TEXT")
 	}
