--- a/coordination/gate/admission.go
+++ b/coordination/gate/admission.go
@@ -47,6 +47,7 @@
 	if refusal := g.admit(open, now); refusal != nil {
 		rec := g.records.add(open.Attempt, wire.AttemptState_ATTEMPT_STATE_REFUSED, now)
 		rec.failure = fault.ToWire(refusal)
+		g.countRefusal(open, refusal)
 		return nil, refusal
 	}
 	a := newAttempt(g, open, now)
--- a/coordination/gate/attempt.go
+++ b/coordination/gate/attempt.go
@@ -41,8 +41,9 @@
 	stop   context.CancelFunc // frees the deadline's timer
 	start  chan struct{}      // closed when it may be sent
 
-	firstToken time.Time // deadline
-	record     *record
+	firstToken  time.Time // deadline
+	submittedAt time.Time
+	record      *record
 
 	// Guarded by the gate's lock.
 	stage     stage
@@ -81,6 +82,7 @@
 		return 0, g.ramp.isCold()
 	}
 	a.body = body
+	a.submittedAt = time.Now()
 	a.kvName = kvWork(a.open, body)
 	g.expectBlock(a, body)
 	a.stage = stageQueued
@@ -173,6 +175,7 @@
 	if a.stage == stageEnded {
 		return
 	}
+	a.gate.countRefusal(a.open, why)
 	failure := fault.ToWire(why)
 	a.record.state = wire.AttemptState_ATTEMPT_STATE_REFUSED
 	a.record.failure = failure
--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -36,6 +36,7 @@
 	}
 	select {
 	case <-a.start:
+		a.observeQueue()
 		a.exchange()
 	default:
 	}
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 )
 
 const (
@@ -28,7 +29,8 @@
 	Endpoint      Endpoint
 	Leases        Leases
 	Orders        OrderReporter
-	ReplayBytes   int // of unacknowledged answers, DefaultReplayBytes when 0
+	ReplayBytes   int               // of unacknowledged answers, DefaultReplayBytes when 0
+	Metrics       *metrics.Registry // a new one when nil
 }
 
 // Gate guards one endpoint.
@@ -71,6 +73,9 @@
 // New returns a gate with a random instance name. It admits nothing before the
 // endpoint has announced itself and the lease is held.
 func New(options Options) *Gate {
+	if options.Metrics == nil {
+		options.Metrics = metrics.New()
+	}
 	return &Gate{
 		options:    options,
 		instance:   rand.Text(),
--- /dev/null
+++ b/coordination/gate/metrics.go
@@ -0,0 +1,26 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/admission"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+)
+
+const (
+	metricQueue    = "gate_queue_ms"
+	metricRefusals = "gate_refusals"
+)
+
+// observeQueue records how long an attempt waited before it was sent.
+func (a *Attempt) observeQueue() {
+	labels := metrics.Labels{Organisation: a.open.Organisation, Class: admission.LengthClass(a.open.PromptTokens)}
+	a.gate.options.Metrics.Time(metricQueue, labels, time.Since(a.submittedAt))
+}
+
+// countRefusal counts a refusal by its kind.
+func (g *Gate) countRefusal(open *wire.AttemptOpen, why *fault.Error) {
+	g.options.Metrics.Count(metricRefusals, metrics.Labels{Organisation: open.Organisation, Class: string(why.Kind)})
+}
--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/controllink"
 	"github.com/apricotspoke/apricotspoke/transport/endpoint"
 	"github.com/apricotspoke/apricotspoke/transport/gatereport"
@@ -42,6 +43,7 @@
 type Agent struct {
 	options  *Options
 	gate     *gate.Gate
+	metrics  *metrics.Registry
 	client   *endpoint.Client
 	follower *configsync.Follower
 	sender   *gatereport.Sender
@@ -58,6 +60,7 @@
 		newSecurity,
 		link.NewPool,
 		configsync.NewStore,
+		metrics.New,
 		endpoint.NewClient,
 		newControlClient,
 		newProcess,
@@ -88,10 +91,10 @@
 	return controllink.NewClient(pool, options.Control)
 }
 
-func newGate(options *Options, store *configsync.Store, client *endpoint.Client, control *controllink.Client) *gate.Gate {
+func newGate(options *Options, store *configsync.Store, client *endpoint.Client, control *controllink.Client, registry *metrics.Registry) *gate.Gate {
 	return gate.New(gate.Options{
 		DataCentre: options.DataCentre, Address: options.Listen,
-		Configuration: store, Endpoint: client, Leases: control, Orders: control,
+		Configuration: store, Endpoint: client, Leases: control, Orders: control, Metrics: registry,
 	})
 }
 
@@ -129,9 +132,33 @@
 	return server
 }
 
-func newAgent(options *Options, g *gate.Gate, client *endpoint.Client, follower *configsync.Follower,
-	sender *gatereport.Sender, pool *link.Pool, server *grpc.Server, role *control.Role) *Agent {
-	return &Agent{role: role, options: options, gate: g, client: client, follower: follower, sender: sender, pool: pool, server: server}
+// parts are what the container builds for an agent.
+type parts struct {
+	dig.In
+
+	Options  *Options
+	Gate     *gate.Gate
+	Metrics  *metrics.Registry
+	Client   *endpoint.Client
+	Follower *configsync.Follower
+	Sender   *gatereport.Sender
+	Pool     *link.Pool
+	Server   *grpc.Server
+	Role     *control.Role
+}
+
+func newAgent(p parts) *Agent {
+	return &Agent{
+		options:  p.Options,
+		gate:     p.Gate,
+		metrics:  p.Metrics,
+		client:   p.Client,
+		follower: p.Follower,
+		sender:   p.Sender,
+		pool:     p.Pool,
+		server:   p.Server,
+		role:     p.Role,
+	}
 }
 
 // Run serves until ctx ends, then refuses new work and waits for what runs, up
--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -218,6 +219,13 @@
 	if got := string(receive(t, long).GetChunk().GetData()); got != "id: 1\ndata: 4194304\n\n" {
 		t.Errorf("first chunk is %q", got)
 	}
+	page := httptest.NewRecorder()
+	agent.healthHandler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
+	for _, series := range []string{"gate_queue_ms", "gate_running "} {
+		if !strings.Contains(page.Body.String(), series) {
+			t.Errorf("no %s in %s", series, page.Body)
+		}
+	}
 	shutDown()
 	awaitReport(t, n, (*wire.GateReport).GetLeaving)
 	if refused := receive(t, attempt(t, client, "new", nil)).GetRefused(); refused.GetFailure().GetRetryAfterMs() == 0 {
--- a/role/agent/health.go
+++ b/role/agent/health.go
@@ -1,11 +1,11 @@
 package agent
 
 import (
-	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/rcrowley/go-metrics"
 )
 
 // healthHandler serves metrics, liveness and readiness.
@@ -20,8 +20,22 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(metrics.DefaultRegistry)
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		a.metrics.WriteText(w)
+		a.writeGauges(w)
 	})
 	return router
 }
+
+// writeGauges writes the state of the gate, as its next report would tell it.
+func (a *Agent) writeGauges(w io.Writer) {
+	report := a.gate.Report(0)
+	cold := 0
+	if report.GetCold() {
+		cold = 1
+	}
+	fmt.Fprintf(w, "gate_running %d\n", report.GetLoad().GetGateRunning())
+	fmt.Fprintf(w, "gate_waiting %d\n", report.GetLoad().GetGateWaiting())
+	fmt.Fprintf(w, "gate_admit_limit %d\n", report.GetAdmitLimit())
+	fmt.Fprintf(w, "gate_cold %d\n", cold)
+}
