--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	  $(GO) test -run '^($(KNOWN_RED))$$' ./... 2>&1 | grep -v 'no test' || true; fi
 
 prove: build
-	$(GO) test -tags prove -count=1 -timeout 10m ./prove/...
+	$(GO) test -tags prove -count=1 -parallel 2 -timeout 10m ./prove/...
 
 # The mixed run over twenty seeds.
 SEEDS ?= 1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20
--- a/prove/current_test.go
+++ b/prove/current_test.go
@@ -122,6 +122,7 @@
 // starts again. From 5 s after acceptance nothing runs under what was before,
 // neither during the cut nor after it.
 func TestChangeInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	other := engine("engine3", "dc3")
 	other.Flags[0] = "--model=" + removedModel
 	f := start(t, true, engine("engine1", "dc1"), engine("engine2", "dc2"), other)
@@ -220,6 +221,7 @@
 // TestLostQuorum kills two of three control replicas under load: soon every
 // entry refuses with not_current, and service comes back with the quorum.
 func TestLostQuorum(t *testing.T) {
+	t.Parallel()
 	f := start(t, false, engine("engine1", "dc1"), engine("engine2", "dc2"))
 	for round := range 3 {
 		background := f.startProbes(model)
--- a/prove/group_test.go
+++ b/prove/group_test.go
@@ -71,6 +71,7 @@
 // A prompt of more than twice an endpoint's memory is answered whole; whoever
 // dies meanwhile, all memory is freed and the next one is answered.
 func TestLongestPromptOverAGroup(t *testing.T) {
+	t.Parallel()
 	f := start(t, false, smallEngines(4)...)
 	f.completeWithin(longLimit, 0, longPrompt("first"), 40)
 	f.checkInvariants()
@@ -102,6 +103,7 @@
 // Two at once on a fleet with room for one: each is answered or refused at once,
 // and sending again answers both.
 func TestTwoLongestPromptsAtOnce(t *testing.T) {
+	t.Parallel()
 	f := start(t, false, smallEngines(3)...)
 	var both sync.WaitGroup
 	for i := range 2 {
--- a/prove/mixed_test.go
+++ b/prove/mixed_test.go
@@ -27,6 +27,7 @@
 // TestMixedFaults causes random faults, several at once, under streams and
 // bookings, and checks the invariants once all is mended.
 func TestMixedFaults(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { mixedRun(t, seed) })
 	}
