--- a/ctl/places.go
+++ b/ctl/places.go
@@ -8,6 +8,7 @@
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/fleet"
 	"github.com/jessevdk/go-flags"
 )
 
@@ -36,12 +37,7 @@
 func (a *app) setDataCentre(name string, out bool, expected *uint64) error {
 	version, err := a.expect(expected, func() (uint64, error) {
 		config, err := a.read()
-		for _, d := range config.GetDataCentres() {
-			if d.Name == name {
-				return d.Version, err
-			}
-		}
-		return 0, err
+		return fleet.NewView(config).DataCentre(name).GetVersion(), err
 	})
 	if err != nil {
 		return err
@@ -101,12 +97,7 @@
 func (a *app) setEndpoint(name string, state wire.EndpointState, expected *uint64) error {
 	version, err := a.expect(expected, func() (uint64, error) {
 		config, err := a.read()
-		for _, e := range config.GetEndpoints() {
-			if e.Endpoint == name {
-				return e.Version, err
-			}
-		}
-		return 0, err
+		return fleet.NewView(config).Endpoint(name).GetVersion(), err
 	})
 	if err != nil {
 		return err
