--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
+	"io"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,8 @@
 type Machine interface {
 	// Apply executes a command; its result depends on the state and command only.
 	Apply(index uint64, command *wire.Command) any
+	// ApplyMembers takes the member list, in which removed identities stay for
+	// a while, marked as such.
 	ApplyMembers(index uint64, members []*wire.Member)
 	Snapshot() ([]byte, error)
 	Restore(snapshot []byte) error
@@ -39,10 +43,11 @@
 	HeartbeatTicks   int
 	ElectionTicks    int // elections start after one to two times this
 	PeerTimeout      time.Duration
-	SnapshotTimeout  time.Duration
 	JoinInterval     time.Duration
-	SnapshotInterval uint64 // entries applied between snapshots
-	KeptEntries      uint64 // entries kept behind a snapshot for peers that lag
+	SnapshotInterval uint64          // entries applied between snapshots
+	KeptEntries      uint64          // entries kept behind a snapshot for peers that lag
+	Entropy          io.Reader       // of identities; nil for the system's source
+	Random           func(n int) int // uniform in [0,n); nil for the runtime's source
 }
 
 const (
@@ -50,7 +55,6 @@
 	defaultHeartbeatTicks   = 2
 	defaultElectionTicks    = 10
 	defaultPeerTimeout      = 500 * time.Millisecond
-	defaultSnapshotTimeout  = 10 * time.Second
 	defaultJoinInterval     = 300 * time.Millisecond
 	defaultSnapshotInterval = 1000
 	defaultKeptEntries      = 500
@@ -63,13 +67,18 @@
 	setDefault(&o.HeartbeatTicks, defaultHeartbeatTicks)
 	setDefault(&o.ElectionTicks, defaultElectionTicks)
 	setDefault(&o.PeerTimeout, defaultPeerTimeout)
-	setDefault(&o.SnapshotTimeout, defaultSnapshotTimeout)
 	setDefault(&o.JoinInterval, defaultJoinInterval)
 	setDefault(&o.SnapshotInterval, defaultSnapshotInterval)
 	setDefault(&o.KeptEntries, defaultKeptEntries)
 	if o.Files == nil {
 		o.Files = wal.Disk{}
 	}
+	if o.Entropy == nil {
+		o.Entropy = cryptorand.Reader
+	}
+	if o.Random == nil {
+		o.Random = rand.IntN
+	}
 }
 
 func setDefault[T comparable](value *T, standard T) {
@@ -90,8 +99,9 @@
 	Applied       uint64
 	FirstIndex    uint64
 	SnapshotIndex uint64
-	Members       []*wire.Member // in force, perhaps uncommitted
+	Members       []*wire.Member // in force, perhaps uncommitted; also removed ones
 	LeaderSince   time.Time      // when this replica first saw the present leader
+	Joined        bool           // an applied member list holds this replica, at its address or as removed
 }
 
 // Replica is one member of the control group. It implements wire.PeerServer.
@@ -106,45 +116,53 @@
 	logger  *logs.Logger
 	status  atomic.Pointer[Status]
 	outbox  *outbox
+	parts   assembly
+	send    func([]*wire.PeerMessage, []*wire.Member)
+	spawn   func(func()) // runs work beside the replica's goroutine
+	written chan writtenSnapshot
 
 	inbox    chan *wire.PeerMessage
 	requests chan request
 	stopped  chan struct{} // closed when Run returns
 
 	// Owned by the goroutine of Run.
-	hard         *wire.HardState
-	lastTime     uint64 // highest command time in the log, in ms
-	snapshotted  uint64
-	proposals    map[uint64]proposal
-	reads        map[uint64]read
-	nextRead     uint64
-	promoteAfter map[string]uint64 // learner: commit index read after it joined
-	transfers    []chan error
+	hard        *wire.HardState
+	lastTime    uint64 // highest command time in the log, in ms
+	writing     bool   // a snapshot is being written
+	snapshotted uint64
+	// Size of the last snapshot's state.
+	snapshotBytes int64
+	proposals     map[uint64]proposal
+	reads         map[uint64]read
+	nextRead      uint64
+	promoteAfter  map[string]uint64 // learner: commit index read after it joined
+	transfers     []chan error
 }
 
 // Open locks and reads the data folder and restores the machine. Run starts
 // the replica.
 func Open(options Options) (*Replica, error) {
 	options.setDefaults()
-	log, state, err := wal.Open(options.Folder, options.Files)
+	log, state, err := wal.Open(options.Folder, options.Files, options.Entropy)
 	if err != nil {
 		return nil, err
 	}
 	r := &Replica{
-		options:      options,
-		id:           state.ID,
-		log:          log,
-		machine:      options.Machine,
-		logger:       logs.For("replica"),
-		inbox:        make(chan *wire.PeerMessage, inboxMessages),
-		requests:     make(chan request, maxBatch),
-		stopped:      make(chan struct{}),
-		hard:         state.HardState,
-		lastTime:     state.Snapshot.GetTimeMs(),
-		snapshotted:  state.Snapshot.GetIndex(),
-		proposals:    make(map[uint64]proposal),
-		reads:        make(map[uint64]read),
-		promoteAfter: make(map[string]uint64),
+		options:       options,
+		id:            state.ID,
+		log:           log,
+		machine:       options.Machine,
+		logger:        logs.For("replica"),
+		inbox:         make(chan *wire.PeerMessage, inboxMessages),
+		requests:      make(chan request, maxBatch),
+		stopped:       make(chan struct{}),
+		hard:          state.HardState,
+		lastTime:      state.Snapshot.GetTimeMs(),
+		snapshotted:   state.Snapshot.GetIndex(),
+		snapshotBytes: int64(len(state.Snapshot.GetState())),
+		proposals:     make(map[uint64]proposal),
+		reads:         make(map[uint64]read),
+		promoteAfter:  make(map[string]uint64),
 	}
 	if state.Snapshot != nil {
 		if err := r.restore(state.Snapshot); err != nil {
@@ -161,9 +179,12 @@
 		Entries:        state.Entries,
 		ElectionTicks:  options.ElectionTicks,
 		HeartbeatTicks: options.HeartbeatTicks,
-		Random:         rand.IntN,
+		Random:         options.Random,
 	})
-	r.outbox = newOutbox(&r.options)
+	r.outbox = newOutbox(&r.options, r.snapshotLost)
+	r.send = r.outbox.send
+	r.spawn = func(work func()) { go work() }
+	r.written = make(chan writtenSnapshot, 1)
 	if state.TornBytes > 0 {
 		r.logger.Warn().Int("bytes", state.TornBytes).Msg("A torn tail was cut from the log.")
 	}
@@ -184,7 +205,7 @@
 	defer close(r.stopped)
 	defer r.log.Close()
 	defer r.outbox.close()
-	defer r.failAll()
+	defer r.end()
 	go r.join(ctx)
 	ticker := time.NewTicker(r.options.Tick)
 	defer ticker.Stop()
@@ -195,6 +216,11 @@
 		case <-ticker.C:
 			r.raft.Tick()
 			r.promoteLearners()
+			r.retryTransfer()
+		case w := <-r.written:
+			if err := r.useSnapshot(w); err != nil {
+				return r.failed(err)
+			}
 		case m := <-r.inbox:
 			r.step(m)
 		case q := <-r.requests:
@@ -203,15 +229,21 @@
 		r.drain()
 		r.raft.FlushReads()
 		if err := r.process(); err != nil {
-			r.logger.Error().Err(err).Msg("The data folder failed; the replica ends.")
-			return err
+			return r.failed(err)
 		}
 	}
 }
 
+func (r *Replica) failed(err error) error {
+	r.logger.Error().Err(err).Msg("The replica can't go on and ends.")
+	return err
+}
+
 func (r *Replica) step(m *wire.PeerMessage) {
 	r.outbox.learn(m.From, m.FromAddress)
-	r.raft.Step(m)
+	if whole := r.parts.add(m); whole != nil {
+		r.raft.Step(whole)
+	}
 }
 
 // drain takes in what else waits, so that one sync serves all of it.
@@ -228,6 +260,18 @@
 	}
 }
 
+// joined reports whether this replica's membership, at its present address, has
+// been committed. A list
+// that is only appended may yet be replaced by one without this replica.
+func (r *Replica) joined(applied uint64) bool {
+	for _, m := range r.raft.MembersAt(applied) {
+		if m.Id == r.id && (m.Removed || m.Address == r.options.Address) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Replica) publish() {
 	s := r.raft.Status()
 	next := &Status{
@@ -240,6 +284,7 @@
 		FirstIndex:    s.FirstIndex,
 		SnapshotIndex: s.SnapshotIndex,
 		Members:       s.Members,
+		Joined:        r.joined(s.Applied),
 	}
 	for _, m := range s.Members {
 		if m.Id == s.Leader {
--- a/ctl/app.go
+++ b/ctl/app.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/settings"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
@@ -21,7 +22,7 @@
 const (
 	callTimeout    = 4 * time.Second // of one address
 	connectTimeout = time.Second
-	rounds         = 3 // over all addresses, while no leader answers
+	rounds         = 8 // over all addresses, while no leader answers
 	roundPause     = 500 * time.Millisecond
 )
 
@@ -31,6 +32,8 @@
 	Output      string   `long:"output" env:"APRICOTSPOKE_OUTPUT" choice:"table" choice:"json" default:"table" description:"Form of what is printed"`
 	OperationID string   `long:"operation-id" env:"APRICOTSPOKE_OPERATION_ID" description:"Identity of the change; a resend under the same one has no second effect"`
 	DryRun      bool     `long:"dry-run" env:"APRICOTSPOKE_DRY_RUN" description:"Check the change without making it"`
+
+	Links link.Options `group:"Links"`
 }
 
 // app carries out one command.
@@ -44,7 +47,8 @@
 // an operation id is safe to send again.
 func call[R any](a *app, send func(ctx context.Context, client wire.OperatorClient) (R, error)) (R, error) {
 	var none R
-	if len(a.options.Control) == 0 {
+	addresses := settings.SplitList(a.options.Control)
+	if len(addresses) == 0 {
 		return none, fault.New(fault.InvalidRequest, "no control address is given; set --control or APRICOTSPOKE_CONTROL")
 	}
 	var last error
@@ -53,8 +57,8 @@
 		if round > 0 {
 			time.Sleep(roundPause)
 		}
-		for _, address := range a.options.Control {
-			response, err := try(address, send)
+		for _, address := range addresses {
+			response, err := try(a, address, send)
 			if err == nil {
 				return response, nil
 			}
@@ -71,9 +75,13 @@
 	return none, last
 }
 
-func try[R any](address string, send func(ctx context.Context, client wire.OperatorClient) (R, error)) (R, error) {
+func try[R any](a *app, address string, send func(ctx context.Context, client wire.OperatorClient) (R, error)) (R, error) {
 	var none R
-	conn, err := link.Dial(address, link.Security{})
+	security, err := a.options.Links.Security()
+	if err != nil {
+		return none, err
+	}
+	conn, err := link.Dial(address, security)
 	if err != nil {
 		return none, fault.Wrap(err, fault.InvalidRequest, "control address %q is wrong", address)
 	}
--- a/role/entry/entry_test.go
+++ b/role/entry/entry_test.go
@@ -70,6 +70,10 @@
 	good := plan{chunks: []string{"whole"}, status: 200}
 	lost := plan{chunks: []string{"x"}, status: 200, fail: failure(fault.EndpointFailed)}
 	denies := plan{status: 200, fail: failure(fault.Overloaded)} // it may have run all the same
+	short := plan{chunks: []string{"half", "rest"}, status: 200, mangle: func(d []*wire.AttemptDown) []*wire.AttemptDown {
+		d[2].Sequence = 2 // the end comes in the place of the second chunk
+		return []*wire.AttemptDown{d[0], d[2]}
+	}}
 	cases := map[string]struct {
 		first, later   plan
 		body           string
@@ -85,8 +89,9 @@
 		"denied after start": {denies, denies, wholeBody, 502, false, "endpoint_failed", 2},
 		"failed mid-stream": {plan{chunks: eventChunks[:1], status: 200, fail: failure(fault.EndpointFailed)}, good, streamBody, 200, false,
 			"event: error\ndata: {\"error\"", 1},
-		"endpoint's refusal of a stream": {plan{chunks: []string{`{"error":1}`}, status: 400}, good, streamBody, 400, false, `{"error":1}`, 1},
-		"gate dies at once":              {plan{die: true}, good, wholeBody, 200, false, "whole", 2},
+		"endpoint's refusal of a stream":  {plan{chunks: []string{`{"error":1}`}, status: 400}, good, streamBody, 400, false, `{"error":1}`, 1},
+		"fewer chunks than the end tells": {short, short, wholeBody, 502, false, "endpoint_failed", 2},
+		"gate dies at once":               {plan{die: true}, good, wholeBody, 200, false, "whole", 2},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -203,12 +208,11 @@
 	_, _ = io.Copy(io.Discard, kept.Body)
 	b.entry.options.ReadyGrace = time.Second
 	b.stop()
-	b.await("refusal", func() bool {
-		got := b.do("POST", "/v1/completions", wholeBody)
-		return got.status == 503 && got.header.Get("Retry-After") != "" && got.header.Get("X-Not-Run") == "true"
-	})
-	if ready := b.do("GET", "/readyz", ""); ready.status != 503 {
-		t.Errorf("ready with %d while draining", ready.status)
+	// A request that arrives before the drain begins would be admitted and wait.
+	b.await("failing readiness", func() bool { return b.do("GET", "/readyz", "").status == 503 })
+	got := b.do("POST", "/v1/completions", wholeBody)
+	if got.status != 503 || got.header.Get("Retry-After") == "" || got.header.Get("X-Not-Run") != "true" {
+		t.Errorf("a new request while draining got %d %s", got.status, got.body)
 	}
 	close(release)
 	if got := <-running; got.status != 200 || got.body != "whole" {
--- a/state/machine/orders.go
+++ b/state/machine/orders.go
@@ -4,16 +4,19 @@
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/contract"
+	"github.com/apricotspoke/apricotspoke/state/fleet"
 	"google.golang.org/protobuf/proto"
 )
 
 const (
 	maxOrderArgumentBytes = 1024
 	maxOrderResultBytes   = 4096
+	maxWaitingOrders      = 64 // of one endpoint
+	keptFinishedOrders    = 32 // of one endpoint
 )
 
 // planOrder numbers an order by its log index, which is its fencing number.
-func planOrder(index uint64, order *wire.Order) (*wire.ConfigDelta, error) {
+func planOrder(view *fleet.View, index uint64, order *wire.Order) (*wire.ConfigDelta, error) {
 	if err := contract.CheckName("endpoint", order.GetEndpoint()); err != nil {
 		return nil, err
 	}
@@ -24,8 +27,39 @@
 	if order.Argument == "" || len(order.Argument) > maxOrderArgumentBytes {
 		return nil, fault.New(fault.InvalidRequest, "the order needs an argument of 1 to %d bytes", maxOrderArgumentBytes)
 	}
+	orders := view.Orders(order.Endpoint)
+	old := oldOrders(orders)
+	if waiting := countWaiting(orders); waiting >= maxWaitingOrders {
+		return nil, fault.New(fault.Overloaded, "%d orders wait for endpoint %q already", waiting, order.Endpoint)
+	}
 	next := &wire.Order{Number: index, Endpoint: order.Endpoint, Kind: order.Kind, Argument: order.Argument}
-	return &wire.ConfigDelta{Orders: []*wire.Order{next}}, nil
+	return &wire.ConfigDelta{Orders: append(old, next)}, nil
+}
+
+func countWaiting(orders []*wire.Order) int {
+	waiting := 0
+	for _, order := range orders {
+		if !order.Done {
+			waiting++
+		}
+	}
+	return waiting
+}
+
+// oldOrders returns the removals of the oldest finished orders above the number kept.
+func oldOrders(orders []*wire.Order) []*wire.Order {
+	extra := len(orders) - countWaiting(orders) - keptFinishedOrders
+	var removals []*wire.Order
+	for _, order := range orders {
+		if extra <= 0 {
+			break
+		}
+		if order.Done {
+			removals = append(removals, &wire.Order{Number: order.Number, Endpoint: order.Endpoint, Removed: true})
+			extra--
+		}
+	}
+	return removals
 }
 
 // finishOrder records the first result of an order. Only the gate that holds
@@ -47,12 +81,18 @@
 	if order == nil {
 		return nil, fault.New(fault.NotFound, "endpoint %q has no order %d", request.Endpoint, request.Number)
 	}
+	if order.Done && request.Started {
+		return nil, fault.New(fault.Conflict, "order %d is done", order.Number)
+	}
 	if order.Done {
 		return nil, nil
 	}
 	if lease := published.Leases[request.Endpoint]; lease.GetNumber() != request.LeaseNumber {
 		return nil, fault.New(fault.Conflict, "endpoint %q is held under lease %d, not %d", request.Endpoint, lease.GetNumber(), request.LeaseNumber)
 	}
+	if request.Started {
+		return planStart(order, request.LeaseNumber)
+	}
 	next := proto.CloneOf(order)
 	next.Done = true
 	next.Failed = request.Failed
@@ -60,6 +100,20 @@
 	return &wire.ConfigDelta{Orders: []*wire.Order{next}}, nil
 }
 
+// planStart lets one lease act on an order. A gate that comes after it must not
+// act again, because the first one may have done so.
+func planStart(order *wire.Order, lease uint64) (*wire.ConfigDelta, error) {
+	switch order.StartedLease {
+	case lease:
+		return nil, nil
+	case 0:
+		next := proto.CloneOf(order)
+		next.StartedLease = lease
+		return &wire.ConfigDelta{Orders: []*wire.Order{next}}, nil
+	}
+	return nil, fault.New(fault.Conflict, "order %d was begun under lease %d", order.Number, order.StartedLease)
+}
+
 func findOrder(orders []*wire.Order, number uint64) *wire.Order {
 	for _, order := range orders {
 		if order.Number == number {
--- a/telemetry/logs/logs.go
+++ b/telemetry/logs/logs.go
@@ -21,6 +21,7 @@
 
 var levels = []string{"debug", "info", "warn", "error"}
 
+// level is the least level written by every logger.
 var level atomic.Uint32
 
 func init() { level.Store(uint32(log.InfoLevel)) }
