--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -161,6 +161,7 @@
 // endpoint. The caller holds the gate's lock.
 func (a *Attempt) fail(err error) {
 	failure := a.failureFor(err)
+	a.logFailure(failure)
 	a.close(&wire.End{Status: uint32(failure.Kind.Status()), Failure: fault.ToWire(failure), MayHaveRun: true}, nil)
 	a.cancel(errCancelled)
 	go a.gate.withdraw(a)
--- a/coordination/gate/metrics.go
+++ b/coordination/gate/metrics.go
@@ -20,7 +20,8 @@
 	a.gate.options.Metrics.Time(metricQueue, labels, time.Since(a.submittedAt))
 }
 
-// countRefusal counts a refusal by its kind.
+// countRefusal counts and traces a refusal by its kind.
 func (g *Gate) countRefusal(open *wire.AttemptOpen, why *fault.Error) {
+	logRefusal(open, why)
 	g.options.Metrics.Count(metricRefusals, metrics.Labels{Organisation: open.Organisation, Class: string(why.Kind)})
 }
--- a/coordination/gate/monitor.go
+++ b/coordination/gate/monitor.go
@@ -116,6 +116,7 @@
 	if g.ramp.boot == "" {
 		return
 	}
+	g.logDoubt()
 	g.lastBoot = g.ramp.boot
 	g.ramp.restart("")
 	notify(g.probe)
--- a/coordination/gate/orders.go
+++ b/coordination/gate/orders.go
@@ -140,6 +140,7 @@
 // reportOrder tells control until it takes the result, under the lease number
 // of the moment, which may have changed since.
 func (g *Gate) reportOrder(ctx context.Context, done *wire.OrderDoneRequest) {
+	logOrder(done)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, reportTimeout)
 		done.LeaseNumber = g.leaseNumber()
