--- a/coordination/gate/log.go
+++ b/coordination/gate/log.go
@@ -16,9 +16,13 @@
 }
 
 // logFailure tells of a sent attempt without a whole answer. Lines of one kind
-// are limited.
+// are limited; one that its caller gave up is only traced.
 func (a *Attempt) logFailure(why *fault.Error) {
-	log.Repeated(string(why.Kind)).Str("request", a.open.Request).Str("attempt", a.open.Attempt).
+	entry := log.Debug()
+	if why.Kind != fault.Cancelled {
+		entry = log.Repeated(string(why.Kind))
+	}
+	entry.Str("request", a.open.Request).Str("attempt", a.open.Attempt).
 		Str("organisation", a.open.Organisation).Str("kind", string(why.Kind)).
 		Msg("gate: An attempt failed.")
 }
