Check control's settings with the pieces that the other programs use

role/control had its own check of addresses and the agent its own list of log levels beside settings.Faults and logs.CheckLevel. Lists separated by commas, which control and the command line took as flags, are taken by entry and agent as well; they refused them before.

--- a/role/agent/options.go
+++ b/role/agent/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/settings"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 )
 
@@ -27,6 +28,7 @@
 
 // Check implements settings.Checker.
 func (o *Options) Check() []error {
+	o.Control, o.Entries = settings.SplitList(o.Control), settings.SplitList(o.Entries)
 	var faults settings.Faults
 	faults.Required("id", o.ID)
 	faults.Required("data-centre", o.DataCentre)
@@ -39,7 +41,9 @@
 	if o.HTTPListen != "" {
 		faults.Address("http-listen", o.HTTPListen)
 	}
-	faults.OneOf("log-level", o.LogLevel, "debug", "info", "warn", "error")
+	if err := logs.CheckLevel(o.LogLevel); err != nil {
+		faults = append(faults, err)
+	}
 	faults = append(faults, o.Links.Check()...)
 	settings.Range(&faults, "drain-limit", o.DrainLimit, time.Second, maxDrainLimit)
 	return append(faults, o.Options.Check()...)
--- a/role/control/options.go
+++ b/role/control/options.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 )
 
 // Options are the settings of the control role, shared by the programs that
@@ -36,14 +35,3 @@
 	}
 	return [sha256.Size]byte(hash), nil
 }
-
-// CheckAddresses returns a fault for each address that is not host:port.
-func CheckAddresses(flag string, addresses ...string) []error {
-	var faults []error
-	for _, address := range addresses {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			faults = append(faults, fmt.Errorf("%s: %q is no host:port", flag, address))
-		}
-	}
-	return faults
-}
--- a/role/control/program.go
+++ b/role/control/program.go
@@ -37,14 +37,14 @@
 // Check returns every fault of the settings.
 func (o *ProgramOptions) Check() []error {
 	o.Control = settings.SplitList(o.Control)
-	faults := append(o.Options.Check(), o.Links.Check()...)
+	faults := settings.Faults(append(o.Options.Check(), o.Links.Check()...))
 	if !o.Enabled() {
-		faults = append(faults, errors.New("--data-folder: a folder on a disk is needed"))
+		faults.Add("data-folder", "a folder on a disk is needed")
 	}
-	faults = append(faults, CheckAddresses("--listen", o.Listen)...)
-	faults = append(faults, CheckAddresses("--control", o.Control...)...)
+	faults.Address("listen", o.Listen)
+	faults.Addresses("control", o.Control)
 	if o.HTTPListen != "" {
-		faults = append(faults, CheckAddresses("--http-listen", o.HTTPListen)...)
+		faults.Address("http-listen", o.HTTPListen)
 	}
 	if err := logs.CheckLevel(o.LogLevel); err != nil {
 		faults = append(faults, err)
--- a/role/entry/options.go
+++ b/role/entry/options.go
@@ -37,6 +37,7 @@
 
 // Check implements settings.Checker.
 func (o *Options) Check() []error {
+	o.Control = settings.SplitList(o.Control)
 	var faults settings.Faults
 	faults.Required("id", o.ID)
 	faults.Required("data-centre", o.DataCentre)
