--- /dev/null
+++ b/coordination/current/store.go
@@ -0,0 +1,97 @@
+// Package current keeps the newest replicated state that a process knows and
+// how long ago a quorum confirmed it.
+package current
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+)
+
+// Store holds one process's copy of the state. The state never goes back.
+type Store struct {
+	logger *logs.Logger
+	state  atomic.Pointer[catalogue.State]
+	lease  atomic.Pointer[lease]
+
+	mu      sync.Mutex
+	ahead   uint64 // highest index heard of
+	changed []func(*catalogue.State)
+}
+
+type lease struct{ asOf steady.Time }
+
+// NewStore returns a store that knows nothing.
+func NewStore() *Store {
+	s := &Store{logger: logs.For("catalogue")}
+	s.state.Store(&catalogue.State{})
+	return s
+}
+
+// State returns the newest state.
+func (s *Store) State() *catalogue.State { return s.state.Load() }
+
+// OnChange adds a function that is called after each change, one at a time.
+func (s *Store) OnChange(f func(*catalogue.State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changed = append(s.changed, f)
+}
+
+// Take makes a committed state the newest unless a newer one is known.
+func (s *Store) Take(next *catalogue.State, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if next.Index <= s.State().Index {
+		return
+	}
+	s.state.Store(next)
+	s.ahead = max(s.ahead, next.Index)
+	s.logger.Info().Uint64("index", next.Index).Uint64("version", next.Version()).
+		Strs("out", next.Out).Str("source", source).Msg("A newer state is in force.")
+	for _, f := range s.changed {
+		f(next)
+	}
+}
+
+// Confirm notes that the state at index was the newest at asOf. It reports
+// whether the store lacks that state.
+func (s *Store) Confirm(index uint64, asOf steady.Time) (behind bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ahead = max(s.ahead, index)
+	if index > s.State().Index {
+		return true
+	}
+	if old := s.lease.Load(); old == nil || asOf > old.asOf {
+		s.lease.Store(&lease{asOf: asOf})
+	}
+	return false
+}
+
+// Ahead returns the highest index heard of.
+func (s *Store) Ahead() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ahead
+}
+
+// Age returns how long ago the state held was surely the newest; false before
+// the first confirmation.
+func (s *Store) Age() (time.Duration, bool) {
+	l := s.lease.Load()
+	if l == nil {
+		return 0, false
+	}
+	return steady.Since(l.asOf), true
+}
+
+// Within reports whether the state was the newest at most limit ago.
+func (s *Store) Within(limit time.Duration) bool {
+	age, known := s.Age()
+	return known && age <= limit
+}
--- /dev/null
+++ b/coordination/directory/directory.go
@@ -0,0 +1,228 @@
+// Package directory keeps what is known of processes and endpoints. Records
+// merge to the same result in any order: the newest incarnation wins, and
+// within it the highest sequence.
+package directory
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+)
+
+const (
+	// goneKept is how long an endpoint that has left stays known, so that a
+	// late announcement can't bring it back.
+	goneKept = 5 * time.Minute
+	// silentKept is how long a silent endpoint stays known.
+	silentKept = 2 * time.Minute
+	// refreshBeats is how many announcements without news are told to the other
+	// processes as one.
+	refreshBeats = 2
+)
+
+// Endpoint is what is known of one incarnation of an endpoint.
+type Endpoint struct {
+	ID         string
+	BornMs     uint64
+	Sequence   uint64
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Condition  wire.EndpointCondition
+	ColdUntil  steady.Time
+	HeardAt    steady.Time
+	Key        uint64 // of this incarnation, for the ledger
+}
+
+// KeyOf returns the ledger's key of an incarnation.
+func KeyOf(id string, bornMs uint64) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	h.Write(binary.LittleEndian.AppendUint64(nil, bornMs))
+	return h.Sum64()
+}
+
+// Cold reports whether the endpoint announced a cold start that still lasts.
+func (e *Endpoint) Cold(now steady.Time) bool { return now < e.ColdUntil }
+
+// Directory holds the records of one process.
+type Directory struct {
+	logger *logs.Logger
+
+	mu        sync.Mutex
+	processes map[string]*wire.ProcessRecord // by address
+	endpoints map[string]*Endpoint           // by identity
+	byService map[string][]*Endpoint         // in use; nil after a change
+	spread    func(*wire.MeshFrame)
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{
+		logger:    logs.For("directory"),
+		processes: make(map[string]*wire.ProcessRecord),
+		endpoints: make(map[string]*Endpoint),
+		spread:    func(*wire.MeshFrame) {},
+	}
+}
+
+// OnNews sets the function that tells other processes what this one learnt
+// from an endpoint itself.
+func (d *Directory) OnNews(f func(*wire.MeshFrame)) { d.spread = f }
+
+// Announce takes an endpoint's own announcement and spreads its news.
+func (d *Directory) Announce(r *wire.EndpointRecord) {
+	news := d.merge(r)
+	if news || r.Sequence%refreshBeats == 0 {
+		d.spread(&wire.MeshFrame{Endpoints: []*wire.EndpointRecord{r}})
+	}
+}
+
+// Leave takes an endpoint's farewell. bornMs is 0 when it did not say.
+func (d *Directory) Leave(id string, bornMs uint64) {
+	d.mu.Lock()
+	known := d.endpoints[id]
+	d.mu.Unlock()
+	r := &wire.EndpointRecord{Id: id, BornMs: bornMs, Condition: wire.EndpointCondition_ENDPOINT_CONDITION_GONE}
+	if known != nil {
+		r = known.record(steady.Now())
+		r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_GONE
+		r.BornMs = max(r.BornMs, bornMs)
+	}
+	d.Announce(r)
+}
+
+// MergeEndpoints takes records from another process.
+func (d *Directory) MergeEndpoints(records []*wire.EndpointRecord) {
+	for _, r := range records {
+		d.merge(r)
+	}
+}
+
+// merge reports whether the record changes more than the time last heard.
+func (d *Directory) merge(r *wire.EndpointRecord) bool {
+	now := steady.Now()
+	next := fromRecord(r, now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.endpoints[r.Id]
+	if old != nil && !newer(old, next) {
+		return false
+	}
+	if old != nil && old.BornMs == next.BornMs {
+		next.HeardAt = max(next.HeardAt, old.HeardAt)
+	}
+	d.endpoints[r.Id] = next
+	d.byService = nil
+	if old != nil && old.BornMs == next.BornMs && old.Condition == next.Condition && old.Address == next.Address {
+		return old.Cold(now) != next.Cold(now)
+	}
+	d.logger.Info().Str("endpoint", next.ID).Uint64("born_ms", next.BornMs).Str("address", next.Address).
+		Str("data_centre", next.DataCentre).Str("condition", conditionName(next.Condition)).
+		Uint32("cold_ms", r.ColdMs).Uint32("age_ms", r.HeardAgeMs).Msg("An endpoint is known anew.")
+	return true
+}
+
+func conditionName(c wire.EndpointCondition) string {
+	return strings.ToLower(strings.TrimPrefix(c.String(), "ENDPOINT_CONDITION_"))
+}
+
+func newer(old, next *Endpoint) bool {
+	if next.BornMs != old.BornMs {
+		return next.BornMs > old.BornMs
+	}
+	const gone = wire.EndpointCondition_ENDPOINT_CONDITION_GONE
+	if old.Condition == gone || next.Condition == gone {
+		return old.Condition != gone
+	}
+	return next.Sequence > old.Sequence
+}
+
+func fromRecord(r *wire.EndpointRecord, now steady.Time) *Endpoint {
+	heard := now.Add(-time.Duration(r.HeardAgeMs) * time.Millisecond)
+	return &Endpoint{
+		ID: r.Id, BornMs: r.BornMs, Sequence: r.Sequence, Service: r.Service, Address: r.Address,
+		DataCentre: r.DataCentre, Slots: int(r.Slots), Condition: r.Condition,
+		ColdUntil: heard.Add(time.Duration(r.ColdMs) * time.Millisecond), HeardAt: heard,
+		Key: KeyOf(r.Id, r.BornMs),
+	}
+}
+
+func (e *Endpoint) record(now steady.Time) *wire.EndpointRecord {
+	return &wire.EndpointRecord{
+		Id: e.ID, BornMs: e.BornMs, Sequence: e.Sequence, Service: e.Service, Address: e.Address,
+		DataCentre: e.DataCentre, Slots: uint32(e.Slots), Condition: e.Condition,
+		ColdMs:     uint32(max(0, e.ColdUntil.Sub(e.HeardAt)).Milliseconds()),
+		HeardAgeMs: uint32(max(0, now.Sub(e.HeardAt)).Milliseconds()),
+	}
+}
+
+// Endpoints returns the endpoints of a service that have not left, in a fixed
+// order. The list must not be altered.
+func (d *Directory) Endpoints(service string) []*Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.byService == nil {
+		d.index()
+	}
+	return d.byService[service]
+}
+
+// index groups the endpoints by service. Of two at one address the one born
+// later holds it.
+func (d *Directory) index() {
+	now := steady.Now()
+	d.byService = make(map[string][]*Endpoint)
+	holders := make(map[string]*Endpoint)
+	for id, e := range d.endpoints {
+		silent := now.Sub(e.HeardAt)
+		if silent > goneKept || silent > silentKept && e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_GONE {
+			delete(d.endpoints, id)
+			continue
+		}
+		if h := holders[e.Address]; h == nil || e.BornMs > h.BornMs {
+			holders[e.Address] = e
+		}
+	}
+	for _, e := range holders {
+		if e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_GONE {
+			d.byService[e.Service] = append(d.byService[e.Service], e)
+		}
+	}
+	for _, list := range d.byService {
+		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+// Count returns how many endpoints have not left.
+func (d *Directory) Count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, e := range d.endpoints {
+		if e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_GONE {
+			n++
+		}
+	}
+	return n
+}
+
+// Records returns every endpoint's record.
+func (d *Directory) Records() []*wire.EndpointRecord {
+	now := steady.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	records := make([]*wire.EndpointRecord, 0, len(d.endpoints))
+	for _, e := range d.endpoints {
+		records = append(records, e.record(now))
+	}
+	return records
+}
--- /dev/null
+++ b/coordination/placement/choose.go
@@ -0,0 +1,286 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+const (
+	// lateShare of the credit is lost when an answer is late.
+	lateShare = 0.75
+	// marginOfObjective is the part of an objective over which the chance to
+	// meet it falls from one to nothing.
+	marginOfObjective = 0.35
+	// packShare of the credit rewards an endpoint that already writes, which
+	// leaves others free to read long prompts.
+	packShare = 0.12
+	// awayShare of the credit is the cost of another data centre.
+	awayShare = 0.02
+	// helperShare of the credit is the cost of each further endpoint.
+	helperShare = 0.004
+	// leastSplitMs is the least reading that is worth spreading.
+	leastSplitMs = 100
+	// silentAfter is how long an endpoint may be silent before others go first.
+	silentAfter = 4 * time.Second
+	// plainQueue is how many plain requests an endpoint is given, as a multiple
+	// of its slots.
+	plainQueue = 3
+)
+
+// splits are the numbers of endpoints over which a prompt may be read.
+var splits = []int{1, 2, 3, 4, 6, 8, 12, 16}
+
+// Demand is a request that asks for endpoints.
+type Demand struct {
+	Service      *catalogue.Service
+	DataCentre   string // of this entry
+	PromptTokens int
+	OutputTokens int
+	FirstLeft    time.Duration // to the objective of the answer or its first event
+	Pause        time.Duration // objective between events
+	Limit        time.Duration // until it is over in any case
+	Credit       float64       // weight of being on time
+	Excluded     func(e *directory.Endpoint) bool
+}
+
+// Plan names the endpoints of a request: the first answers, the others read
+// parts of its prompt.
+type Plan struct {
+	Endpoints        []*directory.Endpoint
+	PredictedFirstMs float64
+	Handle           *Handle
+	Candidates       int
+	RunnerUp         string // the best endpoint that was not taken
+	Score            float64
+	RunnerUpScore    float64
+
+	readMs float64
+}
+
+// candidate is an endpoint with what is predicted for it.
+type candidate struct {
+	endpoint *directory.Endpoint
+	account  *account
+	resting  bool
+	cold     bool
+	answers  int     // answers that it writes or will write
+	context  int     // tokens of these
+	backlog  float64 // ms of reading given to it
+	memory   int     // tokens
+}
+
+// Choose picks endpoints for a demand and enters the work. It returns nil when
+// no endpoint can take it now.
+func (b *Book) Choose(endpoints []*directory.Endpoint, d *Demand) *Plan {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	candidates := b.candidates(endpoints, d)
+	if len(candidates) == 0 {
+		return nil
+	}
+	var p *Plan
+	if d.Service.Engine == nil {
+		p = choosePlain(candidates, d)
+	} else {
+		p = b.chooseEngine(candidates, d)
+	}
+	if p == nil {
+		return nil
+	}
+	p.Candidates = len(candidates)
+	p.Handle = b.open(p, d)
+	return p
+}
+
+// candidates lists the endpoints that may be asked. Those that rest after a
+// failure, or are silent, are asked only when no other is left.
+func (b *Book) candidates(endpoints []*directory.Endpoint, d *Demand) []*candidate {
+	now, steadyNow := b.now(), steady.Now()
+	var good, doubtful []*candidate
+	for _, e := range endpoints {
+		if d.Excluded(e) {
+			continue
+		}
+		c := b.candidate(e, now)
+		c.cold = e.Cold(steadyNow)
+		if c.cold && d.Service.ColdPerSecond > 0 && float64(c.account.arrivalsAt(now)+1) > d.Service.ColdPerSecond {
+			continue
+		}
+		silent := steadyNow.Sub(e.HeardAt) > silentAfter && now.Sub(c.account.health.successAt) > silentAfter
+		if now.Before(c.account.health.restUntil) || silent {
+			doubtful = append(doubtful, c)
+		} else {
+			good = append(good, c)
+		}
+	}
+	if len(good) > 0 {
+		return good
+	}
+	return doubtful
+}
+
+func (b *Book) candidate(e *directory.Endpoint, now time.Time) *candidate {
+	a := b.account(e.Key)
+	c := &candidate{endpoint: e, account: a}
+	unread := 0.0
+	for _, w := range a.works {
+		if !w.started {
+			unread += w.readMs
+		}
+		if w.endpoints[0] == e.Key {
+			c.answers++
+			c.context += w.prompt
+			c.memory += w.prompt + w.output
+		}
+	}
+	c.backlog = min(unread, max(0, float64(a.readFree.Sub(now))/float64(time.Millisecond)))
+	return c
+}
+
+func choosePlain(candidates []*candidate, d *Demand) *Plan {
+	var best, second *candidate
+	score := func(c *candidate) float64 {
+		s := float64(c.answers) / float64(max(1, c.endpoint.Slots))
+		if c.endpoint.DataCentre != d.DataCentre {
+			s += awayShare
+		}
+		return s
+	}
+	for _, c := range candidates {
+		if c.answers >= plainQueue*max(1, c.endpoint.Slots) {
+			continue
+		}
+		switch {
+		case best == nil || score(c) < score(best):
+			best, second = c, best
+		case second == nil || score(c) < score(second):
+			second = c
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	p := &Plan{Endpoints: []*directory.Endpoint{best.endpoint}, Score: -score(best)}
+	if second != nil {
+		p.RunnerUp, p.RunnerUpScore = second.endpoint.ID, -score(second)
+	}
+	return p
+}
+
+// option is one candidate's part in a plan.
+type option struct {
+	*candidate
+	first float64 // ms to the first event
+	loss  float64 // credit that other work loses
+	score float64
+}
+
+func (b *Book) chooseEngine(candidates []*candidate, d *Demand) *Plan {
+	var best *Plan
+	engine := d.Service.Engine
+	for _, n := range splits {
+		readMs := passes.ReadMs(engine, d.PromptTokens, n)
+		if n > len(candidates) || n > 1 && readMs*float64(n) < leastSplitMs {
+			break
+		}
+		if p := b.planFor(candidates, d, n, readMs); p != nil && (best == nil || p.Score > best.Score) {
+			best = p
+		}
+	}
+	return best
+}
+
+// planFor returns the best plan over n endpoints.
+func (b *Book) planFor(candidates []*candidate, d *Demand, n int, readMs float64) *Plan {
+	options := make([]option, 0, len(candidates))
+	for _, c := range candidates {
+		options = append(options, b.weigh(c, d, n, readMs))
+	}
+	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(y.score, x.score) })
+	main := slices.IndexFunc(options, func(o option) bool { return o.canAnswer(d) })
+	if main < 0 {
+		return nil
+	}
+	chosen := []option{options[main]}
+	for i, o := range options {
+		if len(chosen) < n && i != main {
+			chosen = append(chosen, o)
+		}
+	}
+	p := &Plan{readMs: readMs}
+	for _, o := range chosen {
+		p.Endpoints = append(p.Endpoints, o.endpoint)
+		p.PredictedFirstMs = max(p.PredictedFirstMs, o.first)
+		p.Score -= o.loss + d.Credit*helperShare
+	}
+	p.Score += d.Credit * (1 - lateShare + lateShare*chance(p.PredictedFirstMs, d.FirstLeft))
+	for i, o := range options {
+		if i != main && i >= n {
+			p.RunnerUp, p.RunnerUpScore = o.endpoint.ID, o.score
+			break
+		}
+	}
+	return p
+}
+
+// canAnswer reports whether the candidate has a slot and memory for the answer.
+func (c *candidate) canAnswer(d *Demand) bool {
+	engine := d.Service.Engine
+	slots := min(engine.Slots, max(1, c.endpoint.Slots))
+	return c.answers < slots && c.memory+d.PromptTokens+d.OutputTokens <= engine.MemoryTokens
+}
+
+// weigh predicts what one endpoint's part in a demand gives and takes.
+func (b *Book) weigh(c *candidate, d *Demand, n int, readMs float64) option {
+	engine := d.Service.Engine
+	o := option{candidate: c}
+	o.first = passes.FirstMs(engine, c.answers, c.context, c.backlog, readMs)
+	if c.cold {
+		o.first *= 2
+	}
+	o.loss = b.lossOf(c, engine, readMs, n > 1)
+	o.score = d.Credit*lateShare*chance(o.first, d.FirstLeft) - o.loss
+	if readMs*float64(n) < leastSplitMs {
+		o.score += d.Credit * packShare * float64(c.answers) / float64(max(1, engine.Slots))
+	}
+	if c.endpoint.DataCentre != d.DataCentre {
+		o.score -= d.Credit * awayShare
+	}
+	return o
+}
+
+// lossOf is the credit that the work at an endpoint loses to further reading.
+func (b *Book) lossOf(c *candidate, engine *catalogue.Engine, readMs float64, ahead bool) float64 {
+	before := passes.PassMs(engine, c.answers, c.context, c.backlog)
+	after := passes.PassMs(engine, c.answers, c.context, c.backlog+readMs)
+	loss := 0.0
+	for _, w := range c.account.works {
+		if w.late || w.endpoints[0] != c.endpoint.Key {
+			continue
+		}
+		kept := chance(before, w.pause) - chance(after, w.pause)
+		if !w.started && ahead {
+			left := w.firstDue.Sub(b.now())
+			first := passes.FirstMs(engine, c.answers, c.context, c.backlog, 0)
+			kept = max(kept, chance(first, left)-chance(first+readMs, left))
+		}
+		loss += w.credit * lateShare * max(0, kept)
+	}
+	return loss
+}
+
+// chance estimates how likely a predicted time in ms meets an objective. It is
+// 1 where there is none.
+func chance(predictedMs float64, objective time.Duration) float64 {
+	limit := float64(objective) / float64(time.Millisecond)
+	if objective <= 0 {
+		return 0
+	}
+	return min(1, max(0, (limit-predictedMs)/(limit*marginOfObjective)))
+}
--- /dev/null
+++ b/coordination/serve/attempt.go
@@ -0,0 +1,212 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+const (
+	// maxPlainBytes bounds a plain answer, which is held whole before it is
+	// passed on.
+	maxPlainBytes = 4 << 20
+	// stallFirst is the least silence before the first event after which
+	// another endpoint is asked; the prediction is added to it.
+	stallFirst = 700 * time.Millisecond
+	// stallBetween is the least silence between events for the same.
+	stallBetween = 800 * time.Millisecond
+	// stallPauses is that silence as a multiple of the pause objective.
+	stallPauses = 3
+)
+
+// errNotRun marks an endpoint's own statement that it did not run a request.
+var errNotRun = errors.New("the endpoint did not run the request")
+
+// errStalled marks a stream that was silent for too long.
+var errStalled = errors.New("the endpoint was silent for too long")
+
+// errGarbled marks bytes that are not the endpoint's answer to this request.
+var errGarbled = errors.New("the answer is not a whole answer to this request")
+
+func isNotRun(err error) bool { return errors.Is(err, errNotRun) }
+
+// attempt sends the request to the endpoints of a plan and delivers the answer.
+func (r *run) attempt(ctx context.Context, plan *placement.Plan) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	main := plan.Endpoints[0]
+	r.tried[main.Key] = true
+	if !r.server.Current() {
+		return fault.New(fault.NotCurrent, "the catalogue was not confirmed in time").After(currentWait)
+	}
+	r.sends++
+	r.mayHaveRun++
+	response, err := r.send(ctx, plan)
+	if err == nil {
+		err = r.deliver(ctx, plan, response, cancel)
+	}
+	r.judge(ctx, main, err)
+	return err
+}
+
+// send returns the beginning of the answer, or gives up on a silent endpoint.
+func (r *run) send(ctx context.Context, plan *placement.Plan) (*Response, error) {
+	a := &Attempt{
+		Request:      r.request,
+		Endpoint:     plan.Endpoints[0],
+		Organisation: r.organisation,
+		Left:         time.Until(r.limit),
+		LastEvent:    r.lastEvent,
+	}
+	for _, e := range plan.Endpoints[1:] {
+		a.Helpers = append(a.Helpers, Helper{Address: e.Address})
+	}
+	response, err := r.server.upstream.Send(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	if response.NotRun || response.Wrong {
+		_ = response.Body.Close()
+		return nil, errNotRun
+	}
+	if !response.Own || response.Coded {
+		_ = response.Body.Close()
+		return nil, errGarbled
+	}
+	return response, nil
+}
+
+// judge notes what an attempt tells of the endpoint.
+func (r *run) judge(ctx context.Context, e *directory.Endpoint, err error) {
+	var unsent *NotSent
+	switch {
+	case err == nil:
+		r.server.book.Succeeded(e.Key)
+		return
+	case isNotRun(err):
+		r.mayHaveRun--
+		r.server.book.Refused(e.Key)
+	case errors.As(err, &unsent):
+		r.mayHaveRun--
+		r.server.book.Failed(e.Key)
+	case ctx.Err() != nil && !errors.Is(err, errStalled):
+		return // the caller left or the time is over: nothing is learnt
+	default:
+		r.server.book.Failed(e.Key)
+	}
+	r.server.logger.Warn().Str("request", r.request.ID).Str("endpoint", e.ID).Str("address", e.Address).
+		Str("data_centre", e.DataCentre).Int("send", r.sends).Bool("begun", r.begun).Str("last_event", r.lastEvent).
+		Err(err).Msg("An attempt failed.")
+}
+
+// deliver passes an answer on.
+func (r *run) deliver(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
+	defer response.Body.Close()
+	good := response.Status >= 200 && response.Status < 300
+	if r.route.Kind == catalogue.Stream && good {
+		return r.deliverStream(ctx, plan, response, cancel)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainBytes+1))
+	switch {
+	case err != nil:
+		return errors.Join(errGarbled, err)
+	case len(body) > maxPlainBytes:
+		return errors.Join(errGarbled, errors.New("it is too long"))
+	case good && !response.Signed:
+		return errGarbled
+	case !good && (r.begun || r.repeatable() && r.mayHaveRun < r.route.MaxEndpoints):
+		return fault.New(fault.EndpointFailed, "the endpoint answered %d", response.Status)
+	case !good && !response.Signed:
+		return fault.New(fault.EndpointFailed, "the endpoint answered %d", response.Status)
+	}
+	r.firstAt = time.Now()
+	r.begin(response.Status, response.Header, int64(len(body)))
+	return r.answer.Write(body)
+}
+
+func (r *run) begin(status int, header http.Header, length int64) {
+	r.begun, r.status = true, status
+	r.answer.Begin(status, header, length)
+}
+
+// deliverStream passes events on as they arrive.
+func (r *run) deliverStream(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
+	if !response.Signed {
+		return errGarbled
+	}
+	events := make(chan event)
+	ended := make(chan error, 1)
+	go func() { ended <- readEvents(ctx, response.Body, events) }()
+	stall := time.NewTimer(stallFirst + time.Duration(2*plan.PredictedFirstMs)*time.Millisecond)
+	defer stall.Stop()
+	started := false
+	last := time.Time{}
+	for {
+		select {
+		case e := <-events:
+			now := time.Now()
+			if !started {
+				started = true
+				r.noteStarted(plan, now)
+			} else if r.route.PauseObjective > 0 && now.Sub(last) > r.route.PauseObjective {
+				r.noteLate(plan)
+			}
+			last = now
+			if !r.begun {
+				r.begin(response.Status, response.Header, -1)
+			}
+			if err := r.answer.Write(e.bytes); err != nil {
+				return err
+			}
+			if e.id != "" {
+				r.lastEvent = e.id
+			}
+			stall.Reset(max(stallBetween, stallPauses*r.route.PauseObjective))
+		case err := <-ended:
+			return r.streamEnded(response, err)
+		case <-stall.C:
+			if r.repeatable() && r.mayHaveRun < r.route.MaxEndpoints {
+				cancel()
+				return errStalled
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// streamEnded reports nil when the stream is complete.
+func (r *run) streamEnded(response *Response, err error) error {
+	if err != nil {
+		return err
+	}
+	if !r.begun {
+		r.begin(response.Status, response.Header, -1)
+	}
+	return nil
+}
+
+func (r *run) noteStarted(plan *placement.Plan, now time.Time) {
+	took, predicted := plan.Handle.Started()
+	if r.firstAt.IsZero() {
+		r.firstAt = now
+	}
+	if now.Sub(r.request.Arrived) > r.route.Objective {
+		r.noteLate(plan)
+	}
+	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).
+		Int("helpers", len(plan.Endpoints)-1).Dur("took", took).Float64("predicted_ms", predicted).
+		Bool("late", r.late).Msg("The first event arrived.")
+}
+
+func (r *run) noteLate(plan *placement.Plan) {
+	r.late = true
+	plan.Handle.Late()
+}
--- /dev/null
+++ b/coordination/serve/budget.go
@@ -0,0 +1,73 @@
+package serve
+
+import (
+	"sync"
+	"time"
+)
+
+// repeatBudget bounds the attempts beyond the first of each request. Each entry
+// has its own part of what all entries share.
+type repeatBudget struct {
+	settings Settings
+	now      func() time.Time
+
+	mu       sync.Mutex
+	services map[string]*repeatWindow
+}
+
+// repeatWindow counts over the window that slides.
+type repeatWindow struct {
+	asked   []time.Time
+	repeats []time.Time
+}
+
+// budgetShare is the part of the budget that is used: requests that other
+// entries count may fall into another window.
+const budgetShare = 0.5
+
+func newRepeatBudget(settings Settings) *repeatBudget {
+	return &repeatBudget{settings: settings, now: time.Now, services: make(map[string]*repeatWindow)}
+}
+
+func (b *repeatBudget) window(service string, now time.Time) *repeatWindow {
+	w := b.services[service]
+	if w == nil {
+		w = &repeatWindow{}
+		b.services[service] = w
+	}
+	w.asked = since(w.asked, now.Add(-b.settings.RepeatWindow))
+	w.repeats = since(w.repeats, now.Add(-b.settings.RepeatWindow))
+	return w
+}
+
+// since drops the times before a moment; times ascend.
+func since(times []time.Time, from time.Time) []time.Time {
+	for len(times) > 0 && times[0].Before(from) {
+		times = times[1:]
+	}
+	return times
+}
+
+// asked counts a request for a service.
+func (b *repeatBudget) asked(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	w := b.window(service, now)
+	w.asked = append(w.asked, now)
+}
+
+// take reports whether a repeat is allowed, and counts it.
+func (b *repeatBudget) take(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	w := b.window(service, now)
+	slack := b.settings.RepeatSlack / float64(max(1, b.settings.Entries()))
+	allowed := budgetShare * (b.settings.RepeatRatio*float64(len(w.asked)) + slack)
+	if float64(len(w.repeats)+1) > allowed {
+		return false
+	}
+	w.repeats = append(w.repeats, now)
+	return true
+}
--- /dev/null
+++ b/coordination/serve/serve.go
@@ -0,0 +1,144 @@
+// Package serve carries one caller's request to endpoints and its answer back:
+// route, organisation, placement, attempts, resumption and the final answer.
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/current"
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+)
+
+// Request is a caller's request, read whole.
+type Request struct {
+	ID           string
+	Method       string
+	Host         string
+	Path         string
+	Target       string      // path and query as sent
+	Passed       http.Header // handed on unchanged
+	Body         []byte
+	Key          string // of the organisation, empty when none was sent
+	Arrived      time.Time
+	Left         time.Duration // that the caller still waits
+	PromptTokens int
+	MaxOutput    int    // tokens
+	OutputHint   int    // the caller's estimate of output tokens, 0 when unknown
+	LastEvent    string // the stream goes on after this event
+}
+
+// Attempt is one sending of a request.
+type Attempt struct {
+	Request      *Request
+	Endpoint     *directory.Endpoint
+	Helpers      []Helper // endpoints that read parts of the prompt
+	OwnTicket    string   // reservation at the endpoint itself, empty without one
+	Organisation string
+	Left         time.Duration // that the endpoint may take
+	LastEvent    string
+}
+
+// Helper is an endpoint that reads a part of a prompt for another one.
+type Helper struct {
+	Address string
+	Ticket  string // of the memory reserved there; empty without one
+}
+
+// Response is the beginning of an endpoint's answer.
+type Response struct {
+	Status  int
+	Header  http.Header
+	Body    io.ReadCloser // to be closed by the caller
+	Signed  bool          // it bears the endpoint's signature
+	Own     bool          // it answers this very attempt
+	NotRun  bool          // the endpoint states that it has not run the request
+	Wrong   bool          // another endpoint has this address
+	Coded   bool          // the body is encoded, so not the endpoint's own
+	AtFault string        // the endpoint whose failure this is, when another one than the sender
+}
+
+// Upstream sends attempts to endpoints.
+type Upstream interface {
+	// Send returns the beginning of the answer. A *NotSent error means that
+	// the endpoint took no byte.
+	Send(ctx context.Context, a *Attempt) (*Response, error)
+}
+
+// NotSent is the failure to reach an endpoint at all.
+type NotSent struct{ Cause error }
+
+func (e *NotSent) Error() string { return "the endpoint took no byte: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSent) Unwrap() error { return e.Cause }
+
+// Answer is the way back to the caller. Exactly one of Refuse or Begin starts it.
+type Answer interface {
+	Begin(status int, header http.Header, length int64) // length -1: in events
+	Write(p []byte) error                               // sent at once
+	Refuse(err *fault.Error)                            // a final answer of our own
+	Break()                                             // ends the connection: the answer is not complete
+}
+
+// Settings are the bounds of one entry.
+type Settings struct {
+	DataCentre   string
+	CurrentFor   time.Duration // how long a state may be acted on after its last confirmation; 0 for ever
+	RepeatRatio  float64       // repeats for each request of a service
+	RepeatSlack  float64       // repeats beside these, of all entries, in one window
+	RepeatWindow time.Duration
+	Entries      func() int // entries that share the slack
+}
+
+// Server serves requests.
+type Server struct {
+	settings  Settings
+	current   *current.Store
+	directory *directory.Directory
+	book      *placement.Book
+	upstream  Upstream
+	budget    *repeatBudget
+	logger    *logs.Logger
+	metrics   *metrics.Registry
+}
+
+// NewServer returns a server.
+func NewServer(settings Settings, store *current.Store, dir *directory.Directory, book *placement.Book, upstream Upstream, registry *metrics.Registry) *Server {
+	return &Server{
+		settings:  settings,
+		current:   store,
+		directory: dir,
+		book:      book,
+		upstream:  upstream,
+		budget:    newRepeatBudget(settings),
+		logger:    logs.For("serve"),
+		metrics:   registry,
+	}
+}
+
+// Current reports whether the state may be acted on.
+func (s *Server) Current() bool {
+	if s.settings.CurrentFor == 0 {
+		return s.current.State().Catalogue != nil
+	}
+	return s.current.Within(s.settings.CurrentFor)
+}
+
+// Serve brings the request to its final answer.
+func (s *Server) Serve(ctx context.Context, q *Request, answer Answer) {
+	r := &run{server: s, request: q, answer: answer, tried: make(map[uint64]bool), lastEvent: q.LastEvent}
+	err := r.admit(ctx)
+	if err == nil {
+		bounded, cancel := context.WithDeadline(ctx, r.limit)
+		err = r.attempts(bounded)
+		cancel()
+	}
+	r.finish(ctx, err)
+}
--- /dev/null
+++ b/coordination/steering/steering.go
@@ -0,0 +1,233 @@
+// Package steering takes changes of the catalogue to the leader of the control
+// group, from whichever process an operator reached.
+package steering
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/current"
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/replica"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"google.golang.org/grpc"
+)
+
+const (
+	// callTimeout bounds one call of the leader; operators wait a second.
+	callTimeout = 900 * time.Millisecond
+	// confirmInterval is the pause between two confirmations by a quorum.
+	confirmInterval = 200 * time.Millisecond
+	confirmTimeout  = time.Second
+)
+
+// Steering serves operators.
+type Steering struct {
+	replica   *replica.Replica // nil without a disk
+	machine   *catalogue.Machine
+	store     *current.Store
+	directory *directory.Directory
+	dial      func(address string) (grpc.ClientConnInterface, error)
+	others    func() []string // addresses of processes that may know the leader
+	logger    *logs.Logger
+}
+
+// New returns a steering. The replica and its machine are nil without a disk.
+func New(r *replica.Replica, m *catalogue.Machine, store *current.Store, dir *directory.Directory,
+	dial func(address string) (grpc.ClientConnInterface, error), others func() []string) *Steering {
+	return &Steering{replica: r, machine: m, store: store, directory: dir, dial: dial, others: others, logger: logs.For("control")}
+}
+
+// Run confirms the newest state while this process leads, until ctx ends.
+func (s *Steering) Run(ctx context.Context) {
+	if s.replica == nil {
+		return
+	}
+	led := false
+	for wait.For(ctx, confirmInterval) {
+		status := s.replica.Status()
+		if status.IsLeader != led {
+			led = status.IsLeader
+			s.logger.Info().Bool("leads", led).Uint64("term", status.Term).Int("members", len(status.Members)).
+				Uint64("commit", status.Commit).Msg("Leadership of the control group changed.")
+		}
+		if status.IsLeader {
+			s.confirm(ctx)
+		}
+	}
+}
+
+// confirm asks a quorum whether this process still leads; what its machine then
+// holds was the newest when it asked.
+func (s *Steering) confirm(ctx context.Context) {
+	asked := steady.Now()
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if _, err := s.replica.Barrier(ctx); err != nil {
+		s.logger.Repeated("confirm").Err(err).Msg("The state was not confirmed by a quorum.")
+		return
+	}
+	s.store.Confirm(s.machine.State().Index, asked)
+}
+
+// Install makes a catalogue the newest. It returns nil once that is durable, or
+// when a catalogue as new is in force.
+func (s *Steering) Install(ctx context.Context, c *catalogue.Catalogue, text []byte) error {
+	change, err := catalogue.Pack(c.Version, text)
+	if err != nil {
+		return err
+	}
+	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_Catalogue{Catalogue: change}})
+	if err == nil && outcome.Conflict {
+		err = fault.New(fault.Conflict, "version %d is in force with other content", c.Version)
+	}
+	s.logger.Info().Uint64("version", c.Version).Int("bytes", len(text)).Uint64("in_force", outcome.GetVersion()).
+		Uint64("index", outcome.GetIndex()).Err(err).Msg("A catalogue was offered.")
+	return err
+}
+
+// SetDataCentre takes a data centre out of service or back in.
+func (s *Steering) SetDataCentre(ctx context.Context, dataCentre string, out bool) error {
+	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_DataCentre{
+		DataCentre: &wire.DataCentreChange{DataCentre: dataCentre, Out: out},
+	}})
+	s.logger.Info().Str("data_centre", dataCentre).Bool("out", out).Uint64("index", outcome.GetIndex()).Err(err).
+		Msg("A data centre was taken out or in.")
+	return err
+}
+
+// Read returns the newest catalogue's text.
+func (s *Steering) Read(ctx context.Context) ([]byte, error) {
+	answer, err := s.ask(ctx, func(ctx context.Context, c wire.SteeringClient) (*wire.SteeringAnswer, error) {
+		return c.Read(ctx, &wire.SteeringRead{})
+	}, s.readLocal)
+	if err != nil {
+		return nil, err
+	}
+	state, err := catalogue.FromWire(answer.State, s.store.State(), func([]byte) (*catalogue.Catalogue, error) { return nil, nil })
+	if err != nil {
+		return nil, err
+	}
+	if state.Text == nil {
+		return nil, fault.New(fault.NotCurrent, "no catalogue was installed yet").After(confirmInterval)
+	}
+	return state.Text, nil
+}
+
+// Announce takes an endpoint's announcement.
+func (s *Steering) Announce(r *wire.EndpointRecord) error {
+	s.directory.Announce(r)
+	return nil
+}
+
+// Leave takes an endpoint's farewell.
+func (s *Steering) Leave(id string) error {
+	s.directory.Leave(id, 0)
+	return nil
+}
+
+func (s *Steering) change(ctx context.Context, command *wire.Command) (*wire.ChangeOutcome, error) {
+	answer, err := s.ask(ctx, func(ctx context.Context, c wire.SteeringClient) (*wire.SteeringAnswer, error) {
+		return c.Change(ctx, &wire.SteeringChange{Command: command})
+	}, func(ctx context.Context) (*wire.SteeringAnswer, error) { return s.changeLocal(ctx, command) })
+	if err != nil {
+		return nil, err
+	}
+	return answer.Outcome, nil
+}
+
+// ask makes a call here when this process leads, at the leader otherwise.
+func (s *Steering) ask(ctx context.Context, remote func(context.Context, wire.SteeringClient) (*wire.SteeringAnswer, error),
+	local func(context.Context) (*wire.SteeringAnswer, error)) (*wire.SteeringAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if s.replica != nil && s.replica.Status().IsLeader {
+		return local(ctx)
+	}
+	err := error(fault.New(fault.NotLeader, "no leader of the control group is known").After(confirmInterval))
+	for _, address := range s.leaders() {
+		conn, dialErr := s.dial(address)
+		if dialErr != nil {
+			err = dialErr
+			continue
+		}
+		answer, callErr := remote(ctx, wire.NewSteeringClient(conn))
+		if callErr != nil {
+			return nil, fault.Wrap(callErr, fault.OutcomeUnknown, "the leader of the control group did not answer")
+		}
+		err = fault.FromWire(answer.Failure)
+		if fault.KindOf(err) != fault.NotLeader || err == nil {
+			return answer, err
+		}
+	}
+	return nil, err
+}
+
+// leaders lists the addresses to ask: the leader, or any that may lead.
+func (s *Steering) leaders() []string {
+	if s.replica != nil {
+		if address := s.replica.Status().LeaderAddress; address != "" {
+			return []string{address}
+		}
+		return nil
+	}
+	return s.others()
+}
+
+func (s *Steering) changeLocal(ctx context.Context, command *wire.Command) (*wire.SteeringAnswer, error) {
+	result, err := s.replica.Propose(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	switch v := result.(type) {
+	case *wire.ChangeOutcome:
+		return &wire.SteeringAnswer{Outcome: v}, nil
+	case error:
+		return nil, v
+	}
+	return nil, fault.New(fault.Internal, "the state machine gave a %T", result)
+}
+
+func (s *Steering) readLocal(ctx context.Context) (*wire.SteeringAnswer, error) {
+	if _, err := s.replica.Barrier(ctx); err != nil {
+		return nil, err
+	}
+	return &wire.SteeringAnswer{State: s.machine.State().ToWire()}, nil
+}
+
+// Server returns the service that other processes call.
+func (s *Steering) Server() wire.SteeringServer { return &server{steering: s} }
+
+type server struct {
+	wire.UnimplementedSteeringServer
+	steering *Steering
+}
+
+// Change implements wire.SteeringServer.
+func (v *server) Change(ctx context.Context, q *wire.SteeringChange) (*wire.SteeringAnswer, error) {
+	return v.lead(func() (*wire.SteeringAnswer, error) { return v.steering.changeLocal(ctx, q.Command) })
+}
+
+// Read implements wire.SteeringServer.
+func (v *server) Read(ctx context.Context, _ *wire.SteeringRead) (*wire.SteeringAnswer, error) {
+	return v.lead(func() (*wire.SteeringAnswer, error) { return v.steering.readLocal(ctx) })
+}
+
+// lead answers when this process leads the control group.
+func (v *server) lead(f func() (*wire.SteeringAnswer, error)) (*wire.SteeringAnswer, error) {
+	r := v.steering.replica
+	if r == nil || !r.Status().IsLeader {
+		err := fault.New(fault.NotLeader, "this process does not lead the control group").After(confirmInterval)
+		return &wire.SteeringAnswer{Failure: fault.ToWire(err)}, nil
+	}
+	answer, err := f()
+	if err != nil {
+		return &wire.SteeringAnswer{Failure: fault.ToWire(err)}, nil
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/role/site/entry.go
@@ -0,0 +1,156 @@
+package site
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/current"
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/serve"
+	"github.com/apricotspoke/apricotspoke/platform"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/site"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+	"github.com/apricotspoke/apricotspoke/transport/mesh"
+	"go.uber.org/dig"
+	"google.golang.org/grpc"
+)
+
+const (
+	callerHeaders   = 10 * time.Second // to send the headers of a request
+	callerIdle      = time.Minute
+	maxCallerHeader = 64 << 10
+	// revokeMargin is kept between the last use of a key and the bound.
+	revokeMargin = 400 * time.Millisecond
+	// stopMargin is kept between the end of an entry and the bound.
+	stopMargin = 500 * time.Millisecond
+	// leaveFor is how long a stopping entry goes on taking requests, until the
+	// platform has seen that it is not ready.
+	leaveFor = 2500 * time.Millisecond
+)
+
+// Entry is a process that takes callers' requests.
+type Entry struct {
+	settings  *platform.Settings
+	record    *wire.ProcessRecord
+	mesh      *mesh.Mesh
+	store     *current.Store
+	directory *directory.Directory
+	server    *serve.Server
+	logger    *logs.Logger
+	leaving   atomic.Bool
+	running   atomic.Int64 // requests
+}
+
+// NewEntry wires an entry.
+func NewEntry(settings *platform.Settings) (*Entry, error) {
+	container := common(settings, entryKind)
+	for _, constructor := range []any{newServer, newEntry} {
+		if err := container.Provide(constructor); err != nil {
+			return nil, err
+		}
+	}
+	var e *Entry
+	err := container.Invoke(func(built *Entry) { e = built })
+	return e, dig.RootCause(err)
+}
+
+func newServer(p *site.Process, store *current.Store, dir *directory.Directory, book *placement.Book, m *mesh.Mesh, registry *metrics.Registry) *serve.Server {
+	settings := serve.Settings{
+		DataCentre:   p.DataCentre,
+		RepeatRatio:  p.Bounds.RepeatRatio,
+		RepeatSlack:  p.Bounds.RepeatSlack,
+		RepeatWindow: p.Bounds.RepeatWindow,
+		Entries:      m.Entries,
+	}
+	if p.Bounds.RevokedWithin > 0 {
+		settings.CurrentFor = p.Bounds.RevokedWithin - revokeMargin
+	}
+	return serve.NewServer(settings, store, dir, book, platform.NewUpstream(), registry)
+}
+
+func newEntry(settings *platform.Settings, record *wire.ProcessRecord, m *mesh.Mesh, store *current.Store, dir *directory.Directory, server *serve.Server, logger *logs.Logger) *Entry {
+	return &Entry{settings: settings, record: record, mesh: m, store: store, directory: dir, server: server, logger: logger}
+}
+
+// Run serves until ctx ends and the running requests are answered.
+func (e *Entry) Run(ctx context.Context, hangup <-chan struct{}) error {
+	p := &e.settings.Process
+	limitMemory(p)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	links, err := serveLinks(e.record.Address, func(s *grpc.Server) { wire.RegisterMeshServer(s, e.mesh) })
+	if err != nil {
+		return err
+	}
+	defer links.Stop()
+	failed := make(chan error, 2)
+	ready := &http.Server{Handler: http.HandlerFunc(e.answerReady), ReadHeaderTimeout: callerHeaders}
+	if err := serveHTTP(p.ReadyAddress, ready, failed); err != nil {
+		return err
+	}
+	defer ready.Close()
+	callers := &http.Server{Handler: e.callers(), ReadHeaderTimeout: callerHeaders, IdleTimeout: callerIdle, MaxHeaderBytes: maxCallerHeader}
+	if err := serveHTTP(p.CallerAddress, callers, failed); err != nil {
+		return err
+	}
+	defer callers.Close()
+	go e.mesh.Run(running)
+	go watchSettings(running, e.settings, hangup, func(next *site.Process) { e.mesh.SetSeeds(seedLinks(next)) })
+	e.logger.Info().Str("process", e.record.Name).Str("address", e.record.Address).Str("data_centre", p.DataCentre).
+		Strs("seeds", p.Seeds).Msg("The entry has started.")
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		e.leave(callers)
+	}
+	e.logger.Info().Int64("cut", e.running.Load()).Err(err).Msg("The entry has stopped.")
+	return err
+}
+
+// leave fails readiness, goes on until callers have moved, and waits for the
+// running requests.
+func (e *Entry) leave(callers *http.Server) {
+	stopWithin := e.settings.Process.Bounds.StopWithin - stopMargin
+	e.leaving.Store(true)
+	e.logger.Info().Int64("running", e.running.Load()).Dur("within", stopWithin).Msg("The entry is leaving.")
+	began := time.Now()
+	pollUntil(min(leaveFor, stopWithin/2), func() bool { return false })
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin-time.Since(began))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		e.logger.Warn().Int64("cut", e.running.Load()).Err(err).Msg("Requests were cut at the stop.")
+	}
+}
+
+// answerReady tells whether new callers should come here.
+func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (e *Entry) isReady() bool {
+	return !e.leaving.Load() && e.server.Current() && e.directory.Count() > 0
+}
+
+func (e *Entry) callers() http.Handler {
+	return &platform.Callers{
+		Serve: func(q *http.Request, r *serve.Request, a serve.Answer) {
+			e.running.Add(1)
+			defer e.running.Add(-1)
+			e.server.Serve(q.Context(), r, a)
+		},
+		BodyBytes: func() int {
+			if c := e.store.State().Catalogue; c != nil {
+				return c.Limits.BodyBytes
+			}
+			return 0
+		},
+		Leaving: e.leaving.Load,
+	}
+}
--- /dev/null
+++ b/state/catalogue/machine.go
@@ -0,0 +1,126 @@
+package catalogue
+
+import (
+	"bytes"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// Machine is the replicated state machine of the catalogue. One goroutine calls
+// Apply, ApplyMembers, Snapshot and Restore; any may read State.
+type Machine struct {
+	decode  Decode
+	mu      sync.Mutex // guards against a snapshot taken beside an apply
+	applied uint64
+	state   atomic.Pointer[State]
+	changed func(*State)
+}
+
+// NewMachine returns an empty machine. changed is called after each change.
+func NewMachine(decode Decode, changed func(*State)) *Machine {
+	m := &Machine{decode: decode, changed: changed}
+	m.state.Store(&State{})
+	return m
+}
+
+// State returns the newest state.
+func (m *Machine) State() *State { return m.state.Load() }
+
+// Apply carries out a committed command; the result is a *wire.ChangeOutcome or
+// an error.
+func (m *Machine) Apply(index uint64, command *wire.Command) any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applied = index
+	switch of := command.Of.(type) {
+	case *wire.Command_Catalogue:
+		return m.install(index, of.Catalogue)
+	case *wire.Command_DataCentre:
+		return m.setDataCentre(index, of.DataCentre)
+	default:
+		return fault.New(fault.Internal, "command at index %d has no known kind", index)
+	}
+}
+
+// install makes a catalogue the newest when its version is higher. The same
+// version with other content is a conflict; anything older changes nothing.
+func (m *Machine) install(index uint64, change *wire.CatalogueChange) any {
+	now := m.State()
+	switch {
+	case change.Version == now.Version() && !bytes.Equal(change.Digest, now.digest):
+		return m.outcome(true)
+	case change.Version <= now.Version():
+		return m.outcome(false)
+	}
+	next, err := FromWire(&wire.CatalogueState{
+		Index:          index,
+		Content:        change.Content,
+		Digest:         change.Digest,
+		DataCentresOut: now.Out,
+	}, now, m.decode)
+	if err != nil {
+		return err
+	}
+	m.publish(next)
+	return m.outcome(false)
+}
+
+func (m *Machine) setDataCentre(index uint64, change *wire.DataCentreChange) any {
+	now := m.State()
+	if now.InService(change.DataCentre) != change.Out {
+		return m.outcome(false)
+	}
+	next := *now
+	next.Index = index
+	next.Out = slices.DeleteFunc(slices.Clone(now.Out), func(name string) bool { return name == change.DataCentre })
+	if change.Out {
+		next.Out = slices.Sorted(slices.Values(append(next.Out, change.DataCentre)))
+	}
+	m.publish(&next)
+	return m.outcome(false)
+}
+
+func (m *Machine) outcome(conflict bool) *wire.ChangeOutcome {
+	s := m.State()
+	return &wire.ChangeOutcome{Conflict: conflict, Version: s.Version(), Index: s.Index}
+}
+
+func (m *Machine) publish(s *State) {
+	m.state.Store(s)
+	m.changed(s)
+}
+
+// ApplyMembers notes the index; members are not part of the catalogue.
+func (m *Machine) ApplyMembers(index uint64, _ []*wire.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applied = max(m.applied, index)
+}
+
+// Snapshot returns the state as bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return proto.Marshal(m.State().ToWire())
+}
+
+// Restore replaces the state by a snapshot's.
+func (m *Machine) Restore(snapshot []byte) error {
+	message := &wire.CatalogueState{}
+	if err := proto.Unmarshal(snapshot, message); err != nil {
+		return fault.Wrap(err, fault.Corrupt, "a snapshot of the catalogue can't be read")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, err := FromWire(message, m.State(), m.decode)
+	if err != nil {
+		return err
+	}
+	m.publish(s)
+	return nil
+}
--- /dev/null
+++ b/state/site/site.go
@@ -0,0 +1,36 @@
+// Package site holds the settings that a process gets from the place where it
+// runs: its host, its addresses and the bounds that its users set.
+package site
+
+import "time"
+
+// Process describes one process and its host.
+type Process struct {
+	Name            string
+	DataCentre      string
+	IP              string
+	CallerAddress   string // callers connect here; empty when this process takes none
+	ReadyAddress    string // asked for readiness
+	OperatorAddress string // operators and endpoints call here; empty without this role
+	FirstLinkPort   int    // ports for links between processes, the same on all hosts
+	LastLinkPort    int
+	Seeds           []string // operator addresses of other processes
+	Found           bool     // the fleet starts for the first time
+	DataFolder      string   // empty without a disk
+	MemoryBytes     int64
+	Descriptors     int
+	Bounds          Bounds
+}
+
+// Bounds are what the users ask for. Zero means that none is set.
+type Bounds struct {
+	RevokedWithin   time.Duration // a key taken away stops everywhere, also out of touch
+	StopWithin      time.Duration // between the signal to stop and the end
+	ContactWithin   time.Duration // after which a calm process counts as connected
+	RepeatRatio     float64
+	RepeatSlack     float64
+	RepeatWindow    time.Duration
+	ColdOverage     float64 // by which a cold endpoint's rate may be passed
+	ColdTolerance   float64 // requests beside
+	ReservationMost time.Duration
+}
--- a/tools/layers/layers_test.go
+++ b/tools/layers/layers_test.go
@@ -10,7 +10,7 @@
 const module = "github.com/apricotspoke/apricotspoke/"
 
 // rank orders the layers: a package imports only its own rank and those below.
-var rank = map[string]int{"protocol": 0, "state": 1, "coordination": 2, "transport": 3, "role": 4, "cmd": 5}
+var rank = map[string]int{"protocol": 0, "state": 1, "coordination": 2, "transport": 3, "platform": 3, "role": 4, "cmd": 5}
 
 func layer(path string) (string, bool) {
 	name, ok := strings.CutPrefix(path, module)
