--- a/coordination/passes/passes.go
+++ b/coordination/passes/passes.go
@@ -3,6 +3,8 @@
 package passes
 
 import (
+	"math"
+
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
@@ -33,27 +35,37 @@
 	return float64(max(1, e.StepsPerPass)) * StepMs(e, writers, contextTokens)
 }
 
-// MostReadMs is the reading that fits into one pass.
-func MostReadMs(e *catalogue.Engine) float64 {
-	if e.ReadTokensPerMs <= 0 {
-		return 0
+// Reading is prompt work that an endpoint has yet to do.
+type Reading struct {
+	Ms     float64
+	Tokens float64
+}
+
+// Add returns the sum of two readings.
+func (r Reading) Add(o Reading) Reading { return Reading{Ms: r.Ms + o.Ms, Tokens: r.Tokens + o.Tokens} }
+
+// inPass is the part of the reading that one pass with writers takes in.
+func inPass(e *catalogue.Engine, r Reading) float64 {
+	most := float64(max(1, e.StepsPerPass) * e.ChunkTokens)
+	if r.Tokens <= most {
+		return r.Ms
 	}
-	return float64(max(1, e.StepsPerPass)) * float64(e.ChunkTokens) / e.ReadTokensPerMs
+	return r.Ms * most / r.Tokens
 }
 
 // PassMs is a whole pass beside so many writers while so much reading waits.
-func PassMs(e *catalogue.Engine, writers, contextTokens int, readMs float64) float64 {
-	return WriteMs(e, writers, contextTokens) + min(readMs, MostReadMs(e))
+func PassMs(e *catalogue.Engine, writers, contextTokens int, waiting Reading) float64 {
+	return WriteMs(e, writers, contextTokens) + inPass(e, waiting)
 }
 
-// FirstMs is the time from arrival to the first event of a prompt that takes
-// readMs to read, behind ahead ms of other reading.
-func FirstMs(e *catalogue.Engine, writers, contextTokens int, aheadMs, readMs float64) float64 {
+// FirstMs is the time from arrival to the first event of a prompt, behind other
+// reading. With writers, the reading runs in passes that also write.
+func FirstMs(e *catalogue.Engine, writers, contextTokens int, ahead, own Reading) float64 {
 	write := WriteMs(e, writers, contextTokens)
+	all := ahead.Add(own)
 	if writers == 0 {
-		return aheadMs + readMs + write
+		return all.Ms + write
 	}
-	reading := aheadMs + readMs
-	further := reading / max(1, MostReadMs(e)) // passes that the reading fills
-	return write/2 + reading + write*(1+further)
+	further := math.Floor(all.Tokens / float64(max(1, e.StepsPerPass*e.ChunkTokens)))
+	return write/2 + all.Ms + write*(1+further)
 }
--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -31,7 +32,7 @@
 type work struct {
 	id          workID
 	endpoints   []uint64
-	readMs      float64 // on each endpoint
+	reading     passes.Reading // on each endpoint
 	prompt      int
 	output      int
 	openedAt    time.Time
@@ -43,6 +44,7 @@
 	late        bool
 	startedAt   time.Time
 	predictedMs float64
+	firstAt     time.Time // predicted, later when other work goes ahead
 }
 
 // account is what the book knows of one endpoint.
@@ -89,7 +91,7 @@
 	b.sequence++
 	w := &work{
 		id:          workID{number: b.sequence},
-		readMs:      p.readMs,
+		reading:     p.reading,
 		prompt:      d.PromptTokens,
 		output:      d.OutputTokens,
 		openedAt:    now,
@@ -98,6 +100,7 @@
 		expires:     now.Add(d.Limit),
 		credit:      d.Credit,
 		predictedMs: p.PredictedFirstMs,
+		firstAt:     now.Add(fromMs(p.PredictedFirstMs)),
 	}
 	for _, e := range p.Endpoints {
 		w.endpoints = append(w.endpoints, e.Key)
@@ -110,9 +113,9 @@
 func (w *work) event(now time.Time) *wire.WorkEvent {
 	return &wire.WorkEvent{
 		Step: wire.WorkStep_WORK_STEP_OPEN, Work: w.id.number, Endpoints: w.endpoints,
-		ReadUs: uint32(w.readMs * 1e3), PromptTokens: uint32(w.prompt), OutputTokens: uint32(w.output),
+		ReadUs: uint32(w.reading.Ms * 1e3), PromptTokens: uint32(w.prompt), OutputTokens: uint32(w.output),
 		FirstMs: millis(w.firstDue.Sub(now)), PauseMs: millis(w.pause), LimitMs: millis(w.expires.Sub(now)),
-		CreditMilli: uint32(w.credit * 1e3),
+		CreditMilli: uint32(w.credit * 1e3), PredictedMs: millis(w.firstAt.Sub(now)),
 	}
 }
 
@@ -120,11 +123,24 @@
 
 func (b *Book) enter(w *work) {
 	b.works[w.id] = w
-	for _, key := range w.endpoints {
+	for i, key := range w.endpoints {
 		a := b.account(key)
+		if i > 0 {
+			a.overtaken(w)
+		}
 		a.works[w.id] = w
 		a.arrived(w.openedAt)
-		a.readFree = later(a.readFree, w.openedAt).Add(fromMs(w.readMs))
+		a.readFree = later(a.readFree, w.openedAt).Add(fromMs(w.reading.Ms))
+	}
+}
+
+// overtaken delays the work that still reads: a helper's part goes ahead of all
+// other reading, the newest first.
+func (a *account) overtaken(by *work) {
+	for _, w := range a.works {
+		if !w.started {
+			w.firstAt = w.firstAt.Add(fromMs(by.reading.Ms))
+		}
 	}
 }
 
@@ -210,7 +226,7 @@
 	left := 0.0
 	for _, w := range a.works {
 		if !w.started {
-			left += w.readMs
+			left += w.reading.Ms
 		}
 	}
 	if most := b.now().Add(fromMs(left)); a.readFree.After(most) {
@@ -254,12 +270,17 @@
 			continue
 		}
 		b.enter(&work{
-			id: id, endpoints: e.Endpoints, readMs: float64(e.ReadUs) / 1e3,
+			id: id, endpoints: e.Endpoints,
+			reading: passes.Reading{
+				Ms:     float64(e.ReadUs) / 1e3,
+				Tokens: float64(e.PromptTokens) / float64(len(e.Endpoints)),
+			},
 			prompt: int(e.PromptTokens), output: int(e.OutputTokens), openedAt: now,
 			firstDue: now.Add(time.Duration(e.FirstMs) * time.Millisecond),
 			pause:    time.Duration(e.PauseMs) * time.Millisecond,
 			expires:  now.Add(time.Duration(e.LimitMs) * time.Millisecond),
 			credit:   float64(e.CreditMilli) / 1e3,
+			firstAt:  now.Add(time.Duration(e.PredictedMs) * time.Millisecond),
 		})
 	}
 }
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -14,16 +14,20 @@
 const (
 	// lateShare of the credit is lost when an answer is late.
 	lateShare = 0.75
-	// marginOfObjective is the part of an objective over which the chance to
-	// meet it falls from one to nothing.
-	marginOfObjective = 0.35
+	// firstMargin is the part of the objective of a first event over which the
+	// chance to meet it falls from one to nothing; pauseMargin is that of pauses,
+	// which are predicted better.
+	firstMargin = 0.5
+	pauseMargin = 0.35
 	// packShare of the credit rewards an endpoint that already writes, which
 	// leaves others free to read long prompts.
-	packShare = 0.12
+	packShare = 0.2
 	// awayShare of the credit is the cost of another data centre.
 	awayShare = 0.02
 	// helperShare of the credit is the cost of each further endpoint.
 	helperShare = 0.004
+	// coldFactor is how much longer a cold endpoint is expected to take.
+	coldFactor = 2
 	// leastSplitMs is the least reading that is worth spreading.
 	leastSplitMs = 100
 	// silentAfter is how long an endpoint may be silent before others go first.
@@ -60,7 +64,7 @@
 	Score            float64
 	RunnerUpScore    float64
 
-	readMs float64
+	reading passes.Reading // on each endpoint
 }
 
 // candidate is an endpoint with what is predicted for it.
@@ -69,10 +73,10 @@
 	account  *account
 	resting  bool
 	cold     bool
-	answers  int     // answers that it writes or will write
-	context  int     // tokens of these
-	backlog  float64 // ms of reading given to it
-	memory   int     // tokens
+	answers  int            // answers that it writes or will write
+	context  int            // tokens of these
+	backlog  passes.Reading // given to it and not yet done
+	memory   int            // tokens
 }
 
 // Choose picks endpoints for a demand and enters the work. It returns nil when
@@ -128,10 +132,9 @@
 func (b *Book) candidate(e *directory.Endpoint, now time.Time) *candidate {
 	a := b.account(e.Key)
 	c := &candidate{endpoint: e, account: a}
-	unread := 0.0
 	for _, w := range a.works {
 		if !w.started {
-			unread += w.readMs
+			c.backlog = c.backlog.Add(w.reading)
 		}
 		if w.endpoints[0] == e.Key {
 			c.answers++
@@ -139,10 +142,20 @@
 			c.memory += w.prompt + w.output
 		}
 	}
-	c.backlog = min(unread, max(0, float64(a.readFree.Sub(now))/float64(time.Millisecond)))
+	c.progress(now)
 	return c
 }
 
+// progress takes off the backlog what is read by now, as predicted.
+func (c *candidate) progress(now time.Time) {
+	left := max(0, float64(c.account.readFree.Sub(now))/float64(time.Millisecond))
+	if left >= c.backlog.Ms {
+		return
+	}
+	c.backlog.Tokens *= left / c.backlog.Ms
+	c.backlog.Ms = left
+}
+
 func choosePlain(candidates []*candidate, d *Demand) *Plan {
 	var best, second *candidate
 	score := func(c *candidate) float64 {
@@ -178,6 +191,7 @@
 	*candidate
 	first float64 // ms to the first event
 	loss  float64 // credit that other work loses
+	cost  float64 // of the endpoint's place, in credit
 	score float64
 }
 
@@ -185,50 +199,77 @@
 	var best *Plan
 	engine := d.Service.Engine
 	for _, n := range splits {
-		readMs := passes.ReadMs(engine, d.PromptTokens, n)
-		if n > len(candidates) || n > 1 && readMs*float64(n) < leastSplitMs {
+		reading := passes.Reading{
+			Ms:     passes.ReadMs(engine, d.PromptTokens, n),
+			Tokens: float64(d.PromptTokens) / float64(n),
+		}
+		if n > len(candidates) || n > 1 && reading.Ms*float64(n) < leastSplitMs {
 			break
 		}
-		if p := b.planFor(candidates, d, n, readMs); p != nil && (best == nil || p.Score > best.Score) {
+		if p := b.planFor(candidates, d, n, reading); p != nil && (best == nil || p.Score > best.Score) {
 			best = p
 		}
 	}
 	return best
 }
 
-// planFor returns the best plan over n endpoints.
-func (b *Book) planFor(candidates []*candidate, d *Demand, n int, readMs float64) *Plan {
-	options := make([]option, 0, len(candidates))
-	for _, c := range candidates {
-		options = append(options, b.weigh(c, d, n, readMs))
-	}
-	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(y.score, x.score) })
-	main := slices.IndexFunc(options, func(o option) bool { return o.canAnswer(d) })
-	if main < 0 {
+// planFor returns the best plan over n endpoints: the best helpers, and of the
+// endpoints with room for the answer the best one.
+func (b *Book) planFor(candidates []*candidate, d *Demand, n int, reading passes.Reading) *Plan {
+	main, second := b.bestMain(candidates, d, n, reading)
+	if main == nil {
 		return nil
 	}
-	chosen := []option{options[main]}
-	for i, o := range options {
-		if len(chosen) < n && i != main {
-			chosen = append(chosen, o)
-		}
+	chosen := []option{*main}
+	if n > 1 {
+		chosen = append(chosen, b.bestHelpers(candidates, main.candidate, d, n, reading)...)
 	}
-	p := &Plan{readMs: readMs}
+	p := &Plan{reading: reading}
 	for _, o := range chosen {
 		p.Endpoints = append(p.Endpoints, o.endpoint)
 		p.PredictedFirstMs = max(p.PredictedFirstMs, o.first)
-		p.Score -= o.loss + d.Credit*helperShare
+		p.Score -= o.loss + o.cost + d.Credit*helperShare
 	}
-	p.Score += d.Credit * (1 - lateShare + lateShare*chance(p.PredictedFirstMs, d.FirstLeft))
-	for i, o := range options {
-		if i != main && i >= n {
-			p.RunnerUp, p.RunnerUpScore = o.endpoint.ID, o.score
-			break
-		}
+	p.Score += d.Credit * (1 - lateShare + lateShare*chance(p.PredictedFirstMs, d.FirstLeft, firstMargin))
+	if second != nil {
+		p.RunnerUp, p.RunnerUpScore = second.endpoint.ID, p.Score+second.score-main.score
 	}
 	return p
 }
 
+// bestMain returns the best endpoint to answer, and the next best.
+func (b *Book) bestMain(candidates []*candidate, d *Demand, n int, reading passes.Reading) (best, second *option) {
+	for _, c := range candidates {
+		if !c.canAnswer(d) {
+			continue
+		}
+		o := b.weigh(c, d, c.backlog, reading, false)
+		if reading.Ms*float64(n) < leastSplitMs {
+			o.cost -= d.Credit * packShare * float64(c.answers) / float64(max(1, d.Service.Engine.Slots))
+			o.score -= o.cost
+		}
+		switch {
+		case best == nil || o.score > best.score:
+			best, second = &o, best
+		case second == nil || o.score > second.score:
+			second = &o
+		}
+	}
+	return best, second
+}
+
+// bestHelpers returns the n-1 endpoints that lose least by reading a part.
+func (b *Book) bestHelpers(candidates []*candidate, main *candidate, d *Demand, n int, reading passes.Reading) []option {
+	options := make([]option, 0, len(candidates))
+	for _, c := range candidates {
+		if c != main {
+			options = append(options, b.weigh(c, d, passes.Reading{}, reading, true))
+		}
+	}
+	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(y.score, x.score) })
+	return options[:n-1]
+}
+
 // canAnswer reports whether the candidate has a slot and memory for the answer.
 func (c *candidate) canAnswer(d *Demand) bool {
 	engine := d.Service.Engine
@@ -237,38 +278,40 @@
 }
 
 // weigh predicts what one endpoint's part in a demand gives and takes.
-func (b *Book) weigh(c *candidate, d *Demand, n int, readMs float64) option {
+func (b *Book) weigh(c *candidate, d *Demand, ahead, reading passes.Reading, helps bool) option {
 	engine := d.Service.Engine
 	o := option{candidate: c}
-	o.first = passes.FirstMs(engine, c.answers, c.context, c.backlog, readMs)
+	o.first = passes.FirstMs(engine, c.answers, c.context, ahead, reading)
 	if c.cold {
-		o.first *= 2
-	}
-	o.loss = b.lossOf(c, engine, readMs, n > 1)
-	o.score = d.Credit*lateShare*chance(o.first, d.FirstLeft) - o.loss
-	if readMs*float64(n) < leastSplitMs {
-		o.score += d.Credit * packShare * float64(c.answers) / float64(max(1, engine.Slots))
+		o.first *= coldFactor
 	}
+	o.loss = b.lossOf(c, engine, reading, helps)
 	if c.endpoint.DataCentre != d.DataCentre {
-		o.score -= d.Credit * awayShare
+		o.cost += d.Credit * awayShare
 	}
+	o.score = d.Credit*lateShare*chance(o.first, d.FirstLeft, firstMargin) - o.loss - o.cost
 	return o
 }
 
 // lossOf is the credit that the work at an endpoint loses to further reading.
-func (b *Book) lossOf(c *candidate, engine *catalogue.Engine, readMs float64, ahead bool) float64 {
+// A helper's part goes ahead of all reading there.
+func (b *Book) lossOf(c *candidate, engine *catalogue.Engine, reading passes.Reading, helps bool) float64 {
 	before := passes.PassMs(engine, c.answers, c.context, c.backlog)
-	after := passes.PassMs(engine, c.answers, c.context, c.backlog+readMs)
+	after := passes.PassMs(engine, c.answers, c.context, c.backlog.Add(reading))
+	now := b.now()
 	loss := 0.0
 	for _, w := range c.account.works {
-		if w.late || w.endpoints[0] != c.endpoint.Key {
+		if w.late {
 			continue
 		}
-		kept := chance(before, w.pause) - chance(after, w.pause)
-		if !w.started && ahead {
-			left := w.firstDue.Sub(b.now())
-			first := passes.FirstMs(engine, c.answers, c.context, c.backlog, 0)
-			kept = max(kept, chance(first, left)-chance(first+readMs, left))
+		kept := 0.0
+		if w.endpoints[0] == c.endpoint.Key {
+			kept = chance(before, w.pause, pauseMargin) - chance(after, w.pause, pauseMargin)
+		}
+		if !w.started && helps {
+			first := float64(w.firstAt.Sub(now)) / float64(time.Millisecond)
+			left := w.firstDue.Sub(now)
+			kept = max(kept, chance(first, left, firstMargin)-chance(first+reading.Ms, left, firstMargin))
 		}
 		loss += w.credit * lateShare * max(0, kept)
 	}
@@ -276,11 +319,11 @@
 }
 
 // chance estimates how likely a predicted time in ms meets an objective. It is
-// 1 where there is none.
-func chance(predictedMs float64, objective time.Duration) float64 {
+// 0 where there is none or its time is over.
+func chance(predictedMs float64, objective time.Duration, margin float64) float64 {
 	limit := float64(objective) / float64(time.Millisecond)
 	if objective <= 0 {
 		return 0
 	}
-	return min(1, max(0, (limit-predictedMs)/(limit*marginOfObjective)))
+	return min(1, max(0, (limit-predictedMs)/(limit*margin)))
 }
