Hold requests for room, give silent endpoints up only for another one, tell all of unreachable ones

Cause: after a data centre's endpoints returned cold, short prompts were sent where the first event was predicted in 4 to 8 s, past their callers' patience; 184 callers left, and 46 streams were broken off for silence with no budget for another endpoint. A connection that was refused is no arrival and takes nothing off the budget.

--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -259,6 +259,10 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	for _, e := range events {
+		if e.Step == wire.WorkStep_WORK_STEP_UNREACHABLE {
+			b.doubt(e.Endpoints)
+			continue
+		}
 		id := workID{sender: sender, number: e.Work}
 		if e.Step != wire.WorkStep_WORK_STEP_OPEN {
 			if w := b.works[id]; w != nil {
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -30,6 +31,9 @@
 	coldFactor = 2
 	// leastSplitMs is the least reading that is worth spreading.
 	leastSplitMs = 100
+	// timelyShare is the part of the slots, as its divisor, that only requests
+	// get which may still be in time.
+	timelyShare = 4
 	// silentAfter is how long an endpoint may be silent before others go first.
 	silentAfter = 4 * time.Second
 	// plainQueue is how many plain requests an endpoint is given, as a multiple
@@ -47,6 +51,7 @@
 	PromptTokens int
 	OutputTokens int
 	FirstLeft    time.Duration // to the objective of the answer or its first event
+	Patience     time.Duration // the caller leaves when the first event takes longer
 	Pause        time.Duration // objective between events
 	Limit        time.Duration // until it is over in any case
 	Credit       float64       // weight of being on time
@@ -94,7 +99,7 @@
 	} else {
 		p = b.chooseEngine(candidates, d)
 	}
-	if p == nil {
+	if p == nil || p.PredictedFirstMs > float64(d.Patience)/float64(time.Millisecond) {
 		return nil
 	}
 	p.Candidates = len(candidates)
@@ -102,6 +107,31 @@
 	return p
 }
 
+// Room describes how full the endpoints of a demand are, for the log.
+type Room struct {
+	Endpoints  int
+	Candidates int     // that may be asked now
+	Answers    int     // at the candidates
+	Least      int     // answers at the emptiest candidate
+	BacklogMs  float64 // least reading that waits at a candidate with a free slot
+}
+
+// Room looks at the endpoints as Choose does.
+func (b *Book) Room(endpoints []*directory.Endpoint, d *Demand) Room {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := Room{Endpoints: len(endpoints), Least: math.MaxInt, BacklogMs: math.MaxFloat64}
+	for _, c := range b.candidates(endpoints, d) {
+		r.Candidates++
+		r.Answers += c.answers
+		r.Least = min(r.Least, c.answers)
+		if d.Service.Engine == nil || c.canAnswer(d, 0) {
+			r.BacklogMs = min(r.BacklogMs, c.backlog.Ms)
+		}
+	}
+	return r
+}
+
 // candidates lists the endpoints that may be asked. Those that rest after a
 // failure, or are silent, are asked only when no other is left.
 func (b *Book) candidates(endpoints []*directory.Endpoint, d *Demand) []*candidate {
@@ -240,10 +270,10 @@
 // bestMain returns the best endpoint to answer, and the next best.
 func (b *Book) bestMain(candidates []*candidate, d *Demand, n int, reading passes.Reading) (best, second *option) {
 	for _, c := range candidates {
-		if !c.canAnswer(d) {
+		o := b.weigh(c, d, c.backlog, reading, false)
+		if !c.canAnswer(d, o.first) {
 			continue
 		}
-		o := b.weigh(c, d, c.backlog, reading, false)
 		if reading.Ms*float64(n) < leastSplitMs {
 			o.cost -= d.Credit * packShare * float64(c.answers) / float64(max(1, d.Service.Engine.Slots))
 			o.score -= o.cost
@@ -270,10 +300,14 @@
 	return options[:n-1]
 }
 
-// canAnswer reports whether the candidate has a slot and memory for the answer.
-func (c *candidate) canAnswer(d *Demand) bool {
+// canAnswer reports whether the candidate has a slot and memory for an answer
+// that is predicted to begin after firstMs. Late ones don't get the last slots.
+func (c *candidate) canAnswer(d *Demand, firstMs float64) bool {
 	engine := d.Service.Engine
 	slots := min(engine.Slots, max(1, c.endpoint.Slots))
+	if firstMs > float64(d.FirstLeft)/float64(time.Millisecond) {
+		slots -= slots / timelyShare
+	}
 	return c.answers < slots && c.memory+d.PromptTokens+d.OutputTokens <= engine.MemoryTokens
 }
 
--- a/coordination/placement/health.go
+++ b/coordination/placement/health.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
 
 const (
 	doubtFirst = 250 * time.Millisecond // an endpoint rests so long after one failure
@@ -26,6 +30,22 @@
 	h.restUntil = b.now().Add(rest)
 }
 
+// Unreachable notes that an endpoint took no connection, and tells the others.
+func (b *Book) Unreachable(key uint64) {
+	b.Failed(key)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spread(&wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_UNREACHABLE, Endpoints: []uint64{key}})
+}
+
+// doubt takes another entry's word for it, for the first rest only.
+func (b *Book) doubt(keys []uint64) {
+	for _, key := range keys {
+		h := &b.account(key).health
+		h.restUntil = later(h.restUntil, b.now().Add(doubtFirst))
+	}
+}
+
 // Refused notes that an endpoint said it was full.
 func (b *Book) Refused(key uint64) {
 	b.mu.Lock()
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -22,6 +22,8 @@
 	stallFirst = 700 * time.Millisecond
 	// stallBetween is the least silence between events for the same.
 	stallBetween = 800 * time.Millisecond
+	// stallRetry is the pause between two looks for another endpoint.
+	stallRetry = 200 * time.Millisecond
 	// stallPauses is that silence as a multiple of the pause objective.
 	stallPauses = 3
 )
@@ -48,7 +50,7 @@
 	}
 	r.sends++
 	r.mayHaveRun++
-	response, err := r.send(ctx, plan)
+	response, err := r.send(ctx, plan, cancel)
 	if err == nil {
 		err = r.deliver(ctx, plan, response, cancel)
 	}
@@ -56,8 +58,42 @@
 	return err
 }
 
-// send returns the beginning of the answer, or gives up on a silent endpoint.
-func (r *run) send(ctx context.Context, plan *placement.Plan) (*Response, error) {
+// send returns the beginning of the answer, or gives up on a silent endpoint
+// once another one is found.
+func (r *run) send(ctx context.Context, plan *placement.Plan, cancel context.CancelFunc) (*Response, error) {
+	type result struct {
+		response *Response
+		err      error
+	}
+	a := r.newAttempt(plan)
+	done := make(chan result, 1)
+	go func() {
+		response, err := r.server.upstream.Send(ctx, a)
+		done <- result{response, err}
+	}()
+	stall := time.NewTimer(r.firstStall(plan))
+	defer stall.Stop()
+	for {
+		select {
+		case got := <-done:
+			if got.err != nil {
+				return nil, got.err
+			}
+			return check(got.response)
+		case <-stall.C:
+			if r.findOther() {
+				cancel()
+				if got := <-done; got.err == nil {
+					_ = got.response.Body.Close()
+				}
+				return nil, errStalled
+			}
+			stall.Reset(stallRetry)
+		}
+	}
+}
+
+func (r *run) newAttempt(plan *placement.Plan) *Attempt {
 	a := &Attempt{
 		Request:      r.request,
 		Endpoint:     plan.Endpoints[0],
@@ -68,10 +104,11 @@
 	for _, e := range plan.Endpoints[1:] {
 		a.Helpers = append(a.Helpers, Helper{Address: e.Address})
 	}
-	response, err := r.server.upstream.Send(ctx, a)
-	if err != nil {
-		return nil, err
-	}
+	return a
+}
+
+// check sorts out answers that are none to this request.
+func check(response *Response) (*Response, error) {
 	if response.NotRun || response.Wrong {
 		_ = response.Body.Close()
 		return nil, errNotRun
@@ -83,6 +120,33 @@
 	return response, nil
 }
 
+// firstStall is the silence after a sending from which on another endpoint is
+// looked for.
+func (r *run) firstStall(plan *placement.Plan) time.Duration {
+	if r.route.Kind != catalogue.Stream {
+		return r.route.Objective
+	}
+	predicted := time.Duration(plan.PredictedFirstMs) * time.Millisecond
+	return stallFirst + 2*predicted
+}
+
+// findOther secures another endpoint for a request whose present one is silent.
+func (r *run) findOther() bool {
+	if !r.mayRunAgain() {
+		return false
+	}
+	plan := r.tryPlace()
+	if plan == nil {
+		return false
+	}
+	if !r.takeRepeat() {
+		plan.Handle.Close()
+		return false
+	}
+	r.next = plan
+	return true
+}
+
 // judge notes what an attempt tells of the endpoint.
 func (r *run) judge(ctx context.Context, e *directory.Endpoint, err error) {
 	var unsent *NotSent
@@ -95,7 +159,7 @@
 		r.server.book.Refused(e.Key)
 	case errors.As(err, &unsent):
 		r.mayHaveRun--
-		r.server.book.Failed(e.Key)
+		r.server.book.Unreachable(e.Key)
 	case ctx.Err() != nil && !errors.Is(err, errStalled):
 		return // the caller left or the time is over: nothing is learnt
 	default:
@@ -144,7 +208,7 @@
 	events := make(chan event)
 	ended := make(chan error, 1)
 	go func() { ended <- readEvents(ctx, response.Body, events) }()
-	stall := time.NewTimer(stallFirst + time.Duration(2*plan.PredictedFirstMs)*time.Millisecond)
+	stall := time.NewTimer(r.firstStall(plan))
 	defer stall.Stop()
 	started := false
 	last := time.Time{}
@@ -172,10 +236,11 @@
 		case err := <-ended:
 			return r.streamEnded(response, err)
 		case <-stall.C:
-			if r.repeatable() && r.mayHaveRun < r.route.MaxEndpoints {
+			if r.findOther() {
 				cancel()
 				return errStalled
 			}
+			stall.Reset(stallRetry)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -27,11 +27,14 @@
 	// work ends meanwhile.
 	holdStep = 20 * time.Millisecond
 	// mostSends bounds the attempts that endpoints refuse without running them.
-	mostSends = 4
+	mostSends = 6
 	// currentWait is the retry time told while the state is not current.
 	currentWait = 500 * time.Millisecond
 	// roomWait is the least retry time told while no endpoint has room.
 	roomWait = 200 * time.Millisecond
+	// holdShare is the part of the time left, as its divisor, for which a request
+	// may wait for room.
+	holdShare = 4
 	// leastLeft is the least time worth sending an attempt for.
 	leastLeft = 10 * time.Millisecond
 )
@@ -51,6 +54,7 @@
 	mayHaveRun   int // sends that an endpoint may have worked on
 	begun        bool
 	lastEvent    string
+	next         *placement.Plan // secured before a silent attempt was given up
 	firstAt      time.Time
 	late         bool
 	status       int
@@ -148,46 +152,57 @@
 		if err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || !r.mayRepeat(err) {
-			return err
-		}
-		if !r.server.budget.take(r.service.Name) {
-			r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name).
-				Err(err).Msg("No repeat: the repeat budget is spent.")
+		if ctx.Err() != nil || r.next == nil && !r.mayRepeat(err) {
 			return err
 		}
 	}
 }
 
-// mayRepeat reports whether another endpoint may be asked after a failure.
+// mayRepeat reports whether another endpoint may be asked after a failure, and
+// takes the repeat off the budget.
 func (r *run) mayRepeat(err error) bool {
 	var unsent *NotSent
-	if errors.As(err, &unsent) || isNotRun(err) {
-		return r.sends < mostSends
+	switch {
+	case errors.As(err, &unsent):
+		return r.sends < mostSends // no endpoint had to deal with it
+	case isNotRun(err):
+		return r.sends < mostSends && r.takeRepeat()
 	}
+	return r.mayRunAgain() && r.takeRepeat()
+}
+
+// mayRunAgain reports whether another endpoint may run the request though one
+// may have run it.
+func (r *run) mayRunAgain() bool {
 	return r.repeatable() && r.mayHaveRun < max(1, r.route.MaxEndpoints)
 }
 
+func (r *run) takeRepeat() bool {
+	taken := r.server.budget.take(r.service.Name)
+	if !taken {
+		r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name).Int("sends", r.sends).
+			Msg("No repeat: the repeat budget is spent.")
+	}
+	return taken
+}
+
 // place waits for endpoints with room.
 func (r *run) place(ctx context.Context) (*placement.Plan, error) {
-	until := r.request.Arrived.Add(min(r.route.Objective, time.Until(r.limit)))
-	if r.begun {
-		until = r.limit
+	if plan := r.next; plan != nil {
+		r.next = nil
+		return plan, nil
 	}
+	until := r.holdUntil()
 	for {
 		changed := r.server.book.Changed()
-		if time.Until(r.limit) < leastLeft {
-			return nil, fault.New(fault.DeadlineUnmeetable, "the time ran out before an endpoint had room").After(roomWait)
-		}
-		if r.server.Current() {
-			state := r.server.current.State()
-			if plan := r.server.book.Choose(r.server.directory.Endpoints(r.service.Name), r.demand(state)); plan != nil {
-				r.logPlan(plan, state)
-				return plan, nil
-			}
+		if plan := r.tryPlace(); plan != nil {
+			return plan, nil
 		}
 		if time.Now().After(until) {
-			return nil, fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(roomWait)
+			return nil, r.noRoom()
+		}
+		if r.isOverdue() {
+			changed = nil // those that may still be in time go first
 		}
 		if !r.pause(ctx, changed) {
 			return nil, ctx.Err()
@@ -195,6 +210,43 @@
 	}
 }
 
+// noRoom is the refusal of a request that found no endpoint.
+func (r *run) noRoom() error {
+	state := r.server.current.State()
+	room := r.server.book.Room(r.server.directory.Endpoints(r.service.Name), r.demand(state))
+	r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name).
+		Int("endpoints", room.Endpoints).Int("candidates", room.Candidates).Int("answers", room.Answers).
+		Int("least_answers", room.Least).Float64("least_backlog_ms", room.BacklogMs).Dur("waited", time.Since(r.request.Arrived)).
+		Int("prompt", r.request.PromptTokens).Msg("No endpoint has room.")
+	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(roomWait)
+}
+
+// holdUntil is how long the request waits for room: an answer that has begun as
+// long as there is time, others while their callers stay.
+func (r *run) holdUntil() time.Time {
+	if r.begun {
+		return r.limit.Add(-leastLeft)
+	}
+	hold := min(r.route.Patience/2, max(r.route.Objective, time.Until(r.limit)/holdShare))
+	return r.request.Arrived.Add(hold)
+}
+
+// isOverdue reports whether the objective of the first event has passed.
+func (r *run) isOverdue() bool { return time.Since(r.request.Arrived) > r.route.Objective }
+
+// tryPlace returns a plan when endpoints have room just now.
+func (r *run) tryPlace() *placement.Plan {
+	if !r.server.Current() {
+		return nil
+	}
+	state := r.server.current.State()
+	plan := r.server.book.Choose(r.server.directory.Endpoints(r.service.Name), r.demand(state))
+	if plan != nil {
+		r.logPlan(plan, state)
+	}
+	return plan
+}
+
 // pause waits for a step, a change or the end of ctx, which it reports as false.
 func (r *run) pause(ctx context.Context, changed <-chan struct{}) bool {
 	timer := time.NewTimer(holdStep)
@@ -215,6 +267,7 @@
 		DataCentre: r.server.settings.DataCentre,
 		FirstLeft:  time.Until(q.Arrived.Add(r.route.Objective)),
 		Limit:      time.Until(r.limit),
+		Patience:   r.patienceLeft(),
 		Credit:     plainCredit,
 		Excluded: func(e *directory.Endpoint) bool {
 			return r.tried[e.Key] || e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY || !state.InService(e.DataCentre)
@@ -229,6 +282,14 @@
 	return d
 }
 
+// patienceLeft is how long the caller will wait for the next byte.
+func (r *run) patienceLeft() time.Duration {
+	if r.begun {
+		return r.route.Patience
+	}
+	return time.Until(r.request.Arrived.Add(r.route.Patience))
+}
+
 // outputTokens is the expected output: the caller's estimate, or the usual one.
 func outputTokens(q *Request, engine *catalogue.Engine) int {
 	expected := int(engine.UsualAnswer)
@@ -261,6 +322,9 @@
 
 // finish gives the final answer unless it was delivered, and accounts for it.
 func (r *run) finish(ctx context.Context, err error) {
+	if r.next != nil {
+		r.next.Handle.Close()
+	}
 	switch {
 	case err == nil:
 	case r.begun:
--- a/state/catalogue/catalogue.go
+++ b/state/catalogue/catalogue.go
@@ -40,6 +40,7 @@
 	Timeout         time.Duration // longest time to the final answer
 	Objective       time.Duration // to the answer, of streams to the first event
 	PauseObjective  time.Duration // between events; 0 where none is set
+	Patience        time.Duration // silence after which callers leave
 	Priority        int           // 0 is the most urgent
 	MaxEndpoints    int           // endpoints that one request may be sent to
 	Public          bool          // no key is asked for
