Test the catalogue, directory, ledger, placement, serving and the adapter; order endpoints at one address fully

Two endpoints born in the same millisecond at one address: which one held it depended on the order of a map. Found by the property that records merge in any order.

--- /dev/null
+++ b/coordination/current/store_test.go
@@ -0,0 +1,46 @@
+package current
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+func TestAnOlderStateIsNotTaken(t *testing.T) {
+	s := NewStore()
+	var seen []uint64
+	s.OnChange(func(c *catalogue.State) { seen = append(seen, c.Index) })
+	for _, index := range []uint64{3, 2, 3, 7, 5} {
+		s.Take(&catalogue.State{Index: index}, "test")
+	}
+	if s.State().Index != 7 || len(seen) != 2 {
+		t.Errorf("index %d after changes %v", s.State().Index, seen)
+	}
+}
+
+func TestConfirmationOfAStateNotHeldExtendsNothing(t *testing.T) {
+	s := NewStore()
+	s.Take(&catalogue.State{Index: 3}, "test")
+	if s.Within(time.Hour) {
+		t.Error("a state is current before any confirmation")
+	}
+	now := steady.Now()
+	if s.Confirm(3, now.Add(-time.Second)) {
+		t.Error("the state is held")
+	}
+	if !s.Confirm(4, now) {
+		t.Error("the store lacks state 4 and must say so")
+	}
+	if s.Within(500 * time.Millisecond) {
+		t.Error("the confirmation of state 4 made state 3 current")
+	}
+	if !s.Within(time.Minute) {
+		t.Error("the confirmation of state 3 is forgotten")
+	}
+	s.Confirm(2, now.Add(-time.Hour))
+	if !s.Within(time.Minute) {
+		t.Error("an older confirmation took the newer one's place")
+	}
+}
--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -188,7 +188,7 @@
 			delete(d.endpoints, id)
 			continue
 		}
-		if h := holders[e.Address]; h == nil || e.BornMs > h.BornMs {
+		if h := holders[e.Address]; h == nil || e.BornMs > h.BornMs || e.BornMs == h.BornMs && e.ID > h.ID {
 			holders[e.Address] = e
 		}
 	}
--- /dev/null
+++ b/coordination/directory/directory_test.go
@@ -0,0 +1,114 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"pgregory.net/rapid"
+)
+
+func record(id string, born, sequence uint64, condition wire.EndpointCondition) *wire.EndpointRecord {
+	return &wire.EndpointRecord{
+		Id: id, BornMs: born, Sequence: sequence, Service: "engine", DataCentre: "dc1",
+		Address: fmt.Sprintf("10.0.0.%d:80", born%5), Slots: 4, Condition: condition,
+	}
+}
+
+func summary(d *Directory) string {
+	text := ""
+	for _, e := range d.Endpoints("engine") {
+		text += fmt.Sprintf("%s/%d/%d/%s ", e.ID, e.BornMs, e.Sequence, conditionName(e.Condition))
+	}
+	return text
+}
+
+// Records that arrive in any order, and twice, give the same directory.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *wire.EndpointRecord {
+			return record(
+				rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"),
+				rapid.Uint64Range(1, 3).Draw(t, "born"),
+				rapid.Uint64Range(1, 4).Draw(t, "sequence"),
+				// A condition is told once in a sequence: equal ones are equal.
+				wire.EndpointCondition_ENDPOINT_CONDITION_READY)
+		}), 1, 12).Draw(t, "records")
+		for _, r := range records {
+			if r.Sequence == 4 {
+				r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_GONE
+			}
+		}
+		first, second := New(), New()
+		first.MergeEndpoints(records)
+		second.MergeEndpoints(rapid.Permutation(records).Draw(t, "order"))
+		second.MergeEndpoints(records)
+		if a, b := summary(first), summary(second); a != b {
+			t.Fatalf("%s\n%s", a, b)
+		}
+	})
+}
+
+func TestALateAnnouncementDoesNotBringAnEndpointBack(t *testing.T) {
+	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
+	d := New()
+	d.Announce(record("a", 10, 5, ready))
+	d.Leave("a", 0)
+	d.Announce(record("a", 10, 6, ready))
+	if got := d.Endpoints("engine"); len(got) != 0 {
+		t.Errorf("it came back: %v", got[0])
+	}
+	d.Announce(record("a", 11, 1, ready))
+	if got := d.Endpoints("engine"); len(got) != 1 || got[0].BornMs != 11 {
+		t.Errorf("its next start is not known: %v", got)
+	}
+	d.Announce(record("a", 10, 9, ready))
+	if got := d.Endpoints("engine"); got[0].BornMs != 11 {
+		t.Error("an announcement of the earlier start won")
+	}
+}
+
+func TestAnAddressBelongsToTheOneBornLater(t *testing.T) {
+	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
+	d := New()
+	d.Announce(record("old", 1, 9, ready))
+	d.Announce(record("new", 6, 1, ready)) // at the same address
+	if got := d.Endpoints("engine"); len(got) != 1 || got[0].ID != "new" {
+		t.Errorf("got %s", summary(d))
+	}
+}
+
+func TestNewsIsSpreadAndRepetitionIsNot(t *testing.T) {
+	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
+	d := New()
+	spread := 0
+	d.OnNews(func(*wire.MeshFrame) { spread++ })
+	d.Announce(record("a", 1, 1, ready))
+	for sequence := uint64(2); sequence <= 9; sequence++ {
+		d.Announce(record("a", 1, sequence, ready))
+	}
+	if most := 1 + 8/refreshBeats; spread != most {
+		t.Errorf("%d frames, want %d", spread, most)
+	}
+	d.Announce(record("a", 1, 11, wire.EndpointCondition_ENDPOINT_CONDITION_DRAINING))
+	if spread != 2+8/refreshBeats {
+		t.Error("that an endpoint drains was not told")
+	}
+}
+
+func TestProcessesMergeByIncarnation(t *testing.T) {
+	d := New()
+	old := &wire.ProcessRecord{Address: "a:1", Incarnation: 1}
+	next := &wire.ProcessRecord{Address: "a:1", Incarnation: 2}
+	if n := len(d.MergeProcesses([]*wire.ProcessRecord{next, old, next})); n != 1 {
+		t.Errorf("%d news, want 1", n)
+	}
+	d.Forget("a:1", 1)
+	if len(d.Processes()) != 1 {
+		t.Error("a newer process was forgotten with the old one")
+	}
+	d.Forget("a:1", 2)
+	if len(d.Processes()) != 0 {
+		t.Error("the process is still known")
+	}
+}
--- /dev/null
+++ b/coordination/placement/placement_test.go
@@ -0,0 +1,262 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"pgregory.net/rapid"
+)
+
+// bed is a book with endpoints and a clock of its own.
+type bed struct {
+	book      *Book
+	at        time.Time
+	service   *catalogue.Service
+	endpoints []*directory.Endpoint
+}
+
+func newBed(endpoints int) *bed {
+	b := &bed{at: time.Unix(1000, 0), service: &catalogue.Service{Name: "engine", ColdPerSecond: 4, Engine: &catalogue.Engine{
+		Slots: 4, MemoryTokens: 400_000, StepsPerPass: 34, StepMs: 1.3, ReadTokensPerMs: 150,
+		PairsMsPerMillion: 0.16, ChunkTokens: 2048, UsualAnswer: 1000,
+	}}}
+	b.book = NewBook(func() time.Time { return b.at })
+	for i := range endpoints {
+		id := fmt.Sprintf("e%d", i)
+		b.endpoints = append(b.endpoints, &directory.Endpoint{
+			ID: id, Service: "engine", DataCentre: "dc1", Slots: 4, HeardAt: steady.Now(), Key: directory.KeyOf(id, 1),
+		})
+	}
+	return b
+}
+
+func (b *bed) demand(prompt int, objective, pause time.Duration) *Demand {
+	return &Demand{
+		Service: b.service, DataCentre: "dc1", PromptTokens: prompt, OutputTokens: 1000, FirstLeft: objective,
+		Pause: pause, Limit: 10 * time.Second, Patience: 8 * time.Second, Credit: float64(prompt) / 1000,
+		Excluded: func(*directory.Endpoint) bool { return false },
+	}
+}
+
+func (b *bed) short() *Demand { return b.demand(3000, 300*time.Millisecond, 250*time.Millisecond) }
+
+func (b *bed) long() *Demand { return b.demand(180_000, 3*time.Second, time.Second) }
+
+func (b *bed) choose(t rapid.TB, d *Demand) *Plan {
+	t.Helper()
+	p := b.book.Choose(b.endpoints, d)
+	if p == nil {
+		t.Fatal("no plan")
+	}
+	return p
+}
+
+func TestAShortPromptKeepsOffALongReading(t *testing.T) {
+	b := newBed(2)
+	d := b.long()
+	d.Excluded = func(e *directory.Endpoint) bool { return e.ID == "e1" }
+	b.choose(t, d) // on e0 alone
+	for range 3 {
+		if p := b.choose(t, b.short()); p.Endpoints[0].ID != "e1" {
+			t.Errorf("chose %s", p.Endpoints[0].ID)
+		}
+	}
+}
+
+func TestShortPromptsShareAnEndpointSoThatOthersStayFree(t *testing.T) {
+	b := newBed(3)
+	first := b.choose(t, b.short())
+	second := b.choose(t, b.short())
+	if first.Endpoints[0] != second.Endpoints[0] {
+		t.Errorf("%s and %s", first.Endpoints[0].ID, second.Endpoints[0].ID)
+	}
+}
+
+func TestALongPromptKeepsOffThoseThatWriteShortAnswers(t *testing.T) {
+	b := newBed(6)
+	busy := b.choose(t, b.short())
+	busy.Handle.Started()
+	for _, e := range b.choose(t, b.long()).Endpoints {
+		if e == busy.Endpoints[0] {
+			t.Errorf("%s writes a short answer and was given a part of a long prompt", e.ID)
+		}
+	}
+}
+
+func TestALongPromptIsSpreadWhenOneEndpointIsTooSlow(t *testing.T) {
+	b := newBed(6)
+	p := b.choose(t, b.long())
+	if len(p.Endpoints) < 2 || p.PredictedFirstMs > 3000 {
+		t.Errorf("%d endpoints, first event after %.0f ms", len(p.Endpoints), p.PredictedFirstMs)
+	}
+}
+
+func TestAHelpersPartDelaysTheReadingThere(t *testing.T) {
+	b := newBed(2)
+	first := b.choose(t, b.long())
+	before := first.Handle.work.firstAt
+	b.book.ApplyRemote(7, []*wire.WorkEvent{{
+		Step: wire.WorkStep_WORK_STEP_OPEN, Work: 1, Endpoints: []uint64{99, first.Endpoints[0].Key},
+		ReadUs: 500_000, PromptTokens: 50_000, LimitMs: 10_000,
+	}})
+	if got := first.Handle.work.firstAt.Sub(before); got != 500*time.Millisecond {
+		t.Errorf("delayed by %v", got)
+	}
+}
+
+func TestNoEndpointIsGivenMoreAnswersThanItHasSlots(t *testing.T) {
+	b := newBed(2)
+	for range 8 {
+		b.choose(t, b.short()).Handle.Started()
+	}
+	if p := b.book.Choose(b.endpoints, b.short()); p != nil {
+		t.Errorf("a ninth answer was given to %s", p.Endpoints[0].ID)
+	}
+}
+
+func TestARequestThatIsLateDoesNotGetTheLastSlots(t *testing.T) {
+	b := newBed(1)
+	for range 3 {
+		b.choose(t, b.short()).Handle.Started()
+	}
+	overdue := b.short()
+	overdue.FirstLeft = 0
+	if b.book.Choose(b.endpoints, overdue) != nil {
+		t.Error("a late request got the last slot")
+	}
+	b.choose(t, b.short())
+}
+
+func TestNothingIsSentThatStartsAfterTheCallerHasLeft(t *testing.T) {
+	b := newBed(1)
+	d := b.long()
+	d.Patience = time.Second
+	if p := b.book.Choose(b.endpoints, d); p != nil {
+		t.Errorf("sent with its first event predicted after %.0f ms", p.PredictedFirstMs)
+	}
+}
+
+func TestAColdEndpointGetsNoMoreThanItsRate(t *testing.T) {
+	b := newBed(1)
+	b.service.Engine.Slots, b.endpoints[0].Slots = 100, 100
+	b.endpoints[0].ColdUntil = steady.Now().Add(time.Minute)
+	sent := 0
+	for range 10 {
+		if p := b.book.Choose(b.endpoints, b.short()); p != nil {
+			sent++
+			p.Handle.Close()
+		}
+		b.at = b.at.Add(50 * time.Millisecond)
+	}
+	if sent != 4 {
+		t.Errorf("%d sent within a second, want 4", sent)
+	}
+	b.at = b.at.Add(time.Second)
+	b.choose(t, b.short())
+}
+
+func TestAnEndpointThatFailedRestsLongerEachTime(t *testing.T) {
+	b := newBed(2)
+	key := b.endpoints[0].Key
+	b.endpoints[1].DataCentre = "dc2" // only taken when the other one rests
+	for _, rest := range []time.Duration{doubtFirst, 2 * doubtFirst, 4 * doubtFirst} {
+		b.book.Failed(key)
+		b.at = b.at.Add(rest - time.Millisecond)
+		p := b.choose(t, b.short())
+		p.Handle.Close()
+		if p.Endpoints[0].Key == key {
+			t.Errorf("asked within its rest of %v", rest)
+		}
+		b.at = b.at.Add(2 * time.Millisecond)
+		p = b.choose(t, b.short())
+		p.Handle.Close()
+		if p.Endpoints[0].Key != key {
+			t.Errorf("not asked after its rest of %v", rest)
+		}
+	}
+	b.book.Succeeded(key)
+	b.book.Failed(key)
+	b.at = b.at.Add(doubtFirst + time.Millisecond)
+	if p := b.choose(t, b.short()); p.Endpoints[0].Key != key {
+		t.Error("a success did not end the doubt")
+	}
+}
+
+func TestPlainRequestsGoToTheLeastLoaded(t *testing.T) {
+	b := newBed(3)
+	b.service = &catalogue.Service{Name: "desk"}
+	seen := make(map[string]int)
+	for range 6 {
+		seen[b.choose(t, b.short()).Endpoints[0].ID]++
+	}
+	for id, n := range seen {
+		if n != 2 {
+			t.Errorf("%s got %d of 6", id, n)
+		}
+	}
+}
+
+// Two books that tell each other everything hold the same work.
+func TestBooksThatExchangeNewsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, other := newBed(3), newBed(3)
+		a.book.OnNews(func(e *wire.WorkEvent) { other.book.ApplyRemote(1, []*wire.WorkEvent{e}) })
+		var open []*Handle
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			step := rapid.SampledFrom([]string{"open", "start", "late", "close", "time"}).Draw(t, "step")
+			switch {
+			case step == "open":
+				if p := a.book.Choose(a.endpoints, a.demand(rapid.IntRange(500, 200_000).Draw(t, "prompt"), 2*time.Second, time.Second)); p != nil {
+					open = append(open, p.Handle)
+				}
+			case step == "time":
+				a.at, other.at = a.at.Add(100*time.Millisecond), other.at.Add(100*time.Millisecond)
+			case len(open) > 0:
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				switch step {
+				case "start":
+					open[i].Started()
+				case "late":
+					open[i].Late()
+				case "close":
+					open[i].Close()
+				}
+			}
+		}
+		if x, y := len(a.book.works), len(other.book.works); x != y {
+			t.Fatalf("%d pieces of work here, %d there", x, y)
+		}
+		for id, w := range a.book.works {
+			copied := other.book.works[workID{sender: 1, number: id.number}]
+			if copied == nil || copied.started != w.started || copied.late != w.late || copied.prompt != w.prompt {
+				t.Fatalf("%+v is %+v there", w, copied)
+			}
+		}
+		for _, h := range open {
+			h.Close()
+		}
+		other.book.Forget(1)
+		for _, book := range []*Book{a.book, other.book} {
+			for key, account := range book.accounts {
+				if len(account.works) != 0 || len(book.works) != 0 {
+					t.Fatalf("%d pieces of work are left at %d", len(account.works), key)
+				}
+			}
+		}
+	})
+}
+
+func TestWorkOfAnEntryThatNeverToldItsEndExpires(t *testing.T) {
+	b := newBed(1)
+	b.book.ApplyRemote(1, []*wire.WorkEvent{{Step: wire.WorkStep_WORK_STEP_OPEN, Work: 1, Endpoints: []uint64{5}, LimitMs: 1000}})
+	b.at = b.at.Add(2 * time.Second)
+	b.book.Expire()
+	if len(b.book.works) != 0 {
+		t.Error("the work is still held")
+	}
+}
--- /dev/null
+++ b/coordination/serve/bed_test.go
@@ -0,0 +1,168 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/current"
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+)
+
+// bed is a server before endpoints that answer as a test says.
+type bed struct {
+	server    *Server
+	store     *current.Store
+	directory *directory.Directory
+	book      *placement.Book
+
+	mu      sync.Mutex
+	answers []func(ctx context.Context, a *Attempt) (*Response, error) // one for each sending
+	sent    []*Attempt
+}
+
+func newBed(t *testing.T, answers ...func(ctx context.Context, a *Attempt) (*Response, error)) *bed {
+	t.Helper()
+	b := &bed{store: current.NewStore(), directory: directory.New(), book: placement.NewBook(time.Now), answers: answers}
+	settings := Settings{
+		DataCentre: "dc1", CurrentFor: time.Second, RepeatRatio: 0.2, RepeatSlack: 20,
+		RepeatWindow: 10 * time.Second, Entries: func() int { return 1 },
+	}
+	b.server = NewServer(settings, b.store, b.directory, b.book, b, metrics.New())
+	c, err := catalogue.Build(&catalogue.Catalogue{
+		Version:  1,
+		Services: map[string]*catalogue.Service{"s": {Name: "s"}},
+		Routes: []catalogue.Route{
+			route("once", catalogue.AtMostOnce, false, 1),
+			route("again", catalogue.Idempotent, false, 2),
+			route("stream", catalogue.Stream, true, 2),
+			route("stream-once", catalogue.Stream, false, 2),
+		},
+		Organisations: []catalogue.Organisation{{Name: "boots", Keys: []string{"key"}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.store.Take(&catalogue.State{Index: 1, Catalogue: c}, "test")
+	b.store.Confirm(1, steady.Now())
+	for i := range 3 {
+		b.directory.Announce(&wire.EndpointRecord{
+			Id: fmt.Sprintf("e%d", i), BornMs: 1, Sequence: 1, Service: "s", DataCentre: "dc1", Slots: 4,
+			Address: fmt.Sprintf("10.0.0.%d:80", i),
+		})
+	}
+	return b
+}
+
+func route(name string, kind catalogue.Repeatability, resumable bool, most int) catalogue.Route {
+	return catalogue.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxEndpoints: most,
+		Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, PauseObjective: 50 * time.Millisecond,
+		Patience: 2 * time.Second, Split: []catalogue.Share{{Service: "s", Weight: 1}},
+	}
+}
+
+// Send implements Upstream.
+func (b *bed) Send(ctx context.Context, a *Attempt) (*Response, error) {
+	b.mu.Lock()
+	n := len(b.sent)
+	b.sent = append(b.sent, a)
+	b.mu.Unlock()
+	if n >= len(b.answers) {
+		return nil, errors.New("one sending too many")
+	}
+	return b.answers[n](ctx, a)
+}
+
+func (b *bed) sendings() []*Attempt {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sent
+}
+
+// given is the answer that a caller got.
+type given struct {
+	status int
+	body   strings.Builder
+	fault  *fault.Error
+	broken bool
+	starts int
+	writes func() error
+}
+
+func (g *given) Begin(status int, _ http.Header, _ int64) { g.status, g.starts = status, g.starts+1 }
+
+func (g *given) Write(p []byte) error {
+	g.body.Write(p)
+	if g.writes != nil {
+		return g.writes()
+	}
+	return nil
+}
+
+func (g *given) Refuse(err *fault.Error) {
+	g.status, g.fault, g.starts = err.Kind.Status(), err, g.starts+1
+}
+
+func (g *given) Break() { g.broken = true }
+
+func (b *bed) serve(ctx context.Context, route string) *given {
+	g := &given{}
+	b.server.Serve(ctx, &Request{
+		ID: "r1", Method: "POST", Host: "h", Path: "/" + route + "/x", Target: "/" + route + "/x",
+		Passed: http.Header{}, Key: "key", Arrived: time.Now(), Left: 2 * time.Second,
+	}, g)
+	return g
+}
+
+func good(body string) func(context.Context, *Attempt) (*Response, error) {
+	return func(context.Context, *Attempt) (*Response, error) {
+		return &Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Signed: true, Own: true}, nil
+	}
+}
+
+// breaking answers with a body that breaks off.
+func breaking(body string) func(context.Context, *Attempt) (*Response, error) {
+	return func(context.Context, *Attempt) (*Response, error) {
+		r := io.MultiReader(strings.NewReader(body), failing{})
+		return &Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(r), Signed: true, Own: true}, nil
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, errors.New("reset") }
+
+func full(context.Context, *Attempt) (*Response, error) {
+	return &Response{Status: 503, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+}
+
+func unreachable(context.Context, *Attempt) (*Response, error) {
+	return nil, &NotSent{Cause: errors.New("refused")}
+}
+
+func reset(context.Context, *Attempt) (*Response, error) { return nil, errors.New("reset") }
+
+func status(code int, signed bool) func(context.Context, *Attempt) (*Response, error) {
+	return func(context.Context, *Attempt) (*Response, error) {
+		return &Response{Status: code, Header: http.Header{}, Body: http.NoBody, Signed: signed, Own: true}, nil
+	}
+}
+
+// silent answers nothing until the sending is given up.
+func silent(ctx context.Context, _ *Attempt) (*Response, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
--- /dev/null
+++ b/state/catalogue/catalogue_test.go
@@ -0,0 +1,144 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"pgregory.net/rapid"
+)
+
+func sample() *Catalogue {
+	return &Catalogue{
+		Version:  3,
+		Services: map[string]*Service{"engine": {Name: "engine"}, "desk": {Name: "desk"}},
+		Routes: []Route{
+			{Name: "all", Host: "h", Prefix: "/", Timeout: time.Second, Split: []Share{{"engine", 1}}},
+			{Name: "deep", Host: "h", Prefix: "/a/b/", Timeout: time.Second, Split: []Share{{"desk", 1}}},
+		},
+		Organisations: []Organisation{{Name: "boots", Keys: []string{"k1", "k2"}}, {Name: "dishes", Keys: []string{"k3"}}},
+	}
+}
+
+func TestBuildRefusesWhatIsInvalid(t *testing.T) {
+	cases := map[string]func(c *Catalogue){
+		"unknown service": func(c *Catalogue) { c.Routes[0].Split = []Share{{"nobody", 1}} },
+		"same place":      func(c *Catalogue) { c.Routes[1].Prefix = "/" },
+		"no weight":       func(c *Catalogue) { c.Routes[0].Split = []Share{{"engine", 0}} },
+		"negative weight": func(c *Catalogue) { c.Routes[0].Split = []Share{{"engine", 2}, {"desk", -1}} },
+		"no timeout":      func(c *Catalogue) { c.Routes[0].Timeout = 0 },
+		"no slash":        func(c *Catalogue) { c.Routes[0].Prefix = "/a" },
+		"shared key":      func(c *Catalogue) { c.Organisations[1].Keys = []string{"k1"} },
+	}
+	if _, err := Build(sample()); err != nil {
+		t.Fatalf("the sample is valid: %v", err)
+	}
+	for name, spoil := range cases {
+		c := sample()
+		spoil(c)
+		if _, err := Build(c); fault.KindOf(err) != fault.InvalidRequest {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	c, err := Build(sample())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{"/x": "all", "/a/b/c": "deep", "/a/b": "all"} {
+		if got := c.Match("h", path); got == nil || got.Name != want {
+			t.Errorf("%s: got %v, want %s", path, got, want)
+		}
+	}
+	if c.Match("other", "/x") != nil {
+		t.Error("a host without routes matched")
+	}
+	if o := c.OrganisationOf("k2"); o == nil || o.Name != "boots" {
+		t.Errorf("k2 belongs to %v", o)
+	}
+}
+
+// decodeVersion reads a catalogue of which the text says only the version.
+func decodeVersion(text []byte) (*Catalogue, error) {
+	var m struct{ Version uint64 }
+	if err := json.Unmarshal(text, &m); err != nil {
+		return nil, err
+	}
+	c := sample()
+	c.Version = m.Version
+	return Build(c)
+}
+
+func install(t rapid.TB, m *Machine, index, version uint64, note string) *wire.ChangeOutcome {
+	t.Helper()
+	change, err := Pack(version, fmt.Appendf(nil, `{"Version":%d,"note":%q}`, version, note))
+	if err != nil {
+		t.Fatal(err)
+	}
+	outcome, ok := m.Apply(index, &wire.Command{Of: &wire.Command_Catalogue{Catalogue: change}}).(*wire.ChangeOutcome)
+	if !ok {
+		t.Fatal("no outcome")
+	}
+	return outcome
+}
+
+func TestTheHighestVersionWins(t *testing.T) {
+	m := NewMachine(decodeVersion, func(*State) {})
+	if o := install(t, m, 1, 5, "a"); o.Conflict || o.Version != 5 {
+		t.Fatalf("first: %v", o)
+	}
+	if o := install(t, m, 2, 5, "a"); o.Conflict {
+		t.Error("the same content under the same version must be acknowledged again")
+	}
+	if o := install(t, m, 3, 5, "b"); !o.Conflict {
+		t.Error("other content under the same version must be refused")
+	}
+	if o := install(t, m, 4, 4, "c"); o.Conflict || o.Version != 5 || m.State().Index != 1 {
+		t.Errorf("a lower version must change nothing: %v", o)
+	}
+	if o := install(t, m, 5, 9, "d"); o.Version != 9 || m.State().Index != 5 {
+		t.Errorf("a higher version must be in force: %v", o)
+	}
+}
+
+// Whatever is applied, the state never goes back and a snapshot restores it.
+func TestTheStateNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMachine(decodeVersion, func(*State) {})
+		index, version, lastIndex := uint64(0), uint64(0), uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			index++
+			if rapid.Bool().Draw(t, "catalogue") {
+				install(t, m, index, rapid.Uint64Range(1, 6).Draw(t, "version"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "note"))
+			} else {
+				name := rapid.SampledFrom([]string{"dc1", "dc2"}).Draw(t, "dc")
+				out := rapid.Bool().Draw(t, "out")
+				m.Apply(index, &wire.Command{Of: &wire.Command_DataCentre{DataCentre: &wire.DataCentreChange{DataCentre: name, Out: out}}})
+				if m.State().InService(name) == out {
+					t.Fatalf("%s out=%v is not in force", name, out)
+				}
+			}
+			s := m.State()
+			if s.Version() < version || s.Index < lastIndex {
+				t.Fatalf("went back from %d/%d to %d/%d", version, lastIndex, s.Version(), s.Index)
+			}
+			version, lastIndex = s.Version(), s.Index
+		}
+		snapshot, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := NewMachine(decodeVersion, func(*State) {})
+		if err := other.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		if a, b := m.State(), other.State(); a.Index != b.Index || a.Version() != b.Version() || string(a.Text) != string(b.Text) || fmt.Sprint(a.Out) != fmt.Sprint(b.Out) {
+			t.Fatalf("restored %+v, want %+v", b, a)
+		}
+	})
+}
