Correct predictions by what is seen, and send nothing that starts beyond six tenths of a caller's patience

Cause: in a burst of short prompts the first event took 309 ms (median) where 200 was predicted, so a queue once formed made every answer late; and long prompts predicted to start after 11 s of a patience of 12 were read in vain (2.2 M tokens read again).

--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -14,6 +14,13 @@
 // arrivalWindow is the span over which arrivals at a cold endpoint are counted.
 const arrivalWindow = time.Second
 
+// The bias of predictions follows what is seen in steps, within bounds.
+const (
+	biasStep  = 0.05
+	biasLeast = 0.8
+	biasMost  = 3
+)
+
 // Book is the ledger of work in flight, of this entry and of the others.
 type Book struct {
 	now func() time.Time
@@ -22,6 +29,7 @@
 	accounts map[uint64]*account // by endpoint key
 	works    map[workID]*work
 	sequence uint64
+	bias     float64 // of the time to the first event over its prediction, lately
 	spread   func(*wire.WorkEvent)
 	changed  chan struct{} // closed and replaced when work ends
 }
@@ -61,6 +69,7 @@
 		now:      now,
 		accounts: make(map[uint64]*account),
 		works:    make(map[workID]*work),
+		bias:     1,
 		spread:   func(*wire.WorkEvent) {},
 		changed:  make(chan struct{}),
 	}
@@ -177,7 +186,20 @@
 // how long it was predicted to take.
 func (h *Handle) Started() (took time.Duration, predictedMs float64) {
 	h.book.step(h.work, wire.WorkStep_WORK_STEP_STARTED)
-	return h.work.startedAt.Sub(h.work.openedAt), h.work.predictedMs
+	took = h.work.startedAt.Sub(h.work.openedAt)
+	h.book.learn(took, h.work.predictedMs)
+	return took, h.work.predictedMs
+}
+
+// learn moves the bias towards what one prediction was off by.
+func (b *Book) learn(took time.Duration, predictedMs float64) {
+	if predictedMs <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ratio := float64(took) / float64(time.Millisecond) * b.bias / predictedMs
+	b.bias += biasStep * (min(max(ratio, biasLeast), biasMost) - b.bias)
 }
 
 // Late notes that the work has missed an objective, so that others need not be
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -31,6 +31,9 @@
 	coldFactor = 2
 	// leastSplitMs is the least reading that is worth spreading.
 	leastSplitMs = 100
+	// patienceShare is the part of a caller's patience within which a first event
+	// must be predicted, as predictions fall short when much arrives.
+	patienceShare = 0.6
 	// timelyShare is the part of the slots, as its divisor, that only requests
 	// get which may still be in time.
 	timelyShare = 4
@@ -68,7 +71,9 @@
 	PredictedFirstMs float64
 	Handle           *Handle
 	Candidates       int
-	RunnerUp         string // the best endpoint that was not taken
+	Answers          int     // at the first endpoint, before this one
+	BacklogMs        float64 // of reading there
+	RunnerUp         string  // the best endpoint that was not taken
 	Score            float64
 	RunnerUpScore    float64
 
@@ -102,7 +107,7 @@
 	} else {
 		p = b.chooseEngine(candidates, d)
 	}
-	if p == nil || p.PredictedFirstMs > float64(d.Patience)/float64(time.Millisecond) {
+	if p == nil || p.PredictedFirstMs > patienceShare*float64(d.Patience)/float64(time.Millisecond) {
 		return nil
 	}
 	p.Candidates = len(candidates)
@@ -212,7 +217,7 @@
 	if best == nil {
 		return nil
 	}
-	p := &Plan{Endpoints: []*directory.Endpoint{best.endpoint}, Score: -score(best)}
+	p := &Plan{Endpoints: []*directory.Endpoint{best.endpoint}, Score: -score(best), Answers: best.answers}
 	if second != nil {
 		p.RunnerUp, p.RunnerUpScore = second.endpoint.ID, -score(second)
 	}
@@ -257,7 +262,7 @@
 	if n > 1 {
 		chosen = append(chosen, b.bestHelpers(candidates, main.candidate, d, n, reading)...)
 	}
-	p := &Plan{reading: reading}
+	p := &Plan{reading: reading, Answers: main.answers, BacklogMs: main.backlog.Ms}
 	for _, o := range chosen {
 		p.Endpoints = append(p.Endpoints, o.endpoint)
 		p.PredictedFirstMs = max(p.PredictedFirstMs, o.first)
@@ -341,7 +346,7 @@
 		o.first *= coldFactor
 	}
 	if !helps {
-		o.first += c.slotWaitMs(engine)
+		o.first = (o.first + c.slotWaitMs(engine)) * b.bias
 	}
 	o.loss = b.lossOf(c, engine, reading, helps)
 	if c.endpoint.DataCentre != d.DataCentre {
