Remove control voters that were replaced, and let a removed replica join anew; ready only with a catalogue

A group of three with one host replaced had four voters, one of them gone: a further loss left it without a quorum. A replica that was removed while away asks the others, empties its folder and joins as a learner. An entry counted as ready before it knew a catalogue (found by the test of stopping).

--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -385,6 +385,6 @@
 	}
 	r.server.logger.Info().Str("request", r.request.ID).Str("route", routeName).Str("organisation", r.organisation).
 		Uint64("version", r.version).Str("outcome", outcome).Int("status", r.status).Int("sends", r.sends).
-		Int("may_have_run", r.mayHaveRun).Bool("late", r.late).Dur("first", first).
+		Int("may_have_run", r.mayHaveRun).Bool("late", r.late).Dur("left", r.request.Left).Dur("first", first).
 		Dur("whole", time.Since(r.request.Arrived)).Err(err).Msg("The request has its final answer.")
 }
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/current"
@@ -39,16 +40,34 @@
 	others    func() []string // addresses of processes that may know the leader
 	voters    int             // that a group founded by this process must have first
 	startedAt time.Time
-	logger    *logs.Logger
+	address   string // of this process's links
+	silence   func() map[string]time.Duration
+
+	leaderAt    time.Time // when a leader was last known; owned by Run
+	removed     chan struct{}
+	removedOnce sync.Once
+	logger      *logs.Logger
+}
+
+// Options sets up a steering.
+type Options struct {
+	Address        string           // of this process's links
+	Replica        *replica.Replica // nil without a disk
+	Machine        *catalogue.Machine
+	Store          *current.Store
+	Directory      *directory.Directory
+	Dial           func(address string) (grpc.ClientConnInterface, error)
+	Others         func() []string                 // addresses of the processes with a replica
+	Silence        func() map[string]time.Duration // since each process was last heard, by address
+	FoundingVoters int                             // that a group founded by this process waits for
 }
 
-// New returns a steering. The replica is nil without a disk. A process that may
-// found the group names the voters that it waits for; others name none.
-func New(r *replica.Replica, m *catalogue.Machine, store *current.Store, dir *directory.Directory,
-	dial func(address string) (grpc.ClientConnInterface, error), others func() []string, foundingVoters int) *Steering {
+// New returns a steering.
+func New(o Options) *Steering {
 	return &Steering{
-		replica: r, machine: m, store: store, directory: dir, dial: dial, others: others,
-		voters: foundingVoters, startedAt: time.Now(), logger: logs.For("control"),
+		address: o.Address, replica: o.Replica, machine: o.Machine, store: o.Store, directory: o.Directory,
+		dial: o.Dial, others: o.Others, silence: o.Silence, voters: o.FoundingVoters,
+		startedAt: time.Now(), leaderAt: time.Now(), removed: make(chan struct{}), logger: logs.For("control"),
 	}
 }
 
@@ -82,7 +101,9 @@
 		}
 		if status.IsLeader {
 			s.confirm(ctx)
+			s.removeReplaced(ctx, status)
 		}
+		s.checkMembership(ctx, status)
 	}
 }
 
--- a/role/site/control.go
+++ b/role/site/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/current"
@@ -52,6 +54,11 @@
 		if !errors.As(err, &data) || ctx.Err() != nil {
 			return err
 		}
+		if errors.Is(err, errRemoved) {
+			if err := emptyFolder(settings.Process.DataFolder); err != nil {
+				logs.For("control").Error().Err(err).Msg("The data folder of a removed replica can't be emptied.")
+			}
+		}
 		logs.For("control").Error().Err(err).Dur("pause", dataRetry).Msg("The replica is opened again after a pause.")
 		if !wait.For(ctx, dataRetry) {
 			return nil
@@ -59,6 +66,23 @@
 	}
 }
 
+// errRemoved says that the replica in the data folder is no member any more.
+var errRemoved = errors.New("the replica was removed from the group while it was away")
+
+// emptyFolder removes the files of a replica that is no member any more.
+func emptyFolder(folder string) error {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Control is a process that operators and endpoints call.
 type Control struct {
 	settings *platform.Settings
@@ -107,21 +131,30 @@
 	return r, nil
 }
 
-func newSteering(p *site.Process, r *replica.Replica, m *catalogue.Machine, store *current.Store, dir *directory.Directory, pool *link.Pool) *steering.Steering {
+func newSteering(p *site.Process, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
+	store *current.Store, dir *directory.Directory, pool *link.Pool) *steering.Steering {
 	founding := 0
 	if p.Found {
 		founding = len(p.Seeds)
 	}
-	return steering.New(r, m, store, dir,
-		func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
-		func() []string { return voters(dir) }, founding)
+	return steering.New(steering.Options{
+		Address:        record.Address,
+		Replica:        r,
+		Machine:        m,
+		Store:          store,
+		Directory:      dir,
+		Dial:           func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
+		Others:         func() []string { return voters(dir, record.Address) },
+		Silence:        links.Silence,
+		FoundingVoters: founding,
+	})
 }
 
-// voters lists the processes that hold a replica.
-func voters(dir *directory.Directory) []string {
+// voters lists the other processes that hold a replica.
+func voters(dir *directory.Directory, self string) []string {
 	var addresses []string
 	for _, p := range dir.Processes() {
-		if p.Votes {
+		if p.Votes && p.Address != self {
 			addresses = append(addresses, p.Address)
 		}
 	}
@@ -173,6 +206,8 @@
 	case err = <-failed:
 	case err = <-replicaEnded:
 		err = &dataFailure{cause: err}
+	case <-c.steering.Removed():
+		err = &dataFailure{cause: errRemoved}
 	case <-ctx.Done():
 		c.leave(server)
 	}
--- a/role/site/entry.go
+++ b/role/site/entry.go
@@ -144,7 +144,7 @@
 }
 
 func (e *Entry) isReady() bool {
-	return !e.leaving.Load() && e.server.Current() && e.directory.Count() > 0
+	return !e.leaving.Load() && e.server.Current() && e.store.State().Catalogue != nil && e.directory.Count() > 0
 }
 
 func (e *Entry) callers() http.Handler {
--- a/role/site/site_test.go
+++ b/role/site/site_test.go
@@ -191,6 +191,28 @@
 	}
 }
 
+// A control host that is gone for good is replaced by one at another address;
+// after that a further one may be lost, and the first one may yet come back.
+func TestAReplacedControlHostDoesNotCountForTheQuorum(t *testing.T) {
+	p, _, _ := fleet(t)
+	p.stop("control1", syscall.SIGKILL)
+	p.start("control", 5, true, false)
+	p.until("the new host is a voter and the old one is removed", func() bool {
+		log := p.log("control2") + p.log("control3")
+		return strings.Contains(log, "becomes a voter") && strings.Contains(log, "was replaced is removed")
+	})
+	p.stop("control2", syscall.SIGKILL)
+	p.install(3, configuration(20, `"key"`))
+	p.start("control", 2, true, false)
+	p.start("control", 1, true, false) // with the disk of the removed replica
+	for _, n := range []int{1, 2, 3, 5} {
+		p.until("every host answers with the newest", func() bool {
+			status, text := p.operator(n, "GET", "/configuration", nil)
+			return status == 200 && text == configuration(20, `"key"`)
+		})
+	}
+}
+
 // An entry that is asked to stop answers what it has taken.
 func TestAnEntryStopsWithoutCuttingRequests(t *testing.T) {
 	p, _, _ := fleet(t)
--- a/role/site/standin_test.go
+++ b/role/site/standin_test.go
@@ -125,6 +125,15 @@
 	}
 }
 
+// log returns what a process wrote.
+func (p *provider) log(name string) string {
+	text, err := os.ReadFile(filepath.Join(p.folder, name+".log"))
+	if err != nil {
+		p.t.Error(err)
+	}
+	return string(text)
+}
+
 // logs prints what the processes wrote, for a test that failed.
 func (p *provider) logs() {
 	files, err := filepath.Glob(filepath.Join(p.folder, "*.log"))
