--- a/role/site/site_test.go
+++ b/role/site/site_test.go
@@ -13,6 +13,7 @@
 // installs a first configuration.
 func fleet(t *testing.T) (p *provider, first, second *engine) {
 	t.Helper()
+	t.Parallel()
 	p = newProvider(t)
 	for n := 1; n <= 3; n++ {
 		p.start("control", n, true, true)
