Write logs to standard output without blocking, serve metrics, and keep the last finding of a check

Metrics: text at a port that the deploy file names, for entries and control. A check of trials/cluster failed once beside other tests: its limit passed while the next answer was awaited, and that error hid what the last answer had told. The test that shows it failed before and passes now.

--- a/cmd/apricotspoke-agent/main.go
+++ b/cmd/apricotspoke-agent/main.go
@@ -21,8 +21,10 @@
 	defer stop()
 	if err := run(ctx, &options); err != nil {
 		fmt.Fprintln(os.Stderr, "apricotspoke-agent:", err)
+		logs.Flush()
 		os.Exit(1)
 	}
+	logs.Flush()
 }
 
 func run(ctx context.Context, options *agent.Options) error {
--- a/cmd/apricotspoke-control/main.go
+++ b/cmd/apricotspoke-control/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/settings"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 )
 
 func main() {
@@ -19,6 +20,8 @@
 	defer stop()
 	if err := control.RunProgram(ctx, options); err != nil {
 		fmt.Fprintln(os.Stderr, "apricotspoke-control:", err)
+		logs.Flush()
 		os.Exit(1)
 	}
+	logs.Flush()
 }
--- a/cmd/apricotspoke-entry/main.go
+++ b/cmd/apricotspoke-entry/main.go
@@ -29,6 +29,8 @@
 	}
 	if err != nil {
 		logs.For("entry").Error().Err(err).Msg("The entry has ended.")
+		logs.Flush()
 		os.Exit(1)
 	}
+	logs.Flush()
 }
--- a/cmd/apricotspoke-platform/main.go
+++ b/cmd/apricotspoke-platform/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
@@ -19,6 +20,8 @@
 	Role struct {
 		Name string `positional-arg-name:"role" choice:"entry" choice:"control" required:"true"`
 	} `positional-args:"true" required:"true"`
+	MetricsPort int    `long:"metrics-port" default:"0" description:"port of the host's address where metrics are read as text; 0 for none"`
+	LogLevel    string `long:"log-level" default:"info" description:"least level of log lines: debug, info, warn or error"`
 }
 
 func main() {
@@ -26,21 +29,29 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2) // go-flags has said why
 	}
+	if err := logs.CheckLevel(o.LogLevel); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	logs.SetLevel(o.LogLevel)
 	runtime.GOMAXPROCS(1) // one core is given, and more threads cost wake-ups
-	if err := run(o.Role.Name); err != nil {
+	if err := run(&o); err != nil {
 		logs.For(o.Role.Name).Error().Err(err).Msg("The process has ended.")
+		logs.Flush()
 		os.Exit(1)
 	}
+	logs.Flush()
 }
 
-func run(role string) error {
+func run(o *options) error {
 	settings, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
+	settings.Process.MetricsPort = o.MetricsPort
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if role == "control" {
+	if o.Role.Name == "control" {
 		return site.RunControl(ctx, settings, hangups())
 	}
 	return site.RunEntry(ctx, settings, hangups())
--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -340,6 +340,34 @@
 	return events
 }
 
+// Figures are counts for the metrics.
+type Figures struct {
+	Own, Others int // pieces of work in flight
+	Resting     int // endpoints that are left alone after a failure
+	Bias        float64
+}
+
+// Figures counts what the book holds.
+func (b *Book) Figures() Figures {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := Figures{Bias: b.bias}
+	for id := range b.works {
+		if id.sender == 0 {
+			f.Own++
+		} else {
+			f.Others++
+		}
+	}
+	now := b.now()
+	for _, a := range b.accounts {
+		if now.Before(a.health.restUntil) {
+			f.Resting++
+		}
+	}
+	return f
+}
+
 // Expire drops work whose time is over, of entries that never told its end.
 func (b *Book) Expire() {
 	b.mu.Lock()
--- a/role/site/control.go
+++ b/role/site/control.go
@@ -90,6 +90,7 @@
 	mesh     *mesh.Mesh
 	replica  *replica.Replica // nil without a disk
 	steering *steering.Steering
+	metrics  *Metrics
 	logger   *logs.Logger
 }
 
@@ -161,8 +162,11 @@
 	return addresses
 }
 
-func newControl(settings *platform.Settings, record *wire.ProcessRecord, m *mesh.Mesh, r *replica.Replica, s *steering.Steering, logger *logs.Logger) *Control {
-	return &Control{settings: settings, record: record, mesh: m, replica: r, steering: s, logger: logger}
+func newControl(settings *platform.Settings, record *wire.ProcessRecord, m *mesh.Mesh, r *replica.Replica, s *steering.Steering, metrics *Metrics, logger *logs.Logger) *Control {
+	if r != nil {
+		metrics.addReplica(r)
+	}
+	return &Control{settings: settings, record: record, mesh: m, replica: r, steering: s, metrics: metrics, logger: logger}
 }
 
 // Run serves until ctx ends.
@@ -182,7 +186,12 @@
 		return err
 	}
 	defer links.Stop()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	measured, err := c.metrics.serve(failed)
+	if err != nil {
+		return err
+	}
+	defer measured.Close()
 	server := &http.Server{
 		Handler:           platform.ControlPlane(c.steering),
 		ReadHeaderTimeout: operatorHeaders,
--- a/role/site/entry.go
+++ b/role/site/entry.go
@@ -41,6 +41,7 @@
 	store     *current.Store
 	directory *directory.Directory
 	server    *serve.Server
+	metrics   *Metrics
 	logger    *logs.Logger
 	leaving   atomic.Bool
 	running   atomic.Int64 // requests
@@ -82,8 +83,8 @@
 	return serve.NewServer(settings, store, dir, book, platform.NewUpstream(), registry)
 }
 
-func newEntry(settings *platform.Settings, record *wire.ProcessRecord, m *mesh.Mesh, store *current.Store, dir *directory.Directory, server *serve.Server, logger *logs.Logger) *Entry {
-	return &Entry{settings: settings, record: record, mesh: m, store: store, directory: dir, server: server, logger: logger}
+func newEntry(settings *platform.Settings, record *wire.ProcessRecord, m *mesh.Mesh, store *current.Store, dir *directory.Directory, server *serve.Server, metrics *Metrics, logger *logs.Logger) *Entry {
+	return &Entry{settings: settings, record: record, mesh: m, store: store, directory: dir, server: server, metrics: metrics, logger: logger}
 }
 
 // Run serves until ctx ends and the running requests are answered.
@@ -97,7 +98,12 @@
 		return err
 	}
 	defer links.Stop()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	measured, err := e.metrics.serve(failed)
+	if err != nil {
+		return err
+	}
+	defer measured.Close()
 	ready := &http.Server{Handler: http.HandlerFunc(e.answerReady), ReadHeaderTimeout: callerHeaders}
 	if err := serveHTTP(p.ReadyAddress, ready, failed); err != nil {
 		return err
--- /dev/null
+++ b/role/site/metrics.go
@@ -0,0 +1,71 @@
+package site
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/current"
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/replica"
+	"github.com/apricotspoke/apricotspoke/state/site"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+	"github.com/apricotspoke/apricotspoke/transport/mesh"
+)
+
+// Metrics serves a process's counters and histograms as text.
+type Metrics struct {
+	process  *site.Process
+	registry *metrics.Registry
+}
+
+func newMetrics(p *site.Process, registry *metrics.Registry, store *current.Store, dir *directory.Directory, book *placement.Book, links *mesh.Mesh) *Metrics {
+	registry.Func(func(w io.Writer) {
+		state := store.State()
+		age, known := store.Age()
+		fmt.Fprintf(w, "state_index %d\nstate_version %d\nstate_known %d\nstate_age_ms %d\ndata_centres_out %d\n",
+			state.Index, state.Version(), boolean(known), age.Milliseconds(), len(state.Out))
+		fmt.Fprintf(w, "directory_endpoints %d\ndirectory_processes %d\n", dir.Count(), len(dir.Processes()))
+		figures := book.Figures()
+		fmt.Fprintf(w, "ledger_own_work %d\nledger_other_work %d\nledger_resting_endpoints %d\nprediction_bias %.3f\n",
+			figures.Own, figures.Others, figures.Resting, figures.Bias)
+		longest := time.Duration(0)
+		for _, silence := range links.Silence() {
+			longest = max(longest, silence)
+		}
+		fmt.Fprintf(w, "links_longest_silence_ms %d\n", longest.Milliseconds())
+	})
+	return &Metrics{process: p, registry: registry}
+}
+
+func boolean(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// addReplica adds a control replica's position.
+func (m *Metrics) addReplica(r *replica.Replica) {
+	m.registry.Func(func(w io.Writer) {
+		s := r.Status()
+		fmt.Fprintf(w, "control_leads %d\ncontrol_leader_known %d\ncontrol_term %d\ncontrol_commit_index %d\ncontrol_members %d\n",
+			boolean(s.IsLeader), boolean(s.Leader != ""), s.Term, s.Commit, len(s.Members))
+	})
+}
+
+// serve listens on the metrics address, when there is one.
+func (m *Metrics) serve(failed chan<- error) (*http.Server, error) {
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		m.registry.WriteText(w)
+	})}
+	if m.process.MetricsPort == 0 {
+		return server, nil
+	}
+	return server, serveHTTP(net.JoinHostPort(m.process.IP, strconv.Itoa(m.process.MetricsPort)), server, failed)
+}
--- a/role/site/node.go
+++ b/role/site/node.go
@@ -51,7 +51,7 @@
 		func() *logs.Logger { return logs.For(kind.name) },
 		func() *link.Pool { return link.NewPool(link.Security{}) },
 		func() *placement.Book { return placement.NewBook(time.Now) },
-		metrics.New, current.NewStore, directory.New, newMesh,
+		metrics.New, current.NewStore, directory.New, newMesh, newMetrics,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			panic(err) // a constructor of this package that dig can't take
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -17,6 +17,7 @@
 	Seeds           []string // operator addresses of other processes
 	Found           bool     // the fleet starts for the first time
 	DataFolder      string   // empty without a disk
+	MetricsPort     int      // of the host's address; 0 for none
 	MemoryBytes     int64
 	Descriptors     int
 	Bounds          Bounds
--- a/telemetry/logs/logs.go
+++ b/telemetry/logs/logs.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -57,7 +56,7 @@
 	return &Logger{
 		base: &log.Logger{
 			Level:   log.DebugLevel,
-			Writer:  &log.IOWriter{Writer: os.Stderr},
+			Writer:  standard,
 			Context: log.NewContext(nil).Str("part", part).Value(),
 		},
 		repeats: make(map[string]*repeat),
--- a/trials/cluster/invariants.go
+++ b/trials/cluster/invariants.go
@@ -76,14 +76,20 @@
 
 func (e *Endpoint) check(ctx context.Context) error {
 	var state fakeendpoint.State
-	idle := Poll(ctx, func(ctx context.Context) (err error) {
-		if state, err = e.State(ctx); err != nil {
+	var inUse error // what the last answer told
+	idle := Poll(ctx, func(ctx context.Context) error {
+		next, err := e.State(ctx)
+		if err != nil && ctx.Err() != nil && inUse != nil {
+			return inUse // the limit passed while the next answer was awaited
+		}
+		if err != nil {
 			return err
 		}
+		state, inUse = next, nil
 		if state.Running > 0 || state.MemoryTokensUsed > 0 {
-			return fmt.Errorf("%s: %d attempts and %d tokens of memory are still in use", e.Name, state.Running, state.MemoryTokensUsed)
+			inUse = fmt.Errorf("%s: %d attempts and %d tokens of memory are still in use", e.Name, state.Running, state.MemoryTokensUsed)
 		}
-		return nil
+		return inUse
 	})
 	errs := []error{idle}
 	for _, breach := range state.Breaches {
--- a/trials/cluster/invariants_test.go
+++ b/trials/cluster/invariants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -52,3 +53,26 @@
 	post(service, "/book", "b2", `{"reference":"k"}`)
 	want(service, "key k ran 2 times")
 }
+
+// An answer that is still awaited when the limit passes does not hide what the
+// one before it told.
+func TestCheckTellsTheLastAnswerWhenTheLimitPasses(t *testing.T) {
+	answered := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if answered {
+			<-q.Context().Done()
+			return
+		}
+		answered = true
+		if err := json.NewEncoder(w).Encode(fakeendpoint.State{MemoryTokensUsed: 7}); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer server.Close()
+	e := &Endpoint{Process: &Process{Name: "e"}, HTTP: strings.TrimPrefix(server.URL, "http://")}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := e.check(ctx); err == nil || !strings.Contains(err.Error(), "7 tokens of memory are still in use") {
+		t.Errorf("got %v", err)
+	}
+}
