--- /dev/null
+++ b/coordination/steering/members_test.go
@@ -0,0 +1,39 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+func TestReplacedVoter(t *testing.T) {
+	voter := func(id string) *wire.Member { return &wire.Member{Id: id, Address: id} }
+	learner := &wire.Member{Id: "l", Address: "l", Learner: true}
+	removed := &wire.Member{Id: "x", Address: "x", Removed: true}
+	const long = time.Minute
+	cases := []struct {
+		name    string
+		members []*wire.Member
+		silent  map[string]time.Duration
+		want    string
+	}{
+		{"all are there", []*wire.Member{voter("a"), voter("b"), voter("c")}, nil, ""},
+		{"one is gone and nobody took its place", []*wire.Member{voter("a"), voter("b"), voter("c")}, map[string]time.Duration{"c": long}, ""},
+		{"a learner has not taken it yet", []*wire.Member{voter("a"), voter("b"), voter("c"), learner}, map[string]time.Duration{"c": long}, ""},
+		{"one was replaced", []*wire.Member{voter("a"), voter("b"), voter("c"), voter("d")}, map[string]time.Duration{"c": long}, "c"},
+		{"one is silent for a short time", []*wire.Member{voter("a"), voter("b"), voter("c"), voter("d")}, map[string]time.Duration{"c": 3 * time.Second}, ""},
+		{"two are gone", []*wire.Member{voter("a"), voter("b"), voter("c"), voter("d")}, map[string]time.Duration{"c": long, "d": long}, ""},
+		{"a removed one does not count", []*wire.Member{voter("a"), voter("b"), voter("c"), removed}, map[string]time.Duration{"x": long}, ""},
+		{"this one is never silent", []*wire.Member{voter("a"), voter("b"), voter("c"), voter("d")}, map[string]time.Duration{"a": long}, ""},
+	}
+	for _, c := range cases {
+		got := ""
+		if m := replacedVoter(c.members, "a", func(address string) time.Duration { return c.silent[address] }); m != nil {
+			got = m.Id
+		}
+		if got != c.want {
+			t.Errorf("%s: removes %q, want %q", c.name, got, c.want)
+		}
+	}
+}
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -44,6 +44,7 @@
 	a.registerKey(group(parser, "key", "Keys of callers and operators"))
 	add(parser.Command, "status", "Show who leads, the revision in force everywhere, and the endpoints", &struct{ command }{a.showStatus})
 	a.registerWatch(parser.Command)
+	a.registerStory(parser.Command)
 }
 
 func group(parser *flags.Parser, name, short string) *flags.Command {
--- /dev/null
+++ b/transport/mesh/mesh_test.go
@@ -0,0 +1,146 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/current"
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/transport/link"
+	"google.golang.org/grpc"
+)
+
+const waitLimit = 30 * time.Second // far beyond what a sound run takes
+
+// node is one process of a mesh on loopback.
+type node struct {
+	mesh      *Mesh
+	store     *current.Store
+	directory *directory.Directory
+	book      *placement.Book
+	address   string
+	stop      func()
+}
+
+func decode(text []byte) (*catalogue.Catalogue, error) {
+	var m struct{ Version uint64 }
+	if err := json.Unmarshal(text, &m); err != nil {
+		return nil, err
+	}
+	return catalogue.Build(&catalogue.Catalogue{Version: m.Version})
+}
+
+func start(t *testing.T, name string, incarnation uint64, seeds ...string) *node {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{store: current.NewStore(), directory: directory.New(), book: placement.NewBook(time.Now), address: listener.Addr().String()}
+	n.mesh = New(Options{
+		Self:   &wire.ProcessRecord{Name: name, Address: n.address, Incarnation: incarnation, Entry: true},
+		Seeds:  seeds,
+		Dial:   func(address string) (*grpc.ClientConn, error) { return link.Dial(address, link.Security{}) },
+		Decode: decode,
+	}, n.store, n.directory, n.book)
+	server := link.NewServer(link.Security{})
+	wire.RegisterMeshServer(server, n.mesh)
+	go func() { _ = server.Serve(listener) }() // ends when it is stopped
+	ctx, cancel := context.WithCancel(t.Context())
+	go n.mesh.Run(ctx)
+	n.stop = func() {
+		cancel()
+		server.Stop()
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("waited in vain: %s", what)
+}
+
+func state(t *testing.T, index uint64, text string) *catalogue.State {
+	t.Helper()
+	change, err := catalogue.Pack(index, []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := catalogue.FromWire(&wire.CatalogueState{Index: index, Content: change.Content, Digest: change.Digest}, nil, decode)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Processes that know one seed find each other, and what one learns all learn.
+func TestProcessesFindEachOtherAndSpreadNews(t *testing.T) {
+	a := start(t, "a", 1)
+	b := start(t, "b", 2, a.address)
+	c := start(t, "c", 3, a.address)
+	for _, n := range []*node{a, b, c} {
+		until(t, "all three are known", func() bool { return n.mesh.Entries() == 3 })
+	}
+	b.directory.Announce(&wire.EndpointRecord{Id: "e1", BornMs: 1, Sequence: 1, Service: "s", Address: "10.0.0.1:80"})
+	until(t, "the endpoint is known everywhere", func() bool { return a.directory.Count() == 1 && c.directory.Count() == 1 })
+	d := start(t, "d", 4, a.address)
+	until(t, "a process that comes later knows it too", func() bool { return d.directory.Count() == 1 })
+
+	endpoints := b.directory.Endpoints("s")
+	service := &catalogue.Service{Name: "s"}
+	plan := b.book.Choose(endpoints, &placement.Demand{
+		Service: service, Limit: time.Minute, Patience: time.Second, Excluded: func(*directory.Endpoint) bool { return false },
+	})
+	until(t, "the work is in all books", func() bool { return a.book.Figures().Others == 1 && d.book.Figures().Others == 1 })
+	plan.Handle.Close()
+	until(t, "its end is too", func() bool { return a.book.Figures().Others == 0 && d.book.Figures().Others == 0 })
+}
+
+// The work of an entry that is gone is forgotten.
+func TestWorkOfALostEntryIsForgotten(t *testing.T) {
+	a := start(t, "a", 1)
+	b := start(t, "b", 2, a.address)
+	until(t, "they know each other", func() bool { return a.mesh.Entries() == 2 && b.mesh.Entries() == 2 })
+	b.directory.Announce(&wire.EndpointRecord{Id: "e1", BornMs: 1, Sequence: 1, Service: "s", Address: "10.0.0.1:80"})
+	b.book.Choose(b.directory.Endpoints("s"), &placement.Demand{
+		Service: &catalogue.Service{Name: "s"}, Limit: time.Hour, Patience: time.Second, Excluded: func(*directory.Endpoint) bool { return false },
+	})
+	until(t, "the work is known", func() bool { return a.book.Figures().Others == 1 })
+	b.stop()
+	until(t, "it is forgotten", func() bool { return a.book.Figures().Others == 0 })
+}
+
+// The state travels along a chain, and so does how long ago it was confirmed.
+func TestTheStateAndItsAgeTravel(t *testing.T) {
+	a := start(t, "a", 1)
+	b := start(t, "b", 2, a.address)
+	c := start(t, "c", 3, b.address)
+	a.store.Take(state(t, 5, `{"Version":5}`), "test")
+	for _, n := range []*node{b, c} {
+		until(t, "the state arrives", func() bool { return n.store.State().Index == 5 && n.store.State().Version() == 5 })
+	}
+	if c.store.Within(time.Hour) {
+		t.Error("a state that was never confirmed counts as current")
+	}
+	confirmed := steady.Now()
+	a.store.Confirm(5, confirmed)
+	until(t, "the confirmation arrives", func() bool { return c.store.Within(time.Hour) })
+	if age, _ := c.store.Age(); age < steady.Since(confirmed)-time.Millisecond {
+		t.Errorf("a copy counts as confirmed %v ago, in truth it is %v", age, steady.Since(confirmed))
+	}
+	a.store.Take(state(t, 9, `{"Version":9}`), "test")
+	until(t, "the next state arrives", func() bool { return c.store.State().Index == 9 })
+}
