--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -41,6 +41,7 @@
 	id          workID
 	endpoints   []uint64
 	reading     passes.Reading // on each endpoint
+	held        []int          // tokens reserved at each endpoint, nil without reservations
 	prompt      int
 	output      int
 	openedAt    time.Time
@@ -101,6 +102,7 @@
 	w := &work{
 		id:          workID{number: b.sequence},
 		reading:     p.reading,
+		held:        p.Held,
 		prompt:      d.PromptTokens,
 		output:      d.OutputTokens,
 		openedAt:    now,
@@ -120,14 +122,34 @@
 }
 
 func (w *work) event(now time.Time) *wire.WorkEvent {
+	var held []uint32
+	for _, tokens := range w.held {
+		held = append(held, uint32(tokens))
+	}
 	return &wire.WorkEvent{
-		Step: wire.WorkStep_WORK_STEP_OPEN, Work: w.id.number, Endpoints: w.endpoints,
+		HeldTokens: held,
+		Step:       wire.WorkStep_WORK_STEP_OPEN, Work: w.id.number, Endpoints: w.endpoints,
 		ReadUs: uint32(w.reading.Ms * 1e3), PromptTokens: uint32(w.prompt), OutputTokens: uint32(w.output),
 		FirstMs: millis(w.firstDue.Sub(now)), PauseMs: millis(w.pause), LimitMs: millis(w.expires.Sub(now)),
 		CreditMilli: uint32(w.credit * 1e3), PredictedMs: millis(w.firstAt.Sub(now)),
 	}
 }
 
+// memoryAt is what the work takes of its i-th endpoint's memory, in tokens.
+func (w *work) memoryAt(i int) int {
+	switch {
+	case w.held != nil && i > 0:
+		return w.held[i]
+	case i > 0:
+		return 0
+	}
+	total := w.prompt + w.output
+	for _, tokens := range w.held {
+		total -= tokens
+	}
+	return max(0, total)
+}
+
 func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
 
 func (b *Book) enter(w *work) {
@@ -307,10 +329,23 @@
 			expires:  now.Add(time.Duration(e.LimitMs) * time.Millisecond),
 			credit:   float64(e.CreditMilli) / 1e3,
 			firstAt:  now.Add(time.Duration(e.PredictedMs) * time.Millisecond),
+			held:     heldOf(e),
 		})
 	}
 }
 
+// heldOf reads the reservations of an event.
+func heldOf(e *wire.WorkEvent) []int {
+	if len(e.HeldTokens) != len(e.Endpoints) {
+		return nil
+	}
+	held := make([]int, len(e.HeldTokens))
+	for i, tokens := range e.HeldTokens {
+		held[i] = int(tokens)
+	}
+	return held
+}
+
 // Forget drops all work of another entry, whose link is lost or started anew.
 func (b *Book) Forget(sender uint64) {
 	b.mu.Lock()
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -37,6 +37,12 @@
 	// timelyShare is the part of the slots, as its divisor, that only requests
 	// get which may still be in time.
 	timelyShare = 4
+	// leastOwnShare is the part of an endpoint's memory, as its divisor, that must
+	// be free where a prompt larger than the memory is answered.
+	leastOwnShare = 2
+	// reserveShare is the part of the free memory that may be reserved, as other
+	// answers grow meanwhile.
+	reserveShare = 0.85
 	// queueShare is how many answers may queue for a slot, as the divisor of the
 	// slots.
 	queueShare = 2
@@ -68,6 +74,7 @@
 // parts of its prompt.
 type Plan struct {
 	Endpoints        []*directory.Endpoint
+	Held             []int // tokens to reserve at each endpoint, nil when the first one has room
 	PredictedFirstMs float64
 	Handle           *Handle
 	Candidates       int
@@ -174,10 +181,10 @@
 		if !w.started {
 			c.backlog = c.backlog.Add(w.reading)
 		}
+		c.memory += w.memoryAt(slices.Index(w.endpoints, e.Key))
 		if w.endpoints[0] == e.Key {
 			c.answers++
 			c.context += w.prompt
-			c.memory += w.prompt + w.output
 		}
 	}
 	c.progress(now)
@@ -262,7 +269,11 @@
 	if n > 1 {
 		chosen = append(chosen, b.bestHelpers(candidates, main.candidate, d, n, reading)...)
 	}
-	p := &Plan{reading: reading, Answers: main.answers, BacklogMs: main.backlog.Ms}
+	held, fits := spread(chosen, d)
+	if !fits {
+		return nil
+	}
+	p := &Plan{reading: reading, Held: held, Answers: main.answers, BacklogMs: main.backlog.Ms}
 	for _, o := range chosen {
 		p.Endpoints = append(p.Endpoints, o.endpoint)
 		p.PredictedFirstMs = max(p.PredictedFirstMs, o.first)
@@ -318,7 +329,29 @@
 	if firstMs > float64(d.FirstLeft)/float64(time.Millisecond) {
 		room = slots - slots/timelyShare
 	}
-	return c.answers < room && c.memory+d.PromptTokens+d.OutputTokens <= engine.MemoryTokens
+	needed := d.PromptTokens + d.OutputTokens
+	if needed > engine.MemoryTokens {
+		needed = engine.MemoryTokens / leastOwnShare // the rest is reserved elsewhere
+	}
+	return c.answers < room && c.memory+needed <= engine.MemoryTokens
+}
+
+// spread divides the memory of a prompt that is larger than an endpoint's over
+// the endpoints of a plan. It returns nil and true when there is no need to.
+func spread(chosen []option, d *Demand) (held []int, fits bool) {
+	needed := d.PromptTokens + d.OutputTokens
+	most := d.Service.Engine.MemoryTokens
+	if needed <= most {
+		return nil, true
+	}
+	free := func(o option) int { return int(float64(most-o.memory) * reserveShare) }
+	held = make([]int, len(chosen))
+	missing := needed - free(chosen[0])
+	for i := 1; i < len(chosen) && missing > 0; i++ {
+		held[i] = max(0, min(missing, free(chosen[i])))
+		missing -= held[i]
+	}
+	return held, missing <= 0
 }
 
 func (c *candidate) slots(engine *catalogue.Engine) int {
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -49,8 +49,13 @@
 		return fault.New(fault.NotCurrent, "the catalogue was not confirmed in time").After(currentWait)
 	}
 	r.sends++
+	held, err := r.reserve(ctx, plan)
+	if err != nil {
+		return err
+	}
+	defer held.end()
 	r.mayHaveRun++
-	response, err := r.send(ctx, plan, cancel)
+	response, err := r.send(ctx, plan, held, cancel)
 	if err == nil {
 		err = r.deliver(ctx, plan, response, cancel)
 	}
@@ -60,12 +65,12 @@
 
 // send returns the beginning of the answer, or gives up on a silent endpoint
 // once another one is found.
-func (r *run) send(ctx context.Context, plan *placement.Plan, cancel context.CancelFunc) (*Response, error) {
+func (r *run) send(ctx context.Context, plan *placement.Plan, held *reservations, cancel context.CancelFunc) (*Response, error) {
 	type result struct {
 		response *Response
 		err      error
 	}
-	a := r.newAttempt(plan)
+	a := r.newAttempt(plan, held)
 	done := make(chan result, 1)
 	go func() {
 		response, err := r.server.upstream.Send(ctx, a)
@@ -93,7 +98,7 @@
 	}
 }
 
-func (r *run) newAttempt(plan *placement.Plan) *Attempt {
+func (r *run) newAttempt(plan *placement.Plan, held *reservations) *Attempt {
 	a := &Attempt{
 		Request:      r.request,
 		Endpoint:     plan.Endpoints[0],
@@ -102,7 +107,7 @@
 		LastEvent:    r.lastEvent,
 	}
 	for _, e := range plan.Endpoints[1:] {
-		a.Helpers = append(a.Helpers, Helper{Address: e.Address})
+		a.Helpers = append(a.Helpers, Helper{Address: e.Address, Ticket: held.ticketAt(e)})
 	}
 	return a
 }
--- a/coordination/serve/bed_test.go
+++ b/coordination/serve/bed_test.go
@@ -31,6 +31,9 @@
 	mu      sync.Mutex
 	answers []func(ctx context.Context, a *Attempt) (*Response, error) // one for each sending
 	sent    []*Attempt
+	tickets map[string]int // tokens reserved, by endpoint
+	orders  int
+	refuses string // this endpoint reserves nothing
 }
 
 func newBed(t *testing.T, answers ...func(ctx context.Context, a *Attempt) (*Response, error)) *bed {
@@ -42,13 +45,20 @@
 	}
 	b.server = NewServer(settings, b.store, b.directory, b.book, b, metrics.New())
 	c, err := catalogue.Build(&catalogue.Catalogue{
-		Version:  1,
-		Services: map[string]*catalogue.Service{"s": {Name: "s"}},
+		Version: 1,
+		Services: map[string]*catalogue.Service{"s": {Name: "s"}, "engine": {Name: "engine", Engine: &catalogue.Engine{
+			Slots: 4, MemoryTokens: 1000, StepsPerPass: 34, StepMs: 1, ReadTokensPerMs: 1, ChunkTokens: 100, UsualAnswer: 10,
+		}}},
 		Routes: []catalogue.Route{
 			route("once", catalogue.AtMostOnce, false, 1),
 			route("again", catalogue.Idempotent, false, 2),
 			route("stream", catalogue.Stream, true, 2),
 			route("stream-once", catalogue.Stream, false, 2),
+			{
+				Name: "long", Host: "h", Prefix: "/long/", Kind: catalogue.Stream, Resumable: true, MaxEndpoints: 2,
+				Timeout: 20 * time.Second, Objective: 10 * time.Second, PauseObjective: 10 * time.Second,
+				Patience: 20 * time.Second, Split: []catalogue.Share{{Service: "engine", Weight: 1}},
+			},
 		},
 		Organisations: []catalogue.Organisation{{Name: "boots", Keys: []string{"key"}}},
 	})
@@ -86,6 +96,40 @@
 	return b.answers[n](ctx, a)
 }
 
+// Reserve implements Upstream.
+func (b *bed) Reserve(_ context.Context, e *directory.Endpoint, _ string, tokens int, _ time.Duration) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.orders++
+	if e.ID == b.refuses {
+		return errors.New("no memory")
+	}
+	if b.tickets == nil {
+		b.tickets = make(map[string]int)
+	}
+	b.tickets[e.ID] = tokens
+	return nil
+}
+
+// Release implements Upstream.
+func (b *bed) Release(_ context.Context, e *directory.Endpoint, _ string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.tickets, e.ID)
+	return nil
+}
+
+// reserved returns the tokens reserved at all endpoints.
+func (b *bed) reserved() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	total := 0
+	for _, tokens := range b.tickets {
+		total += tokens
+	}
+	return total
+}
+
 func (b *bed) sendings() []*Attempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -167,7 +167,7 @@
 func (r *run) mayRepeat(err error) bool {
 	var unsent *NotSent
 	switch {
-	case errors.As(err, &unsent):
+	case errors.As(err, &unsent), errors.Is(err, errNoMemory):
 		return r.sends < mostSends // no endpoint had to deal with it
 	case isNotRun(err):
 		return r.sends < mostSends && r.takeRepeat()
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -69,6 +69,11 @@
 	// Send returns the beginning of the answer. A *NotSent error means that
 	// the endpoint took no byte.
 	Send(ctx context.Context, a *Attempt) (*Response, error)
+	// Reserve sets memory of an endpoint aside for a prompt that is read by
+	// several, or renews it. It lasts for the time given, from its arrival.
+	Reserve(ctx context.Context, e *directory.Endpoint, ticket string, tokens int, hold time.Duration) error
+	// Release ends a reservation.
+	Release(ctx context.Context, e *directory.Endpoint, ticket string) error
 }
 
 // NotSent is the failure to reach an endpoint at all.
