--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -125,24 +125,31 @@
 // Room describes how full the endpoints of a demand are, for the log.
 type Room struct {
 	Endpoints  int
-	Candidates int     // that may be asked now
-	Answers    int     // at the candidates
-	Least      int     // answers at the emptiest candidate
-	BacklogMs  float64 // least reading that waits at a candidate with a free slot
+	Candidates int // that may be asked now
+	Answers    int // at the candidates
+	Least      int // answers at the emptiest candidate
+	// Wait is the least time after which a candidate is predicted to be done
+	// with the reading it has, and to have a slot.
+	Wait time.Duration
 }
 
 // Room looks at the endpoints as Choose does.
 func (b *Book) Room(endpoints []*directory.Endpoint, d *Demand) Room {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := Room{Endpoints: len(endpoints), Least: math.MaxInt, BacklogMs: math.MaxFloat64}
+	r := Room{Endpoints: len(endpoints), Least: math.MaxInt, Wait: math.MaxInt64}
 	for _, c := range b.candidates(endpoints, d) {
 		r.Candidates++
 		r.Answers += c.answers
 		r.Least = min(r.Least, c.answers)
-		if d.Service.Engine == nil || c.canAnswer(d, 0) {
-			r.BacklogMs = min(r.BacklogMs, c.backlog.Ms)
+		wait := c.backlog.Ms
+		if d.Service.Engine != nil {
+			wait += c.slotWaitMs(d.Service.Engine)
 		}
+		r.Wait = min(r.Wait, fromMs(wait))
+	}
+	if r.Candidates == 0 {
+		r.Least, r.Wait = 0, doubtFirst
 	}
 	return r
 }
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -36,9 +36,14 @@
 	currentShare = 5
 	// roomWait is the least retry time told while no endpoint has room.
 	roomWait = 200 * time.Millisecond
-	// holdShare is the part of the time left, as its divisor, for which a request
-	// may wait for room.
-	holdShare = 4
+	// firstHoldShare is the part of the objective, as its divisor, for which a
+	// first try waits for room.
+	firstHoldShare = 8
+	// freshShare is the part of the route's time that a first try has at least.
+	freshShare = 0.95
+	// callerShare is the part of the time left, as its divisor, that callers wait
+	// at most when they are told to come back.
+	callerShare = 3
 	// leastLeft is the least time worth sending an attempt for.
 	leastLeft = 10 * time.Millisecond
 )
@@ -218,23 +223,34 @@
 func (r *run) noRoom() error {
 	state := r.server.current.State()
 	room := r.server.book.Room(r.server.directory.Endpoints(r.service.Name), r.demand(state))
+	after := min(max(room.Wait, roomWait), max(time.Until(r.limit)/callerShare, roomWait))
 	r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name).
 		Int("endpoints", room.Endpoints).Int("candidates", room.Candidates).Int("answers", room.Answers).
-		Int("least_answers", room.Least).Float64("least_backlog_ms", room.BacklogMs).Dur("waited", time.Since(r.request.Arrived)).
+		Int("least_answers", room.Least).Dur("room_in", room.Wait).Dur("retry_after", after).Dur("waited", time.Since(r.request.Arrived)).
 		Int("prompt", r.request.PromptTokens).Msg("No endpoint has room.")
-	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(roomWait)
+	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(after)
 }
 
-// holdUntil is how long the request waits for room: an answer that has begun as
-// long as there is time, others while their callers stay.
+// holdUntil is how long the request waits for room. The first try of a caller is
+// told early when to come back; one that came back waits as long as its caller
+// may stay, and an answer that has begun as long as there is time.
 func (r *run) holdUntil() time.Time {
 	if r.begun {
 		return r.limit.Add(-leastLeft)
 	}
-	hold := min(r.route.Patience/2, max(r.route.Objective, time.Until(r.limit)/holdShare))
+	hold := r.route.Objective / firstHoldShare
+	if r.cameBack() {
+		hold = r.route.Patience / 2
+	}
 	return r.request.Arrived.Add(hold)
 }
 
+// cameBack reports whether the caller has tried before: it has less time left
+// than the route gives.
+func (r *run) cameBack() bool {
+	return float64(r.request.Left) < freshShare*float64(r.route.Timeout)
+}
+
 // isOverdue reports whether the objective of the first event has passed.
 func (r *run) isOverdue() bool { return time.Since(r.request.Arrived) > r.route.Objective }
 
