--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
 // arrivalWindow is the span over which arrivals at a cold endpoint are counted.
@@ -228,6 +229,17 @@
 // careful of it any more.
 func (h *Handle) Late() { h.book.step(h.work, wire.WorkStep_WORK_STEP_LATE) }
 
+// Pass predicts how long the present pass takes at the endpoint that answers.
+func (h *Handle) Pass(engine *catalogue.Engine) time.Duration {
+	if engine == nil {
+		return 0
+	}
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	c := h.book.load(h.work.endpoints[0], h.book.now())
+	return fromMs(passes.PassMs(engine, c.answers, c.context, c.backlog))
+}
+
 // Close ends the work.
 func (h *Handle) Close() { h.book.step(h.work, wire.WorkStep_WORK_STEP_CLOSED) }
 
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -182,14 +182,21 @@
 }
 
 func (b *Book) candidate(e *directory.Endpoint, now time.Time) *candidate {
-	a := b.account(e.Key)
-	c := &candidate{endpoint: e, account: a}
+	c := b.load(e.Key, now)
+	c.endpoint = e
+	return c
+}
+
+// load adds up the work at an endpoint.
+func (b *Book) load(key uint64, now time.Time) *candidate {
+	a := b.account(key)
+	c := &candidate{account: a}
 	for _, w := range a.works {
 		if !w.started {
 			c.backlog = c.backlog.Add(w.reading)
 		}
-		c.memory += w.memoryAt(slices.Index(w.endpoints, e.Key))
-		if w.endpoints[0] == e.Key {
+		c.memory += w.memoryAt(slices.Index(w.endpoints, key))
+		if w.endpoints[0] == key {
 			c.answers++
 			c.context += w.prompt
 		}
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -22,6 +22,9 @@
 	stallFirst = 700 * time.Millisecond
 	// stallBetween is the least silence between events for the same.
 	stallBetween = 800 * time.Millisecond
+	// stallShare is the part of a caller's patience after which silence is a stall
+	// in any case.
+	stallShare = 0.7
 	// stallRetry is the pause between two looks for another endpoint.
 	stallRetry = 200 * time.Millisecond
 	// stallPauses is that silence as a multiple of the pause objective.
@@ -132,7 +135,18 @@
 		return r.route.Objective
 	}
 	predicted := time.Duration(plan.PredictedFirstMs) * time.Millisecond
-	return stallFirst + 2*predicted
+	return min(stallFirst+2*predicted, r.stallMost())
+}
+
+// stallAfter is the silence after an event from which on another endpoint is
+// looked for: longer while the endpoint reads much in a pass.
+func (r *run) stallAfter(plan *placement.Plan) time.Duration {
+	return min(max(stallBetween, stallPauses*r.route.PauseObjective)+plan.Handle.Pass(r.service.Engine), r.stallMost())
+}
+
+// stallMost leaves time to go on elsewhere before the caller's patience ends.
+func (r *run) stallMost() time.Duration {
+	return time.Duration(float64(r.route.Patience) * stallShare)
 }
 
 // findOther secures another endpoint for a request whose present one is silent.
@@ -234,10 +248,11 @@
 			if err := r.answer.Write(e.bytes); err != nil {
 				return err
 			}
+			r.events++
 			if e.id != "" {
 				r.lastEvent = e.id
 			}
-			stall.Reset(max(stallBetween, stallPauses*r.route.PauseObjective))
+			stall.Reset(r.stallAfter(plan))
 		case err := <-ended:
 			return r.streamEnded(response, err)
 		case <-stall.C:
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -39,6 +39,9 @@
 	// firstHoldShare is the part of the objective, as its divisor, for which a
 	// first try waits for room.
 	firstHoldShare = 8
+	// holdShare is the divisor of a caller's patience, or of its time left, for
+	// which one that came back waits for room.
+	holdShare = 4
 	// freshShare is the part of the route's time that a first try has at least.
 	freshShare = 0.95
 	// callerShare is the part of the time left, as its divisor, that callers wait
@@ -63,6 +66,7 @@
 	mayHaveRun   int // sends that an endpoint may have worked on
 	begun        bool
 	lastEvent    string
+	events       int             // passed on
 	next         *placement.Plan // secured before a silent attempt was given up
 	firstAt      time.Time
 	late         bool
@@ -240,7 +244,7 @@
 	}
 	hold := r.route.Objective / firstHoldShare
 	if r.cameBack() {
-		hold = r.route.Patience / 2
+		hold = min(r.route.Patience, r.request.Left) / holdShare
 	}
 	return r.request.Arrived.Add(hold)
 }
@@ -401,6 +405,6 @@
 	}
 	r.server.logger.Info().Str("request", r.request.ID).Str("route", routeName).Str("organisation", r.organisation).
 		Uint64("version", r.version).Str("outcome", outcome).Int("status", r.status).Int("sends", r.sends).
-		Int("may_have_run", r.mayHaveRun).Bool("late", r.late).Dur("left", r.request.Left).Dur("first", first).
+		Int("may_have_run", r.mayHaveRun).Int("events", r.events).Str("last_event", r.lastEvent).Bool("late", r.late).Dur("left", r.request.Left).Dur("first", first).
 		Dur("whole", time.Since(r.request.Arrived)).Err(err).Msg("The request has its final answer.")
 }
