Take no plan that takes more credit than it gives

Cause: with a data centre out of service, long prompts were placed where the work there lost more than they could earn.

--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -114,7 +114,7 @@
 	} else {
 		p = b.chooseEngine(candidates, d)
 	}
-	if p == nil || p.PredictedFirstMs > patienceShare*float64(d.Patience)/float64(time.Millisecond) {
+	if p == nil || p.Score < 0 && d.Service.Engine != nil || p.PredictedFirstMs > patienceShare*float64(d.Patience)/float64(time.Millisecond) {
 		return nil
 	}
 	p.Candidates = len(candidates)
