--- /dev/null
+++ b/coordination/placement/candidate.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+// candidate is an endpoint with what is predicted for it.
+type candidate struct {
+	endpoint *directory.Endpoint
+	account  *account
+	cold     bool
+	answers  int            // answers that it writes or will write
+	context  int            // tokens of these
+	backlog  passes.Reading // given to it and not yet done
+	memory   int            // tokens
+}
+
+func (b *Book) candidate(e *directory.Endpoint, now time.Time) *candidate {
+	c := b.load(e.Key, now)
+	c.endpoint = e
+	return c
+}
+
+// load adds up the work at an endpoint.
+func (b *Book) load(key uint64, now time.Time) *candidate {
+	a := b.account(key)
+	c := &candidate{account: a}
+	for _, w := range a.works {
+		if !w.started {
+			c.backlog = c.backlog.Add(w.reading)
+		}
+		c.memory += w.memoryAt(slices.Index(w.endpoints, key))
+		if w.endpoints[0] == key {
+			c.answers++
+			c.context += w.prompt
+		}
+	}
+	c.progress(now)
+	return c
+}
+
+// progress takes off the backlog what is read by now, as predicted.
+func (c *candidate) progress(now time.Time) {
+	left := max(0, float64(c.account.readFree.Sub(now))/float64(time.Millisecond))
+	if left >= c.backlog.Ms {
+		return
+	}
+	c.backlog.Tokens *= left / c.backlog.Ms
+	c.backlog.Ms = left
+}
+
+// canAnswer reports whether the candidate has room and memory for an answer
+// that is predicted to begin after firstMs. One that is in time may queue for a
+// slot; late ones don't get the last slots.
+func (c *candidate) canAnswer(d *Demand, firstMs float64) bool {
+	engine := d.Service.Engine
+	slots := c.slots(engine)
+	room := slots + slots/queueShare
+	if firstMs > float64(d.FirstLeft)/float64(time.Millisecond) {
+		room = slots - slots/timelyShare
+	}
+	needed := d.PromptTokens + d.OutputTokens
+	if needed > engine.MemoryTokens {
+		needed = engine.MemoryTokens / leastOwnShare // the rest is reserved elsewhere
+	}
+	return c.answers < room && c.memory+needed <= engine.MemoryTokens
+}
+
+func (c *candidate) slots(engine *catalogue.Engine) int {
+	return max(1, min(engine.Slots, c.endpoint.Slots))
+}
+
+// slotWaitMs predicts how long a further answer waits for a slot.
+func (c *candidate) slotWaitMs(engine *catalogue.Engine) float64 {
+	slots := c.slots(engine)
+	ahead := c.answers - slots + 1
+	if ahead <= 0 {
+		return 0
+	}
+	events := engine.UsualAnswer / float64(max(1, engine.StepsPerPass))
+	answerMs := events * passes.PassMs(engine, slots, c.context, passes.Reading{})
+	return float64(ahead) * answerMs / float64(slots)
+}
--- /dev/null
+++ b/coordination/placement/handle.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+// Handle follows one piece of this entry's work.
+type Handle struct {
+	book *Book
+	work *work
+}
+
+// Started notes that the first event was seen, and returns how long it took and
+// how long it was predicted to take.
+func (h *Handle) Started() (took time.Duration, predictedMs float64) {
+	h.book.step(h.work, wire.WorkStep_WORK_STEP_STARTED)
+	took = h.work.startedAt.Sub(h.work.openedAt)
+	h.book.learn(took, h.work.predictedMs)
+	return took, h.work.predictedMs
+}
+
+// learn moves the bias towards what one prediction was off by.
+func (b *Book) learn(took time.Duration, predictedMs float64) {
+	if predictedMs <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ratio := float64(took) / float64(time.Millisecond) * b.bias / predictedMs
+	b.bias += biasStep * (min(max(ratio, biasLeast), biasMost) - b.bias)
+}
+
+// Late notes that the work has missed an objective, so that others need not be
+// careful of it any more.
+func (h *Handle) Late() { h.book.step(h.work, wire.WorkStep_WORK_STEP_LATE) }
+
+// Pass predicts how long the present pass takes at the endpoint that answers.
+func (h *Handle) Pass(engine *catalogue.Engine) time.Duration {
+	if engine == nil {
+		return 0
+	}
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	c := h.book.load(h.work.endpoints[0], h.book.now())
+	return fromMs(passes.PassMs(engine, c.answers, c.context, c.backlog))
+}
+
+// Close ends the work.
+func (h *Handle) Close() { h.book.step(h.work, wire.WorkStep_WORK_STEP_CLOSED) }
--- /dev/null
+++ b/coordination/placement/plan.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
+)
+
+// splits are the numbers of endpoints over which a prompt may be read.
+var splits = []int{1, 2, 3, 4, 6, 8, 12, 16}
+
+// option is one candidate's part in a plan.
+type option struct {
+	*candidate
+	first float64 // ms to the first event
+	loss  float64 // credit that other work loses
+	cost  float64 // of the endpoint's place, in credit
+	score float64
+}
+
+// chooseEngine returns the plan that gives most credit, nil when none gives more
+// than it takes, or when the caller would have left before the first event.
+func (b *Book) chooseEngine(candidates []*candidate, d *Demand) *Plan {
+	var best *Plan
+	engine := d.Service.Engine
+	for _, n := range splits {
+		reading := passes.Reading{
+			Ms:     passes.ReadMs(engine, d.PromptTokens, n),
+			Tokens: float64(d.PromptTokens) / float64(n),
+		}
+		if n > len(candidates) || n > 1 && reading.Ms*float64(n) < leastSplitMs {
+			break
+		}
+		if p := b.planFor(candidates, d, n, reading); p != nil && (best == nil || p.Score > best.Score) {
+			best = p
+		}
+	}
+	latest := patienceShare * float64(d.Patience) / float64(time.Millisecond)
+	if best == nil || best.Score < 0 || best.PredictedFirstMs > latest {
+		return nil
+	}
+	return best
+}
+
+// planFor returns the best plan over n endpoints: the best helpers, and of the
+// endpoints with room for the answer the best one.
+func (b *Book) planFor(candidates []*candidate, d *Demand, n int, reading passes.Reading) *Plan {
+	main, second := b.bestMain(candidates, d, n, reading)
+	if main == nil {
+		return nil
+	}
+	chosen := []option{*main}
+	if n > 1 {
+		chosen = append(chosen, b.bestHelpers(candidates, main.candidate, d, n, reading)...)
+	}
+	held, fits := spread(chosen, d)
+	if !fits {
+		return nil
+	}
+	p := &Plan{reading: reading, Held: held, Answers: main.answers, BacklogMs: main.backlog.Ms}
+	for _, o := range chosen {
+		p.Endpoints = append(p.Endpoints, o.endpoint)
+		p.PredictedFirstMs = max(p.PredictedFirstMs, o.first)
+		p.Score -= o.loss + o.cost + d.Credit*helperShare
+	}
+	p.Score += d.Credit * (1 - lateShare + lateShare*chance(p.PredictedFirstMs, d.FirstLeft, firstMargin))
+	if second != nil {
+		p.RunnerUp, p.RunnerUpScore = second.endpoint.ID, p.Score+second.score-main.score
+	}
+	return p
+}
+
+// bestMain returns the best endpoint to answer, and the next best.
+func (b *Book) bestMain(candidates []*candidate, d *Demand, n int, reading passes.Reading) (best, second *option) {
+	for _, c := range candidates {
+		o := b.weigh(c, d, c.backlog, reading, false)
+		if !c.canAnswer(d, o.first) {
+			continue
+		}
+		if reading.Ms*float64(n) < leastSplitMs {
+			shared := d.Credit * packShare * float64(c.answers) / float64(max(1, d.Service.Engine.Slots))
+			o.cost -= shared
+			o.score += shared
+		}
+		switch {
+		case best == nil || o.score > best.score:
+			best, second = &o, best
+		case second == nil || o.score > second.score:
+			second = &o
+		}
+	}
+	return best, second
+}
+
+// bestHelpers returns the n-1 endpoints that lose least by reading a part.
+func (b *Book) bestHelpers(candidates []*candidate, main *candidate, d *Demand, n int, reading passes.Reading) []option {
+	options := make([]option, 0, len(candidates))
+	for _, c := range candidates {
+		if c != main {
+			options = append(options, b.weigh(c, d, passes.Reading{}, reading, true))
+		}
+	}
+	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(y.score, x.score) })
+	return options[:n-1]
+}
+
+// spread divides the memory of a prompt that is larger than an endpoint's over
+// the endpoints of a plan. It returns nil and true when there is no need to.
+func spread(chosen []option, d *Demand) (held []int, fits bool) {
+	needed := d.PromptTokens + d.OutputTokens
+	most := d.Service.Engine.MemoryTokens
+	if needed <= most {
+		return nil, true
+	}
+	free := func(o option) int { return int(float64(most-o.memory) * reserveShare) }
+	held = make([]int, len(chosen))
+	missing := needed - free(chosen[0])
+	for i := 1; i < len(chosen) && missing > 0; i++ {
+		held[i] = max(0, min(missing, free(chosen[i])))
+		missing -= held[i]
+	}
+	return held, missing <= 0
+}
--- /dev/null
+++ b/coordination/serve/place.go
@@ -0,0 +1,159 @@
+package serve
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+// place waits for endpoints with room.
+func (r *run) place(ctx context.Context) (*placement.Plan, error) {
+	if plan := r.next; plan != nil {
+		r.next = nil
+		return plan, nil
+	}
+	until := r.holdUntil()
+	for {
+		changed := r.server.book.Changed()
+		if plan := r.tryPlace(); plan != nil {
+			return plan, nil
+		}
+		if time.Now().After(until) {
+			return nil, r.noRoom()
+		}
+		if r.isOverdue() {
+			changed = nil // those that may still be in time go first
+		}
+		if !r.pause(ctx, changed) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// noRoom is the refusal of a request that found no endpoint.
+func (r *run) noRoom() error {
+	state := r.server.current.State()
+	room := r.server.book.Room(r.server.directory.Endpoints(r.service.Name), r.demand(state))
+	after := min(max(room.Wait, roomWait), max(time.Until(r.limit)/callerShare, roomWait))
+	r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name).
+		Int("endpoints", room.Endpoints).Int("candidates", room.Candidates).Int("answers", room.Answers).
+		Int("least_answers", room.Least).Dur("room_in", room.Wait).Dur("retry_after", after).Dur("waited", time.Since(r.request.Arrived)).
+		Int("prompt", r.request.PromptTokens).Msg("No endpoint has room.")
+	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(after)
+}
+
+// holdUntil is how long the request waits for room. The first try of a caller is
+// told early when to come back; one that came back waits as long as its caller
+// may stay, and an answer that has begun as long as there is time.
+func (r *run) holdUntil() time.Time {
+	if r.begun {
+		return r.limit.Add(-leastLeft)
+	}
+	hold := r.route.Objective / firstHoldShare
+	if r.cameBack() {
+		hold = min(r.route.Patience, r.request.Left) / holdShare
+	}
+	return r.request.Arrived.Add(hold)
+}
+
+// cameBack reports whether the caller has tried before: it has less time left
+// than the route gives.
+func (r *run) cameBack() bool {
+	return float64(r.request.Left) < freshShare*float64(r.route.Timeout)
+}
+
+// isOverdue reports whether the objective of the first event has passed.
+func (r *run) isOverdue() bool { return time.Since(r.request.Arrived) > r.route.Objective }
+
+// tryPlace returns a plan when endpoints have room just now.
+func (r *run) tryPlace() *placement.Plan {
+	if !r.server.Current() {
+		return nil
+	}
+	state := r.server.current.State()
+	plan := r.server.book.Choose(r.server.directory.Endpoints(r.service.Name), r.demand(state))
+	if plan != nil {
+		r.logPlan(plan, state)
+	}
+	return plan
+}
+
+// pause waits for a step, a change or the end of ctx, which it reports as false.
+func (r *run) pause(ctx context.Context, changed <-chan struct{}) bool {
+	timer := time.NewTimer(holdStep)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+func (r *run) demand(state *catalogue.State) *placement.Demand {
+	q := r.request
+	d := &placement.Demand{
+		Service:    r.service,
+		DataCentre: r.server.settings.DataCentre,
+		FirstLeft:  time.Until(q.Arrived.Add(r.route.Objective)),
+		Limit:      time.Until(r.limit),
+		Patience:   r.patienceLeft(),
+		Credit:     plainCredit,
+		Excluded: func(e *directory.Endpoint) bool {
+			return r.tried[e.Key] || e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY || !state.InService(e.DataCentre)
+		},
+	}
+	if engine := r.service.Engine; engine != nil {
+		d.PromptTokens = q.PromptTokens
+		d.OutputTokens = outputTokens(q, engine)
+		d.Pause = r.route.PauseObjective
+		d.Credit = math.Pow(max(1, passes.ReadMs(engine, q.PromptTokens, 1)), creditExponent)
+	}
+	return d
+}
+
+// patienceLeft is how long the caller will wait for the next byte.
+func (r *run) patienceLeft() time.Duration {
+	if r.begun {
+		return r.route.Patience
+	}
+	return time.Until(r.request.Arrived.Add(r.route.Patience))
+}
+
+// outputTokens is the expected output: the caller's estimate, or the usual one.
+func outputTokens(q *Request, engine *catalogue.Engine) int {
+	expected := int(engine.UsualAnswer)
+	if q.OutputHint > 0 {
+		expected = q.OutputHint
+	}
+	if q.MaxOutput > 0 {
+		expected = min(expected, q.MaxOutput)
+	}
+	return expected
+}
+
+func (r *run) logPlan(p *placement.Plan, state *catalogue.State) {
+	age, _ := r.server.current.Age()
+	r.server.logger.Info().Str("request", r.request.ID).Str("route", r.route.Name).
+		Str("endpoint", p.Endpoints[0].ID).Strs("helpers", identities(p.Endpoints[1:])).Int("prompt", r.request.PromptTokens).
+		Int("answers", p.Answers).Float64("backlog_ms", p.BacklogMs).Float64("predicted_first_ms", p.PredictedFirstMs).Float64("score", p.Score).
+		Str("runner_up", p.RunnerUp).Float64("runner_up_score", p.RunnerUpScore).Int("candidates", p.Candidates).
+		Uint64("version", state.Version()).Dur("state_age", age).Dur("waited", time.Since(r.request.Arrived)).
+		Msg("Endpoints were chosen.")
+}
+
+func identities(endpoints []*directory.Endpoint) []string {
+	ids := make([]string, 0, len(endpoints))
+	for _, e := range endpoints {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
