--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -272,3 +272,22 @@
 		t.Error("the work is still held")
 	}
 }
+
+// A long prompt is not read where the short answers lose more by it than it can
+// earn.
+func TestNoPlanTakesMoreThanItGives(t *testing.T) {
+	b := newBed(2)
+	for range 6 {
+		p := b.choose(t, b.short())
+		p.Handle.Started()
+		p.Handle.work.credit = 30
+	}
+	d := b.long()
+	d.Credit = 60
+	d.FirstLeft = 500 * time.Millisecond // it would be late in any case
+	if p := b.book.Choose(b.endpoints, d); p != nil {
+		t.Errorf("a plan with a score of %.0f was taken", p.Score)
+	}
+	d.Credit = 600
+	b.choose(t, d)
+}
