--- a/role/site/standin_test.go
+++ b/role/site/standin_test.go
@@ -31,7 +31,6 @@
 	binary  string
 	folder  string
 	ports   [5]int // callers, readiness, operator, first and last of the links
-	hosts   int
 	running map[string]*os.Process
 }
 
