--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
@@ -31,8 +30,17 @@
 	stallPauses = 3
 )
 
-// errNotRun marks an endpoint's own statement that it did not run a request.
-var errNotRun = errors.New("the endpoint did not run the request")
+// notRunError is an endpoint's own statement that it did not run a request.
+type notRunError struct {
+	atFault string // identity or address of the helper that failed, if one did
+}
+
+func (e *notRunError) Error() string {
+	if e.atFault != "" {
+		return "the endpoint did not run the request because " + e.atFault + " failed it"
+	}
+	return "the endpoint did not run the request"
+}
 
 // errStalled marks a stream that was silent for too long.
 var errStalled = errors.New("the endpoint was silent for too long")
@@ -40,7 +48,10 @@
 // errGarbled marks bytes that are not the endpoint's answer to this request.
 var errGarbled = errors.New("the answer is not a whole answer to this request")
 
-func isNotRun(err error) bool { return errors.Is(err, errNotRun) }
+func isNotRun(err error) bool {
+	var e *notRunError
+	return errors.As(err, &e)
+}
 
 // attempt sends the request to the endpoints of a plan and delivers the answer.
 func (r *run) attempt(ctx context.Context, plan *placement.Plan) error {
@@ -62,7 +73,7 @@
 	if err == nil {
 		err = r.deliver(ctx, plan, response, cancel)
 	}
-	r.judge(ctx, main, err)
+	r.judge(ctx, plan, err)
 	return err
 }
 
@@ -119,7 +130,7 @@
 func check(response *Response) (*Response, error) {
 	if response.NotRun || response.Wrong {
 		_ = response.Body.Close()
-		return nil, errNotRun
+		return nil, &notRunError{atFault: response.AtFault}
 	}
 	if !response.Own || response.Coded {
 		_ = response.Body.Close()
@@ -129,15 +140,16 @@
 }
 
 // judge notes what an attempt tells of the endpoint.
-func (r *run) judge(ctx context.Context, e *directory.Endpoint, err error) {
+func (r *run) judge(ctx context.Context, plan *placement.Plan, err error) {
 	var unsent *NotSent
+	e := plan.Endpoints[0]
 	switch {
 	case err == nil:
 		r.server.book.Succeeded(e.Key)
 		return
 	case isNotRun(err):
 		r.mayHaveRun--
-		r.server.book.Refused(e.Key)
+		r.blame(plan, err)
 	case errors.As(err, &unsent):
 		r.mayHaveRun--
 		r.server.book.Unreachable(e.Key)
@@ -151,6 +163,21 @@
 		Err(err).Msg("An attempt failed.")
 }
 
+// blame notes which endpoint of a plan refused: the helper that is named, or the
+// one that was asked.
+func (r *run) blame(plan *placement.Plan, err error) {
+	var refused *notRunError
+	if errors.As(err, &refused) && refused.atFault != "" {
+		for _, e := range plan.Endpoints[1:] {
+			if e.ID == refused.atFault || e.Address == refused.atFault {
+				r.server.book.Failed(e.Key)
+				return
+			}
+		}
+	}
+	r.server.book.Refused(plan.Endpoints[0].Key)
+}
+
 // deliver passes an answer on.
 func (r *run) deliver(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	defer response.Body.Close()
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -39,7 +39,6 @@
 	Request      *Request
 	Endpoint     *directory.Endpoint
 	Helpers      []Helper // endpoints that read parts of the prompt
-	OwnTicket    string   // reservation at the endpoint itself, empty without one
 	Organisation string
 	Left         time.Duration // that the endpoint may take
 	LastEvent    string
--- a/coordination/serve/serve_test.go
+++ b/coordination/serve/serve_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/protocol/steady"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
@@ -275,3 +276,19 @@
 		t.Errorf("got %v", count)
 	}
 }
+
+// The helper that made an endpoint refuse rests, not the endpoint.
+func TestTheHelperAtFaultIsBlamed(t *testing.T) {
+	b := longBed(t)
+	r := &run{server: b.server, request: &Request{ID: "r", Arrived: time.Now()}}
+	endpoints := b.directory.Endpoints("engine")
+	plan := &placement.Plan{Endpoints: endpoints[:3]}
+	r.blame(plan, &notRunError{atFault: endpoints[1].Address})
+	if resting := b.book.Figures().Resting; resting != 1 {
+		t.Errorf("%d endpoints rest", resting)
+	}
+	r.blame(plan, &notRunError{atFault: endpoints[1].ID})
+	if resting := b.book.Figures().Resting; resting != 1 {
+		t.Errorf("%d endpoints rest after the same one was named by its identity", resting)
+	}
+}
--- a/role/site/entry.go
+++ b/role/site/entry.go
@@ -11,6 +11,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/coordination/serve"
 	"github.com/apricotspoke/apricotspoke/platform"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/site"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
@@ -134,7 +135,7 @@
 	e.leaving.Store(true)
 	e.logger.Info().Int64("running", e.running.Load()).Dur("within", stopWithin).Msg("The entry is leaving.")
 	began := time.Now()
-	pollUntil(min(leaveFor, stopWithin/2), func() bool { return false })
+	wait.For(context.Background(), min(leaveFor, stopWithin/2))
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin-time.Since(began))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
--- a/role/site/node.go
+++ b/role/site/node.go
@@ -19,7 +19,6 @@
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/platform"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
-	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/site"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
@@ -166,11 +165,3 @@
 	}()
 	return nil
 }
-
-// pollUntil waits until done or the time is over.
-func pollUntil(limit time.Duration, done func() bool) {
-	const step = 20 * time.Millisecond
-	for until := time.Now().Add(limit); time.Now().Before(until) && !done(); {
-		wait.For(context.Background(), step)
-	}
-}
