--- a/telemetry/logs/sink_test.go
+++ b/telemetry/logs/sink_test.go
@@ -27,6 +27,12 @@
 	return o.text.Write(p)
 }
 
+func (o *output) length() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Len()
+}
+
 func line(s *sink, level log.Level, text string) {
 	l := &log.Logger{Level: log.DebugLevel, Writer: s}
 	l.WithLevel(level).Msg(text)
@@ -87,7 +93,7 @@
 			line(s, log.InfoLevel, long)
 			time.Sleep(time.Millisecond)
 		}
-		if got, most := o.text.Len(), sinkBytes+20*sinkRate+2*len(long); got > most {
+		if got, most := o.length(), sinkBytes+20*sinkRate+2*len(long); got > most {
 			t.Errorf("wrote %d bytes, at most %d are stated", got, most)
 		}
 		s.flush(time.Minute)
