--- a/coordination/current/store.go
+++ b/coordination/current/store.go
@@ -19,7 +19,6 @@
 	lease  atomic.Pointer[lease]
 
 	mu      sync.Mutex
-	ahead   uint64 // highest index heard of
 	changed []func(*catalogue.State)
 }
 
@@ -50,7 +49,6 @@
 		return
 	}
 	s.state.Store(next)
-	s.ahead = max(s.ahead, next.Index)
 	s.logger.Info().Uint64("index", next.Index).Uint64("version", next.Version()).
 		Strs("out", next.Out).Str("source", source).Msg("A newer state is in force.")
 	for _, f := range s.changed {
@@ -63,7 +61,6 @@
 func (s *Store) Confirm(index uint64, asOf steady.Time) (behind bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ahead = max(s.ahead, index)
 	if index > s.State().Index {
 		return true
 	}
@@ -73,13 +70,6 @@
 	return false
 }
 
-// Ahead returns the highest index heard of.
-func (s *Store) Ahead() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ahead
-}
-
 // Age returns how long ago the state held was surely the newest; false before
 // the first confirmation.
 func (s *Store) Age() (time.Duration, bool) {
--- a/state/catalogue/catalogue.go
+++ b/state/catalogue/catalogue.go
@@ -32,21 +32,20 @@
 
 // Route binds a host and a path prefix to services.
 type Route struct {
-	Name            string
-	Host            string
-	Prefix          string // begins and ends with a slash
-	Kind            Repeatability
-	Resumable       bool          // a stream may go on at another endpoint
-	Timeout         time.Duration // longest time to the final answer
-	Objective       time.Duration // to the answer, of streams to the first event
-	PauseObjective  time.Duration // between events; 0 where none is set
-	Patience        time.Duration // silence after which callers leave
-	Priority        int           // 0 is the most urgent
-	MaxEndpoints    int           // endpoints that one request may be sent to
-	Public          bool          // no key is asked for
-	SharesPrefixes  bool          // requests describe the parts of their prompt
-	Split           []Share
-	HomeDataCentres []string
+	Name           string
+	Host           string
+	Prefix         string // begins and ends with a slash
+	Kind           Repeatability
+	Resumable      bool          // a stream may go on at another endpoint
+	Timeout        time.Duration // longest time to the final answer
+	Objective      time.Duration // to the answer, of streams to the first event
+	PauseObjective time.Duration // between events; 0 where none is set
+	Patience       time.Duration // silence after which callers leave
+	Priority       int           // 0 is the most urgent
+	MaxEndpoints   int           // endpoints that one request may be sent to
+	Public         bool          // no key is asked for
+	SharesPrefixes bool          // requests describe the parts of their prompt
+	Split          []Share
 }
 
 // Share is one service's part of a route's requests.
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -19,19 +19,14 @@
 	DataFolder      string   // empty without a disk
 	MetricsPort     int      // of the host's address; 0 for none
 	MemoryBytes     int64
-	Descriptors     int
 	Bounds          Bounds
 }
 
 // Bounds are what the users ask for. Zero means that none is set.
 type Bounds struct {
-	RevokedWithin   time.Duration // a key taken away stops everywhere, also out of touch
-	StopWithin      time.Duration // between the signal to stop and the end
-	ContactWithin   time.Duration // after which a calm process counts as connected
-	RepeatRatio     float64
-	RepeatSlack     float64
-	RepeatWindow    time.Duration
-	ColdOverage     float64 // by which a cold endpoint's rate may be passed
-	ColdTolerance   float64 // requests beside
-	ReservationMost time.Duration
+	RevokedWithin time.Duration // a key taken away stops everywhere, also out of touch
+	StopWithin    time.Duration // between the signal to stop and the end
+	RepeatRatio   float64
+	RepeatSlack   float64
+	RepeatWindow  time.Duration
 }
