--- a/coordination/replica/snapshot_test.go
+++ b/coordination/replica/snapshot_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +15,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// gatedFiles holds up the sync of snapshots until the gate is closed.
+// gatedFiles holds up each sync of a snapshot until the gate lets one pass, or
+// is closed.
 type gatedFiles struct {
 	wal.Disk
 	gate    chan struct{}
@@ -76,23 +78,57 @@
 	for i := range 100 {
 		propose(fmt.Sprint("meanwhile-", i))
 	}
-	close(files.gate)
+	files.gate <- struct{}{}
 	for r.Status().SnapshotIndex == 0 {
 		time.Sleep(10 * time.Millisecond)
 	}
+	first := r.Status().SnapshotIndex
+	<-files.waiting // the next snapshot is held up too
 	cancel()
+	close(files.gate)
 	if err := <-ended; err != nil {
 		t.Fatal(err)
 	}
 	again := &ledger{}
-	if _, err := Open(Options{Folder: folder, Address: "a", Machine: again, Dial: dial}); err != nil {
+	reopened, err := Open(Options{Folder: folder, Address: "a", Machine: again, Dial: dial})
+	if err != nil {
 		t.Fatal(err)
 	}
-	if n := len(again.list()); n < 10 {
-		t.Fatalf("the snapshot holds %d operations", n)
+	if index := reopened.Status().SnapshotIndex; index != first {
+		t.Errorf("the folder rests on the snapshot at %d, the last one in use was at %d", index, first)
+	}
+	all := machine.list()
+	kept := again.list()
+	before := int(first) - ownEntries
+	if before < 1 || !slices.Equal(kept, all[:before]) {
+		t.Errorf("the snapshot at %d holds %q, want the first %d operations", first, kept, before)
+	}
+	runReplica(t, reopened)
+	for len(again.list()) < len(all) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if !slices.Equal(again.list(), all) {
+		t.Errorf("the log behind the snapshot gives %q, want %q", again.list(), all)
 	}
 }
 
+// ownEntries are those of a new group itself, before the first command: its
+// members and the first entry of its leader.
+const ownEntries = 2
+
+// runReplica runs a replica until the test ends.
+func runReplica(t *testing.T, r *Replica) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestReceivedSnapshotOvertakesOwn crashes at each point of taking in a
 // snapshot and an entry while the replica's own, older snapshot is written.
 func TestReceivedSnapshotOvertakesOwn(t *testing.T) {
