--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -56,7 +56,8 @@
 	DataCentre   string // of this entry
 	PromptTokens int
 	OutputTokens int
-	FirstLeft    time.Duration // to the objective of the answer or its first event
+	Objective    time.Duration // of the answer or its first event, from the arrival
+	FirstLeft    time.Duration // to the objective
 	Patience     time.Duration // the caller leaves when the first event takes longer
 	Pause        time.Duration // objective between events
 	Limit        time.Duration // until it is over in any case
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -23,6 +23,21 @@
 // chooseEngine returns the plan that gives most credit, nil when none gives more
 // than it takes, or when the caller would have left before the first event.
 func (b *Book) chooseEngine(candidates []*candidate, d *Demand) *Plan {
+	best := b.bestPlan(candidates, d)
+	if best == nil || best.Score < 0 || best.PredictedFirstMs > d.latestMs() {
+		return nil
+	}
+	return best
+}
+
+// latestMs is the latest prediction of a first event that is worth sending for.
+func (d *Demand) latestMs() float64 {
+	return patienceShare * float64(d.Patience) / float64(time.Millisecond)
+}
+
+// bestPlan returns the plan that gives most credit less what it takes, nil when
+// no number of endpoints has room for the answer.
+func (b *Book) bestPlan(candidates []*candidate, d *Demand) *Plan {
 	var best *Plan
 	engine := d.Service.Engine
 	for _, n := range splits {
@@ -37,10 +52,6 @@
 			best = p
 		}
 	}
-	latest := patienceShare * float64(d.Patience) / float64(time.Millisecond)
-	if best == nil || best.Score < 0 || best.PredictedFirstMs > latest {
-		return nil
-	}
 	return best
 }
 
--- a/coordination/placement/room.go
+++ b/coordination/placement/room.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
 )
 
 // Room describes how full the endpoints of a demand are, for the log.
@@ -13,17 +15,26 @@
 	Candidates int // that may be asked now
 	Answers    int // at the candidates
 	Least      int // answers at the emptiest candidate
-	// Wait is the least time after which a candidate is predicted to be done
-	// with the reading it has, and to have a slot.
+	// Wait is the time after which as many candidates as the demand needs to be
+	// in time are predicted to be done with the reading they have, and to have a
+	// slot.
 	Wait time.Duration
+	// Best is the plan that came nearest to being taken, nil when no number of
+	// endpoints has room for the answer.
+	Best *Plan
 }
 
 // Room looks at the endpoints as Choose does.
 func (b *Book) Room(endpoints []*directory.Endpoint, d *Demand) Room {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := Room{Endpoints: len(endpoints), Least: math.MaxInt, Wait: math.MaxInt64}
-	for _, c := range b.candidates(endpoints, d) {
+	r := Room{Endpoints: len(endpoints), Least: math.MaxInt}
+	var waits []float64
+	candidates := b.candidates(endpoints, d)
+	if d.Service.Engine != nil {
+		r.Best = b.bestPlan(candidates, d)
+	}
+	for _, c := range candidates {
 		r.Candidates++
 		r.Answers += c.answers
 		r.Least = min(r.Least, c.answers)
@@ -31,10 +42,25 @@
 		if d.Service.Engine != nil {
 			wait += c.slotWaitMs(d.Service.Engine)
 		}
-		r.Wait = min(r.Wait, fromMs(wait))
+		waits = append(waits, wait)
 	}
 	if r.Candidates == 0 {
 		r.Least, r.Wait = 0, doubtFirst
+		return r
 	}
+	slices.Sort(waits)
+	r.Wait = fromMs(waits[min(d.readersNeeded(), len(waits))-1])
 	return r
 }
+
+// readersNeeded is the number of idle endpoints that read the prompt within the
+// part of the objective that counts as surely in time.
+func (d *Demand) readersNeeded() int {
+	engine := d.Service.Engine
+	if engine == nil || d.Objective <= 0 {
+		return 1
+	}
+	sure := float64(d.Objective) / float64(time.Millisecond) * (1 - firstMargin)
+	needed := math.Ceil(passes.ReadMs(engine, d.PromptTokens, 1) / sure)
+	return min(max(1, int(needed)), splits[len(splits)-1])
+}
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -42,8 +42,12 @@
 	state := r.server.current.State()
 	room := r.server.book.Room(r.server.directory.Endpoints(r.service.Name), r.demand(state))
 	after := min(max(room.Wait, roomWait), max(time.Until(r.limit)/callerShare, roomWait))
-	r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name).
-		Int("endpoints", room.Endpoints).Int("candidates", room.Candidates).Int("answers", room.Answers).
+	line := r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name)
+	if best := room.Best; best != nil {
+		line = line.Str("best", best.Endpoints[0].ID).Int("best_helpers", len(best.Endpoints)-1).
+			Float64("best_first_ms", best.PredictedFirstMs).Float64("best_score", best.Score)
+	}
+	line.Int("endpoints", room.Endpoints).Int("candidates", room.Candidates).Int("answers", room.Answers).
 		Int("least_answers", room.Least).Dur("room_in", room.Wait).Dur("retry_after", after).Dur("waited", time.Since(r.request.Arrived)).
 		Int("prompt", r.request.PromptTokens).Msg("No endpoint has room.")
 	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(after)
@@ -103,6 +107,7 @@
 	d := &placement.Demand{
 		Service:    r.service,
 		DataCentre: r.server.settings.DataCentre,
+		Objective:  r.route.Objective,
 		FirstLeft:  time.Until(q.Arrived.Add(r.route.Objective)),
 		Limit:      time.Until(r.limit),
 		Patience:   r.patienceLeft(),
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -66,7 +66,7 @@
 				started = true
 				r.noteStarted(plan, now)
 			} else if r.route.PauseObjective > 0 && now.Sub(last) > r.route.PauseObjective {
-				r.noteLate(plan)
+				r.noteLate(plan, "pause", now.Sub(last))
 			}
 			last = now
 			if !r.begun {
@@ -110,15 +110,22 @@
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 	}
-	if now.Sub(r.request.Arrived) > r.route.Objective {
-		r.noteLate(plan)
+	if waited := now.Sub(r.request.Arrived); waited > r.route.Objective {
+		r.noteLate(plan, "first", waited)
 	}
 	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).
 		Int("helpers", len(plan.Endpoints)-1).Dur("took", took).Float64("predicted_ms", predicted).
 		Bool("late", r.late).Msg("The first event arrived.")
 }
 
-func (r *run) noteLate(plan *placement.Plan) {
-	r.late = true
+// noteLate tells the others that this answer has missed an objective, so that
+// they need not be careful of it any more.
+func (r *run) noteLate(plan *placement.Plan, objective string, took time.Duration) {
 	plan.Handle.Late()
+	if r.late {
+		return
+	}
+	r.late = true
+	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).Str("objective", objective).
+		Dur("took", took).Int("events", r.events).Dur("pass", plan.Handle.Pass(r.service.Engine)).Msg("The answer is late.")
 }
