Share an endpoint between short answers only while two of its slots are left

Cause: in the height of the short prompts eight endpoints were nearly idle while twelve had 16 or 17 answers on 16 slots; the reward for sharing outweighed a wait for a slot, which is predicted by its mean, and entries that choose at the same moment overshoot. First events took 0.3 to 1.2 s there. One test gave six answers to eight slots and relied on five of them sharing; it now gives four.

--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -86,3 +86,14 @@
 	answerMs := events * passes.PassMs(engine, slots, c.context, passes.Reading{})
 	return float64(ahead) * answerMs / float64(slots)
 }
+
+// packed is the part of the slots that is taken, for endpoints that write
+// already. It is none where a further answer, or one that another entry sends at
+// the same moment, might find no slot.
+func (c *candidate) packed(engine *catalogue.Engine) float64 {
+	slots := c.slots(engine)
+	if c.answers+spareSlots >= slots {
+		return 0
+	}
+	return float64(c.answers) / float64(slots)
+}
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -20,6 +20,8 @@
 	// packShare of the credit rewards an endpoint that already writes, which
 	// leaves others free to read long prompts.
 	packShare = 0.2
+	// spareSlots are left free for choices that cross while others have room.
+	spareSlots = 2
 	// awayShare of the credit is the cost of another data centre.
 	awayShare = 0.02
 	// helperShare of the credit is the cost of each further endpoint.
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -277,7 +277,7 @@
 // earn.
 func TestNoPlanTakesMoreThanItGives(t *testing.T) {
 	b := newBed(2)
-	for range 6 {
+	for range 4 { // no more, as late answers don't get the last slots
 		p := b.choose(t, b.short())
 		p.Handle.Started()
 		p.Handle.work.credit = 30
@@ -291,3 +291,46 @@
 	d.Credit = 600
 	b.choose(t, d)
 }
+
+// TestTheLastSlotsAreLeftFreeWhileOthersHaveRoom keeps short prompts from
+// queueing at an endpoint that they share while another one is idle.
+func TestTheLastSlotsAreLeftFreeWhileOthersHaveRoom(t *testing.T) {
+	b := newBed(2)
+	answers := make(map[string]int)
+	for range 6 {
+		p := b.choose(t, b.short())
+		p.Handle.Started()
+		answers[p.Endpoints[0].ID]++
+	}
+	for id, n := range answers {
+		if n != 3 {
+			t.Errorf("%s has %d answers, want 3 of 4 slots", id, n)
+		}
+	}
+}
+
+// TestTheRetryTimeIsWhenEnoughEndpointsAreDone looks at four endpoints, of which
+// three read, at a prompt that needs two or more to be in time.
+func TestTheRetryTimeIsWhenEnoughEndpointsAreDone(t *testing.T) {
+	b := newBed(4)
+	for i, ms := range []uint32{0, 1000, 2000, 3000} {
+		b.book.ApplyRemote(7, []*wire.WorkEvent{{
+			Step: wire.WorkStep_WORK_STEP_OPEN, Work: uint64(i), Endpoints: []uint64{b.endpoints[i].Key},
+			ReadUs: ms * 1000, PromptTokens: ms, LimitMs: 10_000, PredictedMs: ms,
+		}})
+	}
+	for _, c := range []struct {
+		name   string
+		demand *Demand
+		want   time.Duration
+	}{
+		{"short, one endpoint", b.short(), 0},
+		{"180,000 tokens, 3.8 s of reading for half of 3 s, three endpoints", b.long(), 2 * time.Second},
+		{"more than there are", b.demand(900_000, 3*time.Second, time.Second), 3 * time.Second},
+	} {
+		c.demand.Objective = c.demand.FirstLeft
+		if got := b.book.Room(b.endpoints, c.demand).Wait; got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -20,6 +20,15 @@
 	score float64
 }
 
+// before reports whether an option is better than another one: it has more
+// score, or the same and fewer answers.
+func (o *option) before(other *option) bool {
+	if o.score != other.score {
+		return o.score > other.score
+	}
+	return o.answers < other.answers
+}
+
 // chooseEngine returns the plan that gives most credit, nil when none gives more
 // than it takes, or when the caller would have left before the first event.
 func (b *Book) chooseEngine(candidates []*candidate, d *Demand) *Plan {
@@ -91,14 +100,14 @@
 			continue
 		}
 		if reading.Ms*float64(n) < leastSplitMs {
-			shared := d.Credit * packShare * float64(c.answers) / float64(max(1, d.Service.Engine.Slots))
+			shared := d.Credit * packShare * c.packed(d.Service.Engine)
 			o.cost -= shared
 			o.score += shared
 		}
 		switch {
-		case best == nil || o.score > best.score:
+		case best == nil || o.before(best):
 			best, second = &o, best
-		case second == nil || o.score > second.score:
+		case second == nil || o.before(second):
 			second = &o
 		}
 	}
