--- a/coordination/passes/passes.go
+++ b/coordination/passes/passes.go
@@ -2,11 +2,7 @@
 // figures that its service publishes. Times are in milliseconds.
 package passes
 
-import (
-	"math"
-
-	"github.com/apricotspoke/apricotspoke/state/catalogue"
-)
+import "github.com/apricotspoke/apricotspoke/state/catalogue"
 
 const (
 	pairsUnit   = 1e6
@@ -43,29 +39,3 @@
 
 // Add returns the sum of two readings.
 func (r Reading) Add(o Reading) Reading { return Reading{Ms: r.Ms + o.Ms, Tokens: r.Tokens + o.Tokens} }
-
-// inPass is the part of the reading that one pass with writers takes in.
-func inPass(e *catalogue.Engine, r Reading) float64 {
-	most := float64(max(1, e.StepsPerPass) * e.ChunkTokens)
-	if r.Tokens <= most {
-		return r.Ms
-	}
-	return r.Ms * most / r.Tokens
-}
-
-// PassMs is a whole pass beside so many writers while so much reading waits.
-func PassMs(e *catalogue.Engine, writers, contextTokens int, waiting Reading) float64 {
-	return WriteMs(e, writers, contextTokens) + inPass(e, waiting)
-}
-
-// FirstMs is the time from arrival to the first event of a prompt, behind other
-// reading. With writers, the reading runs in passes that also write.
-func FirstMs(e *catalogue.Engine, writers, contextTokens int, ahead, own Reading) float64 {
-	write := WriteMs(e, writers, contextTokens)
-	all := ahead.Add(own)
-	if writers == 0 {
-		return all.Ms + write
-	}
-	further := math.Floor(all.Tokens / float64(max(1, e.StepsPerPass*e.ChunkTokens)))
-	return write/2 + all.Ms + write*(1+further)
-}
--- /dev/null
+++ b/coordination/passes/queue.go
@@ -0,0 +1,195 @@
+package passes
+
+import (
+	"math"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+// WorkID names a piece of work: sender 0 is this process.
+type WorkID struct{ Sender, Number uint64 }
+
+// Part is what one endpoint reads of one prompt.
+type Part struct {
+	Work    WorkID
+	Reading Reading // not yet done
+	// Ahead marks a helper's part. It goes ahead of all reading that no pass has
+	// taken in, the newest first.
+	Ahead bool
+}
+
+// Writers are the answers that an endpoint writes, with their context in tokens.
+type Writers struct{ Count, Context int }
+
+// Queue follows the reading of one endpoint pass by pass. Beside writers a pass
+// runs all its token steps, and what comes meanwhile waits for the next one.
+// Without writers the engine reads step by step, so that helpers' parts go ahead
+// at once.
+type Queue struct {
+	at      time.Time // up to which the reading is followed
+	ends    time.Time // of the pass with writers that runs
+	waiting []Part    // in the order in which it is read
+	scratch []Part
+}
+
+// Advance follows the reading up to a moment.
+func (q *Queue) Advance(e *catalogue.Engine, w Writers, now time.Time) {
+	for q.ends.Before(now) {
+		switch {
+		case w.Count == 0:
+			q.read(e, milliseconds(now.Sub(later(q.at, q.ends))))
+			q.ends = now
+		case len(q.waiting) == 0:
+			write := fromMs(WriteMs(e, w.Count, w.Context))
+			q.ends = now.Add(write - now.Sub(q.ends)%write)
+		default:
+			ms, done := pass(e, w, q.waiting)
+			q.waiting = q.waiting[:copy(q.waiting, q.waiting[done:])]
+			q.ends = q.ends.Add(fromMs(ms))
+		}
+	}
+	q.at = now
+}
+
+// Add enters a part that arrives now.
+func (q *Queue) Add(p Part, now time.Time) {
+	if q.at.IsZero() {
+		q.at, q.ends = now, now
+	}
+	q.waiting = insert(q.waiting, p)
+}
+
+func insert(waiting []Part, p Part) []Part {
+	if !p.Ahead {
+		return append(waiting, p)
+	}
+	waiting = append(waiting, Part{})
+	copy(waiting[1:], waiting)
+	waiting[0] = p
+	return waiting
+}
+
+// Remove drops the part of a piece of work that was read or has ended.
+func (q *Queue) Remove(id WorkID) {
+	for i, p := range q.waiting {
+		if p.Work == id {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Waiting is the reading that is left.
+func (q *Queue) Waiting() Reading {
+	sum := Reading{}
+	for _, p := range q.waiting {
+		sum = sum.Add(p.Reading)
+	}
+	return sum
+}
+
+// read takes off what an engine without writers reads in so many milliseconds.
+func (q *Queue) read(e *catalogue.Engine, ms float64) {
+	for len(q.waiting) > 0 {
+		p := &q.waiting[0]
+		needed := aloneMs(e, p.Reading)
+		if needed > ms {
+			left := 1 - ms/needed
+			p.Reading = Reading{Ms: p.Reading.Ms * left, Tokens: p.Reading.Tokens * left}
+			return
+		}
+		ms -= needed
+		q.waiting = q.waiting[:copy(q.waiting, q.waiting[1:])]
+	}
+}
+
+// aloneMs is the time to read without writers: as many steps as there are chunks.
+func aloneMs(e *catalogue.Engine, r Reading) float64 {
+	return r.Ms + math.Ceil(r.Tokens/float64(max(1, e.ChunkTokens)))*e.StepMs
+}
+
+// pass is the length of the next pass with writers. It takes in so many of the
+// waiting parts whole, and takes off the next one what it reads of it.
+func pass(e *catalogue.Engine, w Writers, waiting []Part) (ms float64, done int) {
+	ms = WriteMs(e, w.Count, w.Context)
+	room := float64(max(1, e.StepsPerPass) * e.ChunkTokens)
+	for ; done < len(waiting); done++ {
+		r := &waiting[done].Reading
+		if r.Tokens > room {
+			share := room / r.Tokens
+			ms += r.Ms * share
+			*r = Reading{Ms: r.Ms * (1 - share), Tokens: r.Tokens - room}
+			break
+		}
+		room -= r.Tokens
+		ms += r.Ms
+	}
+	return ms, done
+}
+
+// Forecast is what is to come at an endpoint.
+type Forecast struct {
+	RestMs float64 // of the pass with writers that runs
+	PassMs float64 // the longest pass with writers after it, 0 without writers
+	DoneMs float64 // until all reading is done
+	done   []PartDone
+}
+
+// PartDone tells when a part will be read.
+type PartDone struct {
+	Work WorkID
+	Ms   float64 // from now
+}
+
+// Of returns when the part of a piece of work will be read, 0 when it is.
+func (f *Forecast) Of(id WorkID) float64 {
+	for _, d := range f.done {
+		if d.Work == id {
+			return d.Ms
+		}
+	}
+	return 0
+}
+
+// Forecast looks ahead from the moment of the last Advance, with a further part
+// when one is given. The list of f is used again.
+func (q *Queue) Forecast(e *catalogue.Engine, w Writers, further *Part, f *Forecast) {
+	f.done = f.done[:0]
+	f.RestMs, f.PassMs, f.DoneMs = 0, 0, 0
+	waiting := append(q.scratch[:0], q.waiting...)
+	if further != nil {
+		waiting = insert(waiting, *further)
+	}
+	q.scratch = waiting
+	if w.Count == 0 {
+		for _, p := range waiting {
+			f.DoneMs += aloneMs(e, p.Reading)
+			f.done = append(f.done, PartDone{p.Work, f.DoneMs})
+		}
+		return
+	}
+	f.RestMs = max(0, milliseconds(q.ends.Sub(q.at)))
+	at := f.RestMs
+	for f.PassMs == 0 || len(waiting) > 0 {
+		ms, done := pass(e, w, waiting)
+		at += ms
+		f.PassMs = max(f.PassMs, ms)
+		for _, p := range waiting[:done] {
+			f.done = append(f.done, PartDone{p.Work, at})
+			f.DoneMs = at
+		}
+		waiting = waiting[done:]
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -26,11 +27,13 @@
 
 	mu       sync.Mutex
 	accounts map[uint64]*account // by endpoint key
-	works    map[workID]*work
+	works    map[passes.WorkID]*work
+	settling []*work // own
 	sequence uint64
 	bias     float64 // of the time to the first event over its prediction, lately
 	spread   func(*wire.WorkEvent)
-	changed  chan struct{} // closed and replaced when work ends
+	after    passes.Forecast // scratch
+	changed  chan struct{}   // closed and replaced when work ends
 }
 
 // NewBook returns an empty book.
@@ -38,7 +41,7 @@
 	return &Book{
 		now:      now,
 		accounts: make(map[uint64]*account),
-		works:    make(map[workID]*work),
+		works:    make(map[passes.WorkID]*work),
 		bias:     1,
 		spread:   func(*wire.WorkEvent) {},
 		changed:  make(chan struct{}),
@@ -52,7 +55,7 @@
 func (b *Book) account(key uint64) *account {
 	a := b.accounts[key]
 	if a == nil {
-		a = &account{works: make(map[workID]*work)}
+		a = &account{works: make(map[passes.WorkID]*work)}
 		b.accounts[key] = a
 	}
 	return a
@@ -63,7 +66,7 @@
 	now := b.now()
 	b.sequence++
 	w := &work{
-		id:          workID{number: b.sequence},
+		id:          passes.WorkID{Number: b.sequence},
 		reading:     p.reading,
 		held:        p.Held,
 		prompt:      d.PromptTokens,
@@ -72,7 +75,7 @@
 		firstDue:    now.Add(d.FirstLeft),
 		pause:       d.Pause,
 		expires:     now.Add(d.Limit),
-		credit:      d.Credit,
+		credit:      float64(creditMilli(d.Credit)) / creditUnit,
 		predictedMs: p.PredictedFirstMs,
 		firstAt:     now.Add(fromMs(p.PredictedFirstMs)),
 	}
@@ -80,6 +83,10 @@
 		w.endpoints = append(w.endpoints, e.Key)
 	}
 	b.enter(w)
+	if p.reading.Ms*float64(len(p.Endpoints)) >= leastSplitMs {
+		b.settling = append(b.settling, w)
+		p.Settle = true
+	}
 	b.spread(w.event(now))
 	return &Handle{book: b, work: w}
 }
@@ -104,7 +111,7 @@
 	defer b.mu.Unlock()
 	f := Figures{Bias: b.bias}
 	for id := range b.works {
-		if id.sender == 0 {
+		if id.Sender == 0 {
 			f.Own++
 		} else {
 			f.Others++
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -14,44 +14,35 @@
 	endpoint *directory.Endpoint
 	account  *account
 	cold     bool
-	answers  int            // answers that it writes or will write
-	context  int            // tokens of these
-	backlog  passes.Reading // given to it and not yet done
-	memory   int            // tokens
+	answers  int // that it writes or will write
+	context  int // tokens of these
+	memory   int // tokens
+	forecast passes.Forecast
 }
 
-func (b *Book) candidate(e *directory.Endpoint, now time.Time) *candidate {
-	c := b.load(e.Key, now)
+func (b *Book) candidate(e *directory.Endpoint, engine *catalogue.Engine, now time.Time) *candidate {
+	c := b.load(e.Key, engine, now)
 	c.endpoint = e
 	return c
 }
 
-// load adds up the work at an endpoint.
-func (b *Book) load(key uint64, now time.Time) *candidate {
+// load adds up the work at an endpoint. There is no engine at a plain service.
+func (b *Book) load(key uint64, engine *catalogue.Engine, now time.Time) *candidate {
 	a := b.account(key)
 	c := &candidate{account: a}
 	for _, w := range a.works {
-		if !w.started {
-			c.backlog = c.backlog.Add(w.reading)
-		}
 		c.memory += w.memoryAt(slices.Index(w.endpoints, key))
 		if w.endpoints[0] == key {
 			c.answers++
 			c.context += w.prompt
 		}
 	}
-	c.progress(now)
-	return c
-}
-
-// progress takes off the backlog what is read by now, as predicted.
-func (c *candidate) progress(now time.Time) {
-	left := max(0, float64(c.account.readFree.Sub(now))/float64(time.Millisecond))
-	if left >= c.backlog.Ms {
-		return
+	if engine != nil {
+		a.engine = engine
+		a.follow(key, now)
+		a.queue.Forecast(engine, a.writers(key), nil, &c.forecast)
 	}
-	c.backlog.Tokens *= left / c.backlog.Ms
-	c.backlog.Ms = left
+	return c
 }
 
 // canAnswer reports whether the candidate has room and memory for an answer
@@ -83,7 +74,7 @@
 		return 0
 	}
 	events := engine.UsualAnswer / float64(max(1, engine.StepsPerPass))
-	answerMs := events * passes.PassMs(engine, slots, c.context, passes.Reading{})
+	answerMs := events * passes.WriteMs(engine, slots, c.context)
 	return float64(ahead) * answerMs / float64(slots)
 }
 
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -15,7 +15,7 @@
 	// firstMargin is the part of the objective of a first event over which the
 	// chance to meet it falls from one to nothing; pauseMargin is that of pauses,
 	// which are predicted better.
-	firstMargin = 0.5
+	firstMargin = 0.6
 	pauseMargin = 0.35
 	// packShare of the credit rewards an endpoint that already writes, which
 	// leaves others free to read long prompts.
@@ -74,6 +74,7 @@
 	Held             []int // tokens to reserve at each endpoint, nil when the first one has room
 	PredictedFirstMs float64
 	Handle           *Handle
+	Settle           bool // wait for choices of other entries that crossed this one before sending
 	Candidates       int
 	Answers          int     // at the first endpoint, before this one
 	BacklogMs        float64 // of reading there
@@ -116,7 +117,7 @@
 		if d.Excluded(e) {
 			continue
 		}
-		c := b.candidate(e, now)
+		c := b.candidate(e, d.Service.Engine, now)
 		c.cold = e.Cold(steadyNow)
 		if c.cold && d.Service.ColdPerSecond > 0 && float64(c.account.arrivalsAt(now)+1) > d.Service.ColdPerSecond {
 			continue
--- a/coordination/placement/handle.go
+++ b/coordination/placement/handle.go
@@ -1,9 +1,9 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
-	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
@@ -14,6 +14,16 @@
 	work *work
 }
 
+// Settle ends the time in which a plan waits for news of choices that crossed
+// it. It reports whether one of them has precedence; the plan is then to be
+// closed and made anew.
+func (h *Handle) Settle() (crossed bool) {
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	h.book.settling = slices.DeleteFunc(h.book.settling, func(w *work) bool { return w == h.work })
+	return h.work.crossed
+}
+
 // Started notes that the first event was seen, and returns how long it took and
 // how long it was predicted to take.
 func (h *Handle) Started() (took time.Duration, predictedMs float64) {
@@ -38,16 +48,20 @@
 // careful of it any more.
 func (h *Handle) Late() { h.book.step(h.work, wire.WorkStep_WORK_STEP_LATE) }
 
-// Pass predicts how long the present pass takes at the endpoint that answers.
+// Pass predicts how long the endpoint that answers may be silent: for the rest
+// of the pass that runs, or for a pass to come.
 func (h *Handle) Pass(engine *catalogue.Engine) time.Duration {
 	if engine == nil {
 		return 0
 	}
 	h.book.mu.Lock()
 	defer h.book.mu.Unlock()
-	c := h.book.load(h.work.endpoints[0], h.book.now())
-	return fromMs(passes.PassMs(engine, c.answers, c.context, c.backlog))
+	f := &h.book.load(h.work.endpoints[0], engine, h.book.now()).forecast
+	return fromMs(max(f.RestMs, f.PassMs))
 }
 
 // Close ends the work.
-func (h *Handle) Close() { h.book.step(h.work, wire.WorkStep_WORK_STEP_CLOSED) }
+func (h *Handle) Close() {
+	h.Settle()
+	h.book.step(h.work, wire.WorkStep_WORK_STEP_CLOSED)
+}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -79,7 +79,7 @@
 	if !fits {
 		return nil
 	}
-	p := &Plan{reading: reading, Held: held, Answers: main.answers, BacklogMs: main.backlog.Ms}
+	p := &Plan{reading: reading, Held: held, Answers: main.answers, BacklogMs: main.forecast.DoneMs}
 	for _, o := range chosen {
 		p.Endpoints = append(p.Endpoints, o.endpoint)
 		p.PredictedFirstMs = max(p.PredictedFirstMs, o.first)
@@ -95,7 +95,7 @@
 // bestMain returns the best endpoint to answer, and the next best.
 func (b *Book) bestMain(candidates []*candidate, d *Demand, n int, reading passes.Reading) (best, second *option) {
 	for _, c := range candidates {
-		o := b.weigh(c, d, c.backlog, reading, false)
+		o := b.weigh(c, d, reading, false)
 		if !c.canAnswer(d, o.first) {
 			continue
 		}
@@ -119,7 +119,7 @@
 	options := make([]option, 0, len(candidates))
 	for _, c := range candidates {
 		if c != main {
-			options = append(options, b.weigh(c, d, passes.Reading{}, reading, true))
+			options = append(options, b.weigh(c, d, reading, true))
 		}
 	}
 	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(y.score, x.score) })
--- a/coordination/placement/remote.go
+++ b/coordination/placement/remote.go
@@ -17,7 +17,7 @@
 			b.doubt(e.Endpoints)
 			continue
 		}
-		id := workID{sender: sender, number: e.Work}
+		id := passes.WorkID{Sender: sender, Number: e.Work}
 		if e.Step != wire.WorkStep_WORK_STEP_OPEN {
 			if w := b.works[id]; w != nil {
 				b.change(w, e.Step)
@@ -27,7 +27,7 @@
 		if b.works[id] != nil || len(e.Endpoints) == 0 {
 			continue
 		}
-		b.enter(&work{
+		w := &work{
 			id: id, endpoints: e.Endpoints,
 			reading: passes.Reading{
 				Ms:     float64(e.ReadUs) / 1e3,
@@ -37,10 +37,21 @@
 			firstDue: now.Add(time.Duration(e.FirstMs) * time.Millisecond),
 			pause:    time.Duration(e.PauseMs) * time.Millisecond,
 			expires:  now.Add(time.Duration(e.LimitMs) * time.Millisecond),
-			credit:   float64(e.CreditMilli) / 1e3,
+			credit:   float64(e.CreditMilli) / creditUnit,
 			firstAt:  now.Add(time.Duration(e.PredictedMs) * time.Millisecond),
 			held:     heldOf(e),
-		})
+		}
+		b.enter(w)
+		b.cross(w)
+	}
+}
+
+// cross marks own work that was chosen before this news of other work came.
+func (b *Book) cross(remote *work) {
+	for _, w := range b.settling {
+		if remote.precedes(w) && remote.shares(w) {
+			w.crossed = true
+		}
 	}
 }
 
@@ -61,7 +72,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, w := range b.works {
-		if id.sender == sender {
+		if id.Sender == sender {
 			b.drop(w)
 		}
 	}
@@ -74,12 +85,12 @@
 	now := b.now()
 	var events []*wire.WorkEvent
 	for id, w := range b.works {
-		if id.sender != 0 {
+		if id.Sender != 0 {
 			continue
 		}
 		events = append(events, w.event(now))
 		if w.started {
-			events = append(events, &wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_STARTED, Work: id.number})
+			events = append(events, &wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_STARTED, Work: id.Number})
 		}
 	}
 	return events
@@ -91,7 +102,7 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	for id, w := range b.works {
-		if id.sender != 0 && now.After(w.expires) {
+		if id.Sender != 0 && now.After(w.expires) {
 			b.drop(w)
 		}
 	}
--- a/coordination/placement/room.go
+++ b/coordination/placement/room.go
@@ -38,7 +38,7 @@
 		r.Candidates++
 		r.Answers += c.answers
 		r.Least = min(r.Least, c.answers)
-		wait := c.backlog.Ms
+		wait := c.forecast.DoneMs
 		if d.Service.Engine != nil {
 			wait += c.slotWaitMs(d.Service.Engine)
 		}
--- a/coordination/placement/weigh.go
+++ b/coordination/placement/weigh.go
@@ -4,21 +4,21 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/passes"
-	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
 // weigh predicts what one endpoint's part in a demand gives and takes.
-func (b *Book) weigh(c *candidate, d *Demand, ahead, reading passes.Reading, helps bool) option {
+func (b *Book) weigh(c *candidate, d *Demand, reading passes.Reading, helps bool) option {
 	engine := d.Service.Engine
-	o := option{candidate: c}
-	o.first = passes.FirstMs(engine, c.answers, c.context, ahead, reading)
+	part := passes.Part{Work: further, Reading: reading, Ahead: helps}
+	c.account.queue.Forecast(engine, c.account.writers(c.endpoint.Key), &part, &b.after)
+	o := option{candidate: c, first: b.after.Of(further)}
 	if c.cold {
 		o.first *= coldFactor
 	}
 	if !helps {
 		o.first = (o.first + c.slotWaitMs(engine)) * b.bias
 	}
-	o.loss = b.lossOf(c, engine, reading, helps)
+	o.loss = b.lossOf(c)
 	if c.endpoint.DataCentre != d.DataCentre {
 		o.cost += d.Credit * awayShare
 	}
@@ -26,11 +26,14 @@
 	return o
 }
 
-// lossOf is the credit that the work at an endpoint loses to further reading.
-// A helper's part goes ahead of all reading there.
-func (b *Book) lossOf(c *candidate, engine *catalogue.Engine, reading passes.Reading, helps bool) float64 {
-	before := passes.PassMs(engine, c.answers, c.context, c.backlog)
-	after := passes.PassMs(engine, c.answers, c.context, c.backlog.Add(reading))
+// further names the work that is being weighed.
+var further = passes.WorkID{}
+
+// lossOf is the credit that the work at an endpoint loses when b.after comes
+// true instead of the candidate's forecast: by longer passes, and by first
+// events that come later.
+func (b *Book) lossOf(c *candidate) float64 {
+	before, after := &c.forecast, &b.after
 	now := b.now()
 	loss := 0.0
 	for _, w := range c.account.works {
@@ -39,12 +42,12 @@
 		}
 		kept := 0.0
 		if w.endpoints[0] == c.endpoint.Key {
-			kept = chance(before, w.pause, pauseMargin) - chance(after, w.pause, pauseMargin)
+			kept = chance(before.PassMs, w.pause, pauseMargin) - chance(after.PassMs, w.pause, pauseMargin)
 		}
-		if !w.started && helps {
-			first := float64(w.firstAt.Sub(now)) / float64(time.Millisecond)
+		if !w.started {
 			left := w.firstDue.Sub(now)
-			kept = max(kept, chance(first, left, firstMargin)-chance(first+reading.Ms, left, firstMargin))
+			first := max(milliseconds(w.firstAt.Sub(now)), before.Of(w.id))
+			kept = max(kept, chance(first, left, firstMargin)-chance(max(first, after.Of(w.id)), left, firstMargin))
 		}
 		loss += w.credit * lateShare * max(0, kept)
 	}
@@ -54,7 +57,7 @@
 // chance estimates how likely a predicted time in ms meets an objective. It is
 // 0 where there is none or its time is over.
 func chance(predictedMs float64, objective time.Duration, margin float64) float64 {
-	limit := float64(objective) / float64(time.Millisecond)
+	limit := milliseconds(objective)
 	if objective <= 0 {
 		return 0
 	}
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -1,17 +1,17 @@
 package placement
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
-// workID names a piece of work: sender 0 is this process.
-type workID struct{ sender, number uint64 }
-
 type work struct {
-	id          workID
+	id          passes.WorkID
 	endpoints   []uint64
 	reading     passes.Reading // on each endpoint
 	held        []int          // tokens reserved at each endpoint, nil without reservations
@@ -24,6 +24,7 @@
 	credit      float64
 	started     bool
 	late        bool
+	crossed     bool // another entry chose some of the endpoints at the same moment
 	startedAt   time.Time
 	predictedMs float64
 	firstAt     time.Time // predicted, later when other work goes ahead
@@ -31,8 +32,9 @@
 
 // account is what the book knows of one endpoint.
 type account struct {
-	works    map[workID]*work
-	readFree time.Time   // when the reading given to it is done, as predicted
+	works    map[passes.WorkID]*work
+	engine   *catalogue.Engine // nil until the first choice among engines
+	queue    passes.Queue
 	arrivals []time.Time // within arrivalWindow
 	health   health
 }
@@ -44,10 +46,10 @@
 	}
 	return &wire.WorkEvent{
 		HeldTokens: held,
-		Step:       wire.WorkStep_WORK_STEP_OPEN, Work: w.id.number, Endpoints: w.endpoints,
+		Step:       wire.WorkStep_WORK_STEP_OPEN, Work: w.id.Number, Endpoints: w.endpoints,
 		ReadUs: uint32(w.reading.Ms * 1e3), PromptTokens: uint32(w.prompt), OutputTokens: uint32(w.output),
 		FirstMs: millis(w.firstDue.Sub(now)), PauseMs: millis(w.pause), LimitMs: millis(w.expires.Sub(now)),
-		CreditMilli: uint32(w.credit * 1e3), PredictedMs: millis(w.firstAt.Sub(now)),
+		CreditMilli: creditMilli(w.credit), PredictedMs: millis(w.firstAt.Sub(now)),
 	}
 }
 
@@ -66,27 +68,67 @@
 	return max(0, total)
 }
 
+// precedes reports whether of two pieces of work that crossed this one stays.
+// All entries come to the same result.
+func (w *work) precedes(other *work) bool {
+	if w.credit != other.credit {
+		return w.credit > other.credit
+	}
+	return w.prompt > other.prompt
+}
+
+func (w *work) shares(other *work) bool {
+	return slices.ContainsFunc(w.endpoints, func(key uint64) bool { return slices.Contains(other.endpoints, key) })
+}
+
+// creditUnit is the part in which credit is told to the others.
+const creditUnit = 1e3
+
+func creditMilli(credit float64) uint32 { return uint32(math.Round(credit * creditUnit)) }
+
 func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
 
 func (b *Book) enter(w *work) {
 	b.works[w.id] = w
 	for i, key := range w.endpoints {
 		a := b.account(key)
-		if i > 0 {
-			a.overtaken(w)
-		}
+		a.follow(key, w.openedAt)
 		a.works[w.id] = w
 		a.arrived(w.openedAt)
-		a.readFree = later(a.readFree, w.openedAt).Add(fromMs(w.reading.Ms))
+		a.queue.Add(passes.Part{Work: w.id, Reading: w.reading, Ahead: i > 0}, w.openedAt)
+		b.delay(a, key, w.openedAt)
 	}
 }
 
-// overtaken delays the work that still reads: a helper's part goes ahead of all
-// other reading, the newest first.
-func (a *account) overtaken(by *work) {
+// follow brings the account's queue up to a moment.
+func (a *account) follow(key uint64, now time.Time) {
+	if a.engine != nil {
+		a.queue.Advance(a.engine, a.writers(key), now)
+	}
+}
+
+// writers are the answers that have begun at the endpoint.
+func (a *account) writers(key uint64) passes.Writers {
+	writers := passes.Writers{}
 	for _, w := range a.works {
+		if w.started && w.endpoints[0] == key {
+			writers.Count++
+			writers.Context += w.prompt
+		}
+	}
+	return writers
+}
+
+// delay moves the predicted first events of work whose parts an endpoint will
+// read later than that.
+func (b *Book) delay(a *account, key uint64, now time.Time) {
+	if a.engine == nil {
+		return
+	}
+	a.queue.Forecast(a.engine, a.writers(key), nil, &b.after)
+	for id, w := range a.works {
 		if !w.started {
-			w.firstAt = w.firstAt.Add(fromMs(by.reading.Ms))
+			w.firstAt = later(w.firstAt, now.Add(fromMs(b.after.Of(id))))
 		}
 	}
 }
@@ -120,13 +162,15 @@
 
 func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func (b *Book) step(w *work, step wire.WorkStep) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.works[w.id] != w || !b.change(w, step) {
 		return
 	}
-	b.spread(&wire.WorkEvent{Step: step, Work: w.id.number})
+	b.spread(&wire.WorkEvent{Step: step, Work: w.id.Number})
 }
 
 // change reports whether the step tells something new.
@@ -136,10 +180,13 @@
 		if w.started {
 			return false
 		}
-		w.started, w.startedAt = true, b.now()
+		now := b.now()
 		for _, key := range w.endpoints {
-			b.readDone(b.accounts[key])
+			a := b.account(key)
+			a.follow(key, now)
+			a.queue.Remove(w.id)
 		}
+		w.started, w.startedAt = true, now
 	case wire.WorkStep_WORK_STEP_LATE:
 		if w.late {
 			return false
@@ -151,28 +198,13 @@
 	return true
 }
 
-// readDone corrects the predicted end of reading by what is left to read.
-func (b *Book) readDone(a *account) {
-	if a == nil {
-		return
-	}
-	left := 0.0
-	for _, w := range a.works {
-		if !w.started {
-			left += w.reading.Ms
-		}
-	}
-	if most := b.now().Add(fromMs(left)); a.readFree.After(most) {
-		a.readFree = most
-	}
-}
-
 func (b *Book) drop(w *work) {
 	delete(b.works, w.id)
 	for _, key := range w.endpoints {
 		if a := b.accounts[key]; a != nil {
+			a.follow(key, b.now())
 			delete(a.works, w.id)
-			b.readDone(a)
+			a.queue.Remove(w.id)
 		}
 	}
 	close(b.changed)
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -17,14 +17,20 @@
 func (r *run) place(ctx context.Context) (*placement.Plan, error) {
 	if plan := r.next; plan != nil {
 		r.next = nil
-		return plan, nil
+		if r.settle(ctx, plan) {
+			return plan, nil
+		}
 	}
 	until := r.holdUntil()
 	for {
 		changed := r.server.book.Changed()
-		if plan := r.tryPlace(); plan != nil {
+		plan := r.tryPlace()
+		if plan != nil && r.settle(ctx, plan) {
 			return plan, nil
 		}
+		if plan != nil {
+			continue
+		}
 		if time.Now().After(until) {
 			return nil, r.noRoom()
 		}
@@ -37,6 +43,28 @@
 	}
 }
 
+// settle waits until a plan with much reading is known to the other entries, and
+// reports whether it still stands. One that crossed another entry's choice of
+// the same endpoints would wait behind it with all its parts.
+func (r *run) settle(ctx context.Context, plan *placement.Plan) bool {
+	if !plan.Settle {
+		return true
+	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	crossed := plan.Handle.Settle()
+	if crossed {
+		plan.Handle.Close()
+		r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).Int("helpers", len(plan.Endpoints)-1).
+			Msg("The choice crossed another entry's and is made anew.")
+	}
+	return !crossed
+}
+
 // noRoom is the refusal of a request that found no endpoint.
 func (r *run) noRoom() error {
 	state := r.server.current.State()
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -15,12 +15,14 @@
 const (
 	// creditExponent makes the weight of an answer grow less than the work that
 	// it takes, so that long prompts neither starve nor crowd out short ones.
-	creditExponent = 0.55
+	creditExponent = 0.62
 	// plainCredit is the weight of a plain request.
 	plainCredit = 1
 	// holdStep is how often a request that waits for room looks again when no
 	// work ends meanwhile.
 	holdStep = 20 * time.Millisecond
+	// settleTime is how long news of a choice takes to reach the other entries.
+	settleTime = 10 * time.Millisecond
 	// mostSends bounds the attempts that endpoints refuse without running them.
 	mostSends = 6
 	// currentWait is the retry time told while the state is not current.
