Found the control group through seeds without disks, with as many voters as there are disks

Cause: control ran on one host of each data centre, and founding asked the seeds for their replicas. Where two hosts a data centre have a disk and two disks may be lost, three voters can't keep what was acknowledged; and seeds without a disk answer no founder. Now each process learns of the others through its seeds, a founder asks all it knows and all that asked it, one that asks at the moment of founding hears of the group, the founder waits for all known voters, and a silent voter is removed only where a group of twice the borne loss and one is left. The end-to-end test with three seeds without disks and six voters fails before (nothing is acknowledged in 60 s) and passes now.

--- a/coordination/replica/cluster_test.go
+++ b/coordination/replica/cluster_test.go
@@ -65,6 +65,7 @@
 	nodes []*node
 
 	founders int // replicas started with Bootstrap
+	find     func(i int) func() ([]string, bool)
 }
 
 func dial(address string) (grpc.ClientConnInterface, error) {
@@ -102,7 +103,12 @@
 	c.t.Helper()
 	n := c.nodes[i]
 	n.machine = &ledger{}
+	var find func() ([]string, bool)
+	if c.find != nil {
+		find = c.find(i)
+	}
 	r, err := Open(Options{
+		Find:   find,
 		Folder: n.folder, Address: n.address, Peers: c.peers, Bootstrap: i < c.founders,
 		Machine: n.machine, Dial: c.dial, SnapshotInterval: 100, KeptEntries: 20,
 	})
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -29,10 +29,11 @@
 // identity that the caller's address had before is removed first.
 func (r *Replica) Join(ctx context.Context, q *wire.JoinRequest) (*wire.JoinResponse, error) {
 	s := r.Status()
+	hasGroup := len(s.Members) > 0 || r.founding.answer(q)
 	answer := &wire.JoinResponse{
 		Id:            r.id,
-		HasGroup:      len(s.Members) > 0,
-		Bootstrapping: r.options.Bootstrap && len(s.Members) == 0,
+		HasGroup:      hasGroup,
+		Bootstrapping: r.options.Bootstrap && !hasGroup,
 		LeaderAddress: s.LeaderAddress,
 	}
 	if q.InquireOnly {
@@ -92,11 +93,11 @@
 // join works until this replica's membership of a group is committed.
 func (r *Replica) join(ctx context.Context) {
 	for !r.Status().Joined {
-		group, empty := r.inquire(ctx)
+		found := r.inquire(ctx)
 		switch {
-		case group != "":
-			r.askToJoin(ctx, group)
-		case empty && r.options.Bootstrap:
+		case found.group != "":
+			r.askToJoin(ctx, found.group)
+		case found.empty && r.options.Bootstrap && r.founding.decide(r.id, found.asked):
 			_ = r.enqueue(ctx, bootstrapRequest{})
 		}
 		select {
@@ -117,27 +118,39 @@
 	r.raft.Bootstrap()
 }
 
-// inquire asks the other addresses about a group. It returns an address that
-// may lead one, and whether all of them answered that there is none.
-func (r *Replica) inquire(ctx context.Context) (group string, empty bool) {
-	empty = true
-	for _, address := range r.options.Peers {
-		if address == r.options.Address {
+// inquiry is what the others said about a group.
+type inquiry struct {
+	group string          // an address that may lead one
+	empty bool            // all answered that there is none
+	asked map[string]bool // addresses that answered
+}
+
+// inquire asks the other addresses about a group.
+func (r *Replica) inquire(ctx context.Context) inquiry {
+	addresses, complete := r.options.Peers, true
+	if r.options.Find != nil {
+		addresses, complete = r.options.Find()
+	}
+	found := inquiry{empty: complete, asked: make(map[string]bool)}
+	for _, address := range append(r.founding.addresses(), addresses...) {
+		if address == r.options.Address || found.asked[address] {
 			continue
 		}
 		answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address, InquireOnly: true})
+		found.asked[address] = err == nil
 		switch {
 		case err != nil:
-			empty = false
+			found.empty = false
 		case answer.HasGroup && answer.LeaderAddress != "":
-			return answer.LeaderAddress, false
+			found.group = answer.LeaderAddress
+			return found
 		case answer.HasGroup:
-			group, empty = address, false
+			found.group, found.empty = address, false
 		case answer.Bootstrapping && answer.Id < r.id:
-			empty = false // that one founds the group
+			found.empty = false // that one founds the group
 		}
 	}
-	return group, empty
+	return found
 }
 
 func (r *Replica) askToJoin(ctx context.Context, address string) {
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -30,10 +30,14 @@
 
 // Options sets up a replica. Zero durations and counts take the defaults.
 type Options struct {
-	Folder    string   // data folder
-	Address   string   // address at which the others reach this replica
-	Peers     []string // addresses of the group, this one may be among them
-	Bootstrap bool     // found the group when no address of Peers has one
+	Folder  string   // data folder
+	Address string   // address at which the others reach this replica
+	Peers   []string // addresses of the group, this one may be among them
+	// Find, when set, is asked instead of Peers: it returns the addresses of the
+	// processes that may hold a replica, and whether those through which all
+	// learn of each other have been heard.
+	Find      func() (addresses []string, complete bool)
+	Bootstrap bool // found the group when none of them has one
 	Machine   Machine
 	// Dial opens a connection that the replica owns and closes; it is not shared.
 	Dial  func(address string) (grpc.ClientConnInterface, error)
@@ -121,6 +125,7 @@
 	spawn   func(func()) // runs work beside the replica's goroutine
 	written chan writtenSnapshot
 
+	founding founding
 	inbox    chan *wire.PeerMessage
 	requests chan request
 	stopped  chan struct{} // closed when Run returns
--- a/coordination/steering/members.go
+++ b/coordination/steering/members.go
@@ -15,8 +15,6 @@
 	// replacedAfter is the silence after which a voter is removed once another
 	// one has taken its place.
 	replacedAfter = 6 * time.Second
-	// leastVoters is the number of reachable voters below which none is removed.
-	leastVoters = 3
 	// leaderlessAfter is when a replica without a leader asks whether it is still
 	// a member.
 	leaderlessAfter = 3 * time.Second
@@ -24,8 +22,8 @@
 )
 
 // replacedVoter returns a voter that is silent for long while enough others are
-// reachable, nil when there is none.
-func replacedVoter(members []*wire.Member, self string, silence func(address string) time.Duration) *wire.Member {
+// reachable, nil when there is none. least is the number of reachable voters below which none is removed.
+func replacedVoter(members []*wire.Member, self string, least int, silence func(address string) time.Duration) *wire.Member {
 	reachable := 0
 	var gone *wire.Member
 	for _, m := range members {
@@ -40,7 +38,7 @@
 			gone = m
 		}
 	}
-	if reachable < leastVoters {
+	if reachable < least {
 		return nil
 	}
 	return gone
@@ -49,7 +47,7 @@
 // removeReplaced removes a voter whose place another one has taken, so that the
 // quorum counts only hosts that exist.
 func (s *Steering) removeReplaced(ctx context.Context, status replica.Status) {
-	gone := replacedVoter(status.Members, status.ID, s.silenceOf)
+	gone := replacedVoter(status.Members, status.ID, s.least, s.silenceOf)
 	if gone == nil {
 		return
 	}
--- a/coordination/steering/members_test.go
+++ b/coordination/steering/members_test.go
@@ -29,7 +29,7 @@
 	}
 	for _, c := range cases {
 		got := ""
-		if m := replacedVoter(c.members, "a", func(address string) time.Duration { return c.silent[address] }); m != nil {
+		if m := replacedVoter(c.members, "a", 3, func(address string) time.Duration { return c.silent[address] }); m != nil {
 			got = m.Id
 		}
 		if got != c.want {
@@ -37,3 +37,21 @@
 		}
 	}
 }
+
+// Two hosts may be lost at once: of six voters a data centre with two is cut off,
+// and the other four alone would not bear the loss of two disks.
+func TestNoVoterIsRemovedBelowTheLeastGroup(t *testing.T) {
+	var members []*wire.Member
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		members = append(members, &wire.Member{Id: id, Address: id})
+	}
+	silent := map[string]time.Duration{"f": time.Minute}
+	silence := func(address string) time.Duration { return silent[address] }
+	if m := replacedVoter(members, "a", 5, silence); m == nil || m.Id != "f" {
+		t.Errorf("one of six is gone, and %v is removed", m)
+	}
+	silent["e"] = time.Minute
+	if m := replacedVoter(members, "a", 5, silence); m != nil {
+		t.Errorf("two of six are gone, and %s is removed", m.Id)
+	}
+}
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -38,7 +38,8 @@
 	directory *directory.Directory
 	dial      func(address string) (grpc.ClientConnInterface, error)
 	others    func() []string // addresses of processes that may know the leader
-	voters    int             // that a group founded by this process must have first
+	voters    func() int      // that a group founded by this process must have first
+	least     int             // reachable voters below which none is removed
 	startedAt time.Time
 	address   string // of this process's links
 	silence   func() map[string]time.Duration
@@ -59,14 +60,15 @@
 	Dial           func(address string) (grpc.ClientConnInterface, error)
 	Others         func() []string                 // addresses of the processes with a replica
 	Silence        func() map[string]time.Duration // since each process was last heard, by address
-	FoundingVoters int                             // that a group founded by this process waits for
+	FoundingVoters func() int                      // that a group founded by this process waits for
+	LeastVoters    int                             // reachable voters below which a silent one is not removed
 }
 
 // New returns a steering.
 func New(o Options) *Steering {
 	return &Steering{
 		address: o.Address, replica: o.Replica, machine: o.Machine, store: o.Store, directory: o.Directory,
-		dial: o.Dial, others: o.Others, silence: o.Silence, voters: o.FoundingVoters,
+		dial: o.Dial, others: o.Others, silence: o.Silence, voters: o.FoundingVoters, least: o.LeastVoters,
 		startedAt: time.Now(), leaderAt: time.Now(), removed: make(chan struct{}), logger: logs.For("control"),
 	}
 }
@@ -83,7 +85,7 @@
 			voters++
 		}
 	}
-	return voters < s.voters
+	return voters < s.voters()
 }
 
 // Run confirms the newest state while this process leads, until ctx ends.
@@ -187,41 +189,13 @@
 }
 
 // ask makes a call here when this process leads, at the leader otherwise.
-func (s *Steering) ask(ctx context.Context, remote func(context.Context, wire.SteeringClient) (*wire.SteeringAnswer, error),
-	local func(context.Context) (*wire.SteeringAnswer, error)) (*wire.SteeringAnswer, error) {
+func (s *Steering) ask(ctx context.Context, remote remoteCall, local func(context.Context) (*wire.SteeringAnswer, error)) (*wire.SteeringAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if s.replica != nil && s.replica.Status().IsLeader {
 		return local(ctx)
 	}
-	err := error(fault.New(fault.NotLeader, "no leader of the control group is known").After(confirmInterval))
-	for _, address := range s.leaders() {
-		conn, dialErr := s.dial(address)
-		if dialErr != nil {
-			err = dialErr
-			continue
-		}
-		answer, callErr := remote(ctx, wire.NewSteeringClient(conn))
-		if callErr != nil {
-			return nil, fault.Wrap(callErr, fault.OutcomeUnknown, "the leader of the control group did not answer")
-		}
-		err = fault.FromWire(answer.Failure)
-		if fault.KindOf(err) != fault.NotLeader || err == nil {
-			return answer, err
-		}
-	}
-	return nil, err
-}
-
-// leaders lists the addresses to ask: the leader, or any that may lead.
-func (s *Steering) leaders() []string {
-	if s.replica != nil {
-		if address := s.replica.Status().LeaderAddress; address != "" {
-			return []string{address}
-		}
-		return nil
-	}
-	return s.others()
+	return s.askOthers(ctx, s.leaders(), remote)
 }
 
 func (s *Steering) changeLocal(ctx context.Context, command *wire.Command) (*wire.SteeringAnswer, error) {
--- a/role/site/control.go
+++ b/role/site/control.go
@@ -112,14 +112,14 @@
 }
 
 // openReplica opens this host's replica of the control group, nil without a disk.
-func openReplica(p *site.Process, record *wire.ProcessRecord, m *catalogue.Machine) (*replica.Replica, error) {
+func openReplica(p *site.Process, record *wire.ProcessRecord, m *catalogue.Machine, links *mesh.Mesh, dir *directory.Directory) (*replica.Replica, error) {
 	if p.DataFolder == "" {
 		return nil, nil
 	}
 	r, err := replica.Open(replica.Options{
 		Folder:    p.DataFolder,
 		Address:   record.Address,
-		Peers:     seedLinks(p),
+		Find:      func() ([]string, bool) { return voters(dir, record.Address), links.HeardSeeds() },
 		Bootstrap: p.Found,
 		Machine:   m,
 		Dial: func(address string) (grpc.ClientConnInterface, error) {
@@ -134,9 +134,11 @@
 
 func newSteering(p *site.Process, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
 	store *current.Store, dir *directory.Directory, pool *link.Pool) *steering.Steering {
-	founding := 0
-	if p.Found {
-		founding = len(p.Seeds)
+	founding := func() int {
+		if !p.Found {
+			return 0
+		}
+		return max(p.Bounds.LeastVoters(), 1+len(voters(dir, record.Address)))
 	}
 	return steering.New(steering.Options{
 		Address:        record.Address,
@@ -148,6 +150,7 @@
 		Others:         func() []string { return voters(dir, record.Address) },
 		Silence:        links.Silence,
 		FoundingVoters: founding,
+		LeastVoters:    p.Bounds.LeastVoters(),
 	})
 }
 
--- a/role/site/site_test.go
+++ b/role/site/site_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -214,6 +216,44 @@
 	}
 }
 
+// TestSixDisksBearTheLossOfTwo founds a group of six although no seed has a disk,
+// then loses two disks at once.
+func TestSixDisksBearTheLossOfTwo(t *testing.T) {
+	t.Parallel()
+	p := newProvider(t)
+	p.lost = 2
+	for n := 1; n <= 3; n++ {
+		p.start("control", n, false, true)
+	}
+	for n := 4; n <= 9; n++ {
+		p.start("control", n, true, true)
+	}
+	p.install(2, configuration(1, `"key"`))
+	founded := 0
+	for n := 4; n <= 9; n++ {
+		founded += strings.Count(p.log(fmt.Sprintf("control%d", n)), "A new control group is founded.")
+	}
+	if founded != 1 {
+		t.Fatalf("%d groups were founded", founded)
+	}
+	for n := 4; n <= 5; n++ {
+		p.stop(fmt.Sprintf("control%d", n), syscall.SIGKILL)
+		if err := os.RemoveAll(filepath.Join(p.folder, fmt.Sprintf("data-control%d", n))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := 4; n <= 5; n++ {
+		p.start("control", n, true, false)
+	}
+	p.install(1, configuration(2, `"key"`))
+	for n := 1; n <= 9; n++ {
+		p.until("every host answers with the newest", func() bool {
+			status, text := p.operator(n, "GET", "/configuration", nil)
+			return status == 200 && text == configuration(2, `"key"`)
+		})
+	}
+}
+
 // An entry that is asked to stop answers what it has taken.
 func TestAnEntryStopsWithoutCuttingRequests(t *testing.T) {
 	p, _, _ := fleet(t)
--- a/role/site/standin_test.go
+++ b/role/site/standin_test.go
@@ -32,6 +32,7 @@
 	folder  string
 	ports   [5]int // callers, readiness, operator, first and last of the links
 	running map[string]*os.Process
+	lost    int // hosts with a disk that may be lost at once, 0 when none is stated
 }
 
 func newProvider(t *testing.T) *provider {
@@ -92,8 +93,9 @@
 bootstrap: %[12]v
 limits: {memoryMb: 200, maxFds: 1000}
 dataDir: %[13]s
+faultTolerance: {machines: %[14]d}
 bounds: {contactMs: 3000, graceS: 8, strictRevocation: true, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 100}
-`, name, host(n), n, p.ports[0], p.ports[1], p.ports[2], p.ports[3], p.ports[4], host(1), host(2), host(3), found, data)
+`, name, host(n), n, p.ports[0], p.ports[1], p.ports[2], p.ports[3], p.ports[4], host(1), host(2), host(3), found, data, p.lost)
 	file := filepath.Join(p.folder, name+".yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		p.t.Fatal(err)
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -29,4 +29,13 @@
 	RepeatRatio   float64
 	RepeatSlack   float64
 	RepeatWindow  time.Duration
+	HostsLost     int // hosts with a disk that may be lost at once
 }
+
+// leastGroup is the size of the smallest control group that bears a loss.
+const leastGroup = 3
+
+// LeastVoters is the size of the smallest control group that keeps a majority,
+// and with it all that was acknowledged, when as many hosts are lost as the
+// users ask to be borne.
+func (b *Bounds) LeastVoters() int { return max(leastGroup, 2*b.HostsLost+1) }
--- a/transport/mesh/instream.go
+++ b/transport/mesh/instream.go
@@ -97,6 +97,11 @@
 			m.broadcast(&wire.MeshFrame{Processes: news})
 		}
 	}
+	if frame.Sender != nil {
+		m.mu.Lock()
+		m.heard[frame.Sender.Address] = true
+		m.mu.Unlock()
+	}
 	m.directory.MergeEndpoints(frame.Endpoints)
 	if len(frame.Work) > 0 {
 		m.book.ApplyRemote(sender, frame.Work)
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -57,6 +57,7 @@
 	seeds     []string
 	links     map[string]*outLink // by address
 	incoming  map[uint64]*inStream
+	heard     map[string]bool // addresses of processes that have told all they know
 	fetchedAt steady.Time
 }
 
@@ -71,6 +72,7 @@
 		seeds:     options.Seeds,
 		links:     make(map[string]*outLink),
 		incoming:  make(map[uint64]*inStream),
+		heard:     make(map[string]bool),
 		fetchedAt: -steady.Time(fetchTimeout),
 	}
 	dir.MergeProcesses([]*wire.ProcessRecord{options.Self})
@@ -197,6 +199,19 @@
 	return silence
 }
 
+// HeardSeeds reports whether every seed has told the processes that it knows. A
+// seed tells them to each process that it hears of.
+func (m *Mesh) HeardSeeds() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, address := range m.seeds {
+		if address != m.options.Self.Address && !m.heard[address] {
+			return false
+		}
+	}
+	return true
+}
+
 // Entries returns how many entries are known, this one included.
 func (m *Mesh) Entries() int {
 	n := 0
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -39,7 +39,12 @@
 
 func start(t *testing.T, name string, incarnation uint64, seeds ...string) *node {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return startAt(t, "127.0.0.1:0", name, incarnation, seeds...)
+}
+
+func startAt(t *testing.T, address, name string, incarnation uint64, seeds ...string) *node {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -144,3 +149,26 @@
 	a.store.Take(state(t, 9, `{"Version":9}`), "test")
 	until(t, "the next state arrives", func() bool { return c.store.State().Index == 9 })
 }
+
+// TestAProcessKnowsAllThroughItsSeeds starts three processes at one seed, which
+// starts last.
+func TestAProcessKnowsAllThroughItsSeeds(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seed := listener.Addr().String()
+	_ = listener.Close()
+	first := start(t, "first", 1, seed)
+	second := start(t, "second", 2, seed)
+	if first.mesh.HeardSeeds() || second.mesh.HeardSeeds() {
+		t.Fatal("a seed was heard that does not run")
+	}
+	startAt(t, seed, "seed", 3, seed)
+	for _, n := range []*node{first, second} {
+		until(t, "the seed was heard", n.mesh.HeardSeeds)
+	}
+	until(t, "one of them knows the other", func() bool {
+		return len(first.directory.Processes()) == 3 || len(second.directory.Processes()) == 3
+	})
+}
