Give a dial up after 0.4 s and redial after 0.1 s

Cause: after the loss of power of all hosts, entries came up 0.2 s before the control hosts; their first dials were lost and given up only after 1 s, so that five of eight entries had the state 0.6 s after the leader had it confirmed. No test: it would bound a time.

--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -16,7 +16,7 @@
 
 const (
 	maxMessageBytes   = 16 << 20
-	connectTimeout    = time.Second
+	connectTimeout    = 400 * time.Millisecond // a peer that is down when it is dialled may be up soon after
 	maxReconnectDelay = time.Second
 	noServiceConfig   = `{"methodConfig":[]}`
 	concurrentStreams = math.MaxUint32
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -24,7 +24,7 @@
 	pongTimeout = 1200 * time.Millisecond
 	// batchDelay gathers news so that a busy moment costs one frame.
 	batchDelay    = 4 * time.Millisecond
-	redialDelay   = 200 * time.Millisecond
+	redialDelay   = 100 * time.Millisecond
 	redialMost    = 1500 * time.Millisecond
 	fetchTimeout  = 300 * time.Millisecond
 	forgetAfter   = 30 * time.Second
