--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -77,7 +77,7 @@
 	}
 	dir.MergeProcesses([]*wire.ProcessRecord{options.Self})
 	dir.OnNews(m.broadcast)
-	book.OnNews(func(e *wire.WorkEvent) { m.broadcast(&wire.MeshFrame{Work: []*wire.WorkEvent{e}}) })
+	book.OnNews(m.tellWork)
 	store.OnChange(func(*catalogue.State) { m.notify() })
 	return m
 }
@@ -112,29 +112,46 @@
 	m.mu.Unlock()
 }
 
-// connect opens links to processes that have none.
+// connect opens links to processes that have none, and tells this one's work to
+// seeds that turn out to be entries.
 func (m *Mesh) connect() {
-	known := m.directory.Processes()
+	for _, l := range m.openAll(m.directory.Processes()) {
+		l.enqueue(&wire.MeshFrame{Work: m.book.Own()})
+	}
+}
+
+// openAll returns the links that now lead to an entry and did not before.
+func (m *Mesh) openAll(known []*wire.ProcessRecord) []*outLink {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.ctx == nil || m.ctx.Err() != nil {
-		return
+		return nil
 	}
 	for _, address := range m.seeds {
 		m.open(address)
 	}
+	var entries []*outLink
 	for _, p := range known {
-		m.open(p.Address)
+		l := m.open(p.Address)
+		if l != nil && p.Entry && !l.entry.Swap(true) {
+			entries = append(entries, l)
+		}
 	}
+	return entries
 }
 
-func (m *Mesh) open(address string) {
-	if address == m.options.Self.Address || m.links[address] != nil {
-		return
+// open returns the link to a process, nil for this one.
+func (m *Mesh) open(address string) *outLink {
+	if address == m.options.Self.Address {
+		return nil
+	}
+	if l := m.links[address]; l != nil {
+		return l
 	}
 	l := &outLink{mesh: m, address: address, wake: make(chan struct{}, 1), openedAt: steady.Now()}
 	m.links[address] = l
 	go l.run(m.ctx)
+	return l
 }
 
 // abandoned removes a link to a process that was silent for long.
@@ -158,6 +175,18 @@
 	}
 }
 
+// tellWork queues news of work for the entries, the only ones that place any.
+func (m *Mesh) tellWork(e *wire.WorkEvent) {
+	news := &wire.MeshFrame{Work: []*wire.WorkEvent{e}}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.entry.Load() {
+			l.enqueue(news)
+		}
+	}
+}
+
 // notify tells the processes that read from this one of a new state.
 func (m *Mesh) notify() {
 	m.mu.Lock()
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -39,18 +39,20 @@
 
 func start(t *testing.T, name string, incarnation uint64, seeds ...string) *node {
 	t.Helper()
-	return startAt(t, "127.0.0.1:0", name, incarnation, seeds...)
+	return startAt(t, "127.0.0.1:0", &wire.ProcessRecord{Name: name, Incarnation: incarnation, Entry: true}, seeds...)
 }
 
-func startAt(t *testing.T, address, name string, incarnation uint64, seeds ...string) *node {
+// startAt starts a process at an address, which its record then holds.
+func startAt(t *testing.T, address string, record *wire.ProcessRecord, seeds ...string) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	n := &node{store: current.NewStore(), directory: directory.New(), book: placement.NewBook(time.Now), address: listener.Addr().String()}
+	record.Address = n.address
 	n.mesh = New(Options{
-		Self:   &wire.ProcessRecord{Name: name, Address: n.address, Incarnation: incarnation, Entry: true},
+		Self:   record,
 		Seeds:  seeds,
 		Dial:   func(address string) (*grpc.ClientConn, error) { return link.Dial(address, link.Security{}) },
 		Decode: decode,
@@ -164,7 +166,7 @@
 	if first.mesh.HeardSeeds() || second.mesh.HeardSeeds() {
 		t.Fatal("a seed was heard that does not run")
 	}
-	startAt(t, seed, "seed", 3, seed)
+	startAt(t, seed, &wire.ProcessRecord{Name: "seed", Incarnation: 3}, seed)
 	for _, n := range []*node{first, second} {
 		until(t, "the seed was heard", n.mesh.HeardSeeds)
 	}
@@ -172,3 +174,24 @@
 		return len(first.directory.Processes()) == 3 || len(second.directory.Processes()) == 3
 	})
 }
+
+// TestWorkIsToldToEntriesOnly has a control process between two entries.
+func TestWorkIsToldToEntriesOnly(t *testing.T) {
+	control := startAt(t, "127.0.0.1:0", &wire.ProcessRecord{Name: "control", Incarnation: 1})
+	one, other := start(t, "one", 2, control.address), start(t, "other", 3, control.address)
+	for _, n := range []*node{control, one, other} {
+		until(t, "all are known", func() bool { return len(n.directory.Processes()) == 3 })
+	}
+	one.directory.Announce(&wire.EndpointRecord{Id: "e1", BornMs: 1, Sequence: 1, Service: "s", Address: "10.0.0.1:80", Slots: 4})
+	plan := one.book.Choose(one.directory.Endpoints("s"), &placement.Demand{
+		Service: &catalogue.Service{Name: "s"}, Limit: time.Minute, Excluded: func(*directory.Endpoint) bool { return false },
+	})
+	if plan == nil {
+		t.Fatal("no endpoint was chosen")
+	}
+	until(t, "the other entry knows of the work", func() bool { return other.book.Figures().Others == 1 })
+	until(t, "control knows what came with it", func() bool { return control.directory.Count() == 1 })
+	if n := control.book.Figures().Others; n != 0 {
+		t.Errorf("control was told of %d pieces of work", n)
+	}
+}
--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/steady"
@@ -15,6 +16,7 @@
 type outLink struct {
 	mesh     *Mesh
 	address  string
+	entry    atomic.Bool // the process places work
 	wake     chan struct{}
 	openedAt steady.Time
 
@@ -139,13 +141,16 @@
 
 // hello tells who this process is and all that it knows.
 func (l *outLink) hello() *wire.MeshFrame {
-	return &wire.MeshFrame{
+	hello := &wire.MeshFrame{
 		Sender:    l.mesh.options.Self,
 		Processes: l.mesh.directory.Processes(),
 		Endpoints: l.mesh.directory.Records(),
-		Work:      l.mesh.book.Own(),
 		Ping:      l.ping(),
 	}
+	if l.entry.Load() {
+		hello.Work = l.mesh.book.Own()
+	}
+	return hello
 }
 
 // take returns the next frame, nil when there is nothing to say.
