Keep a failed request's waiting lines before those of good ones

A warning takes the waiting lines of its request along, and the final line of a request that failed is a warning. The test fails without it.

--- a/coordination/serve/final.go
+++ b/coordination/serve/final.go
@@ -68,7 +68,11 @@
 	if first > 0 {
 		r.server.metrics.Time("serve_first_ms", labels, first)
 	}
-	r.server.logger.Info().Str("request", r.request.ID).Str("route", routeName).Str("organisation", r.organisation).
+	line := r.server.logger.Info()
+	if err != nil {
+		line = r.server.logger.Warn()
+	}
+	line.Str("request", r.request.ID).Str("route", routeName).Str("organisation", r.organisation).
 		Uint64("version", r.version).Str("outcome", outcome).Int("status", r.status).Int("sends", r.sends).
 		Int("may_have_run", r.mayHaveRun).Int("events", r.events).Str("last_event", r.lastEvent).Bool("late", r.late).Dur("left", r.request.Left).Dur("first", first).
 		Dur("whole", time.Since(r.request.Arrived)).Err(err).Msg("The request has its final answer.")
--- a/telemetry/logs/sink.go
+++ b/telemetry/logs/sink.go
@@ -1,8 +1,10 @@
 package logs
 
 import (
+	"bytes"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -23,14 +25,16 @@
 
 // sink takes lines without ever blocking and writes them in the background.
 // When it is full, or writes too much, the oldest ordinary lines go first, then
-// the oldest warnings; how many went is written too.
+// the oldest warnings; how many went is written too. A warning takes the waiting
+// lines of its request along, so that a failed request's story is kept before
+// those of good ones.
 type sink struct {
 	out io.Writer
 	now func() time.Time
 
 	mu       sync.Mutex
-	ordinary [][]byte
-	urgent   [][]byte // warnings and errors
+	ordinary []waitingLine
+	urgent   []waitingLine // warnings and errors, with the lines of their requests
 	bytes    int
 	dropped  int
 	budget   float64 // bytes that may be written now
@@ -39,6 +43,12 @@
 	idle     *sync.Cond // signalled when all is written
 }
 
+// waitingLine is a line and the request that it is about, if any.
+type waitingLine struct {
+	text    []byte
+	request string
+}
+
 // standard writes to the process's standard output.
 var standard = newSink(os.Stdout)
 
@@ -50,15 +60,17 @@
 
 // WriteEntry implements log.Writer.
 func (s *sink) WriteEntry(e *log.Entry) (int, error) {
-	line := append([]byte(nil), e.Value()...)
+	text := append([]byte(nil), e.Value()...)
+	line := waitingLine{text: text, request: requestOf(text)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e.Level >= log.WarnLevel {
+		s.promote(line.request)
 		s.urgent = append(s.urgent, line)
 	} else {
 		s.ordinary = append(s.ordinary, line)
 	}
-	s.bytes += len(line)
+	s.bytes += len(text)
 	for s.bytes > sinkBytes {
 		s.dropOldest()
 	}
@@ -66,7 +78,34 @@
 		s.running = true
 		go s.run()
 	}
-	return len(line), nil
+	return len(text), nil
+}
+
+// promote moves the waiting lines of a request to the urgent ones.
+func (s *sink) promote(request string) {
+	if request == "" {
+		return
+	}
+	s.ordinary = slices.DeleteFunc(s.ordinary, func(line waitingLine) bool {
+		if line.request != request {
+			return false
+		}
+		s.urgent = append(s.urgent, line)
+		return true
+	})
+}
+
+// requestMark comes before a request's id in a line.
+const requestMark = `"request":"`
+
+// requestOf reads the request's id from a line, empty without one.
+func requestOf(text []byte) string {
+	_, rest, found := bytes.Cut(text, []byte(requestMark))
+	if !found {
+		return ""
+	}
+	id, _, _ := bytes.Cut(rest, []byte(`"`))
+	return string(id)
 }
 
 func (s *sink) dropOldest() {
@@ -74,7 +113,7 @@
 	if len(*lane) == 0 {
 		lane = &s.urgent
 	}
-	s.bytes -= len((*lane)[0])
+	s.bytes -= len((*lane)[0].text)
 	*lane = (*lane)[1:]
 	s.dropped++
 }
@@ -114,9 +153,9 @@
 		s.dropped = 0
 		s.budget -= float64(len(batch))
 	}
-	for _, lane := range []*[][]byte{&s.urgent, &s.ordinary} {
+	for _, lane := range []*[]waitingLine{&s.urgent, &s.ordinary} {
 		for len(*lane) > 0 && s.budget > 0 {
-			line := (*lane)[0]
+			line := (*lane)[0].text
 			*lane = (*lane)[1:]
 			batch = append(batch, line...)
 			s.bytes -= len(line)
--- a/telemetry/logs/sink_test.go
+++ b/telemetry/logs/sink_test.go
@@ -84,6 +84,35 @@
 	})
 }
 
+// TestAFailedRequestsLinesAreKeptBeforeGoodOnes fills the buffer of a stalled
+// output; of the lines that came first only those of the failed request remain.
+func TestAFailedRequestsLinesAreKeptBeforeGoodOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &output{stall: make(chan struct{})}
+		s := newSink(o)
+		line(s, log.InfoLevel, "first") // taken by the write that stalls
+		time.Sleep(2 * sinkInterval)
+		l := &log.Logger{Level: log.DebugLevel, Writer: s}
+		for _, id := range []string{"good", "bad"} {
+			l.Info().Str("request", id).Msg("chosen for " + id)
+		}
+		l.Warn().Str("request", "bad").Msg("refused")
+		for range 3000 {
+			l.Info().Str("request", "other").Msg(strings.Repeat("x", 1000))
+		}
+		close(o.stall)
+		s.flush(time.Minute)
+		text := o.text.String()
+		chosen, refused := strings.Index(text, "chosen for bad"), strings.Index(text, "refused")
+		if chosen < 0 || refused < chosen {
+			t.Errorf("the failed request's lines are at %d and %d", chosen, refused)
+		}
+		if strings.Contains(text, "chosen for good") {
+			t.Error("an older line of a good request was kept before newer ones")
+		}
+	})
+}
+
 func TestTheVolumeIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := &output{}
