--- a/coordination/passes/passes.go
+++ b/coordination/passes/passes.go
@@ -36,6 +36,3 @@
 	Ms     float64
 	Tokens float64
 }
-
-// Add returns the sum of two readings.
-func (r Reading) Add(o Reading) Reading { return Reading{Ms: r.Ms + o.Ms, Tokens: r.Tokens + o.Tokens} }
--- a/coordination/passes/queue.go
+++ b/coordination/passes/queue.go
@@ -80,15 +80,6 @@
 	}
 }
 
-// Waiting is the reading that is left.
-func (q *Queue) Waiting() Reading {
-	sum := Reading{}
-	for _, p := range q.waiting {
-		sum = sum.Add(p.Reading)
-	}
-	return sum
-}
-
 // read takes off what an engine without writers reads in so many milliseconds.
 func (q *Queue) read(e *catalogue.Engine, ms float64) {
 	for len(q.waiting) > 0 {
--- a/coordination/passes/queue_test.go
+++ b/coordination/passes/queue_test.go
@@ -13,6 +13,16 @@
 	return Part{Work: WorkID{Number: number}, Reading: Reading{Ms: ms, Tokens: tokens}, Ahead: ahead}
 }
 
+// left is the reading that still waits.
+func left(q *Queue) Reading {
+	sum := Reading{}
+	for _, p := range q.waiting {
+		sum.Ms += p.Reading.Ms
+		sum.Tokens += p.Reading.Tokens
+	}
+	return sum
+}
+
 // forecast looks at a queue with a further part, number 99.
 func forecast(q *Queue, w Writers, further Part) *Forecast {
 	f := &Forecast{}
@@ -34,9 +44,9 @@
 	near(t, "the first behind it", ahead.Of(WorkID{Number: 1}), 130+4*1.3)
 
 	q.Advance(engine(), Writers{}, at(51.3))
-	near(t, "half of the first is read", q.Waiting().Ms, 50+50)
+	near(t, "half of the first is read", left(q).Ms, 50+50)
 	q.Advance(engine(), Writers{}, at(1000))
-	near(t, "all is read", q.Waiting().Ms, 0)
+	near(t, "all is read", left(q).Ms, 0)
 }
 
 // A part that arrives during a pass with writers waits for its end, also when a
@@ -71,8 +81,8 @@
 	near(t, "of the half each", f.PassMs, write+1500)
 	q.Add(part(1, 3000, 139_264, false), begin)
 	q.Advance(engine(), w, begin.Add(fromMs(write+1)))
-	near(t, "half is left", q.Waiting().Ms, 1500)
-	near(t, "and half of the tokens", q.Waiting().Tokens, 69_632)
+	near(t, "half is left", left(q).Ms, 1500)
+	near(t, "and half of the tokens", left(q).Tokens, 69_632)
 }
 
 func TestPassesOfWritersGoOn(t *testing.T) {
@@ -95,5 +105,5 @@
 	q.Add(part(2, 50, 1000, false), begin)
 	q.Remove(WorkID{Number: 1})
 	q.Remove(WorkID{Number: 7})
-	near(t, "the other one", q.Waiting().Ms, 50)
+	near(t, "the other one", left(q).Ms, 50)
 }
