Wait for a background probe to be served before the probes stop

TestLostQuorum failed once in make prove: no probe was served after the quorum's return, in one of three rounds. Cause, in the check: it stops the probes as soon as its own requests are served again, which may be within the 20 ms between two probes. Shown by a run with a pause of 900 ms: the same failure in all three rounds, although its own requests are served each time. The check now waits for a served probe through each entry, within the limit that awaitServed has; all that it asserted it asserts still.

--- a/prove/current_test.go
+++ b/prove/current_test.go
@@ -71,6 +71,24 @@
 	return p.sent
 }
 
+// awaitProbed waits until a probe through each entry was served that was sent
+// after a moment: service may be back for less than the pause between probes.
+func (f *fixture) awaitProbed(p *probes, after time.Time) {
+	f.t.Helper()
+	for entry := range f.Entries {
+		served := func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return slices.ContainsFunc(p.sent, func(s probe) bool { return s.entry == entry && s.result.OK() && s.sent.After(after) })
+		}
+		for limit := time.Now().Add(serveLimit); !served(); sleep(probePause) {
+			if time.Now().After(limit) {
+				f.t.Fatalf("entry %d serves other requests but no probe", entry+1)
+			}
+		}
+	}
+}
+
 // countServed counts the answers of success to completions sent in a span of time.
 func countServed(sent []probe, entry int, name string, from, to time.Time) int {
 	served := 0
@@ -236,6 +254,7 @@
 		f.awaitServed(0)
 		f.awaitServed(1)
 		f.must(f.AwaitReady(t.Context()))
+		f.awaitProbed(background, back)
 		f.reportLostQuorum(background.stop(), lost, back)
 	}
 	f.checkInvariants()
