--- a/coordination/passes/queue.go
+++ b/coordination/passes/queue.go
@@ -38,15 +38,15 @@
 	for q.ends.Before(now) {
 		switch {
 		case w.Count == 0:
-			q.read(e, milliseconds(now.Sub(later(q.at, q.ends))))
+			q.read(e, Milliseconds(now.Sub(Later(q.at, q.ends))))
 			q.ends = now
 		case len(q.waiting) == 0:
-			write := fromMs(WriteMs(e, w.Count, w.Context))
+			write := FromMs(WriteMs(e, w.Count, w.Context))
 			q.ends = now.Add(write - now.Sub(q.ends)%write)
 		default:
 			ms, done := pass(e, w, q.waiting)
 			q.waiting = q.waiting[:copy(q.waiting, q.waiting[done:])]
-			q.ends = q.ends.Add(fromMs(ms))
+			q.ends = q.ends.Add(FromMs(ms))
 		}
 	}
 	q.at = now
@@ -160,7 +160,7 @@
 		}
 		return
 	}
-	f.RestMs = max(0, milliseconds(q.ends.Sub(q.at)))
+	f.RestMs = max(0, Milliseconds(q.ends.Sub(q.at)))
 	at := f.RestMs
 	for f.PassMs == 0 || len(waiting) > 0 {
 		ms, done := pass(e, w, waiting)
@@ -174,11 +174,14 @@
 	}
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+// Milliseconds turns a duration into the unit of this package.
+func Milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// FromMs is the reverse of Milliseconds.
+func FromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-func later(a, b time.Time) time.Time {
+// Later returns the later of two moments.
+func Later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
--- a/coordination/passes/queue_test.go
+++ b/coordination/passes/queue_test.go
@@ -7,7 +7,7 @@
 
 var begin = time.Unix(1000, 0)
 
-func at(ms float64) time.Time { return begin.Add(fromMs(ms)) }
+func at(ms float64) time.Time { return begin.Add(FromMs(ms)) }
 
 func part(number uint64, ms, tokens float64, ahead bool) Part {
 	return Part{Work: WorkID{Number: number}, Reading: Reading{Ms: ms, Tokens: tokens}, Ahead: ahead}
@@ -80,7 +80,7 @@
 	near(t, "two passes", f.DoneMs, f.RestMs+2*write+3000)
 	near(t, "of the half each", f.PassMs, write+1500)
 	q.Add(part(1, 3000, 139_264, false), begin)
-	q.Advance(engine(), w, begin.Add(fromMs(write+1)))
+	q.Advance(engine(), w, begin.Add(FromMs(write+1)))
 	near(t, "half is left", left(q).Ms, 1500)
 	near(t, "and half of the tokens", left(q).Tokens, 69_632)
 }
@@ -91,7 +91,7 @@
 	q := &Queue{}
 	q.Add(Part{}, begin)
 	q.Remove(WorkID{})
-	q.Advance(engine(), w, begin.Add(fromMs(10.25*write)))
+	q.Advance(engine(), w, begin.Add(FromMs(10.25*write)))
 	f := &Forecast{}
 	q.Forecast(engine(), w, nil, f)
 	near(t, "rest of the eleventh pass", f.RestMs, 0.75*write)
--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -77,7 +77,7 @@
 		expires:     now.Add(d.Limit),
 		credit:      float64(creditMilli(d.Credit)) / creditUnit,
 		predictedMs: p.PredictedFirstMs,
-		firstAt:     now.Add(fromMs(p.PredictedFirstMs)),
+		firstAt:     now.Add(passes.FromMs(p.PredictedFirstMs)),
 	}
 	for _, e := range p.Endpoints {
 		w.endpoints = append(w.endpoints, e.Key)
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -17,6 +17,7 @@
 	answers  int // that it writes or will write
 	context  int // tokens of these
 	memory   int // tokens
+	writers  passes.Writers
 	forecast passes.Forecast
 }
 
@@ -40,7 +41,8 @@
 	if engine != nil {
 		a.engine = engine
 		a.follow(key, now)
-		a.queue.Forecast(engine, a.writers(key), nil, &c.forecast)
+		c.writers = a.writers(key)
+		a.queue.Forecast(engine, c.writers, nil, &c.forecast)
 	}
 	return c
 }
--- a/coordination/placement/handle.go
+++ b/coordination/placement/handle.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
@@ -57,7 +58,7 @@
 	h.book.mu.Lock()
 	defer h.book.mu.Unlock()
 	f := &h.book.load(h.work.endpoints[0], engine, h.book.now()).forecast
-	return fromMs(max(f.RestMs, f.PassMs))
+	return passes.FromMs(max(f.RestMs, f.PassMs))
 }
 
 // Close ends the work.
--- a/coordination/placement/health.go
+++ b/coordination/placement/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -42,7 +43,7 @@
 func (b *Book) doubt(keys []uint64) {
 	for _, key := range keys {
 		h := &b.account(key).health
-		h.restUntil = later(h.restUntil, b.now().Add(doubtFirst))
+		h.restUntil = passes.Later(h.restUntil, b.now().Add(doubtFirst))
 	}
 }
 
@@ -51,7 +52,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := &b.account(key).health
-	h.restUntil = later(h.restUntil, b.now().Add(fullRest))
+	h.restUntil = passes.Later(h.restUntil, b.now().Add(fullRest))
 }
 
 // Succeeded notes a good answer.
--- a/coordination/placement/room.go
+++ b/coordination/placement/room.go
@@ -49,7 +49,7 @@
 		return r
 	}
 	slices.Sort(waits)
-	r.Wait = fromMs(waits[min(d.readersNeeded(), len(waits))-1])
+	r.Wait = passes.FromMs(waits[min(d.readersNeeded(), len(waits))-1])
 	return r
 }
 
--- a/coordination/placement/weigh.go
+++ b/coordination/placement/weigh.go
@@ -10,7 +10,7 @@
 func (b *Book) weigh(c *candidate, d *Demand, reading passes.Reading, helps bool) option {
 	engine := d.Service.Engine
 	part := passes.Part{Work: further, Reading: reading, Ahead: helps}
-	c.account.queue.Forecast(engine, c.account.writers(c.endpoint.Key), &part, &b.after)
+	c.account.queue.Forecast(engine, c.writers, &part, &b.after)
 	o := option{candidate: c, first: b.after.Of(further)}
 	if c.cold {
 		o.first *= coldFactor
@@ -46,7 +46,7 @@
 		}
 		if !w.started {
 			left := w.firstDue.Sub(now)
-			first := max(milliseconds(w.firstAt.Sub(now)), before.Of(w.id))
+			first := max(passes.Milliseconds(w.firstAt.Sub(now)), before.Of(w.id))
 			kept = max(kept, chance(first, left, firstMargin)-chance(max(first, after.Of(w.id)), left, firstMargin))
 		}
 		loss += w.credit * lateShare * max(0, kept)
@@ -57,7 +57,7 @@
 // chance estimates how likely a predicted time in ms meets an objective. It is
 // 0 where there is none or its time is over.
 func chance(predictedMs float64, objective time.Duration, margin float64) float64 {
-	limit := milliseconds(objective)
+	limit := passes.Milliseconds(objective)
 	if objective <= 0 {
 		return 0
 	}
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -128,7 +128,7 @@
 	a.queue.Forecast(a.engine, a.writers(key), nil, &b.after)
 	for id, w := range a.works {
 		if !w.started {
-			w.firstAt = later(w.firstAt, now.Add(fromMs(b.after.Of(id))))
+			w.firstAt = passes.Later(w.firstAt, now.Add(passes.FromMs(b.after.Of(id))))
 		}
 	}
 }
@@ -153,17 +153,6 @@
 	return n
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 func (b *Book) step(w *work, step wire.WorkStep) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
