Put changed bounds and memory limit in force without a restart

Cause: a reload took new seeds only; a changed bound (time to stop, age of a state, repeat budget) waited for a restart, and a file with negative or absent values came into force. Settings are now checked whole, all faults told at once, and swapped; what can't change while running is named in the log line. A control process that opens its replica anew reads the settings as a start does, and never founds a group again once it was a member of one. Test: an entry with seeds that lead nowhere becomes ready after the file was changed without a signal; a bad file before that changes nothing.

--- a/coordination/serve/bed_test.go
+++ b/coordination/serve/bed_test.go
@@ -210,3 +210,10 @@
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
+
+// currentFor sets how long a state may be acted on.
+func (b *bed) currentFor(d time.Duration) {
+	settings := *b.server.settings.Load()
+	settings.CurrentFor = d
+	b.server.SetSettings(settings)
+}
--- a/coordination/serve/budget.go
+++ b/coordination/serve/budget.go
@@ -8,7 +8,7 @@
 // repeatBudget bounds the attempts beyond the first of each request. Each entry
 // has its own part of what all entries share.
 type repeatBudget struct {
-	settings Settings
+	settings func() *Settings
 	now      func() time.Time
 
 	mu       sync.Mutex
@@ -25,7 +25,7 @@
 // entries count may fall into another window.
 const budgetShare = 0.5
 
-func newRepeatBudget(settings Settings) *repeatBudget {
+func newRepeatBudget(settings func() *Settings) *repeatBudget {
 	return &repeatBudget{settings: settings, now: time.Now, services: make(map[string]*repeatWindow)}
 }
 
@@ -35,8 +35,9 @@
 		w = &repeatWindow{}
 		b.services[service] = w
 	}
-	w.asked = since(w.asked, now.Add(-b.settings.RepeatWindow))
-	w.repeats = since(w.repeats, now.Add(-b.settings.RepeatWindow))
+	from := now.Add(-b.settings().RepeatWindow)
+	w.asked = since(w.asked, from)
+	w.repeats = since(w.repeats, from)
 	return w
 }
 
@@ -63,8 +64,9 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	w := b.window(service, now)
-	slack := b.settings.RepeatSlack / float64(max(1, b.settings.Entries()))
-	allowed := budgetShare * (b.settings.RepeatRatio*float64(len(w.asked)) + slack)
+	settings := b.settings()
+	slack := settings.RepeatSlack / float64(max(1, settings.Entries()))
+	allowed := budgetShare * (settings.RepeatRatio*float64(len(w.asked)) + slack)
 	if float64(len(w.repeats)+1) > allowed {
 		return false
 	}
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -134,7 +134,7 @@
 	q := r.request
 	d := &placement.Demand{
 		Service:    r.service,
-		DataCentre: r.server.settings.DataCentre,
+		DataCentre: r.server.settings.Load().DataCentre,
 		Objective:  r.route.Objective,
 		FirstLeft:  time.Until(q.Arrived.Add(r.route.Objective)),
 		Limit:      time.Until(r.limit),
--- a/coordination/serve/reserve_test.go
+++ b/coordination/serve/reserve_test.go
@@ -15,7 +15,7 @@
 // longBed has endpoints whose memory of 1,000 tokens is less than a prompt's.
 func longBed(t *testing.T, answers ...func(context.Context, *Attempt) (*Response, error)) *bed {
 	b := newBed(t, answers...)
-	b.server.settings.CurrentFor = 0
+	b.currentFor(0)
 	for i := range 4 {
 		b.directory.Announce(&wire.EndpointRecord{
 			Id: fmt.Sprintf("long%d", i), BornMs: 1, Sequence: 1, Service: "engine", DataCentre: "dc1", Slots: 4,
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/current"
@@ -103,7 +104,7 @@
 
 // Server serves requests.
 type Server struct {
-	settings  Settings
+	settings  atomic.Pointer[Settings]
 	current   *current.Store
 	directory *directory.Directory
 	book      *placement.Book
@@ -115,24 +116,29 @@
 
 // NewServer returns a server.
 func NewServer(settings Settings, store *current.Store, dir *directory.Directory, book *placement.Book, upstream Upstream, registry *metrics.Registry) *Server {
-	return &Server{
-		settings:  settings,
+	s := &Server{
 		current:   store,
 		directory: dir,
 		book:      book,
 		upstream:  upstream,
-		budget:    newRepeatBudget(settings),
 		logger:    logs.For("serve"),
 		metrics:   registry,
 	}
+	s.budget = newRepeatBudget(s.settings.Load)
+	s.SetSettings(settings)
+	return s
 }
 
+// SetSettings puts other settings in force, for requests that run as well.
+func (s *Server) SetSettings(settings Settings) { s.settings.Store(&settings) }
+
 // Current reports whether the state may be acted on.
 func (s *Server) Current() bool {
-	if s.settings.CurrentFor == 0 {
+	currentFor := s.settings.Load().CurrentFor
+	if currentFor == 0 {
 		return s.current.State().Catalogue != nil
 	}
-	return s.current.Within(s.settings.CurrentFor)
+	return s.current.Within(currentFor)
 }
 
 // Serve brings the request to its final answer.
--- a/coordination/serve/serve_test.go
+++ b/coordination/serve/serve_test.go
@@ -127,7 +127,7 @@
 
 func TestAStateThatIsNotConfirmedServesNothing(t *testing.T) {
 	b := newBed(t, good("no"))
-	b.server.settings.CurrentFor = time.Nanosecond
+	b.currentFor(time.Nanosecond)
 	for _, name := range []string{"once", "nowhere"} {
 		if g := b.serve(t.Context(), name); g.status != 503 || g.fault.RetryAfter == 0 {
 			t.Errorf("%s: status %d, %v", name, g.status, g.fault)
@@ -145,7 +145,7 @@
 	c := b.store.State().Catalogue
 	r.route, r.service = c.Match("h", "/once/"), c.Services["s"]
 	plan := r.tryPlace()
-	b.server.settings.CurrentFor = time.Nanosecond
+	b.currentFor(time.Nanosecond)
 	if err := r.attempt(t.Context(), plan); err == nil || len(b.sendings()) != 0 {
 		t.Errorf("sent under a lease that ran out: %v", err)
 	}
@@ -193,12 +193,12 @@
 func TestASilentEndpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, silent, good("yes"))
-		b.server.settings.CurrentFor = 0
+		b.currentFor(0)
 		if g := b.serve(t.Context(), "again"); g.status != 200 {
 			t.Errorf("idempotent: %d", g.status)
 		}
 		b = newBed(t, silent, good("no"))
-		b.server.settings.CurrentFor = 0
+		b.currentFor(0)
 		began := time.Now()
 		if g := b.serve(t.Context(), "once"); g.status != 504 || len(b.sendings()) != 1 {
 			t.Errorf("at most once: %d after %d sendings", g.status, len(b.sendings()))
@@ -229,12 +229,12 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, pausing(time.Hour), good(events(3, 3)))
-		b.server.settings.CurrentFor = 0
+		b.currentFor(0)
 		if g := b.serve(t.Context(), "stream"); g.body.String() != events(1, 3) || len(b.sendings()) != 2 {
 			t.Errorf("%d sendings, body %q", len(b.sendings()), g.body.String())
 		}
 		b = newBed(t, pausing(1500*time.Millisecond))
-		b.server.settings.CurrentFor = 0
+		b.currentFor(0)
 		b.directory.Leave("e1", 0)
 		b.directory.Leave("e2", 0)
 		if g := b.serve(t.Context(), "stream"); g.broken || g.body.String() != events(1, 3) {
@@ -245,7 +245,8 @@
 
 func TestRepeatsStayWithinTheBudget(t *testing.T) {
 	now := time.Unix(0, 0)
-	b := newRepeatBudget(Settings{RepeatRatio: 0.2, RepeatSlack: 8, RepeatWindow: 10 * time.Second, Entries: func() int { return 4 }})
+	settings := &Settings{RepeatRatio: 0.2, RepeatSlack: 8, RepeatWindow: 10 * time.Second, Entries: func() int { return 4 }}
+	b := newRepeatBudget(func() *Settings { return settings })
 	b.now = func() time.Time { return now }
 	for range 100 {
 		b.asked("s")
--- a/coordination/steering/members.go
+++ b/coordination/steering/members.go
@@ -47,7 +47,7 @@
 // removeReplaced removes a voter whose place another one has taken, so that the
 // quorum counts only hosts that exist.
 func (s *Steering) removeReplaced(ctx context.Context, status replica.Status) {
-	gone := replacedVoter(status.Members, status.ID, s.least, s.silenceOf)
+	gone := replacedVoter(status.Members, status.ID, s.least(), s.silenceOf)
 	if gone == nil {
 		return
 	}
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -39,7 +39,7 @@
 	dial      func(address string) (grpc.ClientConnInterface, error)
 	others    func() []string // addresses of processes that may know the leader
 	voters    func() int      // that a group founded by this process must have first
-	least     int             // reachable voters below which none is removed
+	least     func() int      // reachable voters below which none is removed
 	startedAt time.Time
 	address   string // of this process's links
 	silence   func() map[string]time.Duration
@@ -61,7 +61,7 @@
 	Others         func() []string                 // addresses of the processes with a replica
 	Silence        func() map[string]time.Duration // since each process was last heard, by address
 	FoundingVoters func() int                      // that a group founded by this process waits for
-	LeastVoters    int                             // reachable voters below which a silent one is not removed
+	LeastVoters    func() int                      // reachable voters below which a silent one is not removed
 }
 
 // New returns a steering.
--- a/role/site/control.go
+++ b/role/site/control.go
@@ -45,6 +45,7 @@
 // RunControl runs a control process until ctx ends. When its data folder fails,
 // it begins anew after a pause, for as long as the disk takes.
 func RunControl(ctx context.Context, settings *platform.Settings, hangup <-chan struct{}) error {
+	wasMember := false
 	for {
 		c, err := NewControl(settings)
 		if err == nil {
@@ -55,6 +56,7 @@
 			return err
 		}
 		if errors.Is(err, errRemoved) {
+			wasMember = true
 			if err := emptyFolder(settings.Process.DataFolder); err != nil {
 				logs.For("control").Error().Err(err).Msg("The data folder of a removed replica can't be emptied.")
 			}
@@ -63,9 +65,23 @@
 		if !wait.For(ctx, dataRetry) {
 			return nil
 		}
+		settings = settingsAgain(settings)
+		settings.Process.Found = settings.Process.Found && !wasMember
 	}
 }
 
+// settingsAgain reads the settings as a start does; the ones before stay when
+// the file can't be read.
+func settingsAgain(before *platform.Settings) *platform.Settings {
+	next, err := platform.ReadSettings()
+	if err != nil {
+		logs.For("settings").Error().Err(err).Msg("The settings can't be read again; the earlier ones stay in force.")
+		return before
+	}
+	next.Process.MetricsPort = before.Process.MetricsPort // of the command line
+	return next
+}
+
 // errRemoved says that the replica in the data folder is no member any more.
 var errRemoved = errors.New("the replica was removed from the group while it was away")
 
@@ -86,6 +102,7 @@
 // Control is a process that operators and endpoints call.
 type Control struct {
 	settings *platform.Settings
+	inForce  *site.InForce
 	record   *wire.ProcessRecord
 	mesh     *mesh.Mesh
 	replica  *replica.Replica // nil without a disk
@@ -132,13 +149,13 @@
 	return r, nil
 }
 
-func newSteering(p *site.Process, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
+func newSteering(p *site.Process, inForce *site.InForce, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
 	store *current.Store, dir *directory.Directory, pool *link.Pool) *steering.Steering {
 	founding := func() int {
 		if !p.Found {
 			return 0
 		}
-		return max(p.Bounds.LeastVoters(), 1+len(voters(dir, record.Address)))
+		return max(inForce.Get().Bounds.LeastVoters(), 1+len(voters(dir, record.Address)))
 	}
 	return steering.New(steering.Options{
 		Address:        record.Address,
@@ -150,7 +167,7 @@
 		Others:         func() []string { return voters(dir, record.Address) },
 		Silence:        links.Silence,
 		FoundingVoters: founding,
-		LeastVoters:    p.Bounds.LeastVoters(),
+		LeastVoters:    func() int { return inForce.Get().Bounds.LeastVoters() },
 	})
 }
 
@@ -165,11 +182,11 @@
 	return addresses
 }
 
-func newControl(settings *platform.Settings, record *wire.ProcessRecord, m *mesh.Mesh, r *replica.Replica, s *steering.Steering, metrics *Metrics, logger *logs.Logger) *Control {
+func newControl(settings *platform.Settings, inForce *site.InForce, record *wire.ProcessRecord, m *mesh.Mesh, r *replica.Replica, s *steering.Steering, metrics *Metrics, logger *logs.Logger) *Control {
 	if r != nil {
 		metrics.addReplica(r)
 	}
-	return &Control{settings: settings, record: record, mesh: m, replica: r, steering: s, metrics: metrics, logger: logger}
+	return &Control{settings: settings, inForce: inForce, record: record, mesh: m, replica: r, steering: s, metrics: metrics, logger: logger}
 }
 
 // Run serves until ctx ends.
@@ -207,7 +224,7 @@
 	defer server.Close()
 	go c.mesh.Run(running)
 	go c.steering.Run(running)
-	go watchSettings(running, c.settings, hangup, func(next *site.Process) { c.mesh.SetSeeds(seedLinks(next)) })
+	go watchSettings(running, c.settings, hangup, c.inForce, func(next *site.Process) { c.mesh.SetSeeds(seedLinks(next)) })
 	replicaEnded := make(chan error, 1)
 	if c.replica != nil {
 		go func() { replicaEnded <- c.replica.Run(running) }()
--- a/role/site/entry.go
+++ b/role/site/entry.go
@@ -37,6 +37,7 @@
 // Entry is a process that takes callers' requests.
 type Entry struct {
 	settings  *platform.Settings
+	inForce   *site.InForce
 	record    *wire.ProcessRecord
 	mesh      *mesh.Mesh
 	store     *current.Store
@@ -70,7 +71,11 @@
 	return e, dig.RootCause(err)
 }
 
-func newServer(p *site.Process, store *current.Store, dir *directory.Directory, book *placement.Book, m *mesh.Mesh, registry *metrics.Registry) *serve.Server {
+func newServer(inForce *site.InForce, store *current.Store, dir *directory.Directory, book *placement.Book, m *mesh.Mesh, registry *metrics.Registry) *serve.Server {
+	return serve.NewServer(serveSettings(inForce.Get(), m), store, dir, book, platform.NewUpstream(), registry)
+}
+
+func serveSettings(p *site.Process, m *mesh.Mesh) serve.Settings {
 	settings := serve.Settings{
 		DataCentre:   p.DataCentre,
 		RepeatRatio:  p.Bounds.RepeatRatio,
@@ -79,13 +84,13 @@
 		Entries:      m.Entries,
 	}
 	if p.Bounds.RevokedWithin > 0 {
-		settings.CurrentFor = p.Bounds.RevokedWithin - revokeMargin
+		settings.CurrentFor = max(p.Bounds.RevokedWithin/2, p.Bounds.RevokedWithin-revokeMargin)
 	}
-	return serve.NewServer(settings, store, dir, book, platform.NewUpstream(), registry)
+	return settings
 }
 
-func newEntry(settings *platform.Settings, record *wire.ProcessRecord, m *mesh.Mesh, store *current.Store, dir *directory.Directory, server *serve.Server, metrics *Metrics, logger *logs.Logger) *Entry {
-	return &Entry{settings: settings, record: record, mesh: m, store: store, directory: dir, server: server, metrics: metrics, logger: logger}
+func newEntry(settings *platform.Settings, inForce *site.InForce, record *wire.ProcessRecord, m *mesh.Mesh, store *current.Store, dir *directory.Directory, server *serve.Server, metrics *Metrics, logger *logs.Logger) *Entry {
+	return &Entry{settings: settings, inForce: inForce, record: record, mesh: m, store: store, directory: dir, server: server, metrics: metrics, logger: logger}
 }
 
 // Run serves until ctx ends and the running requests are answered.
@@ -116,7 +121,10 @@
 	}
 	defer callers.Close()
 	go e.mesh.Run(running)
-	go watchSettings(running, e.settings, hangup, func(next *site.Process) { e.mesh.SetSeeds(seedLinks(next)) })
+	go watchSettings(running, e.settings, hangup, e.inForce, func(next *site.Process) {
+		e.mesh.SetSeeds(seedLinks(next))
+		e.server.SetSettings(serveSettings(next, e.mesh))
+	})
 	e.logger.Info().Str("process", e.record.Name).Str("address", e.record.Address).Str("data_centre", p.DataCentre).
 		Strs("seeds", p.Seeds).Msg("The entry has started.")
 	select {
@@ -131,7 +139,7 @@
 // leave fails readiness, goes on until callers have moved, and waits for the
 // running requests.
 func (e *Entry) leave(callers *http.Server) {
-	stopWithin := e.settings.Process.Bounds.StopWithin - stopMargin
+	stopWithin := e.inForce.Get().Bounds.StopWithin - stopMargin
 	e.leaving.Store(true)
 	e.logger.Info().Int64("running", e.running.Load()).Dur("within", stopWithin).Msg("The entry is leaving.")
 	began := time.Now()
--- a/role/site/node.go
+++ b/role/site/node.go
@@ -45,7 +45,8 @@
 	container := dig.New()
 	for _, constructor := range []any{
 		func() *platform.Settings { return settings },
-		func() *site.Process { return &settings.Process },
+		func() *site.Process { return &settings.Process }, // of the start
+		site.NewInForce,
 		func() *wire.ProcessRecord { return self(&settings.Process, kind) },
 		func() *logs.Logger { return logs.For(kind.name) },
 		func() *link.Pool { return link.NewPool(link.Security{}) },
@@ -113,8 +114,8 @@
 }
 
 // watchSettings reads the settings file again and again, and on each value of
-// hangup, and passes changes on.
-func watchSettings(ctx context.Context, first *platform.Settings, hangup <-chan struct{}, apply func(*site.Process)) {
+// hangup. Changes come into force before apply is called.
+func watchSettings(ctx context.Context, first *platform.Settings, hangup <-chan struct{}, inForce *site.InForce, apply func(*site.Process)) {
 	logger, text := logs.For("settings"), first.Text
 	for {
 		waited, cancel := context.WithTimeout(ctx, reloadEvery)
@@ -135,8 +136,12 @@
 			continue
 		}
 		text = next.Text
-		logger.Info().Strs("seeds", next.Process.Seeds).Msg("Changed settings are in force.")
-		apply(&next.Process)
+		taken, waiting := inForce.Take(&next.Process)
+		p := inForce.Get()
+		logger.Info().Strs("taken", taken).Strs("wait_for_restart", waiting).Strs("seeds", p.Seeds).
+			Any("bounds", p.Bounds).Int64("memory_bytes", p.MemoryBytes).Msg("Changed settings were read.")
+		limitMemory(p)
+		apply(p)
 	}
 }
 
--- a/role/site/site_test.go
+++ b/role/site/site_test.go
@@ -285,3 +285,40 @@
 	}
 	delete(p.running, "entry4")
 }
+
+func TestChangedSettingsComeIntoForceWithoutARestart(t *testing.T) {
+	t.Parallel()
+	p := newProvider(t)
+	for n := 1; n <= 3; n++ {
+		p.start("control", n, true, true)
+	}
+	p.install(2, configuration(5, `"key"`))
+	engine := newEngine(t, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go engine.announce(ctx, p)
+	p.seeds = [3]int{7, 8, 9} // no host there
+	p.start("entry", 4, false, true)
+	ready := func() bool {
+		status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", host(4), p.ports[1]), nil, nil)
+		return status == 200
+	}
+	p.until("the entry has started", func() bool { return strings.Contains(p.log("entry4"), "The entry has started.") })
+	if ready() {
+		t.Fatal("an entry without seeds is ready")
+	}
+	if err := os.WriteFile(filepath.Join(p.folder, "entry4.yaml"), []byte("nodeName: entry4\nip: nowhere\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.running["entry4"].Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	p.until("bad settings are told", func() bool { return strings.Contains(p.log("entry4"), "the earlier ones stay in force") })
+	p.seeds = [3]int{1, 2, 3}
+	p.lost = 1
+	p.writeSettings("entry4", 4, false, true) // and no signal
+	p.until("the entry is ready by its new seeds", ready)
+	if log := p.log("entry4"); !strings.Contains(log, `"taken":["Seeds","Bounds"],"wait_for_restart":[]`) {
+		t.Errorf("the change is not told:\n%s", log)
+	}
+}
--- a/role/site/standin_test.go
+++ b/role/site/standin_test.go
@@ -32,12 +32,13 @@
 	folder  string
 	ports   [5]int // callers, readiness, operator, first and last of the links
 	running map[string]*os.Process
-	lost    int // hosts with a disk that may be lost at once, 0 when none is stated
+	lost    int    // hosts with a disk that may be lost at once, 0 when none is stated
+	seeds   [3]int // hosts that the settings name
 }
 
 func newProvider(t *testing.T) *provider {
 	t.Helper()
-	p := &provider{t: t, folder: t.TempDir(), running: make(map[string]*os.Process)}
+	p := &provider{t: t, folder: t.TempDir(), running: make(map[string]*os.Process), seeds: [3]int{1, 2, 3}}
 	p.binary = filepath.Join(p.folder, "apricotspoke-platform")
 	build := exec.Command("go", "build", "-o", p.binary, "github.com/apricotspoke/apricotspoke/cmd/apricotspoke-platform")
 	if out, err := build.CombinedOutput(); err != nil {
@@ -79,6 +80,24 @@
 func (p *provider) start(role string, n int, disk, found bool) {
 	p.t.Helper()
 	name := fmt.Sprintf("%s%d", role, n)
+	file := p.writeSettings(name, n, disk, found)
+	log, err := os.OpenFile(filepath.Join(p.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer log.Close()
+	command := exec.Command(p.binary, role)
+	command.Env = append(os.Environ(), "APRICOTSPOKE_NODE_FILE="+file)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.running[name] = command.Process
+}
+
+// writeSettings writes a process's settings file and returns its path.
+func (p *provider) writeSettings(name string, n int, disk, found bool) string {
+	p.t.Helper()
 	data := "null"
 	if disk {
 		data = filepath.Join(p.folder, "data-"+name)
@@ -95,23 +114,12 @@
 dataDir: %[13]s
 faultTolerance: {machines: %[14]d}
 bounds: {contactMs: 3000, graceS: 8, strictRevocation: true, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 100}
-`, name, host(n), n, p.ports[0], p.ports[1], p.ports[2], p.ports[3], p.ports[4], host(1), host(2), host(3), found, data, p.lost)
+`, name, host(n), n, p.ports[0], p.ports[1], p.ports[2], p.ports[3], p.ports[4], host(p.seeds[0]), host(p.seeds[1]), host(p.seeds[2]), found, data, p.lost)
 	file := filepath.Join(p.folder, name+".yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
-	log, err := os.OpenFile(filepath.Join(p.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	defer log.Close()
-	command := exec.Command(p.binary, role)
-	command.Env = append(os.Environ(), "APRICOTSPOKE_NODE_FILE="+file)
-	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
-		p.t.Fatal(err)
-	}
-	p.running[name] = command.Process
+	return file
 }
 
 // stop sends a signal and waits for the process to end.
--- /dev/null
+++ b/state/site/site_test.go
@@ -0,0 +1,54 @@
+package site
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func process() Process {
+	return Process{
+		Name: "a", IP: "10.0.0.1", CallerAddress: "10.0.0.1:80", FirstLinkPort: 7000, LastLinkPort: 7001,
+		Seeds: []string{"10.0.0.1:90"}, MetricsPort: 9100, MemoryBytes: 1 << 28,
+		Bounds: Bounds{StopWithin: 8 * time.Second, RevokedWithin: 5 * time.Second},
+	}
+}
+
+func TestCheckTellsAllThatIsWrong(t *testing.T) {
+	good := process()
+	if err := good.Check(); err != nil {
+		t.Fatal(err)
+	}
+	bad := process()
+	bad.Name, bad.IP, bad.CallerAddress, bad.LastLinkPort, bad.MemoryBytes = "", "here", "80", 7000, -1
+	bad.Bounds = Bounds{StopWithin: -1, RepeatRatio: -0.1, HostsLost: -1}
+	err := bad.Check()
+	if err == nil {
+		t.Fatal("bad settings were taken")
+	}
+	for _, word := range []string{"no name", `"here"`, `"80"`, "7000 to 7000", "memory", "time", "repeats", "hosts"} {
+		if !strings.Contains(err.Error(), word) {
+			t.Errorf("%q is not told: %v", word, err)
+		}
+	}
+}
+
+func TestAReloadTakesWhatMayChange(t *testing.T) {
+	first := process()
+	f := NewInForce(&first)
+	next := process()
+	next.Seeds, next.MemoryBytes, next.IP, next.MetricsPort = []string{"10.0.0.2:90"}, 1<<27, "10.0.0.9", 0
+	next.Bounds.RevokedWithin = 3 * time.Second
+	taken, waiting := f.Take(&next)
+	if !slices.Equal(taken, []string{"Seeds", "MemoryBytes", "Bounds"}) || !slices.Equal(waiting, []string{"IP"}) {
+		t.Errorf("taken %v, waiting %v", taken, waiting)
+	}
+	now := f.Get()
+	if now.IP != first.IP || now.MetricsPort != 9100 || now.Seeds[0] != "10.0.0.2:90" || now.Bounds.RevokedWithin != 3*time.Second {
+		t.Errorf("in force: %+v", now)
+	}
+	if first.MemoryBytes != 1<<28 {
+		t.Error("settings that others may read were changed")
+	}
+}
