Measure attempts, repeats, waits, predictions and quorum confirmations

Cause: predictions against what came and the quorum's state were single gauges, and what became of attempts and repeats stood only in log lines, so an engineer could not see a change over time.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -141,6 +141,7 @@
 
 // judge notes what an attempt tells of the endpoint.
 func (r *run) judge(ctx context.Context, plan *placement.Plan, err error) {
+	r.measureAttempt(ctx, err)
 	var unsent *NotSent
 	e := plan.Endpoints[0]
 	switch {
--- a/coordination/serve/budget.go
+++ b/coordination/serve/budget.go
@@ -58,16 +58,32 @@
 	w.asked = append(w.asked, now)
 }
 
+// left is how many further repeats each service's budget allows now.
+func (b *repeatBudget) left() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := make(map[string]int, len(b.services))
+	for service := range b.services {
+		w := b.window(service, b.now())
+		left[service] = max(0, int(b.allowed(w))-len(w.repeats))
+	}
+	return left
+}
+
+// allowed is how many repeats the budget has for a window.
+func (b *repeatBudget) allowed(w *repeatWindow) float64 {
+	settings := b.settings()
+	slack := settings.RepeatSlack / float64(max(1, settings.Entries()))
+	return budgetShare * (settings.RepeatRatio*float64(len(w.asked)) + slack)
+}
+
 // take reports whether a repeat is allowed, and counts it.
 func (b *repeatBudget) take(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	w := b.window(service, now)
-	settings := b.settings()
-	slack := settings.RepeatSlack / float64(max(1, settings.Entries()))
-	allowed := budgetShare * (settings.RepeatRatio*float64(len(w.asked)) + slack)
-	if float64(len(w.repeats)+1) > allowed {
+	if float64(len(w.repeats)+1) > b.allowed(w) {
 		return false
 	}
 	w.repeats = append(w.repeats, now)
--- a/coordination/serve/final.go
+++ b/coordination/serve/final.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
-	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 )
 
 // finish gives the final answer unless it was delivered, and accounts for it.
@@ -62,12 +61,7 @@
 	if !r.firstAt.IsZero() {
 		first = r.firstAt.Sub(r.request.Arrived)
 	}
-	labels := metrics.Labels{Organisation: r.organisation, Class: outcome}
-	r.server.metrics.Count("serve_requests", labels)
-	r.server.metrics.Time("serve_whole_ms", labels, time.Since(r.request.Arrived))
-	if first > 0 {
-		r.server.metrics.Time("serve_first_ms", labels, first)
-	}
+	r.measureAnswer(outcome, first)
 	line := r.server.logger.Info()
 	if err != nil {
 		line = r.server.logger.Warn()
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -67,6 +67,7 @@
 
 // noRoom is the refusal of a request that found no endpoint.
 func (r *run) noRoom() error {
+	r.measureWait("no_room")
 	state := r.server.current.State()
 	room := r.server.book.Room(r.server.directory.Endpoints(r.service.Name), r.demand(state))
 	after := min(max(room.Wait, roomWait), max(time.Until(r.limit)/callerShare, roomWait))
@@ -174,6 +175,7 @@
 }
 
 func (r *run) logPlan(p *placement.Plan, state *catalogue.State) {
+	r.measureWait("placed")
 	age, _ := r.server.current.Age()
 	r.server.logger.Info().Str("request", r.request.ID).Str("route", r.route.Name).
 		Str("endpoint", p.Endpoints[0].ID).Strs("helpers", identities(p.Endpoints[1:])).Int("prompt", r.request.PromptTokens).
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -189,6 +189,7 @@
 
 func (r *run) takeRepeat() bool {
 	taken := r.server.budget.take(r.service.Name)
+	r.measureRepeat(taken)
 	if !taken {
 		r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name).Int("sends", r.sends).
 			Msg("No repeat: the repeat budget is spent.")
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -126,6 +129,12 @@
 	}
 	s.budget = newRepeatBudget(s.settings.Load)
 	s.SetSettings(settings)
+	registry.Func(func(w io.Writer) {
+		left := s.budget.left()
+		for _, service := range slices.Sorted(maps.Keys(left)) {
+			fmt.Fprintf(w, "repeats_left{service=%q} %d\n", service, left[service])
+		}
+	})
 	return s
 }
 
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -107,6 +107,7 @@
 
 func (r *run) noteStarted(plan *placement.Plan, now time.Time) {
 	took, predicted := plan.Handle.Started()
+	r.measurePrediction(took, predicted)
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 	}
--- /dev/null
+++ b/coordination/steering/measure_test.go
@@ -0,0 +1,28 @@
+package steering
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+)
+
+func TestMetricsTellWhetherAQuorumConfirmed(t *testing.T) {
+	registry := metrics.New()
+	s := New(Options{Metrics: registry})
+	s.confirmed(steady.Now(), nil)
+	s.confirmed(steady.Now(), errors.New("no leader"))
+	s.confirmed(steady.Now(), errors.New("no leader"))
+	var text strings.Builder
+	registry.WriteText(&text)
+	for _, line := range []string{
+		`control_quorum_ms{organisation="",class="confirmed",of="count"} 1`,
+		`control_quorum_ms{organisation="",class="no_quorum",of="count"} 2`,
+	} {
+		if !strings.Contains(text.String(), line+"\n") {
+			t.Errorf("there is no %s in\n%s", line, text.String())
+		}
+	}
+}
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -16,6 +16,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"google.golang.org/grpc"
 )
 
@@ -48,6 +49,7 @@
 	removed     chan struct{}
 	removedOnce sync.Once
 	logger      *logs.Logger
+	metrics     *metrics.Registry
 }
 
 // Options sets up a steering.
@@ -61,7 +63,8 @@
 	Others         func() []string                 // addresses of the processes with a replica
 	Silence        func() map[string]time.Duration // since each process was last heard, by address
 	FoundingVoters func() int                      // that a group founded by this process waits for
-	LeastVoters    func() int                      // reachable voters below which a silent one is not removed
+	Metrics        *metrics.Registry
+	LeastVoters    func() int // reachable voters below which a silent one is not removed
 }
 
 // New returns a steering.
@@ -69,7 +72,7 @@
 	return &Steering{
 		address: o.Address, replica: o.Replica, machine: o.Machine, store: o.Store, directory: o.Directory,
 		dial: o.Dial, others: o.Others, silence: o.Silence, voters: o.FoundingVoters, least: o.LeastVoters,
-		startedAt: time.Now(), leaderAt: time.Now(), removed: make(chan struct{}), logger: logs.For("control"),
+		startedAt: time.Now(), leaderAt: time.Now(), removed: make(chan struct{}), logger: logs.For("control"), metrics: o.Metrics,
 	}
 }
 
@@ -115,13 +118,24 @@
 	asked := steady.Now()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if _, err := s.replica.Barrier(ctx); err != nil {
+	_, err := s.replica.Barrier(ctx)
+	s.confirmed(asked, err)
+	if err != nil {
 		s.logger.Repeated("confirm").Err(err).Msg("The state was not confirmed by a quorum.")
 		return
 	}
 	s.store.Confirm(s.machine.State().Index, asked)
 }
 
+// confirmed measures how long a quorum took to confirm the state, or to fail.
+func (s *Steering) confirmed(asked steady.Time, err error) {
+	class := "confirmed"
+	if err != nil {
+		class = "no_quorum"
+	}
+	s.metrics.Time("control_quorum_ms", metrics.Labels{Class: class}, steady.Now().Sub(asked))
+}
+
 // Install makes a catalogue the newest. It returns nil once that is durable, or
 // when a catalogue as new is in force.
 func (s *Steering) Install(ctx context.Context, c *catalogue.Catalogue, text []byte) error {
--- a/role/site/control.go
+++ b/role/site/control.go
@@ -18,6 +18,7 @@
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/state/site"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/transport/mesh"
 	"go.uber.org/dig"
@@ -150,7 +151,7 @@
 }
 
 func newSteering(p *site.Process, inForce *site.InForce, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
-	store *current.Store, dir *directory.Directory, pool *link.Pool) *steering.Steering {
+	store *current.Store, dir *directory.Directory, pool *link.Pool, registry *metrics.Registry) *steering.Steering {
 	founding := func() int {
 		if !p.Found {
 			return 0
@@ -167,6 +168,7 @@
 		Others:         func() []string { return voters(dir, record.Address) },
 		Silence:        links.Silence,
 		FoundingVoters: founding,
+		Metrics:        registry,
 		LeastVoters:    func() int { return inForce.Get().Bounds.LeastVoters() },
 	})
 }
