Let priorities of organisations and routes weigh

Cause: both were decoded and not used, so a more urgent route of a service was refused as early as a less urgent one. Each rank now weighs 1.5 times the next in the choice of endpoints, an organisation's goes before its route's, and engines are told it.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -120,6 +120,9 @@
 		Left:         time.Until(r.limit),
 		LastEvent:    r.lastEvent,
 	}
+	if r.service.Engine != nil {
+		a.Priority = &r.priority
+	}
 	for _, e := range plan.Endpoints[1:] {
 		a.Helpers = append(a.Helpers, Helper{Address: e.Address, Ticket: held.ticketAt(e)})
 	}
--- a/coordination/serve/bed_test.go
+++ b/coordination/serve/bed_test.go
@@ -164,11 +164,16 @@
 
 func (b *bed) serve(ctx context.Context, route string) *given {
 	g := &given{}
-	b.server.Serve(ctx, &Request{
+	b.server.Serve(ctx, b.request(route), g)
+	return g
+}
+
+// request is one for a route.
+func (b *bed) request(route string) *Request {
+	return &Request{
 		ID: "r1", Method: "POST", Host: "h", Path: "/" + route + "/x", Target: "/" + route + "/x",
 		Passed: http.Header{}, Key: "key", Arrived: time.Now(), Left: 2 * time.Second,
-	}, g)
-	return g
+	}
 }
 
 func good(body string) func(context.Context, *Attempt) (*Response, error) {
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -149,7 +149,7 @@
 		d.PromptTokens = q.PromptTokens
 		d.OutputTokens = outputTokens(q, engine)
 		d.Pause = r.route.PauseObjective
-		d.Credit = math.Pow(max(1, passes.ReadMs(engine, q.PromptTokens, 1)), creditExponent)
+		d.Credit = math.Pow(max(1, passes.ReadMs(engine, q.PromptTokens, 1)), creditExponent) * math.Pow(urgencyRatio, -float64(r.priority))
 	}
 	return d
 }
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -16,6 +16,11 @@
 	// creditExponent makes the weight of an answer grow less than the work that
 	// it takes, so that long prompts neither starve nor crowd out short ones.
 	creditExponent = 0.62
+	// urgencyRatio is the weight of an answer against that of one whose priority
+	// is by one less urgent.
+	urgencyRatio = 1.5
+	// leastUrgent is the last of the priorities; 0 is the first.
+	leastUrgent = 9
 	// plainCredit is the weight of a plain request.
 	plainCredit = 1
 	// holdStep is how often a request that waits for room looks again when no
@@ -56,6 +61,7 @@
 	route        *catalogue.Route
 	service      *catalogue.Service
 	organisation string
+	priority     int // 0 is the most urgent
 	limit        time.Time
 	version      uint64
 	tried        map[uint64]bool
@@ -85,6 +91,7 @@
 	if r.route = c.Match(hostOnly(q.Host), q.Path); r.route == nil {
 		return fault.New(fault.NotFound, "no route for %s%s", q.Host, q.Path)
 	}
+	r.priority = priority(r.route.Priority)
 	if err := r.identify(c); err != nil {
 		return err
 	}
@@ -117,9 +124,15 @@
 		return fault.New(fault.Unauthenticated, "the key belongs to no organisation")
 	}
 	r.organisation = o.Name
+	if o.Priority != nil {
+		r.priority = priority(*o.Priority)
+	}
 	return nil
 }
 
+// priority is a rank within the range that endpoints know.
+func priority(rank int) int { return min(max(rank, 0), leastUrgent) }
+
 func hostOnly(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -45,6 +45,7 @@
 	Helpers      []Helper // endpoints that read parts of the prompt
 	Organisation string
 	Left         time.Duration // that the endpoint may take
+	Priority     *int          // among the prompts that wait at an engine, 0 to 9, 0 first; nil elsewhere
 	LastEvent    string
 }
 
--- a/state/catalogue/catalogue.go
+++ b/state/catalogue/catalogue.go
@@ -84,7 +84,7 @@
 type Organisation struct {
 	Name     string
 	Keys     []string
-	Priority int
+	Priority *int // goes before that of the route; nil when none is set
 }
 
 // Limits bound what a caller may send.
