--- a/coordination/placement/health.go
+++ b/coordination/placement/health.go
@@ -18,6 +18,9 @@
 	failures  int // in a row
 	restUntil time.Time
 	successAt time.Time
+	// unproven says that the endpoint failed this entry, or was out of another
+	// one's reach, and that no answer has begun there since.
+	unproven bool
 }
 
 // Failed notes that an endpoint broke a request off, answered garbage or not at
@@ -28,6 +31,7 @@
 	h := &b.account(key).health
 	rest := min(doubtFirst<<min(h.failures, 8), doubtMost)
 	h.failures++
+	h.unproven = true
 	h.restUntil = b.now().Add(rest)
 }
 
@@ -44,6 +48,7 @@
 	for _, key := range keys {
 		h := &b.account(key).health
 		h.restUntil = passes.Later(h.restUntil, b.now().Add(doubtFirst))
+		h.unproven = true
 	}
 }
 
@@ -61,5 +66,6 @@
 	defer b.mu.Unlock()
 	h := &b.account(key).health
 	h.failures = 0
+	h.unproven = false
 	h.successAt = b.now()
 }
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -374,3 +375,35 @@
 		t.Error("a short prompt waits for others' news")
 	}
 }
+
+func TestALongPromptKeepsOffEndpointsThatHaveNotAnsweredSinceTheyFailed(t *testing.T) {
+	b := newBed(4)
+	uses := func(p *Plan, e *directory.Endpoint) bool { return slices.Contains(p.Endpoints, e) }
+	dead := b.endpoints[2]
+	b.book.ApplyRemote(7, []*wire.WorkEvent{{Step: wire.WorkStep_WORK_STEP_UNREACHABLE, Endpoints: []uint64{dead.Key}}})
+	b.at = b.at.Add(doubtFirst + time.Millisecond)
+	p := b.choose(t, b.long())
+	if len(p.Endpoints) != 3 || uses(p, dead) {
+		t.Errorf("the plan has %d endpoints, the dead one: %v", len(p.Endpoints), uses(p, dead))
+	}
+	p.Handle.Close()
+	b.book.ApplyRemote(7, []*wire.WorkEvent{
+		{Step: wire.WorkStep_WORK_STEP_OPEN, Work: 1, Endpoints: []uint64{dead.Key}},
+		{Step: wire.WorkStep_WORK_STEP_STARTED, Work: 1},
+		{Step: wire.WorkStep_WORK_STEP_CLOSED, Work: 1},
+	})
+	if p := b.choose(t, b.long()); !uses(p, dead) {
+		t.Error("an endpoint that answers another entry is still left out")
+	}
+}
+
+func TestWhenMostEndpointsFailedAllStay(t *testing.T) {
+	b := newBed(4)
+	for _, e := range b.endpoints[:2] {
+		b.book.Failed(e.Key)
+	}
+	b.at = b.at.Add(doubtFirst + time.Millisecond)
+	if p := b.choose(t, b.long()); len(p.Endpoints) != 4 {
+		t.Errorf("the plan has %d endpoints", len(p.Endpoints))
+	}
+}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -49,6 +49,9 @@
 func (b *Book) bestPlan(candidates []*candidate, d *Demand) *Plan {
 	var best *Plan
 	engine := d.Service.Engine
+	if passes.ReadMs(engine, d.PromptTokens, 1) >= leastSplitMs {
+		candidates = proven(candidates)
+	}
 	for _, n := range splits {
 		reading := passes.Reading{
 			Ms:     passes.ReadMs(engine, d.PromptTokens, n),
@@ -64,6 +67,22 @@
 	return best
 }
 
+// proven leaves out endpoints that have not answered since they failed: a part
+// on one that is dead holds up the whole prompt. When half of the endpoints or
+// more have failed, the cause is rather on this side, and all stay.
+func proven(candidates []*candidate) []*candidate {
+	var kept []*candidate
+	for _, c := range candidates {
+		if !c.account.health.unproven {
+			kept = append(kept, c)
+		}
+	}
+	if 2*len(kept) <= len(candidates) {
+		return candidates
+	}
+	return kept
+}
+
 // planFor returns the best plan over n endpoints: the best helpers, and of the
 // endpoints with room for the answer the best one.
 func (b *Book) planFor(candidates []*candidate, d *Demand, n int, reading passes.Reading) *Plan {
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -176,6 +176,7 @@
 			a.queue.Remove(w.id)
 		}
 		w.started, w.startedAt = true, now
+		b.account(w.endpoints[0]).health.unproven = false
 	case wire.WorkStep_WORK_STEP_LATE:
 		if w.late {
 			return false
