--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -19,7 +19,7 @@
 	pauseMargin = 0.35
 	// packShare of the credit rewards an endpoint that already writes, which
 	// leaves others free to read long prompts.
-	packShare = 0.2
+	packShare = 0.8
 	// spareSlots are left free for choices that cross while others have room.
 	spareSlots = 2
 	// awayShare of the credit is the cost of another data centre.
