Hold all requests that find no room equally long

Cause: a request with less than 0.95 of the route's time counted as one that came back, and waited for room for a quarter of its caller's patience (3 s for the longest). What found no room is now told after an eighth of its objective when to come back, whoever asks.

--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -82,24 +82,13 @@
 	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(after)
 }
 
-// holdUntil is how long the request waits for room. The first try of a caller is
-// told early when to come back; one that came back waits as long as its caller
-// may stay, and an answer that has begun as long as there is time.
+// holdUntil is how long the request waits for room. A caller is told early when
+// to come back; an answer that has begun waits as long as there is time.
 func (r *run) holdUntil() time.Time {
 	if r.begun {
 		return r.limit.Add(-leastLeft)
 	}
-	hold := r.route.Objective / firstHoldShare
-	if r.cameBack() {
-		hold = min(r.route.Patience, r.request.Left) / holdShare
-	}
-	return r.request.Arrived.Add(hold)
-}
-
-// cameBack reports whether the caller has tried before: it has less time left
-// than the route gives.
-func (r *run) cameBack() bool {
-	return float64(r.request.Left) < freshShare*float64(r.route.Timeout)
+	return r.request.Arrived.Add(r.route.Objective / holdShare)
 }
 
 // isOverdue reports whether the objective of the first event has passed.
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -38,14 +38,9 @@
 	currentShare = 5
 	// roomWait is the least retry time told while no endpoint has room.
 	roomWait = 200 * time.Millisecond
-	// firstHoldShare is the part of the objective, as its divisor, for which a
-	// first try waits for room.
-	firstHoldShare = 8
-	// holdShare is the divisor of a caller's patience, or of its time left, for
-	// which one that came back waits for room.
-	holdShare = 4
-	// freshShare is the part of the route's time that a first try has at least.
-	freshShare = 0.95
+	// holdShare is the part of the objective, as its divisor, for which a request
+	// waits for room.
+	holdShare = 8
 	// callerShare is the part of the time left, as its divisor, that callers wait
 	// at most when they are told to come back.
 	callerShare = 3
--- a/coordination/serve/serve_test.go
+++ b/coordination/serve/serve_test.go
@@ -293,3 +293,19 @@
 		t.Errorf("%d endpoints rest after the same one was named by its identity", resting)
 	}
 }
+
+// Callers' limits differ, so a shorter one does not tell that they came back.
+func TestAllWaitForRoomEquallyLong(t *testing.T) {
+	b := longBed(t)
+	for _, part := range []float64{1, 0.95, 0.85, 0.3} {
+		q := b.request("long")
+		r := &run{server: b.server, request: q, tried: map[uint64]bool{}}
+		if err := r.admit(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		q.Left = time.Duration(part * float64(r.route.Timeout))
+		if hold := r.holdUntil().Sub(q.Arrived); hold != r.route.Objective/holdShare {
+			t.Errorf("with %.2f of the time left it waits for %v", part, hold)
+		}
+	}
+}
