Tell an entry that was started anew the work in flight at once, as far as it is read

Links to a process that had lost power were dialled again after up to 1.5 s, work was told anew with all its reading and in no order, and endpoints' queues were not followed before the entry's own first choice.

--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -176,6 +176,18 @@
 	return d.byService[service]
 }
 
+// ServiceOf names the service of an endpoint, empty when it isn't known.
+func (d *Directory) ServiceOf(key uint64) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.endpoints {
+		if e.Key == key {
+			return e.Service
+		}
+	}
+	return ""
+}
+
 // index groups the endpoints by service. Of two at one address the one born
 // later holds it.
 func (d *Directory) index() {
--- a/coordination/passes/queue.go
+++ b/coordination/passes/queue.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// Left returns what a piece of work still has to be read, nothing when it is
+// read or unknown.
+func (q *Queue) Left(id WorkID) Reading {
+	for _, p := range q.waiting {
+		if p.Work == id {
+			return p.Reading
+		}
+	}
+	return Reading{}
+}
+
 // read takes off what an engine without writers reads in so many milliseconds.
 func (q *Queue) read(e *catalogue.Engine, ms float64) {
 	for len(q.waiting) > 0 {
--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
 // arrivalWindow is the span over which arrivals at a cold endpoint are counted.
@@ -32,6 +33,7 @@
 	sequence uint64
 	bias     float64 // of the time to the first event over its prediction, lately
 	spread   func(*wire.WorkEvent)
+	engineOf func(key uint64) *catalogue.Engine
 	after    passes.Forecast // scratch
 	changed  chan struct{}   // closed and replaced when work ends
 }
@@ -44,6 +46,7 @@
 		works:    make(map[passes.WorkID]*work),
 		bias:     1,
 		spread:   func(*wire.WorkEvent) {},
+		engineOf: func(uint64) *catalogue.Engine { return nil },
 		changed:  make(chan struct{}),
 	}
 }
@@ -52,6 +55,11 @@
 // must not block.
 func (b *Book) OnNews(f func(*wire.WorkEvent)) { b.spread = f }
 
+// KnowEngines sets the function that finds the engine of an endpoint, nil when
+// there is none or it isn't known yet. With it the reading of other entries'
+// work is followed before this entry has chosen any endpoint itself.
+func (b *Book) KnowEngines(f func(key uint64) *catalogue.Engine) { b.engineOf = f }
+
 func (b *Book) account(key uint64) *account {
 	a := b.accounts[key]
 	if a == nil {
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -40,7 +40,7 @@
 	}
 	if engine != nil {
 		a.engine = engine
-		a.follow(key, now)
+		b.follow(a, key, now)
 		c.writers = a.writers(key)
 		a.queue.Forecast(engine, c.writers, nil, &c.forecast)
 	}
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -407,3 +408,31 @@
 		t.Errorf("the plan has %d endpoints", len(p.Endpoints))
 	}
 }
+
+// A book that is told of work later than others, as its entry was started anew,
+// predicts the same as they do, also before it has chosen any endpoint.
+func TestABookThatBeginsLaterAgrees(t *testing.T) {
+	first := newBed(3)
+	for range 3 {
+		d := first.demand(90_000, 10*time.Second, time.Second)
+		d.Patience = time.Minute
+		first.choose(t, d)
+		first.at = first.at.Add(100 * time.Millisecond)
+	}
+	later := newBed(3)
+	later.at = first.at
+	later.book.KnowEngines(func(uint64) *catalogue.Engine { return later.service.Engine })
+	later.book.ApplyRemote(1, first.book.Own())
+	for range 3 {
+		first.at = first.at.Add(200 * time.Millisecond)
+		later.at = first.at
+		later.book.ApplyRemote(1, nil)
+		for _, e := range first.endpoints {
+			x := first.book.load(e.Key, first.service.Engine, first.at).forecast.DoneMs
+			y := later.book.load(e.Key, later.service.Engine, later.at).forecast.DoneMs
+			if math.Abs(x-y) > 0.02*x {
+				t.Errorf("%s is done in %.0f ms, by the book that began later in %.0f", e.ID, x, y)
+			}
+		}
+	}
+}
--- a/coordination/placement/remote.go
+++ b/coordination/placement/remote.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/passes"
@@ -29,11 +31,8 @@
 		}
 		w := &work{
 			id: id, endpoints: e.Endpoints,
-			reading: passes.Reading{
-				Ms:     float64(e.ReadUs) / 1e3,
-				Tokens: float64(e.PromptTokens) / float64(len(e.Endpoints)),
-			},
-			prompt: int(e.PromptTokens), output: int(e.OutputTokens), openedAt: now,
+			reading: b.readingOf(e),
+			prompt:  int(e.PromptTokens), output: int(e.OutputTokens), openedAt: now,
 			firstDue: now.Add(time.Duration(e.FirstMs) * time.Millisecond),
 			pause:    time.Duration(e.PauseMs) * time.Millisecond,
 			expires:  now.Add(time.Duration(e.LimitMs) * time.Millisecond),
@@ -46,6 +45,19 @@
 	}
 }
 
+// readingOf is the reading that an event tells of, on each endpoint. Of what was
+// read in part before, as many tokens are left as time.
+func (b *Book) readingOf(e *wire.WorkEvent) passes.Reading {
+	n := len(e.Endpoints)
+	r := passes.Reading{Ms: float64(e.ReadUs) / 1e3, Tokens: float64(e.PromptTokens) / float64(n)}
+	if engine := b.engineAt(b.account(e.Endpoints[0]), e.Endpoints[0]); engine != nil {
+		if whole := passes.ReadMs(engine, int(e.PromptTokens), n); whole > 0 {
+			r.Tokens *= min(1, r.Ms/whole)
+		}
+	}
+	return r
+}
+
 // cross marks own work that was chosen before this news of other work came.
 func (b *Book) cross(remote *work) {
 	for _, w := range b.settling {
@@ -78,24 +90,45 @@
 	}
 }
 
-// Own returns the events that tell all of this entry's work anew.
+// Own returns the events that tell all of this entry's work anew, in the order
+// in which it was opened, with the reading that is left of it.
 func (b *Book) Own() []*wire.WorkEvent {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	var events []*wire.WorkEvent
+	var own []*work
 	for id, w := range b.works {
-		if id.Sender != 0 {
-			continue
+		if id.Sender == 0 {
+			own = append(own, w)
 		}
-		events = append(events, w.event(now))
+	}
+	slices.SortFunc(own, func(x, y *work) int { return cmp.Compare(x.id.Number, y.id.Number) })
+	var events []*wire.WorkEvent
+	for _, w := range own {
+		e := w.event(now)
+		e.ReadUs = uint32(b.readingLeft(w, now) * 1e3)
+		events = append(events, e)
 		if w.started {
-			events = append(events, &wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_STARTED, Work: id.Number})
+			events = append(events, &wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_STARTED, Work: w.id.Number})
 		}
 	}
 	return events
 }
 
+// readingLeft is the most that one of the endpoints still has to read, in ms.
+func (b *Book) readingLeft(w *work, now time.Time) float64 {
+	left := 0.0
+	for _, key := range w.endpoints {
+		a := b.account(key)
+		b.follow(a, key, now)
+		if a.engine == nil {
+			return w.reading.Ms // nothing is followed there
+		}
+		left = max(left, a.queue.Left(w.id).Ms)
+	}
+	return left
+}
+
 // Expire drops work whose time is over, of entries that never told its end.
 func (b *Book) Expire() {
 	b.mu.Lock()
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -33,7 +33,7 @@
 // account is what the book knows of one endpoint.
 type account struct {
 	works    map[passes.WorkID]*work
-	engine   *catalogue.Engine // nil until the first choice among engines
+	engine   *catalogue.Engine // nil while it is unknown, and at plain services
 	queue    passes.Queue
 	arrivals []time.Time // within arrivalWindow
 	health   health
@@ -92,7 +92,7 @@
 	b.works[w.id] = w
 	for i, key := range w.endpoints {
 		a := b.account(key)
-		a.follow(key, w.openedAt)
+		b.follow(a, key, w.openedAt)
 		a.works[w.id] = w
 		a.arrived(w.openedAt)
 		a.queue.Add(passes.Part{Work: w.id, Reading: w.reading, Ahead: i > 0}, w.openedAt)
@@ -100,13 +100,21 @@
 	}
 }
 
-// follow brings the account's queue up to a moment.
-func (a *account) follow(key uint64, now time.Time) {
-	if a.engine != nil {
-		a.queue.Advance(a.engine, a.writers(key), now)
+// follow brings an account's queue up to a moment.
+func (b *Book) follow(a *account, key uint64, now time.Time) {
+	if engine := b.engineAt(a, key); engine != nil {
+		a.queue.Advance(engine, a.writers(key), now)
 	}
 }
 
+// engineAt returns an account's engine, nil while it is unknown.
+func (b *Book) engineAt(a *account, key uint64) *catalogue.Engine {
+	if a.engine == nil {
+		a.engine = b.engineOf(key)
+	}
+	return a.engine
+}
+
 // writers are the answers that have begun at the endpoint.
 func (a *account) writers(key uint64) passes.Writers {
 	writers := passes.Writers{}
@@ -172,7 +180,7 @@
 		now := b.now()
 		for _, key := range w.endpoints {
 			a := b.account(key)
-			a.follow(key, now)
+			b.follow(a, key, now)
 			a.queue.Remove(w.id)
 		}
 		w.started, w.startedAt = true, now
@@ -192,7 +200,7 @@
 	delete(b.works, w.id)
 	for _, key := range w.endpoints {
 		if a := b.accounts[key]; a != nil {
-			a.follow(key, b.now())
+			b.follow(a, key, b.now())
 			delete(a.works, w.id)
 			a.queue.Remove(w.id)
 		}
--- a/role/site/node.go
+++ b/role/site/node.go
@@ -20,6 +20,7 @@
 	"github.com/apricotspoke/apricotspoke/platform"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/state/site"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
@@ -50,8 +51,7 @@
 		func() *wire.ProcessRecord { return self(&settings.Process, kind) },
 		func() *logs.Logger { return logs.For(kind.name) },
 		func() *link.Pool { return link.NewPool(link.Security{}) },
-		func() *placement.Book { return placement.NewBook(time.Now) },
-		metrics.New, current.NewStore, directory.New, newMesh, newMetrics,
+		metrics.New, current.NewStore, directory.New, newBook, newMesh, newMetrics,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			panic(err) // a constructor of this package that dig can't take
@@ -106,6 +106,22 @@
 	}, store, dir, book)
 }
 
+// newBook returns a ledger that finds the engines of endpoints itself.
+func newBook(store *current.Store, dir *directory.Directory) *placement.Book {
+	book := placement.NewBook(time.Now)
+	book.KnowEngines(func(key uint64) *catalogue.Engine {
+		c := store.State().Catalogue
+		if c == nil {
+			return nil
+		}
+		if s := c.Services[dir.ServiceOf(key)]; s != nil {
+			return s.Engine
+		}
+		return nil
+	})
+	return book
+}
+
 // limitMemory makes the collector keep the process within its host's memory.
 func limitMemory(p *site.Process) {
 	if p.MemoryBytes > 0 {
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -59,6 +59,7 @@
 	incoming  map[uint64]*inStream
 	heard     map[string]bool // addresses of processes that have told all they know
 	fetchedAt steady.Time
+	redial    time.Duration // before the first dial after a failure
 }
 
 // New returns a mesh that does nothing before Run.
@@ -74,6 +75,7 @@
 		incoming:  make(map[uint64]*inStream),
 		heard:     make(map[string]bool),
 		fetchedAt: -steady.Time(fetchTimeout),
+		redial:    redialDelay,
 	}
 	dir.MergeProcesses([]*wire.ProcessRecord{options.Self})
 	dir.OnNews(m.broadcast)
@@ -133,7 +135,11 @@
 	var entries []*outLink
 	for _, p := range known {
 		l := m.open(p.Address)
-		if l != nil && p.Entry && !l.entry.Swap(true) {
+		if l == nil {
+			continue
+		}
+		l.known(p.Incarnation)
+		if p.Entry && !l.entry.Swap(true) {
 			entries = append(entries, l)
 		}
 	}
@@ -148,7 +154,7 @@
 	if l := m.links[address]; l != nil {
 		return l
 	}
-	l := &outLink{mesh: m, address: address, wake: make(chan struct{}, 1), openedAt: steady.Now()}
+	l := &outLink{mesh: m, address: address, wake: make(chan struct{}, 1), anew: make(chan struct{}, 1), openedAt: steady.Now()}
 	m.links[address] = l
 	go l.run(m.ctx)
 	return l
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -195,3 +195,32 @@
 		t.Errorf("control was told of %d pieces of work", n)
 	}
 }
+
+// A process that was started anew is linked to at once, however long the others
+// would wait before their next dial, and is told the work in flight.
+func TestAProcessThatWasStartedAnewIsToldAllWorkAtOnce(t *testing.T) {
+	a := start(t, "a", 1)
+	a.mesh.redial = time.Hour
+	b := startAt(t, "127.0.0.1:0", &wire.ProcessRecord{Name: "b", Incarnation: 2, Entry: true}, a.address)
+	until(t, "they know each other", func() bool { return a.mesh.Entries() == 2 && b.mesh.Entries() == 2 })
+	a.directory.Announce(&wire.EndpointRecord{Id: "e1", BornMs: 1, Sequence: 1, Service: "s", Address: "10.0.0.1:80"})
+	a.book.Choose(a.directory.Endpoints("s"), &placement.Demand{
+		Service: &catalogue.Service{Name: "s"}, Limit: time.Hour, Patience: time.Second, Excluded: func(*directory.Endpoint) bool { return false },
+	})
+	until(t, "the work is known", func() bool { return b.book.Figures().Others == 1 })
+	b.stop()
+	until(t, "the link is lost", func() bool {
+		l := a.mesh.link(b.address)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return !l.up
+	})
+	again := startAt(t, b.address, &wire.ProcessRecord{Name: "b", Incarnation: 3, Entry: true}, a.address)
+	until(t, "the process that was started anew knows the work", func() bool { return again.book.Figures().Others == 1 })
+}
+
+func (m *Mesh) link(address string) *outLink {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[address]
+}
--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,9 +19,11 @@
 	address  string
 	entry    atomic.Bool // the process places work
 	wake     chan struct{}
+	anew     chan struct{} // the process was started anew
 	openedAt steady.Time
 
 	mu       sync.Mutex
+	born     uint64 // incarnation of the process that is known last, 0 for none
 	up       bool
 	news     *wire.MeshFrame // waits to be sent; nil when nothing does
 	want     bool            // ask for the state with the next ping
@@ -62,7 +65,7 @@
 
 // run keeps the link open until ctx ends or the process is silent for long.
 func (l *outLink) run(ctx context.Context) {
-	delay := redialDelay
+	delay := l.mesh.redial
 	for ctx.Err() == nil {
 		began := steady.Now()
 		err := l.exchange(ctx)
@@ -70,6 +73,9 @@
 			return
 		}
 		l.setUp(false)
+		if errors.Is(err, errStartedAnew) {
+			continue
+		}
 		if steady.Since(l.heardAt()) > forgetAfter {
 			l.mesh.abandoned(l)
 			return
@@ -78,15 +84,36 @@
 			Dur("lasted", steady.Since(began)).Dur("silence", steady.Since(l.heardAt())).Err(err).
 			Msg("A link to a process is lost.")
 		if steady.Since(began) > 2*pongTimeout {
-			delay = redialDelay
+			delay = l.mesh.redial
 		}
-		if !wait.For(ctx, delay) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-l.anew:
+			delay = l.mesh.redial
+			continue
+		case <-time.After(delay):
 		}
 		delay = min(2*delay, redialMost)
 	}
 }
 
+// known takes the incarnation of the process. A newer one than before ends the
+// wait before the next dial, or the stream to what the process was.
+func (l *outLink) known(incarnation uint64) {
+	l.mu.Lock()
+	replaced := l.born != 0 && l.born < incarnation
+	l.born = max(l.born, incarnation)
+	l.mu.Unlock()
+	if !replaced {
+		return
+	}
+	select {
+	case l.anew <- struct{}{}:
+	default:
+	}
+}
+
 func (l *outLink) setUp(up bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -94,6 +121,9 @@
 	l.pings = make(map[uint64]steady.Time)
 }
 
+// errStartedAnew ends a stream to what a process was before.
+var errStartedAnew = errors.New("the process was started anew")
+
 // exchange runs one stream until it fails.
 func (l *outLink) exchange(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -110,6 +140,10 @@
 		return err
 	}
 	l.setUp(true)
+	select {
+	case <-l.anew: // it was told while this stream was opened
+	default:
+	}
 	if err := stream.Send(l.hello()); err != nil {
 		return err
 	}
@@ -122,6 +156,8 @@
 		select {
 		case err := <-received:
 			return err
+		case <-l.anew:
+			return errStartedAnew
 		case <-ping.C:
 			if err := stream.Send(l.take(true)); err != nil {
 				return err
