--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -73,9 +73,6 @@
 			return
 		}
 		l.setUp(false)
-		if errors.Is(err, errStartedAnew) {
-			continue
-		}
 		if steady.Since(l.heardAt()) > forgetAfter {
 			l.mesh.abandoned(l)
 			return
@@ -83,6 +80,9 @@
 		l.mesh.logger.Repeated(l.address).Str("address", l.address).
 			Dur("lasted", steady.Since(began)).Dur("silence", steady.Since(l.heardAt())).Err(err).
 			Msg("A link to a process is lost.")
+		if errors.Is(err, errStartedAnew) {
+			continue
+		}
 		if steady.Since(began) > 2*pongTimeout {
 			delay = l.mesh.redial
 		}
