Log what is believed of an endpoint when it changes

Cause: that an endpoint was doubted, as another entry could not reach it, and that it was trusted again, stood in no line, though long prompts now go by it.

--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -10,6 +10,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 )
 
 // arrivalWindow is the span over which arrivals at a cold endpoint are counted.
@@ -24,7 +25,8 @@
 
 // Book is the ledger of work in flight, of this entry and of the others.
 type Book struct {
-	now func() time.Time
+	now    func() time.Time
+	logger *logs.Logger
 
 	mu       sync.Mutex
 	accounts map[uint64]*account // by endpoint key
@@ -42,6 +44,7 @@
 func NewBook(now func() time.Time) *Book {
 	return &Book{
 		now:      now,
+		logger:   logs.For("placement"),
 		accounts: make(map[uint64]*account),
 		works:    make(map[passes.WorkID]*work),
 		bias:     1,
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -24,6 +24,7 @@
 func (b *Book) candidate(e *directory.Endpoint, engine *catalogue.Engine, now time.Time) *candidate {
 	c := b.load(e.Key, engine, now)
 	c.endpoint = e
+	c.account.name = e.ID
 	return c
 }
 
--- a/coordination/placement/health.go
+++ b/coordination/placement/health.go
@@ -23,6 +23,17 @@
 	unproven bool
 }
 
+// setUnproven changes what is believed of an endpoint, and logs it.
+func (b *Book) setUnproven(key uint64, unproven bool, why string) {
+	a := b.account(key)
+	if a.health.unproven == unproven {
+		return
+	}
+	a.health.unproven = unproven
+	b.logger.Info().Str("endpoint", a.name).Uint64("key", key).Bool("doubted", unproven).Str("why", why).
+		Int("failures", a.health.failures).Msg("What is believed of an endpoint has changed.")
+}
+
 // Failed notes that an endpoint broke a request off, answered garbage or not at
 // all. It rests twice as long after each failure in a row.
 func (b *Book) Failed(key uint64) {
@@ -31,7 +42,7 @@
 	h := &b.account(key).health
 	rest := min(doubtFirst<<min(h.failures, 8), doubtMost)
 	h.failures++
-	h.unproven = true
+	b.setUnproven(key, true, "it failed a request of this entry")
 	h.restUntil = b.now().Add(rest)
 }
 
@@ -48,7 +59,7 @@
 	for _, key := range keys {
 		h := &b.account(key).health
 		h.restUntil = passes.Later(h.restUntil, b.now().Add(doubtFirst))
-		h.unproven = true
+		b.setUnproven(key, true, "another entry could not reach it")
 	}
 }
 
@@ -66,6 +77,6 @@
 	defer b.mu.Unlock()
 	h := &b.account(key).health
 	h.failures = 0
-	h.unproven = false
+	b.setUnproven(key, false, "it answered a request of this entry")
 	h.successAt = b.now()
 }
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -32,6 +32,7 @@
 
 // account is what the book knows of one endpoint.
 type account struct {
+	name     string // identity, empty before it was a candidate
 	works    map[passes.WorkID]*work
 	engine   *catalogue.Engine // nil while it is unknown, and at plain services
 	queue    passes.Queue
@@ -184,7 +185,7 @@
 			a.queue.Remove(w.id)
 		}
 		w.started, w.startedAt = true, now
-		b.account(w.endpoints[0]).health.unproven = false
+		b.setUnproven(w.endpoints[0], false, "an answer has begun there")
 	case wire.WorkStep_WORK_STEP_LATE:
 		if w.late {
 			return false
