--- a/coordination/passes/passes.go
+++ b/coordination/passes/passes.go
@@ -2,7 +2,11 @@
 // figures that its service publishes. Times are in milliseconds.
 package passes
 
-import "github.com/apricotspoke/apricotspoke/state/catalogue"
+import (
+	"math"
+
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
 
 const (
 	pairsUnit   = 1e6
@@ -31,6 +35,13 @@
 	return float64(max(1, e.StepsPerPass)) * StepMs(e, writers, contextTokens)
 }
 
+// AnswerMs is the time that an endpoint with all slots taken by usual prompts
+// takes to write so many tokens.
+func AnswerMs(e *catalogue.Engine, tokens int) float64 {
+	passes := math.Ceil(float64(tokens) / float64(max(1, e.StepsPerPass)))
+	return passes * WriteMs(e, e.Slots, e.Slots*int(e.UsualPrompt))
+}
+
 // Reading is prompt work that an endpoint has yet to do.
 type Reading struct {
 	Ms     float64
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
@@ -44,6 +45,11 @@
 	// callerShare is the part of the time left, as its divisor, that callers wait
 	// at most when they are told to come back.
 	callerShare = 3
+	// stopShare is how many times its expected time an answer must have until this
+	// entry stops, as passes grow with what others read.
+	stopShare = 1.25
+	// stopWait is the retry time told then: other entries can take it at once.
+	stopWait = 20 * time.Millisecond
 	// leastLeft is the least time worth sending an attempt for.
 	leastLeft = 10 * time.Millisecond
 )
@@ -92,6 +98,9 @@
 	}
 	r.service = c.Services[pick(r.route.Split, q.ID)]
 	r.limit = q.Arrived.Add(min(q.Left, r.route.Timeout))
+	if err := r.fitsBeforeStop(); err != nil {
+		return err
+	}
 	r.server.budget.asked(r.service.Name)
 	return nil
 }
@@ -110,6 +119,29 @@
 	return nil
 }
 
+// fitsBeforeStop refuses an answer that this entry would rather cut when it
+// stops.
+func (r *run) fitsBeforeStop() error {
+	at := r.server.stopsAt.Load()
+	engine := r.service.Engine
+	if at == nil || engine == nil {
+		return nil
+	}
+	expected := r.route.Objective + passes.FromMs(passes.AnswerMs(engine, mostTokens(r.request, engine)))
+	if left := time.Until(*at); float64(left) < stopShare*float64(expected) {
+		return fault.New(fault.Overloaded, "this entry stops in %v, and the answer may take %v", left, expected).After(stopWait)
+	}
+	return nil
+}
+
+// mostTokens is the longest output that the caller allows, or the usual one.
+func mostTokens(q *Request, engine *catalogue.Engine) int {
+	if q.MaxOutput > 0 {
+		return q.MaxOutput
+	}
+	return int(engine.UsualAnswer)
+}
+
 func (r *run) identify(c *catalogue.Catalogue) error {
 	if r.route.Public || !c.KeysAsked() {
 		return nil
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -109,6 +109,7 @@
 // Server serves requests.
 type Server struct {
 	settings  atomic.Pointer[Settings]
+	stopsAt   atomic.Pointer[time.Time] // nil while the entry stays
 	current   *current.Store
 	directory *directory.Directory
 	book      *placement.Book
@@ -142,6 +143,9 @@
 // SetSettings puts other settings in force, for requests that run as well.
 func (s *Server) SetSettings(settings Settings) { s.settings.Store(&settings) }
 
+// Leave tells that this entry cuts what still runs at a moment.
+func (s *Server) Leave(at time.Time) { s.stopsAt.Store(&at) }
+
 // Current reports whether the state may be acted on.
 func (s *Server) Current() bool {
 	currentFor := s.settings.Load().CurrentFor
--- a/role/site/entry.go
+++ b/role/site/entry.go
@@ -28,7 +28,7 @@
 	// revokeMargin is kept between the last use of a key and the bound.
 	revokeMargin = 400 * time.Millisecond
 	// stopMargin is kept between the end of an entry and the bound.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 250 * time.Millisecond
 	// leaveFor is how long a stopping entry goes on taking requests, until the
 	// platform has seen that it is not ready.
 	leaveFor = 2500 * time.Millisecond
@@ -143,6 +143,7 @@
 	e.leaving.Store(true)
 	e.logger.Info().Int64("running", e.running.Load()).Dur("within", stopWithin).Msg("The entry is leaving.")
 	began := time.Now()
+	e.server.Leave(began.Add(stopWithin))
 	wait.For(context.Background(), min(leaveFor, stopWithin/2))
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin-time.Since(began))
 	defer cancel()
