--- a/coordination/admission/account.go
+++ b/coordination/admission/account.go
@@ -28,7 +28,6 @@
 	takeTokens       float64 // tokens of the largest of the latest requests
 	requests, tokens float64 // unspent
 	slots, used      uint32
-	wantedSlots      uint32 // by the last lease
 	validUntil       time.Time
 	deniedUntil      time.Time
 	lastTake         time.Time
@@ -80,7 +79,6 @@
 	d.HeldRequests, d.HeldTokens = a.requests, a.tokens
 	spare := a.spareSlots(now)
 	d.ConcurrencyWanted = a.used + uint32(a.waitingRequests) + spare
-	a.wantedSlots = d.ConcurrencyWanted
 	a.slots = min(a.slots, d.ConcurrencyWanted) // slots not wanted are handed back
 	d.ConcurrencyHeld = a.used
 	if a.contract.Concurrency >= slotPart {
--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -15,7 +15,7 @@
 	leaseLeast   = 5 * time.Millisecond // between leases that waiting requests ask for
 	leaseTimeout = time.Second
 	leaseWait    = 1500 * time.Millisecond // for the first lease of an organisation
-	leaseRounds  = 3                       // answers that gave too few slots before a refusal
+	leaseRounds  = 3                       // answers without the quota before a refusal
 	defaultRetry = time.Second
 )
 
@@ -57,7 +57,7 @@
 	organisation := contract.Organisation
 	deadline := time.NewTimer(leaseWait)
 	defer deadline.Stop()
-	for short := 0; short < leaseRounds; {
+	for range leaseRounds {
 		changed, err := q.tryTake(contract, float64(tokens))
 		if err != nil {
 			return nil, err
@@ -66,13 +66,10 @@
 			return &Hold{quota: q, contract: contract, tokens: float64(tokens)}, nil
 		}
 		err = q.await(ctx, changed, deadline.C)
-		isShort := q.stopWaiting(organisation, float64(tokens))
+		q.stopWaiting(organisation, float64(tokens))
 		if err != nil {
 			return nil, err
 		}
-		if isShort {
-			short++
-		}
 	}
 	return nil, limitExceeded(defaultRetry)
 }
@@ -126,19 +123,13 @@
 	}
 }
 
-// stopWaiting reports whether the last lease gave fewer slots than were asked
-// for. One that gave all of them is no refusal, though other requests may have
-// taken what came with it.
-func (q *Quota) stopWaiting(organisation string, tokens float64) bool {
+func (q *Quota) stopWaiting(organisation string, tokens float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	a := q.accounts[organisation]
-	if a == nil {
-		return false
+	if a := q.accounts[organisation]; a != nil {
+		a.waitingRequests = max(0, a.waitingRequests-1)
+		a.waitingTokens = max(0, a.waitingTokens-tokens)
 	}
-	a.waitingRequests = max(0, a.waitingRequests-1)
-	a.waitingTokens = max(0, a.waitingTokens-tokens)
-	return a.slots < a.wantedSlots
 }
 
 func limitExceeded(wait time.Duration) error {
