--- a/coordination/admission/account.go
+++ b/coordination/admission/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
@@ -32,15 +33,32 @@
 	deniedUntil      time.Time
 	lastTake         time.Time
 
-	waitingRequests, waitingTokens float64 // demand of those that wait
-	askedRequests, askedTokens     float64 // since the last lease, refused ones included
-	rateRequests, rateTokens       float64 // per second
-	leasedAt                       time.Time
-	changed                        chan struct{} // closed by the next lease
+	waiting                    []*waiter // in the order in which they came
+	askedRequests, askedTokens float64   // since the last lease, refused ones included
+	rateRequests, rateTokens   float64   // per second
+	leasedAt                   time.Time
+}
+
+// waiter is a request that waits for quota.
+type waiter struct {
+	tokens  float64
+	answers int        // of control since it waits
+	done    chan error // takes its outcome
+}
+
+// served reports whether the request has quota that it did not use. It takes
+// the outcome.
+func (w *waiter) served() bool {
+	select {
+	case err := <-w.done:
+		return err == nil
+	default:
+		return false
+	}
 }
 
 func newAccount(contract *wire.Contract, now time.Time) *account {
-	return &account{contract: contract, leasedAt: now, lastTake: now, changed: make(chan struct{})}
+	return &account{contract: contract, leasedAt: now, lastTake: now}
 }
 
 // ask notes a request, whether or not it can be served from what is held.
@@ -60,6 +78,33 @@
 	return true
 }
 
+// serve gives what is held to those that wait, in their order: none is overtaken.
+func (a *account) serve(now time.Time) {
+	for len(a.waiting) > 0 && a.take(a.waiting[0].tokens, now) {
+		a.waiting[0].done <- nil
+		a.waiting = a.waiting[1:]
+	}
+}
+
+// refuse ends the wait of all.
+func (a *account) refuse(wait time.Duration) {
+	for _, w := range a.waiting {
+		a.asked(w.tokens)
+		w.done <- limitExceeded(wait)
+	}
+	a.waiting = nil
+}
+
+// withdraw removes a request that waits, and reports whether it did.
+func (a *account) withdraw(w *waiter) bool {
+	i := slices.Index(a.waiting, w)
+	if i < 0 {
+		return false
+	}
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	return true
+}
+
 // asked counts towards the demand that the next lease states. Demand that is
 // refused counts too: else an entry that got little would go on asking for little.
 func (a *account) asked(tokens float64) {
@@ -78,7 +123,7 @@
 	d.Tokens, d.ReturnedTokens = adjust(&a.tokens, targetTokens)
 	d.HeldRequests, d.HeldTokens = a.requests, a.tokens
 	spare := a.spareSlots(now)
-	d.ConcurrencyWanted = a.used + uint32(a.waitingRequests) + spare
+	d.ConcurrencyWanted = a.used + uint32(len(a.waiting)) + spare
 	a.slots = min(a.slots, d.ConcurrencyWanted) // slots not wanted are handed back
 	d.ConcurrencyHeld = a.used
 	if a.contract.Concurrency >= slotPart {
@@ -106,7 +151,11 @@
 		requests = math.Max(math.Max(standing, requests), math.Min(a.rateRequests*ahead, mostOfBurst*a.contract.RequestBurst))
 		tokens = math.Max(tokens, math.Min(a.rateTokens*ahead, mostOfBurst*a.contract.TokenBurst))
 	}
-	return a.waitingRequests + requests, a.waitingTokens + tokens
+	for _, w := range a.waiting {
+		requests++
+		tokens += w.tokens
+	}
+	return requests, tokens
 }
 
 // standing is the number of requests kept for an idle organisation, so that its
@@ -145,7 +194,9 @@
 	}
 }
 
-func (a *account) grant(g *wire.QuotaGrant, sentAt, now time.Time) {
+// grant takes an answer of control, and reports whether to ask again at once for
+// those that still wait.
+func (a *account) grant(g *wire.QuotaGrant, sentAt, now time.Time) (again bool) {
 	a.requests += g.Requests
 	a.tokens += g.Tokens
 	a.slots = g.Concurrency
@@ -154,6 +205,13 @@
 	if g.RetryAfterMs > 0 {
 		a.deniedUntil = now.Add(time.Duration(g.RetryAfterMs) * time.Millisecond)
 	}
-	close(a.changed)
-	a.changed = make(chan struct{})
+	a.serve(now)
+	if wait := a.deniedUntil.Sub(now); wait > 0 {
+		a.refuse(wait)
+	}
+	for _, w := range a.waiting {
+		w.answers++
+		again = again || w.answers < leaseRounds
+	}
+	return again
 }
--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -15,7 +15,7 @@
 	leaseLeast   = 5 * time.Millisecond // between leases that waiting requests ask for
 	leaseTimeout = time.Second
 	leaseWait    = 1500 * time.Millisecond // for the first lease of an organisation
-	leaseRounds  = 3                       // answers without the quota before a refusal
+	leaseRounds  = 3                       // answers without the quota after which it is asked for less often
 	defaultRetry = time.Second
 )
 
@@ -51,48 +51,42 @@
 }
 
 // Take takes one request, its tokens and a slot, without waiting when the
-// contract is known to be used up. The error is LimitExceeded, or NotCurrent
-// when control can't be reached for a lease.
+// contract is known to be used up. Requests that wait are served in the order in
+// which they came. The error is LimitExceeded, or NotCurrent when control can't
+// be reached for a lease.
 func (q *Quota) Take(ctx context.Context, contract *wire.Contract, tokens uint64) (*Hold, error) {
-	organisation := contract.Organisation
-	deadline := time.NewTimer(leaseWait)
-	defer deadline.Stop()
-	for range leaseRounds {
-		changed, err := q.tryTake(contract, float64(tokens))
-		if err != nil {
-			return nil, err
-		}
-		if changed == nil {
-			return &Hold{quota: q, contract: contract, tokens: float64(tokens)}, nil
-		}
-		err = q.await(ctx, changed, deadline.C)
-		q.stopWaiting(organisation, float64(tokens))
-		if err != nil {
-			return nil, err
+	w, err := q.join(contract, float64(tokens))
+	if err != nil {
+		return nil, err
+	}
+	hold := &Hold{quota: q, contract: contract, tokens: float64(tokens)}
+	if err := q.await(ctx, contract.Organisation, w); err != nil {
+		if ctx.Err() != nil && w.served() {
+			hold.Refund()
 		}
+		return nil, err
 	}
-	return nil, limitExceeded(defaultRetry)
+	return hold, nil
 }
 
-// tryTake returns nil when the quota was taken, or a channel that is closed by
-// the next lease.
-func (q *Quota) tryTake(contract *wire.Contract, tokens float64) (<-chan struct{}, error) {
+// join serves a request at once, refuses it, or lets it wait behind the others.
+func (q *Quota) join(contract *wire.Contract, tokens float64) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
 	a := q.account(contract, now)
 	a.ask(tokens, now)
-	if a.take(tokens, now) {
-		return nil, nil
-	}
-	if wait := a.deniedUntil.Sub(now); wait > 0 {
+	w := &waiter{tokens: tokens, done: make(chan error, 1)}
+	a.waiting = append(a.waiting, w)
+	a.serve(now)
+	if wait := a.deniedUntil.Sub(now); wait > 0 && a.withdraw(w) {
 		a.asked(tokens)
 		return nil, limitExceeded(wait)
 	}
-	a.waitingRequests++
-	a.waitingTokens += tokens
-	q.poke()
-	return a.changed, nil
+	if len(a.waiting) > 0 {
+		q.poke()
+	}
+	return w, nil
 }
 
 func (q *Quota) account(contract *wire.Contract, now time.Time) *account {
@@ -112,24 +106,31 @@
 	}
 }
 
-func (q *Quota) await(ctx context.Context, changed <-chan struct{}, deadline <-chan time.Time) error {
+// await returns when the request is served or refused.
+func (q *Quota) await(ctx context.Context, organisation string, w *waiter) error {
+	deadline := time.NewTimer(leaseWait)
+	defer deadline.Stop()
 	select {
-	case <-changed:
-		return nil
-	case <-deadline:
-		return fault.New(fault.NotCurrent, "no quota lease could be had from control").After(defaultRetry)
+	case err := <-w.done:
+		return err
+	case <-deadline.C:
 	case <-ctx.Done():
-		return context.Cause(ctx)
 	}
-}
-
-func (q *Quota) stopWaiting(organisation string, tokens float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if a := q.accounts[organisation]; a != nil {
-		a.waitingRequests = max(0, a.waitingRequests-1)
-		a.waitingTokens = max(0, a.waitingTokens-tokens)
+	switch a := q.accounts[organisation]; {
+	case a == nil || !a.withdraw(w):
+		if err := <-w.done; err != nil || ctx.Err() == nil {
+			return err
+		}
+		w.done <- nil // served, but the caller has left
+		return context.Cause(ctx)
+	case ctx.Err() != nil:
+		return context.Cause(ctx)
+	case w.answers > 0:
+		return limitExceeded(defaultRetry)
 	}
+	return fault.New(fault.NotCurrent, "no quota lease could be had from control").After(defaultRetry)
 }
 
 func limitExceeded(wait time.Duration) error {
@@ -142,13 +143,15 @@
 	h.once.Do(func() {
 		h.quota.mu.Lock()
 		defer h.quota.mu.Unlock()
-		a := h.quota.account(h.contract, time.Now())
+		now := time.Now()
+		a := h.quota.account(h.contract, now)
 		if a.used > 0 {
 			a.used--
 		}
 		unused := max(0, h.tokens-float64(usedTokens))
 		a.tokens += unused
 		a.askedTokens = max(0, a.askedTokens-unused)
+		a.serve(now)
 	})
 }
 
@@ -157,7 +160,8 @@
 	h.once.Do(func() {
 		h.quota.mu.Lock()
 		defer h.quota.mu.Unlock()
-		a := h.quota.account(h.contract, time.Now())
+		now := time.Now()
+		a := h.quota.account(h.contract, now)
 		if a.used > 0 {
 			a.used--
 		}
@@ -165,6 +169,7 @@
 		a.tokens += h.tokens
 		a.askedRequests = max(0, a.askedRequests-1)
 		a.askedTokens = max(0, a.askedTokens-h.tokens)
+		a.serve(now)
 	})
 }
 
@@ -220,7 +225,7 @@
 	q.sequence++
 	request := &wire.LeaseRequest{Entry: q.entry, Sequence: q.sequence}
 	for organisation, a := range q.accounts {
-		if a.used == 0 && now.Sub(a.lastTake) > forgetAfter {
+		if a.used == 0 && len(a.waiting) == 0 && now.Sub(a.lastTake) > forgetAfter {
 			delete(q.accounts, organisation)
 			continue
 		}
@@ -234,8 +239,8 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	for _, g := range response.Grants {
-		if a, ok := q.accounts[g.Organisation]; ok {
-			a.grant(g, sentAt, now)
+		if a, ok := q.accounts[g.Organisation]; ok && a.grant(g, sentAt, now) {
+			q.poke()
 		}
 	}
 }
