Place a resumed stream by the objective of its pause

A stream whose endpoint broke off was placed anew as if its first event were still to come: the objective of the first event had passed, so its chance to be on time was 0, it got what no request in time wanted, was told to the others as late and marked late itself though the pause still held.

The objective of the next event counts now: that of the first one, or the pause after the last one. Ruled out: the repeat budget and room (all were placed at once). Test: TestAResumedStreamIsOnTimeWhenThePauseIs, both parts of which fail before (10 ms instead of 50 left, told as late).

--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -91,8 +91,17 @@
 	return r.request.Arrived.Add(r.route.Objective / holdShare)
 }
 
-// isOverdue reports whether the objective of the first event has passed.
-func (r *run) isOverdue() bool { return time.Since(r.request.Arrived) > r.route.Objective }
+// isOverdue reports whether the objective of the next event has passed.
+func (r *run) isOverdue() bool { return r.nextLeft() < 0 }
+
+// nextLeft is the time left to the objective of the next event: of the first
+// one, or of the pause after the last one.
+func (r *run) nextLeft() time.Duration {
+	if r.events > 0 && r.route.PauseObjective > 0 {
+		return time.Until(r.lastAt.Add(r.route.PauseObjective))
+	}
+	return time.Until(r.request.Arrived.Add(r.route.Objective))
+}
 
 // tryPlace returns a plan when endpoints have room just now.
 func (r *run) tryPlace() *placement.Plan {
@@ -126,7 +135,7 @@
 		Service:    r.service,
 		DataCentre: r.server.settings.Load().DataCentre,
 		Objective:  r.route.Objective,
-		FirstLeft:  time.Until(q.Arrived.Add(r.route.Objective)),
+		FirstLeft:  r.nextLeft(),
 		Limit:      time.Until(r.limit),
 		Patience:   r.patienceLeft(),
 		Credit:     plainCredit,
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -71,6 +71,7 @@
 	begun        bool
 	lastEvent    string
 	events       int             // passed on
+	lastAt       time.Time       // of the last event passed on
 	next         *placement.Plan // secured before a silent attempt was given up
 	firstAt      time.Time
 	late         bool
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -57,7 +57,6 @@
 	stall := time.NewTimer(r.firstStall(plan))
 	defer stall.Stop()
 	started := false
-	last := time.Time{}
 	for {
 		select {
 		case e := <-events:
@@ -65,10 +64,11 @@
 			if !started {
 				started = true
 				r.noteStarted(plan, now)
-			} else if r.route.PauseObjective > 0 && now.Sub(last) > r.route.PauseObjective {
-				r.noteLate(plan, "pause", now.Sub(last))
 			}
-			last = now
+			if pause := now.Sub(r.lastAt); r.events > 0 && r.route.PauseObjective > 0 && pause > r.route.PauseObjective {
+				r.noteLate(plan, "pause", pause)
+			}
+			r.lastAt = now
 			if !r.begun {
 				r.begin(response.Status, response.Header, -1)
 			}
@@ -111,7 +111,7 @@
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 	}
-	if waited := now.Sub(r.request.Arrived); waited > r.route.Objective {
+	if waited := now.Sub(r.request.Arrived); r.late || r.events == 0 && waited > r.route.Objective {
 		r.noteLate(plan, "first", waited)
 	}
 	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).
