--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -58,31 +58,31 @@
 	logger *logs.Logger
 
 	mu        sync.Mutex
-	processes map[string]*wire.ProcessRecord // by address
-	endpoints map[string]*Endpoint           // by identity
-	byService map[string][]*Endpoint         // in use; nil after a change
-	spread    func(*wire.MeshFrame)
+	processes map[string]*process    // by address
+	endpoints map[string]*Endpoint   // by identity
+	byService map[string][]*Endpoint // in use; nil after a change
+	spread    func([]*wire.EndpointRecord)
 }
 
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{
 		logger:    logs.For("directory"),
-		processes: make(map[string]*wire.ProcessRecord),
+		processes: make(map[string]*process),
 		endpoints: make(map[string]*Endpoint),
-		spread:    func(*wire.MeshFrame) {},
+		spread:    func([]*wire.EndpointRecord) {},
 	}
 }
 
 // OnNews sets the function that tells other processes what this one learnt
 // from an endpoint itself.
-func (d *Directory) OnNews(f func(*wire.MeshFrame)) { d.spread = f }
+func (d *Directory) OnNews(f func([]*wire.EndpointRecord)) { d.spread = f }
 
 // Announce takes an endpoint's own announcement and spreads its news.
 func (d *Directory) Announce(r *wire.EndpointRecord) {
-	news := d.merge(r)
+	_, news := d.merge(r)
 	if news || r.Sequence%refreshBeats == 0 {
-		d.spread(&wire.MeshFrame{Endpoints: []*wire.EndpointRecord{r}})
+		d.spread([]*wire.EndpointRecord{r})
 	}
 }
 
@@ -100,22 +100,28 @@
 	d.Announce(r)
 }
 
-// MergeEndpoints takes records from another process.
-func (d *Directory) MergeEndpoints(records []*wire.EndpointRecord) {
+// MergeEndpoints takes records from another process and returns those that are
+// newer than what was known.
+func (d *Directory) MergeEndpoints(records []*wire.EndpointRecord) []*wire.EndpointRecord {
+	var taken []*wire.EndpointRecord
 	for _, r := range records {
-		d.merge(r)
+		if newest, _ := d.merge(r); newest {
+			taken = append(taken, r)
+		}
 	}
+	return taken
 }
 
-// merge reports whether the record changes more than the time last heard.
-func (d *Directory) merge(r *wire.EndpointRecord) bool {
+// merge reports whether the record is newer than what was known, and whether it
+// changes more than the time last heard.
+func (d *Directory) merge(r *wire.EndpointRecord) (newest, news bool) {
 	now := steady.Now()
 	next := fromRecord(r, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.endpoints[r.Id]
 	if old != nil && !newer(old, next) {
-		return false
+		return false, false
 	}
 	if old != nil && old.BornMs == next.BornMs {
 		next.HeardAt = max(next.HeardAt, old.HeardAt)
@@ -123,12 +129,12 @@
 	d.endpoints[r.Id] = next
 	d.byService = nil
 	if old != nil && old.BornMs == next.BornMs && old.Condition == next.Condition && old.Address == next.Address {
-		return old.Cold(now) != next.Cold(now)
+		return true, old.Cold(now) != next.Cold(now)
 	}
 	d.logger.Info().Str("endpoint", next.ID).Uint64("born_ms", next.BornMs).Str("address", next.Address).
 		Str("data_centre", next.DataCentre).Str("condition", conditionName(next.Condition)).
 		Uint32("cold_ms", r.ColdMs).Uint32("age_ms", r.HeardAgeMs).Msg("An endpoint is known anew.")
-	return true
+	return true, true
 }
 
 func conditionName(c wire.EndpointCondition) string {
@@ -176,6 +182,19 @@
 	return d.byService[service]
 }
 
+// KeysIn returns the keys of the endpoints of a data centre that have not left.
+func (d *Directory) KeysIn(dataCentre string) []uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var keys []uint64
+	for _, e := range d.endpoints {
+		if e.DataCentre == dataCentre && e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_GONE {
+			keys = append(keys, e.Key)
+		}
+	}
+	return keys
+}
+
 // ServiceOf names the service of an endpoint, empty when it isn't known.
 func (d *Directory) ServiceOf(key uint64) string {
 	d.mu.Lock()
--- a/coordination/directory/directory_test.go
+++ b/coordination/directory/directory_test.go
@@ -82,7 +82,7 @@
 	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
 	d := New()
 	spread := 0
-	d.OnNews(func(*wire.MeshFrame) { spread++ })
+	d.OnNews(func([]*wire.EndpointRecord) { spread++ })
 	d.Announce(record("a", 1, 1, ready))
 	for sequence := uint64(2); sequence <= 9; sequence++ {
 		d.Announce(record("a", 1, sequence, ready))
@@ -112,3 +112,31 @@
 		t.Error("the process is still known")
 	}
 }
+
+// A process that counts as gone stays so for old records, and is known again once
+// it says otherwise itself or is heard.
+func TestAProcessThatIsGoneComesBackOnlyByAnswering(t *testing.T) {
+	d := New()
+	record := &wire.ProcessRecord{Address: "a:1", Incarnation: 1}
+	d.MergeProcesses([]*wire.ProcessRecord{record})
+	gone := d.Forget("a:1", 1)
+	if gone == nil || !gone.Gone || len(d.Processes()) != 0 || len(d.ProcessRecords()) != 1 {
+		t.Fatalf("gone %v, %d known, %d told", gone, len(d.Processes()), len(d.ProcessRecords()))
+	}
+	if news := d.MergeProcesses([]*wire.ProcessRecord{record}); len(news) != 0 {
+		t.Error("an old record brought the process back")
+	}
+	other := New()
+	if news := other.MergeProcesses([]*wire.ProcessRecord{gone}); len(news) != 0 {
+		t.Error("a process that was never known is told as gone")
+	}
+	back := d.Revive("a:1", 1)
+	if back == nil || len(d.Processes()) != 1 {
+		t.Fatal("a process that was heard is still gone")
+	}
+	other.MergeProcesses([]*wire.ProcessRecord{record})
+	other.Forget("a:1", 1)
+	if news := other.MergeProcesses([]*wire.ProcessRecord{back}); len(news) != 1 || len(other.Processes()) != 1 {
+		t.Error("the news that it was heard is not taken")
+	}
+}
--- /dev/null
+++ b/coordination/placement/bench_test.go
@@ -0,0 +1,34 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkChoose measures one choice over so many endpoints, half of which
+// write answers.
+func BenchmarkChoose(b *testing.B) {
+	for _, endpoints := range []int{10, 50, 172, 920} {
+		for _, c := range []struct {
+			name   string
+			prompt int
+		}{{"short", 3000}, {"spread", 400_000}} {
+			b.Run(fmt.Sprintf("%s/%d", c.name, endpoints), func(b *testing.B) {
+				bed := newBed(endpoints)
+				for range 2 * endpoints {
+					if p := bed.book.Choose(bed.endpoints, bed.short()); p != nil {
+						p.Handle.Started()
+					}
+				}
+				d := bed.demand(c.prompt, 4*time.Second, time.Second)
+				b.ReportAllocs()
+				for b.Loop() {
+					if p := bed.book.Choose(bed.endpoints, d); p != nil {
+						p.Handle.Close()
+					}
+				}
+			})
+		}
+	}
+}
--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -34,9 +34,11 @@
 	settling []*work // own
 	sequence uint64
 	bias     float64 // of the time to the first event over its prediction, lately
-	spread   func(*wire.WorkEvent)
+	spread   func(*wire.WorkEvent, Audience)
+	reported map[string][]uint64 // endpoints in the last report of each data centre that reports sums
 	engineOf func(key uint64) *catalogue.Engine
 	after    passes.Forecast // scratch
+	loads    []candidate     // scratch
 	changed  chan struct{}   // closed and replaced when work ends
 }
 
@@ -48,7 +50,8 @@
 		accounts: make(map[uint64]*account),
 		works:    make(map[passes.WorkID]*work),
 		bias:     1,
-		spread:   func(*wire.WorkEvent) {},
+		spread:   func(*wire.WorkEvent, Audience) {},
+		reported: make(map[string][]uint64),
 		engineOf: func(uint64) *catalogue.Engine { return nil },
 		changed:  make(chan struct{}),
 	}
@@ -56,7 +59,7 @@
 
 // OnNews sets the function that tells the other entries of this one's work. It
 // must not block.
-func (b *Book) OnNews(f func(*wire.WorkEvent)) { b.spread = f }
+func (b *Book) OnNews(f func(*wire.WorkEvent, Audience)) { b.spread = f }
 
 // KnowEngines sets the function that finds the engine of an endpoint, nil when
 // there is none or it isn't known yet. With it the reading of other entries'
@@ -66,7 +69,7 @@
 func (b *Book) account(key uint64) *account {
 	a := b.accounts[key]
 	if a == nil {
-		a = &account{works: make(map[passes.WorkID]*work)}
+		a = &account{}
 		b.accounts[key] = a
 	}
 	return a
@@ -89,6 +92,7 @@
 		credit:      float64(creditMilli(d.Credit)) / creditUnit,
 		predictedMs: p.PredictedFirstMs,
 		firstAt:     now.Add(passes.FromMs(p.PredictedFirstMs)),
+		audience:    audienceOf(p),
 	}
 	for _, e := range p.Endpoints {
 		w.endpoints = append(w.endpoints, e.Key)
@@ -98,7 +102,7 @@
 		b.settling = append(b.settling, w)
 		p.Settle = true
 	}
-	b.spread(w.event(now))
+	b.spread(w.event(now), w.audience)
 	return &Handle{book: b, work: w}
 }
 
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -21,31 +21,35 @@
 	forecast passes.Forecast
 }
 
-func (b *Book) candidate(e *directory.Endpoint, engine *catalogue.Engine, now time.Time) *candidate {
-	c := b.load(e.Key, engine, now)
-	c.endpoint = e
-	c.account.name = e.ID
+// load adds up the work at an endpoint. There is no engine at a plain service.
+func (b *Book) load(key uint64, engine *catalogue.Engine, now time.Time) *candidate {
+	c := &candidate{}
+	b.fill(c, key, engine, now)
 	return c
 }
 
-// load adds up the work at an endpoint. There is no engine at a plain service.
-func (b *Book) load(key uint64, engine *catalogue.Engine, now time.Time) *candidate {
+// fill is load into a candidate that was used before, whose lists are used again.
+func (b *Book) fill(c *candidate, key uint64, engine *catalogue.Engine, now time.Time) {
 	a := b.account(key)
-	c := &candidate{account: a}
+	u := &a.untold
+	*c = candidate{account: a, answers: u.answers, context: u.writers.Context, memory: u.memory, writers: u.writers, forecast: c.forecast}
 	for _, w := range a.works {
 		c.memory += w.memoryAt(slices.Index(w.endpoints, key))
-		if w.endpoints[0] == key {
-			c.answers++
-			c.context += w.prompt
+		if w.endpoints[0] != key {
+			continue
+		}
+		c.answers++
+		c.context += w.prompt
+		if w.started {
+			c.writers.Count++
+			c.writers.Context += w.prompt
 		}
 	}
 	if engine != nil {
 		a.engine = engine
-		b.follow(a, key, now)
-		c.writers = a.writers(key)
+		a.queue.Advance(engine, c.writers, now)
 		a.queue.Forecast(engine, c.writers, nil, &c.forecast)
 	}
-	return c
 }
 
 // canAnswer reports whether the candidate has room and memory for an answer
@@ -86,7 +90,7 @@
 // the same moment, might find no slot.
 func (c *candidate) packed(engine *catalogue.Engine) float64 {
 	slots := c.slots(engine)
-	if c.answers+spareSlots >= slots {
+	if c.answers+slots/spareShare >= slots {
 		return 0
 	}
 	return float64(c.answers) / float64(slots)
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -18,12 +18,20 @@
 	firstMargin = 0.6
 	pauseMargin = 0.35
 	// packShare of the credit rewards an endpoint that already writes, which
-	// leaves others free to read long prompts.
-	packShare = 0.8
-	// spareSlots are left free for choices that cross while others have room.
-	spareSlots = 2
+	// leaves others free to read long prompts. More of it puts the short prompts
+	// of a burst into the same passes.
+	packShare = 0.15
+	// spareShare is the part of the slots, as its divisor, that is left free for
+	// choices that cross while others have room.
+	spareShare = 4
 	// awayShare of the credit is the cost of another data centre.
 	awayShare = 0.02
+	// reportedShare is the cost of a short answer in a data centre whose work is
+	// known from reports only, which are late: entries that hear the same report
+	// choose the same endpoints. reportedLongShare is that of a long one, as long
+	// readings are told everywhere.
+	reportedShare     = 0.5
+	reportedLongShare = 0.1
 	// helperShare of the credit is the cost of each further endpoint.
 	helperShare = 0.004
 	// coldFactor is how much longer a cold endpoint is expected to take.
@@ -83,6 +91,7 @@
 	RunnerUpScore    float64
 
 	reading passes.Reading // on each endpoint
+	loss    float64        // credit that other work loses
 }
 
 // Choose picks endpoints for a demand and enters the work. It returns nil when
@@ -112,14 +121,19 @@
 // failure, or are silent, are asked only when no other is left.
 func (b *Book) candidates(endpoints []*directory.Endpoint, d *Demand) []*candidate {
 	now, steadyNow := b.now(), steady.Now()
+	if len(b.loads) < len(endpoints) {
+		b.loads = append(b.loads, make([]candidate, len(endpoints)-len(b.loads))...)
+	}
 	var good, doubtful []*candidate
-	for _, e := range endpoints {
+	for i, e := range endpoints {
 		if d.Excluded(e) {
 			continue
 		}
-		c := b.candidate(e, d.Service.Engine, now)
+		c := &b.loads[i]
+		b.fill(c, e.Key, d.Service.Engine, now)
+		c.endpoint, c.account.name = e, e.ID
 		c.cold = e.Cold(steadyNow)
-		if c.cold && d.Service.ColdPerSecond > 0 && float64(c.account.arrivalsAt(now)+1) > d.Service.ColdPerSecond {
+		if c.cold && d.Service.ColdPerSecond > 0 && !b.mayArrive(c, d, now) {
 			continue
 		}
 		silent := steadyNow.Sub(e.HeardAt) > silentAfter && now.Sub(c.account.health.successAt) > silentAfter
@@ -135,6 +149,16 @@
 	return doubtful
 }
 
+// mayArrive reports whether a cold endpoint bears a further arrival. Those of a
+// data centre that reports its work in sums are left to the entries there, which
+// see every arrival.
+func (b *Book) mayArrive(c *candidate, d *Demand, now time.Time) bool {
+	if b.isReported(c) {
+		return false
+	}
+	return float64(c.account.arrivalsAt(now)+1) <= d.Service.ColdPerSecond
+}
+
 func choosePlain(candidates []*candidate, d *Demand) *Plan {
 	var best, second *candidate
 	score := func(c *candidate) float64 {
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -221,7 +221,7 @@
 func TestBooksThatExchangeNewsAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, other := newBed(3), newBed(3)
-		a.book.OnNews(func(e *wire.WorkEvent) { other.book.ApplyRemote(1, []*wire.WorkEvent{e}) })
+		a.book.OnNews(func(e *wire.WorkEvent, _ Audience) { other.book.ApplyRemote(1, []*wire.WorkEvent{e}) })
 		var open []*Handle
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			step := rapid.SampledFrom([]string{"open", "start", "late", "close", "time"}).Draw(t, "step")
@@ -345,8 +345,8 @@
 func TestOneOfTwoChoicesThatCrossedStands(t *testing.T) {
 	here, there := newBed(4), newBed(4)
 	var fromHere, fromThere []*wire.WorkEvent
-	here.book.OnNews(func(e *wire.WorkEvent) { fromHere = append(fromHere, e) })
-	there.book.OnNews(func(e *wire.WorkEvent) { fromThere = append(fromThere, e) })
+	here.book.OnNews(func(e *wire.WorkEvent, _ Audience) { fromHere = append(fromHere, e) })
+	there.book.OnNews(func(e *wire.WorkEvent, _ Audience) { fromThere = append(fromThere, e) })
 	larger := here.long()
 	larger.Credit++
 	stays, yields := here.choose(t, larger), there.choose(t, there.long())
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -11,6 +11,13 @@
 // splits are the numbers of endpoints over which a prompt may be read.
 var splits = []int{1, 2, 3, 4, 6, 8, 12, 16}
 
+const (
+	// mostWeighed is how many endpoints are weighed for each split of a long prompt.
+	mostWeighed = 48
+	// middleSplit is the split by which they are picked.
+	middleSplit = 8
+)
+
 // option is one candidate's part in a plan.
 type option struct {
 	*candidate
@@ -32,13 +39,72 @@
 // chooseEngine returns the plan that gives most credit, nil when none gives more
 // than it takes, or when the caller would have left before the first event.
 func (b *Book) chooseEngine(candidates []*candidate, d *Demand) *Plan {
-	best := b.bestPlan(candidates, d)
+	best := b.nearPlan(candidates, d)
+	if best == nil {
+		best = b.bestPlan(candidates, d)
+	}
 	if best == nil || best.Score < 0 || best.PredictedFirstMs > d.latestMs() {
 		return nil
 	}
 	return best
 }
 
+// nearPlan returns the best plan for a short prompt at endpoints whose work is
+// told piece by piece, nil when it gives up more than another data centre costs.
+// Most short prompts are placed so, by a look at a part of the endpoints.
+func (b *Book) nearPlan(candidates []*candidate, d *Demand) *Plan {
+	if isLong(d) || len(b.reported) == 0 {
+		return nil
+	}
+	near := make([]*candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if !b.isReported(c) {
+			near = append(near, c)
+		}
+	}
+	p := b.bestPlan(near, d)
+	if p == nil {
+		return nil
+	}
+	givenUp := p.loss + d.Credit*lateShare*(1-chance(p.PredictedFirstMs, d.FirstLeft, firstMargin))
+	if givenUp > d.Credit*reportedShare {
+		return nil
+	}
+	return p
+}
+
+// isLong reports whether a prompt may be read by several endpoints.
+func isLong(d *Demand) bool {
+	return passes.ReadMs(d.Service.Engine, d.PromptTokens, 1) >= leastSplitMs
+}
+
+// shortlist leaves out the endpoints that lose most by reading a part of a long
+// prompt: so many as are left make every plan that is worth weighing.
+func (b *Book) shortlist(candidates []*candidate, d *Demand) []*candidate {
+	if len(candidates) <= mostWeighed {
+		return candidates
+	}
+	reading := readingOver(d, middleSplit)
+	options := make([]option, 0, len(candidates))
+	for _, c := range candidates {
+		options = append(options, b.weigh(c, d, reading, true))
+	}
+	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(y.score, x.score) })
+	kept := make([]*candidate, 0, mostWeighed)
+	for _, o := range options[:mostWeighed] {
+		kept = append(kept, o.candidate)
+	}
+	return kept
+}
+
+// readingOver is what each of n endpoints reads of a prompt.
+func readingOver(d *Demand, n int) passes.Reading {
+	return passes.Reading{
+		Ms:     passes.ReadMs(d.Service.Engine, d.PromptTokens, n),
+		Tokens: float64(d.PromptTokens) / float64(n),
+	}
+}
+
 // latestMs is the latest prediction of a first event that is worth sending for.
 func (d *Demand) latestMs() float64 {
 	return patienceShare * float64(d.Patience) / float64(time.Millisecond)
@@ -48,15 +114,11 @@
 // no number of endpoints has room for the answer.
 func (b *Book) bestPlan(candidates []*candidate, d *Demand) *Plan {
 	var best *Plan
-	engine := d.Service.Engine
-	if passes.ReadMs(engine, d.PromptTokens, 1) >= leastSplitMs {
-		candidates = proven(candidates)
+	if isLong(d) {
+		candidates = b.shortlist(proven(candidates), d)
 	}
 	for _, n := range splits {
-		reading := passes.Reading{
-			Ms:     passes.ReadMs(engine, d.PromptTokens, n),
-			Tokens: float64(d.PromptTokens) / float64(n),
-		}
+		reading := readingOver(d, n)
 		if n > len(candidates) || n > 1 && reading.Ms*float64(n) < leastSplitMs {
 			break
 		}
@@ -102,6 +164,7 @@
 	for _, o := range chosen {
 		p.Endpoints = append(p.Endpoints, o.endpoint)
 		p.PredictedFirstMs = max(p.PredictedFirstMs, o.first)
+		p.loss += o.loss
 		p.Score -= o.loss + o.cost + d.Credit*helperShare
 	}
 	p.Score += d.Credit * (1 - lateShare + lateShare*chance(p.PredictedFirstMs, d.FirstLeft, firstMargin))
--- a/coordination/placement/remote.go
+++ b/coordination/placement/remote.go
@@ -13,6 +13,29 @@
 func (b *Book) ApplyRemote(sender uint64, events []*wire.WorkEvent) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.apply(sender, events)
+}
+
+// Replace takes all work of another entry that this one is to know. What is not
+// among it has ended.
+func (b *Book) Replace(sender uint64, events []*wire.WorkEvent) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	open := make(map[uint64]bool)
+	for _, e := range events {
+		if e.Step == wire.WorkStep_WORK_STEP_OPEN {
+			open[e.Work] = true
+		}
+	}
+	for id, w := range b.works {
+		if id.Sender == sender && !open[id.Number] {
+			b.drop(w)
+		}
+	}
+	b.apply(sender, events)
+}
+
+func (b *Book) apply(sender uint64, events []*wire.WorkEvent) {
 	now := b.now()
 	for _, e := range events {
 		if e.Step == wire.WorkStep_WORK_STEP_UNREACHABLE {
@@ -93,12 +116,21 @@
 // Own returns the events that tell all of this entry's work anew, in the order
 // in which it was opened, with the reading that is left of it.
 func (b *Book) Own() []*wire.WorkEvent {
+	return b.own(func(*work) bool { return true })
+}
+
+// OwnFor is Own for the entries of another data centre: what they are told of.
+func (b *Book) OwnFor(dataCentre string) []*wire.WorkEvent {
+	return b.own(func(w *work) bool { return w.audience.Includes(dataCentre) })
+}
+
+func (b *Book) own(told func(*work) bool) []*wire.WorkEvent {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	var own []*work
 	for id, w := range b.works {
-		if id.Sender == 0 {
+		if id.Sender == 0 && told(w) {
 			own = append(own, w)
 		}
 	}
--- /dev/null
+++ b/coordination/placement/reports.go
@@ -0,0 +1,167 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/passes"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// untold is the work at an endpoint of another data centre of which this entry
+// is not told piece by piece.
+type untold struct {
+	answers int
+	writers passes.Writers
+	memory  int // tokens
+	credit  float64
+	pause   time.Duration // the shortest objective between events
+}
+
+// untoldWork names the reading of all such work in an endpoint's queue.
+var untoldWork = passes.WorkID{Sender: ^uint64(0)}
+
+// SetReported names the data centres whose work is reported in sums. Those left
+// out tell of all their work.
+func (b *Book) SetReported(dataCentres []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for dataCentre := range b.reported {
+		if !slices.Contains(dataCentres, dataCentre) {
+			b.takeReport(dataCentre, nil)
+			delete(b.reported, dataCentre)
+		}
+	}
+	for _, dataCentre := range dataCentres {
+		if _, known := b.reported[dataCentre]; !known {
+			b.reported[dataCentre] = nil
+		}
+	}
+}
+
+// isReported reports whether the work in a candidate's data centre is known from
+// sums.
+func (b *Book) isReported(c *candidate) bool {
+	_, reported := b.reported[c.endpoint.DataCentre]
+	return reported
+}
+
+// TakeReport takes the sums of one data centre, which replace its earlier ones.
+func (b *Book) TakeReport(report *wire.LoadReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, asked := b.reported[report.DataCentre]; asked {
+		b.takeReport(report.DataCentre, report.Endpoints)
+	}
+}
+
+func (b *Book) takeReport(dataCentre string, endpoints []*wire.EndpointWork) {
+	now := b.now()
+	for _, key := range b.reported[dataCentre] {
+		a := b.account(key)
+		b.follow(a, key, now)
+		a.untold = untold{}
+		a.queue.Remove(untoldWork)
+	}
+	keys := make([]uint64, 0, len(endpoints))
+	for _, e := range endpoints {
+		keys = append(keys, e.Endpoint)
+		a := b.account(e.Endpoint)
+		b.follow(a, e.Endpoint, now)
+		a.untold = untold{
+			answers: int(e.Answers),
+			writers: passes.Writers{Count: int(e.Writers), Context: int(e.ContextTokens)},
+			memory:  int(e.MemoryTokens),
+			credit:  float64(e.CreditMilli) / creditUnit,
+			pause:   time.Duration(e.PauseMs) * time.Millisecond,
+		}
+		if e.ReadUs > 0 {
+			reading := passes.Reading{Ms: float64(e.ReadUs) / 1e3, Tokens: float64(e.ReadTokens)}
+			a.queue.Add(passes.Part{Work: untoldWork, Reading: reading}, now)
+		}
+	}
+	b.reported[dataCentre] = keys
+}
+
+// Report sums up the work at some endpoints that the entries of another data
+// centre are not told of. knows reports whether they know the work of a sender;
+// 0 is this entry.
+func (b *Book) Report(dataCentre string, keys []uint64, knows func(sender uint64) bool) *wire.LoadReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	report := &wire.LoadReport{DataCentre: dataCentre}
+	for _, key := range keys {
+		a := b.accounts[key]
+		if a == nil {
+			continue
+		}
+		b.follow(a, key, now)
+		if sum := a.sum(key, knows); sum != nil {
+			report.Endpoints = append(report.Endpoints, sum)
+		}
+	}
+	return report
+}
+
+// sum returns nil when there is nothing to report.
+func (a *account) sum(key uint64, knows func(sender uint64) bool) *wire.EndpointWork {
+	sum := &wire.EndpointWork{Endpoint: key}
+	found := false
+	for _, w := range a.works {
+		if isWide(w.reading.Ms, len(w.endpoints)) || knows(w.id.Sender) {
+			continue
+		}
+		found = true
+		sum.MemoryTokens += uint32(w.memoryAt(slices.Index(w.endpoints, key)))
+		left := a.queue.Left(w.id)
+		sum.ReadUs += uint32(left.Ms * 1e3)
+		sum.ReadTokens += uint32(left.Tokens)
+		if w.endpoints[0] != key {
+			continue
+		}
+		sum.Answers++
+		if w.started {
+			sum.Writers++
+			sum.ContextTokens += uint32(w.prompt)
+		}
+		if !w.late {
+			sum.CreditMilli += creditMilli(w.credit)
+			sum.PauseMs = shorter(sum.PauseMs, millis(w.pause))
+		}
+	}
+	if !found {
+		return nil
+	}
+	return sum
+}
+
+// shorter returns the lesser of two objectives; 0 stands for none.
+func shorter(a, b uint32) uint32 {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// ReportedAnswers counts the answers that are known from sums only.
+func (b *Book) ReportedAnswers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, keys := range b.reported {
+		for _, key := range keys {
+			n += b.account(key).untold.answers
+		}
+	}
+	return n
+}
+
+// loss is the credit that work of which nothing more is known loses by longer passes.
+func (u *untold) loss(before, after *passes.Forecast) float64 {
+	if u.credit == 0 || u.pause == 0 {
+		return 0
+	}
+	kept := chance(before.PassMs, u.pause, pauseMargin) - chance(after.PassMs, u.pause, pauseMargin)
+	return u.credit * lateShare * max(0, kept)
+}
--- /dev/null
+++ b/coordination/placement/reports_test.go
@@ -0,0 +1,141 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/protocol/steady"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// inDataCentre moves a bed's endpoints, from the n-th on, to another data centre.
+func (b *bed) inDataCentre(name string, n int) {
+	for _, e := range b.endpoints[n:] {
+		e.DataCentre = name
+	}
+}
+
+func keysOf(endpoints []*directory.Endpoint) []uint64 {
+	var keys []uint64
+	for _, e := range endpoints {
+		keys = append(keys, e.Key)
+	}
+	return keys
+}
+
+func nobody(uint64) bool { return false }
+
+// The load: the entries of another data centre have filled their endpoints with
+// short prompts, of which this entry hears in sums only.
+func TestSumsOfAnotherDataCentreKeepWorkOffItsFullEndpoints(t *testing.T) {
+	there := newBed(1)
+	there.inDataCentre("dc2", 0)
+	for range 4 {
+		d := there.short()
+		d.DataCentre = "dc2"
+		there.choose(t, d).Handle.Started()
+	}
+	here := newBed(1)
+	here.inDataCentre("dc2", 0)
+	here.book.SetReported([]string{"dc2"})
+	if p := here.choose(t, here.short()); p.Answers != 0 {
+		t.Fatalf("%d answers are known before any report", p.Answers)
+	} else {
+		p.Handle.Close()
+	}
+	report := there.book.Report("dc2", keysOf(there.endpoints), nobody)
+	if len(report.Endpoints) != 1 || report.Endpoints[0].Answers != 4 || report.Endpoints[0].Writers != 4 || report.Endpoints[0].CreditMilli == 0 {
+		t.Fatalf("report %v", report)
+	}
+	here.book.TakeReport(report)
+	late := here.short()
+	late.FirstLeft = time.Millisecond
+	if p := here.book.Choose(here.endpoints, late); p != nil {
+		t.Error("an endpoint that is full by the report was chosen for a prompt that comes late")
+	}
+	here.book.TakeReport(&wire.LoadReport{DataCentre: "dc2"})
+	if p := here.choose(t, here.short()); p.Answers != 0 {
+		t.Errorf("%d answers are known after a report without any", p.Answers)
+	}
+}
+
+func TestLongReadingKeepsOffShortAnswersThatAreReported(t *testing.T) {
+	b := newBed(6)
+	b.inDataCentre("dc2", 3)
+	b.book.SetReported([]string{"dc2"})
+	var loads []*wire.EndpointWork
+	for _, key := range keysOf(b.endpoints[3:]) {
+		loads = append(loads, &wire.EndpointWork{
+			Endpoint: key, Answers: 3, Writers: 3, ContextTokens: 9000, MemoryTokens: 12000, CreditMilli: 900_000, PauseMs: 250,
+		})
+	}
+	b.book.TakeReport(&wire.LoadReport{DataCentre: "dc2", Endpoints: loads})
+	for _, e := range b.choose(t, b.long()).Endpoints {
+		if e.DataCentre == "dc2" {
+			t.Errorf("%s writes short answers and was given a part of a long prompt", e.ID)
+		}
+	}
+}
+
+func TestWorkThatIsToldPieceByPieceIsNotReported(t *testing.T) {
+	b := newBed(2)
+	b.choose(t, b.long()).Handle.Started()
+	b.book.ApplyRemote(7, []*wire.WorkEvent{{Step: wire.WorkStep_WORK_STEP_OPEN, Work: 1, Endpoints: []uint64{b.endpoints[0].Key}, ReadUs: 20_000, LimitMs: 1000}})
+	knows := func(sender uint64) bool { return sender == 7 }
+	if report := b.book.Report("dc1", keysOf(b.endpoints), knows); len(report.Endpoints) != 0 {
+		t.Errorf("report %v", report)
+	}
+	if report := b.book.Report("dc1", keysOf(b.endpoints), nobody); len(report.Endpoints) != 1 || report.Endpoints[0].ReadUs == 0 {
+		t.Errorf("report %v, want the short work of the other entry", report)
+	}
+}
+
+func TestTheAudienceOfWork(t *testing.T) {
+	b := newBed(2)
+	b.inDataCentre("dc2", 1)
+	var told []Audience
+	b.book.OnNews(func(_ *wire.WorkEvent, a Audience) { told = append(told, a) })
+	d := b.short()
+	d.Excluded = func(e *directory.Endpoint) bool { return e.DataCentre == "dc1" }
+	b.choose(t, d)
+	b.choose(t, b.long())
+	if len(told) != 2 || !told[0].Includes("dc2") || told[0].Includes("dc3") || !told[1].Includes("dc3") {
+		t.Errorf("told %v", told)
+	}
+	if there, elsewhere := len(b.book.OwnFor("dc2")), len(b.book.OwnFor("dc3")); there != 2 || elsewhere != 1 {
+		t.Errorf("%d and %d pieces are told anew", there, elsewhere)
+	}
+}
+
+// A cold endpoint's limit is summed over all entries; only those of its own data
+// centre see every arrival.
+func TestColdEndpointsOfReportedDataCentresAreLeftToTheirEntries(t *testing.T) {
+	b := newBed(1)
+	b.inDataCentre("dc2", 0)
+	b.endpoints[0].ColdUntil = steady.Now().Add(time.Minute)
+	if p := b.book.Choose(b.endpoints, b.short()); p == nil {
+		t.Fatal("a cold endpoint whose arrivals are all known was not chosen")
+	}
+	b.book.SetReported([]string{"dc2"})
+	if p := b.book.Choose(b.endpoints, b.short()); p != nil {
+		t.Error("a cold endpoint was chosen though others' arrivals there are not known")
+	}
+	b.book.SetReported(nil)
+	if p := b.book.Choose(b.endpoints, b.short()); p == nil {
+		t.Error("it was not chosen though all is told again")
+	}
+}
+
+func TestAWholeAccountDropsWorkThatHasEnded(t *testing.T) {
+	b := newBed(1)
+	open := func(work uint64) *wire.WorkEvent {
+		return &wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_OPEN, Work: work, Endpoints: []uint64{b.endpoints[0].Key}, LimitMs: 10_000}
+	}
+	b.book.ApplyRemote(1, []*wire.WorkEvent{open(1), open(2)})
+	b.book.ApplyRemote(2, []*wire.WorkEvent{open(1)})
+	b.book.Replace(1, []*wire.WorkEvent{open(2), open(3)})
+	if n := b.book.Figures().Others; n != 3 {
+		t.Errorf("%d pieces of work are known, want 2 and 3 of one entry and 1 of the other", n)
+	}
+}
--- a/coordination/placement/weigh.go
+++ b/coordination/placement/weigh.go
@@ -19,13 +19,24 @@
 		o.first = (o.first + c.slotWaitMs(engine)) * b.bias
 	}
 	o.loss = b.lossOf(c)
-	if c.endpoint.DataCentre != d.DataCentre {
-		o.cost += d.Credit * awayShare
-	}
+	o.cost += d.Credit * b.distance(c, d, helps)
 	o.score = d.Credit*lateShare*chance(o.first, d.FirstLeft, firstMargin) - o.loss - o.cost
 	return o
 }
 
+// distance is the cost of a candidate's data centre, as a share of the credit.
+func (b *Book) distance(c *candidate, d *Demand, helps bool) float64 {
+	switch {
+	case c.endpoint.DataCentre == d.DataCentre:
+		return 0
+	case helps || !b.isReported(c):
+		return awayShare
+	case isLong(d):
+		return reportedLongShare
+	}
+	return reportedShare
+}
+
 // further names the work that is being weighed.
 var further = passes.WorkID{}
 
@@ -35,7 +46,7 @@
 func (b *Book) lossOf(c *candidate) float64 {
 	before, after := &c.forecast, &b.after
 	now := b.now()
-	loss := 0.0
+	loss := c.account.untold.loss(before, after)
 	for _, w := range c.account.works {
 		if w.late {
 			continue
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -28,16 +28,18 @@
 	startedAt   time.Time
 	predictedMs float64
 	firstAt     time.Time // predicted, later when other work goes ahead
+	audience    Audience  // of own work
 }
 
 // account is what the book knows of one endpoint.
 type account struct {
 	name     string // identity, empty before it was a candidate
-	works    map[passes.WorkID]*work
+	works    []*work
 	engine   *catalogue.Engine // nil while it is unknown, and at plain services
 	queue    passes.Queue
 	arrivals []time.Time // within arrivalWindow
 	health   health
+	untold   untold
 }
 
 func (w *work) event(now time.Time) *wire.WorkEvent {
@@ -94,7 +96,7 @@
 	for i, key := range w.endpoints {
 		a := b.account(key)
 		b.follow(a, key, w.openedAt)
-		a.works[w.id] = w
+		a.works = append(a.works, w)
 		a.arrived(w.openedAt)
 		a.queue.Add(passes.Part{Work: w.id, Reading: w.reading, Ahead: i > 0}, w.openedAt)
 		b.delay(a, key, w.openedAt)
@@ -118,7 +120,7 @@
 
 // writers are the answers that have begun at the endpoint.
 func (a *account) writers(key uint64) passes.Writers {
-	writers := passes.Writers{}
+	writers := a.untold.writers
 	for _, w := range a.works {
 		if w.started && w.endpoints[0] == key {
 			writers.Count++
@@ -135,9 +137,9 @@
 		return
 	}
 	a.queue.Forecast(a.engine, a.writers(key), nil, &b.after)
-	for id, w := range a.works {
+	for _, w := range a.works {
 		if !w.started {
-			w.firstAt = passes.Later(w.firstAt, now.Add(passes.FromMs(b.after.Of(id))))
+			w.firstAt = passes.Later(w.firstAt, now.Add(passes.FromMs(b.after.Of(w.id))))
 		}
 	}
 }
@@ -168,7 +170,7 @@
 	if b.works[w.id] != w || !b.change(w, step) {
 		return
 	}
-	b.spread(&wire.WorkEvent{Step: step, Work: w.id.Number})
+	b.spread(&wire.WorkEvent{Step: step, Work: w.id.Number}, w.audience)
 }
 
 // change reports whether the step tells something new.
@@ -202,7 +204,7 @@
 	for _, key := range w.endpoints {
 		if a := b.accounts[key]; a != nil {
 			b.follow(a, key, b.now())
-			delete(a.works, w.id)
+			a.works = slices.DeleteFunc(a.works, func(other *work) bool { return other == w })
 			a.queue.Remove(w.id)
 		}
 	}
--- /dev/null
+++ b/coordination/spread/spread.go
@@ -0,0 +1,74 @@
+// Package spread decides over which processes the news of one process reaches
+// the others. A process tells the processes of its own data centre, and those of
+// small ones, itself. Of each other data centre it links to a few entries, its
+// relays: one of them passes the news on there.
+package spread
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+const (
+	// DirectMost is how many processes a data centre may have for others to tell
+	// each of them directly.
+	DirectMost = 6
+	// RelaysLinked is how many relays of a data centre are linked to: one is in
+	// use, the others take its place at once.
+	RelaysLinked = 2
+)
+
+// Topology is whom one process tells its news.
+type Topology struct {
+	// Near are the processes that are told directly.
+	Near []*wire.ProcessRecord
+	// Far holds, for each other data centre, the processes that may pass news on
+	// there, the preferred ones first.
+	Far map[string][]*wire.ProcessRecord
+}
+
+// Plan divides the known processes. Each process prefers other relays, so that
+// passing on is shared out evenly.
+func Plan(self *wire.ProcessRecord, processes []*wire.ProcessRecord) *Topology {
+	size := make(map[string]int)
+	for _, p := range processes {
+		size[p.DataCentre]++
+	}
+	t := &Topology{Far: make(map[string][]*wire.ProcessRecord)}
+	for _, p := range processes {
+		switch {
+		case p.Address == self.Address:
+		case p.DataCentre == self.DataCentre || size[p.DataCentre] <= DirectMost:
+			t.Near = append(t.Near, p)
+		case p.Entry:
+			t.Far[p.DataCentre] = append(t.Far[p.DataCentre], p)
+		}
+	}
+	for _, candidates := range t.Far {
+		slices.SortFunc(candidates, func(a, b *wire.ProcessRecord) int {
+			return cmp.Compare(preference(self.Address, a.Address), preference(self.Address, b.Address))
+		})
+	}
+	return t
+}
+
+// preference orders the relays of one process by a hash of the pair.
+func preference(self, relay string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(self))
+	h.Write([]byte{0})
+	h.Write([]byte(relay))
+	return mix(h.Sum64())
+}
+
+// mix spreads the difference of similar addresses over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/coordination/spread/spread_test.go
@@ -0,0 +1,114 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// fleet is a number of entries in data centres with two control processes each.
+func fleet(entries, dataCentres int) []*wire.ProcessRecord {
+	var all []*wire.ProcessRecord
+	for i := range entries + 2*dataCentres {
+		all = append(all, &wire.ProcessRecord{
+			Address:    fmt.Sprintf("10.%d.0.%d:7341", i%dataCentres, i),
+			DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
+			Entry:      i < entries,
+		})
+	}
+	return all
+}
+
+// deliver carries one piece of news from a process and counts how often each
+// process gets it, and how many messages pass between data centres.
+func deliver(from *wire.ProcessRecord, topologies map[string]*Topology) (heard map[string]int, across int) {
+	heard = make(map[string]int)
+	t := topologies[from.Address]
+	for _, p := range t.Near {
+		heard[p.Address]++
+		if p.DataCentre != from.DataCentre {
+			across++
+		}
+	}
+	for _, relays := range t.Far {
+		relay := relays[0]
+		heard[relay.Address]++
+		across++
+		for _, p := range topologies[relay.Address].Near {
+			if p.DataCentre == relay.DataCentre {
+				heard[p.Address]++
+			}
+		}
+	}
+	return heard, across
+}
+
+func TestEveryProcessHearsOnceAndTheCostGrowsWithTheDataCentre(t *testing.T) {
+	for _, c := range []struct {
+		entries, dataCentres int
+		links                int // of one process at most
+		across               int // messages between data centres for one piece of news at most
+	}{
+		{8, 3, 4 + 2*5, 10},
+		{30, 5, 7 + 4*RelaysLinked, 4},
+		{100, 5, 21 + 4*RelaysLinked, 4},
+		{300, 9, 35 + 8*RelaysLinked, 8},
+		{1000, 9, 113 + 8*RelaysLinked, 8},
+	} {
+		t.Run(fmt.Sprint(c.entries), func(t *testing.T) {
+			all := fleet(c.entries, c.dataCentres)
+			topologies := make(map[string]*Topology)
+			for _, p := range all {
+				topologies[p.Address] = Plan(p, all)
+			}
+			relayed := make(map[string]int)
+			for _, p := range all {
+				own := topologies[p.Address]
+				links := len(own.Near)
+				for _, relays := range own.Far {
+					links += min(RelaysLinked, len(relays))
+					relayed[relays[0].Address]++
+				}
+				if links > c.links {
+					t.Fatalf("%s has %d links, at most %d are needed", p.Address, links, c.links)
+				}
+				heard, across := deliver(p, topologies)
+				if across > c.across {
+					t.Fatalf("news of %s crosses %d times between data centres, at most %d are needed", p.Address, across, c.across)
+				}
+				if len(heard) != len(all)-1 {
+					t.Fatalf("news of %s reaches %d of %d others", p.Address, len(heard), len(all)-1)
+				}
+				for address, times := range heard {
+					if times != 1 {
+						t.Fatalf("%s hears news of %s %d times", address, p.Address, times)
+					}
+				}
+			}
+			mean := float64(c.dataCentres-1) * float64(len(all)) / float64(c.entries)
+			for address, n := range relayed {
+				if float64(n) > 4*mean+4 {
+					t.Errorf("%s passes on the news of %d processes, the mean is %.1f", address, n, mean)
+				}
+			}
+		})
+	}
+}
+
+func TestARelayThatGoesIsReplacedAndTheOthersStay(t *testing.T) {
+	all := fleet(70, 5)
+	self := all[0]
+	before := Plan(self, all).Far["dc1"]
+	var without []*wire.ProcessRecord
+	for _, p := range all {
+		if p != before[0] {
+			without = append(without, p)
+		}
+	}
+	after := Plan(self, without).Far["dc1"]
+	if after[0] != before[1] || after[1] != before[2] {
+		t.Errorf("after %s went, the relays are %s and %s, want %s and %s",
+			before[0].Address, after[0].Address, after[1].Address, before[1].Address, before[2].Address)
+	}
+}
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -1,10 +1,12 @@
-// Package mesh links the processes of a fleet that serves routes. Each process
-// opens one stream to each other one, writes its news there and learns from the
-// pongs whether its catalogue is current.
+// Package mesh links the processes of a fleet that serves routes. A process
+// opens streams to the processes of its data centre and to relays in the others,
+// writes its news there and learns from the pongs whether its catalogue is
+// current. Package spread decides whom a process links to.
 package mesh
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,17 +22,32 @@
 
 const (
 	pingInterval = 400 * time.Millisecond
-	// pongTimeout is the silence after which a link is replaced.
-	pongTimeout = 1200 * time.Millisecond
+	// idlePing is the interval on links over which no news goes.
+	idlePing = 1200 * time.Millisecond
+	// pingsMissed is how many intervals may pass without a pong before a link is
+	// replaced.
+	pingsMissed = 3
 	// batchDelay gathers news so that a busy moment costs one frame.
-	batchDelay    = 4 * time.Millisecond
-	redialDelay   = 100 * time.Millisecond
-	redialMost    = 1500 * time.Millisecond
-	fetchTimeout  = 300 * time.Millisecond
-	forgetAfter   = 30 * time.Second
-	workKept      = 1500 * time.Millisecond // of an entry whose link ended
-	gossipEvery   = 5 * time.Second
-	expireEvery   = time.Second
+	batchDelay   = 4 * time.Millisecond
+	redialDelay  = 100 * time.Millisecond
+	redialMost   = 1500 * time.Millisecond
+	fetchTimeout = 300 * time.Millisecond
+	forgetAfter  = 30 * time.Second
+	workKept     = 1500 * time.Millisecond // of an entry whose link ended
+	// gossipEvery is how often one process of the data centre is told all that is
+	// known of processes and endpoints.
+	gossipEvery = time.Second
+	// wholeEvery is how often other data centres are told all of this entry's open
+	// work that they are to know.
+	wholeEvery = 2 * time.Second
+	// originKept is how long the work of an entry stays known that is told by
+	// relays and was not told again.
+	originKept = 5 * time.Second
+	// reportEvery is how often the sums of this data centre's work are told to others.
+	reportEvery = 250 * time.Millisecond
+	// unwantedKept is how long a link stays that the topology has no use for.
+	unwantedKept  = 5 * time.Second
+	checkEvery    = time.Second
 	maxQueuedNews = 4096
 )
 
@@ -54,10 +71,15 @@
 
 	mu        sync.Mutex
 	ctx       context.Context
+	self      *wire.ProcessRecord
 	seeds     []string
 	links     map[string]*outLink // by address
+	far       []string            // data centres that are told through relays, sorted
+	relays    map[string]*outLink // in use, by data centre
 	incoming  map[uint64]*inStream
-	heard     map[string]bool // addresses of processes that have told all they know
+	origins   map[uint64]*origin // entries whose work is told by relays
+	events    uint64             // of this entry's work so far
+	heard     map[string]bool    // addresses of processes that have told all they know
 	fetchedAt steady.Time
 	redial    time.Duration // before the first dial after a failure
 }
@@ -70,15 +92,18 @@
 		directory: dir,
 		book:      book,
 		logger:    logs.For("mesh"),
+		self:      options.Self,
 		seeds:     options.Seeds,
 		links:     make(map[string]*outLink),
+		relays:    make(map[string]*outLink),
 		incoming:  make(map[uint64]*inStream),
+		origins:   make(map[uint64]*origin),
 		heard:     make(map[string]bool),
 		fetchedAt: -steady.Time(fetchTimeout),
 		redial:    redialDelay,
 	}
 	dir.MergeProcesses([]*wire.ProcessRecord{options.Self})
-	dir.OnNews(m.broadcast)
+	dir.OnNews(m.tellEndpoints)
 	book.OnNews(m.tellWork)
 	store.OnChange(func(*catalogue.State) { m.notify() })
 	return m
@@ -90,19 +115,29 @@
 	m.ctx = ctx
 	m.mu.Unlock()
 	m.connect()
-	gossip := time.NewTicker(gossipEvery)
-	defer gossip.Stop()
-	expire := time.NewTicker(expireEvery)
-	defer expire.Stop()
+	go every(ctx, gossipEvery, m.gossip)
+	if m.options.Self.Entry {
+		go every(ctx, wholeEvery, m.tellWhole)
+		go every(ctx, reportEvery, m.tellReports)
+	}
+	every(ctx, checkEvery, func() {
+		m.book.Expire()
+		m.expireOrigins()
+		m.connect()
+	})
+}
+
+// every calls f again and again until ctx ends, from a random moment on.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	timer := time.NewTimer(rand.N(interval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-gossip.C:
-			m.broadcast(&wire.MeshFrame{Processes: m.directory.Processes()})
-		case <-expire.C:
-			m.book.Expire()
-			m.connect()
+		case <-timer.C:
+			f()
+			timer.Reset(interval)
 		}
 	}
 }
@@ -114,85 +149,6 @@
 	m.mu.Unlock()
 }
 
-// connect opens links to processes that have none, and tells this one's work to
-// seeds that turn out to be entries.
-func (m *Mesh) connect() {
-	for _, l := range m.openAll(m.directory.Processes()) {
-		l.enqueue(&wire.MeshFrame{Work: m.book.Own()})
-	}
-}
-
-// openAll returns the links that now lead to an entry and did not before.
-func (m *Mesh) openAll(known []*wire.ProcessRecord) []*outLink {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.ctx == nil || m.ctx.Err() != nil {
-		return nil
-	}
-	for _, address := range m.seeds {
-		m.open(address)
-	}
-	var entries []*outLink
-	for _, p := range known {
-		l := m.open(p.Address)
-		if l == nil {
-			continue
-		}
-		l.known(p.Incarnation)
-		if p.Entry && !l.entry.Swap(true) {
-			entries = append(entries, l)
-		}
-	}
-	return entries
-}
-
-// open returns the link to a process, nil for this one.
-func (m *Mesh) open(address string) *outLink {
-	if address == m.options.Self.Address {
-		return nil
-	}
-	if l := m.links[address]; l != nil {
-		return l
-	}
-	l := &outLink{mesh: m, address: address, wake: make(chan struct{}, 1), anew: make(chan struct{}, 1), openedAt: steady.Now()}
-	m.links[address] = l
-	go l.run(m.ctx)
-	return l
-}
-
-// abandoned removes a link to a process that was silent for long.
-func (m *Mesh) abandoned(l *outLink) {
-	m.mu.Lock()
-	delete(m.links, l.address)
-	m.mu.Unlock()
-	for _, p := range m.directory.Processes() {
-		if p.Address == l.address {
-			m.directory.Forget(p.Address, p.Incarnation)
-		}
-	}
-}
-
-// broadcast queues news for every link.
-func (m *Mesh) broadcast(news *wire.MeshFrame) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, l := range m.links {
-		l.enqueue(news)
-	}
-}
-
-// tellWork queues news of work for the entries, the only ones that place any.
-func (m *Mesh) tellWork(e *wire.WorkEvent) {
-	news := &wire.MeshFrame{Work: []*wire.WorkEvent{e}}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, l := range m.links {
-		if l.entry.Load() {
-			l.enqueue(news)
-		}
-	}
-}
-
 // notify tells the processes that read from this one of a new state.
 func (m *Mesh) notify() {
 	m.mu.Lock()
@@ -223,7 +179,7 @@
 	m.mu.Unlock()
 }
 
-// Silence returns how long each known process has not answered on its link.
+// Silence returns how long each linked process has not answered on its link.
 func (m *Mesh) Silence() map[string]time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -44,6 +44,11 @@
 
 // startAt starts a process at an address, which its record then holds.
 func startAt(t *testing.T, address string, record *wire.ProcessRecord, seeds ...string) *node {
+	t.Helper()
+	return startWith(t, address, record, func(address string) (*grpc.ClientConn, error) { return link.Dial(address, link.Security{}) }, seeds...)
+}
+
+func startWith(t *testing.T, address string, record *wire.ProcessRecord, dial func(string) (*grpc.ClientConn, error), seeds ...string) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -54,7 +59,7 @@
 	n.mesh = New(Options{
 		Self:   record,
 		Seeds:  seeds,
-		Dial:   func(address string) (*grpc.ClientConn, error) { return link.Dial(address, link.Security{}) },
+		Dial:   dial,
 		Decode: decode,
 	}, n.store, n.directory, n.book)
 	server := link.NewServer(link.Security{})
--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -17,10 +17,18 @@
 type outLink struct {
 	mesh     *Mesh
 	address  string
-	entry    atomic.Bool // the process places work
+	role     atomic.Int32 // a linkRole
+	entry    atomic.Bool  // the process places work
 	wake     chan struct{}
 	anew     chan struct{} // the process was started anew
+	changed  chan struct{} // the role is another one
 	openedAt steady.Time
+	ctx      context.Context
+	close    context.CancelFunc
+
+	// Guarded by the mesh's lock.
+	dataCentre string
+	wantedAt   steady.Time
 
 	mu       sync.Mutex
 	born     uint64 // incarnation of the process that is known last, 0 for none
@@ -32,6 +40,50 @@
 	pongAt   steady.Time
 }
 
+func newOutLink(m *Mesh, address string) *outLink {
+	now := steady.Now()
+	l := &outLink{
+		mesh: m, address: address, wake: make(chan struct{}, 1), anew: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), openedAt: now, wantedAt: now,
+	}
+	l.ctx, l.close = context.WithCancel(m.ctx)
+	return l
+}
+
+func (l *outLink) hasRole(role linkRole) bool { return linkRole(l.role.Load()) == role }
+
+// setRole changes what the link is for; a ping goes out at once, as others are
+// due at other times.
+func (l *outLink) setRole(role linkRole) {
+	if linkRole(l.role.Swap(int32(role))) == role {
+		return
+	}
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (l *outLink) isUp() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up
+}
+
+// isLost reports whether the process does not answer any more, or never did.
+func (l *outLink) isLost() bool {
+	return !l.isUp() && steady.Since(l.heardAt()) > pingsMissed*pingInterval
+}
+
+// pingEvery is shorter on links over which news goes, as their loss is noticed
+// by it.
+func (l *outLink) pingEvery() time.Duration {
+	if l.hasRole(roleNear) || l.hasRole(roleRelay) || !l.mesh.options.Self.Entry {
+		return pingInterval
+	}
+	return idlePing
+}
+
 func (l *outLink) heardAt() steady.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -53,6 +105,9 @@
 	if len(l.news.Work) < maxQueuedNews {
 		l.news.Work = append(l.news.Work, news.Work...)
 	}
+	if len(l.news.Relayed) < maxQueuedNews {
+		l.news.Relayed = append(l.news.Relayed, news.Relayed...)
+	}
 	l.signal()
 }
 
@@ -63,8 +118,10 @@
 	}
 }
 
-// run keeps the link open until ctx ends or the process is silent for long.
-func (l *outLink) run(ctx context.Context) {
+// run keeps the link open until it is closed or the process is silent for long.
+func (l *outLink) run() {
+	ctx := l.ctx
+	defer l.close()
 	delay := l.mesh.redial
 	for ctx.Err() == nil {
 		began := steady.Now()
@@ -73,17 +130,18 @@
 			return
 		}
 		l.setUp(false)
+		l.mesh.connect()
 		if steady.Since(l.heardAt()) > forgetAfter {
 			l.mesh.abandoned(l)
 			return
 		}
-		l.mesh.logger.Repeated(l.address).Str("address", l.address).
+		l.mesh.logger.Repeated(l.address).Str("address", l.address).Stringer("role", linkRole(l.role.Load())).
 			Dur("lasted", steady.Since(began)).Dur("silence", steady.Since(l.heardAt())).Err(err).
 			Msg("A link to a process is lost.")
 		if errors.Is(err, errStartedAnew) {
 			continue
 		}
-		if steady.Since(began) > 2*pongTimeout {
+		if steady.Since(began) > 2*pingsMissed*pingInterval {
 			delay = l.mesh.redial
 		}
 		select {
@@ -133,8 +191,8 @@
 		return err
 	}
 	defer conn.Close()
-	opened := time.AfterFunc(pongTimeout, cancel)
-	defer opened.Stop()
+	alive := time.AfterFunc(pingsMissed*pingInterval, cancel)
+	defer alive.Stop()
 	stream, err := wire.NewMeshClient(conn).Exchange(ctx)
 	if err != nil {
 		return err
@@ -148,9 +206,10 @@
 		return err
 	}
 	received := make(chan error, 1)
-	go func() { received <- l.receive(stream, func() { opened.Reset(pongTimeout) }) }()
+	go func() { received <- l.receive(stream, func() { alive.Reset(pingsMissed * l.pingEvery()) }) }()
+	l.mesh.connect()
 	l.signal()
-	ping := time.NewTicker(pingInterval)
+	ping := time.NewTimer(l.pingEvery())
 	defer ping.Stop()
 	for {
 		select {
@@ -158,10 +217,13 @@
 			return err
 		case <-l.anew:
 			return errStartedAnew
+		case <-l.changed:
+			ping.Reset(0)
 		case <-ping.C:
 			if err := stream.Send(l.take(true)); err != nil {
 				return err
 			}
+			ping.Reset(l.pingEvery())
 		case <-l.wake:
 			if !wait.For(ctx, batchDelay) {
 				return ctx.Err()
@@ -175,18 +237,24 @@
 	}
 }
 
-// hello tells who this process is and all that it knows.
+// hello tells who this process is and all that the other one is to know.
 func (l *outLink) hello() *wire.MeshFrame {
-	hello := &wire.MeshFrame{
-		Sender:    l.mesh.options.Self,
-		Processes: l.mesh.directory.Processes(),
-		Endpoints: l.mesh.directory.Records(),
-		Ping:      l.ping(),
+	hello := l.mesh.hello()
+	hello.Ping = l.ping()
+	if l.hasRole(roleNear) {
+		whole := l.whole()
+		hello.Direct, hello.Endpoints, hello.Work = l.entry.Load(), whole.Endpoints, whole.Work
 	}
+	return hello
+}
+
+// whole is all that a near process is told of endpoints and work.
+func (l *outLink) whole() *wire.MeshFrame {
+	whole := &wire.MeshFrame{Endpoints: l.mesh.directory.Records()}
 	if l.entry.Load() {
-		hello.Work = l.mesh.book.Own()
+		whole.Work = l.mesh.book.Own()
 	}
-	return hello
+	return whole
 }
 
 // take returns the next frame, nil when there is nothing to say.
@@ -222,6 +290,7 @@
 		if err != nil {
 			return err
 		}
+		l.mesh.takeProcesses(frame)
 		if frame.Pong != nil {
 			l.pong(frame.Pong, alive)
 		}
--- /dev/null
+++ b/transport/mesh/tell.go
@@ -0,0 +1,176 @@
+package mesh
+
+import (
+	"math/rand/v2"
+
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// tellProcesses tells every linked process of others.
+func (m *Mesh) tellProcesses(news []*wire.ProcessRecord) {
+	if len(news) == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.enqueue(&wire.MeshFrame{Processes: news})
+	}
+}
+
+// tellEndpoints tells all processes what this one learnt from endpoints.
+func (m *Mesh) tellEndpoints(records []*wire.EndpointRecord) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.hasRole(roleNear) {
+			l.enqueue(&wire.MeshFrame{Endpoints: records})
+		}
+	}
+	for _, dataCentre := range m.far {
+		m.relay(&wire.Relayed{DataCentre: dataCentre, Endpoints: records})
+	}
+}
+
+// tellWork tells the entries of this one's work.
+func (m *Mesh) tellWork(e *wire.WorkEvent, audience placement.Audience) {
+	events := []*wire.WorkEvent{e}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.events++
+	for _, l := range m.links {
+		if l.hasRole(roleNear) && l.entry.Load() {
+			l.enqueue(&wire.MeshFrame{Work: events})
+		}
+	}
+	for _, dataCentre := range m.far {
+		if audience.Includes(dataCentre) {
+			m.relay(&wire.Relayed{DataCentre: dataCentre, Work: m.originWork(events, false)})
+		}
+	}
+}
+
+// originWork numbers news of this entry's work. The caller holds the lock.
+func (m *Mesh) originWork(events []*wire.WorkEvent, whole bool) *wire.OriginWork {
+	return &wire.OriginWork{Origin: m.self.Incarnation, Number: m.events, Whole: whole, Events: events}
+}
+
+// relay sends news for all processes of another data centre to the relay there,
+// or by way of a third data centre while none there answers. The caller holds
+// the lock.
+func (m *Mesh) relay(news *wire.Relayed) {
+	if l := m.relays[news.DataCentre]; l != nil {
+		l.enqueue(&wire.MeshFrame{Relayed: []*wire.Relayed{news}})
+		return
+	}
+	if news.Detour {
+		return // it has come by way of a third one already
+	}
+	for _, dataCentre := range m.far {
+		if l := m.relays[dataCentre]; l != nil {
+			news.Detour = true
+			l.enqueue(&wire.MeshFrame{Relayed: []*wire.Relayed{news}})
+			return
+		}
+	}
+}
+
+// wholeWork is all open work of this entry that a data centre is to know.
+func (m *Mesh) wholeWork(dataCentre string) *wire.Relayed {
+	m.mu.Lock()
+	work := m.originWork(nil, true)
+	m.mu.Unlock()
+	work.Events = m.book.OwnFor(dataCentre)
+	return &wire.Relayed{DataCentre: dataCentre, Work: work}
+}
+
+// tellRelay tells a relay that was not in use before what the earlier one may
+// have kept to itself.
+func (m *Mesh) tellRelay(l *outLink) {
+	news := []*wire.Relayed{{DataCentre: l.dataCentre, Endpoints: m.directory.Records()}}
+	if m.options.Self.Entry {
+		news = append(news, m.wholeWork(l.dataCentre))
+	}
+	l.enqueue(&wire.MeshFrame{Relayed: news})
+}
+
+// farAway returns the data centres that are told through relays.
+func (m *Mesh) farAway() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.far
+}
+
+// tellWhole tells the other data centres all of this entry's open work that they
+// are to know, which mends what was lost on the way.
+func (m *Mesh) tellWhole() {
+	for _, dataCentre := range m.farAway() {
+		work := m.wholeWork(dataCentre)
+		m.mu.Lock()
+		m.relay(work)
+		m.mu.Unlock()
+	}
+}
+
+// tellReports tells the other data centres the sums of the work here that they
+// are not told of. One entry of a data centre does so for all.
+func (m *Mesh) tellReports() {
+	far := m.farAway()
+	if len(far) == 0 || !m.reports() {
+		return
+	}
+	homes := make(map[uint64]string)
+	for _, p := range m.directory.Processes() {
+		homes[p.Incarnation] = p.DataCentre
+	}
+	here := m.options.Self.DataCentre
+	keys := m.directory.KeysIn(here)
+	for _, dataCentre := range far {
+		report := m.book.Report(here, keys, func(sender uint64) bool { return homes[sender] == dataCentre })
+		m.mu.Lock()
+		m.relay(&wire.Relayed{DataCentre: dataCentre, Load: report})
+		m.mu.Unlock()
+	}
+}
+
+// reports tells whether this entry is the first of its data centre that answers.
+func (m *Mesh) reports() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, l := range m.links {
+		if address < m.options.Self.Address && m.isPeer(l) && l.isUp() {
+			return false
+		}
+	}
+	return true
+}
+
+// isPeer reports whether a link leads to an entry of this data centre.
+func (m *Mesh) isPeer(l *outLink) bool {
+	return l.hasRole(roleNear) && l.entry.Load() && l.dataCentre == m.options.Self.DataCentre
+}
+
+// gossip tells one process of this data centre all that is known of processes
+// and endpoints, which mends what a relay kept to itself.
+func (m *Mesh) gossip() {
+	if l := m.someNear(); l != nil {
+		l.enqueue(&wire.MeshFrame{Processes: m.directory.ProcessRecords(), Endpoints: m.directory.Records()})
+	}
+}
+
+// someNear returns one near link that is up, by lot, nil when there is none.
+func (m *Mesh) someNear() *outLink {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var up []*outLink
+	for _, l := range m.links {
+		if l.hasRole(roleNear) && l.dataCentre == m.options.Self.DataCentre && l.isUp() {
+			up = append(up, l)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[rand.IntN(len(up))]
+}
