Agree on both sides how two processes hear of each other; tell of drains over two relays

A data centre was told directly when it was small, whatever the others were: a small one then reported sums to a large one that waited for every piece of work. The rule is one for the whole fleet now. Records of endpoints go to the spare relays too, so that a drain does not wait until a lost relay is replaced (1.2 s); a spare that takes over is pinged at once and given 1.2 s. Work of entries that were started anew is forgotten after 1.5 s instead of 5. Metrics count links by role and data centres without a relay.

--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -1,7 +1,7 @@
 // Package spread decides over which processes the news of one process reaches
-// the others. A process tells the processes of its own data centre, and those of
-// small ones, itself. Of each other data centre it links to a few entries, its
-// relays: one of them passes the news on there.
+// the others. In a small fleet a process tells all others itself. In a larger one
+// it tells those of its own data centre, and links to a few entries of each other
+// one, its relays, which pass the news on there.
 package spread
 
 import (
@@ -13,8 +13,9 @@
 )
 
 const (
-	// DirectMost is how many processes a data centre may have for others to tell
-	// each of them directly.
+	// DirectMost is how many processes the largest data centre may have for each
+	// process to tell all others. The rule is one for the whole fleet, so that any
+	// two processes agree on how they hear of each other.
 	DirectMost = 6
 	// RelaysLinked is how many relays of a data centre are linked to: one is in
 	// use, the others take its place at once.
@@ -34,14 +35,16 @@
 // passing on is shared out evenly.
 func Plan(self *wire.ProcessRecord, processes []*wire.ProcessRecord) *Topology {
 	size := make(map[string]int)
+	largest := 0
 	for _, p := range processes {
 		size[p.DataCentre]++
+		largest = max(largest, size[p.DataCentre])
 	}
 	t := &Topology{Far: make(map[string][]*wire.ProcessRecord)}
 	for _, p := range processes {
 		switch {
 		case p.Address == self.Address:
-		case p.DataCentre == self.DataCentre || size[p.DataCentre] <= DirectMost:
+		case p.DataCentre == self.DataCentre || largest <= DirectMost:
 			t.Near = append(t.Near, p)
 		case p.Entry:
 			t.Far[p.DataCentre] = append(t.Far[p.DataCentre], p)
--- a/role/site/metrics.go
+++ b/role/site/metrics.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,11 +35,12 @@
 		figures := book.Figures()
 		fmt.Fprintf(w, "ledger_own_work %d\nledger_other_work %d\nledger_resting_endpoints %d\nprediction_bias %.3f\n",
 			figures.Own, figures.Others, figures.Resting, figures.Bias)
-		longest := time.Duration(0)
-		for _, silence := range links.Silence() {
-			longest = max(longest, silence)
+		fmt.Fprintf(w, "ledger_reported_answers %d\n", book.ReportedAnswers())
+		mesh := links.Figures()
+		for _, role := range slices.Sorted(maps.Keys(mesh.Links)) {
+			fmt.Fprintf(w, "links{role=%q} %d\n", role, mesh.Links[role])
 		}
-		fmt.Fprintf(w, "links_longest_silence_ms %d\n", longest.Milliseconds())
+		fmt.Fprintf(w, "links_up %d\ndata_centres_unreached %d\nlinks_longest_silence_ms %d\n", mesh.Up, mesh.Unreached, mesh.Longest.Milliseconds())
 	})
 	return &Metrics{process: p, registry: registry}
 }
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -190,6 +190,29 @@
 	return silence
 }
 
+// Figures are counts for the metrics.
+type Figures struct {
+	Links     map[string]int // by role
+	Up        int            // of these, those that are up
+	Unreached int            // data centres of which no relay answers
+	Longest   time.Duration  // silence on a link
+}
+
+// Figures counts the links.
+func (m *Mesh) Figures() Figures {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f := Figures{Links: make(map[string]int), Unreached: len(m.far) - len(m.relays)}
+	for _, l := range m.links {
+		f.Links[linkRole(l.role.Load()).String()]++
+		if l.isUp() {
+			f.Up++
+		}
+		f.Longest = max(f.Longest, steady.Since(l.heardAt()))
+	}
+	return f
+}
+
 // HeardSeeds reports whether every seed has told the processes that it knows. A
 // seed tells them to each process that it hears of.
 func (m *Mesh) HeardSeeds() bool {
--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -219,6 +219,7 @@
 			return errStartedAnew
 		case <-l.changed:
 			ping.Reset(0)
+			alive.Reset(pingsMissed * l.pingEvery())
 		case <-ping.C:
 			if err := stream.Send(l.take(true)); err != nil {
 				return err
--- a/transport/mesh/relayed.go
+++ b/transport/mesh/relayed.go
@@ -84,13 +84,18 @@
 	return true
 }
 
-// expireOrigins forgets the work of entries of which no relay has told lately.
+// expireOrigins forgets the work of entries that have ended, and of those of
+// which no relay has told lately.
 func (m *Mesh) expireOrigins() {
 	var silent []uint64
+	running := make(map[uint64]bool)
+	for _, p := range m.directory.Processes() {
+		running[p.Incarnation] = true
+	}
 	now := steady.Now()
 	m.mu.Lock()
 	for incarnation, o := range m.origins {
-		if now.Sub(o.toldAt) <= originKept {
+		if quiet := now.Sub(o.toldAt); quiet <= workKept || running[incarnation] && quiet <= originKept {
 			continue
 		}
 		delete(m.origins, incarnation)
--- a/transport/mesh/spread_test.go
+++ b/transport/mesh/spread_test.go
@@ -193,6 +193,9 @@
 	r := newRegion(t, "a", "b")
 	from := r.nodes["a"][1]
 	r.announce(t, from, "in-a", "a")
+	if f := from.mesh.Figures(); f.Links["relay"] != 1 || f.Links["spare"] != 1 || f.Unreached != 0 {
+		t.Errorf("links %+v", f)
+	}
 	lost := from.relayOf("b")
 	var left []*node
 	for _, n := range r.nodes["b"] {
--- a/transport/mesh/tell.go
+++ b/transport/mesh/tell.go
@@ -24,8 +24,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
-		if l.hasRole(roleNear) {
+		switch {
+		case l.hasRole(roleNear):
 			l.enqueue(&wire.MeshFrame{Endpoints: records})
+		case l.hasRole(roleSpare):
+			// That an endpoint drains may not wait until a lost relay is replaced.
+			l.enqueue(&wire.MeshFrame{Relayed: []*wire.Relayed{{DataCentre: l.dataCentre, Endpoints: records}}})
 		}
 	}
 	for _, dataCentre := range m.far {
