--- a/coordination/placement/audience.go
+++ b/coordination/placement/audience.go
@@ -1,26 +1,25 @@
 package placement
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+)
 
 // wideReadingMs is the reading, over all endpoints, from which on work is told
 // to the entries of all data centres: prompts that may be read by several
 // endpoints have to avoid each other everywhere.
 const wideReadingMs = leastSplitMs
 
-// Audience is which entries are to be told of a piece of work. Those of the
-// sender's own data centre always are.
-type Audience struct {
-	Everyone    bool
-	DataCentres []string // of the endpoints, when not everyone is told
-}
+// Audience is which entries are to be told of a piece of work.
+type Audience int
 
-// Includes reports whether the entries of a data centre are told.
-func (a Audience) Includes(dataCentre string) bool {
-	return a.Everyone || slices.Contains(a.DataCentres, dataCentre)
-}
-
-// everyone is the audience of news that concerns all entries.
-var everyone = Audience{Everyone: true}
+const (
+	// Here are those of the sender's data centre.
+	Here Audience = iota
+	// Everyone are those of all data centres.
+	Everyone
+)
 
 // isWide reports whether all entries are told of work with so much reading on
 // each of its endpoints.
@@ -28,15 +27,12 @@
 	return readingMs*float64(endpoints) >= wideReadingMs
 }
 
-func audienceOf(p *Plan) Audience {
-	if isWide(p.reading.Ms, len(p.Endpoints)) {
-		return everyone
-	}
-	var a Audience
-	for _, e := range p.Endpoints {
-		if !slices.Contains(a.DataCentres, e.DataCentre) {
-			a.DataCentres = append(a.DataCentres, e.DataCentre)
-		}
+// audienceOf is everyone for long prompts, and for short ones that leave their
+// data centre: entries of others may choose the same endpoints at that moment.
+func audienceOf(p *Plan, dataCentre string) Audience {
+	leaves := slices.ContainsFunc(p.Endpoints, func(e *directory.Endpoint) bool { return e.DataCentre != dataCentre })
+	if leaves || isWide(p.reading.Ms, len(p.Endpoints)) {
+		return Everyone
 	}
-	return a
+	return Here
 }
--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -92,7 +92,7 @@
 		credit:      float64(creditMilli(d.Credit)) / creditUnit,
 		predictedMs: p.PredictedFirstMs,
 		firstAt:     now.Add(passes.FromMs(p.PredictedFirstMs)),
-		audience:    audienceOf(p),
+		audience:    audienceOf(p, d.DataCentre),
 	}
 	for _, e := range p.Endpoints {
 		w.endpoints = append(w.endpoints, e.Key)
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -53,6 +53,7 @@
 	near     time.Duration // news within a data centre
 	away     time.Duration // news to another one
 	outcome  map[string]*outcome
+	out      map[string]bool // data centres out of service
 }
 
 type fleetEntry struct {
@@ -106,7 +107,7 @@
 			case other == e:
 			case other.dataCentre == e.dataCentre:
 				f.in(f.near, func() { other.book.ApplyRemote(uint64(i+1), []*wire.WorkEvent{event}) })
-			case !size.sums || audience.Includes(other.dataCentre):
+			case !size.sums || audience == Everyone:
 				f.in(f.away, func() { other.book.ApplyRemote(uint64(i+1), []*wire.WorkEvent{event}) })
 			}
 		}
@@ -123,9 +124,9 @@
 	f.entries = append(f.entries, e)
 }
 
-// report tells the others the sums of one data centre four times a second.
+// report tells the others the sums of one data centre.
 func (f *fleet) report(dataCentre string) {
-	f.in(250*time.Millisecond, func() {
+	f.in(150*time.Millisecond, func() {
 		var keys []uint64
 		for _, e := range f.list {
 			if e.DataCentre == dataCentre {
@@ -139,10 +140,10 @@
 				break
 			}
 		}
+		isHere := func(sender uint64) bool { return f.entries[sender-1].dataCentre == dataCentre }
+		report := reporter.book.Report(dataCentre, keys, isHere)
 		for _, to := range f.entries {
 			if to.dataCentre != dataCentre {
-				knows := func(sender uint64) bool { return sender > 0 && f.entries[sender-1].dataCentre == to.dataCentre }
-				report := reporter.book.Report(dataCentre, keys, knows)
 				f.in(f.away, func() { to.book.TakeReport(report) })
 			}
 		}
@@ -201,7 +202,7 @@
 		Service: f.service, DataCentre: entry.dataCentre, PromptTokens: prompt, OutputTokens: k.events * 36,
 		Objective: k.objective, FirstLeft: k.objective - f.now.Sub(arrived), Pause: k.pause, Limit: 15 * time.Second,
 		Patience: max(2*time.Second, 4*k.objective), Credit: math.Pow(passes.ReadMs(f.service.Engine, prompt, 1), 0.62),
-		Excluded: func(*directory.Endpoint) bool { return false },
+		Excluded: func(e *directory.Endpoint) bool { return f.out[e.DataCentre] },
 	}
 	p := entry.book.Choose(f.list, d)
 	switch {
@@ -360,8 +361,9 @@
 // a quarter.
 var worth = map[string]float64{shortKind.name: 1.3, middleKind.name: 3.3, longKind.name: 34}
 
-// The loads: a burst of short prompts that takes nine in ten slots, and a burst
-// of long ones that takes most of all reading. Entries choose at once and hear of
+// The loads: a burst of short prompts that takes nine in ten slots, one of long
+// prompts that takes most of all reading, and a busy hour in which two in five data
+// centres are out of service, whose callers are served elsewhere. Entries choose at once and hear of
 // each other's choices later; those of other data centres in sums where the fleet
 // is large. What is checked is what callers get.
 func TestBurstsOnFleetsOfAllSizes(t *testing.T) {
@@ -372,10 +374,15 @@
 		for _, load := range []struct {
 			name                string
 			short, middle, long float64 // times the usual
-		}{{"short", 2.8, 1, 0.7}, {"long", 1, 2, 2.5}} {
+			out                 map[string]bool
+		}{
+			{"short", 2.8, 1, 0.7, nil}, {"long", 1, 2, 2.5, nil},
+			{"out", 1.5, 0.6, 0.4, map[string]bool{"dc1": true, "dc3": true}},
+		} {
 			t.Run(fmt.Sprintf("%s/%d", load.name, size.entries), func(t *testing.T) {
 				t.Parallel()
 				f := newFleet(1, size)
+				f.out = load.out
 				f.play(4*time.Second, shortKind.times(load.short, size.endpoints), middleKind.times(load.middle, size.endpoints), longKind.times(load.long, size.endpoints))
 				got, owed := 0.0, 0.0
 				for name, o := range f.outcome {
@@ -390,7 +397,7 @@
 					t.Errorf("callers got %.3f of what they were owed, the target is %.2f", got/owed, target)
 				}
 				short := f.outcome[shortKind.name]
-				if load.name == "short" && size.entries > 8 && float64(short.inTime) < shortTarget*float64(short.asked) {
+				if load.name != "long" && size.entries > 8 && float64(short.inTime) < shortTarget*float64(short.asked) {
 					t.Errorf("%d of %d short prompts were on time, the target is %.2f", short.inTime, short.asked, shortTarget)
 				}
 			})
--- a/coordination/placement/health.go
+++ b/coordination/placement/health.go
@@ -51,7 +51,7 @@
 	b.Failed(key)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spread(&wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_UNREACHABLE, Endpoints: []uint64{key}}, everyone)
+	b.spread(&wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_UNREACHABLE, Endpoints: []uint64{key}}, Everyone)
 }
 
 // doubt takes another entry's word for it, for the first rest only.
--- a/coordination/placement/remote.go
+++ b/coordination/placement/remote.go
@@ -119,9 +119,9 @@
 	return b.own(func(*work) bool { return true })
 }
 
-// OwnFor is Own for the entries of another data centre: what they are told of.
-func (b *Book) OwnFor(dataCentre string) []*wire.WorkEvent {
-	return b.own(func(w *work) bool { return w.audience.Includes(dataCentre) })
+// OwnWide is Own for the entries of other data centres: what everyone is told of.
+func (b *Book) OwnWide() []*wire.WorkEvent {
+	return b.own(func(w *work) bool { return w.audience == Everyone })
 }
 
 func (b *Book) own(told func(*work) bool) []*wire.WorkEvent {
--- a/coordination/placement/reports.go
+++ b/coordination/placement/reports.go
@@ -83,10 +83,10 @@
 	b.reported[dataCentre] = keys
 }
 
-// Report sums up the work at some endpoints that the entries of another data
-// centre are not told of. knows reports whether they know the work of a sender;
-// 0 is this entry.
-func (b *Book) Report(dataCentre string, keys []uint64, knows func(sender uint64) bool) *wire.LoadReport {
+// Report sums up the work at the endpoints of this entry's data centre that the
+// entries of others are not told of: short prompts that came here. isHere reports
+// whether a sender is an entry of this data centre; 0 is this entry.
+func (b *Book) Report(dataCentre string, keys []uint64, isHere func(sender uint64) bool) *wire.LoadReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -97,7 +97,7 @@
 			continue
 		}
 		b.follow(a, key, now)
-		if sum := a.sum(key, knows); sum != nil {
+		if sum := a.sum(key, isHere); sum != nil {
 			report.Endpoints = append(report.Endpoints, sum)
 		}
 	}
@@ -105,11 +105,11 @@
 }
 
 // sum returns nil when there is nothing to report.
-func (a *account) sum(key uint64, knows func(sender uint64) bool) *wire.EndpointWork {
+func (a *account) sum(key uint64, isHere func(sender uint64) bool) *wire.EndpointWork {
 	sum := &wire.EndpointWork{Endpoint: key}
 	found := false
 	for _, w := range a.works {
-		if isWide(w.reading.Ms, len(w.endpoints)) || knows(w.id.Sender) {
+		if isWide(w.reading.Ms, len(w.endpoints)) || w.id.Sender != 0 && !isHere(w.id.Sender) {
 			continue
 		}
 		found = true
--- a/coordination/placement/reports_test.go
+++ b/coordination/placement/reports_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -24,7 +25,7 @@
 	return keys
 }
 
-func nobody(uint64) bool { return false }
+func anybody(uint64) bool { return true }
 
 // The load: the entries of another data centre have filled their endpoints with
 // short prompts, of which this entry hears in sums only.
@@ -44,7 +45,7 @@
 	} else {
 		p.Handle.Close()
 	}
-	report := there.book.Report("dc2", keysOf(there.endpoints), nobody)
+	report := there.book.Report("dc2", keysOf(there.endpoints), anybody)
 	if len(report.Endpoints) != 1 || report.Endpoints[0].Answers != 4 || report.Endpoints[0].Writers != 4 || report.Endpoints[0].CreditMilli == 0 {
 		t.Fatalf("report %v", report)
 	}
@@ -82,11 +83,11 @@
 	b := newBed(2)
 	b.choose(t, b.long()).Handle.Started()
 	b.book.ApplyRemote(7, []*wire.WorkEvent{{Step: wire.WorkStep_WORK_STEP_OPEN, Work: 1, Endpoints: []uint64{b.endpoints[0].Key}, ReadUs: 20_000, LimitMs: 1000}})
-	knows := func(sender uint64) bool { return sender == 7 }
-	if report := b.book.Report("dc1", keysOf(b.endpoints), knows); len(report.Endpoints) != 0 {
+	isElsewhere := func(sender uint64) bool { return sender != 7 }
+	if report := b.book.Report("dc1", keysOf(b.endpoints), isElsewhere); len(report.Endpoints) != 0 {
 		t.Errorf("report %v", report)
 	}
-	if report := b.book.Report("dc1", keysOf(b.endpoints), nobody); len(report.Endpoints) != 1 || report.Endpoints[0].ReadUs == 0 {
+	if report := b.book.Report("dc1", keysOf(b.endpoints), anybody); len(report.Endpoints) != 1 || report.Endpoints[0].ReadUs == 0 {
 		t.Errorf("report %v, want the short work of the other entry", report)
 	}
 }
@@ -96,15 +97,16 @@
 	b.inDataCentre("dc2", 1)
 	var told []Audience
 	b.book.OnNews(func(_ *wire.WorkEvent, a Audience) { told = append(told, a) })
-	d := b.short()
-	d.Excluded = func(e *directory.Endpoint) bool { return e.DataCentre == "dc1" }
-	b.choose(t, d)
+	b.choose(t, b.short()) // here
 	b.choose(t, b.long())
-	if len(told) != 2 || !told[0].Includes("dc2") || told[0].Includes("dc3") || !told[1].Includes("dc3") {
-		t.Errorf("told %v", told)
-	}
-	if there, elsewhere := len(b.book.OwnFor("dc2")), len(b.book.OwnFor("dc3")); there != 2 || elsewhere != 1 {
-		t.Errorf("%d and %d pieces are told anew", there, elsewhere)
+	away := b.short()
+	away.Excluded = func(e *directory.Endpoint) bool { return e.DataCentre == "dc1" }
+	b.choose(t, away)
+	if want := []Audience{Here, Everyone, Everyone}; !slices.Equal(told, want) {
+		t.Errorf("told %v, want %v", told, want)
+	}
+	if wide := len(b.book.OwnWide()); wide != 2 {
+		t.Errorf("%d pieces are told anew to other data centres", wide)
 	}
 }
 
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -44,7 +44,7 @@
 	// relays and was not told again.
 	originKept = 5 * time.Second
 	// reportEvery is how often the sums of this data centre's work are told to others.
-	reportEvery = 250 * time.Millisecond
+	reportEvery = 150 * time.Millisecond
 	// unwantedKept is how long a link stays that the topology has no use for.
 	unwantedKept  = 5 * time.Second
 	checkEvery    = time.Second
--- a/transport/mesh/spread_test.go
+++ b/transport/mesh/spread_test.go
@@ -130,7 +130,7 @@
 	t.Helper()
 	plan := n.book.Choose(n.directory.Endpoints("s"), &placement.Demand{
 		Service: &catalogue.Service{Name: "s", Engine: engine}, Limit: time.Minute, Patience: time.Minute, FirstLeft: time.Minute,
-		Objective: time.Minute, PromptTokens: prompt, Credit: 10,
+		Objective: time.Minute, PromptTokens: prompt, Credit: 10, DataCentre: n.mesh.options.Self.DataCentre,
 		Excluded: func(e *directory.Endpoint) bool { return e.ID != id },
 	})
 	if plan == nil {
@@ -140,7 +140,7 @@
 }
 
 const (
-	shortPrompt = 1000  // tokens, told where its endpoint is
+	shortPrompt = 1000  // tokens, told in its data centre
 	longPrompt  = 50000 // tokens, told everywhere
 )
 
@@ -161,22 +161,26 @@
 	r.announce(t, from, "in-b", "b")
 	r.announce(t, r.nodes["c"][2], "in-a", "a")
 
-	short := from.choose(t, "in-b", shortPrompt)
-	until(t, "the short prompt is known in its endpoint's data centre", others(r.nodes["b"], 1))
-	long := from.choose(t, "in-a", longPrompt)
-	until(t, "the long prompt is known there too", others(r.nodes["b"], 2))
-	until(t, "of the two, the long one alone is told elsewhere", others(r.nodes["c"], 1))
-	until(t, "the work at the endpoint is reported there in sums", func() bool {
-		for _, n := range r.nodes["c"] {
-			if n.book.ReportedAnswers() != 1 {
+	short := from.choose(t, "in-a", shortPrompt)
+	until(t, "the short prompt is known in its data centre", others(r.nodes["a"][4:], 1))
+	until(t, "it is reported elsewhere in sums", func() bool {
+		for _, n := range append(r.nodes["b"], r.nodes["c"]...) {
+			if n.book.ReportedAnswers() != 1 || n.book.Figures().Others != 0 {
 				return false
 			}
 		}
 		return true
 	})
-	until(t, "the sender's own data centre is not told twice", func() bool { return r.nodes["a"][0].book.ReportedAnswers() == 0 })
+	leaving := from.choose(t, "in-b", shortPrompt)
+	until(t, "a short prompt that leaves its data centre is told everywhere", others(r.nodes["c"], 1))
+	long := from.choose(t, "in-a", longPrompt)
+	for _, dataCentre := range []string{"b", "c"} {
+		until(t, "the long prompt too", others(r.nodes[dataCentre], 2))
+	}
 	short.Close()
+	leaving.Close()
 	long.Close()
+	until(t, "the sums are empty again", func() bool { return r.nodes["c"][0].book.ReportedAnswers() == 0 })
 	for _, dataCentre := range []string{"b", "c"} {
 		until(t, "the ends are known", others(r.nodes[dataCentre], 0))
 	}
--- a/transport/mesh/tell.go
+++ b/transport/mesh/tell.go
@@ -48,10 +48,11 @@
 			l.enqueue(&wire.MeshFrame{Work: events})
 		}
 	}
+	if audience != placement.Everyone {
+		return
+	}
 	for _, dataCentre := range m.far {
-		if audience.Includes(dataCentre) {
-			m.relay(&wire.Relayed{DataCentre: dataCentre, Work: m.originWork(events, false)})
-		}
+		m.relay(&wire.Relayed{DataCentre: dataCentre, Work: m.originWork(events, false)})
 	}
 }
 
@@ -85,7 +86,7 @@
 	m.mu.Lock()
 	work := m.originWork(nil, true)
 	m.mu.Unlock()
-	work.Events = m.book.OwnFor(dataCentre)
+	work.Events = m.book.OwnWide()
 	return &wire.Relayed{DataCentre: dataCentre, Work: work}
 }
 
@@ -124,17 +125,16 @@
 	if len(far) == 0 || !m.reports() {
 		return
 	}
-	homes := make(map[uint64]string)
+	here := m.options.Self.DataCentre
+	peers := make(map[uint64]bool)
 	for _, p := range m.directory.Processes() {
-		homes[p.Incarnation] = p.DataCentre
+		peers[p.Incarnation] = p.DataCentre == here
 	}
-	here := m.options.Self.DataCentre
-	keys := m.directory.KeysIn(here)
+	report := m.book.Report(here, m.directory.KeysIn(here), func(sender uint64) bool { return peers[sender] })
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, dataCentre := range far {
-		report := m.book.Report(here, keys, func(sender uint64) bool { return homes[sender] == dataCentre })
-		m.mu.Lock()
 		m.relay(&wire.Relayed{DataCentre: dataCentre, Load: report})
-		m.mu.Unlock()
 	}
 }
 
