--- a/transport/mesh/topology.go
+++ b/transport/mesh/topology.go
@@ -35,6 +35,32 @@
 	}
 }
 
+// wanted are the links that the topology has a use for, with their roles.
+type wanted struct {
+	mesh  *Mesh
+	roles map[*outLink]linkRole
+}
+
+// link returns the link to a process, opened if need be, nil for this process.
+// Of several roles the highest counts.
+func (w *wanted) link(address string, role linkRole) *outLink {
+	l := w.mesh.open(address)
+	if l != nil {
+		w.roles[l] = max(role, w.roles[l])
+	}
+	return l
+}
+
+// to is link to a process whose record is known.
+func (w *wanted) to(p *wire.ProcessRecord, role linkRole) *outLink {
+	l := w.link(p.Address, role)
+	if l != nil {
+		l.dataCentre = p.DataCentre
+		l.known(p.Incarnation)
+	}
+	return l
+}
+
 // arrange opens, closes and assigns links. It returns those that are near or
 // known to lead to an entry from now on, and the relays that are in use from now on.
 func (m *Mesh) arrange(t *spread.Topology) (near, relays []*outLink) {
@@ -43,64 +69,61 @@
 	if m.ctx == nil || m.ctx.Err() != nil {
 		return nil, nil
 	}
-	roles := make(map[*outLink]linkRole)
-	want := func(address string, role linkRole) *outLink {
-		l := m.open(address)
-		if l != nil {
-			roles[l] = max(role, roles[l])
-		}
-		return l
-	}
+	w := &wanted{mesh: m, roles: make(map[*outLink]linkRole)}
 	for _, address := range m.seeds {
-		want(address, roleKnown)
+		w.link(address, roleKnown)
 	}
-	for _, p := range m.votersOf() {
-		want(p.Address, roleKnown)
+	for _, p := range m.voters() {
+		w.to(p, roleKnown)
 	}
 	for _, p := range t.Near {
-		l := want(p.Address, roleNear)
-		l.dataCentre = p.DataCentre
-		l.known(p.Incarnation)
+		l := w.to(p, roleNear)
 		if becameEntry := p.Entry && !l.entry.Swap(true); becameEntry || !l.hasRole(roleNear) {
 			near = append(near, l)
 		}
 	}
-	m.far = slices.Sorted(maps.Keys(t.Far))
-	for dataCentre, candidates := range t.Far {
-		if l := m.pickRelay(dataCentre, candidates, want); l != nil {
-			relays = append(relays, l)
+	relays = m.pickRelays(t.Far, w)
+	m.assign(w.roles)
+	return near, relays
+}
+
+// voters lists the processes whose reach a control process has to know.
+func (m *Mesh) voters() []*wire.ProcessRecord {
+	if m.self.Entry {
+		return nil
+	}
+	return slices.DeleteFunc(m.directory.Processes(), func(p *wire.ProcessRecord) bool { return !p.Votes })
+}
+
+// pickRelays uses one relay for each data centre that is told through one. It
+// returns those that were not in use before.
+func (m *Mesh) pickRelays(far map[string][]*wire.ProcessRecord, w *wanted) []*outLink {
+	var anew []*outLink
+	m.far = slices.Sorted(maps.Keys(far))
+	for _, dataCentre := range m.far {
+		if l := m.pickRelay(dataCentre, far[dataCentre], w); l != nil {
+			anew = append(anew, l)
 		}
 		if l := m.relays[dataCentre]; l != nil {
-			roles[l] = roleRelay
+			w.roles[l] = roleRelay
 		}
 	}
 	for dataCentre := range m.relays {
-		if t.Far[dataCentre] == nil {
+		if far[dataCentre] == nil {
 			delete(m.relays, dataCentre)
 		}
 	}
-	m.assign(roles)
-	return near, relays
-}
-
-// votersOf lists the processes whose reach a control process has to know.
-func (m *Mesh) votersOf() []*wire.ProcessRecord {
-	if m.self.Entry {
-		return nil
-	}
-	return slices.DeleteFunc(m.directory.Processes(), func(p *wire.ProcessRecord) bool { return !p.Votes })
+	return anew
 }
 
 // pickRelay links to the preferred processes of a data centre that are not lost,
 // and uses the first one that answers. It returns that one when it was not in
 // use before.
-func (m *Mesh) pickRelay(dataCentre string, candidates []*wire.ProcessRecord, want func(string, linkRole) *outLink) *outLink {
+func (m *Mesh) pickRelay(dataCentre string, candidates []*wire.ProcessRecord, w *wanted) *outLink {
 	var best *outLink
 	linked := 0
 	for _, p := range candidates {
-		l := want(p.Address, roleSpare)
-		l.dataCentre = p.DataCentre
-		l.known(p.Incarnation)
+		l := w.to(p, roleSpare)
 		l.entry.Store(true)
 		if best == nil && l.isUp() {
 			best = l
