--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -59,6 +59,7 @@
 
 	mu        sync.Mutex
 	processes map[string]*process    // by address
+	byKey     map[uint64]*Endpoint   // of all endpoints
 	endpoints map[string]*Endpoint   // by identity
 	byService map[string][]*Endpoint // in use; nil after a change
 	spread    func([]*wire.EndpointRecord)
@@ -70,6 +71,7 @@
 		logger:    logs.For("directory"),
 		processes: make(map[string]*process),
 		endpoints: make(map[string]*Endpoint),
+		byKey:     make(map[uint64]*Endpoint),
 		spread:    func([]*wire.EndpointRecord) {},
 	}
 }
@@ -126,7 +128,10 @@
 	if old != nil && old.BornMs == next.BornMs {
 		next.HeardAt = max(next.HeardAt, old.HeardAt)
 	}
-	d.endpoints[r.Id] = next
+	if old != nil {
+		delete(d.byKey, old.Key)
+	}
+	d.endpoints[r.Id], d.byKey[next.Key] = next, next
 	d.byService = nil
 	if old != nil && old.BornMs == next.BornMs && old.Condition == next.Condition && old.Address == next.Address {
 		return true, old.Cold(now) != next.Cold(now)
@@ -199,10 +204,8 @@
 func (d *Directory) ServiceOf(key uint64) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, e := range d.endpoints {
-		if e.Key == key {
-			return e.Service
-		}
+	if e := d.byKey[key]; e != nil {
+		return e.Service
 	}
 	return ""
 }
@@ -217,6 +220,7 @@
 		silent := now.Sub(e.HeardAt)
 		if silent > goneKept || silent > silentKept && e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_GONE {
 			delete(d.endpoints, id)
+			delete(d.byKey, e.Key)
 			continue
 		}
 		if h := holders[e.Address]; h == nil || e.BornMs > h.BornMs || e.BornMs == h.BornMs && e.ID > h.ID {
--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -98,7 +98,7 @@
 		w.endpoints = append(w.endpoints, e.Key)
 	}
 	b.enter(w)
-	if p.reading.Ms*float64(len(p.Endpoints)) >= leastSplitMs {
+	if isLong(d) {
 		b.settling = append(b.settling, w)
 		p.Settle = true
 	}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -75,7 +75,7 @@
 
 // isLong reports whether a prompt may be read by several endpoints.
 func isLong(d *Demand) bool {
-	return passes.ReadMs(d.Service.Engine, d.PromptTokens, 1) >= leastSplitMs
+	return d.Service.Engine != nil && passes.ReadMs(d.Service.Engine, d.PromptTokens, 1) >= leastSplitMs
 }
 
 // shortlist leaves out the endpoints that lose most by reading a part of a long
@@ -119,7 +119,7 @@
 	}
 	for _, n := range splits {
 		reading := readingOver(d, n)
-		if n > len(candidates) || n > 1 && reading.Ms*float64(n) < leastSplitMs {
+		if n > len(candidates) || n > 1 && !isLong(d) {
 			break
 		}
 		if p := b.planFor(candidates, d, n, reading); p != nil && (best == nil || p.Score > best.Score) {
@@ -148,7 +148,7 @@
 // planFor returns the best plan over n endpoints: the best helpers, and of the
 // endpoints with room for the answer the best one.
 func (b *Book) planFor(candidates []*candidate, d *Demand, n int, reading passes.Reading) *Plan {
-	main, second := b.bestMain(candidates, d, n, reading)
+	main, second := b.bestMain(candidates, d, reading)
 	if main == nil {
 		return nil
 	}
@@ -175,13 +175,13 @@
 }
 
 // bestMain returns the best endpoint to answer, and the next best.
-func (b *Book) bestMain(candidates []*candidate, d *Demand, n int, reading passes.Reading) (best, second *option) {
+func (b *Book) bestMain(candidates []*candidate, d *Demand, reading passes.Reading) (best, second *option) {
 	for _, c := range candidates {
 		o := b.weigh(c, d, reading, false)
 		if !c.canAnswer(d, o.first) {
 			continue
 		}
-		if reading.Ms*float64(n) < leastSplitMs {
+		if !isLong(d) {
 			shared := d.Credit * packShare * c.packed(d.Service.Engine)
 			o.cost -= shared
 			o.score += shared
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -111,6 +111,7 @@
 	state := r.server.current.State()
 	plan := r.server.book.Choose(r.server.directory.Endpoints(r.service.Name), r.demand(state))
 	if plan != nil {
+		r.measureWait("placed")
 		r.logPlan(plan, state)
 	}
 	return plan
@@ -173,7 +174,6 @@
 }
 
 func (r *run) logPlan(p *placement.Plan, state *catalogue.State) {
-	r.measureWait("placed")
 	age, _ := r.server.current.Age()
 	r.server.logger.Info().Str("request", r.request.ID).Str("route", r.route.Name).
 		Str("endpoint", p.Endpoints[0].ID).Strs("helpers", identities(p.Endpoints[1:])).Int("prompt", r.request.PromptTokens).
