--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -22,6 +22,10 @@
 	goneKept = 5 * time.Minute
 	// silentKept is how long a silent endpoint stays known.
 	silentKept = 2 * time.Minute
+	// gossipRecent is how long a change is part of every gossip.
+	gossipRecent = 10 * time.Second
+	// gossipRounds is in how many rounds all other records are part of it once.
+	gossipRounds = 16
 	// refreshBeats is how many announcements without news are told to the other
 	// processes as one.
 	refreshBeats = 2
@@ -40,6 +44,7 @@
 	ColdUntil  steady.Time
 	HeardAt    steady.Time
 	Key        uint64 // of this incarnation, for the ledger
+	changedAt  steady.Time
 }
 
 // KeyOf returns the ledger's key of an incarnation.
@@ -125,6 +130,7 @@
 	if old != nil && !newer(old, next) {
 		return false, false
 	}
+	next.changedAt = now
 	if old != nil && old.BornMs == next.BornMs {
 		next.HeardAt = max(next.HeardAt, old.HeardAt)
 	}
@@ -134,7 +140,11 @@
 	d.endpoints[r.Id], d.byKey[next.Key] = next, next
 	d.byService = nil
 	if old != nil && old.BornMs == next.BornMs && old.Condition == next.Condition && old.Address == next.Address {
-		return true, old.Cold(now) != next.Cold(now)
+		changed := old.Cold(now) != next.Cold(now)
+		if !changed {
+			next.changedAt = old.changedAt
+		}
+		return true, changed
 	}
 	d.logger.Info().Str("endpoint", next.ID).Uint64("born_ms", next.BornMs).Str("address", next.Address).
 		Str("data_centre", next.DataCentre).Str("condition", conditionName(next.Condition)).
@@ -252,12 +262,28 @@
 
 // Records returns every endpoint's record.
 func (d *Directory) Records() []*wire.EndpointRecord {
+	return d.records(func(*Endpoint, steady.Time) bool { return true })
+}
+
+// Gossip returns the records for one round of gossip: those that have changed
+// lately or are not ready, and a part of the others, so that its size grows less
+// than the fleet.
+func (d *Directory) Gossip(round uint64) []*wire.EndpointRecord {
+	return d.records(func(e *Endpoint, now steady.Time) bool {
+		return e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY ||
+			now.Sub(e.changedAt) < gossipRecent || e.Key%gossipRounds == round%gossipRounds
+	})
+}
+
+func (d *Directory) records(wanted func(e *Endpoint, now steady.Time) bool) []*wire.EndpointRecord {
 	now := steady.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	records := make([]*wire.EndpointRecord, 0, len(d.endpoints))
 	for _, e := range d.endpoints {
-		records = append(records, e.record(now))
+		if wanted(e, now) {
+			records = append(records, e.record(now))
+		}
 	}
 	return records
 }
--- a/coordination/directory/directory_test.go
+++ b/coordination/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
@@ -96,6 +97,39 @@
 	}
 }
 
+func TestGossipTellsChangesAtOnceAndTheRestInParts(t *testing.T) {
+	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
+	const endpoints = 320
+	d := New()
+	for i := range endpoints {
+		d.Announce(record(fmt.Sprint("e", i), 1, 1, ready))
+	}
+	if n := len(d.Gossip(0)); n != endpoints {
+		t.Errorf("%d records of new endpoints are told, want all %d", n, endpoints)
+	}
+	for _, e := range d.endpoints {
+		e.changedAt = e.changedAt.Add(-gossipRecent)
+	}
+	d.Announce(record("e1", 1, 2, ready))
+	d.Announce(record("e7", 1, 2, wire.EndpointCondition_ENDPOINT_CONDITION_DRAINING))
+	told := make(map[string]bool)
+	for round := range uint64(gossipRounds) {
+		records := d.Gossip(round)
+		if len(records) > 2*endpoints/gossipRounds {
+			t.Errorf("%d of %d records are told in one round", len(records), endpoints)
+		}
+		if !slices.ContainsFunc(records, func(r *wire.EndpointRecord) bool { return r.Id == "e7" }) {
+			t.Errorf("round %d does not tell that an endpoint drains", round)
+		}
+		for _, r := range records {
+			told[r.Id] = true
+		}
+	}
+	if len(told) != endpoints {
+		t.Errorf("%d of %d endpoints are told in %d rounds", len(told), endpoints, gossipRounds)
+	}
+}
+
 func TestProcessesMergeByIncarnation(t *testing.T) {
 	d := New()
 	old := &wire.ProcessRecord{Address: "a:1", Incarnation: 1}
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -34,8 +34,8 @@
 	fetchTimeout = 300 * time.Millisecond
 	forgetAfter  = 30 * time.Second
 	workKept     = 1500 * time.Millisecond // of an entry whose link ended
-	// gossipEvery is how often one process of the data centre is told all that is
-	// known of processes and endpoints.
+	// gossipEvery is how often one process of the data centre is told of processes
+	// and endpoints.
 	gossipEvery = time.Second
 	// wholeEvery is how often other data centres are told all of this entry's open
 	// work that they are to know.
@@ -82,6 +82,8 @@
 	heard     map[string]bool    // addresses of processes that have told all they know
 	fetchedAt steady.Time
 	redial    time.Duration // before the first dial after a failure
+
+	gossips uint64 // rounds so far
 }
 
 // New returns a mesh that does nothing before Run.
--- a/transport/mesh/tell.go
+++ b/transport/mesh/tell.go
@@ -155,11 +155,13 @@
 	return l.hasRole(roleNear) && l.entry.Load() && l.dataCentre == m.options.Self.DataCentre
 }
 
-// gossip tells one process of this data centre all that is known of processes
-// and endpoints, which mends what a relay kept to itself.
+// gossip tells one process of this data centre what is known of processes and of
+// endpoints that have changed lately, and of the others in turn. It mends what a
+// relay kept to itself. One goroutine calls it.
 func (m *Mesh) gossip() {
 	if l := m.someNear(); l != nil {
-		l.enqueue(&wire.MeshFrame{Processes: m.directory.ProcessRecords(), Endpoints: m.directory.Records()})
+		m.gossips++
+		l.enqueue(&wire.MeshFrame{Processes: m.directory.ProcessRecords(), Endpoints: m.directory.Gossip(m.gossips)})
 	}
 }
 
