--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -85,13 +85,13 @@
 	return float64(ahead) * answerMs / float64(slots)
 }
 
-// packed is the part of the slots that is taken, for endpoints that write
-// already. It is none where a further answer, or one that another entry sends at
+// packed is the reward, as a share of the credit, of an endpoint that writes
+// already: it grows with the slots that are taken. It is none where a further answer, or one that another entry sends at
 // the same moment, might find no slot.
-func (c *candidate) packed(engine *catalogue.Engine) float64 {
+func (c *candidate) packed(engine *catalogue.Engine, p packing) float64 {
 	slots := c.slots(engine)
-	if c.answers+slots/spareShare >= slots {
+	if c.answers+max(leastSpare, slots/p.spare) >= slots {
 		return 0
 	}
-	return float64(c.answers) / float64(slots)
+	return p.share * float64(c.answers) / float64(slots)
 }
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -17,13 +17,6 @@
 	// which are predicted better.
 	firstMargin = 0.6
 	pauseMargin = 0.35
-	// packShare of the credit rewards an endpoint that already writes, which
-	// leaves others free to read long prompts. More of it puts the short prompts
-	// of a burst into the same passes.
-	packShare = 0.15
-	// spareShare is the part of the slots, as its divisor, that is left free for
-	// choices that cross while others have room.
-	spareShare = 4
 	// awayShare of the credit is the cost of another data centre.
 	awayShare = 0.02
 	// reportedShare is the cost of a short answer in a data centre whose work is
@@ -60,6 +53,26 @@
 	plainQueue = 3
 )
 
+// packing is how short answers share endpoints.
+type packing struct {
+	// share of the credit rewards an endpoint that already writes, which leaves
+	// others free to read long prompts.
+	share float64
+	// spare is the part of the slots, as its divisor, that is left free for choices
+	// that cross while others have room; leastSpare are in any case.
+	spare int
+}
+
+const leastSpare = 2 // slots
+
+var (
+	// fewEntries is for small fleets, whose few endpoints are needed for long prompts.
+	fewEntries = packing{share: 0.8, spare: 8}
+	// manyEntries is for fleets whose work elsewhere is reported in sums: the more
+	// entries choose at once, the more of a burst a reward puts into the same passes.
+	manyEntries = packing{share: 0.15, spare: 4}
+)
+
 // Demand is a request that asks for endpoints.
 type Demand struct {
 	Service      *catalogue.Service
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -176,13 +176,14 @@
 
 // bestMain returns the best endpoint to answer, and the next best.
 func (b *Book) bestMain(candidates []*candidate, d *Demand, reading passes.Reading) (best, second *option) {
+	sharing := b.packing()
 	for _, c := range candidates {
 		o := b.weigh(c, d, reading, false)
 		if !c.canAnswer(d, o.first) {
 			continue
 		}
 		if !isLong(d) {
-			shared := d.Credit * packShare * c.packed(d.Service.Engine)
+			shared := d.Credit * c.packed(d.Service.Engine, sharing)
 			o.cost -= shared
 			o.score += shared
 		}
--- a/coordination/placement/reports.go
+++ b/coordination/placement/reports.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// packing is how short answers share endpoints in a fleet of this size.
+func (b *Book) packing() packing {
+	if len(b.reported) > 0 {
+		return manyEntries
+	}
+	return fewEntries
+}
+
 // isReported reports whether the work in a candidate's data centre is known from
 // sums.
 func (b *Book) isReported(c *candidate) bool {
