Let announcements without news go with the next ping

Each of 177 endpoints announces itself every 1.2 s, every second time told to all: some 130 frames a second at each entry that change nothing but when an endpoint was heard. They wait for the next ping now, 400 ms at most for each hop; changes go out as before.

--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -67,7 +67,7 @@
 	byKey     map[uint64]*Endpoint   // of all endpoints
 	endpoints map[string]*Endpoint   // by identity
 	byService map[string][]*Endpoint // in use; nil after a change
-	spread    func([]*wire.EndpointRecord)
+	spread    func(records []*wire.EndpointRecord, news bool)
 }
 
 // New returns an empty directory.
@@ -77,19 +77,20 @@
 		processes: make(map[string]*process),
 		endpoints: make(map[string]*Endpoint),
 		byKey:     make(map[uint64]*Endpoint),
-		spread:    func([]*wire.EndpointRecord) {},
+		spread:    func([]*wire.EndpointRecord, bool) {},
 	}
 }
 
 // OnNews sets the function that tells other processes what this one learnt
 // from an endpoint itself.
-func (d *Directory) OnNews(f func([]*wire.EndpointRecord)) { d.spread = f }
+// news is false when the records tell only that the endpoints were heard again.
+func (d *Directory) OnNews(f func(records []*wire.EndpointRecord, news bool)) { d.spread = f }
 
 // Announce takes an endpoint's own announcement and spreads its news.
 func (d *Directory) Announce(r *wire.EndpointRecord) {
 	_, news := d.merge(r)
 	if news || r.Sequence%refreshBeats == 0 {
-		d.spread([]*wire.EndpointRecord{r})
+		d.spread([]*wire.EndpointRecord{r}, news)
 	}
 }
 
@@ -107,16 +108,18 @@
 	d.Announce(r)
 }
 
-// MergeEndpoints takes records from another process and returns those that are
-// newer than what was known.
-func (d *Directory) MergeEndpoints(records []*wire.EndpointRecord) []*wire.EndpointRecord {
-	var taken []*wire.EndpointRecord
+// MergeEndpoints takes records from another process. It returns those that are
+// newer than what was known, and whether any tells more than that an endpoint was
+// heard again.
+func (d *Directory) MergeEndpoints(records []*wire.EndpointRecord) (taken []*wire.EndpointRecord, news bool) {
 	for _, r := range records {
-		if newest, _ := d.merge(r); newest {
+		newest, changed := d.merge(r)
+		if newest {
 			taken = append(taken, r)
 		}
+		news = news || changed
 	}
-	return taken
+	return taken, news
 }
 
 // merge reports whether the record is newer than what was known, and whether it
--- a/coordination/directory/directory_test.go
+++ b/coordination/directory/directory_test.go
@@ -83,7 +83,7 @@
 	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
 	d := New()
 	spread := 0
-	d.OnNews(func([]*wire.EndpointRecord) { spread++ })
+	d.OnNews(func([]*wire.EndpointRecord, bool) { spread++ })
 	d.Announce(record("a", 1, 1, ready))
 	for sequence := uint64(2); sequence <= 9; sequence++ {
 		d.Announce(record("a", 1, sequence, ready))
--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -90,8 +90,12 @@
 	return max(l.pongAt, l.openedAt)
 }
 
-// enqueue adds news while the link is up; a link that opens tells all it knows.
-func (l *outLink) enqueue(news *wire.MeshFrame) {
+// enqueue adds news that goes out at once.
+func (l *outLink) enqueue(news *wire.MeshFrame) { l.add(news, true) }
+
+// add adds news while the link is up; a link that opens tells all it knows. What
+// is not urgent goes with the next frame, a ping at the latest.
+func (l *outLink) add(news *wire.MeshFrame, urgent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.up {
@@ -108,7 +112,9 @@
 	if len(l.news.Relayed) < maxQueuedNews {
 		l.news.Relayed = append(l.news.Relayed, news.Relayed...)
 	}
-	l.signal()
+	if urgent {
+		l.signal()
+	}
 }
 
 func (l *outLink) signal() {
--- a/transport/mesh/relayed.go
+++ b/transport/mesh/relayed.go
@@ -22,9 +22,9 @@
 		m.mu.Unlock()
 		return
 	}
-	newer := m.directory.MergeEndpoints(news.Endpoints)
+	newer, changed := m.directory.MergeEndpoints(news.Endpoints)
 	if news.DataCentre == here && here != "" {
-		m.passOn(&wire.Relayed{Endpoints: newer, Work: news.Work, Load: news.Load})
+		m.passOn(&wire.Relayed{Endpoints: newer, Work: news.Work, Load: news.Load}, changed)
 	}
 	if news.Work != nil {
 		m.takeWork(news.Work)
@@ -34,8 +34,9 @@
 	}
 }
 
-// passOn tells the processes of this data centre; work and loads concern entries only.
-func (m *Mesh) passOn(news *wire.Relayed) {
+// passOn tells the processes of this data centre; work and loads concern entries
+// only. Records without a change go with the next ping.
+func (m *Mesh) passOn(news *wire.Relayed, changed bool) {
 	records := &wire.Relayed{Endpoints: news.Endpoints}
 	forEntries := news.Work != nil || news.Load != nil
 	m.mu.Lock()
@@ -46,9 +47,9 @@
 		}
 		switch {
 		case forEntries && l.entry.Load():
-			l.enqueue(&wire.MeshFrame{Relayed: []*wire.Relayed{news}})
+			l.add(&wire.MeshFrame{Relayed: []*wire.Relayed{news}}, true)
 		case len(records.Endpoints) > 0:
-			l.enqueue(&wire.MeshFrame{Relayed: []*wire.Relayed{records}})
+			l.add(&wire.MeshFrame{Relayed: []*wire.Relayed{records}}, changed)
 		}
 	}
 }
--- a/transport/mesh/tell.go
+++ b/transport/mesh/tell.go
@@ -19,21 +19,24 @@
 	}
 }
 
-// tellEndpoints tells all processes what this one learnt from endpoints.
-func (m *Mesh) tellEndpoints(records []*wire.EndpointRecord) {
+// tellEndpoints tells all processes what this one learnt from endpoints. What is
+// no news goes with the next ping.
+func (m *Mesh) tellEndpoints(records []*wire.EndpointRecord, news bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
 		switch {
 		case l.hasRole(roleNear):
-			l.enqueue(&wire.MeshFrame{Endpoints: records})
-		case l.hasRole(roleSpare):
+			l.add(&wire.MeshFrame{Endpoints: records}, news)
+		case l.hasRole(roleRelay), l.hasRole(roleSpare) && news:
 			// That an endpoint drains may not wait until a lost relay is replaced.
-			l.enqueue(&wire.MeshFrame{Relayed: []*wire.Relayed{{DataCentre: l.dataCentre, Endpoints: records}}})
+			l.add(&wire.MeshFrame{Relayed: []*wire.Relayed{{DataCentre: l.dataCentre, Endpoints: records}}}, news)
 		}
 	}
 	for _, dataCentre := range m.far {
-		m.relay(&wire.Relayed{DataCentre: dataCentre, Endpoints: records})
+		if m.relays[dataCentre] == nil {
+			m.relay(&wire.Relayed{DataCentre: dataCentre, Endpoints: records})
+		}
 	}
 }
 
