--- a/coordination/quota/entries_test.go
+++ b/coordination/quota/entries_test.go
@@ -57,10 +57,11 @@
 			ledger:   quota.NewLedger(time.Now().Add(-time.Hour)),
 			contract: &wire.Contract{Organisation: "o", RequestsPerSecond: 50, RequestBurst: 20, TokensPerSecond: 1e6, TokenBurst: 1e6, Concurrency: 100},
 		}
+		var running sync.WaitGroup // entries that were not stopped, or are in a call of control yet
 		start := func() (*admission.Quota, context.CancelFunc) {
 			ctx, kill := context.WithCancel(t.Context())
 			q := admission.NewQuota("entry", l)
-			go q.Run(ctx)
+			running.Go(func() { q.Run(ctx) })
 			return q, kill
 		}
 		var wait sync.WaitGroup
@@ -77,6 +78,7 @@
 		})
 		wait.Wait()
 		stop1()
+		running.Wait()
 		total, most := steady+killed+restarted, 50*20+20
 		t.Logf("steady %d, killed %d, restarted %d of at most %d", steady, killed, restarted, most)
 		if total > most || total < most*8/10 {
