Read of the whole change: less done twice

- mesh: a whole account of this entry's work is made once for all data centres, not once for each; whether a link leads to this data centre is told in one place.
- spread: relays are ranked by a hash made once for each, not at each comparison; the order is the same.
- placement: whether a prompt is long is worked out once a choice.
- admission: a request that is served at the moment its caller leaves gets its hold, as one that is served at once always did; its caller's own path gives it back.
The outcome was put back into its channel and taken out again for that before.

--- a/coordination/admission/account.go
+++ b/coordination/admission/account.go
@@ -46,17 +46,6 @@
 	done    chan error // takes its outcome
 }
 
-// served reports whether the request has quota that it did not use. It takes
-// the outcome.
-func (w *waiter) served() bool {
-	select {
-	case err := <-w.done:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 func newAccount(contract *wire.Contract, now time.Time) *account {
 	return &account{contract: contract, leasedAt: now, lastTake: now}
 }
--- a/coordination/admission/quota.go
+++ b/coordination/admission/quota.go
@@ -59,14 +59,10 @@
 	if err != nil {
 		return nil, err
 	}
-	hold := &Hold{quota: q, contract: contract, tokens: float64(tokens)}
 	if err := q.await(ctx, contract.Organisation, w); err != nil {
-		if ctx.Err() != nil && w.served() {
-			hold.Refund()
-		}
 		return nil, err
 	}
-	return hold, nil
+	return &Hold{quota: q, contract: contract, tokens: float64(tokens)}, nil
 }
 
 // join serves a request at once, refuses it, or lets it wait behind the others.
@@ -120,11 +116,7 @@
 	defer q.mu.Unlock()
 	switch a := q.accounts[organisation]; {
 	case a == nil || !a.withdraw(w):
-		if err := <-w.done; err != nil || ctx.Err() == nil {
-			return err
-		}
-		w.done <- nil // served, but the caller has left
-		return context.Cause(ctx)
+		return <-w.done // decided meanwhile
 	case ctx.Err() != nil:
 		return context.Cause(ctx)
 	case w.answers > 0:
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -114,12 +114,13 @@
 // no number of endpoints has room for the answer.
 func (b *Book) bestPlan(candidates []*candidate, d *Demand) *Plan {
 	var best *Plan
-	if isLong(d) {
+	long := isLong(d)
+	if long {
 		candidates = b.shortlist(proven(candidates), d)
 	}
 	for _, n := range splits {
 		reading := readingOver(d, n)
-		if n > len(candidates) || n > 1 && !isLong(d) {
+		if n > len(candidates) || n > 1 && !long {
 			break
 		}
 		if p := b.planFor(candidates, d, n, reading); p != nil && (best == nil || p.Score > best.Score) {
@@ -176,13 +177,13 @@
 
 // bestMain returns the best endpoint to answer, and the next best.
 func (b *Book) bestMain(candidates []*candidate, d *Demand, reading passes.Reading) (best, second *option) {
-	sharing := b.packing()
+	long, sharing := isLong(d), b.packing()
 	for _, c := range candidates {
 		o := b.weigh(c, d, reading, false)
 		if !c.canAnswer(d, o.first) {
 			continue
 		}
-		if !isLong(d) {
+		if !long {
 			shared := d.Credit * c.packed(d.Service.Engine, sharing)
 			o.cost -= shared
 			o.score += shared
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -50,9 +50,13 @@
 			t.Far[p.DataCentre] = append(t.Far[p.DataCentre], p)
 		}
 	}
+	ranks := make(map[string]uint64)
 	for _, candidates := range t.Far {
+		for _, p := range candidates {
+			ranks[p.Address] = preference(self.Address, p.Address)
+		}
 		slices.SortFunc(candidates, func(a, b *wire.ProcessRecord) int {
-			return cmp.Compare(preference(self.Address, a.Address), preference(self.Address, b.Address))
+			return cmp.Compare(ranks[a.Address], ranks[b.Address])
 		})
 	}
 	return t
--- a/transport/mesh/relayed.go
+++ b/transport/mesh/relayed.go
@@ -42,7 +42,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
-		if !l.hasRole(roleNear) || l.dataCentre != m.options.Self.DataCentre {
+		if !m.isHere(l) {
 			continue
 		}
 		switch {
--- a/transport/mesh/tell.go
+++ b/transport/mesh/tell.go
@@ -84,13 +84,13 @@
 	}
 }
 
-// wholeWork is all open work of this entry that a data centre is to know.
-func (m *Mesh) wholeWork(dataCentre string) *wire.Relayed {
+// wholeWork is all open work of this entry that other data centres are to know.
+func (m *Mesh) wholeWork() *wire.OriginWork {
 	m.mu.Lock()
 	work := m.originWork(nil, true)
 	m.mu.Unlock()
 	work.Events = m.book.OwnWide()
-	return &wire.Relayed{DataCentre: dataCentre, Work: work}
+	return work
 }
 
 // tellRelay tells a relay that was not in use before what the earlier one may
@@ -98,7 +98,7 @@
 func (m *Mesh) tellRelay(l *outLink) {
 	news := []*wire.Relayed{{DataCentre: l.dataCentre, Endpoints: m.directory.Records()}}
 	if m.options.Self.Entry {
-		news = append(news, m.wholeWork(l.dataCentre))
+		news = append(news, &wire.Relayed{DataCentre: l.dataCentre, Work: m.wholeWork()})
 	}
 	l.enqueue(&wire.MeshFrame{Relayed: news})
 }
@@ -113,11 +113,15 @@
 // tellWhole tells the other data centres all of this entry's open work that they
 // are to know, which mends what was lost on the way.
 func (m *Mesh) tellWhole() {
-	for _, dataCentre := range m.farAway() {
-		work := m.wholeWork(dataCentre)
-		m.mu.Lock()
-		m.relay(work)
-		m.mu.Unlock()
+	far := m.farAway()
+	if len(far) == 0 {
+		return
+	}
+	work := m.wholeWork()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, dataCentre := range far {
+		m.relay(&wire.Relayed{DataCentre: dataCentre, Work: work})
 	}
 }
 
@@ -146,16 +150,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for address, l := range m.links {
-		if address < m.options.Self.Address && m.isPeer(l) && l.isUp() {
+		if address < m.options.Self.Address && m.isHere(l) && l.entry.Load() && l.isUp() {
 			return false
 		}
 	}
 	return true
 }
 
-// isPeer reports whether a link leads to an entry of this data centre.
-func (m *Mesh) isPeer(l *outLink) bool {
-	return l.hasRole(roleNear) && l.entry.Load() && l.dataCentre == m.options.Self.DataCentre
+// isHere reports whether a link leads to a process of this data centre. The
+// caller holds the lock.
+func (m *Mesh) isHere(l *outLink) bool {
+	return l.hasRole(roleNear) && l.dataCentre == m.options.Self.DataCentre
 }
 
 // gossip tells one process of this data centre what is known of processes and of
@@ -174,7 +179,7 @@
 	defer m.mu.Unlock()
 	var up []*outLink
 	for _, l := range m.links {
-		if l.hasRole(roleNear) && l.dataCentre == m.options.Self.DataCentre && l.isUp() {
+		if m.isHere(l) && l.isUp() {
 			up = append(up, l)
 		}
 	}
