Elect and confirm at once after a start of the whole group

Entries were back 0.52 s after the kill and could place nothing for another 0.49 s: the first election took 0.31 s, the leader's first confirmation by a quorum waited for its 200 ms interval, and entries heard of it with their next ping.

Change: a replica that has met no leader since its start campaigns after 60 to 180 ms (pre-votes disturb no leader that lives); the leader confirms as soon as it can; a process whose state is confirmed after a pause tells its links, and those whose own is not fresh ask at once. A notice proves nothing by itself.

--- a/coordination/current/store.go
+++ b/coordination/current/store.go
@@ -12,6 +12,10 @@
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 )
 
+// freshFor is how long a confirmation counts as fresh. They come several times in
+// this time from a group that has a leader.
+const freshFor = time.Second
+
 // Store holds one process's copy of the state. The state never goes back.
 type Store struct {
 	logger *logs.Logger
@@ -20,6 +24,7 @@
 
 	mu      sync.Mutex
 	changed []func(*catalogue.State)
+	fresh   []func()
 }
 
 type lease struct{ asOf steady.Time }
@@ -41,6 +46,17 @@
 	s.changed = append(s.changed, f)
 }
 
+// OnFresh adds a function that is called when the state is confirmed after it was
+// not fresh, one at a time.
+func (s *Store) OnFresh(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fresh = append(s.fresh, f)
+}
+
+// IsFresh reports whether the state was confirmed just now.
+func (s *Store) IsFresh() bool { return s.Within(freshFor) }
+
 // Take makes a committed state the newest unless a newer one is known.
 func (s *Store) Take(next *catalogue.State, source string) {
 	s.mu.Lock()
@@ -64,8 +80,15 @@
 	if index > s.State().Index {
 		return true
 	}
-	if old := s.lease.Load(); old == nil || asOf > old.asOf {
-		s.lease.Store(&lease{asOf: asOf})
+	if old := s.lease.Load(); old != nil && asOf <= old.asOf {
+		return false
+	}
+	wasFresh := s.IsFresh()
+	s.lease.Store(&lease{asOf: asOf})
+	if !wasFresh && s.IsFresh() {
+		for _, f := range s.fresh {
+			f()
+		}
 	}
 	return false
 }
--- a/coordination/current/store_test.go
+++ b/coordination/current/store_test.go
@@ -20,6 +20,22 @@
 	}
 }
 
+func TestAStateThatIsConfirmedAgainIsTold(t *testing.T) {
+	s := NewStore()
+	told := 0
+	s.OnFresh(func() { told++ })
+	now := steady.Now()
+	s.Confirm(0, now.Add(-time.Minute))
+	if told != 0 {
+		t.Error("a confirmation from long ago was told")
+	}
+	s.Confirm(0, now.Add(-freshFor/2))
+	s.Confirm(0, now)
+	if told != 1 {
+		t.Errorf("told %d times, want once", told)
+	}
+}
+
 func TestConfirmationOfAStateNotHeldExtendsNothing(t *testing.T) {
 	s := NewStore()
 	s.Take(&catalogue.State{Index: 3}, "test")
--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -12,6 +12,7 @@
 	}
 	r.role = Follower
 	r.leader = leader
+	r.met = r.met || leader != ""
 	r.votes = nil
 	r.forced = false
 	r.peers = make(map[string]*progress)
@@ -20,8 +21,15 @@
 	r.resetTimeout()
 }
 
+// resetTimeout draws the time until the next campaign. It is short until a
+// leader is met: after a restart of the whole group nobody serves before the
+// first election, and pre-votes disturb no leader that lives.
 func (r *Raft) resetTimeout() {
 	r.elapsed = 0
+	if !r.met {
+		r.timeout = max(1, r.electionTicks/startShare) + r.random(max(1, r.electionTicks/startRange))
+		return
+	}
 	r.timeout = r.electionTicks + r.random(r.electionTicks)
 }
 
@@ -79,6 +87,7 @@
 func (r *Raft) becomeLeader() {
 	r.role = Leader
 	r.leader = r.id
+	r.met = true
 	r.votes = nil
 	r.forced = false
 	r.elapsed, r.beatElapsed = 0, 0
--- a/coordination/raft/raft.go
+++ b/coordination/raft/raft.go
@@ -33,6 +33,11 @@
 	maxInflightWindow = 4096 // entries sent and not yet acknowledged by one peer
 
 	snapshotRetryElections = 20 // election timeouts after which a snapshot is sent again
+
+	// A replica that has met no leader since its start campaigns after a fifth to
+	// seven tenths of an election timeout.
+	startShare = 5
+	startRange = 2
 )
 
 // Config sets up a replica.
@@ -73,6 +78,7 @@
 	vote    string
 	role    Role
 	leader  string
+	met     bool // a leader was known since the start
 
 	log     *raftLog
 	members *memberLog
--- a/coordination/raft/raft_test.go
+++ b/coordination/raft/raft_test.go
@@ -154,3 +154,46 @@
 		t.Fatal("not committed with two synced copies")
 	}
 }
+
+// A whole group that was started anew has a leader before a running group would
+// even call an election.
+func TestGroupThatWasStartedAnewElectsSoon(t *testing.T) {
+	a, b := replica("a", 4, 4), replica("b", 4, 4)
+	a.random, b.random = func(n int) int { return n - 1 }, func(n int) int { return n - 1 }
+	a.resetTimeout()
+	ticks := 0
+	for ; a.role != Leader && ticks < 30; ticks++ {
+		a.Tick()
+		for sent := flush(a); len(sent) > 0; sent = flush(a) {
+			for _, m := range sent {
+				b.Step(m)
+			}
+			for _, m := range flush(b) {
+				a.Step(m)
+			}
+		}
+	}
+	if ticks >= a.electionTicks {
+		t.Fatalf("a leader after %d ticks, the least election timeout has %d", ticks, a.electionTicks)
+	}
+	b.becomeFollower(b.term, "a")
+	if b.timeout < b.electionTicks {
+		t.Fatalf("a replica that has met a leader campaigns after %d ticks", b.timeout)
+	}
+}
+
+// A replica that was started anew beside a leader that lives changes no term.
+func TestCampaignAfterARestartDisturbsNoLeader(t *testing.T) {
+	leader, restarted := replica("a", 4, 4), replica("c", 4, 4)
+	elect(t, leader)
+	term := leader.term
+	for range 20 {
+		restarted.Tick()
+		for _, m := range flush(restarted) {
+			leader.Step(m)
+		}
+	}
+	if leader.role != Leader || leader.term != term || restarted.term != 4 {
+		t.Fatalf("leader: role %d, term %d; restarted: term %d", leader.role, leader.term, restarted.term)
+	}
+}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -98,6 +98,7 @@
 	Leader        string // empty when unknown
 	LeaderAddress string
 	IsLeader      bool
+	CanConfirm    bool // leader: reads of its term can be confirmed
 	Term          uint64
 	Commit        uint64
 	Applied       uint64
@@ -129,6 +130,7 @@
 	inbox    chan *wire.PeerMessage
 	requests chan request
 	stopped  chan struct{} // closed when Run returns
+	leads    chan struct{} // holds one signal while Leads was not read
 
 	// Owned by the goroutine of Run.
 	hard        *wire.HardState
@@ -161,6 +163,7 @@
 		inbox:         make(chan *wire.PeerMessage, inboxMessages),
 		requests:      make(chan request, maxBatch),
 		stopped:       make(chan struct{}),
+		leads:         make(chan struct{}, 1),
 		hard:          state.HardState,
 		lastTime:      state.Snapshot.GetTimeMs(),
 		snapshotted:   state.Snapshot.GetIndex(),
@@ -283,6 +286,7 @@
 		ID:            r.id,
 		Leader:        s.Leader,
 		IsLeader:      s.Role == raft.Leader,
+		CanConfirm:    s.TermCommitted,
 		Term:          s.Term,
 		Commit:        s.Commit,
 		Applied:       s.Applied,
@@ -302,4 +306,13 @@
 		next.LeaderSince = old.LeaderSince
 	}
 	r.status.Store(next)
+	if next.CanConfirm && (old == nil || !old.CanConfirm) {
+		select {
+		case r.leads <- struct{}{}:
+		default:
+		}
+	}
 }
+
+// Leads signals that this replica has begun to lead and can confirm reads.
+func (r *Replica) Leads() <-chan struct{} { return r.leads }
--- a/coordination/replica/requests.go
+++ b/coordination/replica/requests.go
@@ -209,7 +209,7 @@
 		<-r.written
 	}
 	last := r.Status()
-	last.Leader, last.LeaderAddress, last.IsLeader = "", "", false
+	last.Leader, last.LeaderAddress, last.IsLeader, last.CanConfirm = "", "", false, false
 	r.status.Store(&last)
 	for _, q := range r.reads {
 		q.done <- result{err: notLeader()}
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -12,7 +12,6 @@
 	"github.com/apricotspoke/apricotspoke/coordination/replica"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/steady"
-	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
@@ -97,7 +96,7 @@
 		return
 	}
 	led := false
-	for wait.For(ctx, confirmInterval) {
+	for s.nextConfirmation(ctx) {
 		status := s.replica.Status()
 		if status.IsLeader != led {
 			led = status.IsLeader
@@ -112,6 +111,21 @@
 	}
 }
 
+// nextConfirmation waits until a confirmation is due: at once when this process
+// has begun to lead, as nobody serves while the state is not confirmed. It
+// returns false when ctx ends.
+func (s *Steering) nextConfirmation(ctx context.Context) bool {
+	timer := time.NewTimer(confirmInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.replica.Leads():
+	case <-timer.C:
+	}
+	return true
+}
+
 // confirm asks a quorum whether this process still leads; what its machine then
 // holds was the newest when it asked.
 func (s *Steering) confirm(ctx context.Context) {
--- a/transport/mesh/instream.go
+++ b/transport/mesh/instream.go
@@ -56,7 +56,7 @@
 		select {
 		case pong, open = <-pongs:
 		case <-s.notice:
-			pong = &wire.MeshPong{Index: m.store.State().Index}
+			pong = &wire.MeshPong{Index: m.store.State().Index, Current: m.store.IsFresh()}
 		}
 		if !open {
 			return nil
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -108,6 +108,7 @@
 	dir.OnNews(m.tellEndpoints)
 	book.OnNews(m.tellWork)
 	store.OnChange(func(*catalogue.State) { m.notify() })
+	store.OnFresh(m.notify)
 	return m
 }
 
@@ -151,7 +152,8 @@
 	m.mu.Unlock()
 }
 
-// notify tells the processes that read from this one of a new state.
+// notify tells the processes that read from this one of a new state, or of one
+// that is confirmed again.
 func (m *Mesh) notify() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -229,3 +229,26 @@
 	defer m.mu.Unlock()
 	return m.links[address]
 }
+
+// A notice that the state is confirmed again makes a process ask at once that
+// could serve nobody meanwhile; it proves nothing by itself.
+func TestANoticeOfAFreshStateIsAskedAbout(t *testing.T) {
+	store := current.NewStore()
+	m := New(Options{Self: &wire.ProcessRecord{Name: "a"}}, store, directory.New(), placement.NewBook(time.Now))
+	m.ctx = t.Context()
+	l := newOutLink(m, "127.0.0.1:1")
+	l.setUp(true)
+	notice := &wire.MeshPong{Current: true}
+	l.pong(notice, func() { t.Error("a notice counts as an answer") })
+	if store.IsFresh() {
+		t.Error("a notice made the state fresh")
+	}
+	if frame := l.take(false); frame == nil || frame.Ping == nil || len(l.wake) != 1 {
+		t.Errorf("no ping is due: %v", frame)
+	}
+	store.Confirm(0, steady.Now())
+	l.pong(notice, func() {})
+	if frame := l.take(false); frame != nil {
+		t.Errorf("a process whose state is fresh asks again: %v", frame)
+	}
+}
--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -322,7 +322,9 @@
 			behind = l.mesh.store.Confirm(p.Index, sentAt.Add(-time.Duration(p.AgeMs)*time.Millisecond))
 		}
 	}
-	if behind && l.mesh.mayFetch() {
+	// What a notice says of freshness may have been held up: only a ping proves it.
+	isNews := !known && p.Current && !l.mesh.store.IsFresh()
+	if isNews || behind && l.mesh.mayFetch() {
 		l.mu.Lock()
 		l.want = true
 		l.mu.Unlock()
