--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -8,6 +8,12 @@
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
+// The objectives that an answer may miss.
+const (
+	lateFirst = "first" // of the first event
+	latePause = "pause" // between events
+)
+
 // firstStall is the silence after a sending from which on another endpoint is
 // looked for.
 func (r *run) firstStall(plan *placement.Plan) time.Duration {
@@ -66,7 +72,7 @@
 				r.noteStarted(plan, now)
 			}
 			if pause := now.Sub(r.lastAt); r.events > 0 && r.route.PauseObjective > 0 && pause > r.route.PauseObjective {
-				r.noteLate(plan, "pause", pause)
+				r.noteLate(plan, latePause, pause)
 			}
 			r.lastAt = now
 			if !r.begun {
@@ -112,13 +118,21 @@
 		r.firstAt = now
 	}
 	if waited := now.Sub(r.request.Arrived); r.late || r.events == 0 && waited > r.route.Objective {
-		r.noteLate(plan, "first", waited)
+		r.noteLate(plan, lateFirst, waited)
 	}
 	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).
 		Int("helpers", len(plan.Endpoints)-1).Dur("took", took).Float64("predicted_ms", predicted).
 		Bool("late", r.late).Msg("The first event arrived.")
 }
 
+// allowed is the time that an objective gives.
+func (r *run) allowed(objective string) time.Duration {
+	if objective == lateFirst {
+		return r.route.Objective
+	}
+	return r.route.PauseObjective
+}
+
 // noteLate tells the others that this answer has missed an objective, so that
 // they need not be careful of it any more.
 func (r *run) noteLate(plan *placement.Plan, objective string, took time.Duration) {
@@ -128,5 +142,5 @@
 	}
 	r.late = true
 	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).Str("objective", objective).
-		Dur("took", took).Int("events", r.events).Dur("pass", plan.Handle.Pass(r.service.Engine)).Msg("The answer is late.")
+		Dur("took", took).Dur("allowed", r.allowed(objective)).Int("events", r.events).Dur("pass", plan.Handle.Pass(r.service.Engine)).Msg("The answer is late.")
 }
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -45,6 +45,7 @@
 	add(parser.Command, "status", "Show who leads, the revision in force everywhere, and the endpoints", &struct{ command }{a.showStatus})
 	a.registerWatch(parser.Command)
 	a.registerStory(parser.Command)
+	a.registerCauses(parser.Command)
 }
 
 func group(parser *flags.Parser, name, short string) *flags.Command {
