Place late short prompts where they begin soonest; entries differ in their order

Cause: once confirmed, nine entries placed what had waited at one moment, each on the same endpoint, as all begin from the same order and reward sharing: 18 of 66 on one endpoint while others were idle. And what had waited for the state had no hold left to wait for room.

Change: a short prompt whose objective is over prefers where it begins soonest, and endpoints beyond its caller's patience are no candidates; each entry ranks endpoints that are alike by its own hash; the hold counts from admission.

--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -4,6 +4,8 @@
 package placement
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -33,6 +35,7 @@
 	works    map[passes.WorkID]*work
 	settling []*work // own
 	sequence uint64
+	order    uint64  // seed of this entry's order of endpoints that are alike
 	bias     float64 // of the time to the first event over its prediction, lately
 	spread   func(*wire.WorkEvent, Audience)
 	reported map[string][]uint64 // endpoints in the last report of each data centre that reports sums
@@ -66,6 +69,25 @@
 // work is followed before this entry has chosen any endpoint itself.
 func (b *Book) KnowEngines(f func(key uint64) *catalogue.Engine) { b.engineOf = f }
 
+// SetOrder gives this entry its own order of endpoints that are alike. Entries
+// that all choose at one moment, as after a restart of all, would else choose the
+// same one.
+func (b *Book) SetOrder(seed uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.order = seed
+}
+
+// rank is an endpoint's place in this entry's order.
+func (b *Book) rank(key uint64) uint64 {
+	hash := fnv.New64a()
+	var text [16]byte
+	binary.BigEndian.PutUint64(text[:8], b.order)
+	binary.BigEndian.PutUint64(text[8:], key)
+	_, _ = hash.Write(text[:]) // a hash takes all
+	return hash.Sum64()
+}
+
 func (b *Book) account(key uint64) *account {
 	a := b.accounts[key]
 	if a == nil {
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -31,6 +31,9 @@
 	coldFactor = 2
 	// leastSplitMs is the least reading that is worth spreading.
 	leastSplitMs = 100
+	// delayShare of the credit is the cost of a short answer that is late in any case
+	// and begins as late as its caller bears.
+	delayShare = 0.2
 	// patienceShare is the part of a caller's patience within which a first event
 	// must be predicted, as predictions fall short when much arrives.
 	patienceShare = 0.6
@@ -145,6 +148,7 @@
 		c := &b.loads[i]
 		b.fill(c, e.Key, d.Service.Engine, now)
 		c.endpoint, c.account.name = e, e.ID
+		c.rank = b.rank(e.Key)
 		c.cold = e.Cold(steadyNow)
 		if c.cold && d.Service.ColdPerSecond > 0 && !b.mayArrive(c, d, now) {
 			continue
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -100,6 +100,7 @@
 
 func (f *fleet) addEntry(i int, size fleetSize) {
 	e := &fleetEntry{book: NewBook(func() time.Time { return f.now }), dataCentre: fmt.Sprint("dc", i%size.dataCentres)}
+	e.book.SetOrder(uint64(i + 1))
 	e.book.KnowEngines(func(uint64) *catalogue.Engine { return f.service.Engine })
 	e.book.OnNews(func(event *wire.WorkEvent, audience Audience) {
 		for _, other := range f.entries {
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -436,3 +436,51 @@
 		}
 	}
 }
+
+// One that is late in any case goes where it begins soonest, though another
+// endpoint is the one to share.
+func TestALateShortPromptIsNotRefusedForTheEndpointThatIsShared(t *testing.T) {
+	b := newBed(3)
+	b.service.Engine.Slots = 16
+	for _, e := range b.endpoints {
+		e.Slots = 16
+	}
+	shared := b.choose(t, b.short())
+	shared.Handle.Started()
+	shared.Handle.Late()
+	for range 7 {
+		b.choose(t, b.short())
+	}
+	long := b.long()
+	long.Excluded = func(e *directory.Endpoint) bool { return e != shared.Endpoints[0] }
+	b.choose(t, long)
+	late := b.short()
+	late.FirstLeft, late.Patience = -100*time.Millisecond, 1500*time.Millisecond
+	if p := b.choose(t, late); p.Endpoints[0] == shared.Endpoints[0] || p.PredictedFirstMs > 300 {
+		t.Errorf("sent to %s, to begin after %.0f ms", p.Endpoints[0].ID, p.PredictedFirstMs)
+	}
+}
+
+// Entries that were all started anew choose at one moment, before they hear of
+// each other. None of their choices may fill an endpoint while others are idle.
+func TestEntriesThatChooseAtOneMomentSpread(t *testing.T) {
+	const entries, each = 9, 6
+	b := newBed(27)
+	for _, e := range b.endpoints {
+		e.Slots = 16
+	}
+	b.service.Engine.Slots = 16
+	answers := make(map[string]int)
+	for entry := range entries {
+		b.book = NewBook(func() time.Time { return b.at })
+		b.book.SetOrder(uint64(entry + 1))
+		for range each {
+			answers[b.choose(t, b.short()).Endpoints[0].ID]++
+		}
+	}
+	for id, n := range answers {
+		if n > 16 {
+			t.Errorf("%s was given %d answers for 16 slots, %d of 27 endpoints none", id, n, 27-len(answers))
+		}
+	}
+}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -28,12 +28,15 @@
 }
 
 // before reports whether an option is better than another one: it has more
-// score, or the same and fewer answers.
+// score, or the same and fewer answers, or a lower rank at this entry.
 func (o *option) before(other *option) bool {
 	if o.score != other.score {
 		return o.score > other.score
 	}
-	return o.answers < other.answers
+	if o.answers != other.answers {
+		return o.answers < other.answers
+	}
+	return o.rank < other.rank
 }
 
 // chooseEngine returns the plan that gives most credit, nil when none gives more
@@ -180,10 +183,15 @@
 	long, sharing := isLong(d), b.packing()
 	for _, c := range candidates {
 		o := b.weigh(c, d, reading, false)
-		if !c.canAnswer(d, o.first) {
+		if !c.canAnswer(d, o.first) || !long && o.first > d.latestMs() {
 			continue
 		}
 		if !long {
+			if d.FirstLeft <= 0 {
+				delay := d.Credit * delayShare * o.first / d.latestMs()
+				o.cost += delay
+				o.score -= delay
+			}
 			shared := d.Credit * c.packed(d.Service.Engine, sharing)
 			o.cost -= shared
 			o.score += shared
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -82,13 +82,14 @@
 	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(after)
 }
 
-// holdUntil is how long the request waits for room. A caller is told early when
-// to come back; an answer that has begun waits as long as there is time.
+// holdUntil is how long the request waits for room, from the moment at which it
+// could be placed at all. A caller is told early when to come back; an answer that
+// has begun waits as long as there is time.
 func (r *run) holdUntil() time.Time {
 	if r.begun {
 		return r.limit.Add(-leastLeft)
 	}
-	return r.request.Arrived.Add(r.route.Objective / holdShare)
+	return r.admittedAt.Add(r.route.Objective / holdShare)
 }
 
 // isOverdue reports whether the objective of the next event has passed.
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -64,6 +64,7 @@
 	organisation string
 	priority     int // 0 is the most urgent
 	limit        time.Time
+	admittedAt   time.Time
 	version      uint64
 	tried        map[uint64]bool
 	sends        int
@@ -103,6 +104,7 @@
 		return err
 	}
 	r.server.budget.asked(r.service.Name)
+	r.admittedAt = time.Now()
 	return nil
 }
 
--- a/role/site/node.go
+++ b/role/site/node.go
@@ -107,8 +107,9 @@
 }
 
 // newBook returns a ledger that finds the engines of endpoints itself.
-func newBook(store *current.Store, dir *directory.Directory) *placement.Book {
+func newBook(record *wire.ProcessRecord, store *current.Store, dir *directory.Directory) *placement.Book {
 	book := placement.NewBook(time.Now)
+	book.SetOrder(record.Incarnation)
 	book.KnowEngines(func(key uint64) *catalogue.Engine {
 		c := store.State().Catalogue
 		if c == nil {
