Bytes that are no answer end an attempt in time, in a stream and in a plain answer

An event has an identity: empty lines, comments and fields without one are kept with the next event and feed no watch of silence, so an endpoint that sends only these is silent. A line that is no field, 256 KiB without an event, and an event that does not come after the last one passed on end the attempt; the stream goes on elsewhere. A plain answer that does not end is given up once another endpoint is found, and all that are held share 32 MiB. Tests play each without end, fast and slowly; before, five of the six kinds fed the watch or were passed on, and a plain answer used all of its caller's time.

Tests in virtual time log nothing: the goroutine that writes the log could be started in the bubble, which then ended before it (seen when a test was run alone).

--- a/coordination/admission/quota_test.go
+++ b/coordination/admission/quota_test.go
@@ -5,11 +5,11 @@
 	"errors"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // bucket is a contract's limit of 10 requests a second and 4 slots, without burst.
@@ -57,7 +57,7 @@
 var small = &wire.Contract{Organisation: "a", RequestBurst: 5, TokenBurst: 1e6, Concurrency: 4}
 
 func run(t *testing.T, test func(ctx context.Context, b *bucket, q *Quota)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		b := &bucket{left: 5, filled: time.Now()}
 		q := NewQuota("e", b)
@@ -229,7 +229,7 @@
 // A request is refused because control gives no more, not because others were
 // quicker to take what it gave.
 func TestARequestThatOthersOvertakeIsNotRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		control := &stolen{}
 		q := NewQuota("e", control)
--- a/coordination/claims/claim_retry_test.go
+++ b/coordination/claims/claim_retry_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // lossyControl commits each claim and settlement, and loses its first answers.
@@ -57,7 +57,7 @@
 // A leader that dies with a claim in its hands leaves the claim's outcome
 // unknown, not that of the request: nothing was dispatched yet.
 func TestLostAnswerToAClaimIsAskedAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		control, runner := &lossyControl{lost: 2}, &countingRunner{}
 		job := &relay.Job{Open: &wire.AttemptOpen{}, WholeBy: time.Now().Add(time.Minute)}
 		answer, err := NewKeeper(control, nil, runner).Run(t.Context(), &Request{Key: "k", Job: job})
--- a/coordination/control/gateleases_test.go
+++ b/coordination/control/gateleases_test.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // lessor counts the gates that may act on one endpoint.
@@ -52,7 +52,7 @@
 func TestOneGateHoldsAnEndpoint(t *testing.T) {
 	taken := 0
 	for seed := range uint64(40) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, func(t *testing.T) {
 			l := raceForLease(seed)
 			taken += l.taken
 			if len(l.faults) > 0 {
@@ -114,7 +114,7 @@
 // A renewal counts from the last proof that the replica led, not from now: the
 // next leader may have begun its wait right after that proof.
 func TestRenewalRestsOnTheLastConfirmation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		group := newFakeGroup(rand.New(rand.NewPCG(1, 1)))
 		server := &gateLeasesServer{Service: group.services[0]}
 		request := &wire.GateLeaseRequest{Endpoint: "e", GateInstance: "g", GateAddress: "x"}
--- a/coordination/control/quotas_test.go
+++ b/coordination/control/quotas_test.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/admission"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // anyLeader sends lease requests to a replica that believes that it leads.
@@ -60,7 +60,7 @@
 func TestEntriesAndDeposedLeadersKeepTheContract(t *testing.T) {
 	const rate, burst, runtime = 20.0, 15.0, 2 * time.Minute
 	for seed := range uint64(8) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), runtime)
 			defer cancel()
 			group := newFakeGroup(rand.New(rand.NewPCG(seed, 0)))
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 var inService = &wire.FleetConfig{Revision: 5}
@@ -25,7 +26,7 @@
 // A gate that may not act refuses, whichever right it lacks, and a second
 // arrival of an attempt never runs.
 func TestAdmissionNeedsEveryRight(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		r := newRig(newEngine(), inService)
 		defer r.stop()
 		expect := func(o *wire.AttemptOpen, kind fault.Kind) {
@@ -70,7 +71,7 @@
 
 // A process that sleeps past its rights refuses what it had queued.
 func TestQueuedAttemptIsRefusedWhenRightsEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		e.gap = 10 * time.Second // the first two fill the endpoint
 		r := newRig(e, inService)
@@ -98,7 +99,7 @@
 // A reader that is gone resumes where it was; a stream that broke on the
 // endpoint's side is resumed there; both without a byte lost or doubled.
 func TestAnswerSurvivesBrokenLinks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		e.breakAfter = 2
 		r := newRig(e, inService)
@@ -123,7 +124,7 @@
 
 // An answer that nobody acknowledges stops at the bound of its buffer.
 func TestUnreadAnswerIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		e.tokens, e.gap = 400_000, time.Microsecond
 		r := newRig(e, inService)
@@ -151,7 +152,7 @@
 
 // Answers that ended unacknowledged give way to those that run.
 func TestEndedAnswersGiveWay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		e.tokens, e.gap = 30_000, time.Microsecond // about 600 kB each
 		r := newRig(e, inService)
@@ -177,7 +178,7 @@
 // Without a reader a repeatable attempt is cancelled; one that may not be
 // repeated runs on, and its outcome is told.
 func TestAbandonedAttempts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		e.gap = 2 * time.Second
 		r := newRig(e, inService)
@@ -198,7 +199,7 @@
 
 // An attempt that was asked for before it arrived is refused when it does.
 func TestInquireForbidsLateArrival(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		r := newRig(newEngine(), inService)
 		defer r.stop()
 		ask := func(instance string, refuse bool) wire.AttemptState {
@@ -222,7 +223,7 @@
 // A gate that was started anew counts what its predecessor left as load, and
 // cancels it before its own work goes in.
 func TestRestartedGateClearsUnknownWork(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		first := newRig(e, inService)
 		e.setPace(time.Hour)
@@ -246,7 +247,7 @@
 
 // Blocks and memory of a group reservation go with it, whoever dies.
 func TestGroupReservationIsFreed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		r := newRig(e, inService)
 		defer r.stop()
@@ -270,7 +271,7 @@
 // A segment cancelled on its way, and one whose gate was restarted, leave no
 // block and no memory; a reservation is renewed while its data centre is out.
 func TestSegmentsLeaveNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		r := newRig(e, inService)
 		reserve := &wire.ReserveRequest{Reservation: "g", MemoryTokens: 60_000, ValidMs: 20_000}
@@ -317,7 +318,7 @@
 // Orders are carried out once each, in ascending number, also when the
 // configuration still shows them as pending.
 func TestOrdersOnceInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		e := newEngine()
 		config := &wire.FleetConfig{Revision: 30, Orders: []*wire.Order{
 			{Number: 20, Endpoint: "e1", Kind: wire.OrderKind_ORDER_KIND_LOAD_MODEL},
--- a/coordination/gate/random_test.go
+++ b/coordination/gate/random_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // plan is one random run: bursts of attempts around unnoticed restarts.
@@ -44,7 +46,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		p := drawPlan(rt)
 		var problems []string
-		synctest.Test(t, func(t *testing.T) { problems = p.run(t) })
+		bubble.Run(t, func(t *testing.T) { problems = p.run(t) })
 		if len(problems) > 0 {
 			rt.Fatalf("%v", problems)
 		}
--- a/coordination/quota/entries_test.go
+++ b/coordination/quota/entries_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/admission"
 	"github.com/apricotspoke/apricotspoke/coordination/quota"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // leader answers lease requests from a ledger, as the control service does.
@@ -52,7 +52,7 @@
 // Two entries that ask for four times the contract get all of it and no more,
 // and one that was killed is served again as soon as it is back.
 func TestEntriesShareAContract(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		l := &leader{
 			ledger:   quota.NewLedger(time.Now().Add(-time.Hour)),
 			contract: &wire.Contract{Organisation: "o", RequestsPerSecond: 50, RequestBurst: 20, TokensPerSecond: 1e6, TokenBurst: 1e6, Concurrency: 100},
--- a/coordination/replica/snapshot_test.go
+++ b/coordination/replica/snapshot_test.go
@@ -13,6 +13,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/wal"
 	"github.com/apricotspoke/apricotspoke/state/wal/faultfs"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -55,7 +56,7 @@
 		writtenFirst bool // before the stop
 	}{{"stopped while it is written", false}, {"written before the stop", true}} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { stopBesideSnapshot(t, c.writtenFirst) })
+			bubble.Run(t, func(t *testing.T) { stopBesideSnapshot(t, c.writtenFirst) })
 		})
 	}
 }
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,9 +12,6 @@
 )
 
 const (
-	// maxPlainBytes bounds a plain answer, which is held whole before it is
-	// passed on.
-	maxPlainBytes = 4 << 20
 	// stallFirst is the least silence before the first event after which
 	// another endpoint is asked; the prediction is added to it.
 	stallFirst = 700 * time.Millisecond
@@ -185,26 +181,10 @@
 // deliver passes an answer on.
 func (r *run) deliver(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	defer response.Body.Close()
-	good := response.Status >= 200 && response.Status < 300
-	if r.route.Kind == catalogue.Stream && good {
+	if r.route.Kind == catalogue.Stream && response.isGood() {
 		return r.deliverStream(ctx, plan, response, cancel)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainBytes+1))
-	switch {
-	case err != nil:
-		return errors.Join(errGarbled, err)
-	case len(body) > maxPlainBytes:
-		return errors.Join(errGarbled, errors.New("it is too long"))
-	case good && !response.Signed:
-		return errGarbled
-	case !good && (r.begun || r.repeatable() && r.mayHaveRun < r.route.MaxEndpoints):
-		return fault.New(fault.EndpointFailed, "the endpoint answered %d", response.Status)
-	case !good && !response.Signed:
-		return fault.New(fault.EndpointFailed, "the endpoint answered %d", response.Status)
-	}
-	r.firstAt = time.Now()
-	r.begin(response.Status, response.Header, int64(len(body)))
-	return r.answer.Write(body)
+	return r.deliverPlain(plan, response, cancel)
 }
 
 func (r *run) begin(status int, header http.Header, length int64) {
--- a/coordination/serve/reserve_test.go
+++ b/coordination/serve/reserve_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // longBed has endpoints whose memory of 1,000 tokens is less than a prompt's.
@@ -35,7 +36,7 @@
 }
 
 func TestAPromptLargerThanAnEndpointIsHeldByReservations(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		var b *bed
 		b = longBed(t, func(ctx context.Context, a *Attempt) (*Response, error) {
 			tickets := 0
@@ -74,7 +75,7 @@
 // When one endpoint has no memory, what the others gave is released and another
 // plan is tried.
 func TestReservationsAreAllOrNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		b := longBed(t, good(events(1, 2)))
 		b.refuses = "long1"
 		b.serveLong(t)
@@ -95,7 +96,7 @@
 
 // A broken answer releases too.
 func TestReservationsEndWithAFailedAttempt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		b := longBed(t, reset, reset, reset)
 		b.serveLong(t)
 		time.Sleep(10 * time.Second)
--- a/coordination/serve/resume_test.go
+++ b/coordination/serve/resume_test.go
@@ -7,11 +7,11 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // afterwards answers with a body once some time has passed.
@@ -44,7 +44,7 @@
 		{"after it", 70 * time.Millisecond, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
 				b := newBed(t, afterwards(90*time.Millisecond, events(1, 3)+"id: 4\nda"), afterwards(c.wait, events(4, 6)))
 				var told []*wire.WorkEvent
 				b.book.OnNews(func(e *wire.WorkEvent, _ placement.Audience) { told = append(told, e) })
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -115,6 +115,7 @@
 	book      *placement.Book
 	upstream  Upstream
 	budget    *repeatBudget
+	held      atomic.Int64 // bytes of plain answers that are held
 	logger    *logs.Logger
 	metrics   *metrics.Registry
 }
--- a/coordination/serve/serve_test.go
+++ b/coordination/serve/serve_test.go
@@ -6,13 +6,13 @@
 	"io"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/protocol/steady"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 type answers = []func(context.Context, *Attempt) (*Response, error)
@@ -191,7 +191,7 @@
 
 // A silent endpoint is given up for another one, and only where that may be.
 func TestASilentEndpoint(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		b := newBed(t, silent, good("yes"))
 		b.currentFor(0)
 		if g := b.serve(t.Context(), "again"); g.status != 200 {
@@ -227,7 +227,7 @@
 			return &Response{Status: 200, Header: http.Header{}, Body: r, Signed: true, Own: true}, nil
 		}
 	}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		b := newBed(t, pausing(time.Hour), good(events(3, 3)))
 		b.currentFor(0)
 		if g := b.serve(t.Context(), "stream"); g.body.String() != events(1, 3) || len(b.sendings()) != 2 {
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
@@ -66,6 +67,9 @@
 	for {
 		select {
 		case e := <-events:
+			if !e.follows(r.lastEvent) {
+				return fmt.Errorf("%w: event %q after event %q", errGarbled, e.id, r.lastEvent)
+			}
 			now := time.Now()
 			if !started {
 				started = true
--- a/transport/callerhttp/ready_test.go
+++ b/transport/callerhttp/ready_test.go
@@ -3,17 +3,17 @@
 import (
 	"net/http/httptest"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // A fresh entry is current before the gates have found it again; a balancer
 // that sends it work then would get refusals only.
 func TestNotReadyBeforeGatesCanHaveReported(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		s := &Server{Store: configsync.NewStore(), Drain: NewDrain(), ReadyFrom: time.Now().Add(time.Second)}
 		status := func() int {
 			s.Store.Update(&wire.SyncResponse{Revision: 1, Snapshot: &wire.FleetConfig{Revision: 1}}, time.Now())
