A farewell to a restarted process holds; a panic of a handler ends its call only

A control process that was started anew and was told DELETE by an endpoint that it had not heard of yet recorded a farewell of no lifetime, which every process that knew the endpoint ignored, and a late heartbeat brought the endpoint back there too. A farewell that names no lifetime now ends what was heard up to ten seconds after it.

gRPC ends the process when a handler panics; links recover now, log the stack and end the call.

--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -20,6 +20,8 @@
 	// goneKept is how long an endpoint that has left stays known, so that a
 	// late announcement can't bring it back.
 	goneKept = 5 * time.Minute
+	// lateFor bounds how late an announcement may arrive.
+	lateFor = 10 * time.Second
 	// silentKept is how long a silent endpoint stays known.
 	silentKept = 2 * time.Minute
 	// gossipRecent is how long a change is part of every gossip.
@@ -133,6 +135,9 @@
 	if old != nil && !newer(old, next) {
 		return false, false
 	}
+	if old != nil && next.isFarewellOfAny() {
+		next = old.left(next.HeardAt)
+	}
 	next.changedAt = now
 	if old != nil && old.BornMs == next.BornMs {
 		next.HeardAt = max(next.HeardAt, old.HeardAt)
@@ -159,7 +164,27 @@
 	return strings.ToLower(strings.TrimPrefix(c.String(), "ENDPOINT_CONDITION_"))
 }
 
+// isFarewellOfAny reports whether this is a farewell that named no incarnation, told
+// to a process that knew none, as after its restart. It ends what runs by then.
+func (e *Endpoint) isFarewellOfAny() bool {
+	return e.BornMs == 0 && e.Condition == wire.EndpointCondition_ENDPOINT_CONDITION_GONE
+}
+
+// left is the same incarnation after its farewell.
+func (e *Endpoint) left(at steady.Time) *Endpoint {
+	gone := *e
+	gone.Condition, gone.HeardAt = wire.EndpointCondition_ENDPOINT_CONDITION_GONE, at
+	return &gone
+}
+
 func newer(old, next *Endpoint) bool {
+	switch {
+	case next.isFarewellOfAny():
+		// An incarnation that was heard long after the farewell is another one.
+		return old.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_GONE && old.HeardAt.Sub(next.HeardAt) <= lateFor
+	case old.isFarewellOfAny() && next.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_GONE:
+		return next.HeardAt.Sub(old.HeardAt) > lateFor
+	}
 	if next.BornMs != old.BornMs {
 		return next.BornMs > old.BornMs
 	}
--- a/coordination/directory/directory_test.go
+++ b/coordination/directory/directory_test.go
@@ -174,3 +174,33 @@
 		t.Error("the news that it was heard is not taken")
 	}
 }
+
+// A process that was started anew is told that an endpoint leaves before it has
+// heard of it. The endpoint is used nowhere any more, whatever comes late.
+func TestAFarewellToAProcessThatKnowsNothingHolds(t *testing.T) {
+	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
+	restarted, other := New(), New()
+	other.Announce(record("a", 10, 5, ready))
+	var told []*wire.EndpointRecord
+	restarted.OnNews(func(records []*wire.EndpointRecord, _ bool) { told = append(told, records...) })
+	restarted.Leave("a", 0)
+	other.MergeEndpoints(told)
+	if got := other.Endpoints("engine"); len(got) != 0 {
+		t.Errorf("a process that knows the endpoint goes on using it: %v", got[0])
+	}
+	restarted.Announce(record("a", 10, 4, ready))
+	restarted.MergeEndpoints([]*wire.EndpointRecord{record("a", 10, 5, ready)})
+	if got := restarted.Endpoints("engine"); len(got) != 0 {
+		t.Errorf("a late announcement brought it back: %v", got[0])
+	}
+	other.Announce(record("a", 11, 1, ready))
+	if got := other.Endpoints("engine"); len(got) != 1 {
+		t.Error("its next start is not known")
+	}
+	late := told[0]
+	late.HeardAgeMs = uint32((lateFor + lateFor).Milliseconds())
+	other.MergeEndpoints([]*wire.EndpointRecord{late})
+	if got := other.Endpoints("engine"); len(got) != 1 {
+		t.Error("the farewell ended an incarnation that was heard long after it")
+	}
+}
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -55,7 +55,9 @@
 	options = append(options,
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
-		grpc.MaxConcurrentStreams(concurrentStreams))
+		grpc.MaxConcurrentStreams(concurrentStreams),
+		grpc.ChainUnaryInterceptor(recoverUnary),
+		grpc.ChainStreamInterceptor(recoverStream))
 	return grpc.NewServer(options...)
 }
 
