An entry that has just started waits for the announcements of endpoints

Cause: after a restart of all processes the state is current after 0.15 s, but each endpoint announces itself once in 1.2 s only.

Change: until one and a quarter intervals of announcements (a setting of the platform) after the start, a request is held for half of its caller's patience before it is refused.

--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -89,7 +89,21 @@
 	if r.begun {
 		return r.limit.Add(-leastLeft)
 	}
-	return r.admittedAt.Add(r.route.Objective / holdShare)
+	until := r.admittedAt.Add(r.route.Objective / holdShare)
+	// A process that has just started may know a part of the endpoints only.
+	known := r.server.startedAt.Add(time.Duration(announceShare * float64(r.server.settings.Load().AnnounceEvery)))
+	bearable := r.request.Arrived.Add(time.Duration(patienceShare * float64(r.route.Patience)))
+	if known.After(until) && bearable.After(until) {
+		return earlier(known, bearable)
+	}
+	return until
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // isOverdue reports whether the objective of the next event has passed.
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -42,6 +42,12 @@
 	// holdShare is the part of the objective, as its divisor, for which a request
 	// waits for room.
 	holdShare = 8
+	// announceShare is how many intervals of announcements a started process takes
+	// to know the endpoints.
+	announceShare = 1.25
+	// patienceShare is the part of a caller's patience for which a request is held
+	// at most.
+	patienceShare = 0.5
 	// callerShare is the part of the time left, as its divisor, that callers wait
 	// at most when they are told to come back.
 	callerShare = 3
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -98,12 +98,13 @@
 
 // Settings are the bounds of one entry.
 type Settings struct {
-	DataCentre   string
-	CurrentFor   time.Duration // how long a state may be acted on after its last confirmation; 0 for ever
-	RepeatRatio  float64       // repeats for each request of a service
-	RepeatSlack  float64       // repeats beside these, of all entries, in one window
-	RepeatWindow time.Duration
-	Entries      func() int // entries that share the slack
+	DataCentre    string
+	CurrentFor    time.Duration // how long a state may be acted on after its last confirmation; 0 for ever
+	AnnounceEvery time.Duration // in which each endpoint announces itself again; 0 when unknown
+	RepeatRatio   float64       // repeats for each request of a service
+	RepeatSlack   float64       // repeats beside these, of all entries, in one window
+	RepeatWindow  time.Duration
+	Entries       func() int // entries that share the slack
 }
 
 // Server serves requests.
@@ -115,6 +116,7 @@
 	book      *placement.Book
 	upstream  Upstream
 	budget    *repeatBudget
+	startedAt time.Time
 	held      atomic.Int64 // bytes of plain answers that are held
 	logger    *logs.Logger
 	metrics   *metrics.Registry
@@ -123,6 +125,7 @@
 // NewServer returns a server.
 func NewServer(settings Settings, store *current.Store, dir *directory.Directory, book *placement.Book, upstream Upstream, registry *metrics.Registry) *Server {
 	s := &Server{
+		startedAt: time.Now(),
 		current:   store,
 		directory: dir,
 		book:      book,
--- a/coordination/serve/serve_test.go
+++ b/coordination/serve/serve_test.go
@@ -326,3 +326,31 @@
 		t.Errorf("it is refused %v after it could be placed", r.holdUntil().Sub(began))
 	}
 }
+
+// After a restart of all processes endpoints become known one by one, as they
+// announce themselves. Nobody is refused meanwhile whose caller can wait.
+func TestAStartedEntryWaitsForTheAnnouncementsOfEndpoints(t *testing.T) {
+	b := longBed(t)
+	settings := *b.server.settings.Load()
+	settings.AnnounceEvery = 4 * time.Second
+	b.server.SetSettings(settings)
+	hold := func(waited time.Duration) time.Duration {
+		q := b.request("long") // patience 20 s, objective 10 s
+		q.Arrived, q.Left = q.Arrived.Add(-waited), 20*time.Second
+		r := &run{server: b.server, request: q, tried: map[uint64]bool{}}
+		if err := r.admit(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		return r.holdUntil().Sub(b.server.startedAt).Round(time.Second)
+	}
+	if got := hold(0); got != 5*time.Second {
+		t.Errorf("held until %v after the start, want 5s", got)
+	}
+	if got := hold(7 * time.Second); got != 3*time.Second {
+		t.Errorf("one whose caller leaves in 13 s is held until %v after the start, want 3s", got)
+	}
+	b.server.startedAt = b.server.startedAt.Add(-time.Minute)
+	if got := hold(0); got >= 62*time.Second {
+		t.Errorf("an entry that runs for long holds until %v after the start", got)
+	}
+}
--- a/role/site/entry.go
+++ b/role/site/entry.go
@@ -77,11 +77,12 @@
 
 func serveSettings(p *site.Process, m *mesh.Mesh) serve.Settings {
 	settings := serve.Settings{
-		DataCentre:   p.DataCentre,
-		RepeatRatio:  p.Bounds.RepeatRatio,
-		RepeatSlack:  p.Bounds.RepeatSlack,
-		RepeatWindow: p.Bounds.RepeatWindow,
-		Entries:      m.Entries,
+		DataCentre:    p.DataCentre,
+		AnnounceEvery: p.Bounds.AnnounceEvery,
+		RepeatRatio:   p.Bounds.RepeatRatio,
+		RepeatSlack:   p.Bounds.RepeatSlack,
+		RepeatWindow:  p.Bounds.RepeatWindow,
+		Entries:       m.Entries,
 	}
 	if p.Bounds.RevokedWithin > 0 {
 		settings.CurrentFor = max(p.Bounds.RevokedWithin/2, p.Bounds.RevokedWithin-revokeMargin)
--- a/state/site/check.go
+++ b/state/site/check.go
@@ -27,7 +27,7 @@
 		"the ports %d to %d for links are not %d or more between 1 and 65535", p.FirstLinkPort, p.LastLinkPort, linksOfAHost)
 	add(p.MemoryBytes < 0, "the memory limit of %d bytes is negative", p.MemoryBytes)
 	b := &p.Bounds
-	add(b.RevokedWithin < 0 || b.StopWithin < 0 || b.RepeatWindow < 0, "a time among the bounds is negative")
+	add(b.RevokedWithin < 0 || b.AnnounceEvery < 0 || b.StopWithin < 0 || b.RepeatWindow < 0, "a time among the bounds is negative")
 	add(b.RepeatRatio < 0 || b.RepeatSlack < 0, "the budget of repeats is negative")
 	add(b.HostsLost < 0, "%d hosts to be lost at once is negative", b.HostsLost)
 	return errors.Join(wrong...)
--- a/state/site/site.go
+++ b/state/site/site.go
@@ -25,6 +25,7 @@
 // Bounds are what the users ask for. Zero means that none is set.
 type Bounds struct {
 	RevokedWithin time.Duration // a key taken away stops everywhere, also out of touch
+	AnnounceEvery time.Duration // in which each endpoint announces itself again
 	StopWithin    time.Duration // between the signal to stop and the end
 	RepeatRatio   float64
 	RepeatSlack   float64
