--- a/coordination/claims/keeper.go
+++ b/coordination/claims/keeper.go
@@ -76,6 +76,17 @@
 // Unwrap returns the error.
 func (u *Uncertain) Unwrap() error { return u.Cause }
 
+// NotRunHere wraps a refusal of one sending: it ran nothing and never will, but
+// another one under the same key may, as a claim that was given back can be taken
+// at any time.
+type NotRunHere struct{ Cause error }
+
+// Error implements error.
+func (n *NotRunHere) Error() string { return n.Cause.Error() }
+
+// Unwrap returns the error.
+func (n *NotRunHere) Unwrap() error { return n.Cause }
+
 // Keeper runs requests under claims.
 type Keeper struct {
 	control Control
@@ -103,7 +114,7 @@
 		refused = again.cause
 	}
 	if refused != nil {
-		return nil, refused
+		return nil, &NotRunHere{refused}
 	}
 	return nil, inProgress()
 }
@@ -149,7 +160,7 @@
 		return k.existing(ctx, request, response.Existing)
 	}
 	k.settle(ctx, request, origin.Attempt, wire.ClaimState_CLAIM_STATE_NOT_RUN, nil)
-	return nil, cause
+	return nil, &NotRunHere{cause}
 }
 
 func (k *Keeper) claim(ctx context.Context, request *Request, origin relay.Origin) (*wire.ClaimResponse, error) {
--- a/role/entry/once_test.go
+++ b/role/entry/once_test.go
@@ -134,3 +134,23 @@
 		t.Errorf("the second sending got %d, X-Not-Run %q", got.status, got.header.Get("X-Not-Run"))
 	}
 }
+
+// A sending that every gate refuses gives its claim back, and another sending under
+// the key may take it at any moment: the refusal speaks for itself only.
+func TestRefusalUnderAKeySpeaksForItsOwnSendingOnly(t *testing.T) {
+	refusing := true
+	b := newBed(t, 2, func(int, *wire.AttemptOpen) plan {
+		if refusing {
+			return plan{refuse: failure(fault.Overloaded)}
+		}
+		return plan{chunks: []string{"booked"}, status: 200}
+	})
+	got := b.do("POST", visitPath, visitBody, "Idempotency-Key", "k")
+	if got.status != 503 || got.header.Get("X-Not-Run") != "this-sending" {
+		t.Errorf("the refused sending got %d, X-Not-Run %q", got.status, got.header.Get("X-Not-Run"))
+	}
+	refusing = false
+	if got := b.do("POST", visitPath, visitBody, "Idempotency-Key", "k"); got.status != 200 || b.runs() != 1 {
+		t.Errorf("another sending got %d, %d runs", got.status, b.runs())
+	}
+}
--- a/transport/callerhttp/faults.go
+++ b/transport/callerhttp/faults.go
@@ -53,7 +53,7 @@
 
 const (
 	wholeRequest scope = "true"         // no sending of the request has run or will run
-	thisSending  scope = "this-sending" // an earlier one under the same key may have run
+	thisSending  scope = "this-sending" // another one under the same key may run or have run
 )
 
 // scopeOf is the scope of a refusal before the claim of a request is known.
@@ -70,6 +70,10 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	var uncertain *claims.Uncertain
+	var here *claims.NotRunHere
+	if errors.As(err, &here) {
+		of = thisSending
+	}
 	if e.Kind.NotRun() && !errors.As(err, &uncertain) {
 		header.Set("X-Not-Run", string(of))
 	}
