--- /dev/null
+++ b/coordination/placement/health_test.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+func TestAnEndpointThatFailedRestsLongerEachTime(t *testing.T) {
+	b := newBed(2)
+	key := b.endpoints[0].Key
+	b.endpoints[1].DataCentre = "dc2" // only taken when the other one rests
+	for _, rest := range []time.Duration{doubtFirst, 2 * doubtFirst, 4 * doubtFirst} {
+		b.book.Failed(key)
+		b.at = b.at.Add(rest - time.Millisecond)
+		p := b.choose(t, b.short())
+		p.Handle.Close()
+		if p.Endpoints[0].Key == key {
+			t.Errorf("asked within its rest of %v", rest)
+		}
+		b.at = b.at.Add(2 * time.Millisecond)
+		p = b.choose(t, b.short())
+		p.Handle.Close()
+		if p.Endpoints[0].Key != key {
+			t.Errorf("not asked after its rest of %v", rest)
+		}
+	}
+	b.book.Succeeded(key)
+	b.book.Failed(key)
+	b.at = b.at.Add(doubtFirst + time.Millisecond)
+	if p := b.choose(t, b.short()); p.Endpoints[0].Key != key {
+		t.Error("a success did not end the doubt")
+	}
+}
+
+func TestALongPromptKeepsOffEndpointsThatHaveNotAnsweredSinceTheyFailed(t *testing.T) {
+	b := newBed(4)
+	uses := func(p *Plan, e *directory.Endpoint) bool { return slices.Contains(p.Endpoints, e) }
+	dead := b.endpoints[2]
+	b.book.ApplyRemote(7, []*wire.WorkEvent{{Step: wire.WorkStep_WORK_STEP_UNREACHABLE, Endpoints: []uint64{dead.Key}}})
+	b.at = b.at.Add(doubtFirst + time.Millisecond)
+	p := b.choose(t, b.long())
+	if len(p.Endpoints) != 3 || uses(p, dead) {
+		t.Errorf("the plan has %d endpoints, the dead one: %v", len(p.Endpoints), uses(p, dead))
+	}
+	p.Handle.Close()
+	b.book.ApplyRemote(7, []*wire.WorkEvent{
+		{Step: wire.WorkStep_WORK_STEP_OPEN, Work: 1, Endpoints: []uint64{dead.Key}},
+		{Step: wire.WorkStep_WORK_STEP_STARTED, Work: 1},
+		{Step: wire.WorkStep_WORK_STEP_CLOSED, Work: 1},
+	})
+	if p := b.choose(t, b.long()); !uses(p, dead) {
+		t.Error("an endpoint that answers another entry is still left out")
+	}
+}
+
+func TestWhenMostEndpointsFailedAllStay(t *testing.T) {
+	b := newBed(4)
+	for _, e := range b.endpoints[:2] {
+		b.book.Failed(e.Key)
+	}
+	b.at = b.at.Add(doubtFirst + time.Millisecond)
+	if p := b.choose(t, b.long()); len(p.Endpoints) != 4 {
+		t.Errorf("the plan has %d endpoints", len(p.Endpoints))
+	}
+}
+
+// Nothing goes to an endpoint that says it leaves or wants no request for a time,
+// not even when it is the only one; another incarnation is used.
+func TestAnEndpointsOwnWordHolds(t *testing.T) {
+	b := newBed(1)
+	only := b.endpoints[0]
+	b.book.Busy(only.Key, time.Second)
+	if p := b.book.Choose(b.endpoints, b.short()); p != nil {
+		t.Error("a busy endpoint was chosen")
+	}
+	b.at = b.at.Add(time.Second)
+	b.choose(t, b.short()).Handle.Close()
+	if !b.book.Leaving(only.Key) || b.book.Leaving(only.Key) {
+		t.Error("that it leaves is news once")
+	}
+	b.at = b.at.Add(time.Hour)
+	if p := b.book.Choose(b.endpoints, b.short()); p != nil {
+		t.Error("an endpoint that leaves was chosen")
+	}
+	only.Key = directory.KeyOf(only.ID, 2)
+	b.choose(t, b.short())
+}
--- a/ctl/causes.go
+++ b/ctl/causes.go
@@ -12,11 +12,10 @@
 
 // The messages of entries from which causes are told.
 const (
-	messageChosen  = "Endpoints were chosen."
-	messageLate    = "The answer is late."
-	messageNoRoom  = "No endpoint has room."
-	messageStarved = "The answer would not end in time and goes on elsewhere."
-	messageFinal   = "The request has its final answer."
+	messageChosen = "Endpoints were chosen."
+	messageLate   = "The answer is late."
+	messageNoRoom = "No endpoint has room."
+	messageFinal  = "The request has its final answer."
 )
 
 // farOff is the ratio of a first event's time to its prediction from which on
@@ -40,7 +39,6 @@
 	late   *logLine
 	final  *logLine
 	noRoom bool
-	moved  bool
 }
 
 // reading is a part of a prompt that an endpoint was given.
@@ -74,8 +72,6 @@
 		q.late = &l
 	case messageNoRoom:
 		q.noRoom = true
-	case messageStarved:
-		q.moved = true
 	case messageFinal:
 		q.final = &l
 	}
