--- a/coordination/placement/room.go
+++ b/coordination/placement/room.go
@@ -19,6 +19,9 @@
 	// in time are predicted to be done with the reading they have, and to have a
 	// slot.
 	Wait time.Duration
+	// Gap is the time in which the candidates can serve one such demand after
+	// another, by their slots and by their reading.
+	Gap time.Duration
 	// Best is the plan that came nearest to being taken, nil when no number of
 	// endpoints has room for the answer.
 	Best *Plan
@@ -48,11 +51,27 @@
 		r.Least, r.Wait = 0, doubtFirst
 		return r
 	}
+	r.Gap = d.gap(candidates)
 	slices.Sort(waits)
 	r.Wait = passes.FromMs(waits[min(d.readersNeeded(), len(waits))-1])
 	return r
 }
 
+// gap is the part of the candidates' time that one such demand takes.
+func (d *Demand) gap(candidates []*candidate) time.Duration {
+	engine := d.Service.Engine
+	if engine == nil {
+		return 0
+	}
+	slots := 0
+	for _, c := range candidates {
+		slots += c.slots(engine)
+	}
+	writing := passes.AnswerMs(engine, d.OutputTokens) / float64(slots)
+	reading := passes.ReadMs(engine, d.PromptTokens, 1) / float64(len(candidates))
+	return passes.FromMs(max(writing, reading))
+}
+
 // readersNeeded is the number of idle endpoints that read the prompt within the
 // part of the objective that counts as surely in time.
 func (d *Demand) readersNeeded() int {
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -70,7 +70,7 @@
 	r.measureWait("no_room")
 	state := r.server.current.State()
 	room := r.server.book.Room(r.server.directory.Endpoints(r.service.Name), r.demand(state))
-	after := min(max(room.Wait, roomWait), max(time.Until(r.limit)/callerShare, roomWait))
+	after := r.comeBack(room)
 	line := r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name)
 	if best := room.Best; best != nil {
 		line = line.Str("best", best.Endpoints[0].ID).Int("best_helpers", len(best.Endpoints)-1).
@@ -82,6 +82,15 @@
 	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).After(after)
 }
 
+// comeBack returns after which time the caller is told to come back.
+func (r *run) comeBack(room placement.Room) time.Duration {
+	now := time.Now()
+	earliest := now.Add(max(room.Wait, roomWait))
+	latest := now.Add(max(r.limit.Sub(now)/callerShare, roomWait))
+	gap := room.Gap * time.Duration(max(1, r.server.settings.Load().Entries()))
+	return r.server.returns.promise(earliest, latest, gap).Sub(now)
+}
+
 // holdUntil is how long the request waits for room, from the moment at which it
 // could be placed at all. A caller is told early when to come back; an answer that
 // has begun waits as long as there is time.
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -118,6 +118,7 @@
 	upstream  Upstream
 	budget    *repeatBudget
 	startedAt time.Time
+	returns   returns
 	held      atomic.Int64 // bytes of plain answers that are held
 	logger    *logs.Logger
 	metrics   *metrics.Registry
