--- a/coordination/placement/book.go
+++ b/coordination/placement/book.go
@@ -69,9 +69,9 @@
 // work is followed before this entry has chosen any endpoint itself.
 func (b *Book) KnowEngines(f func(key uint64) *catalogue.Engine) { b.engineOf = f }
 
-// SetOrder gives this entry its own order of endpoints that are alike. Entries
-// that all choose at one moment, as after a restart of all, would else choose the
-// same one.
+// SetOrder gives this entry its own order of endpoints that are alike, before it
+// knows any. Entries that all choose at one moment, as after a restart of all, would
+// else choose the same one.
 func (b *Book) SetOrder(seed uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -91,7 +91,7 @@
 func (b *Book) account(key uint64) *account {
 	a := b.accounts[key]
 	if a == nil {
-		a = &account{}
+		a = &account{rank: b.rank(key)}
 		b.accounts[key] = a
 	}
 	return a
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -13,7 +13,6 @@
 type candidate struct {
 	endpoint *directory.Endpoint
 	account  *account
-	rank     uint64 // among endpoints that are alike; each entry has its own order
 	cold     bool
 	answers  int // that it writes or will write
 	context  int // tokens of these
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -105,9 +105,9 @@
 	RunnerUp         string  // the best endpoint that was not taken
 	Score            float64
 	RunnerUpScore    float64
+	Loss             float64 // credit that other work loses
 
 	reading passes.Reading // on each endpoint
-	Loss    float64        // credit that other work loses
 }
 
 // Choose picks endpoints for a demand and enters the work. It returns nil when
@@ -148,7 +148,6 @@
 		c := &b.loads[i]
 		b.fill(c, e.Key, d.Service.Engine, now)
 		c.endpoint, c.account.name = e, e.ID
-		c.rank = b.rank(e.Key)
 		if c.account.health.leaving || now.Before(c.account.health.busyUntil) {
 			continue
 		}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -36,7 +36,7 @@
 	if o.answers != other.answers {
 		return o.answers < other.answers
 	}
-	return o.rank < other.rank
+	return o.account.rank < other.account.rank
 }
 
 // chooseEngine returns the plan that gives most credit, nil when none gives more
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -34,6 +34,7 @@
 // account is what the book knows of one endpoint.
 type account struct {
 	name     string // identity, empty before it was a candidate
+	rank     uint64 // among endpoints that are alike; each entry has its own order
 	works    []*work
 	engine   *catalogue.Engine // nil while it is unknown, and at plain services
 	queue    passes.Queue
