--- a/ctl/loglines.go
+++ b/ctl/loglines.go
@@ -33,11 +33,6 @@
 	return number
 }
 
-func (l *logLine) is(field string) bool {
-	is, _ := l.fields[field].(bool)
-	return is
-}
-
 func (l *logLine) texts(field string) []string {
 	list, _ := l.fields[field].([]any)
 	texts := make([]string, 0, len(list))
