--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -205,7 +205,7 @@
 func (f *fleet) arrive(k kind) {
 	f.outcome[k.name].asked++
 	prompt := f.prompt(k)
-	f.place(f.entries[f.random.IntN(len(f.entries))], k, prompt, f.now)
+	f.place(f.entries[f.random.IntN(len(f.entries))], k, prompt, f.now, false)
 }
 
 // prompt draws a length in tokens.
@@ -217,7 +217,8 @@
 // patience is how long a caller waits for its first event.
 func (k kind) patience() time.Duration { return max(2*time.Second, 4*k.objective) }
 
-func (f *fleet) place(entry *fleetEntry, k kind, prompt int, arrived time.Time) {
+// crossed says that an earlier choice was made anew.
+func (f *fleet) place(entry *fleetEntry, k kind, prompt int, arrived time.Time, crossed bool) {
 	d := &Demand{
 		Service: f.service, DataCentre: entry.dataCentre, PromptTokens: prompt, OutputTokens: k.events * 36,
 		Objective: k.objective, FirstLeft: k.objective - f.now.Sub(arrived), Pause: k.pause, Limit: 15 * time.Second,
@@ -226,21 +227,22 @@
 	}
 	p := entry.book.Choose(f.list, d)
 	switch {
-	case p != nil && p.Settle:
+	case p != nil && p.Settle && !(crossed && d.isOverdue()):
 		f.in(10*time.Millisecond, func() {
 			if p.Handle.Settle() {
 				p.Handle.Close()
-				f.place(entry, k, prompt, arrived)
+				f.place(entry, k, prompt, arrived, true)
 				return
 			}
 			f.send(p, k, prompt, arrived)
 		})
 	case p != nil:
+		p.Handle.Settle()
 		f.send(p, k, prompt, arrived)
 	case f.now.Sub(passes.Later(arrived, f.startedAt)) > k.objective/8 && f.now.Sub(arrived) > k.patience()/2:
 		f.outcome[k.name].refused++
 	default:
-		f.in(20*time.Millisecond, func() { f.place(entry, k, prompt, arrived) })
+		f.in(20*time.Millisecond, func() { f.place(entry, k, prompt, arrived, crossed) })
 	}
 }
 
--- a/coordination/placement/restart_test.go
+++ b/coordination/placement/restart_test.go
@@ -26,7 +26,7 @@
 			for range int(math.Round(k.rate * down.Seconds())) {
 				ago := time.Duration(f.random.Int64N(int64(down)))
 				f.outcome[k.name].asked++
-				f.place(f.entries[f.random.IntN(len(f.entries))], k, f.prompt(k), f.now.Add(-ago))
+				f.place(f.entries[f.random.IntN(len(f.entries))], k, f.prompt(k), f.now.Add(-ago), false)
 				waited++
 			}
 		}
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -51,9 +51,14 @@
 	if !plan.Settle {
 		return true
 	}
+	if r.isOverdue() && r.crossed {
+		plan.Handle.Settle()
+		return true // another round would cost all entries more than this one gains
+	}
 	wait.For(ctx, settleTime)
 	crossed := plan.Handle.Settle()
 	if crossed {
+		r.crossed = true
 		plan.Handle.Close()
 		r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).Int("helpers", len(plan.Endpoints)-1).
 			Msg("The choice crossed another entry's and is made anew.")
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -79,6 +79,7 @@
 	lastEvent    string
 	events       int             // passed on
 	lastAt       time.Time       // of the last event passed on
+	crossed      bool            // a choice was made anew, as it crossed another entry's
 	next         *placement.Plan // secured before a silent attempt was given up
 	firstAt      time.Time
 	late         bool
