Log and count what endpoints state of their rate limits

An entry now logs each change of a stated limit and each request sent to such an endpoint, and counts both (endpoints_rate_limited, serve_limited_sends). Nothing is decided by it yet.

A response that was overtaken must not raise a limit: only one to a request sent after the known limit was learnt may.

--- a/coordination/placement/scheduler.go
+++ b/coordination/placement/scheduler.go
@@ -153,6 +153,7 @@
 type Stats struct {
 	Own, Remote int // work items in flight
 	BackingOff  int // endpoints in back-off after a failure
+	RateLimited int // endpoints with a rate limit
 	// Bias is the recent ratio of the time to the first event to its prediction.
 	Bias float64
 }
@@ -174,6 +175,9 @@
 		if now.Before(state.health.backoffUntil) {
 			stats.BackingOff++
 		}
+		if state.rateLimit.current() != Unlimited {
+			stats.RateLimited++
+		}
 	}
 	return stats
 }
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -42,6 +42,7 @@
 	queue        enginemodel.Queue
 	arrivals     []time.Time // within arrivalWindow
 	health       health
+	rateLimit    rateLimit
 	reported     reportedLoad
 }
 
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -76,6 +76,7 @@
 	}
 	defer reserved.end()
 	r.mayHaveRun++
+	r.measureLimitedSend(plan)
 	response, err := r.send(ctx, plan, reserved, cancel)
 	if err == nil {
 		err = r.deliver(ctx, plan, response, cancel)
@@ -92,6 +93,7 @@
 		err      error
 	}
 	a := r.newAttempt(plan, reserved)
+	sentAt := time.Now()
 	done := make(chan result, 1)
 	go func() {
 		response, err := r.server.upstream.Send(ctx, a)
@@ -105,13 +107,13 @@
 			if got.err != nil {
 				return nil, got.err
 			}
-			r.recordRetryAfter(plan.Endpoints[0], got.response)
+			r.recordStatements(plan.Endpoints[0], got.response, sentAt)
 			return checkResponse(got.response)
 		case <-stall.C:
 			if r.planFailover() {
 				cancel()
 				if got := <-done; got.err == nil {
-					r.recordRetryAfter(plan.Endpoints[0], got.response)
+					r.recordStatements(plan.Endpoints[0], got.response, sentAt)
 					_ = got.response.Body.Close()
 				}
 				return nil, errStalled
@@ -139,6 +141,27 @@
 	return a
 }
 
+// recordStatements records what the response to a request sent at sentAt says of the
+// endpoint itself.
+func (r *run) recordStatements(e *directory.Endpoint, response *Response, sentAt time.Time) {
+	r.recordRetryAfter(e, response)
+	r.recordRateLimit(e, response, sentAt)
+}
+
+// recordRateLimit records the rate limit that the endpoint stated. A success without
+// one says that the endpoint has none; a failure without one says nothing.
+func (r *run) recordRateLimit(e *directory.Endpoint, response *Response, sentAt time.Time) {
+	if response.Misdirected || !response.MatchesAttempt || response.RateLimit.Invalid {
+		return
+	}
+	switch {
+	case response.RateLimit.Stated:
+		r.server.scheduler.RecordRateLimit(e.Key, response.RateLimit.PerSecond, sentAt)
+	case response.isSuccess() && response.Signed:
+		r.server.scheduler.RecordRateLimit(e.Key, placement.Unlimited, sentAt)
+	}
+}
+
 // recordRetryAfter records for how long a full endpoint accepts no request, if its
 // response says so. When a helper failed, the time is not the endpoint's own.
 func (r *run) recordRetryAfter(e *directory.Endpoint, response *Response) {
--- a/coordination/serve/metrics.go
+++ b/coordination/serve/metrics.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 )
 
@@ -62,6 +63,24 @@
 	r.server.metrics.Count("serve_attempts", metrics.Labels{Class: class})
 }
 
+// measureLimitedSend counts an attempt whose endpoint has a rate limit, as main endpoint
+// or as helper.
+func (r *run) measureLimitedSend(plan *placement.Plan) {
+	for i, e := range plan.Endpoints {
+		perSecond := r.server.scheduler.RateLimit(e.Key)
+		if perSecond == placement.Unlimited {
+			continue
+		}
+		class := "main"
+		if i > 0 {
+			class = "helper"
+		}
+		r.server.metrics.Count("serve_limited_sends", metrics.Labels{Class: class})
+		r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", e.ID).Str("as", class).
+			Float64("per_second", perSecond).Int("send", r.attempts).Msg("A request is sent to an endpoint with a rate limit.")
+	}
+}
+
 // measureRetry counts a retry that was due in serve_repeats: one that resumes a
 // stream, one that starts from the beginning, or one that the retry budget refused.
 func (r *run) measureRetry(taken bool) {
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -69,6 +69,15 @@
 	Encoded        bool          // Content-Encoding is set, which no endpoint does
 	RetryAfter     time.Duration // how long to send nothing to the endpoint; 0 when it names no time
 	FailedHelper   string        // ID or address of the helper that caused the failure; empty when the endpoint itself did
+	RateLimit      RateLimit
+}
+
+// RateLimit is what a response says of the rate limit of its endpoint, which holds for
+// the requests of all entries together.
+type RateLimit struct {
+	Stated    bool
+	Invalid   bool    // it was stated in a form that can't be read
+	PerSecond float64 // requests a second
 }
 
 // Upstream sends attempts to endpoints.
--- a/role/host/metrics.go
+++ b/role/host/metrics.go
@@ -35,7 +35,7 @@
 		stats := scheduler.Stats()
 		fmt.Fprintf(w, "ledger_own_work %d\nledger_other_work %d\nledger_resting_endpoints %d\nprediction_bias %.3f\n",
 			stats.Own, stats.Remote, stats.BackingOff, stats.Bias)
-		fmt.Fprintf(w, "ledger_reported_answers %d\n", scheduler.ReportedAnswers())
+		fmt.Fprintf(w, "ledger_reported_answers %d\nendpoints_rate_limited %d\n", scheduler.ReportedAnswers(), stats.RateLimited)
 		linkStats := links.Stats()
 		for _, role := range slices.Sorted(maps.Keys(linkStats.LinksByRole)) {
 			fmt.Fprintf(w, "links{role=%q} %d\n", role, linkStats.LinksByRole[role])
