--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -241,9 +242,13 @@
 	server    *http.Server
 	behaviour atomic.Value // "good", "full", "cut" (breaks off answers) or "foreign" (names another attempt)
 
+	rateLimit atomic.Value // text stated in each answer, "" for none
+
 	mu       sync.Mutex
 	runs     map[string]int // by attempt id
 	received []http.Header
+	arrivals []time.Time
+	statedAt time.Time // when a rate limit was first stated
 }
 
 func newFakeEndpoint(t *testing.T, n int) *fakeEndpoint {
@@ -254,6 +259,7 @@
 	}
 	e := &fakeEndpoint{t: t, id: fmt.Sprintf("i-%d", n), bornMs: time.Now().UnixMilli(), address: l.Addr().String(), runs: make(map[string]int)}
 	e.behaviour.Store("good")
+	e.rateLimit.Store("")
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(l) }() // ends with the test
 	t.Cleanup(func() { _ = e.server.Close() })
@@ -297,6 +303,8 @@
 		return
 	}
 	w.Header().Set("Attempt-Id", id)
+	e.recordArrival()
+	e.stateRateLimit(w.Header())
 	if behaviour == "full" {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -320,6 +328,43 @@
 	_, _ = w.Write(append([]byte("ran "), body...)) // the caller may have disconnected
 }
 
+func (e *fakeEndpoint) recordArrival() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrivals = append(e.arrivals, time.Now())
+}
+
+func (e *fakeEndpoint) stateRateLimit(h http.Header) {
+	text := e.rateLimit.Load().(string)
+	if text == "" {
+		return
+	}
+	h.Set("Server-Limit", text)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.statedAt.IsZero() {
+		e.statedAt = time.Now()
+	}
+}
+
+// arrivalsSince returns the times at which requests arrived after a time.
+func (e *fakeEndpoint) arrivalsSince(from time.Time) []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at := slices.IndexFunc(e.arrivals, func(t time.Time) bool { return t.After(from) })
+	if at < 0 {
+		return nil
+	}
+	return slices.Clone(e.arrivals[at:])
+}
+
+// firstStatedAt returns when the endpoint first stated a rate limit.
+func (e *fakeEndpoint) firstStatedAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.statedAt
+}
+
 // stream sends those of ten events that follow the one in Last-Event-Id.
 func (e *fakeEndpoint) stream(w http.ResponseWriter, q *http.Request, behaviour string) {
 	lastID := 0
--- /dev/null
+++ b/role/host/ratelimit_test.go
@@ -0,0 +1,93 @@
+package host
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The rule of the users: from rateLimitGrace after an endpoint first stated a limit, it
+// gets in any rateLimitWindow at most rateLimitFactor times what that allows, and
+// rateLimitSlack requests.
+const (
+	rateLimitGrace  = 3 * time.Second
+	rateLimitWindow = 4 * time.Second
+	rateLimitFactor = 1.5
+	rateLimitSlack  = 5
+)
+
+// callerPause is the pause of a caller between two requests.
+const callerPause = 50 * time.Millisecond
+
+// startEntries starts more entries and waits until they serve.
+func startEntries(p *fakePlatform, hosts ...int) {
+	p.t.Helper()
+	for _, n := range hosts {
+		p.start("entry", n, false, true)
+	}
+	for _, n := range hosts {
+		p.await("the entry is ready", func() bool {
+			status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", host(n), p.ports[1]), nil, nil)
+			return status == 200
+		})
+	}
+}
+
+// callAll has one caller at each host send requests one after the other for a time. It
+// returns the number of answers by status.
+func callAll(p *fakePlatform, path, name string, lasting time.Duration, hosts ...int) map[int]int {
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	end := time.Now().Add(lasting)
+	var callers sync.WaitGroup
+	for _, n := range hosts {
+		callers.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				status, _, _ := p.request(n, path, "key", fmt.Sprintf("%s-%d-%d", name, n, i))
+				mu.Lock()
+				statuses[status]++
+				mu.Unlock()
+				time.Sleep(callerPause)
+			}
+		})
+	}
+	callers.Wait()
+	return statuses
+}
+
+// checkRateLimit checks the rule for the arrivals at an endpoint.
+func checkRateLimit(t *testing.T, e *fakeEndpoint, perSecond float64) {
+	t.Helper()
+	arrivals := e.arrivalsSince(e.firstStatedAt().Add(rateLimitGrace))
+	allowed := int(rateLimitFactor*perSecond*rateLimitWindow.Seconds()) + rateLimitSlack
+	most := 0
+	for i, from := range arrivals {
+		n := 0
+		for _, at := range arrivals[i:] {
+			if at.Sub(from) < rateLimitWindow {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	if most > allowed {
+		t.Errorf("the endpoint got %d requests in %v, allowed are %d", most, rateLimitWindow, allowed)
+	}
+	t.Logf("%d arrivals, at most %d in %v, allowed %d", len(arrivals), most, rateLimitWindow, allowed)
+}
+
+// An endpoint's rate limit must hold for all entries together, and the surplus must be
+// served elsewhere.
+func TestStatedRateLimitHoldsForAllEntriesTogether(t *testing.T) {
+	p, first, _ := startFleet(t)
+	hosts := []int{1, 4, 5, 6, 7, 8}
+	startEntries(p, hosts[2:]...)
+	first.rateLimit.Store("2")
+	statuses := callAll(p, "/once/x", "limited", rateLimitGrace+2*rateLimitWindow, hosts...)
+	checkRateLimit(t, first, 2)
+	if len(statuses) != 1 || statuses[http.StatusOK] == 0 {
+		t.Errorf("answers by status: %v, want only 200", statuses)
+	}
+}
