Never take a draining endpoint for ready again

An answer that says that the endpoint leaves was kept for good by the entry that got it, and told to the others under the next sequence number, so that the endpoint's next ordinary announcement made it ready again for all of them, and for the entry itself once restarted.

Within an incarnation an endpoint's condition now only goes on, from ready to draining to gone, in whatever order the records come. TestAnEndpointThatDrainsIsNotReadyAgain failed before: ready at sequence number 4 after draining at 2.

--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -1,7 +1,8 @@
 // Package directory keeps the records of all known processes and endpoints. Records
 // merge to the same result in any order, unless different ones have the same sequence
 // number: the newest incarnation wins, and within it the highest sequence number (of
-// a process: revision). Gone is final for an incarnation of an endpoint.
+// a process: revision). An incarnation of an endpoint that drains is never ready again, and
+// gone is final.
 package directory
 
 import (
@@ -123,14 +124,12 @@
 	d.Announce(r)
 }
 
-// MarkDraining records and publishes that an endpoint is draining, under the sequence
-// number after that of e. The endpoint's own announcement with this number is no newer:
-// a process keeps whichever of the two it receives first. Announcements with higher
-// numbers take effect as usual.
+// MarkDraining records and publishes that an endpoint is draining. It stays so whatever
+// this incarnation announces later.
 func (d *Directory) MarkDraining(e *Endpoint) {
 	r := e.record(monotonic.Now())
 	r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_DRAINING
-	r.Sequence++
+	r.Sequence++ // processes of earlier builds take a condition only from a newer record
 	d.Announce(r)
 }
 
@@ -159,13 +158,17 @@
 	defer d.mu.Unlock()
 	old := d.endpoints[r.Id]
 	if old != nil && !newer(old, next) {
-		return false, false
+		if !old.learnsOfDraining(next) {
+			return false, false
+		}
+		next = old.asDraining()
 	}
 	if old != nil && next.isLeaveOfAnyIncarnation() {
 		next = old.asGone(next.HeardAt)
 	}
 	next.changedAt = now
 	if old != nil && old.BornMs == next.BornMs {
+		next.Condition = max(next.Condition, old.Condition)
 		next.HeardAt = max(next.HeardAt, old.HeardAt)
 	}
 	if old != nil {
@@ -204,6 +207,19 @@
 	return &gone
 }
 
+// learnsOfDraining reports whether an older record says that the incarnation drains, which
+// this record, of a process that had not heard of it, doesn't.
+func (e *Endpoint) learnsOfDraining(older *Endpoint) bool {
+	return e.BornMs == older.BornMs && e.Condition < older.Condition && older.Condition == wire.EndpointCondition_ENDPOINT_CONDITION_DRAINING
+}
+
+// asDraining returns a copy of the same record, marked as draining.
+func (e *Endpoint) asDraining() *Endpoint {
+	draining := *e
+	draining.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_DRAINING
+	return &draining
+}
+
 // newer reports whether next replaces old. Within one incarnation, gone is final.
 func newer(old, next *Endpoint) bool {
 	switch {
--- a/coordination/directory/directory_test.go
+++ b/coordination/directory/directory_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+// An endpoint that told one process that it leaves may go on announcing itself as ready to
+// others: no process may use it any more, in whatever order they hear of it.
+func TestAnEndpointThatDrainsIsNotReadyAgain(t *testing.T) {
+	const ready, draining = wire.EndpointCondition_ENDPOINT_CONDITION_READY, wire.EndpointCondition_ENDPOINT_CONDITION_DRAINING
+	rapid.Check(t, func(t *rapid.T) {
+		records := []*wire.EndpointRecord{record("a", 1, 1, ready), record("a", 1, 2, draining), record("a", 1, 3, ready), record("a", 1, 4, ready)}
+		d := New()
+		for _, r := range rapid.Permutation(records).Draw(t, "order") {
+			d.MergeEndpoints([]*wire.EndpointRecord{r})
+		}
+		e := d.endpoints["a"]
+		if e.Condition != draining || e.Sequence != 4 {
+			t.Fatalf("condition %v at sequence number %d", e.Condition, e.Sequence)
+		}
+		d.Announce(record("a", 2, 1, ready))
+		if e := d.endpoints["a"]; e.Condition != ready {
+			t.Fatalf("the next incarnation is %v", e.Condition)
+		}
+	})
+}
+
 func TestOnlyChangesAndPeriodicRefreshesArePublished(t *testing.T) {
 	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
 	d := New()
