Tell all entries when an endpoint asked one of them for no requests

The time is now an event for the entries of all data centres, and part of what a restarted one is told. TestAnEndpointThatAskedForNoRequestsGetsNoneFromAnyEntry failed before: both the other entry and the restarted one chose the endpoint.

--- a/coordination/placement/health.go
+++ b/coordination/placement/health.go
@@ -80,15 +80,40 @@
 	h.backoffUntil = enginemodel.Later(h.backoffUntil, s.now().Add(refusalBackoff))
 }
 
-// RecordBusy records that an endpoint asked for no requests for a time.
+// RecordBusy records that an endpoint asked for no requests for a time, and publishes it
+// to the entries of all data centres.
 func (s *Scheduler) RecordBusy(key uint64, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyBusy(key, wait)
+	s.publish(busyEvent(key, wait), AllDataCentres)
+}
+
+// applyBusy applies that an endpoint asked an entry for no requests for a time. The
+// caller holds the lock.
+func (s *Scheduler) applyBusy(key uint64, wait time.Duration) {
 	state := s.stateOf(key)
 	state.health.busyUntil = enginemodel.Later(state.health.busyUntil, s.now().Add(wait))
 	s.logger.Info().Str("endpoint", state.name).Uint64("key", key).Dur("wait", wait).Msg("An endpoint asked for no requests for a time.")
 }
 
+func busyEvent(key uint64, wait time.Duration) *wire.WorkEvent {
+	return &wire.WorkEvent{Step: wire.WorkStep_WORK_STEP_BUSY, Endpoints: []uint64{key}, LimitMs: wireMs(wait)}
+}
+
+// busyEvents returns the events of the endpoints that want no requests yet. The caller
+// holds the lock.
+func (s *Scheduler) busyEvents() []*wire.WorkEvent {
+	now := s.now()
+	var events []*wire.WorkEvent
+	for key, state := range s.states {
+		if left := state.health.busyUntil.Sub(now); left > 0 {
+			events = append(events, busyEvent(key, left))
+		}
+	}
+	return events
+}
+
 // RecordDraining records that an endpoint takes no further work in this incarnation.
 // It reports whether this was not yet recorded.
 func (s *Scheduler) RecordDraining(key uint64) bool {
--- a/coordination/placement/health_test.go
+++ b/coordination/placement/health_test.go
@@ -89,3 +89,25 @@
 	only.Key = directory.KeyOf(only.ID, 2)
 	b.choose(t, b.short())
 }
+
+// What an endpoint asked of one entry must be heeded by all, also by one that is started
+// while the time lasts.
+func TestAnEndpointThatAskedForNoRequestsGetsNoneFromAnyEntry(t *testing.T) {
+	told, other, restarted := newTestbed(1), newTestbed(1), newTestbed(1)
+	told.scheduler.OnWorkEvent(func(e *wire.WorkEvent, scope Scope) {
+		if scope != AllDataCentres {
+			t.Error("the time must be published to all data centres")
+		}
+		other.scheduler.ApplyRemote(1, []*wire.WorkEvent{e})
+	})
+	told.scheduler.RecordBusy(told.endpoints[0].Key, 2*time.Second)
+	other.now = other.now.Add(time.Second)
+	restarted.scheduler.ReplaceRemote(1, other.scheduler.OwnEvents())
+	for _, b := range []*testbed{other, restarted} {
+		if b.scheduler.Choose(b.endpoints, b.short()) != nil {
+			t.Error("an endpoint was chosen that had asked for no requests")
+		}
+		b.now = b.now.Add(time.Second)
+		b.choose(t, b.short())
+	}
+}
--- a/coordination/placement/remote.go
+++ b/coordination/placement/remote.go
@@ -40,14 +40,7 @@
 func (s *Scheduler) apply(sender uint64, events []*wire.WorkEvent) {
 	now := s.now()
 	for _, e := range events {
-		if e.Step == wire.WorkStep_WORK_STEP_UNREACHABLE {
-			s.applyUnreachable(e.Endpoints)
-			continue
-		}
-		if e.Step == wire.WorkStep_WORK_STEP_RATE_LIMIT {
-			for _, key := range e.Endpoints {
-				s.mergeRateLimit(key, e.RateLimit)
-			}
+		if s.applyEndpointEvent(e) {
 			continue
 		}
 		id := enginemodel.WorkID{Sender: sender, Number: e.Work}
@@ -76,6 +69,26 @@
 	}
 }
 
+// applyEndpointEvent applies an event that tells of endpoints instead of a work item. It
+// returns false for any other event.
+func (s *Scheduler) applyEndpointEvent(e *wire.WorkEvent) bool {
+	switch e.Step {
+	case wire.WorkStep_WORK_STEP_UNREACHABLE:
+		s.applyUnreachable(e.Endpoints)
+	case wire.WorkStep_WORK_STEP_RATE_LIMIT:
+		for _, key := range e.Endpoints {
+			s.mergeRateLimit(key, e.RateLimit)
+		}
+	case wire.WorkStep_WORK_STEP_BUSY:
+		for _, key := range e.Endpoints {
+			s.applyBusy(key, time.Duration(e.LimitMs)*time.Millisecond)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
 // prefillOf returns the prefill left at each endpoint, as an event that opens work
 // reports it in ReadUs. When some of it is done already, the tokens left are in
 // proportion to the time left.
@@ -125,17 +138,18 @@
 }
 
 // OwnEvents returns events that describe all work of this entry with its remaining
-// prefill, in the order in which it was opened, and all rate limits that it knows.
+// prefill, in the order in which it was opened, and all that it knows of endpoints' rate
+// limits and requests to be spared.
 func (s *Scheduler) OwnEvents() []*wire.WorkEvent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limits := s.rateLimitEvents(func(*rateLimit) bool { return true })
-	return append(limits, s.ownWorkEvents(func(*work) bool { return true })...)
+	stated := append(s.rateLimitEvents(func(*rateLimit) bool { return true }), s.busyEvents()...)
+	return append(stated, s.ownWorkEvents(func(*work) bool { return true })...)
 }
 
 // OwnCrossDataCentreEvents is OwnEvents for the entries of other data centres, to which
 // it is sent often. It leaves out the work that is published in this entry's data centre
-// only, and the rate limits that this entry has heard of from other processes.
+// only, and what this entry has heard of endpoints from other processes.
 func (s *Scheduler) OwnCrossDataCentreEvents() []*wire.WorkEvent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
