--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -176,12 +176,9 @@
 	}
 	d.endpoints[r.Id], d.byKey[next.Key] = next, next
 	d.byService = nil
-	if old != nil && old.BornMs == next.BornMs && old.Condition == next.Condition && old.Address == next.Address {
-		changed := old.Cold(now) != next.Cold(now)
-		if !changed {
-			next.changedAt = old.changedAt
-		}
-		return true, changed
+	if old != nil && old.BornMs == next.BornMs && old.Condition == next.Condition && old.Address == next.Address && old.Cold(now) == next.Cold(now) {
+		next.changedAt = old.changedAt
+		return true, false
 	}
 	d.logger.Info().Str("endpoint", next.ID).Uint64("born_ms", next.BornMs).Str("address", next.Address).
 		Str("data_centre", next.DataCentre).Str("condition", conditionName(next.Condition)).
