Reproduce: the rate of a cold endpoint is exceeded by several entries

Six entries with many requests at the same moment, two cold endpoints that bear 4 requests a second: 21 and 19 in a second, 11 are allowed. Each entry counts the arrivals that it has heard of, and choices of the others within the time that the news takes are not among them.

--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -228,7 +228,7 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"once","hostname":"site.example","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":3000,"targetLatencyMs":1000,"service":"s","maxAttempts":1},
 {"name":"stream","hostname":"site.example","pathPrefix":"/stream/","routeType":"streaming","timeoutMs":5000,"targetLatencyMs":1000,"targetItlMs":500,"service":"s","maxAttempts":2,"streamResume":true}],
-"services":[{"name":"s","healthPath":"/healthz","maxConnections":50}],
+"services":[{"name":"s","healthPath":"/healthz","maxConnections":50,"coldStartS":60,"coldPerS":4}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000},"tenants":[{"name":"boots","apiKeys":[%s]}]}`, version, keys)
 }
 
@@ -242,6 +242,7 @@
 	server    *http.Server
 	behaviour atomic.Value // "good", "full", "cut" (breaks off answers) or "foreign" (names another attempt)
 
+	coldMs    atomic.Int64
 	rateLimit atomic.Value // text stated in each answer, "" for none
 
 	mu       sync.Mutex
@@ -280,7 +281,7 @@
 func (e *fakeEndpoint) heartbeat(state string) []byte {
 	text, err := json.Marshal(map[string]any{
 		"service": "s", "address": e.address, "zone": "z1", "version": "v1", "slots": 4, "state": state,
-		"coldRemainingMs": 0, "sequence": e.sequence.Add(1), "born": e.bornMs,
+		"coldRemainingMs": e.coldMs.Load(), "sequence": e.sequence.Add(1), "born": e.bornMs,
 	})
 	if err != nil {
 		e.t.Error(err)
--- a/role/host/ratelimit_test.go
+++ b/role/host/ratelimit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -62,22 +63,22 @@
 // checkRateLimit checks the rule for the arrivals at an endpoint.
 func checkRateLimit(t *testing.T, e *fakeEndpoint, perSecond float64) {
 	t.Helper()
-	arrivals := e.arrivalsSince(e.firstStatedAt().Add(rateLimitGrace))
 	allowed := int(rateLimitFactor*perSecond*rateLimitWindow.Seconds()) + rateLimitSlack
-	most := 0
-	for i, from := range arrivals {
-		n := 0
-		for _, at := range arrivals[i:] {
-			if at.Sub(from) < rateLimitWindow {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-	if most > allowed {
+	if most := mostInWindow(e.arrivalsSince(e.firstStatedAt().Add(rateLimitGrace)), rateLimitWindow); most > allowed {
 		t.Errorf("the endpoint got %d requests in %v, allowed are %d", most, rateLimitWindow, allowed)
 	}
-	t.Logf("%d arrivals, at most %d in %v, allowed %d", len(arrivals), most, rateLimitWindow, allowed)
+}
+
+// mostInWindow returns the largest number of times within one window.
+func mostInWindow(times []time.Time, window time.Duration) int {
+	most, from := 0, 0
+	for i, at := range times {
+		for at.Sub(times[from]) >= window {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
 }
 
 // An endpoint's rate limit must hold for all entries together, and the surplus must be
@@ -155,3 +156,31 @@
 		t.Errorf("Retry-After %q: %v, want up to 2 s", header.Get("Retry-After"), err)
 	}
 }
+
+// The rate that a cold endpoint bears must hold for all entries together, also when many
+// requests wait for it at the same moment.
+func TestColdRateHoldsForAllEntriesTogether(t *testing.T) {
+	p, first, second := startFleet(t)
+	hosts := []int{1, 4, 5, 6, 7, 8}
+	startEntries(p, hosts[2:]...)
+	for _, e := range []*fakeEndpoint{first, second} {
+		e.coldMs.Store(time.Minute.Milliseconds())
+	}
+	for _, n := range hosts {
+		p.await("the entry knows that both endpoints are cold", func() bool {
+			return strings.Count(p.log(fmt.Sprint("entry", n)), `"cold_ms":60000`) >= 2
+		})
+	}
+	from := time.Now()
+	var callers sync.WaitGroup
+	for i := range 12 {
+		callers.Go(func() { callAll(p, "/once/x", fmt.Sprint("cold", i), 2*time.Second, hosts...) })
+	}
+	callers.Wait()
+	const perSecond, factor, slack = 4, 1.5, 5 // the users' rule, for any second
+	for _, e := range []*fakeEndpoint{first, second} {
+		if most := mostInWindow(e.arrivalsSince(from), time.Second); most > perSecond*factor+slack {
+			t.Errorf("a cold endpoint got %d requests in a second, allowed are %v", most, perSecond*factor+slack)
+		}
+	}
+}
