Issue permits for cold endpoints too

Cause: the rate that a cold endpoint accepts holds for all entries together, but each entry counted only the arrivals it had heard of.

A request to a cold endpoint now takes a permit from the endpoint's issuer, at the rate of its service or its stated limit, whichever is lower.

--- a/coordination/permits/permits.go
+++ b/coordination/permits/permits.go
@@ -1,5 +1,6 @@
 // Package permits keeps the rate limit that an endpoint states for the requests of all
-// entries together. Before an entry sends a request to such an endpoint, it takes a permit
+// entries together, and the rate that a cold endpoint accepts from them. Before an entry
+// sends a request to such an endpoint, it takes a permit
 // from the endpoint's issuer, one of the entries, on which all agree without a word. When
 // an entry can't reach the issuer, it asks the next in the order.
 //
@@ -80,18 +81,23 @@
 }
 
 // Take takes a permit for one request to an endpoint, which is granted at once if the
-// endpoint has no rate limit. If there is none, retryAfter is when to ask again.
-func (p *Permits) Take(ctx context.Context, e *directory.Endpoint) (granted bool, retryAfter time.Duration) {
-	if math.IsInf(p.limits.RateLimit(e.Key), 1) {
+// endpoint has no rate limit. coldPerSecond is the rate that the endpoint accepts because
+// it is cold, infinite if it isn't. If there is no permit, retryAfter is when to ask again.
+func (p *Permits) Take(ctx context.Context, e *directory.Endpoint, coldPerSecond float64) (granted bool, retryAfter time.Duration) {
+	if math.IsInf(min(p.limits.RateLimit(e.Key), coldPerSecond), 1) {
 		return true, 0
 	}
+	q := &wire.PermitRequest{Endpoint: e.Key, DataCentre: e.DataCentre, RateLimit: p.limits.RateLimitMessage(e.Key)}
+	if !math.IsInf(coldPerSecond, 1) {
+		q.ColdPerSecond = coldPerSecond
+	}
 	address := p.reachableIssuer(issuerOrder(e.Key, e.DataCentre, p.processes()))
 	if address == p.self {
-		return p.issue(e.Key, e.DataCentre)
+		return p.issue(q)
 	}
 	asking, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	response, err := p.ask(asking, address, &wire.PermitRequest{Endpoint: e.Key, DataCentre: e.DataCentre, RateLimit: p.limits.RateLimitMessage(e.Key)})
+	response, err := p.ask(asking, address, q)
 	if err != nil {
 		if ctx.Err() == nil {
 			p.recordFailure(address, err)
@@ -105,18 +111,21 @@
 // Answer answers a request for a permit of another entry.
 func (p *Permits) Answer(q *wire.PermitRequest) *wire.PermitResponse {
 	p.limits.MergeRateLimit(q.Endpoint, q.RateLimit)
-	granted, retryAfter := p.issue(q.Endpoint, q.DataCentre)
+	granted, retryAfter := p.issue(q)
 	return &wire.PermitResponse{Granted: granted, RetryAfterMs: uint32(retryAfter.Milliseconds()) + 1}
 }
 
 // issue issues a permit at this entry's part of the rate.
-func (p *Permits) issue(key uint64, dataCentre string) (granted bool, retryAfter time.Duration) {
-	perSecond := p.limits.RateLimit(key)
+func (p *Permits) issue(q *wire.PermitRequest) (granted bool, retryAfter time.Duration) {
+	perSecond := p.limits.RateLimit(q.Endpoint)
+	if q.ColdPerSecond > 0 {
+		perSecond = min(perSecond, q.ColdPerSecond)
+	}
 	if math.IsInf(perSecond, 1) {
 		return true, 0
 	}
-	place := max(0, slices.Index(issuerOrder(key, dataCentre, p.processes()), p.self))
-	return p.issuer.Take(key, perSecond/math.Pow(fallbackDivisor, float64(place)))
+	place := max(0, slices.Index(issuerOrder(q.Endpoint, q.DataCentre, p.processes()), p.self))
+	return p.issuer.Take(q.Endpoint, perSecond/math.Pow(fallbackDivisor, float64(place)))
 }
 
 // reachableIssuer returns the first issuer in the order that is not known to be
--- a/coordination/permits/permits_test.go
+++ b/coordination/permits/permits_test.go
@@ -139,7 +139,7 @@
 			if s.now < e.deniedUntil {
 				continue
 			}
-			granted, retryAfter := e.permits.Take(t.Context(), s.endpoint)
+			granted, retryAfter := e.permits.Take(t.Context(), s.endpoint, math.Inf(1))
 			if granted {
 				s.sent = append(s.sent, s.now)
 				continue
@@ -235,7 +235,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, e := range s.entries {
-		e.permits.Take(ctx, s.endpoint)
+		e.permits.Take(ctx, s.endpoint, math.Inf(1))
 		if len(e.permits.unreachable) != 0 {
 			t.Error("an issuer was marked as unreachable")
 		}
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -179,10 +179,13 @@
 		c := &s.candidateBuffer[i]
 		s.fillCandidate(c, e.Key, req.Service.Engine, now)
 		c.endpoint, c.state.name = e, e.ID
-		if c.state.health.draining || now.Before(c.state.health.busyUntil) || !c.state.rateLimit.mayAsk(now) {
+		if c.state.health.draining || now.Before(c.state.health.busyUntil) {
 			continue
 		}
 		c.cold = e.Cold(steadyNow)
+		if c.needsPermit(req) && !c.state.rateLimit.mayAsk(now) {
+			continue
+		}
 		if c.cold && req.Service.ColdRequestsPerSecond > 0 && !s.allowsColdArrival(c, req, now) {
 			continue
 		}
@@ -199,6 +202,11 @@
 	return lastResort
 }
 
+// needsPermit reports whether a permit is needed to send the request to the endpoint.
+func (c *candidate) needsPermit(req *Request) bool {
+	return c.state.rateLimit.current() != Unlimited || c.cold && req.Service.ColdRequestsPerSecond > 0
+}
+
 // allowsColdArrival reports whether a cold endpoint can take a further arrival. Those
 // of a data centre known from load reports are left to the entries there, which see
 // every arrival.
--- a/coordination/placement/ratelimit.go
+++ b/coordination/placement/ratelimit.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
 // Unlimited is the rate limit of an endpoint that states none.
@@ -159,6 +161,22 @@
 	l.deniedUntil = s.now().Add(wait)
 }
 
+// PermitRate returns the rate, in requests a second, at which permits for an endpoint are
+// issued: its rate limit or, while it is cold, the rate that its service accepts then, if
+// that is lower. It is Unlimited if no permit is needed.
+func (s *Scheduler) PermitRate(e *directory.Endpoint, service *catalogue.Service) float64 {
+	return min(s.RateLimit(e.Key), ColdRate(e, service))
+}
+
+// ColdRate returns the rate that an endpoint accepts because it is cold, in requests a
+// second, Unlimited if it isn't.
+func ColdRate(e *directory.Endpoint, service *catalogue.Service) float64 {
+	if service.ColdRequestsPerSecond > 0 && e.Cold(monotonic.Now()) {
+		return service.ColdRequestsPerSecond
+	}
+	return Unlimited
+}
+
 // PermitWait returns the time until the first permit may be asked for, if all usable
 // endpoints of a request wait for one. Otherwise all is false.
 func (s *Scheduler) PermitWait(endpoints []*directory.Endpoint, req *Request) (wait time.Duration, all bool) {
@@ -168,8 +186,8 @@
 	return wait, all
 }
 
-// permitWait is PermitWait for a caller that holds the lock. It also returns the limits
-// of the endpoints together, in requests a second.
+// permitWait is PermitWait for a caller that holds the lock. It also returns the rate of
+// the permits of all these endpoints together, in requests a second.
 func (s *Scheduler) permitWait(endpoints []*directory.Endpoint, req *Request) (wait time.Duration, perSecond float64, all bool) {
 	now := s.now()
 	for _, e := range endpoints {
@@ -177,15 +195,16 @@
 		if req.Excluded(e) || state.health.draining || now.Before(state.health.busyUntil) {
 			continue
 		}
+		rate := min(state.rateLimit.current(), ColdRate(e, req.Service))
 		left := state.rateLimit.deniedUntil.Sub(now)
-		if left <= 0 || state.rateLimit.asking {
+		if rate == Unlimited || left <= 0 || state.rateLimit.asking {
 			return 0, 0, false
 		}
 		if !all || left < wait {
 			wait = left
 		}
 		all = true
-		perSecond += state.rateLimit.current()
+		perSecond += rate
 	}
 	return wait, perSecond, all
 }
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -79,10 +79,11 @@
 
 // takePermit takes a permit for the main endpoint of a plan. Without one it drops the
 // plan, and the endpoint isn't chosen until its next permit may be asked for. Helpers have
-// no rate limit.
+// no rate limit; what the scheduler knows of the arrivals at a cold one suffices for their
+// few parts.
 func (r *run) takePermit(ctx context.Context, plan *placement.Plan) bool {
 	e, scheduler := plan.Endpoints[0], r.server.scheduler
-	perSecond := scheduler.RateLimit(e.Key)
+	perSecond := scheduler.PermitRate(e, r.service)
 	if perSecond == placement.Unlimited {
 		return true
 	}
@@ -90,7 +91,7 @@
 		plan.Handle.Close()
 		return false
 	}
-	granted, retryAfter := r.server.permits.Take(ctx, e)
+	granted, retryAfter := r.server.permits.Take(ctx, e, placement.ColdRate(e, r.service))
 	scheduler.EndPermit(e.Key, retryAfter)
 	r.measurePermit(granted)
 	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", e.ID).Float64("per_second", perSecond).
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -94,11 +94,13 @@
 	Release(ctx context.Context, e *directory.Endpoint, ticket string) error
 }
 
-// Permits issues permits for requests to endpoints with a rate limit.
+// Permits issues permits for requests to endpoints that have a rate limit or are cold.
 type Permits interface {
 	// Take takes a permit for one request, which is granted at once if the endpoint has no
-	// rate limit. If there is none, retryAfter is when to ask again.
-	Take(ctx context.Context, e *directory.Endpoint) (granted bool, retryAfter time.Duration)
+	// rate limit. coldPerSecond is the rate that the endpoint accepts because it is cold,
+	// in requests a second, infinite if it isn't. If there is no permit, retryAfter is when
+	// to ask again.
+	Take(ctx context.Context, e *directory.Endpoint, coldPerSecond float64) (granted bool, retryAfter time.Duration)
 }
 
 // NotSentError reports that an endpoint could not be reached, so that it has
--- a/coordination/serve/testbed_test.go
+++ b/coordination/serve/testbed_test.go
@@ -101,7 +101,7 @@
 }
 
 // Take implements Permits.
-func (b *testbed) Take(_ context.Context, e *directory.Endpoint) (granted bool, retryAfter time.Duration) {
+func (b *testbed) Take(_ context.Context, e *directory.Endpoint, _ float64) (granted bool, retryAfter time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	wait, denied := b.permitWaits[e.ID]
