--- a/coordination/placement/capacity.go
+++ b/coordination/placement/capacity.go
@@ -33,6 +33,8 @@
 	// can sustain, limited by their slots or their prefill; 0 for a plain service. When
 	// all endpoints wait for a permit, it follows from their rate limits.
 	ServiceInterval time.Duration
+	// OutOfPermits means that all usable endpoints wait for a permit.
+	OutOfPermits bool
 	// BestPlan is the plan with the highest score, nil when bestPlan finds none and for
 	// a plain service.
 	BestPlan *Plan
@@ -61,7 +63,7 @@
 	if capacity.Candidates == 0 {
 		capacity.LeastAnswers, capacity.Wait = 0, minBackoff
 		if wait, perSecond, all := s.permitWait(endpoints, req); all {
-			capacity.Wait = wait
+			capacity.Wait, capacity.OutOfPermits = wait, true
 			capacity.ServiceInterval = enginemodel.FromMs(millisPerSecond / max(perSecond, minServedPerSecond))
 		}
 		return capacity
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -127,8 +127,11 @@
 			Float64("best_first_ms", best.PredictedFirstMs).Float64("best_score", best.Score)
 	}
 	line.Int("endpoints", capacity.Endpoints).Int("candidates", capacity.Candidates).Int("answers", capacity.Answers).
-		Int("least_answers", capacity.LeastAnswers).Dur("room_in", capacity.Wait).Dur("retry_after", after).Dur("waited", time.Since(r.request.Arrived)).
+		Int("least_answers", capacity.LeastAnswers).Bool("out_of_permits", capacity.OutOfPermits).Dur("room_in", capacity.Wait).Dur("retry_after", after).Dur("waited", time.Since(r.request.Arrived)).
 		Int("prompt", r.request.PromptTokens).Msg("No endpoint has room.")
+	if capacity.OutOfPermits {
+		return fault.New(fault.Overloaded, "the rate limits of all endpoints of service %s are used up", r.service.Name).WithRetryAfter(after)
+	}
 	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).WithRetryAfter(after)
 }
 
--- a/coordination/serve/ratelimit_test.go
+++ b/coordination/serve/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,6 +94,9 @@
 		if first.status != 503 || second.status != 503 || len(b.sentAttempts()) != 0 {
 			t.Fatalf("status %d and %d, %d attempts", first.status, second.status, len(b.sentAttempts()))
 		}
+		if !strings.Contains(first.fault.Error(), "rate limits") {
+			t.Errorf("the refusal doesn't name its cause: %v", first.fault)
+		}
 		// The first permit comes in 400 ms, and the three endpoints take 6 requests a second.
 		if first.fault.RetryAfter != 400*time.Millisecond {
 			t.Errorf("Retry-After %v, want 400ms", first.fault.RetryAfter)
--- a/ctl/causes.go
+++ b/ctl/causes.go
@@ -40,6 +40,7 @@
 	late    *logLine
 	final   *logLine
 	noRoom  bool
+	limited bool // the rate limits of all endpoints were used up
 }
 
 // promptPart is a part of a long prompt that was assigned to an endpoint.
@@ -73,7 +74,7 @@
 	case messageLate:
 		q.late = &l
 	case messageNoRoom:
-		q.noRoom = true
+		q.noRoom, q.limited = true, l.flag("out_of_permits")
 	case messageFinal:
 		q.final = &l
 	}
@@ -96,6 +97,8 @@
 		return "cancelled by the caller or its timeout: " + c.lateCause(q)
 	case outcome == "broken_off":
 		return "broken off: the endpoint's stream ended"
+	case q.limited && outcome == "overloaded":
+		return "refused: the rate limits of all endpoints were used up"
 	case q.noRoom && outcome == "overloaded":
 		return "refused: no endpoint had room"
 	case len(q.choices) == 0:
--- a/ctl/causes_test.go
+++ b/ctl/causes_test.go
@@ -26,6 +26,8 @@
 {"time":"2026-01-01T10:00:02.000Z","request":"told","outcome":"served","status":200,"message":"The request has its final answer."}
 {"time":"2026-01-01T10:00:00.000Z","request":"full","message":"No endpoint has room."}
 {"time":"2026-01-01T10:00:00.000Z","request":"full","outcome":"overloaded","status":503,"message":"The request has its final answer."}
+{"time":"2026-01-01T10:00:00.000Z","request":"limited","out_of_permits":true,"message":"No endpoint has room."}
+{"time":"2026-01-01T10:00:00.000Z","request":"limited","outcome":"overloaded","status":503,"message":"The request has its final answer."}
 {"time":"2026-01-01T10:00:00.000Z","request":"lost","endpoint":"e3","helpers":[],"message":"Endpoints were chosen."}
 `
 	path := filepath.Join(t.TempDir(), "log")
@@ -37,11 +39,12 @@
 		t.Fatalf("code %d: %s", code, errOut.String())
 	}
 	for request, want := range map[string]string{
-		"paused": "1 late: pause between events, a part of another long prompt reached the endpoint meanwhile",
-		"slow":   "1 cancelled by the caller or its timeout: first event late, far later than predicted, no part of another long prompt reached the endpoint meanwhile",
-		"told":   "1 late: first event late, as predicted",
-		"full":   "1 refused: no endpoint had room",
-		"lost":   "1 no final answer: the process or its log ended first",
+		"paused":  "1 late: pause between events, a part of another long prompt reached the endpoint meanwhile",
+		"slow":    "1 cancelled by the caller or its timeout: first event late, far later than predicted, no part of another long prompt reached the endpoint meanwhile",
+		"told":    "1 late: first event late, as predicted",
+		"full":    "1 refused: no endpoint had room",
+		"limited": "1 refused: the rate limits of all endpoints were used up",
+		"lost":    "1 no final answer: the process or its log ended first",
 	} {
 		found := false
 		for line := range strings.Lines(out.String()) {
--- a/ctl/loglines.go
+++ b/ctl/loglines.go
@@ -33,6 +33,11 @@
 	return number
 }
 
+func (l *logLine) flag(field string) bool {
+	flag, _ := l.fields[field].(bool)
+	return flag
+}
+
 func (l *logLine) texts(field string) []string {
 	list, _ := l.fields[field].([]any)
 	texts := make([]string, 0, len(list))
