--- a/coordination/permits/permits.go
+++ b/coordination/permits/permits.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -91,8 +90,8 @@
 	if !math.IsInf(coldPerSecond, 1) {
 		q.ColdPerSecond = coldPerSecond
 	}
-	address := p.reachableIssuer(issuerOrder(e.Key, e.DataCentre, p.processes()))
-	if address == p.self {
+	address := firstIssuer(e.Key, e.DataCentre, p.processes(), p.mayAsk)
+	if address == p.self || address == "" {
 		return p.issue(q)
 	}
 	asking, cancel := context.WithTimeout(ctx, askTimeout)
@@ -124,22 +123,16 @@
 	if math.IsInf(perSecond, 1) {
 		return true, 0
 	}
-	place := max(0, slices.Index(issuerOrder(q.Endpoint, q.DataCentre, p.processes()), p.self))
+	place := placeOf(p.self, q.Endpoint, q.DataCentre, p.processes())
 	return p.issuer.Take(q.Endpoint, perSecond/math.Pow(fallbackDivisor, float64(place)))
 }
 
-// reachableIssuer returns the first issuer in the order that is not known to be
-// unreachable. This process is always reachable.
-func (p *Permits) reachableIssuer(order []string) string {
+// mayAsk reports whether an issuer is not known to be unreachable. This process is always
+// reachable.
+func (p *Permits) mayAsk(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
-	for _, address := range order {
-		if address == p.self || p.unreachable[address].until <= now {
-			return address
-		}
-	}
-	return p.self // not in the order, as when others took it for gone
+	return address == p.self || p.unreachable[address].until <= p.now()
 }
 
 // recordFailure records that an issuer did not answer.
--- a/coordination/permits/permits_test.go
+++ b/coordination/permits/permits_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,6 +131,15 @@
 	s.entries[address] = &simulatedEntry{permits: p}
 }
 
+// issuers returns the addresses of the entries in the order in which they are issuers.
+func (s *simulation) issuers() []string {
+	var order []string
+	for range s.processes {
+		order = append(order, firstIssuer(s.endpoint.Key, s.endpoint.DataCentre, s.processes, func(address string) bool { return !slices.Contains(order, address) }))
+	}
+	return order
+}
+
 // run has each entry send a request whenever it may, at most each 20 ms.
 func (s *simulation) run(t *testing.T, lasting time.Duration, eachStep func()) {
 	for end := s.now.Add(lasting); s.now < end; s.now = s.now.Add(20 * time.Millisecond) {
@@ -166,6 +176,7 @@
 				s.run(t, lasting, func() {})
 				s.check(t)
 				possible := perSecond * lasting.Seconds()
+				t.Logf("%d requests of %v, %d calls", len(s.sent), possible, s.asked)
 				if got := float64(len(s.sent)); got < 0.8*possible-minBurst {
 					t.Errorf("%v requests were sent, the limit allows %v", got, possible)
 				}
@@ -189,7 +200,7 @@
 			cut := make(map[[2]string]bool)
 			s.isCut = func(from, to string) bool { return cut[[2]string{from, to}] }
 			pick := func() string { return s.processes[random.IntN(len(s.processes))].Address }
-			order := issuerOrder(s.endpoint.Key, s.endpoint.DataCentre, s.processes)
+			order := s.issuers()
 			s.run(t, time.Minute, func() {
 				switch random.IntN(100) {
 				case 0:
@@ -210,7 +221,7 @@
 // When the issuer is gone, the next one must take its place.
 func TestNextIssuerIsAskedWhenTheFirstIsGone(t *testing.T) {
 	s := newSimulation(6, 3, 8)
-	first := issuerOrder(s.endpoint.Key, s.endpoint.DataCentre, s.processes)[0]
+	first := s.issuers()[0]
 	s.isCut = func(from, to string) bool { return from == first || to == first }
 	s.run(t, 30*time.Second, func() {})
 	s.check(t)
@@ -242,12 +253,25 @@
 	}
 }
 
+// Each entry must know its place, by which it divides the rate.
+func TestPlaceFollowsTheOrderOfIssuers(t *testing.T) {
+	s := newSimulation(20, 3, 1)
+	for place, address := range s.issuers() {
+		if got := placeOf(address, s.endpoint.Key, s.endpoint.DataCentre, s.processes); got != place {
+			t.Errorf("%s has place %d, want %d", address, got, place)
+		}
+	}
+	if got := placeOf("unknown", s.endpoint.Key, s.endpoint.DataCentre, s.processes); got != 0 {
+		t.Errorf("an entry that the others don't list has place %d", got)
+	}
+}
+
 // The issuers of many endpoints must be spread over the entries of their data centre.
 func TestIssuersAreSpreadOverTheDataCentre(t *testing.T) {
 	s := newSimulation(30, 3, 1)
 	count := make(map[string]int)
 	for key := range uint64(1000) {
-		count[issuerOrder(key*7919, "dc1", s.processes)[0]]++
+		count[firstIssuer(key*7919, "dc1", s.processes, func(string) bool { return true })]++
 	}
 	for _, p := range s.processes {
 		n := count[p.Address]
