--- a/coordination/serve/final.go
+++ b/coordination/serve/final.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/telemetry/requestlog"
 )
 
 // finish writes the final answer unless it was delivered, or aborts one that can't
@@ -71,5 +72,5 @@
 	line.Str("request", r.request.ID).Str("route", routeName).Str("organisation", r.organisation).
 		Uint64("version", r.catalogueVersion).Str("outcome", outcome).Int("status", r.status).Int("sends", r.attempts).
 		Int("may_have_run", r.mayHaveRun).Int("events", r.eventsSent).Str("last_event", r.lastEventID).Bool("late", r.late).Dur("left", r.request.TimeLimit).Dur("first", first).
-		Dur("whole", time.Since(r.request.Arrived)).Err(err).Msg("The request has its final answer.")
+		Dur("whole", time.Since(r.request.Arrived)).Err(err).Msg(requestlog.Final)
 }
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -12,6 +12,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/telemetry/requestlog"
 )
 
 // place returns a plan with a permit to send it, and waits for one until the placement
@@ -128,7 +129,7 @@
 	}
 	line.Int("endpoints", capacity.Endpoints).Int("candidates", capacity.Candidates).Int("answers", capacity.Answers).
 		Int("least_answers", capacity.LeastAnswers).Bool("out_of_permits", capacity.OutOfPermits).Dur("room_in", capacity.Wait).Dur("retry_after", after).Dur("waited", time.Since(r.request.Arrived)).
-		Int("prompt", r.request.PromptTokens).Msg("No endpoint has room.")
+		Int("prompt", r.request.PromptTokens).Msg(requestlog.NoRoom)
 	if capacity.OutOfPermits {
 		return fault.New(fault.Overloaded, "the rate limits of all endpoints of service %s are used up", r.service.Name).WithRetryAfter(after)
 	}
@@ -268,7 +269,7 @@
 		Int("answers", p.ActiveAnswers).Float64("backlog_ms", p.BacklogMs).Float64("predicted_first_ms", p.PredictedFirstMs).Float64("score", p.Score).Float64("loss", p.Loss).
 		Str("runner_up", p.RunnerUp).Float64("runner_up_score", p.RunnerUpScore).Int("candidates", p.Candidates).
 		Uint64("version", state.Version()).Dur("state_age", age).Dur("waited", time.Since(r.request.Arrived)).
-		Msg("Endpoints were chosen.")
+		Msg(requestlog.Chosen)
 }
 
 func endpointIDs(endpoints []*directory.Endpoint) []string {
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/telemetry/requestlog"
 )
 
 // The objectives that an answer may miss, as they are logged.
@@ -154,5 +155,5 @@
 	}
 	r.late = true
 	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", plan.Endpoints[0].ID).Str("objective", objective).
-		Dur("took", took).Dur("allowed", r.objectiveTime(objective)).Int("events", r.eventsSent).Dur("pass", plan.Handle.MaxPassTime(r.service.Engine)).Msg("The answer is late.")
+		Dur("took", took).Dur("allowed", r.objectiveTime(objective)).Int("events", r.eventsSent).Dur("pass", plan.Handle.MaxPassTime(r.service.Engine)).Msg(requestlog.Late)
 }
--- a/ctl/causes.go
+++ b/ctl/causes.go
@@ -7,18 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/telemetry/requestlog"
 	"github.com/jessevdk/go-flags"
 )
 
-// The log messages of entries that causes evaluates; coordination/serve logs them
-// with the same text.
-const (
-	messageChosen = "Endpoints were chosen."
-	messageLate   = "The answer is late."
-	messageNoRoom = "No endpoint has room."
-	messageFinal  = "The request has its final answer."
-)
-
 // wrongPredictionRatio is how many times longer than predicted the first event
 // takes before the prediction counts as wrong.
 const wrongPredictionRatio = 2
@@ -64,18 +56,18 @@
 		c.requests[id] = q
 	}
 	switch l.text("message") {
-	case messageChosen:
+	case requestlog.Chosen:
 		q.choices = append(q.choices, l)
 		if helpers := l.texts("helpers"); len(helpers) > 0 {
 			for _, endpoint := range append(helpers, l.text("endpoint")) {
 				c.parts[endpoint] = append(c.parts[endpoint], promptPart{l.at, id})
 			}
 		}
-	case messageLate:
+	case requestlog.Late:
 		q.late = &l
-	case messageNoRoom:
+	case requestlog.NoRoom:
 		q.noRoom, q.limited = true, l.flag("out_of_permits")
-	case messageFinal:
+	case requestlog.Final:
 		q.final = &l
 	}
 }
