Wait for an endpoint's answer in one place

The wait for the response and the wait for a plain body held the same loop, and two cases of a plain answer the same failure. No behaviour changes.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -88,35 +88,44 @@
 // send returns the endpoint's response. It cancels a stalled attempt once another
 // endpoint has room.
 func (r *run) send(ctx context.Context, plan *placement.Plan, reserved *reservations, cancel context.CancelFunc) (*Response, error) {
-	type result struct {
-		response *Response
-		err      error
-	}
 	a := r.newAttempt(plan, reserved)
 	sentAt := time.Now()
-	done := make(chan result, 1)
+	response, stalled, err := awaitResult(ctx, r, plan, cancel, func() (*Response, error) { return r.server.upstream.Send(ctx, a) })
+	if err == nil {
+		r.recordStatements(plan.Endpoints[0], response, sentAt)
+	}
+	switch {
+	case stalled && err == nil:
+		_ = response.Body.Close()
+		return nil, errStalled
+	case stalled:
+		return nil, errStalled
+	case err != nil:
+		return nil, err
+	}
+	return checkResponse(response)
+}
+
+// awaitResult makes a call to the endpoint of an attempt and returns its result. When the
+// endpoint is silent for firstStallTimeout, it cancels the attempt once another endpoint
+// has room; stalled is then true, and the result is that of the cancelled call.
+func awaitResult[T any](ctx context.Context, r *run, plan *placement.Plan, cancel context.CancelFunc, call func() (T, error)) (value T, stalled bool, err error) {
+	done := make(chan struct{})
 	go func() {
-		response, err := r.server.upstream.Send(ctx, a)
-		done <- result{response, err}
+		defer close(done)
+		value, err = call()
 	}()
 	stall := time.NewTimer(r.firstStallTimeout(plan))
 	defer stall.Stop()
 	for {
 		select {
-		case got := <-done:
-			if got.err != nil {
-				return nil, got.err
-			}
-			r.recordStatements(plan.Endpoints[0], got.response, sentAt)
-			return checkResponse(got.response)
+		case <-done:
+			return value, false, err
 		case <-stall.C:
 			if r.planFailover(ctx) {
 				cancel()
-				if got := <-done; got.err == nil {
-					r.recordStatements(plan.Endpoints[0], got.response, sentAt)
-					_ = got.response.Body.Close()
-				}
-				return nil, errStalled
+				<-done
+				return value, true, err
 			}
 			stall.Reset(failoverRetryInterval)
 		}
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -32,7 +32,7 @@
 func (response *Response) isSuccess() bool { return response.Status >= 200 && response.Status < 300 }
 
 // deliverPlain reads a response whole and writes it to the caller.
-func (r *run) deliverPlain(ctx context.Context, plan *placement.Plan, response *Response, cancel func()) error {
+func (r *run) deliverPlain(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	body, err := r.readPlain(ctx, plan, response, cancel)
 	defer r.server.bufferedBytes.Add(-int64(len(body)))
 	good := response.isSuccess()
@@ -43,9 +43,7 @@
 		return errors.Join(errInvalidResponse, err)
 	case good && !response.Signed:
 		return errInvalidResponse
-	case !good && (r.headerWritten || r.isRetrySafe() && r.mayHaveRun < r.route.MaxEndpoints):
-		return fault.New(fault.EndpointFailed, "the endpoint responded with status %d", response.Status)
-	case !good && !response.Signed:
+	case !good && (!response.Signed || r.headerWritten || r.mayRunAgain()):
 		return fault.New(fault.EndpointFailed, "the endpoint responded with status %d", response.Status)
 	}
 	r.firstByteAt = time.Now()
@@ -55,31 +53,14 @@
 
 // readPlain reads a response to its end. It cancels a stalled attempt once another
 // endpoint has room. The bytes returned are counted in Server.bufferedBytes.
-func (r *run) readPlain(ctx context.Context, plan *placement.Plan, response *Response, cancel func()) ([]byte, error) {
-	type result struct {
-		body []byte
-		err  error
-	}
-	done := make(chan result, 1)
-	go func() {
-		body, err := readBuffered(response.Body, &r.server.bufferedBytes)
-		done <- result{body, err}
-	}()
-	stall := time.NewTimer(r.firstStallTimeout(plan))
-	defer stall.Stop()
-	for {
-		select {
-		case got := <-done:
-			return got.body, got.err
-		case <-stall.C:
-			if r.planFailover(ctx) {
-				cancel()
-				got := <-done
-				return got.body, errStalled
-			}
-			stall.Reset(failoverRetryInterval)
-		}
+func (r *run) readPlain(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) ([]byte, error) {
+	body, stalled, err := awaitResult(ctx, r, plan, cancel, func() ([]byte, error) {
+		return readBuffered(response.Body, &r.server.bufferedBytes)
+	})
+	if stalled {
+		return body, errStalled
 	}
+	return body, err
 }
 
 // readBuffered reads a body to its end and adds the length of what it returns,
