Leave endpoints out before their forecast is made

A choice simulated the passes of endpoints that it then left out as draining, busy or without a permit. The choices don't change.

--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -173,19 +173,14 @@
 	}
 	var preferred, lastResort []*candidate
 	for i, e := range endpoints {
-		if req.Excluded(e) {
+		state := s.stateOf(e.Key)
+		state.name = e.ID
+		if !state.isUsable(e, req, now) || state.permitRate(e, req.Service, steadyNow) != Unlimited && !state.permit.mayAsk(now) {
 			continue
 		}
 		c := &s.candidateBuffer[i]
 		s.fillCandidate(c, e.Key, req.Service.Engine, now)
-		c.endpoint, c.state.name = e, e.ID
-		if c.state.health.draining || now.Before(c.state.health.busyUntil) {
-			continue
-		}
-		c.cold = e.Cold(steadyNow)
-		if c.needsPermit(req) && !c.state.rateLimit.mayAsk(now) {
-			continue
-		}
+		c.endpoint, c.cold = e, e.Cold(steadyNow)
 		if c.cold && req.Service.ColdRequestsPerSecond > 0 && !s.allowsColdArrival(c, req, now) {
 			continue
 		}
@@ -202,9 +197,9 @@
 	return lastResort
 }
 
-// needsPermit reports whether a permit is needed to send the request to the endpoint.
-func (c *candidate) needsPermit(req *Request) bool {
-	return c.state.rateLimit.current() != Unlimited || c.cold && req.Service.ColdRequestsPerSecond > 0
+// isUsable reports whether the endpoint takes requests like this one at all now.
+func (state *endpointState) isUsable(e *directory.Endpoint, req *Request, now time.Time) bool {
+	return !req.Excluded(e) && !state.health.draining && !now.Before(state.health.busyUntil)
 }
 
 // allowsColdArrival reports whether a cold endpoint can take a further arrival. Those
--- a/coordination/placement/ratelimit.go
+++ b/coordination/placement/ratelimit.go
@@ -4,10 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/apricotspoke/apricotspoke/coordination/directory"
-	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
-	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
 // Unlimited is the rate limit of an endpoint that states none.
@@ -21,14 +18,8 @@
 	perSecond float64 // Unlimited once the endpoint has stopped stating a limit; undefined at revision 0
 	learntAt  time.Time
 	own       bool // learnt from a response to this entry, not from another process
-	asking    bool // a request of this entry is asking for a permit
-	// deniedUntil is when the next permit for the endpoint may be asked for.
-	deniedUntil time.Time
 }
 
-// mayAsk reports whether a permit for the endpoint may be asked for now, if it needs one.
-func (l *rateLimit) mayAsk(now time.Time) bool { return !l.asking && !now.Before(l.deniedUntil) }
-
 // current returns the rate limit, in requests a second.
 func (l *rateLimit) current() float64 {
 	if l.revision == 0 {
@@ -93,7 +84,7 @@
 	}
 	line.Msg("The rate limit of an endpoint has changed.")
 	if perSecond > l.current() {
-		l.deniedUntil = time.Time{}
+		state.permit.deniedUntil = time.Time{}
 	}
 	l.revision, l.perSecond, l.learntAt, l.own = revision, perSecond, now, own
 }
@@ -136,75 +127,3 @@
 	defer s.mu.Unlock()
 	return s.stateOf(key).rateLimit.message()
 }
-
-// StartPermit reports whether a request may ask for a permit for an endpoint: of the
-// requests of this entry only one asks at a time. Until EndPermit no other request chooses
-// the endpoint.
-func (s *Scheduler) StartPermit(key uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := &s.stateOf(key).rateLimit
-	if !l.mayAsk(s.now()) {
-		return false
-	}
-	l.asking = true
-	return true
-}
-
-// EndPermit records the answer to a request for a permit: no request chooses the endpoint
-// for the given time, which is 0 if the permit was granted.
-func (s *Scheduler) EndPermit(key uint64, wait time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := &s.stateOf(key).rateLimit
-	l.asking = false
-	l.deniedUntil = s.now().Add(wait)
-}
-
-// PermitRate returns the rate, in requests a second, at which permits for an endpoint are
-// issued: its rate limit or, while it is cold, the rate that its service accepts then, if
-// that is lower. It is Unlimited if no permit is needed.
-func (s *Scheduler) PermitRate(e *directory.Endpoint, service *catalogue.Service) float64 {
-	return min(s.RateLimit(e.Key), ColdRate(e, service))
-}
-
-// ColdRate returns the rate that an endpoint accepts because it is cold, in requests a
-// second, Unlimited if it isn't.
-func ColdRate(e *directory.Endpoint, service *catalogue.Service) float64 {
-	if service.ColdRequestsPerSecond > 0 && e.Cold(monotonic.Now()) {
-		return service.ColdRequestsPerSecond
-	}
-	return Unlimited
-}
-
-// PermitWait returns the time until the first permit may be asked for, if all usable
-// endpoints of a request wait for one. Otherwise all is false.
-func (s *Scheduler) PermitWait(endpoints []*directory.Endpoint, req *Request) (wait time.Duration, all bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	wait, _, all = s.permitWait(endpoints, req)
-	return wait, all
-}
-
-// permitWait is PermitWait for a caller that holds the lock. It also returns the rate of
-// the permits of all these endpoints together, in requests a second.
-func (s *Scheduler) permitWait(endpoints []*directory.Endpoint, req *Request) (wait time.Duration, perSecond float64, all bool) {
-	now := s.now()
-	for _, e := range endpoints {
-		state := s.stateOf(e.Key)
-		if req.Excluded(e) || state.health.draining || now.Before(state.health.busyUntil) {
-			continue
-		}
-		rate := min(state.rateLimit.current(), ColdRate(e, req.Service))
-		left := state.rateLimit.deniedUntil.Sub(now)
-		if rate == Unlimited || left <= 0 || state.rateLimit.asking {
-			return 0, 0, false
-		}
-		if !all || left < wait {
-			wait = left
-		}
-		all = true
-		perSecond += rate
-	}
-	return wait, perSecond, all
-}
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -43,6 +43,7 @@
 	arrivals     []time.Time // within arrivalWindow
 	health       health
 	rateLimit    rateLimit
+	permit       permit
 	reported     reportedLoad
 }
 
