Read a relay's data centre under the mesh's lock

A relay that came into use was synced with a data centre read without the lock that guards it, while another goroutine wrote it. Found by go test -race, which had not been run: TestWorkReachesTheDataCentresThatItConcerns and TestLostRelayIsReplaced reported it, and pass now.

--- a/transport/mesh/publish.go
+++ b/transport/mesh/publish.go
@@ -101,9 +101,12 @@
 // syncRelay sends all endpoint records and the work of this entry to a relay that comes
 // into use, as its predecessor may have failed before it forwarded the latest updates.
 func (m *Mesh) syncRelay(l *outLink) {
-	updates := []*wire.Relayed{{DataCentre: l.dataCentre, Endpoints: m.directory.EndpointRecords()}}
+	m.mu.Lock()
+	dataCentre := l.dataCentre
+	m.mu.Unlock()
+	updates := []*wire.Relayed{{DataCentre: dataCentre, Endpoints: m.directory.EndpointRecords()}}
 	if m.options.Self.Entry {
-		updates = append(updates, &wire.Relayed{DataCentre: l.dataCentre, Work: m.fullWork()})
+		updates = append(updates, &wire.Relayed{DataCentre: dataCentre, Work: m.fullWork()})
 	}
 	l.enqueueUrgent(&wire.MeshFrame{Relayed: updates})
 }
