--- a/coordination/serve/invalid_response_test.go
+++ b/coordination/serve/invalid_response_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 	first io.Reader // read to its end at the beginning
 	text  string
 	pause time.Duration
-	read  int64 // bytes of text
+	read  atomic.Int64 // bytes of text
 }
 
 func (e *endless) Read(p []byte) (int, error) {
@@ -37,7 +38,7 @@
 	for e.pause == 0 && n < len(p) {
 		n += copy(p[n:], e.text)
 	}
-	e.read += int64(n)
+	e.read.Add(int64(n))
 	return n, nil
 }
 
@@ -77,8 +78,8 @@
 					if took := time.Since(began); took >= 2*time.Second {
 						t.Errorf("%s: it took %v, the whole caller timeout", name, took)
 					}
-					if body.read > 2*maxEventBytes {
-						t.Errorf("%s: %d bytes were read", name, body.read)
+					if body.read.Load() > 2*maxEventBytes {
+						t.Errorf("%s: %d bytes were read", name, body.read.Load())
 					}
 				})
 			}
@@ -102,8 +103,8 @@
 			if g := b.serve(t.Context(), "once"); g.status < 500 || g.fault == nil || g.fault.Kind.NotRun() || len(b.sentAttempts()) != 1 {
 				t.Errorf("at most once, pause %v: %d after %d attempts", pause, g.status, len(b.sentAttempts()))
 			}
-			if body.read > maxPlainAnswerBytes+readChunkBytes {
-				t.Errorf("%d bytes were read", body.read)
+			if body.read.Load() > maxPlainAnswerBytes+readChunkBytes {
+				t.Errorf("%d bytes were read", body.read.Load())
 			}
 		})
 	}
