--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build fmt lint test prove prove-seeds bench demo generate
+.PHONY: build fmt lint test race prove prove-seeds bench demo generate
 
 GO ?= go
 BIN := bin
@@ -23,6 +23,10 @@
 	@if [ -n '$(KNOWN_RED)' ]; then echo 'Known faults, run and passed over:'; cat KNOWN-RED.txt; \
 	  $(GO) test -run '^($(KNOWN_RED))$$' ./... 2>&1 | grep -v 'no test' || true; fi
 
+# The packages whose goroutines share state.
+race:
+	$(GO) test -race ./coordination/... ./transport/... ./platform/...
+
 prove: build
 	$(GO) test -tags prove -count=1 -parallel 2 -timeout 10m ./prove/...
 
