Don't hold back an entry that got a permit from another

A granted answer of another entry carried a time of 1 ms until which the endpoint wasn't chosen. The simulated fleet checks it: TestNextIssuerIsAskedWhenTheFirstIsGone failed with it.

--- a/coordination/permits/permits.go
+++ b/coordination/permits/permits.go
@@ -1,8 +1,8 @@
 // Package permits keeps the rate limit that an endpoint states for the requests of all
 // entries together, and the rate that a cold endpoint accepts from them. Before an entry
-// sends a request to such an endpoint, it takes a permit
-// from the endpoint's issuer, one of the entries, on which all agree without a word. When
-// an entry can't reach the issuer, it asks the next in the order.
+// sends a request to such an endpoint, it takes a permit from the endpoint's issuer, one
+// of the entries, which each of them derives from the list of processes. When an entry
+// can't reach the issuer, it asks the next in the order.
 //
 // While the entries disagree about who can be reached, several issue permits for one
 // endpoint. Each divides the rate by its own place in the order, so that together they
@@ -111,7 +111,10 @@
 func (p *Permits) Answer(q *wire.PermitRequest) *wire.PermitResponse {
 	p.limits.MergeRateLimit(q.Endpoint, q.RateLimit)
 	granted, retryAfter := p.issue(q)
-	return &wire.PermitResponse{Granted: granted, RetryAfterMs: uint32(retryAfter.Milliseconds()) + 1}
+	if granted {
+		return &wire.PermitResponse{Granted: true}
+	}
+	return &wire.PermitResponse{RetryAfterMs: uint32(retryAfter.Milliseconds()) + 1}
 }
 
 // issue issues a permit at this entry's part of the rate.
--- a/coordination/permits/permits_test.go
+++ b/coordination/permits/permits_test.go
@@ -150,6 +150,9 @@
 				continue
 			}
 			granted, retryAfter := e.permits.Take(t.Context(), s.endpoint, math.Inf(1))
+			if granted && retryAfter != 0 {
+				t.Fatalf("%s got a permit and is not to ask for %v", p.Address, retryAfter)
+			}
 			if granted {
 				s.sent = append(s.sent, s.now)
 				continue
