--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -164,8 +164,8 @@
 }
 
 // candidates returns the endpoints that can be chosen. An endpoint without a permit, when
-// one was asked for, can't. Endpoints that are in back-off
-// or silent are returned only when there is no other.
+// one was asked for, can't. Endpoints that are in back-off or silent are returned only when
+// there is no other.
 func (s *Scheduler) candidates(endpoints []*directory.Endpoint, req *Request) []*candidate {
 	now, steadyNow := s.now(), monotonic.Now()
 	if len(s.candidateBuffer) < len(endpoints) {
--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -176,6 +176,17 @@
 	p.t.Fatalf("timed out waiting until %s", what)
 }
 
+// awaitReady waits until the entries on the hosts are ready.
+func (p *fakePlatform) awaitReady(hosts ...int) {
+	p.t.Helper()
+	for _, n := range hosts {
+		p.await("the entry is ready", func() bool {
+			status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", host(n), p.ports[1]), nil, nil)
+			return status == 200
+		})
+	}
+}
+
 // call sends an HTTP request. Status 0 means that there was no answer.
 func call(method, url string, body []byte, headers map[string]string) (status int, text string, header http.Header) {
 	q, err := http.NewRequest(method, url, bytes.NewReader(body))
--- a/role/host/host_test.go
+++ b/role/host/host_test.go
@@ -28,12 +28,7 @@
 	go first.announce(ctx, p)
 	go second.announce(ctx, p)
 	p.putConfiguration(2, configuration(5, `"key"`))
-	for _, n := range []int{1, 4} {
-		p.await("the entry is ready", func() bool {
-			status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", host(n), p.ports[1]), nil, nil)
-			return status == 200
-		})
-	}
+	p.awaitReady(1, 4)
 	return p, first, second
 }
 
--- a/role/host/ratelimit_test.go
+++ b/role/host/ratelimit_test.go
@@ -30,12 +30,7 @@
 	for _, n := range hosts {
 		p.start("entry", n, false, true)
 	}
-	for _, n := range hosts {
-		p.await("the entry is ready", func() bool {
-			status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", host(n), p.ports[1]), nil, nil)
-			return status == 200
-		})
-	}
+	p.awaitReady(hosts...)
 }
 
 // callAll has one caller at each host send requests one after the other for a time. It
