Reserve the ports of tests' processes until the test ends

Both fleets ran at the same time with one port.

Cause: freePorts asked the kernel for free ports, closed them, and returned them before any process listened. A second fleet could get the same ones, more likely since four tests of rate limits start fleets too. Ruled out: a fault of the product (no process of a fleet was told the addresses of the other one by another way) and outgoing connections (they leave from another address).

The same cause stood in the tests of the agent and of the mesh; trials/cluster had a remedy for one process. Now trials/loopback serves all four: it reserves a port by listening on it at an address that no test uses, so the reservation also holds against other test programs.

--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -18,6 +18,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/controllink"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 )
 
@@ -105,12 +106,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.ReserveAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func startFakePeers(t *testing.T) (*fakePeers, string) {
--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 const (
@@ -54,25 +56,14 @@
 	return p
 }
 
-// freePorts finds four free ports, of which the last is followed by a free fifth.
+// freePorts reserves five ports in a row for a fleet.
 func freePorts(t *testing.T) [5]int {
 	t.Helper()
-	for {
-		var ports [5]int
-		for i := range 4 {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			ports[i] = l.Addr().(*net.TCPAddr).Port
-		}
-		ports[4] = ports[3] + 1
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports[4])); err == nil {
-			_ = l.Close()
-			return ports
-		}
+	first, err := loopback.ReservePorts(5)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return [5]int{first, first + 1, first + 2, first + 3, first + 4}
 }
 
 // host returns the loopback address of a simulated host.
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 )
 
@@ -160,12 +161,10 @@
 
 // Two processes whose only seed starts after them get their process lists from it.
 func TestProcessesDiscoverEachOtherThroughALateSeed(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	seed, err := loopback.ReserveAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	seed := listener.Addr().String()
-	_ = listener.Close()
 	first := start(t, "first", 1, seed)
 	second := start(t, "second", 2, seed)
 	if first.mesh.SeedsSynced() || second.mesh.SeedsSynced() {
--- a/trials/cluster/cluster.go
+++ b/trials/cluster/cluster.go
@@ -10,6 +10,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 const (
@@ -134,7 +136,7 @@
 func (c *Cluster) reserveAddresses() error {
 	var errs []error
 	reserve := func() string {
-		address, err := freeAddress()
+		address, err := loopback.ReserveAddress()
 		errs = append(errs, err)
 		return address
 	}
--- a/trials/cluster/replacement.go
+++ b/trials/cluster/replacement.go
@@ -1,6 +1,10 @@
 package cluster
 
-import "errors"
+import (
+	"errors"
+
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
+)
 
 // StartReplacement starts another agent for the endpoint with an index. The endpoint
 // announces itself to the new agent only after a call of AnnounceTo.
@@ -9,7 +13,7 @@
 	var errs []error
 	for _, address := range []*string{&agent.Address, &agent.HTTPAddress, &agent.AnnounceAddress} {
 		var err error
-		*address, err = freeAddress()
+		*address, err = loopback.ReserveAddress()
 		errs = append(errs, err)
 	}
 	if err := errors.Join(errs...); err != nil {
