Reproduce: one answer without a rate limit releases a burst

Until the next answer came, half a second later, they gave the endpoint 13 requests in 4 s; 11 are allowed. The endpoint had least to do, so all chose it at once.

TestEndOfARateLimitReleasesNoBurst (six entries, answers of half a second) fails: 21 and 22 requests in 4 s.

--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -244,8 +244,11 @@
 	server    *http.Server
 	behaviour atomic.Value // "good", "full", "cut" (breaks off answers) or "foreign" (names another attempt)
 
-	coldMs    atomic.Int64
-	rateLimit atomic.Value // text stated in each answer, "" for none
+	slots       atomic.Int64
+	coldMs      atomic.Int64
+	answerDelay atomic.Int64 // time before each answer, as a time.Duration
+	rateLimit   atomic.Value // text stated in each answer, "" for none
+	unstated    atomic.Int64 // number of next answers that don't state the rate limit
 
 	mu       sync.Mutex
 	runs     map[string]int // by attempt id
@@ -263,6 +266,7 @@
 	e := &fakeEndpoint{t: t, id: fmt.Sprintf("i-%d", n), bornMs: time.Now().UnixMilli(), address: l.Addr().String(), runs: make(map[string]int)}
 	e.behaviour.Store("good")
 	e.rateLimit.Store("")
+	e.slots.Store(4)
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(l) }() // ends with the test
 	t.Cleanup(func() { _ = e.server.Close() })
@@ -282,7 +286,7 @@
 
 func (e *fakeEndpoint) heartbeat(state string) []byte {
 	text, err := json.Marshal(map[string]any{
-		"service": "s", "address": e.address, "zone": "z1", "version": "v1", "slots": 4, "state": state,
+		"service": "s", "address": e.address, "zone": "z1", "version": "v1", "slots": e.slots.Load(), "state": state,
 		"coldRemainingMs": e.coldMs.Load(), "sequence": e.sequence.Add(1), "born": e.bornMs,
 	})
 	if err != nil {
@@ -307,6 +311,7 @@
 	}
 	w.Header().Set("Attempt-Id", id)
 	e.recordArrival()
+	time.Sleep(time.Duration(e.answerDelay.Load()))
 	e.stateRateLimit(w.Header())
 	if behaviour == "full" {
 		w.Header().Set("Not-Executed", "1")
@@ -339,7 +344,7 @@
 
 func (e *fakeEndpoint) stateRateLimit(h http.Header) {
 	text := e.rateLimit.Load().(string)
-	if text == "" {
+	if text == "" || e.unstated.Add(-1) >= 0 {
 		return
 	}
 	h.Set("Server-Limit", text)
--- a/role/host/ratelimit_test.go
+++ b/role/host/ratelimit_test.go
@@ -134,6 +134,28 @@
 	}
 }
 
+// One answer that doesn't state the limit any more must not release the callers of all
+// entries at once.
+func TestEndOfARateLimitReleasesNoBurst(t *testing.T) {
+	p, first, second := startFleet(t)
+	hosts := []int{1, 4, 5, 6, 7, 8}
+	for _, e := range []*fakeEndpoint{first, second} {
+		e.slots.Store(60)
+		e.answerDelay.Store(int64(time.Second / 2))
+	}
+	startEntries(p, hosts[2:]...)
+	first.rateLimit.Store("1")
+	lasting := rateLimitGrace + 2*rateLimitWindow
+	var callers sync.WaitGroup
+	for i := range 6 {
+		callers.Go(func() { callAll(p, "/once/x", fmt.Sprint("ended", i), lasting, hosts...) })
+	}
+	time.Sleep(rateLimitGrace + time.Second)
+	first.unstated.Store(1)
+	callers.Wait()
+	checkRateLimit(t, first, 1)
+}
+
 // A refusal for a rate limit must say when to come back, and not be held.
 func TestRefusalForARateLimitHasATime(t *testing.T) {
 	p, first, second := startFleet(t)
