Let the rate of an endpoint grow after the end of its limit

What callers see: an endpoint in need that stops stating its limit, if only in one answer, is given all waiting requests at once, answers them late, and its limit is exceeded when its next answer states it again.

Cause: the end of a limit is told to all entries, which is right, and all took the endpoint for free in the same moment. It has the least work, so each chose it, for as long as its next answer took.

Now the allowed rate grows from the last limit, doubled each half second, and is free after 3 s.

--- a/coordination/permits/permits.go
+++ b/coordination/permits/permits.go
@@ -38,8 +38,9 @@
 
 // Limits knows the rate limits of the endpoints.
 type Limits interface {
-	// RateLimit returns a limit in requests a second, infinite if there is none.
-	RateLimit(key uint64) float64
+	// AllowedRate returns the rate, in requests a second, at which all entries together
+	// may send to an endpoint, infinite if there is no limit.
+	AllowedRate(key uint64) float64
 	// RateLimitMessage returns a limit for other processes.
 	RateLimitMessage(key uint64) *wire.RateLimit
 	// MergeRateLimit applies a limit that another process knows.
@@ -83,7 +84,7 @@
 // endpoint has no rate limit. coldPerSecond is the rate that the endpoint accepts because
 // it is cold, infinite if it isn't. If there is no permit, retryAfter is when to ask again.
 func (p *Permits) Take(ctx context.Context, e *directory.Endpoint, coldPerSecond float64) (granted bool, retryAfter time.Duration) {
-	if math.IsInf(min(p.limits.RateLimit(e.Key), coldPerSecond), 1) {
+	if math.IsInf(min(p.limits.AllowedRate(e.Key), coldPerSecond), 1) {
 		return true, 0
 	}
 	q := &wire.PermitRequest{Endpoint: e.Key, DataCentre: e.DataCentre, RateLimit: p.limits.RateLimitMessage(e.Key)}
@@ -119,7 +120,7 @@
 
 // issue issues a permit at this entry's part of the rate.
 func (p *Permits) issue(q *wire.PermitRequest) (granted bool, retryAfter time.Duration) {
-	perSecond := p.limits.RateLimit(q.Endpoint)
+	perSecond := p.limits.AllowedRate(q.Endpoint)
 	if q.ColdPerSecond > 0 {
 		perSecond = min(perSecond, q.ColdPerSecond)
 	}
--- a/coordination/permits/permits_test.go
+++ b/coordination/permits/permits_test.go
@@ -109,8 +109,8 @@
 	return s
 }
 
-// RateLimit implements Limits.
-func (s *simulation) RateLimit(uint64) float64 { return s.perSecond }
+// AllowedRate implements Limits.
+func (s *simulation) AllowedRate(uint64) float64 { return s.perSecond }
 
 // RateLimitMessage implements Limits.
 func (s *simulation) RateLimitMessage(uint64) *wire.RateLimit { return nil }
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -14,6 +14,7 @@
 	endpoint         *directory.Endpoint
 	state            *endpointState
 	cold             bool
+	rateLimited      bool
 	answers          int // that it decodes or will decode
 	contextTokens    int // prompt tokens of these answers
 	usedMemoryTokens int
@@ -32,7 +33,7 @@
 func (s *Scheduler) fillCandidate(c *candidate, key uint64, engine *catalogue.Engine, now time.Time) {
 	state := s.stateOf(key)
 	reported := &state.reported
-	*c = candidate{state: state, answers: reported.answers, contextTokens: reported.batch.ContextTokens, usedMemoryTokens: reported.memoryTokens, batch: reported.batch, forecast: c.forecast}
+	*c = candidate{state: state, rateLimited: state.rateLimit.allowed(now) != Unlimited, answers: reported.answers, contextTokens: reported.batch.ContextTokens, usedMemoryTokens: reported.memoryTokens, batch: reported.batch, forecast: c.forecast}
 	for _, w := range state.inFlight {
 		c.usedMemoryTokens += w.memoryTokensAt(slices.Index(w.endpoints, key))
 		if w.endpoints[0] != key {
@@ -72,7 +73,7 @@
 // mayHelp reports whether the endpoint may prefill a part of another endpoint's prompt. An
 // endpoint with a rate limit may not: a part counts as a request to it, and is worth
 // nothing to the caller when another part finds no permit.
-func (c *candidate) mayHelp() bool { return c.state.rateLimit.current() == Unlimited }
+func (c *candidate) mayHelp() bool { return !c.rateLimited }
 
 // slots returns the number of answers that the endpoint decodes at once, at least 1.
 func (c *candidate) slots(engine *catalogue.Engine) int {
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -175,7 +175,7 @@
 	for i, e := range endpoints {
 		state := s.stateOf(e.Key)
 		state.name = e.ID
-		if !state.isUsable(e, req, now) || state.permitRate(e, req.Service, steadyNow) != Unlimited && !state.permit.mayAsk(now) {
+		if !state.isUsable(e, req, now) || state.permitRate(e, req.Service, now, steadyNow) != Unlimited && !state.permit.mayAsk(now) {
 			continue
 		}
 		c := &s.candidateBuffer[i]
--- a/coordination/placement/permit.go
+++ b/coordination/placement/permit.go
@@ -31,27 +31,31 @@
 }
 
 // EndPermit records the answer to a request for a permit: no request chooses the endpoint
-// for the given time, which is 0 if the permit was granted.
+// for the given time, which is 0 if the permit was granted. While the allowed rate grows it
+// is at most recoveryDoubling, as the time was worked out from the rate of now.
 func (s *Scheduler) EndPermit(key uint64, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &s.stateOf(key).permit
-	p.asking = false
-	p.deniedUntil = s.now().Add(wait)
+	state, now := s.stateOf(key), s.now()
+	if state.rateLimit.hasJustEnded(now) {
+		wait = min(wait, recoveryDoubling)
+	}
+	state.permit.asking = false
+	state.permit.deniedUntil = now.Add(wait)
 }
 
 // PermitRate returns the rate, in requests a second, at which permits for an endpoint are
-// issued: its rate limit or, while it is cold, the rate that its service accepts then, if
+// issued: its allowed rate or, while it is cold, the rate that its service accepts then, if
 // that is lower. It is Unlimited if no permit is needed.
 func (s *Scheduler) PermitRate(e *directory.Endpoint, service *catalogue.Service) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stateOf(e.Key).permitRate(e, service, monotonic.Now())
+	return s.stateOf(e.Key).permitRate(e, service, s.now(), monotonic.Now())
 }
 
-// permitRate is PermitRate for a caller that holds the lock and has read the clock.
-func (state *endpointState) permitRate(e *directory.Endpoint, service *catalogue.Service, now monotonic.Time) float64 {
-	return min(state.rateLimit.current(), coldRate(e, service, now))
+// permitRate is PermitRate for a caller that holds the lock and has read the clocks.
+func (state *endpointState) permitRate(e *directory.Endpoint, service *catalogue.Service, now time.Time, steadyNow monotonic.Time) float64 {
+	return min(state.rateLimit.allowed(now), coldRate(e, service, steadyNow))
 }
 
 // ColdRate returns the rate that an endpoint accepts because it is cold, in requests a
@@ -85,7 +89,7 @@
 		if !state.isUsable(e, req, now) {
 			continue
 		}
-		rate, left := state.permitRate(e, req.Service, steadyNow), state.permit.deniedUntil.Sub(now)
+		rate, left := state.permitRate(e, req.Service, now, steadyNow), state.permit.deniedUntil.Sub(now)
 		if rate == Unlimited || left <= 0 || state.permit.asking {
 			return 0, 0, false
 		}
--- a/coordination/placement/ratelimit.go
+++ b/coordination/placement/ratelimit.go
@@ -10,12 +10,24 @@
 // Unlimited is the rate limit of an endpoint that states none.
 var Unlimited = math.Inf(1)
 
+// After the end of a limit the rate of requests grows from the last limit, or from
+// minRecoveryPerSecond if that is higher, and doubles each recoveryDoubling until
+// recoveryTime has passed. All entries learn of the end at the same moment and prefer the
+// endpoint, as it has the least work; without this growth they would overload it before
+// its next response could state a limit again.
+const (
+	recoveryTime         = 3 * time.Second
+	recoveryDoubling     = 500 * time.Millisecond
+	minRecoveryPerSecond = 1
+)
+
 // rateLimit is what is known of the rate limit that an endpoint states in its responses,
 // for the requests of all entries together.
 type rateLimit struct {
 	// revision counts the changes; 0 means that the endpoint has never stated a limit.
 	revision  uint64
 	perSecond float64 // Unlimited once the endpoint has stopped stating a limit; undefined at revision 0
+	previous  float64 // the limit before the last change
 	learntAt  time.Time
 	own       bool // learnt from a response to this entry, not from another process
 }
@@ -28,6 +40,22 @@
 	return l.perSecond
 }
 
+// allowed returns the rate, in requests a second, at which all entries together may send
+// at a time: the limit or, after its end, a rate that grows.
+func (l *rateLimit) allowed(now time.Time) float64 {
+	if !l.hasJustEnded(now) {
+		return l.current()
+	}
+	age := now.Sub(l.learntAt)
+	return max(l.previous, minRecoveryPerSecond) * math.Exp2(float64(age)/float64(recoveryDoubling))
+}
+
+// hasJustEnded reports whether the endpoint has stopped stating a limit less than
+// recoveryTime ago.
+func (l *rateLimit) hasJustEnded(now time.Time) bool {
+	return l.revision > 0 && l.perSecond == Unlimited && now.Sub(l.learntAt) < recoveryTime
+}
+
 // isOlderThan reports whether another statement replaces this one. Of two with the same
 // revision, made by entries that didn't know of each other's, the lower limit holds.
 func (l *rateLimit) isOlderThan(revision uint64, perSecond float64) bool {
@@ -86,6 +114,9 @@
 	if perSecond > l.current() {
 		state.permit.deniedUntil = time.Time{}
 	}
+	if perSecond != l.current() {
+		l.previous = l.current()
+	}
 	l.revision, l.perSecond, l.learntAt, l.own = revision, perSecond, now, own
 }
 
@@ -113,14 +144,23 @@
 	return events
 }
 
-// RateLimit returns the rate limit of an endpoint in requests a second, Unlimited if it
-// has none.
+// RateLimit returns the rate limit that an endpoint states, in requests a second,
+// Unlimited if it states none.
 func (s *Scheduler) RateLimit(key uint64) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.stateOf(key).rateLimit.current()
 }
 
+// AllowedRate returns the rate, in requests a second, at which all entries together may
+// send to an endpoint: its rate limit, for a short time after the end of one a rate that
+// grows, and otherwise Unlimited.
+func (s *Scheduler) AllowedRate(key uint64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stateOf(key).rateLimit.allowed(s.now())
+}
+
 // RateLimitMessage returns the rate limit of an endpoint for other processes.
 func (s *Scheduler) RateLimitMessage(key uint64) *wire.RateLimit {
 	s.mu.Lock()
--- a/coordination/placement/ratelimit_test.go
+++ b/coordination/placement/ratelimit_test.go
@@ -156,3 +156,43 @@
 	b.scheduler.RecordRateLimit(key, Unlimited, b.now.Add(time.Second))
 	b.choose(t, b.short())
 }
+
+// While the allowed rate grows, an entry without a permit must ask again soon: else nobody
+// sends, and all send at once when the growth ends.
+func TestEntriesAskAgainWhileTheAllowedRateGrows(t *testing.T) {
+	b := newTestbed(1)
+	key := b.endpoints[0].Key
+	b.scheduler.RecordRateLimit(key, 1, b.now)
+	b.now = b.now.Add(time.Second)
+	b.scheduler.RecordRateLimit(key, Unlimited, b.now)
+	b.scheduler.EndPermit(key, time.Minute)
+	if wait, all := b.scheduler.PermitWait(b.endpoints, b.short()); !all || wait != recoveryDoubling {
+		t.Errorf("wait %v, all %v, want %v", wait, all, recoveryDoubling)
+	}
+}
+
+// After the end of a limit the allowed rate must grow step by step, and a limit that is
+// stated meanwhile must hold at once.
+func TestAllowedRateGrowsAfterTheEndOfALimit(t *testing.T) {
+	b := newTestbed(1)
+	key := b.endpoints[0].Key
+	b.scheduler.RecordRateLimit(key, 2, b.now)
+	b.now = b.now.Add(time.Second)
+	b.scheduler.RecordRateLimit(key, Unlimited, b.now)
+	for i, want := range []float64{2, 4, 8, 16, 32, 64, Unlimited} {
+		if got := b.scheduler.AllowedRate(key); got != want {
+			t.Errorf("%v after the end %v a second are allowed, want %v", time.Duration(i)*recoveryDoubling, got, want)
+		}
+		b.now = b.now.Add(recoveryDoubling)
+	}
+	b.scheduler.RecordRateLimit(key, 0, b.now)
+	b.now = b.now.Add(time.Second)
+	b.scheduler.RecordRateLimit(key, Unlimited, b.now)
+	if got := b.scheduler.AllowedRate(key); got != minRecoveryPerSecond {
+		t.Errorf("after a limit of 0 %v a second are allowed, want %v", got, minRecoveryPerSecond)
+	}
+	b.scheduler.RecordRateLimit(key, 1.5, b.now)
+	if got := b.scheduler.AllowedRate(key); got != 1.5 {
+		t.Errorf("%v a second are allowed, the new limit is 1.5", got)
+	}
+}
