Log why a caller's request failed

The line held the cause alone, which most errors don't have: "error":null. Now it holds the whole error: kind, message, remedy and cause.

--- a/transport/callerhttp/call.go
+++ b/transport/callerhttp/call.go
@@ -121,7 +121,7 @@
 	e := toFault(err)
 	c.countRequest(string(e.Kind))
 	c.server.Log.RateLimitedWarn(string(e.Kind)).Str("request", c.id).Str("organisation", c.contract.GetOrganisation()).
-		Str("kind", string(e.Kind)).Err(e.Cause).Msg("A caller's request failed.")
+		Str("kind", string(e.Kind)).Err(e).Msg("A caller's request failed.")
 }
 
 // countRequest counts the request under its outcome: a status code or the kind of an
