Don't take a limit for just ended when its end is only learnt later

A process that was started after the end of an endpoint's limit is told the end by others. It took the endpoint for just recovered, asked for permits for 3 s, and as the issuer gave others one a second. Now only a process that knew the limit lets the rate grow; one that didn't takes the endpoint as free.

TestLimitThatEndedBeforeIsNotTakenForJustEnded failed before: 1 a second.

--- a/coordination/placement/ratelimit.go
+++ b/coordination/placement/ratelimit.go
@@ -27,9 +27,10 @@
 	// revision counts the changes; 0 means that the endpoint has never stated a limit.
 	revision  uint64
 	perSecond float64 // Unlimited once the endpoint has stopped stating a limit; undefined at revision 0
-	previous  float64 // the limit before the last change
 	learntAt  time.Time
-	own       bool // learnt from a response to this entry, not from another process
+	own       bool      // learnt from a response to this entry, not from another process
+	beforeEnd float64   // the last limit that has ended
+	endedAt   time.Time // when it ended; zero if this process knows of no end
 }
 
 // current returns the rate limit, in requests a second.
@@ -46,14 +47,14 @@
 	if !l.hasJustEnded(now) {
 		return l.current()
 	}
-	age := now.Sub(l.learntAt)
-	return max(l.previous, minRecoveryPerSecond) * math.Exp2(float64(age)/float64(recoveryDoubling))
+	doublings := float64(now.Sub(l.endedAt)) / float64(recoveryDoubling)
+	return max(l.beforeEnd, minRecoveryPerSecond) * math.Exp2(doublings)
 }
 
 // hasJustEnded reports whether the endpoint has stopped stating a limit less than
 // recoveryTime ago.
 func (l *rateLimit) hasJustEnded(now time.Time) bool {
-	return l.revision > 0 && l.perSecond == Unlimited && now.Sub(l.learntAt) < recoveryTime
+	return l.current() == Unlimited && now.Sub(l.endedAt) < recoveryTime
 }
 
 // isOlderThan reports whether another statement replaces this one. Of two with the same
@@ -114,8 +115,8 @@
 	if perSecond > l.current() {
 		state.permit.deniedUntil = time.Time{}
 	}
-	if perSecond != l.current() {
-		l.previous = l.current()
+	if perSecond == Unlimited && l.current() != Unlimited {
+		l.beforeEnd, l.endedAt = l.current(), now
 	}
 	l.revision, l.perSecond, l.learntAt, l.own = revision, perSecond, now, own
 }
--- a/coordination/placement/ratelimit_test.go
+++ b/coordination/placement/ratelimit_test.go
@@ -196,3 +196,19 @@
 		t.Errorf("%v a second are allowed, the new limit is 1.5", got)
 	}
 }
+
+// A process that learns of a limit only after its end must not take it for just ended.
+func TestLimitThatEndedBeforeIsNotTakenForJustEnded(t *testing.T) {
+	told, restarted := newTestbed(1), newTestbed(1)
+	key := told.endpoints[0].Key
+	told.scheduler.RecordRateLimit(key, 1, told.now)
+	told.now = told.now.Add(time.Second)
+	told.scheduler.RecordRateLimit(key, Unlimited, told.now)
+	restarted.scheduler.ReplaceRemote(1, told.scheduler.OwnEvents())
+	if got := restarted.scheduler.AllowedRate(key); got != Unlimited {
+		t.Errorf("%v a second are allowed, want no limit", got)
+	}
+	if got := restarted.scheduler.RateLimitMessage(key).Revision; got != 2 {
+		t.Errorf("revision %d, want 2", got)
+	}
+}
