Refuse an attempt that never left the entry instead of calling it lost

What callers saw: right after a partition healed, a completion got 502 "the attempt was lost" after 0.4 s (TestPartitionedEntryRefusesWork, make prove).

Cause: the entry's connection to the gate was reset by the heal and waited to be opened again, for up to a second. gRPC refused the attempt's stream at once, so nothing was sent; the entry asked the gate four times to resume it, over the same connection, and gave up. With one endpoint there was no other one to try.

Now an attempt whose stream could not be created is a refusal as not run: another gate is tried, else the caller hears when to come back. It can't have run, as the gate gets no part of it before the stream exists.

--- a/coordination/relay/attempt.go
+++ b/coordination/relay/attempt.go
@@ -53,6 +53,7 @@
 	down   *wire.AttemptDown
 	err    error
 	stream int
+	unsent bool // err prevented the stream, so that no part of the attempt was sent
 }
 
 // Attempt is one attempt at one gate. It is not safe for concurrent use.
@@ -176,7 +177,8 @@
 }
 
 // handleStreamError resumes the answer at the next sequence number. It gives up
-// if the error is permanent or if there was no progress for too long.
+// if nothing was sent, if the error is permanent or if there was no progress for
+// too long.
 func (a *Attempt) handleStreamError(in streamMessage) error {
 	if in.stream != a.stream {
 		return nil
@@ -184,6 +186,10 @@
 	if a.ctx.Err() != nil {
 		return context.Cause(a.ctx)
 	}
+	if in.unsent {
+		a.finished = true
+		return &Refusal{Cause: fault.Wrap(in.err, fault.Overloaded, "no connection to the gate could be opened").WithRetryAfter(undeliveredRetryAfter)}
+	}
 	limit := firstChunkResumeTimeout
 	if a.chunks > 0 {
 		limit = resumeTimeout
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"testing"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"pgregory.net/rapid"
 )
 
@@ -79,3 +83,30 @@
 		t.Errorf("%v is not treated as a refusal", err)
 	}
 }
+
+// unreachableGate is a gate to which no connection can be opened.
+type unreachableGate struct{ wire.GateClient }
+
+func (unreachableGate) Gate(string) (wire.GateClient, error) { return unreachableGate{}, nil }
+
+func (unreachableGate) Attempt(context.Context, ...grpc.CallOption) (wire.Gate_AttemptClient, error) {
+	return nil, status.Error(codes.Unavailable, "connection refused")
+}
+
+func (unreachableGate) Resume(context.Context, *wire.ResumeRequest, ...grpc.CallOption) (wire.Gate_ResumeClient, error) {
+	return nil, status.Error(codes.Unavailable, "connection refused")
+}
+
+// An attempt that never left this entry must be refused as not run, not reported as lost.
+func TestAttemptWithoutAConnectionIsRefusedAsNotRun(t *testing.T) {
+	a := Start(t.Context(), unreachableGate{}, Origin{GateAddress: "10.0.0.1:1"}, &wire.AttemptOpen{}, nil)
+	defer a.Detach()
+	_, err := ForwardAnswer(a, Origin{}, nil, nil)
+	var refusal *Refusal
+	if !errors.As(err, &refusal) || refusal.Undelivered {
+		t.Fatalf("%v, want a refusal that excludes the gate", err)
+	}
+	if f := fault.From(refusal.Cause); !f.Kind.NotRun() || f.RetryAfter <= 0 {
+		t.Errorf("kind %s, Retry-After %v", f.Kind, f.RetryAfter)
+	}
+}
--- a/coordination/relay/streams.go
+++ b/coordination/relay/streams.go
@@ -13,12 +13,12 @@
 func (a *Attempt) runFirstStream(open *wire.AttemptOpen, body []byte, stream int) {
 	gate, err := a.gates.Gate(a.origin.GateAddress)
 	if err != nil {
-		a.enqueue(streamMessage{err: err, stream: stream})
+		a.enqueue(streamMessage{err: err, stream: stream, unsent: true})
 		return
 	}
 	up, err := gate.Attempt(a.ctx)
 	if err != nil {
-		a.enqueue(streamMessage{err: err, stream: stream})
+		a.enqueue(streamMessage{err: err, stream: stream, unsent: true})
 		return
 	}
 	go a.sendRequest(up, open, body)
