Don't fill the time before a rise of a limit at the higher rate

What an endpoint saw: at the moment at which its limit rose, a burst of half a second of the new limit: 20 requests at once at a rise from 0.5 to 40 a second.

Cause: the issuer filled the bucket at the rate of the call, for all the time since the call before. Now the lower one of the two rates counts.

--- a/coordination/permits/issuer.go
+++ b/coordination/permits/issuer.go
@@ -25,9 +25,10 @@
 
 // bucket is the token bucket of one endpoint.
 type bucket struct {
-	level    float64 // permits that can be issued now
-	filledAt monotonic.Time
-	nextTurn monotonic.Time // when the next entry without a permit is to ask again
+	level     float64 // permits that can be issued now
+	perSecond float64 // the rate of the last call
+	filledAt  monotonic.Time
+	nextTurn  monotonic.Time // when the next entry without a permit is to ask again
 }
 
 // Issuer issues permits for the endpoints of which this process is the issuer. It is
@@ -57,7 +58,7 @@
 	perSecond = max(perSecond, minPerSecond)
 	b := i.buckets[key]
 	if b == nil {
-		b = &bucket{filledAt: now}
+		b = &bucket{perSecond: perSecond, filledAt: now}
 		i.buckets[key] = b
 	}
 	b.fill(now, perSecond)
@@ -72,11 +73,12 @@
 	return false, turn.Sub(now)
 }
 
-// fill adds the permits of the time since the last call.
+// fill adds the permits of the time since the last call. If the rate has changed since
+// then, the lower one counts, as the time of the change isn't known.
 func (b *bucket) fill(now monotonic.Time, perSecond float64) {
 	burst := max(minBurst, perSecond*burstTime.Seconds())
-	b.level = min(burst, b.level+perSecond*now.Sub(b.filledAt).Seconds())
-	b.filledAt = now
+	b.level = min(burst, b.level+min(b.perSecond, perSecond)*now.Sub(b.filledAt).Seconds())
+	b.perSecond, b.filledAt = perSecond, now
 }
 
 // prune drops the buckets that were not used for bucketRetention.
--- a/coordination/permits/permits_test.go
+++ b/coordination/permits/permits_test.go
@@ -76,6 +76,23 @@
 	}
 }
 
+// A limit that rises must not fill the time before it at the higher rate.
+func TestRisenLimitFillsOnlyTheTimeAfterIt(t *testing.T) {
+	now := monotonic.Time(0)
+	i := NewIssuer(func() monotonic.Time { return now })
+	i.Take(1, 0.5)
+	now = now.Add(time.Second)
+	granted := 0
+	for range 100 {
+		if ok, _ := i.Take(1, 40); ok {
+			granted++
+		}
+	}
+	if granted > minBurst {
+		t.Errorf("%d permits at the moment of the rise, want %d at most", granted, minBurst)
+	}
+}
+
 // simulation is a fleet of entries in virtual time, all of which send to one endpoint.
 type simulation struct {
 	now       monotonic.Time
