Let an issuer keep the rate that the sender knows

What an endpoint saw: right after the end of its limit 54 requests in 4 s where 13 are allowed by the limit that its next answer stated again.

Cause: the issuer had just been restarted. It had been told that the limit had ended, but not when, so it took the endpoint as free and granted every request of the entries that let the rate grow.

Now a request for a permit carries the rate that its sender knows, for a cold endpoint as before and now for each, and the issuer goes by the lower one of it and its own.

TestIssuerKeepsTheRateThatTheSenderKnows: the issuer granted all 100 before.

--- a/coordination/permits/permits.go
+++ b/coordination/permits/permits.go
@@ -84,13 +84,11 @@
 // endpoint has no rate limit. coldPerSecond is the rate that the endpoint accepts because
 // it is cold, infinite if it isn't. If there is no permit, retryAfter is when to ask again.
 func (p *Permits) Take(ctx context.Context, e *directory.Endpoint, coldPerSecond float64) (granted bool, retryAfter time.Duration) {
-	if math.IsInf(min(p.limits.AllowedRate(e.Key), coldPerSecond), 1) {
+	perSecond := min(p.limits.AllowedRate(e.Key), coldPerSecond)
+	if math.IsInf(perSecond, 1) {
 		return true, 0
 	}
-	q := &wire.PermitRequest{Endpoint: e.Key, DataCentre: e.DataCentre, RateLimit: p.limits.RateLimitMessage(e.Key)}
-	if !math.IsInf(coldPerSecond, 1) {
-		q.ColdPerSecond = coldPerSecond
-	}
+	q := &wire.PermitRequest{Endpoint: e.Key, DataCentre: e.DataCentre, RateLimit: p.limits.RateLimitMessage(e.Key), PerSecond: perSecond}
 	address := firstIssuer(e.Key, e.DataCentre, p.processes(), p.mayAsk)
 	if address == p.self || address == "" {
 		return p.issue(q)
@@ -118,11 +116,13 @@
 	return &wire.PermitResponse{RetryAfterMs: uint32(retryAfter.Milliseconds()) + 1}
 }
 
-// issue issues a permit at this entry's part of the rate.
+// issue issues a permit at this entry's part of the rate. The rate is the lower one of
+// those that this entry and the sender know: an issuer that was just started may not know
+// that the endpoint is cold, or that its limit has just ended.
 func (p *Permits) issue(q *wire.PermitRequest) (granted bool, retryAfter time.Duration) {
 	perSecond := p.limits.AllowedRate(q.Endpoint)
-	if q.ColdPerSecond > 0 {
-		perSecond = min(perSecond, q.ColdPerSecond)
+	if q.PerSecond > 0 {
+		perSecond = min(perSecond, q.PerSecond)
 	}
 	if math.IsInf(perSecond, 1) {
 		return true, 0
--- a/coordination/permits/permits_test.go
+++ b/coordination/permits/permits_test.go
@@ -238,6 +238,23 @@
 	}
 }
 
+// An issuer that was just started knows neither that an endpoint is cold nor that its limit
+// has just ended: it must keep the rate that the sender knows.
+func TestIssuerKeepsTheRateThatTheSenderKnows(t *testing.T) {
+	s := newSimulation(2, 1, math.Inf(1))
+	issuer := s.entries[s.issuers()[0]].permits
+	q := &wire.PermitRequest{Endpoint: s.endpoint.Key, DataCentre: s.endpoint.DataCentre, PerSecond: 1}
+	granted := 0
+	for range 100 {
+		if issuer.Answer(q).Granted {
+			granted++
+		}
+	}
+	if granted > minBurst {
+		t.Errorf("%d permits at once, want %d at most", granted, minBurst)
+	}
+}
+
 // When the issuer is gone, the next one must take its place.
 func TestNextIssuerIsAskedWhenTheFirstIsGone(t *testing.T) {
 	s := newSimulation(6, 3, 8)
