Let the rate grow slower after the end of a limit

In a simulation of limits that change (360 fleets of 1 to 300 entries, answers of up to 0.6 s, one answer in ten seconds without its limit) growth by two in half a second gave an endpoint with a low limit up to 3 requests too many in 4 s in 18 fleets: with few permits the answer that states the limit again comes late.

Now the rate doubles each second for 5 s, from half a request a second at least: no fleet gets too many.

--- a/coordination/placement/ratelimit.go
+++ b/coordination/placement/ratelimit.go
@@ -16,9 +16,9 @@
 // endpoint, as it has the least work; without this growth they would overload it before
 // its next response could state a limit again.
 const (
-	recoveryTime         = 3 * time.Second
-	recoveryDoubling     = 500 * time.Millisecond
-	minRecoveryPerSecond = 1
+	recoveryTime         = 5 * time.Second
+	recoveryDoubling     = time.Second
+	minRecoveryPerSecond = 0.5
 )
 
 // rateLimit is what is known of the rate limit that an endpoint states in its responses,
