Reproduce: memory of a killed entry's request stays reserved for too long

Trace: the entry sends its renewal at 2.68 s, 1.5 s after the reservation, and is killed hard at 2.69 s. The request ends with it; the renewal arrives 2 ms later and lasts reservationTTL, 4 s, the users' whole bound.

The test states the bound and fails: 4.4 s with the longest time of a renewal on its way.

--- a/coordination/serve/reserve_test.go
+++ b/coordination/serve/reserve_test.go
@@ -110,3 +110,12 @@
 		}
 	})
 }
+
+// The memory of a request whose entry is killed must be free within the users' bound, also
+// if a renewal was on its way.
+func TestReservationOfAKilledEntryEndsWithinTheBound(t *testing.T) {
+	const bound = 4 * time.Second // after the end of the request: releaseMs of all deployments
+	if longest := reserveTimeout + reservationTTL; longest > bound {
+		t.Errorf("memory stays reserved for up to %v after the end of a request, allowed are %v", longest, bound)
+	}
+}
