--- a/coordination/permits/permits_test.go
+++ b/coordination/permits/permits_test.go
@@ -59,19 +59,24 @@
 	})
 }
 
+// takeAtOnce asks for 100 permits at one moment and returns how many it got.
+func takeAtOnce(i *Issuer, perSecond float64) int {
+	granted := 0
+	for range 100 {
+		if ok, _ := i.Take(1, perSecond); ok {
+			granted++
+		}
+	}
+	return granted
+}
+
 // A limit that falls must leave no permits over from the higher one.
 func TestFallenLimitLeavesNoBurst(t *testing.T) {
 	now := monotonic.Time(0)
 	i := NewIssuer(func() monotonic.Time { return now })
 	i.Take(1, 100)
 	now = now.Add(time.Minute / 2)
-	granted := 0
-	for range 100 {
-		if ok, _ := i.Take(1, 1); ok {
-			granted++
-		}
-	}
-	if granted > minBurst {
+	if granted := takeAtOnce(i, 1); granted > minBurst {
 		t.Errorf("%d permits at once, want %d at most", granted, minBurst)
 	}
 }
@@ -82,13 +87,7 @@
 	i := NewIssuer(func() monotonic.Time { return now })
 	i.Take(1, 0.5)
 	now = now.Add(time.Second)
-	granted := 0
-	for range 100 {
-		if ok, _ := i.Take(1, 40); ok {
-			granted++
-		}
-	}
-	if granted > minBurst {
+	if granted := takeAtOnce(i, 40); granted > minBurst {
 		t.Errorf("%d permits at the moment of the rise, want %d at most", granted, minBurst)
 	}
 }
--- a/coordination/placement/ratelimit_test.go
+++ b/coordination/placement/ratelimit_test.go
@@ -157,14 +157,19 @@
 	b.choose(t, b.short())
 }
 
+// endLimit records a limit and, a second later, its end.
+func (b *testbed) endLimit(key uint64, perSecond float64) {
+	b.scheduler.RecordRateLimit(key, perSecond, b.now)
+	b.now = b.now.Add(time.Second)
+	b.scheduler.RecordRateLimit(key, Unlimited, b.now)
+}
+
 // While the allowed rate grows, an entry without a permit must ask again soon: else nobody
 // sends, and all send at once when the growth ends.
 func TestEntriesAskAgainWhileTheAllowedRateGrows(t *testing.T) {
 	b := newTestbed(1)
 	key := b.endpoints[0].Key
-	b.scheduler.RecordRateLimit(key, 1, b.now)
-	b.now = b.now.Add(time.Second)
-	b.scheduler.RecordRateLimit(key, Unlimited, b.now)
+	b.endLimit(key, 1)
 	b.scheduler.EndPermit(key, time.Minute)
 	if wait, all := b.scheduler.PermitWait(b.endpoints, b.short()); !all || wait != recoveryDoubling {
 		t.Errorf("wait %v, all %v, want %v", wait, all, recoveryDoubling)
@@ -176,18 +181,14 @@
 func TestAllowedRateGrowsAfterTheEndOfALimit(t *testing.T) {
 	b := newTestbed(1)
 	key := b.endpoints[0].Key
-	b.scheduler.RecordRateLimit(key, 2, b.now)
-	b.now = b.now.Add(time.Second)
-	b.scheduler.RecordRateLimit(key, Unlimited, b.now)
+	b.endLimit(key, 2)
 	for i, want := range []float64{2, 4, 8, 16, 32, Unlimited} {
 		if got := b.scheduler.AllowedRate(key); got != want {
 			t.Errorf("%v after the end %v a second are allowed, want %v", time.Duration(i)*recoveryDoubling, got, want)
 		}
 		b.now = b.now.Add(recoveryDoubling)
 	}
-	b.scheduler.RecordRateLimit(key, 0, b.now)
-	b.now = b.now.Add(time.Second)
-	b.scheduler.RecordRateLimit(key, Unlimited, b.now)
+	b.endLimit(key, 0)
 	if got := b.scheduler.AllowedRate(key); got != minRecoveryPerSecond {
 		t.Errorf("after a limit of 0 %v a second are allowed, want %v", got, minRecoveryPerSecond)
 	}
@@ -201,9 +202,7 @@
 func TestLimitThatEndedBeforeIsNotTakenForJustEnded(t *testing.T) {
 	told, restarted := newTestbed(1), newTestbed(1)
 	key := told.endpoints[0].Key
-	told.scheduler.RecordRateLimit(key, 1, told.now)
-	told.now = told.now.Add(time.Second)
-	told.scheduler.RecordRateLimit(key, Unlimited, told.now)
+	told.endLimit(key, 1)
 	restarted.scheduler.ReplaceRemote(1, told.scheduler.OwnEvents())
 	if got := restarted.scheduler.AllowedRate(key); got != Unlimited {
 		t.Errorf("%v a second are allowed, want no limit", got)
