Say which windows the check of changing limits looks at

Since it sums over steps it checks the window from each step on, not only those that begin with a request. A comment in a test; nothing else.

--- a/coordination/permits/changinglimit_test.go
+++ b/coordination/permits/changinglimit_test.go
@@ -177,7 +177,7 @@
 	})
 }
 
-// check checks the rule in each window that begins with a request.
+// check checks the rule in the window from each step on.
 func (f *changingFleet) check(t *testing.T) {
 	t.Helper()
 	began, steps := f.spans[0].from, int(simulatedLasting/simulationStep)
