Log the parts of a prompt under which an endpoint ended

A failed attempt now says whether the endpoint's host refuses connections (asked once, only while the answer had not gone on), and the parts that the prompt shares with others. No decision is changed.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -70,6 +70,7 @@
 		return fault.New(fault.NotCurrent, "this entry's copy of the replicated state is not current").WithRetryAfter(staleRetryAfter)
 	}
 	r.attempts++
+	r.attemptEvents = 0
 	reserved, err := r.reserve(ctx, plan)
 	if err != nil {
 		return err
@@ -197,7 +198,7 @@
 func (r *run) recordResult(ctx context.Context, plan *placement.Plan, err error) {
 	r.measureAttempt(ctx, err)
 	var notSent *NotSentError
-	e := plan.Endpoints[0]
+	e, ended := plan.Endpoints[0], false
 	switch {
 	case err == nil:
 		r.server.scheduler.RecordSuccess(e.Key)
@@ -211,11 +212,12 @@
 	case ctx.Err() != nil && !errors.Is(err, errStalled):
 		return // the caller left or the deadline passed, which says nothing about the endpoint
 	default:
+		ended = r.endedUnder(ctx, plan)
 		r.server.scheduler.RecordFailure(e.Key)
 	}
 	r.server.logger.Warn().Str("request", r.request.ID).Str("endpoint", e.ID).Str("address", e.Address).
 		Str("data_centre", e.DataCentre).Int("send", r.attempts).Bool("begun", r.headerWritten).Str("last_event", r.lastEventID).
-		Err(err).Msg("An attempt failed.")
+		Bool("endpoint_ended", ended).Strs("shared_parts", r.loggedParts()).Err(err).Msg("An attempt failed.")
 }
 
 // recordRefusal records a failure of the helper that the endpoint named, or a
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -103,6 +103,7 @@
 	headerWritten    bool
 	lastEventID      string
 	eventsSent       int       // to the caller
+	attemptEvents    int       // events of the latest attempt
 	lastEventAt      time.Time // when the last event was sent to the caller
 	permitDenials    int
 	hadConflict      bool            // a plan was dropped because it conflicted with another entry's
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -35,9 +35,10 @@
 	Arrived          time.Time
 	TimeLimit        time.Duration // from Arrived to the end of the answer, as the caller set it
 	PromptTokens     int
-	MaxOutputTokens  int    // 0 when the caller set no limit
-	OutputTokensHint int    // the caller's estimate, 0 when unknown
-	LastEventID      string // the stream resumes after this event; empty to start at the first one
+	MaxOutputTokens  int      // 0 when the caller set no limit
+	OutputTokensHint int      // the caller's estimate, 0 when unknown
+	SharedParts      []string // IDs of the parts of the prompt that other requests may share
+	LastEventID      string   // the stream resumes after this event; empty to start at the first one
 }
 
 // Attempt is a request as it is sent to one endpoint.
@@ -86,6 +87,9 @@
 	// A *NotSentError means that the endpoint could not be reached and has
 	// received nothing.
 	Send(ctx context.Context, a *Attempt) (*Response, error)
+	// HasEnded reports whether the process of an endpoint has ended, as its host refuses
+	// connections. It is false if nothing answers at all.
+	HasEnded(ctx context.Context, e *directory.Endpoint) bool
 	// Reserve reserves KV cache memory at an endpoint for a prompt that several
 	// endpoints prefill, or renews the reservation of that ticket. It expires
 	// when ttl has passed since the endpoint received the call.
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -91,6 +91,7 @@
 				return err
 			}
 			r.eventsSent++
+			r.attemptEvents++
 			if e.id != "" {
 				r.lastEventID = e.id
 			}
--- a/coordination/serve/testbed_test.go
+++ b/coordination/serve/testbed_test.go
@@ -36,6 +36,7 @@
 	refusingEndpoint string                   // this endpoint refuses reservations
 	permitWaits      map[string]time.Duration // by ID of the endpoints without a permit
 	permitCalls      int
+	ended            map[string]bool // by ID of the endpoints whose process has ended
 }
 
 // newTestbed has three endpoints of service "s".
@@ -109,6 +110,13 @@
 	return !denied, wait
 }
 
+// HasEnded implements Upstream.
+func (b *testbed) HasEnded(_ context.Context, e *directory.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended[e.ID]
+}
+
 // Reserve implements Upstream.
 func (b *testbed) Reserve(_ context.Context, e *directory.Endpoint, _ string, tokens int, _ time.Duration) error {
 	b.mu.Lock()
