--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -195,6 +195,27 @@
 	return err
 }
 
+// Quarantine records that parts of prompts end the endpoints of a service when they are in
+// one prompt together.
+func (s *Service) Quarantine(ctx context.Context, q catalogue.QuarantinedParts) error {
+	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_Quarantine{
+		Quarantine: &wire.QuarantineChange{Keys: q.Keys, Service: q.Service, Ids: q.IDs},
+	}})
+	s.logger.Warn().Uints64("parts", q.Keys).Str("service", q.Service).Strs("ids", q.IDs).Uint64("index", outcome.GetIndex()).Err(err).
+		Msg("A quarantine of parts of prompts was submitted.")
+	return err
+}
+
+// LiftQuarantine ends every quarantine that holds one of the parts.
+func (s *Service) LiftQuarantine(ctx context.Context, parts []uint64) error {
+	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_Quarantine{
+		Quarantine: &wire.QuarantineChange{Keys: parts, Lift: true},
+	}})
+	s.logger.Warn().Uints64("parts", parts).Uint64("index", outcome.GetIndex()).Err(err).
+		Msg("An operator has requested to lift the quarantine of parts of prompts.")
+	return err
+}
+
 // Read returns the encoded form of the newest catalogue, as confirmed by a quorum.
 func (s *Service) Read(ctx context.Context) ([]byte, error) {
 	answer, err := s.callLeader(ctx, func(ctx context.Context, c wire.SteeringClient) (*wire.SteeringAnswer, error) {
--- /dev/null
+++ b/coordination/quarantine/leases.go
@@ -0,0 +1,61 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
+)
+
+const (
+	// maxLeaseTime bounds a lease whose end is never reported.
+	maxLeaseTime = 15 * time.Second
+	// leaseRetry is when an entry that got no lease is to ask again.
+	leaseRetry = 100 * time.Millisecond
+)
+
+// lease allows one request with suspect parts.
+type lease struct {
+	parts []uint64
+	until monotonic.Time
+}
+
+// leases grants leases, one at a time for each part. It is safe for concurrent use.
+type leases struct {
+	now func() monotonic.Time
+
+	mu   sync.Mutex
+	held map[uint64]lease // by ID
+}
+
+func newLeases(now func() monotonic.Time) *leases {
+	return &leases{now: now, held: make(map[uint64]lease)}
+}
+
+// take returns the ID of a lease for a request that lasts a time at most. It returns 0 while
+// one of the parts is leased.
+func (l *leases) take(parts []uint64, lasts time.Duration) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	for id, other := range l.held {
+		if other.until <= now {
+			delete(l.held, id)
+			continue
+		}
+		if slices.ContainsFunc(other.parts, func(p uint64) bool { return slices.Contains(parts, p) }) {
+			return 0
+		}
+	}
+	id := rand.Uint64() | 1 // never 0
+	l.held[id] = lease{parts: parts, until: now.Add(min(lasts, maxLeaseTime))}
+	return id
+}
+
+func (l *leases) end(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.held, id)
+}
--- /dev/null
+++ b/coordination/quarantine/tracker.go
@@ -0,0 +1,386 @@
+// Package quarantine keeps the requests away from endpoints whose prompts would end them.
+// A prompt consists of parts, which other prompts may share. When an endpoint ends under a
+// request before its answer goes on, the parts of its prompt become suspects, at all
+// entries; an answer that goes on clears its parts. A request with a suspect is sent only
+// with a lease, one at a time over all entries. A part under which endpoints end again and
+// again is quarantined: requests with it are refused, and the control group records that.
+package quarantine
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+)
+
+const (
+	// MaxParts is the number of a prompt's parts that are looked at.
+	MaxParts = 128
+	// maxReports bounds the reports that are kept; the oldest are forgotten first.
+	maxReports = 256
+	// maxRememberedParts is the number of parts of one prompt that enter the history, so
+	// that one request can't push out the others.
+	maxRememberedParts = 16
+	// maxLoggedParts bounds the parts in one log line.
+	maxLoggedParts = 8
+	// repeatedFor is the time for which a report is repeated to the other entries.
+	repeatedFor = 30 * time.Second
+	// soundBefore is the age up to which an answer that went on counts when a quarantine
+	// arrives from the control group.
+	soundBefore = 10 * time.Second
+)
+
+// Key returns the key of a part of the prompts of a service.
+func Key(service, part string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(service)))) // a hash write never fails
+	_, _ = hash.Write([]byte(service))
+	_, _ = hash.Write([]byte(part))
+	return hash.Sum64()
+}
+
+// Keys returns the sorted keys of the first MaxParts parts.
+func Keys(service string, parts []string) []uint64 {
+	keys := make([]uint64, 0, min(len(parts), MaxParts))
+	for _, part := range parts[:min(len(parts), MaxParts)] {
+		keys = append(keys, Key(service, part))
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
+// Standing says whether a request with certain parts may be sent.
+type Standing int
+
+const (
+	// Clear stands for parts that no endpoint has ended under.
+	Clear Standing = iota
+	// Unclear stands for parts that may be the cause of an end. A request needs a lease.
+	Unclear
+	// Quarantined stands for parts that end endpoints.
+	Quarantined
+)
+
+// Tracker holds what this entry and the others have seen of parts. It is safe for
+// concurrent use.
+type Tracker struct {
+	now       func() monotonic.Time
+	logger    *logs.Logger
+	suspected atomic.Int64 // number of suspects, to be read without the lock
+
+	mu       sync.Mutex
+	suspects map[uint64]*suspect
+	// quarantined holds those of the suspects that are quarantined.
+	quarantined map[uint64]*suspect
+	reports     []*report // the oldest first
+	sound       *history
+	recorded    [][]uint64 // quarantines of the control group
+	publish     func([]*wire.PartEvent)
+	onProof     func(own bool)
+	counts      Counts
+}
+
+// Counts are totals since the start of the process, for the metrics.
+type Counts struct {
+	Suspects    int // now
+	Quarantined int // now
+	Ends        int // reports of endpoints that ended
+	Cleared     int // suspects
+	Proved      int // suspects
+}
+
+// NewTracker returns a tracker without suspects.
+func NewTracker(now func() monotonic.Time) *Tracker {
+	return &Tracker{
+		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(),
+		publish: func([]*wire.PartEvent) {}, onProof: func(bool) {},
+	}
+}
+
+// OnEvents sets the function that publishes events to the other entries. It must not block
+// and must be set before the tracker is in use.
+func (t *Tracker) OnEvents(f func([]*wire.PartEvent)) { t.publish = f }
+
+// OnProof sets the function that is called when parts are quarantined; own says whether
+// the last endpoint ended under a request of this entry. It must not block or call the
+// tracker, and must be set before the tracker is in use.
+func (t *Tracker) OnProof(f func(own bool)) { t.onProof = f }
+
+// Counts returns the current counts.
+func (t *Tracker) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := t.counts
+	counts.Suspects, counts.Quarantined = len(t.suspects), len(t.quarantined)
+	return counts
+}
+
+// Check returns the standing of a request with these parts, and the part that decided it.
+func (t *Tracker) Check(parts []uint64) (Standing, uint64) {
+	if len(parts) == 0 || t.suspected.Load() == 0 {
+		return Clear, 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	standing, decisive := Clear, uint64(0)
+	for _, p := range parts {
+		s := t.suspects[p]
+		switch {
+		case s == nil:
+		case s.quarantined && containsAll(parts, s.companions):
+			return Quarantined, p
+		case s.quarantined || !s.wasSound || s.ends() > 1:
+			standing, decisive = Unclear, p
+		}
+	}
+	return standing, decisive
+}
+
+// RecordEnd records that an endpoint of a service ended under a request of this entry, sent
+// at sentAt, before the answer went on, and publishes that.
+func (t *Tracker) RecordEnd(service string, ids []string, endpoint uint64, sentAt monotonic.Time) {
+	parts := Keys(service, ids)
+	if len(parts) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &report{endpoint: endpoint, parts: parts, at: t.now(), sentAt: sentAt, own: true}
+	t.addReport(r)
+	for _, id := range ids[:min(len(ids), MaxParts)] {
+		if s := t.suspects[Key(service, id)]; s != nil {
+			s.service, s.id = service, id[:min(len(id), maxIDBytes)]
+		}
+	}
+	t.publish([]*wire.PartEvent{t.event(r)})
+}
+
+// RecordSound records that an answer of this entry went on, and publishes which suspects
+// that clears.
+func (t *Tracker) RecordSound(parts []uint64) {
+	if len(parts) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, p := range parts[:min(len(parts), maxRememberedParts)] {
+		t.sound.put(p, now)
+	}
+	if len(t.suspects) == 0 {
+		return
+	}
+	if cleared := t.clear(parts, now); len(cleared) > 0 {
+		t.publish([]*wire.PartEvent{{Parts: cleared}})
+	}
+}
+
+// Apply applies events of other entries.
+func (t *Tracker) Apply(events []*wire.PartEvent) {
+	if len(events) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, e := range events {
+		at := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
+		if len(e.Parts) == 0 || len(e.Parts) > MaxParts {
+			continue
+		}
+		if e.Endpoint == 0 {
+			t.clear(e.Parts, at)
+			continue
+		}
+		parts := slices.Clone(e.Parts)
+		slices.Sort(parts)
+		t.addReport(&report{endpoint: e.Endpoint, parts: parts, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond)})
+	}
+}
+
+// Events returns the events of all reports, for an entry that may not know them.
+func (t *Tracker) Events() []*wire.PartEvent {
+	return t.eventsOf(func(*report) bool { return true })
+}
+
+// OwnEvents returns the events of the latest reports of this entry's own requests.
+func (t *Tracker) OwnEvents() []*wire.PartEvent {
+	now := t.now()
+	return t.eventsOf(func(r *report) bool { return r.own && now.Sub(r.at) < repeatedFor })
+}
+
+// EventsOf returns the events of the reports that hold one of the parts.
+func (t *Tracker) EventsOf(parts []uint64) []*wire.PartEvent {
+	return t.eventsOf(func(r *report) bool {
+		return slices.ContainsFunc(parts, func(p uint64) bool { return contains(r.parts, p) })
+	})
+}
+
+func (t *Tracker) eventsOf(wanted func(*report) bool) []*wire.PartEvent {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var events []*wire.PartEvent
+	for _, r := range t.reports {
+		if wanted(r) {
+			events = append(events, t.event(r))
+		}
+	}
+	return events
+}
+
+// firstParts returns the first parts, for a log line.
+func firstParts(parts []uint64) []uint64 { return parts[:min(len(parts), maxLoggedParts)] }
+
+func (t *Tracker) event(r *report) *wire.PartEvent {
+	now := t.now()
+	return &wire.PartEvent{
+		Parts: r.parts, Endpoint: r.endpoint,
+		AgeMs: uint32(now.Sub(r.at).Milliseconds()), SentAgeMs: uint32(now.Sub(r.sentAt).Milliseconds()),
+	}
+}
+
+// addReport adds a report, unless it is known, to the parts that aren't known to be sound
+// since then. The caller holds the lock.
+func (t *Tracker) addReport(r *report) {
+	if slices.ContainsFunc(t.reports, func(known *report) bool {
+		return known.endpoint == r.endpoint && slices.Equal(known.parts, r.parts)
+	}) {
+		return
+	}
+	t.counts.Ends++
+	var blamed []uint64
+	proved, ends := false, 0
+	for _, p := range r.parts {
+		soundAt, wasSound := t.sound.get(p)
+		if wasSound && soundAt > r.at {
+			continue
+		}
+		s := t.suspects[p]
+		if s == nil {
+			s = &suspect{wasSound: wasSound}
+			t.suspects[p] = s
+		}
+		if !s.add(r) && !s.quarantined {
+			continue
+		}
+		blamed = append(blamed, p)
+		ends = max(ends, s.ends())
+		if t.judge(p, s, r) {
+			proved = true
+		}
+	}
+	t.suspected.Store(int64(len(t.suspects)))
+	t.logger.Warn().Uint64("endpoint", r.endpoint).Uints64("suspect_parts", firstParts(blamed)).Int("suspects", len(blamed)).Int("parts", len(r.parts)).
+		Int("ends", ends).Bool("own", r.own).Dur("age", t.now().Sub(r.at)).Msg("An endpoint ended under a request before its answer went on.")
+	if len(blamed) == 0 {
+		return
+	}
+	t.reports = append(t.reports, r)
+	if len(t.reports) > maxReports {
+		t.forget(t.reports[0])
+	}
+	if proved {
+		t.onProof(r.own)
+	}
+}
+
+// judge quarantines a suspect if it is proved after a further report. It reports whether
+// the quarantine is new or has changed. The caller holds the lock.
+func (t *Tracker) judge(part uint64, s *suspect, r *report) bool {
+	if !s.quarantined {
+		if !s.isProved() {
+			return false
+		}
+		s.quarantined = true
+		t.quarantined[part] = s
+		s.companions = slices.DeleteFunc(s.inAllReports(part), func(p uint64) bool { return t.suspects[p] == nil })
+		t.counts.Proved++
+		t.logger.Error().Uint64("part", part).Int("ends", s.ends()).Int("reports", len(s.reports)).Int("companions", len(s.companions)).
+			Msg("A part of prompts ends endpoints and is quarantined; find out why, then lift it.")
+		return true
+	}
+	if containsAll(r.parts, s.companions) {
+		return false // sent before the proof was known
+	}
+	s.trials++
+	s.companions = slices.DeleteFunc(s.companions, func(p uint64) bool { return !contains(r.parts, p) })
+	if s.trials >= maxTrialsAfterProof {
+		s.companions = nil
+	}
+	return true
+}
+
+// together returns a quarantined part with its companions, sorted. The caller holds the
+// lock.
+func (t *Tracker) together(part uint64) []uint64 {
+	parts := append([]uint64{part}, t.suspects[part].companions...)
+	slices.Sort(parts)
+	return parts
+}
+
+// clear removes the suspects among the parts for which an answer went on at a time, and
+// returns them. The caller holds the lock.
+func (t *Tracker) clear(parts []uint64, at monotonic.Time) []uint64 {
+	var cleared []uint64
+	for _, p := range parts {
+		s := t.suspects[p]
+		if s == nil {
+			continue
+		}
+		s.drop(func(r *report) bool { return r.at <= at })
+		if len(s.reports) > 0 {
+			continue
+		}
+		t.sound.put(p, at)
+		t.remove(p)
+		t.counts.Cleared++
+		cleared = append(cleared, p)
+	}
+	if len(cleared) > 0 {
+		t.logger.Info().Uints64("cleared_parts", firstParts(cleared)).Int("cleared", len(cleared)).Int("suspects", len(t.suspects)).
+			Dur("age", t.now().Sub(at)).Msg("Suspect parts of a prompt are cleared, as an answer went on.")
+	}
+	t.dropUnusedReports()
+	return cleared
+}
+
+// remove removes a suspect, also from the companions of others. The caller holds the lock.
+func (t *Tracker) remove(part uint64) {
+	t.suspects[part].drop(func(*report) bool { return true })
+	delete(t.suspects, part)
+	delete(t.quarantined, part)
+	t.suspected.Store(int64(len(t.suspects)))
+	for _, s := range t.quarantined {
+		if i := slices.Index(s.companions, part); i >= 0 {
+			s.companions = slices.Delete(s.companions, i, i+1)
+			t.onProof(false)
+		}
+	}
+}
+
+// forget removes a report. A suspect without reports is removed too, unless it is
+// quarantined. The caller holds the lock.
+func (t *Tracker) forget(old *report) {
+	for _, p := range old.parts {
+		s := t.suspects[p]
+		if s == nil {
+			continue
+		}
+		s.drop(func(r *report) bool { return r == old })
+		if len(s.reports) == 0 && !s.quarantined {
+			t.remove(p)
+		}
+	}
+	t.dropUnusedReports()
+}
+
+// dropUnusedReports drops the reports that no suspect holds. The caller holds the lock.
+func (t *Tracker) dropUnusedReports() {
+	t.reports = slices.DeleteFunc(t.reports, func(r *report) bool { return r.holders == 0 })
+}
--- /dev/null
+++ b/coordination/quarantine/tracker_test.go
@@ -0,0 +1,200 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+const service = "s"
+
+// clock is a clock of a test.
+type clock struct{ now monotonic.Time }
+
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+func newTestTracker() (*Tracker, *clock) {
+	c := &clock{now: monotonic.Time(time.Hour)}
+	return NewTracker(func() monotonic.Time { return c.now }), c
+}
+
+// end records that an endpoint ended under a request that was sent just now.
+func end(t *Tracker, c *clock, endpoint uint64, parts ...string) {
+	sentAt := c.now
+	c.advance(100 * time.Millisecond)
+	t.RecordEnd(service, parts, endpoint, sentAt)
+	c.advance(time.Millisecond)
+}
+
+func standing(t *Tracker, parts ...string) Standing {
+	s, _ := t.Check(Keys(service, parts))
+	return s
+}
+
+// One end after the other under one part must quarantine it, and no sound part.
+func TestEndsUnderOnePartQuarantineItAlone(t *testing.T) {
+	tracker, c := newTestTracker()
+	for i := range uint64(endsForProof) {
+		if got := standing(tracker, "first", "bad"); got == Quarantined {
+			t.Fatalf("quarantined after %d ends", i)
+		}
+		end(tracker, c, i+1, "first", "bad")
+		tracker.RecordSound(Keys(service, []string{"first", "other"}))
+	}
+	if got := standing(tracker, "first", "bad"); got != Quarantined {
+		t.Errorf("standing %v of the part under which endpoints ended", got)
+	}
+	if got := standing(tracker, "first", "other"); got != Clear {
+		t.Errorf("standing %v of the sound parts", got)
+	}
+	if got, _ := tracker.Check(Keys("other service", []string{"bad"})); got != Clear {
+		t.Errorf("standing %v of the part at another service", got)
+	}
+}
+
+// Endpoints that end at one moment, as when a data centre falls, have no part in common
+// that is to blame, however many they are.
+func TestEndsAtOneMomentQuarantineNothing(t *testing.T) {
+	tracker, c := newTestTracker()
+	sentAt := c.now
+	c.advance(200 * time.Millisecond)
+	for i := range uint64(200) {
+		tracker.RecordEnd(service, []string{"rare"}, i, sentAt)
+		c.advance(2 * time.Millisecond)
+	}
+	if got := standing(tracker, "rare"); got != Unclear {
+		t.Errorf("standing %v, want a trial", got)
+	}
+	tracker.RecordSound(Keys(service, []string{"rare"}))
+	if got := standing(tracker, "rare"); got != Clear {
+		t.Errorf("standing %v after an answer went on", got)
+	}
+}
+
+// A part that is known to be sound must not be held back by a single end.
+func TestPartThatWasSoundIsSentAfterOneEnd(t *testing.T) {
+	tracker, c := newTestTracker()
+	tracker.RecordSound(Keys(service, []string{"popular"}))
+	c.advance(time.Second)
+	end(tracker, c, 1, "popular")
+	if got := standing(tracker, "popular"); got != Clear {
+		t.Errorf("standing %v after one end", got)
+	}
+	end(tracker, c, 2, "popular")
+	if got := standing(tracker, "popular"); got != Unclear {
+		t.Errorf("standing %v after two ends", got)
+	}
+}
+
+// Of two parts that were always in one prompt either may be the cause. Without the other,
+// each must get a trial, and the sound one must be cleared by it.
+func TestCompanionOfABadPartIsCleared(t *testing.T) {
+	tracker, c := newTestTracker()
+	for i := range uint64(endsForProof) {
+		end(tracker, c, i+1, "bad", "companion")
+	}
+	if got := standing(tracker, "bad", "companion", "third"); got != Quarantined {
+		t.Errorf("standing %v of both", got)
+	}
+	for _, part := range []string{"bad", "companion"} {
+		if got := standing(tracker, part); got != Unclear {
+			t.Errorf("standing %v of %s alone", got, part)
+		}
+	}
+	tracker.RecordSound(Keys(service, []string{"companion"}))
+	if got := standing(tracker, "companion"); got != Clear {
+		t.Errorf("standing %v of the companion after its answer went on", got)
+	}
+	if got := standing(tracker, "bad"); got != Quarantined {
+		t.Errorf("standing %v of the bad part without its companion", got)
+	}
+}
+
+// Two bad parts at once, each in prompts without the other, must both be quarantined.
+func TestTwoBadPartsAreBothQuarantined(t *testing.T) {
+	tracker, c := newTestTracker()
+	for i := range uint64(endsForProof) {
+		end(tracker, c, 2*i+1, "first", "bad1")
+		end(tracker, c, 2*i+2, "first", "bad2")
+		tracker.RecordSound(Keys(service, []string{"first"}))
+	}
+	for _, part := range []string{"bad1", "bad2"} {
+		if got := standing(tracker, "first", part); got != Quarantined {
+			t.Errorf("standing %v of %s", got, part)
+		}
+	}
+}
+
+// What the entries tell each other must lead to the same belief, in any order and when it
+// is told twice.
+func TestEntriesAgreeWhateverTheOrderOfEvents(t *testing.T) {
+	seen, c := newTestTracker()
+	var events []*wire.PartEvent
+	seen.OnEvents(func(e []*wire.PartEvent) { events = append(events, e...) })
+	for i := range uint64(endsForProof) {
+		end(seen, c, i+1, "bad")
+	}
+	told := NewTracker(seen.now)
+	for i := range events {
+		told.Apply([]*wire.PartEvent{events[len(events)-1-i]})
+		told.Apply(seen.Events())
+	}
+	if got := standing(told, "bad"); got != Quarantined {
+		t.Errorf("standing %v at an entry that was told", got)
+	}
+	if got := told.Counts().Ends; got != endsForProof {
+		t.Errorf("%d ends are known, want %d", got, endsForProof)
+	}
+}
+
+// Parts are named by callers: thousands of new ones must not grow the memory.
+func TestReportsAndHistoryAreBounded(t *testing.T) {
+	tracker, c := newTestTracker()
+	for i := range uint64(4 * maxReports) {
+		var parts []string
+		for n := range MaxParts + 50 {
+			parts = append(parts, fmt.Sprintf("%d-%d", i, n))
+		}
+		tracker.RecordSound(Keys(service, parts[len(parts)-50:]))
+		end(tracker, c, i+1, parts...)
+	}
+	if got := len(tracker.Events()); got > maxReports {
+		t.Errorf("%d reports are kept, want at most %d", got, maxReports)
+	}
+	if got, most := tracker.Counts().Suspects, maxReports*MaxParts; got > most {
+		t.Errorf("%d suspects are kept, want at most %d", got, most)
+	}
+	if got := len(tracker.sound.newer) + len(tracker.sound.older); got > 2*maxRecentParts {
+		t.Errorf("%d parts are remembered, want at most %d", got, 2*maxRecentParts)
+	}
+}
+
+// A quarantine that the control group has recorded must hold at an entry that has just
+// started, and end there when it is lifted, also if an entry that is behind repeats reports.
+func TestRecordedQuarantineHoldsUntilItIsLifted(t *testing.T) {
+	seen, c := newTestTracker()
+	for i := range uint64(endsForProof) {
+		end(seen, c, i+1, "bad")
+	}
+	unrecorded := seen.Unrecorded()
+	if len(unrecorded) != 1 || unrecorded[0].Service != service || unrecorded[0].IDs[0] != "bad" {
+		t.Fatalf("to be recorded: %v", unrecorded)
+	}
+	started := NewTracker(seen.now)
+	started.SetRecorded(unrecorded)
+	if got := standing(started, "bad"); got != Quarantined {
+		t.Errorf("standing %v at an entry that has just started", got)
+	}
+	if got := started.Unrecorded(); len(got) != 0 {
+		t.Errorf("recorded again: %v", got)
+	}
+	started.SetRecorded([]catalogue.QuarantinedParts{})
+	started.Apply(seen.Events())
+	if got := standing(started, "bad"); got != Clear {
+		t.Errorf("standing %v after the quarantine was lifted", got)
+	}
+}
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
@@ -70,12 +71,15 @@
 		return fault.New(fault.NotCurrent, "this entry's copy of the replicated state is not current").WithRetryAfter(staleRetryAfter)
 	}
 	r.attempts++
-	r.attemptEvents = 0
 	reserved, err := r.reserve(ctx, plan)
 	if err != nil {
 		return err
 	}
 	defer reserved.end()
+	if err := r.checkParts(); err != nil {
+		return err
+	}
+	r.attemptEvents, r.goesOn, r.sentAt = 0, false, monotonic.Now()
 	r.mayHaveRun++
 	r.measureLimitedSend(plan)
 	response, err := r.send(ctx, plan, reserved, cancel)
@@ -202,6 +206,7 @@
 	switch {
 	case err == nil:
 		r.server.scheduler.RecordSuccess(e.Key)
+		r.recordGoingOn()
 		return
 	case isNotRun(err):
 		r.mayHaveRun--
@@ -212,7 +217,7 @@
 	case ctx.Err() != nil && !errors.Is(err, errStalled):
 		return // the caller left or the deadline passed, which says nothing about the endpoint
 	default:
-		ended = r.endedUnder(ctx, plan)
+		ended = r.recordEnd(ctx, plan)
 		r.server.scheduler.RecordFailure(e.Key)
 	}
 	r.server.logger.Warn().Str("request", r.request.ID).Str("endpoint", e.ID).Str("address", e.Address).
--- a/coordination/serve/crash.go
+++ b/coordination/serve/crash.go
@@ -2,22 +2,137 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
-// eventsOfGoingAnswer is the number of events of one attempt after which its answer counts
-// as going on: the endpoint has lived through the beginning of the answer.
-const eventsOfGoingAnswer = 2
+const (
+	// eventsOfGoingAnswer is the number of events of one attempt after which its answer
+	// counts as going on: the endpoint has lived through the beginning of the answer.
+	eventsOfGoingAnswer = 2
+	// maxLoggedParts bounds the parts of a prompt in one log line.
+	maxLoggedParts = 8
+	// trialRetryAfter is the Retry-After of a request with a part of which another request
+	// is the trial. It is about the time in which an answer begins.
+	trialRetryAfter = 500 * time.Millisecond
+)
 
-// maxLoggedParts bounds the parts of a prompt in one log line.
-const maxLoggedParts = 8
+// partsUnclearError reports that a request was not sent, as a part of its prompt has become
+// suspect since it was placed.
+type partsUnclearError struct{ part uint64 }
 
-// loggedParts returns the first shared parts of the prompt, for a log line.
-func (r *run) loggedParts() []string {
-	parts := r.request.SharedParts
-	return parts[:min(len(parts), maxLoggedParts)]
+func (e *partsUnclearError) Error() string {
+	return fmt.Sprintf("part %x of the prompt may end endpoints, and another request tries it", e.part)
+}
+
+// awaitParts returns nil once the parts of the prompt allow the request to be sent. While
+// one is suspect, the request needs a lease, and waits for it as long as it waits for room.
+func (r *run) awaitParts(ctx context.Context) error {
+	until := r.placementDeadline()
+	for {
+		standing, part := r.server.parts.Check(r.parts)
+		switch {
+		case standing == quarantine.Clear, standing == quarantine.Unclear && r.lease != nil:
+			return nil
+		case standing == quarantine.Quarantined:
+			return r.refuseParts(part)
+		}
+		lease, retryAfter := r.server.parts.Take(ctx, r.service.Name, r.parts, time.Until(r.deadline))
+		r.logLease(part, lease != nil, retryAfter)
+		if lease != nil {
+			r.lease = lease
+			continue // the answer may have told that the part is quarantined
+		}
+		if time.Now().After(until) {
+			return fault.New(fault.Overloaded, "a part of the prompt may end endpoints, and another request tries it").WithRetryAfter(trialRetryAfter)
+		}
+		if !r.waitForRetry(ctx, retryAfter) {
+			return ctx.Err()
+		}
+	}
+}
+
+// waitForRetry waits for a time, or until ctx ends and returns false.
+func (r *run) waitForRetry(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// refuseParts returns the error for a prompt with a quarantined part.
+func (r *run) refuseParts(part uint64) error {
+	r.server.logger.Warn().Str("request", r.request.ID).Uint64("part", part).Str("id", r.partID(part)).
+		Strs("shared_parts", r.loggedParts()).Msg("A request is refused, as a part of its prompt ends endpoints.")
+	return fault.New(fault.PromptQuarantined, "part %q of the prompt ends the endpoints of service %s", r.partID(part), r.service.Name)
+}
+
+// partID returns the caller's ID of a part.
+func (r *run) partID(key uint64) string {
+	for _, id := range r.request.SharedParts {
+		if quarantine.Key(r.service.Name, id) == key {
+			return id
+		}
+	}
+	return ""
+}
+
+func (r *run) logLease(part uint64, granted bool, retryAfter time.Duration) {
+	r.server.logger.Info().Str("request", r.request.ID).Uint64("part", part).Str("id", r.partID(part)).
+		Bool("granted", granted).Dur("retry_after", retryAfter).Msg("A lease for a request with a suspect part was asked for.")
+}
+
+// checkParts checks the parts again right before the request is sent.
+func (r *run) checkParts() error {
+	standing, part := r.server.parts.Check(r.parts)
+	switch {
+	case standing == quarantine.Quarantined:
+		return r.refuseParts(part)
+	case standing == quarantine.Unclear && r.lease == nil:
+		return &partsUnclearError{part: part}
+	}
+	return nil
+}
+
+// partsAreClear reports whether the request may be sent a second time beside an attempt
+// that still runs.
+func (r *run) partsAreClear() bool {
+	standing, _ := r.server.parts.Check(r.parts)
+	return standing == quarantine.Clear
+}
+
+// endLease ends the lease after an attempt.
+func (r *run) endLease() {
+	if r.lease != nil {
+		r.lease.End()
+		r.lease = nil
+	}
+}
+
+// recordGoingOn records that the answer of the current attempt goes on.
+func (r *run) recordGoingOn() {
+	if !r.goesOn {
+		r.goesOn = true
+		r.server.parts.RecordSound(r.parts)
+	}
+}
+
+// recordEnd records that the endpoint of an attempt ended under it, if it did.
+func (r *run) recordEnd(ctx context.Context, plan *placement.Plan) bool {
+	ended := r.endedUnder(ctx, plan)
+	if ended {
+		r.server.parts.RecordEnd(r.service.Name, r.request.SharedParts, plan.Endpoints[0].Key, r.sentAt)
+	}
+	return ended
 }
 
 // endedUnder reports whether the process of an attempt's endpoint ended before the answer
@@ -25,7 +140,7 @@
 // that drains and one that does not answer at all are no such case.
 func (r *run) endedUnder(ctx context.Context, plan *placement.Plan) bool {
 	e := plan.Endpoints[0]
-	if r.attemptEvents >= eventsOfGoingAnswer || !r.isReady(e.Key) {
+	if len(r.parts) == 0 || r.goesOn || !r.isReady(e.Key) {
 		return false
 	}
 	return r.server.upstream.HasEnded(ctx, e)
@@ -40,3 +155,9 @@
 	}
 	return false
 }
+
+// loggedParts returns the first shared parts of the prompt, for a log line.
+func (r *run) loggedParts() []string {
+	parts := r.request.SharedParts
+	return parts[:min(len(parts), maxLoggedParts)]
+}
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -9,7 +9,9 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/enginemodel"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
@@ -102,9 +104,13 @@
 	mayHaveRun       int             // attempts that an endpoint may have run
 	headerWritten    bool
 	lastEventID      string
-	eventsSent       int       // to the caller
-	attemptEvents    int       // events of the latest attempt
-	lastEventAt      time.Time // when the last event was sent to the caller
+	eventsSent       int               // to the caller
+	attemptEvents    int               // events of the latest attempt
+	goesOn           bool              // the answer of the latest attempt has gone on
+	sentAt           monotonic.Time    // of the latest attempt
+	parts            []uint64          // keys of the prompt's parts that other requests may share
+	lease            *quarantine.Lease // for the next attempt, while one of the parts is suspect
+	lastEventAt      time.Time         // when the last event was sent to the caller
 	permitDenials    int
 	hadConflict      bool            // a plan was dropped because it conflicted with another entry's
 	nextPlan         *placement.Plan // chosen before a stalled attempt was cancelled
@@ -134,6 +140,7 @@
 		return err
 	}
 	r.service = c.Services[pickService(r.route.Split, q.ID)]
+	r.parts = quarantine.Keys(r.service.Name, q.SharedParts)
 	r.deadline = q.Arrived.Add(min(q.TimeLimit, r.route.Timeout))
 	if err := r.checkTimeUntilStop(); err != nil {
 		return err
@@ -237,13 +244,18 @@
 // runAttempts places and sends the request until an answer is delivered or a
 // failure allows no retry.
 func (r *run) runAttempts(ctx context.Context) error {
+	defer r.endLease()
 	for {
+		if err := r.awaitParts(ctx); err != nil {
+			return err
+		}
 		plan, err := r.place(ctx)
 		if err != nil {
 			return err
 		}
 		err = r.attempt(ctx, plan)
 		plan.Handle.Close()
+		r.endLease()
 		if err == nil {
 			return nil
 		}
@@ -258,7 +270,10 @@
 // reached or the memory reservation failed: then no endpoint has received the request.
 func (r *run) mayRetry(err error) bool {
 	var notSent *NotSentError
+	var unclear *partsUnclearError
 	switch {
+	case errors.As(err, &unclear):
+		return true // awaitParts bounds the wait
 	case errors.As(err, &notSent), errors.Is(err, errNoMemory):
 		return r.attempts < maxAttempts // no endpoint has received the request
 	case isNotRun(err):
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -16,6 +16,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
@@ -145,6 +146,7 @@
 	scheduler     *placement.Scheduler
 	upstream      Upstream
 	permits       Permits
+	parts         *quarantine.Guard
 	budget        *retryBudget
 	startedAt     time.Time
 	retries       retrySchedule
@@ -154,7 +156,7 @@
 }
 
 // NewServer returns a server that publishes its metrics in registry.
-func NewServer(settings Settings, stateCache *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, upstream Upstream, permits Permits, registry *metrics.Registry) *Server {
+func NewServer(settings Settings, stateCache *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, upstream Upstream, permits Permits, parts *quarantine.Guard, registry *metrics.Registry) *Server {
 	s := &Server{
 		startedAt:  time.Now(),
 		stateCache: stateCache,
@@ -162,6 +164,7 @@
 		scheduler:  scheduler,
 		upstream:   upstream,
 		permits:    permits,
+		parts:      parts,
 		logger:     logs.For("serve"),
 		metrics:    registry,
 	}
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -43,7 +43,7 @@
 // planFailover chooses the next endpoint for a stalled request, takes a permit for it and
 // charges the retry. It returns false when the request can't go to another endpoint now.
 func (r *run) planFailover(ctx context.Context) bool {
-	if !r.mayRunAgain() {
+	if !r.mayRunAgain() || !r.partsAreClear() {
 		return false
 	}
 	plan := r.tryPlace()
@@ -91,7 +91,9 @@
 				return err
 			}
 			r.eventsSent++
-			r.attemptEvents++
+			if r.attemptEvents++; r.attemptEvents == eventsOfGoingAnswer {
+				r.recordGoingOn()
+			}
 			if e.id != "" {
 				r.lastEventID = e.id
 			}
--- a/coordination/serve/testbed_test.go
+++ b/coordination/serve/testbed_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
@@ -27,6 +28,7 @@
 	stateCache *statecache.Store
 	directory  *directory.Directory
 	scheduler  *placement.Scheduler
+	parts      *quarantine.Tracker
 
 	mu               sync.Mutex
 	responses        []func(ctx context.Context, a *Attempt) (*Response, error) // one for each attempt
@@ -47,7 +49,9 @@
 		DataCentre: "dc1", MaxStateAge: time.Second, RetryRatio: 0.2, RetrySlack: 20,
 		RetryWindow: 10 * time.Second, EntryCount: func() int { return 1 },
 	}
-	b.server = NewServer(settings, b.stateCache, b.directory, b.scheduler, b, b, metrics.New())
+	b.parts = quarantine.NewTracker(monotonic.Now)
+	guard := quarantine.NewGuard("self", b.parts, b.directory.Processes, nil, monotonic.Now)
+	b.server = NewServer(settings, b.stateCache, b.directory, b.scheduler, b, b, guard, metrics.New())
 	c, err := catalogue.Build(&catalogue.Catalogue{
 		Version: 1,
 		Services: map[string]*catalogue.Service{"s": {Name: "s"}, "engine": {Name: "engine", Engine: &catalogue.Engine{
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -6,9 +6,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/controlplane"
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/permits"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/coordination/serve"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/platform"
@@ -21,6 +23,7 @@
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/transport/mesh"
 	"github.com/apricotspoke/apricotspoke/transport/permitlink"
+	"github.com/apricotspoke/apricotspoke/transport/triallink"
 	"go.uber.org/dig"
 	"google.golang.org/grpc"
 )
@@ -52,6 +55,8 @@
 	directory       *directory.Directory
 	server          *serve.Server
 	permits         *permits.Permits
+	guard           *quarantine.Guard
+	recorder        *quarantine.Recorder
 	metrics         *Metrics
 	logger          *logs.Logger
 	draining        atomic.Bool
@@ -70,7 +75,7 @@
 // NewEntry wires an entry.
 func NewEntry(settings *platform.Settings) (*Entry, error) {
 	container := newContainer(settings, entryKind)
-	for _, constructor := range []any{newPermits, newServer, newEntry} {
+	for _, constructor := range []any{newPermits, newGuard, newRecorder, newServer, newEntry} {
 		if err := container.Provide(constructor); err != nil {
 			return nil, err
 		}
@@ -84,8 +89,23 @@
 	return permits.New(record.Address, scheduler, dir.Processes, permitlink.NewAsk(pool), monotonic.Now)
 }
 
-func newServer(reloadable *hostconfig.Reloadable, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, m *mesh.Mesh, p *permits.Permits, registry *metrics.Registry) *serve.Server {
-	return serve.NewServer(serveSettings(reloadable.Get(), m), store, dir, scheduler, platform.NewUpstream(recordDraining(scheduler, dir)), p, registry)
+func newGuard(record *wire.ProcessRecord, tracker *quarantine.Tracker, dir *directory.Directory, pool *link.Pool) *quarantine.Guard {
+	return quarantine.NewGuard(record.Address, tracker, dir.Processes, triallink.NewCalls(pool), monotonic.Now)
+}
+
+// newRecorder returns a recorder that submits quarantines to the leader of the control
+// group.
+func newRecorder(record *wire.ProcessRecord, tracker *quarantine.Tracker, store *statecache.Store, dir *directory.Directory, m *mesh.Mesh, pool *link.Pool, registry *metrics.Registry) *quarantine.Recorder {
+	client := controlplane.New(controlplane.Options{
+		Address: record.Address, Store: store, Directory: dir, SinceLastHeard: m.Silence, Metrics: registry,
+		Dial:          func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
+		PeerAddresses: func() []string { return otherVoters(dir, record.Address) },
+	})
+	return quarantine.NewRecorder(tracker, client.Quarantine)
+}
+
+func newServer(reloadable *hostconfig.Reloadable, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, m *mesh.Mesh, p *permits.Permits, guard *quarantine.Guard, registry *metrics.Registry) *serve.Server {
+	return serve.NewServer(serveSettings(reloadable.Get(), m), store, dir, scheduler, platform.NewUpstream(recordDraining(scheduler, dir)), p, guard, registry)
 }
 
 // recordDraining returns a function that is called when an endpoint answers that it
@@ -114,8 +134,8 @@
 	return settings
 }
 
-func newEntry(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, store *statecache.Store, dir *directory.Directory, server *serve.Server, p *permits.Permits, metrics *Metrics, logger *logs.Logger) *Entry {
-	return &Entry{settings: settings, reloadable: reloadable, record: record, mesh: m, store: store, directory: dir, server: server, permits: p, metrics: metrics, logger: logger}
+func newEntry(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, store *statecache.Store, dir *directory.Directory, server *serve.Server, p *permits.Permits, guard *quarantine.Guard, recorder *quarantine.Recorder, metrics *Metrics, logger *logs.Logger) *Entry {
+	return &Entry{settings: settings, reloadable: reloadable, record: record, mesh: m, store: store, directory: dir, server: server, permits: p, guard: guard, recorder: recorder, metrics: metrics, logger: logger}
 }
 
 // Run serves until ctx ends or an HTTP server fails. A failure of the link server while
@@ -128,6 +148,7 @@
 	linkServer, err := serveLinks(e.record.Address, func(s *grpc.Server) {
 		wire.RegisterMeshServer(s, e.mesh)
 		wire.RegisterPermitsServer(s, permitlink.NewServer(e.permits))
+		wire.RegisterTrialsServer(s, triallink.NewServer(e.guard))
 	})
 	if err != nil {
 		return err
@@ -150,6 +171,7 @@
 	}
 	defer callerServer.Close()
 	go e.mesh.Run(background)
+	go e.recorder.Run(background)
 	go watchSettings(background, e.settings, reload, e.reloadable, func(next *hostconfig.Process) {
 		e.mesh.SetSeeds(seedLinkAddresses(next))
 		e.server.SetSettings(serveSettings(next, e.mesh))
--- a/role/host/host.go
+++ b/role/host/host.go
@@ -16,9 +16,11 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/platform"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/state/hostconfig"
@@ -55,7 +57,7 @@
 		func() *wire.ProcessRecord { return newProcessRecord(&settings.Process, kind) },
 		func() *logs.Logger { return logs.For(kind.name) },
 		func() *link.Pool { return link.NewPool(link.Security{}) },
-		metrics.New, statecache.NewStore, directory.New, newScheduler, newMesh, newMetrics,
+		metrics.New, statecache.NewStore, directory.New, newScheduler, newTracker, newMesh, newMetrics,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			panic(err) // a programming error: dig can't use the constructor
@@ -104,13 +106,20 @@
 	return links
 }
 
-func newMesh(p *hostconfig.Process, record *wire.ProcessRecord, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler) *mesh.Mesh {
+func newMesh(p *hostconfig.Process, record *wire.ProcessRecord, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, parts *quarantine.Tracker) *mesh.Mesh {
 	return mesh.New(mesh.Options{
 		Self:   record,
 		Seeds:  seedLinkAddresses(p),
 		Dial:   func(address string) (*grpc.ClientConn, error) { return link.Dial(address, link.Security{}) },
 		Decode: platform.DecodeConfiguration,
-	}, store, dir, scheduler)
+	}, store, dir, scheduler, parts)
+}
+
+// newTracker returns a tracker that knows the quarantines in the replicated state.
+func newTracker(store *statecache.Store) *quarantine.Tracker {
+	tracker := quarantine.NewTracker(monotonic.Now)
+	store.OnChange(func(s *catalogue.State) { tracker.SetRecorded(s.Quarantined) })
+	return tracker
 }
 
 // newScheduler returns a scheduler that looks up endpoints in the directory, and the
--- a/state/catalogue/machine.go
+++ b/state/catalogue/machine.go
@@ -41,6 +41,8 @@
 		return m.install(index, of.Catalogue)
 	case *wire.Command_DataCentre:
 		return m.setDataCentre(index, of.DataCentre)
+	case *wire.Command_Quarantine:
+		return m.setQuarantine(index, of.Quarantine)
 	default:
 		return fault.New(fault.Internal, "command at index %d has no known kind", index)
 	}
@@ -62,6 +64,7 @@
 		Content:        change.Content,
 		Digest:         change.Digest,
 		DataCentresOut: now.DataCentresOut,
+		Quarantined:    quarantinedToWire(now.Quarantined),
 	}, now, m.decode)
 	if err != nil {
 		return err
--- a/state/catalogue/state.go
+++ b/state/catalogue/state.go
@@ -26,6 +26,7 @@
 	Text           []byte // as the operator sent it
 	Catalogue      *Catalogue
 	DataCentresOut []string // sorted
+	Quarantined    []QuarantinedParts
 
 	digest     []byte
 	compressed []byte
@@ -80,13 +81,14 @@
 		Content:        s.compressed,
 		Digest:         s.digest,
 		DataCentresOut: s.DataCentresOut,
+		Quarantined:    quarantinedToWire(s.Quarantined),
 	}
 }
 
 // FromWire decodes a state. It reuses the catalogue of known, which may be nil, if
 // the digests are equal.
 func FromWire(m *wire.CatalogueState, known *State, decode Decode) (*State, error) {
-	s := &State{Index: m.Index, DataCentresOut: slices.Sorted(slices.Values(m.DataCentresOut)), digest: m.Digest, compressed: m.Content}
+	s := &State{Index: m.Index, DataCentresOut: slices.Sorted(slices.Values(m.DataCentresOut)), Quarantined: quarantinedFromWire(m.Quarantined), digest: m.Digest, compressed: m.Content}
 	if len(m.Content) == 0 {
 		return s, nil
 	}
--- a/transport/mesh/instream.go
+++ b/transport/mesh/instream.go
@@ -109,6 +109,7 @@
 		m.mu.Unlock()
 		m.scheduler.ApplyRemote(sender, frame.Work)
 	}
+	m.parts.Apply(frame.Parts)
 	for _, update := range frame.Relayed {
 		m.applyRelayed(update)
 	}
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -15,6 +15,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
@@ -49,6 +50,9 @@
 	// fullWorkInterval is the interval at which an entry sends other data centres all the
 	// open work that is published to them.
 	fullWorkInterval = 2 * time.Second
+	// partsInterval is the interval at which an entry repeats what it has seen of suspect
+	// parts of prompts, which corrects for lost events.
+	partsInterval = time.Second
 	// relayedWorkTimeout is the time without updates after which the work that relays
 	// forward for an entry expires.
 	relayedWorkTimeout = 5 * time.Second
@@ -84,6 +88,7 @@
 	store     *statecache.Store
 	directory *directory.Directory
 	scheduler *placement.Scheduler
+	parts     *quarantine.Tracker
 	logger    *logs.Logger
 
 	mu               sync.Mutex
@@ -105,12 +110,13 @@
 
 // New returns a mesh that opens no links before Run. It publishes the updates of dir and
 // scheduler and keeps store up to date.
-func New(options Options, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler) *Mesh {
+func New(options Options, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, parts *quarantine.Tracker) *Mesh {
 	m := &Mesh{
 		options:          options,
 		store:            store,
 		directory:        dir,
 		scheduler:        scheduler,
+		parts:            parts,
 		logger:           logs.For("mesh"),
 		self:             options.Self,
 		seeds:            options.Seeds,
@@ -125,6 +131,7 @@
 	dir.MergeProcesses([]*wire.ProcessRecord{options.Self})
 	dir.OnUpdate(m.publishEndpoints)
 	scheduler.OnWorkEvent(m.publishWork)
+	parts.OnEvents(m.publishParts)
 	store.OnChange(func(*catalogue.State) { m.notifyReaders() })
 	store.OnFresh(m.notifyReaders)
 	return m
@@ -139,6 +146,7 @@
 	go runEvery(ctx, gossipInterval, m.gossip)
 	if m.options.Self.Entry {
 		go runEvery(ctx, fullWorkInterval, m.publishFullWork)
+		go runEvery(ctx, partsInterval, m.repeatParts)
 		go runEvery(ctx, loadReportInterval, m.publishLoadReport)
 	}
 	runEvery(ctx, checkInterval, func() {
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
@@ -62,7 +63,7 @@
 		Seeds:  seeds,
 		Dial:   dial,
 		Decode: decode,
-	}, n.store, n.directory, n.scheduler)
+	}, n.store, n.directory, n.scheduler, quarantine.NewTracker(monotonic.Now))
 	server := link.NewServer(link.Security{})
 	wire.RegisterMeshServer(server, n.mesh)
 	go func() { _ = server.Serve(listener) }() // returns when the server is stopped
@@ -235,7 +236,7 @@
 // makes it send a ping at once, but does not make its state fresh by itself.
 func TestFreshStateNoticeTriggersAPing(t *testing.T) {
 	store := statecache.NewStore()
-	m := New(Options{Self: &wire.ProcessRecord{Name: "a"}}, store, directory.New(), placement.NewScheduler(time.Now))
+	m := New(Options{Self: &wire.ProcessRecord{Name: "a"}}, store, directory.New(), placement.NewScheduler(time.Now), quarantine.NewTracker(monotonic.Now))
 	m.ctx = t.Context()
 	l := newOutLink(m, "127.0.0.1:1")
 	l.setUp(true)
--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -117,6 +117,9 @@
 	if len(l.pending.Work) < maxQueuedUpdates {
 		l.pending.Work = append(l.pending.Work, update.Work...)
 	}
+	if len(l.pending.Parts) < maxQueuedUpdates {
+		l.pending.Parts = append(l.pending.Parts, update.Parts...)
+	}
 	if len(l.pending.Relayed) < maxQueuedUpdates {
 		l.pending.Relayed = append(l.pending.Relayed, update.Relayed...)
 	}
@@ -264,7 +267,7 @@
 	hello.Ping = l.newPing()
 	if l.hasRole(roleNear) {
 		full := l.fullState()
-		hello.Direct, hello.Endpoints, hello.Work = l.entry.Load(), full.Endpoints, full.Work
+		hello.Direct, hello.Endpoints, hello.Work, hello.Parts = l.entry.Load(), full.Endpoints, full.Work, full.Parts
 	}
 	return hello
 }
@@ -275,6 +278,7 @@
 	state := &wire.MeshFrame{Endpoints: l.mesh.directory.EndpointRecords()}
 	if l.entry.Load() {
 		state.Work = l.mesh.scheduler.OwnEvents()
+		state.Parts = l.mesh.parts.Events()
 	}
 	return state
 }
--- a/transport/mesh/publish.go
+++ b/transport/mesh/publish.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// publishParts sends what this entry has seen of parts of prompts to all entries.
+func (m *Mesh) publishParts(events []*wire.PartEvent) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.hasRole(roleNear) && l.entry.Load() {
+			l.enqueueUrgent(&wire.MeshFrame{Parts: events})
+		}
+	}
+	for _, dataCentre := range m.remote {
+		m.sendToDataCentre(&wire.Relayed{DataCentre: dataCentre, Parts: events})
+	}
+}
+
+// repeatParts sends the reports of this entry on suspect parts again.
+func (m *Mesh) repeatParts() {
+	if events := m.parts.OwnEvents(); len(events) > 0 {
+		m.publishParts(events)
+	}
+}
+
 // originWork returns a message with events of this entry's work and the number of the
 // latest event, by which receivers order them. full means a full update, whose events
 // describe all open work; the field is named Whole. The caller holds m.mu.
@@ -106,7 +127,7 @@
 	m.mu.Unlock()
 	updates := []*wire.Relayed{{DataCentre: dataCentre, Endpoints: m.directory.EndpointRecords()}}
 	if m.options.Self.Entry {
-		updates = append(updates, &wire.Relayed{DataCentre: dataCentre, Work: m.fullWork()})
+		updates = append(updates, &wire.Relayed{DataCentre: dataCentre, Work: m.fullWork(), Parts: m.parts.Events()})
 	}
 	l.enqueueUrgent(&wire.MeshFrame{Relayed: updates})
 }
--- a/transport/mesh/relayed.go
+++ b/transport/mesh/relayed.go
@@ -25,11 +25,12 @@
 	}
 	newer, changed := m.directory.MergeEndpoints(update.Endpoints)
 	if update.DataCentre == here && here != "" {
-		m.forwardLocally(&wire.Relayed{Endpoints: newer, Work: update.Work, Load: update.Load}, changed)
+		m.forwardLocally(&wire.Relayed{Endpoints: newer, Work: update.Work, Load: update.Load, Parts: update.Parts}, changed)
 	}
 	if update.Work != nil {
 		m.applyWork(update.Work)
 	}
+	m.parts.Apply(update.Parts)
 	if update.Load != nil {
 		m.scheduler.ApplyReport(update.Load)
 	}
@@ -39,7 +40,7 @@
 // work and load reports. Records that are not urgent are sent with the next ping.
 func (m *Mesh) forwardLocally(update *wire.Relayed, urgent bool) {
 	records := &wire.Relayed{Endpoints: update.Endpoints}
-	forEntries := update.Work != nil || update.Load != nil
+	forEntries := update.Work != nil || update.Load != nil || len(update.Parts) > 0
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
