Let a reservation expire before the users' bound for released memory

A renewal that was sent right before the entry ended lasted reservationTTL, 4 s, from its arrival, which left no time on the way. With 3.5 s the longest reservation ends 3.9 s after the request; two renewals still fit in it.

--- a/coordination/serve/reserve.go
+++ b/coordination/serve/reserve.go
@@ -15,7 +15,7 @@
 const (
 	// reservationTTL is how long a reservation lasts without renewal, and so how
 	// long it outlives an entry that fails.
-	reservationTTL = 4 * time.Second
+	reservationTTL = 3500 * time.Millisecond
 	// renewInterval is the pause between two renewals. Two of them fit in
 	// reservationTTL, so that one may fail.
 	renewInterval = 1500 * time.Millisecond
