Keep sound parts out of a quarantine, in fleets of all sizes

Now a quarantine is final only after appeals: requests whose other parts are no suspects, with no other trial beside them. Reports are judged in the order of time, whatever the order in which they come, and count from the first time that the end of an endpoint was heard of. A lease holds the unclear parts only. The control group records single parts, and whether they are final; an answer that goes on lifts one that is not.

--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -195,24 +195,23 @@
 	return err
 }
 
-// Quarantine records that parts of prompts end the endpoints of a service when they are in
-// one prompt together.
-func (s *Service) Quarantine(ctx context.Context, q catalogue.QuarantinedParts) error {
-	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_Quarantine{
-		Quarantine: &wire.QuarantineChange{Keys: q.Keys, Service: q.Service, Ids: q.IDs},
-	}})
-	s.logger.Warn().Uints64("parts", q.Keys).Str("service", q.Service).Strs("ids", q.IDs).Uint64("index", outcome.GetIndex()).Err(err).
-		Msg("A quarantine of parts of prompts was submitted.")
-	return err
+// Quarantine records that endpoints of a service end under a part of prompts.
+func (s *Service) Quarantine(ctx context.Context, q catalogue.QuarantinedPart) error {
+	change := &wire.QuarantineChange{Key: q.Key, Service: q.Service, Id: q.ID, Final: q.Final}
+	return s.changeQuarantine(ctx, change, "A quarantine of a part of prompts was submitted.")
 }
 
-// LiftQuarantine ends every quarantine that holds one of the parts.
-func (s *Service) LiftQuarantine(ctx context.Context, parts []uint64) error {
-	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_Quarantine{
-		Quarantine: &wire.QuarantineChange{Keys: parts, Lift: true},
-	}})
-	s.logger.Warn().Uints64("parts", parts).Uint64("index", outcome.GetIndex()).Err(err).
-		Msg("An operator has requested to lift the quarantine of parts of prompts.")
+// LiftQuarantine ends the quarantine of a part, unless it is final and byOperator is not
+// set.
+func (s *Service) LiftQuarantine(ctx context.Context, part uint64, byOperator bool) error {
+	change := &wire.QuarantineChange{Key: part, Lift: true, ByOperator: byOperator}
+	return s.changeQuarantine(ctx, change, "The end of the quarantine of a part of prompts was submitted.")
+}
+
+func (s *Service) changeQuarantine(ctx context.Context, change *wire.QuarantineChange, message string) error {
+	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_Quarantine{Quarantine: change}})
+	s.logger.Warn().Uint64("part", change.Key).Str("service", change.Service).Str("id", change.Id).Bool("final", change.Final).
+		Bool("by_operator", change.ByOperator).Uint64("index", outcome.GetIndex()).Err(err).Msg(message)
 	return err
 }
 
--- a/coordination/quarantine/guard.go
+++ b/coordination/quarantine/guard.go
@@ -52,15 +52,25 @@
 	id      uint64
 	granter string // address
 	parts   []uint64
+	appeal  uint64 // the quarantined one of the parts, 0 if there is none
 }
 
-// Take asks for a lease for a request with unclear parts that lasts a time at most. If it
-// returns none, retryAfter is when to ask again.
+// appealed returns the quarantined part that a request with the lease tries, 0 without one.
+func (l *Lease) appealed() uint64 {
+	if l == nil {
+		return 0
+	}
+	return l.appeal
+}
+
+// Take asks for a lease on the unclear ones of a request's parts; the request lasts a time
+// at most. If Take returns none, retryAfter is when to ask again.
 func (g *Guard) Take(ctx context.Context, service string, parts []uint64, lasts time.Duration) (l *Lease, retryAfter time.Duration) {
+	parts, appeal := g.unclear(parts)
 	q := &wire.TrialRequest{Parts: parts, LastsMs: uint32(max(lasts, 0).Milliseconds()), Events: g.EventsOf(parts)}
 	granter := rendezvous.First(Key(service, ""), "", g.processes(), g.outages.MayAsk)
 	if granter == g.self || granter == "" {
-		return g.leaseOf(g.Answer(q), g.self, parts)
+		return g.leaseOf(g.Answer(q), g.self, parts, appeal)
 	}
 	asking, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -73,22 +83,23 @@
 	}
 	g.outages.RecordAnswer(granter)
 	g.Apply(response.Events)
-	return g.leaseOf(response, granter, parts)
+	return g.leaseOf(response, granter, parts, appeal)
 }
 
-func (g *Guard) leaseOf(response *wire.TrialResponse, granter string, parts []uint64) (l *Lease, retryAfter time.Duration) {
+func (g *Guard) leaseOf(response *wire.TrialResponse, granter string, parts []uint64, appeal uint64) (l *Lease, retryAfter time.Duration) {
 	if response.Lease == 0 {
 		return nil, time.Duration(response.RetryAfterMs) * time.Millisecond
 	}
-	return &Lease{guard: g, id: response.Lease, granter: granter, parts: parts}, 0
+	return &Lease{guard: g, id: response.Lease, granter: granter, parts: parts, appeal: appeal}, 0
 }
 
 // Answer answers the request of an entry for a lease.
 func (g *Guard) Answer(q *wire.TrialRequest) *wire.TrialResponse {
 	g.Apply(q.Events)
 	response := &wire.TrialResponse{Events: g.EventsOf(q.Parts)}
-	if standing, _ := g.Check(q.Parts); standing != Quarantined {
-		response.Lease = g.leases.take(q.Parts, time.Duration(q.LastsMs)*time.Millisecond)
+	if standing, _ := g.Check(q.Parts); standing < Postponed {
+		_, quarantined := g.unclear(q.Parts)
+		response.Lease = g.leases.take(q.Parts, time.Duration(q.LastsMs)*time.Millisecond, quarantined != 0)
 	}
 	if response.Lease == 0 {
 		response.RetryAfterMs = uint32(leaseRetry.Milliseconds())
--- a/coordination/quarantine/recorded.go
+++ b/coordination/quarantine/recorded.go
@@ -6,94 +6,81 @@
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
-// SetRecorded applies the quarantines that the control group has recorded: sets of parts
-// that end endpoints when they are in one prompt together. A part whose last quarantine
-// was lifted is no suspect any more.
-func (t *Tracker) SetRecorded(all []catalogue.QuarantinedParts) {
-	var sets [][]uint64
-	for _, q := range all {
-		sets = append(sets, q.Keys)
-	}
+// SetRecorded applies the quarantines that the control group has recorded. A part whose
+// quarantine was lifted is no suspect any more.
+func (t *Tracker) SetRecorded(all []catalogue.QuarantinedPart) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, set := range sets {
-		if !containsSet(t.recorded, set) {
-			t.applyRecorded(set)
+	next := make(map[uint64]bool, len(all)) // whether it is final
+	for _, q := range all {
+		next[q.Key] = q.Final
+		if final, known := t.recorded[q.Key]; !known || final != q.Final {
+			t.applyRecorded(q)
 		}
 	}
-	for _, old := range t.recorded {
-		if !containsSet(sets, old) {
-			t.lift(old, sets)
+	for part := range t.recorded {
+		if _, still := next[part]; !still {
+			t.lift(part)
 		}
 	}
-	t.recorded = sets
+	t.recorded = next
 	t.suspected.Store(int64(len(t.suspects)))
 }
 
-// applyRecorded quarantines the parts of a set. The smallest set that holds a part counts,
-// and an answer that has just gone on counts more than the set. The caller holds the lock.
-func (t *Tracker) applyRecorded(set []uint64) {
-	for _, p := range set {
-		if soundAt, known := t.sound.get(p); known && t.now().Sub(soundAt) < soundBefore {
-			continue
-		}
-		companions := slices.DeleteFunc(slices.Clone(set), func(other uint64) bool { return other == p })
-		s := t.suspects[p]
-		if s == nil {
-			s = &suspect{}
-			t.suspects[p] = s
-		}
-		if s.quarantined && len(s.companions) <= len(companions) {
-			continue
-		}
-		s.quarantined, s.companions = true, companions
-		t.quarantined[p] = s
-		t.logger.Warn().Uint64("part", p).Int("companions", len(companions)).Msg("A recorded quarantine of a part of prompts applies.")
+// applyRecorded quarantines a part, unless an answer with it has just gone on. The caller
+// holds the lock.
+func (t *Tracker) applyRecorded(q catalogue.QuarantinedPart) {
+	if soundAt, known := t.sound.get(q.Key); known && !q.Final && t.now().Sub(soundAt) < soundBefore {
+		return
 	}
+	s := t.suspects[q.Key]
+	if s == nil {
+		s = &suspect{}
+		t.suspects[q.Key] = s
+	}
+	s.quarantined = true
+	t.quarantined[q.Key] = s
+	s.final = s.final || q.Final
+	s.service, s.id = q.Service, q.ID
+	t.logger.Warn().Uint64("part", q.Key).Str("service", q.Service).Str("id", q.ID).Bool("final", q.Final).
+		Msg("A recorded quarantine of a part of prompts applies.")
 }
 
-// lift ends the quarantine of the parts of a set that are in none of the others. The caller
-// holds the lock.
-func (t *Tracker) lift(set []uint64, others [][]uint64) {
-	for _, p := range set {
-		if t.suspects[p] == nil || slices.ContainsFunc(others, func(other []uint64) bool { return contains(other, p) }) {
-			continue
-		}
-		t.remove(p)
-		t.sound.put(p, t.now()) // earlier reports, told by an entry that is behind, don't count
-		t.logger.Warn().Uint64("part", p).Msg("The quarantine of a part of prompts was lifted.")
+// lift ends the quarantine of a part. The caller holds the lock.
+func (t *Tracker) lift(part uint64) {
+	t.sound.putLatest(part, t.now()) // earlier reports, told by an entry that is behind, don't count
+	if t.suspects[part] == nil {
+		return
 	}
+	t.remove(part)
 	t.dropUnusedReports()
+	t.logger.Warn().Uint64("part", part).Msg("The quarantine of a part of prompts was lifted.")
 }
 
-// Unrecorded returns the quarantines that the control group has not recorded.
-func (t *Tracker) Unrecorded() []catalogue.QuarantinedParts {
+// Unrecorded returns the quarantines that the control group has not recorded as they are.
+func (t *Tracker) Unrecorded() []catalogue.QuarantinedPart {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var sets [][]uint64
-	var all []catalogue.QuarantinedParts
-	for p := range t.quarantined {
-		if set := t.together(p); !containsSet(t.recorded, set) && !containsSet(sets, set) {
-			sets = append(sets, set)
-			all = append(all, t.describe(set))
+	var all []catalogue.QuarantinedPart
+	for part, s := range t.quarantined {
+		if final, known := t.recorded[part]; !known || s.final && !final {
+			all = append(all, catalogue.QuarantinedPart{Key: part, Service: s.service, ID: s.id, Final: s.final})
 		}
 	}
 	return all
 }
 
-// describe returns the quarantine of a set of parts. The caller holds the lock.
-func (t *Tracker) describe(set []uint64) catalogue.QuarantinedParts {
-	q := catalogue.QuarantinedParts{Keys: set}
-	for _, p := range set {
-		id := ""
-		if s := t.suspects[p]; s != nil && s.service != "" {
-			q.Service, id = s.service, s.id
+// Disproved returns the recorded quarantines that this entry knows to be wrong: an answer
+// has gone on since.
+func (t *Tracker) Disproved() []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var parts []uint64
+	for part := range t.recorded {
+		if t.quarantined[part] == nil {
+			parts = append(parts, part)
 		}
-		q.IDs = append(q.IDs, id)
 	}
-	return q
-}
-
-func containsSet(sets [][]uint64, set []uint64) bool {
-	return slices.ContainsFunc(sets, func(other []uint64) bool { return slices.Equal(other, set) })
+	slices.Sort(parts)
+	return parts
 }
--- a/coordination/quarantine/recorder.go
+++ b/coordination/quarantine/recorder.go
@@ -18,19 +18,26 @@
 	recordInterval = time.Second
 )
 
+// ControlGroup records quarantines.
+type ControlGroup interface {
+	Quarantine(ctx context.Context, q catalogue.QuarantinedPart) error
+	// LiftQuarantine ends a quarantine that is not final, or any if an operator wants it.
+	LiftQuarantine(ctx context.Context, part uint64, byOperator bool) error
+}
+
 // Recorder has the control group record the quarantines that this entry has learnt of, so
 // that an entry which starts later knows them before it sends a request.
 type Recorder struct {
 	tracker *Tracker
-	submit  func(ctx context.Context, q catalogue.QuarantinedParts) error
+	group   ControlGroup
 	proved  chan bool // whether the request was this entry's own
 	logger  *logs.Logger
 }
 
-// NewRecorder returns a recorder that records with submit. It must be made before the
+// NewRecorder returns a recorder for a control group. It must be made before the
 // tracker is in use.
-func NewRecorder(tracker *Tracker, submit func(ctx context.Context, q catalogue.QuarantinedParts) error) *Recorder {
-	r := &Recorder{tracker: tracker, submit: submit, proved: make(chan bool, 1), logger: logs.For("quarantine")}
+func NewRecorder(tracker *Tracker, group ControlGroup) *Recorder {
+	r := &Recorder{tracker: tracker, group: group, proved: make(chan bool, 1), logger: logs.For("quarantine")}
 	tracker.OnProof(func(own bool) {
 		select {
 		case r.proved <- own:
@@ -52,16 +59,26 @@
 		case own = <-r.proved:
 		case <-interval.C:
 		}
-		if len(r.tracker.Unrecorded()) == 0 {
+		if len(r.tracker.Unrecorded()) == 0 && len(r.tracker.Disproved()) == 0 {
 			continue
 		}
 		if !own && !wait.For(ctx, rand.N(maxRecordDelay)) {
 			return
 		}
-		for _, q := range r.tracker.Unrecorded() {
-			if err := r.submit(ctx, q); err != nil {
-				r.logger.Warn().Uints64("parts", q.Keys).Err(err).Msg("A quarantine is not recorded yet; it is tried again.")
-			}
+		r.submit(ctx)
+	}
+}
+
+// submit has all changes recorded. What fails is tried again after recordInterval.
+func (r *Recorder) submit(ctx context.Context) {
+	for _, q := range r.tracker.Unrecorded() {
+		if err := r.group.Quarantine(ctx, q); err != nil {
+			r.logger.Warn().Uint64("part", q.Key).Err(err).Msg("A quarantine is not recorded yet; it is tried again.")
+		}
+	}
+	for _, part := range r.tracker.Disproved() {
+		if err := r.group.LiftQuarantine(ctx, part, false); err != nil {
+			r.logger.Warn().Uint64("part", part).Err(err).Msg("The end of a quarantine is not recorded yet; it is tried again.")
 		}
 	}
 }
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -19,10 +20,14 @@
 	manyEnds     = 5
 	manyEndsSpan = time.Second
 	// maxEnds bounds the ends that are kept for a part.
-	maxEnds = 8
-	// maxTrialsAfterProof is the number of endpoints that may end under trials of a
-	// quarantined part without its companions. Then it is quarantined alone.
-	maxTrialsAfterProof = 2
+	maxEnds = 16
+	// A quarantined part is tried again by requests without another quarantined part, as
+	// the ends may be the fault of a part that was always beside it. The quarantine is
+	// final once endpoints have ended under maxAppeals such requests whose other parts
+	// are known to be sound, or under maxAnyAppeals of any such requests. Both are one less
+	// if many endpoints had ended before.
+	maxAppeals    = 2
+	maxAnyAppeals = 3
 	// maxIDBytes bounds the ID of a part in logs and in the state.
 	maxIDBytes = 64
 )
@@ -33,33 +38,46 @@
 	parts    []uint64 // shared by the prompt with others, sorted
 	at       monotonic.Time
 	sentAt   monotonic.Time // of the request
+	appeal   uint64         // the quarantined part that the request tried, 0 if none
+	alone    bool           // the other parts of the appeal were known to be sound
 	own      bool           // of a request of this entry
 	holders  int            // suspects that hold it
 }
 
 // suspect is a part under which endpoints have ended since an answer last went on with it.
 type suspect struct {
-	service string    // empty until an endpoint ended under a request of this entry
-	id      string    // of the part, shortened; empty like service
-	reports []*report // by time
+	service string // empty until an endpoint ended under a request of this entry
+	id      string // of the part, shortened; empty like service
+	// reports holds one report of each endpoint, by time: that of an appeal, else that of
+	// the request that was sent last.
+	reports []*report
 	// wasSound is set if an answer is known to have gone on before the first end.
 	wasSound bool
-	// quarantined is set once the part is proved, alone or together with its companions.
+	// quarantined is set once the part is proved.
 	quarantined bool
-	// companions are the other parts that were in every prompt under which an endpoint
-	// ended. Either may be the cause.
-	companions []uint64
-	// trials counts the endpoints that ended after the proof.
-	trials int
+	// final is set once the quarantine ends by an operator's hand only.
+	final bool
 }
 
-// add adds a report in the order of time. It returns false if the report is known or there
-// is no room for it.
+// needsLease reports whether a request with the part needs a lease. A single end may be
+// chance where answers went on before.
+func (s *suspect) needsLease() bool { return s.quarantined || !s.wasSound || s.ends() > 1 }
+
+// add adds a report in the order of time. It returns false if the report changes nothing or
+// there is no room for it.
 func (s *suspect) add(r *report) bool {
-	if len(s.reports) >= maxEnds || slices.Contains(s.reports, r) {
+	known := slices.IndexFunc(s.reports, func(other *report) bool { return other.endpoint == r.endpoint })
+	if known >= 0 {
+		if s.reports[known].appeal != 0 || r.appeal == 0 && s.reports[known].sentAt >= r.sentAt {
+			return false
+		}
+		s.reports[known].holders--
+		s.reports = slices.Delete(s.reports, known, known+1)
+	}
+	if len(s.reports) >= maxEnds {
 		return false
 	}
-	at, _ := slices.BinarySearchFunc(s.reports, r.at, func(known *report, at monotonic.Time) int { return int(known.at - at) })
+	at, _ := slices.BinarySearchFunc(s.reports, r.at, func(other *report, at monotonic.Time) int { return cmp.Compare(other.at, at) })
 	s.reports = slices.Insert(s.reports, at, r)
 	r.holders++
 	return true
@@ -78,37 +96,54 @@
 
 // ends returns the number of endpoints that ended one after the other: each under a
 // request that was sent after the previous one had ended.
-func (s *suspect) ends() int {
+func (s *suspect) ends() int { return endsAfter(s.reports, 0) }
+
+// endsAfter returns the number of ends one after the other, the first of them under a
+// request that was sent after a time.
+func endsAfter(reports []*report, at monotonic.Time) int {
 	n := 0
-	var last *report
-	for _, r := range s.reports {
-		if last == nil || r.endpoint != last.endpoint && r.sentAt > last.at {
+	for _, r := range reports {
+		if r.sentAt > at {
 			n++
-			last = r
+			at = r.at
 		}
 	}
 	return n
 }
 
 // isProved reports whether the ends can't be chance.
-func (s *suspect) isProved() bool {
-	if s.ends() >= endsForProof {
+func isProved(reports []*report) bool {
+	if endsAfter(reports, 0) >= endsForProof {
 		return true
 	}
-	endpoints := make(map[uint64]bool)
-	for _, r := range s.reports {
-		endpoints[r.endpoint] = true
-	}
-	return len(endpoints) >= manyEnds && s.reports[len(s.reports)-1].at.Sub(s.reports[0].at) >= manyEndsSpan
+	return len(reports) >= manyEnds && reports[len(reports)-1].at.Sub(reports[0].at) >= manyEndsSpan
 }
 
-// inAllReports returns the parts other than the given one that are in all reports.
-func (s *suspect) inAllReports(part uint64) []uint64 {
-	common := slices.Clone(s.reports[0].parts)
-	for _, r := range s.reports[1:] {
-		common = slices.DeleteFunc(common, func(p uint64) bool { return !contains(r.parts, p) })
+// judge sets the quarantine by the reports, whatever the order in which they came. It
+// reports whether that has changed it.
+func (s *suspect) judge(part uint64) bool {
+	wasQuarantined, wasFinal := s.quarantined, s.final
+	for i := range s.reports {
+		if isProved(s.reports[:i+1]) {
+			s.quarantined = true
+			break
+		}
+	}
+	appeals, alone := 0, 0
+	for _, r := range s.reports {
+		if r.appeal != part {
+			continue
+		}
+		appeals++
+		if r.alone {
+			alone++
+		}
 	}
-	return slices.DeleteFunc(common, func(p uint64) bool { return p == part })
+	if len(s.reports)-appeals >= manyEnds {
+		appeals, alone = appeals+1, alone+1
+	}
+	s.final = s.final || alone >= maxAppeals || appeals >= maxAnyAppeals
+	return s.quarantined != wasQuarantined || s.final != wasFinal
 }
 
 // contains reports whether a sorted list holds a part.
@@ -116,13 +151,3 @@
 	_, found := slices.BinarySearch(sorted, part)
 	return found
 }
-
-// containsAll reports whether a sorted list holds all of the parts.
-func containsAll(sorted, parts []uint64) bool {
-	for _, p := range parts {
-		if !contains(sorted, p) {
-			return false
-		}
-	}
-	return true
-}
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -63,6 +63,9 @@
 	Clear Standing = iota
 	// Unclear stands for parts that may be the cause of an end. A request needs a lease.
 	Unclear
+	// Postponed stands for a quarantined part beside a suspect one. A trial would not show
+	// which of them is the cause.
+	Postponed
 	// Quarantined stands for parts that end endpoints.
 	Quarantined
 )
@@ -78,9 +81,10 @@
 	suspects map[uint64]*suspect
 	// quarantined holds those of the suspects that are quarantined.
 	quarantined map[uint64]*suspect
-	reports     []*report // the oldest first
-	sound       *history
-	recorded    [][]uint64 // quarantines of the control group
+	reports     []*report       // the oldest first
+	sound       *history        // when an answer last went on, by part
+	ended       *history        // when an endpoint ended, by its key
+	recorded    map[uint64]bool // quarantines of the control group, and whether they are final
 	publish     func([]*wire.PartEvent)
 	onProof     func(own bool)
 	counts      Counts
@@ -98,7 +102,7 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker(now func() monotonic.Time) *Tracker {
 	return &Tracker{
-		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(),
+		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), ended: newHistory(),
 		publish: func([]*wire.PartEvent) {}, onProof: func(bool) {},
 	}
 }
@@ -112,6 +116,9 @@
 // tracker, and must be set before the tracker is in use.
 func (t *Tracker) OnProof(f func(own bool)) { t.onProof = f }
 
+// Now returns the time by the tracker's clock.
+func (t *Tracker) Now() monotonic.Time { return t.now() }
+
 // Counts returns the current counts.
 func (t *Tracker) Counts() Counts {
 	t.mu.Lock()
@@ -128,23 +135,51 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	standing, decisive := Clear, uint64(0)
+	decisive, quarantined, unclear := uint64(0), 0, 0
 	for _, p := range parts {
 		s := t.suspects[p]
-		switch {
-		case s == nil:
-		case s.quarantined && containsAll(parts, s.companions):
+		if s == nil || !s.needsLease() {
+			continue
+		}
+		decisive = p
+		unclear++
+		if s.quarantined {
+			quarantined++
+		}
+		if s.final || quarantined > 1 {
 			return Quarantined, p
-		case s.quarantined || !s.wasSound || s.ends() > 1:
-			standing, decisive = Unclear, p
 		}
 	}
-	return standing, decisive
+	switch {
+	case unclear == 0:
+		return Clear, 0
+	case quarantined > 0 && unclear > 1:
+		return Postponed, decisive
+	}
+	return Unclear, decisive
+}
+
+// unclear returns those of the parts for which a request needs a lease, and a quarantined
+// one among them, 0 if there is none.
+func (t *Tracker) unclear(parts []uint64) (unclear []uint64, quarantined uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		s := t.suspects[p]
+		if s == nil || !s.needsLease() {
+			continue
+		}
+		unclear = append(unclear, p)
+		if s.quarantined {
+			quarantined = p
+		}
+	}
+	return unclear, quarantined
 }
 
 // RecordEnd records that an endpoint of a service ended under a request of this entry, sent
-// at sentAt, before the answer went on, and publishes that.
-func (t *Tracker) RecordEnd(service string, ids []string, endpoint uint64, sentAt monotonic.Time) {
+// at sentAt with a lease or nil, before the answer went on, and publishes that.
+func (t *Tracker) RecordEnd(service string, ids []string, endpoint uint64, sentAt monotonic.Time, lease *Lease) {
 	parts := Keys(service, ids)
 	if len(parts) == 0 {
 		return
@@ -152,6 +187,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &report{endpoint: endpoint, parts: parts, at: t.now(), sentAt: sentAt, own: true}
+	r.appeal = lease.appealed()
+	r.alone = r.appeal != 0 && t.othersAreSound(parts, r.appeal)
 	t.addReport(r)
 	for _, id := range ids[:min(len(ids), MaxParts)] {
 		if s := t.suspects[Key(service, id)]; s != nil {
@@ -161,6 +198,17 @@
 	t.publish([]*wire.PartEvent{t.event(r)})
 }
 
+// othersAreSound reports whether an answer is known to have gone on with each of the parts
+// but one. The caller holds the lock.
+func (t *Tracker) othersAreSound(parts []uint64, except uint64) bool {
+	for _, p := range parts {
+		if _, known := t.sound.get(p); p != except && !known {
+			return false
+		}
+	}
+	return true
+}
+
 // RecordSound records that an answer of this entry went on, and publishes which suspects
 // that clears.
 func (t *Tracker) RecordSound(parts []uint64) {
@@ -171,7 +219,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	for _, p := range parts[:min(len(parts), maxRememberedParts)] {
-		t.sound.put(p, now)
+		t.sound.putLatest(p, now)
 	}
 	if len(t.suspects) == 0 {
 		return
@@ -196,11 +244,14 @@
 		}
 		if e.Endpoint == 0 {
 			t.clear(e.Parts, at)
+			for _, p := range e.Parts {
+				t.sound.putLatest(p, at) // an older report may come later
+			}
 			continue
 		}
 		parts := slices.Clone(e.Parts)
 		slices.Sort(parts)
-		t.addReport(&report{endpoint: e.Endpoint, parts: parts, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond)})
+		t.addReport(&report{endpoint: e.Endpoint, parts: parts, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond), appeal: e.Appeal, alone: e.Alone})
 	}
 }
 
@@ -215,11 +266,20 @@
 	return t.eventsOf(func(r *report) bool { return r.own && now.Sub(r.at) < repeatedFor })
 }
 
-// EventsOf returns the events of the reports that hold one of the parts.
+// EventsOf returns what is known of the parts: the events of the reports that hold one of
+// them, and when answers last went on.
 func (t *Tracker) EventsOf(parts []uint64) []*wire.PartEvent {
-	return t.eventsOf(func(r *report) bool {
+	events := t.eventsOf(func(r *report) bool {
 		return slices.ContainsFunc(parts, func(p uint64) bool { return contains(r.parts, p) })
 	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		if at, known := t.sound.get(p); known {
+			events = append(events, &wire.PartEvent{Parts: []uint64{p}, AgeMs: uint32(t.now().Sub(at).Milliseconds()) + 1})
+		}
+	}
+	return events
 }
 
 func (t *Tracker) eventsOf(wanted func(*report) bool) []*wire.PartEvent {
@@ -240,7 +300,7 @@
 func (t *Tracker) event(r *report) *wire.PartEvent {
 	now := t.now()
 	return &wire.PartEvent{
-		Parts: r.parts, Endpoint: r.endpoint,
+		Parts: r.parts, Endpoint: r.endpoint, Appeal: r.appeal, Alone: r.alone,
 		AgeMs: uint32(now.Sub(r.at).Milliseconds()), SentAgeMs: uint32(now.Sub(r.sentAt).Milliseconds()),
 	}
 }
@@ -248,6 +308,8 @@
 // addReport adds a report, unless it is known, to the parts that aren't known to be sound
 // since then. The caller holds the lock.
 func (t *Tracker) addReport(r *report) {
+	// What is told on and on gets later by each way; the first time is the closest.
+	r.at = t.ended.putFirst(r.endpoint, r.at)
 	if slices.ContainsFunc(t.reports, func(known *report) bool {
 		return known.endpoint == r.endpoint && slices.Equal(known.parts, r.parts)
 	}) {
@@ -266,12 +328,13 @@
 			s = &suspect{wasSound: wasSound}
 			t.suspects[p] = s
 		}
-		if !s.add(r) && !s.quarantined {
+		if !s.add(r) {
 			continue
 		}
 		blamed = append(blamed, p)
 		ends = max(ends, s.ends())
-		if t.judge(p, s, r) {
+		if s.judge(p) {
+			t.logQuarantine(p, s)
 			proved = true
 		}
 	}
@@ -290,38 +353,15 @@
 	}
 }
 
-// judge quarantines a suspect if it is proved after a further report. It reports whether
-// the quarantine is new or has changed. The caller holds the lock.
-func (t *Tracker) judge(part uint64, s *suspect, r *report) bool {
-	if !s.quarantined {
-		if !s.isProved() {
-			return false
-		}
-		s.quarantined = true
+// logQuarantine records and logs a quarantine that is new or has become final. The caller
+// holds the lock.
+func (t *Tracker) logQuarantine(part uint64, s *suspect) {
+	if t.quarantined[part] == nil {
 		t.quarantined[part] = s
-		s.companions = slices.DeleteFunc(s.inAllReports(part), func(p uint64) bool { return t.suspects[p] == nil })
 		t.counts.Proved++
-		t.logger.Error().Uint64("part", part).Int("ends", s.ends()).Int("reports", len(s.reports)).Int("companions", len(s.companions)).
-			Msg("A part of prompts ends endpoints and is quarantined; find out why, then lift it.")
-		return true
-	}
-	if containsAll(r.parts, s.companions) {
-		return false // sent before the proof was known
 	}
-	s.trials++
-	s.companions = slices.DeleteFunc(s.companions, func(p uint64) bool { return !contains(r.parts, p) })
-	if s.trials >= maxTrialsAfterProof {
-		s.companions = nil
-	}
-	return true
-}
-
-// together returns a quarantined part with its companions, sorted. The caller holds the
-// lock.
-func (t *Tracker) together(part uint64) []uint64 {
-	parts := append([]uint64{part}, t.suspects[part].companions...)
-	slices.Sort(parts)
-	return parts
+	t.logger.Error().Uint64("part", part).Str("service", s.service).Str("id", s.id).Int("ends", s.ends()).Int("endpoints", len(s.reports)).
+		Bool("final", s.final).Msg("A part of prompts ends endpoints and is quarantined.")
 }
 
 // clear removes the suspects among the parts for which an answer went on at a time, and
@@ -337,7 +377,6 @@
 		if len(s.reports) > 0 {
 			continue
 		}
-		t.sound.put(p, at)
 		t.remove(p)
 		t.counts.Cleared++
 		cleared = append(cleared, p)
@@ -350,18 +389,12 @@
 	return cleared
 }
 
-// remove removes a suspect, also from the companions of others. The caller holds the lock.
+// remove removes a suspect. The caller holds the lock.
 func (t *Tracker) remove(part uint64) {
 	t.suspects[part].drop(func(*report) bool { return true })
 	delete(t.suspects, part)
 	delete(t.quarantined, part)
 	t.suspected.Store(int64(len(t.suspects)))
-	for _, s := range t.quarantined {
-		if i := slices.Index(s.companions, part); i >= 0 {
-			s.companions = slices.Delete(s.companions, i, i+1)
-			t.onProof(false)
-		}
-	}
 }
 
 // forget removes a report. A suspect without reports is removed too, unless it is
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -9,7 +9,6 @@
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
-	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
@@ -79,7 +78,7 @@
 	if err := r.checkParts(); err != nil {
 		return err
 	}
-	r.attemptEvents, r.goesOn, r.sentAt = 0, false, monotonic.Now()
+	r.attemptEvents, r.goesOn, r.sentAt = 0, false, r.server.parts.Now()
 	r.mayHaveRun++
 	r.measureLimitedSend(plan)
 	response, err := r.send(ctx, plan, reserved, cancel)
--- a/coordination/serve/crash.go
+++ b/coordination/serve/crash.go
@@ -41,6 +41,8 @@
 			return nil
 		case standing == quarantine.Quarantined:
 			return r.refuseParts(part)
+		case standing == quarantine.Postponed:
+			return errPartTried()
 		}
 		lease, retryAfter := r.server.parts.Take(ctx, r.service.Name, r.parts, time.Until(r.deadline))
 		r.logLease(part, lease != nil, retryAfter)
@@ -49,7 +51,7 @@
 			continue // the answer may have told that the part is quarantined
 		}
 		if time.Now().After(until) {
-			return fault.New(fault.Overloaded, "a part of the prompt may end endpoints, and another request tries it").WithRetryAfter(trialRetryAfter)
+			return errPartTried()
 		}
 		if !r.waitForRetry(ctx, retryAfter) {
 			return ctx.Err()
@@ -57,6 +59,11 @@
 	}
 }
 
+// errPartTried returns the error for a prompt with a suspect part that other requests try.
+func errPartTried() error {
+	return fault.New(fault.Overloaded, "a part of the prompt may end endpoints, and another request tries it").WithRetryAfter(trialRetryAfter)
+}
+
 // waitForRetry waits for a time, or until ctx ends and returns false.
 func (r *run) waitForRetry(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
@@ -97,7 +104,7 @@
 	switch {
 	case standing == quarantine.Quarantined:
 		return r.refuseParts(part)
-	case standing == quarantine.Unclear && r.lease == nil:
+	case standing == quarantine.Postponed, standing == quarantine.Unclear && r.lease == nil:
 		return &partsUnclearError{part: part}
 	}
 	return nil
@@ -130,7 +137,7 @@
 func (r *run) recordEnd(ctx context.Context, plan *placement.Plan) bool {
 	ended := r.endedUnder(ctx, plan)
 	if ended {
-		r.server.parts.RecordEnd(r.service.Name, r.request.SharedParts, plan.Endpoints[0].Key, r.sentAt)
+		r.server.parts.RecordEnd(r.service.Name, r.request.SharedParts, plan.Endpoints[0].Key, r.sentAt, r.lease)
 	}
 	return ended
 }
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -101,7 +101,7 @@
 		Dial:          func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
 		PeerAddresses: func() []string { return otherVoters(dir, record.Address) },
 	})
-	return quarantine.NewRecorder(tracker, client.Quarantine)
+	return quarantine.NewRecorder(tracker, client)
 }
 
 func newServer(reloadable *hostconfig.Reloadable, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, m *mesh.Mesh, p *permits.Permits, guard *quarantine.Guard, registry *metrics.Registry) *serve.Server {
--- a/state/catalogue/quarantine.go
+++ b/state/catalogue/quarantine.go
@@ -7,63 +7,56 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
-const (
-	// maxQuarantined bounds the quarantines in the state.
-	maxQuarantined = 1024
-	// maxQuarantinedParts bounds the parts of one quarantine.
-	maxQuarantinedParts = 256
-)
+// maxQuarantined bounds the quarantines in the state.
+const maxQuarantined = 1024
 
-// QuarantinedParts are parts of prompts that end the endpoints of a service when they are in
-// one prompt together.
-type QuarantinedParts struct {
-	Keys    []uint64 // sorted; of the service and the part's ID
-	Service string
-	IDs     []string // in the order of the keys, shortened; empty where unknown
+// QuarantinedPart is a part of prompts under which endpoints of a service ended.
+type QuarantinedPart struct {
+	Key     uint64 // of the service and the part's ID
+	Service string // empty where unknown
+	ID      string // shortened; empty where unknown
+	Final   bool   // no request with the part is sent as a trial
 }
 
-func quarantinedToWire(all []QuarantinedParts) []*wire.QuarantinedParts {
-	var messages []*wire.QuarantinedParts
+func quarantinedToWire(all []QuarantinedPart) []*wire.QuarantinedPart {
+	var messages []*wire.QuarantinedPart
 	for _, q := range all {
-		messages = append(messages, &wire.QuarantinedParts{Keys: q.Keys, Service: q.Service, Ids: q.IDs})
+		messages = append(messages, &wire.QuarantinedPart{Key: q.Key, Service: q.Service, Id: q.ID, Final: q.Final})
 	}
 	return messages
 }
 
-func quarantinedFromWire(messages []*wire.QuarantinedParts) []QuarantinedParts {
-	var all []QuarantinedParts
+func quarantinedFromWire(messages []*wire.QuarantinedPart) []QuarantinedPart {
+	var all []QuarantinedPart
 	for _, m := range messages {
-		all = append(all, QuarantinedParts{Keys: m.Keys, Service: m.Service, IDs: m.Ids})
+		all = append(all, QuarantinedPart{Key: m.Key, Service: m.Service, ID: m.Id, Final: m.Final})
 	}
 	return all
 }
 
-// setQuarantine adds a quarantine, or lifts all that hold one of the keys. A quarantine
-// beyond maxQuarantined is refused.
+// setQuarantine adds a quarantine, makes one final or lifts it. A quarantine beyond
+// maxQuarantined is refused; a final one is lifted by an operator only.
 func (m *Machine) setQuarantine(index uint64, change *wire.QuarantineChange) any {
 	now := m.State()
-	next := *now
-	next.Index = index
-	if change.Lift {
-		next.Quarantined = slices.DeleteFunc(slices.Clone(now.Quarantined), func(q QuarantinedParts) bool {
-			return slices.ContainsFunc(change.Keys, func(key uint64) bool { return slices.Contains(q.Keys, key) })
-		})
-		if len(next.Quarantined) == len(now.Quarantined) {
-			return m.outcome(false)
-		}
-		m.publish(&next)
+	at := slices.IndexFunc(now.Quarantined, func(q QuarantinedPart) bool { return q.Key == change.Key })
+	known := at >= 0
+	all := slices.Clone(now.Quarantined)
+	switch {
+	case change.Lift && !known, !change.Lift && known && (all[at].Final || !change.Final):
 		return m.outcome(false)
-	}
-	if len(change.Keys) == 0 || len(change.Keys) > maxQuarantinedParts {
-		return fault.New(fault.InvalidRequest, "a quarantine of %d parts", len(change.Keys))
-	}
-	if slices.ContainsFunc(now.Quarantined, func(q QuarantinedParts) bool { return slices.Equal(q.Keys, change.Keys) }) {
+	case change.Lift && all[at].Final && !change.ByOperator:
 		return m.outcome(false)
+	case change.Lift:
+		all = slices.Delete(all, at, at+1)
+	case known:
+		all[at].Final = true
+	case len(all) >= maxQuarantined:
+		return fault.New(fault.Overloaded, "the state holds %d quarantines, lift some of them", len(all))
+	default:
+		all = append(all, QuarantinedPart{Key: change.Key, Service: change.Service, ID: change.Id, Final: change.Final})
 	}
-	if len(now.Quarantined) >= maxQuarantined {
-		return fault.New(fault.Overloaded, "the state holds %d quarantines, lift some of them", len(now.Quarantined))
-	}
-	next.Quarantined = append(slices.Clone(now.Quarantined), QuarantinedParts{Keys: change.Keys, Service: change.Service, IDs: change.Ids})
+	next := *now
+	next.Index, next.Quarantined = index, all
 	m.publish(&next)
 	return m.outcome(false)
 }
--- a/state/catalogue/state.go
+++ b/state/catalogue/state.go
@@ -26,7 +26,7 @@
 	Text           []byte // as the operator sent it
 	Catalogue      *Catalogue
 	DataCentresOut []string // sorted
-	Quarantined    []QuarantinedParts
+	Quarantined    []QuarantinedPart
 
 	digest     []byte
 	compressed []byte
