Make an operator's change of a data centre once only

One way here: a change is proposed to the leader by up to four calls, 250 ms apart; a copy of an earlier 'take back' that arrives after a later 'evacuate' was acknowledged put the data centre back into service, for good. Copies now carry one operation, and the state machine applies each once, also after a restart. The test failed before.

--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -16,8 +16,7 @@
 //
 // If leadership moves between two calls, a change may be made twice. The second time
 // changes nothing if the first is still in effect, or a newer version of the
-// catalogue. If another operator has changed the same data centre in between, the
-// second time reverts that.
+// catalogue. A change of a data centre is made once, as its copies have one operation.
 const hedgeDelay = 250 * time.Millisecond
 
 // remoteCall is a call to the Steering service of another process.
--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -188,7 +189,7 @@
 // into service otherwise.
 func (s *Service) SetDataCentre(ctx context.Context, dataCentre string, out bool) error {
 	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_DataCentre{
-		DataCentre: &wire.DataCentreChange{DataCentre: dataCentre, Out: out},
+		DataCentre: &wire.DataCentreChange{DataCentre: dataCentre, Out: out, Operation: rand.Uint64() | 1},
 	}})
 	s.logger.Info().Str("data_centre", dataCentre).Bool("out", out).Uint64("index", outcome.GetIndex()).Err(err).
 		Msg("An operator has requested to take a data centre out of service or put it back.")
--- a/state/catalogue/catalogue_test.go
+++ b/state/catalogue/catalogue_test.go
@@ -106,6 +106,32 @@
 	}
 }
 
+// An operator's change may be proposed twice, when the leader answers late. The second copy
+// must not undo a change that another operator has made since, also after a restart.
+func TestSecondCopyOfADataCentreChangeUndoesNothing(t *testing.T) {
+	change := func(operation uint64, out bool) *wire.Command {
+		return &wire.Command{Of: &wire.Command_DataCentre{DataCentre: &wire.DataCentreChange{DataCentre: "dc1", Out: out, Operation: operation}}}
+	}
+	m := NewMachine(decodeVersion, func(*State) {})
+	m.Apply(1, change(1, false)) // taken back, which changes nothing
+	m.Apply(2, change(2, true))
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(3, change(1, false))
+	if m.State().InService("dc1") {
+		t.Error("the second copy of an earlier change has undone a later one")
+	}
+	m.Apply(4, change(3, false))
+	if !m.State().InService("dc1") {
+		t.Error("a new change has no effect")
+	}
+}
+
 // Whatever commands are applied, the version and index never decrease, and a
 // snapshot restores the state.
 func TestVersionAndIndexNeverDecrease(t *testing.T) {
--- a/state/catalogue/machine.go
+++ b/state/catalogue/machine.go
@@ -11,6 +11,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// maxOperations is the number of changes of data centres whose second copies are recognised.
+const maxOperations = 64
+
 // Machine is the replicated state machine of the catalogue. A replica calls Apply,
 // ApplyMembers, Snapshot and Restore from one goroutine; any goroutine may call State.
 type Machine struct {
@@ -65,6 +68,7 @@
 		Digest:         change.Digest,
 		DataCentresOut: now.DataCentresOut,
 		Quarantined:    quarantinedToWire(now.Quarantined),
+		Operations:     now.operations,
 	}, now, m.decode)
 	if err != nil {
 		return err
@@ -75,10 +79,17 @@
 
 func (m *Machine) setDataCentre(index uint64, change *wire.DataCentreChange) any {
 	now := m.State()
-	if now.InService(change.DataCentre) != change.Out {
+	if change.Operation != 0 && slices.Contains(now.operations, change.Operation) {
 		return m.outcome(false)
 	}
 	next := *now
+	if change.Operation != 0 {
+		next.operations = append(slices.Clone(now.operations[max(0, len(now.operations)-maxOperations+1):]), change.Operation)
+	}
+	if now.InService(change.DataCentre) != change.Out {
+		m.state.Store(&next) // only the operation is new, which other processes need not know
+		return m.outcome(false)
+	}
 	next.Index = index
 	next.DataCentresOut = slices.DeleteFunc(slices.Clone(now.DataCentresOut), func(name string) bool { return name == change.DataCentre })
 	if change.Out {
