Check data centres and the state again right before a request is sent

What is checked before the wait is now checked after it too; the request is placed anew. The test failed before for memory (one request sent, 502); with the wait for a permit it passed before as well.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
@@ -59,23 +60,20 @@
 }
 
 // attempt sends the request to the endpoints of a plan and delivers the answer.
-// It checks the state right before sending, since its confirmation may have
-// expired while the request waited.
 func (r *run) attempt(ctx context.Context, plan *placement.Plan) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	main := plan.Endpoints[0]
-	r.tried[main.Key] = true
-	if !r.server.StateIsCurrent() {
-		return fault.New(fault.NotCurrent, "this entry's copy of the replicated state is not current").WithRetryAfter(staleRetryAfter)
+	if err := r.checkBeforeSend(plan); err != nil {
+		return err
 	}
+	r.tried[plan.Endpoints[0].Key] = true
 	r.attempts++
 	reserved, err := r.reserve(ctx, plan)
 	if err != nil {
 		return err
 	}
 	defer reserved.end()
-	if err := r.checkParts(); err != nil {
+	if err := r.checkBeforeSend(plan); err != nil {
 		return err
 	}
 	r.attemptEvents, r.goesOn, r.sentAt = 0, false, r.server.parts.Now()
@@ -89,6 +87,23 @@
 	return err
 }
 
+// errTakenOut marks a plan with an endpoint whose data centre was taken out of service
+// after the plan was made.
+var errTakenOut = errors.New("the data centre of an endpoint was taken out of service")
+
+// checkBeforeSend checks again what may have changed while the request waited for a permit
+// or for memory.
+func (r *run) checkBeforeSend(plan *placement.Plan) error {
+	if !r.server.StateIsCurrent() {
+		return fault.New(fault.NotCurrent, "this entry's copy of the replicated state is not current").WithRetryAfter(staleRetryAfter)
+	}
+	state := r.server.stateCache.State()
+	if slices.ContainsFunc(plan.Endpoints, func(e *directory.Endpoint) bool { return !state.InService(e.DataCentre) }) {
+		return errTakenOut
+	}
+	return r.checkParts()
+}
+
 // send returns the endpoint's response. It cancels a stalled attempt once another
 // endpoint has room.
 func (r *run) send(ctx context.Context, plan *placement.Plan, reserved *reservations, cancel context.CancelFunc) (*Response, error) {
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -272,8 +272,8 @@
 	var notSent *NotSentError
 	var unclear *partsUnclearError
 	switch {
-	case errors.As(err, &unclear):
-		return true // awaitParts bounds the wait
+	case errors.As(err, &unclear), errors.Is(err, errTakenOut):
+		return true // nothing was sent; awaitParts and place bound the wait
 	case errors.As(err, &notSent), errors.Is(err, errNoMemory):
 		return r.attempts < maxAttempts // no endpoint has received the request
 	case isNotRun(err):
--- a/coordination/serve/testbed_test.go
+++ b/coordination/serve/testbed_test.go
@@ -35,9 +35,11 @@
 	attempts         []*Attempt
 	reservedTokens   map[string]int // by endpoint
 	reserveCalls     int
+	onReserve        func()                   // called by Reserve unless nil
 	refusingEndpoint string                   // this endpoint refuses reservations
 	permitWaits      map[string]time.Duration // by ID of the endpoints without a permit
 	permitCalls      int
+	onPermit         func()          // called by Take unless nil
 	ended            map[string]bool // by ID of the endpoints whose process has ended
 }
 
@@ -111,6 +113,9 @@
 	defer b.mu.Unlock()
 	wait, denied := b.permitWaits[e.ID]
 	b.permitCalls++
+	if b.onPermit != nil {
+		b.onPermit()
+	}
 	return !denied, wait
 }
 
@@ -126,6 +131,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reserveCalls++
+	if b.onReserve != nil {
+		b.onReserve()
+	}
 	if e.ID == b.refusingEndpoint {
 		return errors.New("no memory")
 	}
