List and lift quarantines by hand; count suspects in the metrics

apricotspokectl quarantine list and lift call the leader of the control group. The test with real processes now restarts all entries at once: none of them sends a quarantined part, until it is lifted by hand.

--- a/ctl/app.go
+++ b/ctl/app.go
@@ -50,6 +50,13 @@
 // callAny sends a call to the addresses in turn until one answers. Sending again
 // is safe: a read changes nothing, and a change has an operation ID.
 func callAny[R any](a *app, send func(ctx context.Context, client wire.OperatorClient) (R, error)) (R, error) {
+	return callAnyConn(a, func(ctx context.Context, conn grpc.ClientConnInterface) (R, error) {
+		return send(ctx, wire.NewOperatorClient(conn))
+	})
+}
+
+// callAnyConn is callAny for the services other than wire.Operator.
+func callAnyConn[R any](a *app, send func(ctx context.Context, conn grpc.ClientConnInterface) (R, error)) (R, error) {
 	var none R
 	addresses := settings.SplitList(a.options.Control)
 	if len(addresses) == 0 {
@@ -81,7 +88,7 @@
 }
 
 // callAddress sends a call to one address.
-func callAddress[R any](a *app, address string, send func(ctx context.Context, client wire.OperatorClient) (R, error)) (R, error) {
+func callAddress[R any](a *app, address string, send func(ctx context.Context, conn grpc.ClientConnInterface) (R, error)) (R, error) {
 	var none R
 	security, err := a.options.Links.Security()
 	if err != nil {
@@ -97,7 +104,7 @@
 	if !awaitConnected(ctx, conn) {
 		return none, fault.New(fault.NotLeader, "control replica %s cannot be reached", address)
 	}
-	response, err := send(ctx, wire.NewOperatorClient(conn))
+	response, err := send(ctx, conn)
 	if err == nil {
 		return response, nil
 	}
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -42,6 +42,7 @@
 	a.registerEndpoints(addGroup(parser, "endpoint", "Endpoints in and out of service"))
 	a.registerOrders(addGroup(parser, "order", "Orders to endpoints"))
 	a.registerMembers(addGroup(parser, "member", "Replicas of the control group"))
+	a.registerQuarantine(addGroup(parser, "quarantine", "Parts of prompts that end endpoints"))
 	a.registerKey(addGroup(parser, "key", "Keys of callers and operators"))
 	addCommand(parser.Command, "status", "Show the leader, the replicas, the revision of each process, and the endpoints", &struct{ command }{a.showStatus})
 	a.registerWatch(parser.Command)
--- a/role/host/crashingpart_test.go
+++ b/role/host/crashingpart_test.go
@@ -6,10 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 )
 
 // The users' rule: of the requests with a part under which crashesToNotice endpoints have
@@ -145,6 +149,56 @@
 	}
 	callers.Wait()
 	site.check(sound, served)
+	site.checkRestart(hosts)
+}
+
+// checkRestart checks that no endpoint ends after all entries were restarted at once, until
+// the quarantine is lifted by hand.
+func (s *crashSite) checkRestart(hosts []int) {
+	s.t.Helper()
+	before := s.endCount()
+	for _, n := range hosts {
+		s.platform.stop(fmt.Sprintf("entry%d", n), syscall.SIGKILL)
+	}
+	for _, n := range hosts {
+		s.platform.start("entry", n, false, false)
+	}
+	s.platform.awaitReady(hosts...)
+	for _, n := range hosts {
+		status, _ := s.platform.callWithParts(n, fmt.Sprintf("again-%d", n), fmt.Sprintf("f1:40,%s:100,c%d:1", crashingPart, n))
+		if status != http.StatusBadRequest {
+			s.t.Errorf("a restarted entry answers %d to a quarantined part", status)
+		}
+	}
+	if ended := s.endCount() - before; ended != 0 {
+		s.t.Errorf("%d endpoints ended after a restart of all entries", ended)
+	}
+	s.platform.await("the lift is known", func() bool {
+		if out, err := s.platform.ctl("quarantine", "lift", fmt.Sprint(quarantine.Key("s", crashingPart))); err != nil {
+			s.t.Logf("%v: %s", err, out)
+			return false
+		}
+		status, _ := s.platform.callWithParts(hosts[0], "lifted", fmt.Sprintf("f1:40,%s:100,c:1", crashingPart))
+		return status != http.StatusBadRequest
+	})
+	if s.endCount() == before {
+		s.t.Error("no request with the part was sent after the quarantine had been lifted")
+	}
+}
+
+func (s *crashSite) endCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ends)
+}
+
+// ctl runs the operators' command line against the control processes.
+func (p *fakePlatform) ctl(arguments ...string) (string, error) {
+	for n := 1; n <= 3; n++ {
+		arguments = append(arguments, "--control", net.JoinHostPort(host(n), fmt.Sprint(p.ports[3])))
+	}
+	out, err := exec.Command("go", append([]string{"run", "github.com/apricotspoke/apricotspoke/cmd/apricotspokectl"}, arguments...)...).CombinedOutput()
+	return string(out), err
 }
 
 // check checks the rule, and that sound requests were served.
--- a/role/host/metrics.go
+++ b/role/host/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/coordination/replica"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/state/hostconfig"
@@ -25,7 +26,7 @@
 	registry *metrics.Registry
 }
 
-func newMetrics(p *hostconfig.Process, registry *metrics.Registry, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, links *mesh.Mesh) *Metrics {
+func newMetrics(p *hostconfig.Process, registry *metrics.Registry, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, parts *quarantine.Tracker, links *mesh.Mesh) *Metrics {
 	registry.AddCollector(func(w io.Writer) {
 		state := store.State()
 		age, known := store.Age()
@@ -36,6 +37,9 @@
 		fmt.Fprintf(w, "ledger_own_work %d\nledger_other_work %d\nledger_resting_endpoints %d\nprediction_bias %.3f\n",
 			stats.Own, stats.Remote, stats.BackingOff, stats.Bias)
 		fmt.Fprintf(w, "ledger_reported_answers %d\nendpoints_rate_limited %d\n", scheduler.ReportedAnswers(), stats.RateLimited)
+		counts := parts.Counts()
+		fmt.Fprintf(w, "parts_suspect %d\nparts_quarantined %d\nparts_recorded %d\n", counts.Suspects, counts.Quarantined, len(state.Quarantined))
+		fmt.Fprintf(w, "parts_ends_total %d\nparts_cleared_total %d\nparts_proved_total %d\n", counts.Ends, counts.Cleared, counts.Proved)
 		linkStats := links.Stats()
 		for _, role := range slices.Sorted(maps.Keys(linkStats.LinksByRole)) {
 			fmt.Fprintf(w, "links{role=%q} %d\n", role, linkStats.LinksByRole[role])
