Don't take the end of an endpoint for the end of an answer without length

An answer may end with its connection. When the endpoint's process ended at its beginning, the answer looked complete and cleared the parts of its prompt. Now the endpoint is asked for a connection before an answer of under two events whose prompt has shared parts counts as whole.

--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
@@ -99,6 +100,9 @@
 			}
 			stall.Reset(r.pauseStallTimeout(plan))
 		case err := <-ended:
+			if err == nil && r.attemptEvents < eventsOfGoingAnswer && r.endedUnder(ctx, plan) {
+				err = io.ErrUnexpectedEOF // without a length, the end of the process looks like that of the answer
+			}
 			return r.finishStream(response, err)
 		case <-stall.C:
 			if r.planFailover(ctx) {
