--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -27,6 +27,7 @@
 	store     *statecache.Store
 	directory *directory.Directory
 	scheduler *placement.Scheduler
+	parts     *quarantine.Tracker
 	address   string
 	stop      func()
 }
@@ -56,14 +57,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{store: statecache.NewStore(), directory: directory.New(), scheduler: placement.NewScheduler(time.Now), address: listener.Addr().String()}
+	n := &node{store: statecache.NewStore(), directory: directory.New(), scheduler: placement.NewScheduler(time.Now), parts: quarantine.NewTracker(monotonic.Now), address: listener.Addr().String()}
 	record.Address = n.address
 	n.mesh = New(Options{
 		Self:   record,
 		Seeds:  seeds,
 		Dial:   dial,
 		Decode: decode,
-	}, n.store, n.directory, n.scheduler, quarantine.NewTracker(monotonic.Now))
+	}, n.store, n.directory, n.scheduler, n.parts)
 	server := link.NewServer(link.Security{})
 	wire.RegisterMeshServer(server, n.mesh)
 	go func() { _ = server.Serve(listener) }() // returns when the server is stopped
--- a/transport/mesh/relays_test.go
+++ b/transport/mesh/relays_test.go
@@ -11,6 +11,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/fanout"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/transport/link"
@@ -264,3 +265,25 @@
 		}
 	}
 }
+
+// What one entry has seen of a part must reach the entries of all data centres, and one that
+// starts later.
+func TestSuspectPartsReachAllDataCentres(t *testing.T) {
+	r := newTestFleet(t, "a", "b")
+	from := r.nodes["a"][2]
+	part := quarantine.Keys("s", []string{"bad"})
+	standing := func(n *node) quarantine.Standing {
+		s, _ := n.parts.Check(part)
+		return s
+	}
+	from.parts.RecordEnd("s", []string{"bad"}, 1, from.parts.Now(), nil)
+	late := startAt(t, "127.0.0.1:0", &wire.ProcessRecord{Name: "late", Incarnation: 999, Entry: true, DataCentre: "b"}, from.address)
+	all := append([]*node{late}, append(r.nodes["a"], r.nodes["b"]...)...)
+	for _, n := range all {
+		waitUntil(t, "the suspect is known", func() bool { return standing(n) == quarantine.Unclear })
+	}
+	r.nodes["b"][0].parts.RecordSound(part)
+	for _, n := range all {
+		waitUntil(t, "the part is cleared", func() bool { return standing(n) == quarantine.Clear })
+	}
+}
