Don't lift a quarantine for an answer that went on before it

Found on reading the change: an entry that had just started knows a recorded quarantine without reports, so any answer that had ever gone on with the part, told with a call for a lease, cleared it there, and a part that turned bad would have been sent again. An answer counts only if it went on after the entry knew of the quarantine. A report whose parts are all known to be sound was counted and logged at each repetition; it is remembered now. Both tests failed before.

--- /dev/null
+++ b/coordination/quarantine/events.go
@@ -0,0 +1,85 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// repeatedFor is the time for which a report is repeated to the other entries.
+const repeatedFor = 30 * time.Second
+
+// Apply applies events of other entries.
+func (t *Tracker) Apply(events []*wire.PartEvent) {
+	if len(events) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, e := range events {
+		at := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
+		if len(e.Parts) == 0 || len(e.Parts) > MaxParts {
+			continue
+		}
+		if e.Endpoint == 0 {
+			t.clear(e.Parts, at)
+			for _, p := range e.Parts {
+				t.sound.putLatest(p, at) // an older report may come later
+			}
+			continue
+		}
+		parts := slices.Clone(e.Parts)
+		slices.Sort(parts)
+		t.addReport(&report{endpoint: e.Endpoint, parts: parts, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond), appeal: e.Appeal, alone: e.Alone})
+	}
+}
+
+// Events returns the events of all reports, for an entry that may not know them.
+func (t *Tracker) Events() []*wire.PartEvent {
+	return t.eventsOf(func(*report) bool { return true })
+}
+
+// OwnEvents returns the events of the latest reports of this entry's own requests.
+func (t *Tracker) OwnEvents() []*wire.PartEvent {
+	now := t.now()
+	return t.eventsOf(func(r *report) bool { return r.own && now.Sub(r.at) < repeatedFor })
+}
+
+// EventsOf returns what is known of the parts: the events of the reports that hold one of
+// them, and when answers last went on.
+func (t *Tracker) EventsOf(parts []uint64) []*wire.PartEvent {
+	events := t.eventsOf(func(r *report) bool {
+		return slices.ContainsFunc(parts, func(p uint64) bool { return contains(r.parts, p) })
+	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		if at, known := t.sound.get(p); known {
+			events = append(events, &wire.PartEvent{Parts: []uint64{p}, AgeMs: uint32(t.now().Sub(at).Milliseconds()) + 1})
+		}
+	}
+	return events
+}
+
+func (t *Tracker) eventsOf(wanted func(*report) bool) []*wire.PartEvent {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var events []*wire.PartEvent
+	for _, r := range t.reports {
+		if wanted(r) {
+			events = append(events, t.event(r))
+		}
+	}
+	return events
+}
+
+// event returns the event that tells other processes a report. The caller holds the lock.
+func (t *Tracker) event(r *report) *wire.PartEvent {
+	now := t.now()
+	return &wire.PartEvent{
+		Parts: r.parts, Endpoint: r.endpoint, Appeal: r.appeal, Alone: r.alone,
+		AgeMs: uint32(now.Sub(r.at).Milliseconds()), SentAgeMs: uint32(now.Sub(r.sentAt).Milliseconds()),
+	}
+}
--- a/coordination/quarantine/recorded.go
+++ b/coordination/quarantine/recorded.go
@@ -38,8 +38,10 @@
 		s = &suspect{}
 		t.suspects[q.Key] = s
 	}
-	s.quarantined = true
-	t.quarantined[q.Key] = s
+	if !s.quarantined {
+		s.quarantined, s.quarantinedAt = true, t.now()
+		t.quarantined[q.Key] = s
+	}
 	s.final = s.final || q.Final
 	s.service, s.id = q.Service, q.ID
 	t.logger.Warn().Uint64("part", q.Key).Str("service", q.Service).Str("id", q.ID).Bool("final", q.Final).
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -44,6 +46,17 @@
 	holders  int            // suspects that hold it
 }
 
+// hash identifies a report, whoever tells it.
+func (r *report) hash() uint64 {
+	hash := fnv.New64a()
+	text := binary.BigEndian.AppendUint64(nil, r.endpoint)
+	for _, p := range r.parts {
+		text = binary.BigEndian.AppendUint64(text, p)
+	}
+	_, _ = hash.Write(text) // a hash write never fails
+	return hash.Sum64()
+}
+
 // suspect is a part under which endpoints have ended since an answer last went on with it.
 type suspect struct {
 	service string // empty until an endpoint ended under a request of this entry
@@ -54,7 +67,8 @@
 	// wasSound is set if an answer is known to have gone on before the first end.
 	wasSound bool
 	// quarantined is set once the part is proved.
-	quarantined bool
+	quarantined   bool
+	quarantinedAt monotonic.Time // as far as this entry knows; 0 before
 	// final is set once the quarantine ends by an operator's hand only.
 	final bool
 }
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -29,8 +29,6 @@
 	maxRememberedParts = 16
 	// maxLoggedParts bounds the parts in one log line.
 	maxLoggedParts = 8
-	// repeatedFor is the time for which a report is repeated to the other entries.
-	repeatedFor = 30 * time.Second
 	// soundBefore is the age up to which an answer that went on counts when a quarantine
 	// arrives from the control group.
 	soundBefore = 10 * time.Second
@@ -84,6 +82,7 @@
 	reports     []*report       // the oldest first
 	sound       *history        // when an answer last went on, by part
 	ended       *history        // when an endpoint ended, by its key
+	heard       *history        // when a report was heard, by its hash
 	recorded    map[uint64]bool // quarantines of the control group, and whether they are final
 	publish     func([]*wire.PartEvent)
 	onProof     func(own bool)
@@ -102,7 +101,7 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker(now func() monotonic.Time) *Tracker {
 	return &Tracker{
-		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), ended: newHistory(),
+		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), ended: newHistory(), heard: newHistory(),
 		publish: func([]*wire.PartEvent) {}, onProof: func(bool) {},
 	}
 }
@@ -229,92 +228,15 @@
 	}
 }
 
-// Apply applies events of other entries.
-func (t *Tracker) Apply(events []*wire.PartEvent) {
-	if len(events) == 0 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	for _, e := range events {
-		at := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
-		if len(e.Parts) == 0 || len(e.Parts) > MaxParts {
-			continue
-		}
-		if e.Endpoint == 0 {
-			t.clear(e.Parts, at)
-			for _, p := range e.Parts {
-				t.sound.putLatest(p, at) // an older report may come later
-			}
-			continue
-		}
-		parts := slices.Clone(e.Parts)
-		slices.Sort(parts)
-		t.addReport(&report{endpoint: e.Endpoint, parts: parts, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond), appeal: e.Appeal, alone: e.Alone})
-	}
-}
-
-// Events returns the events of all reports, for an entry that may not know them.
-func (t *Tracker) Events() []*wire.PartEvent {
-	return t.eventsOf(func(*report) bool { return true })
-}
-
-// OwnEvents returns the events of the latest reports of this entry's own requests.
-func (t *Tracker) OwnEvents() []*wire.PartEvent {
-	now := t.now()
-	return t.eventsOf(func(r *report) bool { return r.own && now.Sub(r.at) < repeatedFor })
-}
-
-// EventsOf returns what is known of the parts: the events of the reports that hold one of
-// them, and when answers last went on.
-func (t *Tracker) EventsOf(parts []uint64) []*wire.PartEvent {
-	events := t.eventsOf(func(r *report) bool {
-		return slices.ContainsFunc(parts, func(p uint64) bool { return contains(r.parts, p) })
-	})
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, p := range parts {
-		if at, known := t.sound.get(p); known {
-			events = append(events, &wire.PartEvent{Parts: []uint64{p}, AgeMs: uint32(t.now().Sub(at).Milliseconds()) + 1})
-		}
-	}
-	return events
-}
-
-func (t *Tracker) eventsOf(wanted func(*report) bool) []*wire.PartEvent {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var events []*wire.PartEvent
-	for _, r := range t.reports {
-		if wanted(r) {
-			events = append(events, t.event(r))
-		}
-	}
-	return events
-}
-
-// firstParts returns the first parts, for a log line.
-func firstParts(parts []uint64) []uint64 { return parts[:min(len(parts), maxLoggedParts)] }
-
-func (t *Tracker) event(r *report) *wire.PartEvent {
-	now := t.now()
-	return &wire.PartEvent{
-		Parts: r.parts, Endpoint: r.endpoint, Appeal: r.appeal, Alone: r.alone,
-		AgeMs: uint32(now.Sub(r.at).Milliseconds()), SentAgeMs: uint32(now.Sub(r.sentAt).Milliseconds()),
-	}
-}
-
 // addReport adds a report, unless it is known, to the parts that aren't known to be sound
 // since then. The caller holds the lock.
 func (t *Tracker) addReport(r *report) {
 	// What is told on and on gets later by each way; the first time is the closest.
 	r.at = t.ended.putFirst(r.endpoint, r.at)
-	if slices.ContainsFunc(t.reports, func(known *report) bool {
-		return known.endpoint == r.endpoint && slices.Equal(known.parts, r.parts)
-	}) {
+	if _, known := t.heard.get(r.hash()); known {
 		return
 	}
+	t.heard.putFirst(r.hash(), r.at)
 	t.counts.Ends++
 	var blamed []uint64
 	proved, ends := false, 0
@@ -357,7 +279,7 @@
 // holds the lock.
 func (t *Tracker) logQuarantine(part uint64, s *suspect) {
 	if t.quarantined[part] == nil {
-		t.quarantined[part] = s
+		t.quarantined[part], s.quarantinedAt = s, t.now()
 		t.counts.Proved++
 	}
 	t.logger.Error().Uint64("part", part).Str("service", s.service).Str("id", s.id).Int("ends", s.ends()).Int("endpoints", len(s.reports)).
@@ -374,7 +296,7 @@
 			continue
 		}
 		s.drop(func(r *report) bool { return r.at <= at })
-		if len(s.reports) > 0 {
+		if len(s.reports) > 0 || at <= s.quarantinedAt {
 			continue
 		}
 		t.remove(p)
@@ -417,3 +339,6 @@
 func (t *Tracker) dropUnusedReports() {
 	t.reports = slices.DeleteFunc(t.reports, func(r *report) bool { return r.holders == 0 })
 }
+
+// firstParts returns the first parts, for a log line.
+func firstParts(parts []uint64) []uint64 { return parts[:min(len(parts), maxLoggedParts)] }
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -140,6 +140,39 @@
 	}
 }
 
+// An answer that went on before a part was quarantined says nothing: a part may turn bad.
+func TestEarlierAnswerDoesNotLiftARecordedQuarantine(t *testing.T) {
+	for _, final := range []bool{false, true} {
+		old, c := newTestTracker()
+		part := Key(service, "bad")
+		old.RecordSound([]uint64{part})
+		c.advance(time.Minute)
+		started := NewTracker(old.now)
+		started.SetRecorded([]catalogue.QuarantinedPart{{Key: part, Service: service, ID: "bad", Final: final}})
+		c.advance(time.Second)
+		started.Apply(old.EventsOf([]uint64{part}))
+		if got := standing(started, "bad"); got == Clear {
+			t.Errorf("final %v: an answer of a minute ago lifted the quarantine", final)
+		}
+	}
+}
+
+// A report that is repeated must be counted and logged once, also where its parts are known
+// to be sound.
+func TestRepeatedReportCountsOnce(t *testing.T) {
+	seen, c := newTestTracker()
+	end(seen, c, 1, "part")
+	told := NewTracker(seen.now)
+	c.advance(time.Second)
+	told.RecordSound(Keys(service, []string{"part"}))
+	for range 5 {
+		told.Apply(seen.Events())
+	}
+	if got := told.Counts().Ends; got != 1 {
+		t.Errorf("one report counts %d times", got)
+	}
+}
+
 // What the entries tell each other must lead to the same belief, in any order and when it
 // is told twice.
 func TestEntriesAgreeWhateverTheOrderOfEvents(t *testing.T) {
