--- a/coordination/serve/crash.go
+++ b/coordination/serve/crash.go
@@ -8,6 +8,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -53,7 +54,7 @@
 		if time.Now().After(until) {
 			return errPartTried()
 		}
-		if !r.waitForRetry(ctx, retryAfter) {
+		if !wait.For(ctx, retryAfter) {
 			return ctx.Err()
 		}
 	}
@@ -64,18 +65,6 @@
 	return fault.New(fault.Overloaded, "a part of the prompt may end endpoints, and another request tries it").WithRetryAfter(trialRetryAfter)
 }
 
-// waitForRetry waits for a time, or until ctx ends and returns false.
-func (r *run) waitForRetry(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // refuseParts returns the error for a prompt with a quarantined part.
 func (r *run) refuseParts(part uint64) error {
 	r.server.logger.Warn().Str("request", r.request.ID).Uint64("part", part).Str("id", r.partID(part)).
--- a/ctl/causes.go
+++ b/ctl/causes.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/telemetry/requestlog"
 	"github.com/jessevdk/go-flags"
 )
@@ -93,6 +94,8 @@
 		return "refused: the rate limits of all endpoints were used up"
 	case q.noRoom && outcome == "overloaded":
 		return "refused: no endpoint had room"
+	case outcome == string(fault.PromptQuarantined):
+		return "refused: a part of the prompt ends endpoints"
 	case len(q.choices) == 0:
 		return outcome + ": nothing was sent"
 	}
