Review case 2: after many changes of a large configuration control is not back in time

What breaks: CONFIG. After a final fault the configuration doesn't come when it is read back, and no entry serves meanwhile.

Order of events: the configuration grows to thousands of routes and some hundred versions of it are acknowledged; all processes are killed and are back after 1.5 s; every replica decodes all versions again, in the goroutine that answers heartbeats and votes.

--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -15,9 +15,10 @@
 type scenario func(f *fleet, r *record, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"late-order":  lateOrder,
-	"leave-lost":  leaveLost,
-	"cold-return": coldReturn,
+	"late-order":   lateOrder,
+	"many-changes": manyChanges,
+	"leave-lost":   leaveLost,
+	"cold-return":  coldReturn,
 }
 
 func main() {
