Review: the stand-in ends its processes when a reader leaves

A run whose output went into a closed pipe ended by SIGPIPE and left its fleet behind. The signal is ignored now.

--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -47,8 +47,9 @@
 		return false, err
 	}
 	defer f.stop()
+	signal.Ignore(syscall.SIGPIPE) // a reader of the output that leaves must not keep the processes from being ended
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	go func() {
 		<-signals
 		f.stop()
