Void orders for data centres that were given before a later one

Cause: a DELETE /drain/ZONE that its operator had given up was read from the socket of a host that had stood still, and committed as a new change after a later POST. An order said nothing of the state on which it was given. Change: the first call is redirected to a path with the index of the newest state, and a change is made only if no order for the data centre has taken effect since. Only a caller that still waits follows the redirect, and whatever is late after it names an old state. Orders that change nothing count too. This replaces the list of operations; TestSecondCopyOfADataCentreChangeUndoesNothing now gives its changes the index that every change has, and also checks that a copy is acknowledged.

--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -41,6 +41,9 @@
 	// statecache takes a confirmation for fresh; one that takes longer would no longer
 	// be fresh on arrival. Run does nothing else while it waits for a confirmation.
 	confirmTimeout = time.Second
+	// overtakenRetryAfter is the Retry-After of an order that a later one has overtaken.
+	// The newer state usually arrives within it.
+	overtakenRetryAfter = 100 * time.Millisecond
 )
 
 // Service is the control plane of one process. It implements platform.Operations.
@@ -185,13 +188,22 @@
 	return err
 }
 
+// StateIndex returns the log index of the newest state that this process knows.
+func (s *Service) StateIndex() uint64 { return s.store.State().Index }
+
 // SetDataCentre takes a data centre out of service if out is set, and puts it back
-// into service otherwise.
-func (s *Service) SetDataCentre(ctx context.Context, dataCentre string, out bool) error {
+// into service otherwise. givenAt is the index of the state on which the operator gave
+// the order. If there has been a later order for the data centre since, the order is not
+// carried out and the error is NotCurrent.
+func (s *Service) SetDataCentre(ctx context.Context, dataCentre string, out bool, givenAt uint64) error {
 	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_DataCentre{
-		DataCentre: &wire.DataCentreChange{DataCentre: dataCentre, Out: out, Operation: rand.Uint64() | 1},
+		DataCentre: &wire.DataCentreChange{DataCentre: dataCentre, Out: out, Operation: rand.Uint64() | 1, GivenAt: &givenAt},
 	}})
-	s.logger.Info().Str("data_centre", dataCentre).Bool("out", out).Uint64("index", outcome.GetIndex()).Err(err).
+	if err == nil && outcome.Overtaken {
+		err = fault.New(fault.NotCurrent, "there has been another order for data centre %s since state %d, on which this one was given", dataCentre, givenAt).
+			WithRetryAfter(overtakenRetryAfter)
+	}
+	s.logger.Info().Str("data_centre", dataCentre).Bool("out", out).Uint64("given_at", givenAt).Uint64("index", outcome.GetIndex()).Err(err).
 		Msg("An operator has requested to take a data centre out of service or put it back.")
 	return err
 }
--- a/role/host/control.go
+++ b/role/host/control.go
@@ -219,7 +219,7 @@
 	}
 	defer metricsServer.Close()
 	server := &http.Server{
-		Handler:           platform.ControlPlaneHandler(c.service),
+		Handler:           platform.ControlPlaneHandler(p.OperatorAddress, c.service),
 		ReadHeaderTimeout: operatorHeaderTimeout,
 		IdleTimeout:       operatorIdleTimeout,
 		MaxHeaderBytes:    maxOperatorHeaderBytes,
--- a/state/catalogue/catalogue_test.go
+++ b/state/catalogue/catalogue_test.go
@@ -106,15 +106,35 @@
 	}
 }
 
+// dataCentreChange returns an operator's order for the data centre dc1, given on the state
+// with the index givenAt.
+func dataCentreChange(operation uint64, out bool, givenAt uint64) *wire.Command {
+	return &wire.Command{Of: &wire.Command_DataCentre{DataCentre: &wire.DataCentreChange{DataCentre: "dc1", Out: out, Operation: operation, GivenAt: &givenAt}}}
+}
+
 // An operator's change may be proposed twice, when the leader answers late. The second copy
 // must not undo a change that another operator has made since, also after a restart.
 func TestSecondCopyOfADataCentreChangeUndoesNothing(t *testing.T) {
-	change := func(operation uint64, out bool) *wire.Command {
-		return &wire.Command{Of: &wire.Command_DataCentre{DataCentre: &wire.DataCentreChange{DataCentre: "dc1", Out: out, Operation: operation}}}
-	}
 	m := NewMachine(decodeVersion, func(*State) {})
-	m.Apply(1, change(1, false)) // taken back, which changes nothing
-	m.Apply(2, change(2, true))
+	m.Apply(1, dataCentreChange(1, false, 0)) // taken back, which changes nothing
+	m.Apply(2, dataCentreChange(2, true, 1))
+	restart(t, m)
+	m.Apply(3, dataCentreChange(1, false, 0))
+	if m.State().InService("dc1") {
+		t.Error("the second copy of an earlier change has undone a later one")
+	}
+	if o := m.Apply(4, dataCentreChange(2, true, 1)).(*wire.ChangeOutcome); o.Overtaken {
+		t.Error("the second copy of the latest change is not acknowledged")
+	}
+	m.Apply(5, dataCentreChange(3, false, 2))
+	if !m.State().InService("dc1") {
+		t.Error("a new change has no effect")
+	}
+}
+
+// restart replaces the state of a machine with that of its own snapshot.
+func restart(t *testing.T, m *Machine) {
+	t.Helper()
 	snapshot, err := m.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -122,13 +142,42 @@
 	if err := m.Restore(snapshot); err != nil {
 		t.Fatal(err)
 	}
-	m.Apply(3, change(1, false))
-	if m.State().InService("dc1") {
-		t.Error("the second copy of an earlier change has undone a later one")
+}
+
+// Guards against an order that an operator has given up, and that a process reads late,
+// undoing a later order that was acknowledged, also one that changed nothing.
+func TestOrderGivenBeforeALaterOneChangesNothing(t *testing.T) {
+	for _, out := range []bool{false, true} {
+		m := NewMachine(decodeVersion, func(*State) {})
+		m.Apply(1, dataCentreChange(1, !out, 0))
+		late := dataCentreChange(2, out, 1)
+		m.Apply(2, dataCentreChange(3, out, 1)) // given in place of the late one, where out is the other state
+		m.Apply(3, dataCentreChange(4, !out, 2))
+		restart(t, m)
+		if o := m.Apply(4, late).(*wire.ChangeOutcome); !o.Overtaken || m.State().InService("dc1") != out {
+			t.Errorf("out=%v: a late order was carried out: %v", out, o)
+		}
+		again := dataCentreChange(5, out, 3) // given before the next one, which changes nothing
+		m.Apply(5, dataCentreChange(6, !out, 3))
+		if o := m.Apply(6, again).(*wire.ChangeOutcome); !o.Overtaken || m.State().InService("dc1") != out {
+			t.Errorf("out=%v: an order given before one that changed nothing was carried out: %v", out, o)
+		}
+		if o := m.Apply(7, dataCentreChange(7, out, m.State().Index)).(*wire.ChangeOutcome); o.Overtaken || m.State().InService("dc1") == out {
+			t.Errorf("out=%v: a new order was not carried out: %v", out, o)
+		}
 	}
-	m.Apply(4, change(3, false))
-	if !m.State().InService("dc1") {
-		t.Error("a new change has no effect")
+}
+
+// Guards against orders for ever more data centres growing the state without bound, or
+// putting a data centre back into service.
+func TestOrdersOfManyDataCentresAreBounded(t *testing.T) {
+	m := NewMachine(decodeVersion, func(*State) {})
+	for i := range uint64(3 * maxOrders) {
+		name := fmt.Sprintf("dc%d", i)
+		m.Apply(i+1, &wire.Command{Of: &wire.Command_DataCentre{DataCentre: &wire.DataCentreChange{DataCentre: name, Out: i == 0, Operation: i + 1}}})
+	}
+	if n := len(m.State().orders); n != maxOrders || m.State().InService("dc0") || m.State().latestOrder("dc0").index != 1 {
+		t.Errorf("the state holds %d orders, and dc0 in service=%v", n, m.State().InService("dc0"))
 	}
 }
 
--- a/state/catalogue/machine.go
+++ b/state/catalogue/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -11,9 +10,6 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// maxOperations is the number of changes of data centres whose second copies are recognised.
-const maxOperations = 64
-
 // Machine is the replicated state machine of the catalogue. A replica calls Apply,
 // ApplyMembers, Snapshot and Restore from one goroutine; any goroutine may call State.
 type Machine struct {
@@ -68,7 +64,7 @@
 		Digest:         change.Digest,
 		DataCentresOut: now.DataCentresOut,
 		Quarantined:    quarantinedToWire(now.Quarantined),
-		Operations:     now.operations,
+		Orders:         ordersToWire(now.orders),
 	}, now, m.decode)
 	if err != nil {
 		return err
@@ -77,28 +73,6 @@
 	return m.outcome(false)
 }
 
-func (m *Machine) setDataCentre(index uint64, change *wire.DataCentreChange) any {
-	now := m.State()
-	if change.Operation != 0 && slices.Contains(now.operations, change.Operation) {
-		return m.outcome(false)
-	}
-	next := *now
-	if change.Operation != 0 {
-		next.operations = append(slices.Clone(now.operations[max(0, len(now.operations)-maxOperations+1):]), change.Operation)
-	}
-	if now.InService(change.DataCentre) != change.Out {
-		m.state.Store(&next) // only the operation is new, which other processes need not know
-		return m.outcome(false)
-	}
-	next.Index = index
-	next.DataCentresOut = slices.DeleteFunc(slices.Clone(now.DataCentresOut), func(name string) bool { return name == change.DataCentre })
-	if change.Out {
-		next.DataCentresOut = slices.Sorted(slices.Values(append(next.DataCentresOut, change.DataCentre)))
-	}
-	m.publish(&next)
-	return m.outcome(false)
-}
-
 func (m *Machine) outcome(conflict bool) *wire.ChangeOutcome {
 	s := m.State()
 	return &wire.ChangeOutcome{Conflict: conflict, Version: s.Version(), Index: s.Index}
--- a/state/catalogue/state.go
+++ b/state/catalogue/state.go
@@ -30,7 +30,7 @@
 
 	digest     []byte
 	compressed []byte
-	operations []uint64 // the latest changes of data centres, the oldest first
+	orders     []order // sorted by data centre
 }
 
 // InService reports whether a data centre may receive new work.
@@ -83,14 +83,14 @@
 		Digest:         s.digest,
 		DataCentresOut: s.DataCentresOut,
 		Quarantined:    quarantinedToWire(s.Quarantined),
-		Operations:     s.operations,
+		Orders:         ordersToWire(s.orders),
 	}
 }
 
 // FromWire decodes a state. It reuses the catalogue of known, which may be nil, if
 // the digests are equal.
 func FromWire(m *wire.CatalogueState, known *State, decode Decode) (*State, error) {
-	s := &State{Index: m.Index, DataCentresOut: slices.Sorted(slices.Values(m.DataCentresOut)), Quarantined: quarantinedFromWire(m.Quarantined), digest: m.Digest, compressed: m.Content, operations: m.Operations}
+	s := &State{Index: m.Index, DataCentresOut: slices.Sorted(slices.Values(m.DataCentresOut)), Quarantined: quarantinedFromWire(m.Quarantined), digest: m.Digest, compressed: m.Content, orders: ordersFromWire(m.Orders)}
 	if len(m.Content) == 0 {
 		return s, nil
 	}
