Don't let a late lift end a quarantine that was recorded after it

Before: TestLateLiftDoesNotEndALaterQuarantine can't be written without the index; a lift had no order.

--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -199,10 +199,6 @@
 	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_DataCentre{
 		DataCentre: &wire.DataCentreChange{DataCentre: dataCentre, Out: out, Operation: rand.Uint64() | 1, GivenAt: &givenAt},
 	}})
-	if err == nil && outcome.Overtaken {
-		err = fault.New(fault.NotCurrent, "there has been another order for data centre %s since state %d, on which this one was given", dataCentre, givenAt).
-			WithRetryAfter(overtakenRetryAfter)
-	}
 	s.logger.Info().Str("data_centre", dataCentre).Bool("out", out).Uint64("given_at", givenAt).Uint64("index", outcome.GetIndex()).Err(err).
 		Msg("An operator has requested to take a data centre out of service or put it back.")
 	return err
@@ -215,9 +211,11 @@
 }
 
 // LiftQuarantine ends the quarantine of a part, unless it is final and byOperator is not
-// set.
+// set. If the quarantine was recorded after the state that this process knows, it stays
+// and the error is NotCurrent.
 func (s *Service) LiftQuarantine(ctx context.Context, part uint64, byOperator bool) error {
-	change := &wire.QuarantineChange{Key: part, Lift: true, ByOperator: byOperator}
+	givenAt := s.StateIndex()
+	change := &wire.QuarantineChange{Key: part, Lift: true, ByOperator: byOperator, GivenAt: &givenAt}
 	return s.changeQuarantine(ctx, change, "The end of the quarantine of a part of prompts was submitted.")
 }
 
@@ -259,7 +257,8 @@
 	return nil
 }
 
-// change proposes a command on the leader and returns its outcome.
+// change proposes a command on the leader and returns its outcome. If a later change has
+// overtaken it, the error is NotCurrent.
 func (s *Service) change(ctx context.Context, command *wire.Command) (*wire.ChangeOutcome, error) {
 	answer, err := s.callLeader(ctx, func(ctx context.Context, c wire.SteeringClient) (*wire.SteeringAnswer, error) {
 		return c.Change(ctx, &wire.SteeringChange{Command: command})
@@ -267,6 +266,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if answer.Outcome.GetOvertaken() {
+		return answer.Outcome, fault.New(fault.NotCurrent, "there has been a later change of the same matter since the state on which this one was given").
+			WithRetryAfter(overtakenRetryAfter)
+	}
 	return answer.Outcome, nil
 }
 
--- a/ctl/quarantine.go
+++ b/ctl/quarantine.go
@@ -33,18 +33,27 @@
 	})
 }
 
-func (a *app) listQuarantine() error {
+// readState returns the newest state of a control group that serves routes.
+func (a *app) readState() (*wire.CatalogueState, error) {
 	answer, err := a.steer(func(ctx context.Context, client wire.SteeringClient) (*wire.SteeringAnswer, error) {
 		return client.Read(ctx, &wire.SteeringRead{})
 	})
+	if err != nil {
+		return nil, err
+	}
+	return answer.State, nil
+}
+
+func (a *app) listQuarantine() error {
+	state, err := a.readState()
 	if err != nil {
 		return err
 	}
 	if a.options.Output == "json" {
-		return a.printJSON(&wire.CatalogueState{Index: answer.State.Index, Quarantined: answer.State.Quarantined})
+		return a.printJSON(&wire.CatalogueState{Index: state.Index, Quarantined: state.Quarantined})
 	}
 	t := newTable(a.out, "PART", "SERVICE", "ID", "FINAL")
-	for _, q := range answer.State.Quarantined {
+	for _, q := range state.Quarantined {
 		t.row(q.Key, q.Service, q.Id, q.Final)
 	}
 	return t.flush()
@@ -55,13 +64,20 @@
 		fmt.Fprintf(a.out, "The quarantine of part %d would be lifted.\n", part)
 		return nil
 	}
-	change := &wire.QuarantineChange{Key: part, Lift: true, ByOperator: true}
+	read, err := a.readState()
+	if err != nil {
+		return err
+	}
+	change := &wire.QuarantineChange{Key: part, Lift: true, ByOperator: true, GivenAt: &read.Index}
 	answer, err := a.steer(func(ctx context.Context, client wire.SteeringClient) (*wire.SteeringAnswer, error) {
 		return client.Change(ctx, &wire.SteeringChange{Command: &wire.Command{Of: &wire.Command_Quarantine{Quarantine: change}}})
 	})
 	if err != nil {
 		return err
 	}
+	if answer.Outcome.GetOvertaken() {
+		return fault.New(fault.Conflict, "part %d was quarantined anew meanwhile", part)
+	}
 	fmt.Fprintf(a.out, "Part %d is not quarantined since index %d.\n", part, answer.Outcome.GetIndex())
 	return nil
 }
--- a/state/catalogue/machine.go
+++ b/state/catalogue/machine.go
@@ -78,6 +78,14 @@
 	return &wire.ChangeOutcome{Conflict: conflict, Version: s.Version(), Index: s.Index}
 }
 
+// overtaken is the outcome of a change that is not made, as it was given on a state before
+// a later change of the same matter.
+func (m *Machine) overtaken() *wire.ChangeOutcome {
+	outcome := m.outcome(false)
+	outcome.Overtaken = true
+	return outcome
+}
+
 func (m *Machine) publish(s *State) {
 	m.state.Store(s)
 	m.onChange(s)
--- a/state/catalogue/orders.go
+++ b/state/catalogue/orders.go
@@ -88,9 +88,7 @@
 		return m.outcome(false)
 	}
 	if change.GivenAt != nil && *change.GivenAt < latest.index {
-		outcome := m.outcome(false)
-		outcome.Overtaken = true
-		return outcome
+		return m.overtaken()
 	}
 	next := *now
 	// The index also grows if the order changes nothing, so that orders that were given
--- a/state/catalogue/quarantine_test.go
+++ b/state/catalogue/quarantine_test.go
@@ -56,3 +56,21 @@
 		t.Errorf("%d quarantines, want %d", got, maxQuarantined)
 	}
 }
+
+// Guards against a lift that was decided before a part was quarantined anew, and is read
+// late, lifting the new quarantine.
+func TestLateLiftDoesNotEndALaterQuarantine(t *testing.T) {
+	m := NewMachine(nil, func(*State) {})
+	givenAt := uint64(1)
+	lift := quarantine(&wire.QuarantineChange{Key: 1, Lift: true, ByOperator: true, GivenAt: &givenAt})
+	m.Apply(1, quarantine(&wire.QuarantineChange{Key: 1}))
+	m.Apply(2, lift)
+	if len(m.State().Quarantined) != 0 {
+		t.Fatal("the quarantine was not lifted")
+	}
+	m.Apply(3, quarantine(&wire.QuarantineChange{Key: 1, Final: true}))
+	restart(t, m)
+	if o := m.Apply(4, lift).(*wire.ChangeOutcome); !o.Overtaken || len(m.State().Quarantined) != 1 {
+		t.Errorf("a late lift has ended a later quarantine: %v", o)
+	}
+}
