Acknowledge the leave of an endpoint when other processes know it

Cause: 200 was written when the directory of one process held the leave; links collect updates for 4 ms, and the process was killed 0.1 ms later. The endpoint says nothing more, so nobody else ever heard of it. A repeated leave is published again. A DELETE names the incarnation that it means, so that one that is read late can't end a later one.

--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -59,6 +59,7 @@
 	startedAt          time.Time
 	address            string // at which other processes reach this one
 	sinceLastHeard     func() map[string]time.Duration
+	deliver            func(ctx context.Context) error // see Options.AwaitDelivery
 
 	membershipTimerStart time.Time     // time from which membershipCheckAfter counts; owned by Run
 	removed              chan struct{} // closed by checkMembership; see Removed
@@ -77,6 +78,7 @@
 	Dial               func(address string) (grpc.ClientConnInterface, error)
 	PeerAddresses      func() []string                 // addresses of the other processes with a replica
 	SinceLastHeard     func() map[string]time.Duration // time since each process was last heard, by its address
+	AwaitDelivery      func(ctx context.Context) error // waits until the directory's updates so far survive the loss of this process
 	BootstrapVoters    func() int                      // number of voters that a new group needs before it accepts changes
 	Metrics            *metrics.Registry
 	MinReachableVoters func() int // no unreachable voter is removed while fewer voters are reachable
@@ -86,7 +88,7 @@
 func New(o Options) *Service {
 	return &Service{
 		address: o.Address, replica: o.Replica, stateMachine: o.StateMachine, store: o.Store, directory: o.Directory,
-		dial: o.Dial, peerAddresses: o.PeerAddresses, sinceLastHeard: o.SinceLastHeard, bootstrapVoters: o.BootstrapVoters, minReachableVoters: o.MinReachableVoters,
+		dial: o.Dial, peerAddresses: o.PeerAddresses, sinceLastHeard: o.SinceLastHeard, deliver: o.AwaitDelivery, bootstrapVoters: o.BootstrapVoters, minReachableVoters: o.MinReachableVoters,
 		startedAt: time.Now(), membershipTimerStart: time.Now(), removed: make(chan struct{}), logger: logs.For("control"), metrics: o.Metrics,
 	}
 }
@@ -245,16 +247,44 @@
 	return state.Text, nil
 }
 
-// Announce records an endpoint's announcement in the directory.
-func (s *Service) Announce(r *wire.EndpointRecord) error {
+// Announce records an endpoint's announcement in the directory. If the endpoint is not
+// ready, it returns nil once the news survives the loss of this process.
+func (s *Service) Announce(ctx context.Context, r *wire.EndpointRecord) error {
 	s.directory.Announce(r)
-	return nil
+	if r.Condition == wire.EndpointCondition_ENDPOINT_CONDITION_READY {
+		return nil // the endpoint repeats it
+	}
+	return s.awaitDelivery(ctx, r.Id)
+}
+
+// Incarnation returns the start of the incarnation of an endpoint that this process knows,
+// in Unix ms of the endpoint's clock; 0 if it knows none.
+func (s *Service) Incarnation(endpoint string) (bornMs uint64) {
+	return s.directory.Incarnation(endpoint)
+}
+
+// RemoveEndpoint marks an incarnation of an endpoint as gone in the directory, or the one
+// that runs if bornMs is 0. It returns nil once the news survives the loss of this process.
+func (s *Service) RemoveEndpoint(ctx context.Context, id string, bornMs uint64) error {
+	s.directory.Leave(id, bornMs)
+	return s.awaitDelivery(ctx, id)
 }
 
-// RemoveEndpoint marks an endpoint as gone in the directory.
-func (s *Service) RemoveEndpoint(id string) error {
-	s.directory.Leave(id, 0)
-	return nil
+// awaitDelivery waits until other processes know that an endpoint drains or is gone. An
+// endpoint whose leave is acknowledged may say nothing more.
+func (s *Service) awaitDelivery(ctx context.Context, endpoint string) error {
+	began := monotonic.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := s.deliver(ctx)
+	class, line := "confirmed", s.logger.Info()
+	if err != nil {
+		class, line = "unconfirmed", s.logger.Warn()
+	}
+	waited := monotonic.Since(began)
+	s.metrics.ObserveDuration("control_leave_ms", metrics.Labels{Class: class}, waited)
+	line.Str("endpoint", endpoint).Dur("waited", waited).Err(err).Msg("An endpoint's leave was told to other processes.")
+	return err
 }
 
 // change proposes a command on the leader and returns its outcome. If a later change has
--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -79,7 +79,7 @@
 	byKey     map[uint64]*Endpoint   // of all endpoints
 	endpoints map[string]*Endpoint   // by ID
 	byService map[string][]*Endpoint // one per address, gone ones left out; nil when reindex is due
-	publish   func(records []*wire.EndpointRecord, changed bool)
+	publish   func(records []*wire.EndpointRecord, urgent bool)
 }
 
 // New returns an empty directory.
@@ -94,36 +94,49 @@
 }
 
 // OnUpdate sets the function that publishes to other processes what this one has
-// learnt from an endpoint itself. Its argument changed is false when merge has found no
-// change in the records. It must be called before the directory is in use.
-func (d *Directory) OnUpdate(f func(records []*wire.EndpointRecord, changed bool)) { d.publish = f }
+// learnt from an endpoint itself. Its argument urgent is false when the records are ready
+// and merge has found no change in them. It must be called before the directory is in use.
+func (d *Directory) OnUpdate(f func(records []*wire.EndpointRecord, urgent bool)) { d.publish = f }
 
 // Announce merges a record that this process received from the endpoint itself, or made
 // of what the endpoint told it, and publishes it to the other processes if it is a
 // change. A record that is no change, be it newer or not, is published only by the rule
-// of refreshEvery.
+// of refreshEvery. That the endpoint is not ready is always published: it may be said only
+// once more, and the process that heard it first may have ended before it told others.
 func (d *Directory) Announce(r *wire.EndpointRecord) {
 	_, stateChanged := d.merge(r)
-	if stateChanged || r.Sequence%refreshEvery == 0 {
-		d.publish([]*wire.EndpointRecord{r}, stateChanged)
+	urgent := stateChanged || r.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY
+	if urgent || r.Sequence%refreshEvery == 0 {
+		d.publish([]*wire.EndpointRecord{r}, urgent)
 	}
 }
 
-// Leave marks an endpoint as gone that has said so itself. bornMs is 0 when it named
-// no incarnation.
+// Leave marks an incarnation of an endpoint as gone that has said so itself. If bornMs is
+// 0, it is the one known here, or any if none is known. A leave of an incarnation before
+// the known one changes nothing.
 func (d *Directory) Leave(id string, bornMs uint64) {
 	d.mu.Lock()
 	known := d.endpoints[id]
 	d.mu.Unlock()
-	r := &wire.EndpointRecord{Id: id, BornMs: bornMs, Condition: wire.EndpointCondition_ENDPOINT_CONDITION_GONE}
-	if known != nil {
+	r := &wire.EndpointRecord{Id: id, BornMs: bornMs}
+	if known != nil && (bornMs == 0 || bornMs == known.BornMs) {
 		r = known.record(monotonic.Now())
-		r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_GONE
-		r.BornMs = max(r.BornMs, bornMs)
 	}
+	r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_GONE
 	d.Announce(r)
 }
 
+// Incarnation returns the start of the known incarnation of an endpoint, as in
+// EndpointRecord.BornMs; 0 if none is known.
+func (d *Directory) Incarnation(id string) (bornMs uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.endpoints[id]; e != nil {
+		return e.BornMs
+	}
+	return 0
+}
+
 // MarkDraining records and publishes that an endpoint is draining. It stays so whatever
 // this incarnation announces later.
 func (d *Directory) MarkDraining(e *Endpoint) {
--- a/coordination/directory/directory_test.go
+++ b/coordination/directory/directory_test.go
@@ -226,3 +226,21 @@
 		t.Error("an old leave record ended an incarnation that was heard from long after it")
 	}
 }
+
+// Guards against a leave that is read late ending the incarnation that was started since
+// under the same ID.
+func TestLateLeaveDoesNotEndALaterIncarnation(t *testing.T) {
+	const ready = wire.EndpointCondition_ENDPOINT_CONDITION_READY
+	d := New()
+	d.Announce(record("a", 10, 5, ready))
+	bornMs := d.Incarnation("a")
+	d.Announce(record("a", 11, 1, ready))
+	d.Leave("a", bornMs)
+	if got := d.Endpoints("engine"); len(got) != 1 || got[0].BornMs != 11 {
+		t.Errorf("a leave of an earlier incarnation has ended the later one: %s", summary(d))
+	}
+	d.Leave("a", d.Incarnation("a"))
+	if got := d.Endpoints("engine"); len(got) != 0 {
+		t.Errorf("an endpoint that has left is in use: %s", summary(d))
+	}
+}
--- a/role/host/control.go
+++ b/role/host/control.go
@@ -170,6 +170,7 @@
 		Dial:               func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
 		PeerAddresses:      func() []string { return otherVoters(dir, record.Address) },
 		SinceLastHeard:     links.Silence,
+		AwaitDelivery:      links.AwaitDelivery,
 		BootstrapVoters:    bootstrapVoters,
 		Metrics:            registry,
 		MinReachableVoters: func() int { return reloadable.Get().Bounds.MinVoters() },
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,38 @@
 	parts     *quarantine.Tracker
 	address   string
 	stop      func()
+	still     sync.RWMutex // held while the process stands still; see standStill
+}
+
+// standStill keeps a process from handling what it receives until the returned function
+// is called.
+func (n *node) standStill() (wake func()) {
+	n.still.Lock()
+	return n.still.Unlock
+}
+
+// pausableServer is the mesh server of a node that can stand still.
+type pausableServer struct {
+	*Mesh
+	node *node
+}
+
+// Exchange implements wire.MeshServer.
+func (p *pausableServer) Exchange(stream wire.Mesh_ExchangeServer) error {
+	return p.Mesh.Exchange(&pausableStream{stream, p.node})
+}
+
+type pausableStream struct {
+	wire.Mesh_ExchangeServer
+	node *node
+}
+
+// Recv returns the next frame, not while the node stands still.
+func (p *pausableStream) Recv() (*wire.MeshFrame, error) {
+	frame, err := p.Mesh_ExchangeServer.Recv()
+	p.node.still.RLock()
+	defer p.node.still.RUnlock()
+	return frame, err
 }
 
 func decode(text []byte) (*catalogue.Catalogue, error) {
@@ -66,7 +99,7 @@
 		Decode: decode,
 	}, n.store, n.directory, n.scheduler, n.parts)
 	server := link.NewServer(link.Security{})
-	wire.RegisterMeshServer(server, n.mesh)
+	wire.RegisterMeshServer(server, &pausableServer{n.mesh, n})
 	go func() { _ = server.Serve(listener) }() // returns when the server is stopped
 	ctx, cancel := context.WithCancel(t.Context())
 	go n.mesh.Run(ctx)
--- a/transport/mesh/outlink.go
+++ b/transport/mesh/outlink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,8 @@
 	sentPings    map[uint64]monotonic.Time // send times of pings without a pong, by sequence number
 	pingSequence uint64
 	lastPongAt   monotonic.Time
+
+	confirmations []*confirmation // outstanding
 }
 
 func newOutLink(m *Mesh, address string) *outLink {
@@ -128,6 +131,32 @@
 	}
 }
 
+// requestConfirmation has the process confirm all updates that are queued so far, with the
+// pong to a ping that is sent with them. It reports whether the link is up; if not, the
+// confirmation gets no result.
+func (l *outLink) requestConfirmation(c *confirmation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.up {
+		return false
+	}
+	l.confirmations = append(l.confirmations, c)
+	l.wakeSender()
+	return true
+}
+
+// endConfirmations ends the confirmations that wait for the pong to a ping up to the
+// sequence number. The caller holds l.mu.
+func (l *outLink) endConfirmations(sequence uint64) {
+	l.confirmations = slices.DeleteFunc(l.confirmations, func(c *confirmation) bool {
+		if c.ping == 0 || c.ping > sequence {
+			return false
+		}
+		c.end(true)
+		return true
+	})
+}
+
 func (l *outLink) wakeSender() {
 	select {
 	case l.wake <- struct{}{}:
@@ -140,6 +169,7 @@
 func (l *outLink) run() {
 	ctx := l.ctx
 	defer l.close()
+	defer l.setUp(false)
 	delay := l.mesh.redialDelay
 	for ctx.Err() == nil {
 		startedAt := monotonic.Now()
@@ -192,11 +222,15 @@
 	}
 }
 
-// setUp records that a stream was opened or has ended, and discards pending updates.
+// setUp records that a stream was opened or has ended, and discards pending updates and
+// outstanding confirmations.
 func (l *outLink) setUp(up bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.up, l.pending = up, nil
+	for _, c := range l.confirmations {
+		c.end(false)
+	}
+	l.up, l.pending, l.confirmations = up, nil, nil
 	l.sentPings = make(map[uint64]monotonic.Time)
 }
 
@@ -264,7 +298,9 @@
 // and, on a near link, all endpoint records and work.
 func (l *outLink) hello() *wire.MeshFrame {
 	hello := l.mesh.hello()
+	l.mu.Lock()
 	hello.Ping = l.newPing()
+	l.mu.Unlock()
 	if l.hasRole(roleNear) {
 		full := l.fullState()
 		hello.Direct, hello.Endpoints, hello.Work, hello.Parts = l.entry.Load(), full.Endpoints, full.Work, full.Parts
@@ -283,15 +319,15 @@
 	return state
 }
 
-// nextFrame returns the pending updates, with a ping if one is asked for or the state is to
-// be requested. It returns nil if there is nothing to send.
+// nextFrame returns the pending updates, with a ping if one is asked for, the state is to
+// be requested or the process is to confirm the updates. It returns nil if there is nothing
+// to send.
 func (l *outLink) nextFrame(withPing bool) *wire.MeshFrame {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	frame := l.pending
 	l.pending = nil
-	withPing = withPing || l.wantState
-	l.mu.Unlock()
-	if withPing {
+	if withPing || l.wantState || l.hasUnsentConfirmation() {
 		if frame == nil {
 			frame = &wire.MeshFrame{}
 		}
@@ -300,11 +336,21 @@
 	return frame
 }
 
-// newPing returns the next ping and records its send time.
+// hasUnsentConfirmation reports whether a confirmation waits for its ping to be sent. The
+// caller holds l.mu.
+func (l *outLink) hasUnsentConfirmation() bool {
+	return slices.ContainsFunc(l.confirmations, func(c *confirmation) bool { return c.ping == 0 })
+}
+
+// newPing returns the next ping and records its send time. Confirmations that wait for a
+// ping wait for its pong. The caller holds l.mu.
 func (l *outLink) newPing() *wire.MeshPing {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.pingSequence++
+	for _, c := range l.confirmations {
+		if c.ping == 0 {
+			c.ping = l.pingSequence
+		}
+	}
 	l.sentPings[l.pingSequence] = monotonic.Now()
 	p := &wire.MeshPing{Sequence: l.pingSequence, Index: l.mesh.store.State().Index, WantState: l.wantState}
 	l.wantState = false
@@ -341,6 +387,7 @@
 		answered()
 		l.mu.Lock()
 		l.lastPongAt = monotonic.Now()
+		l.endConfirmations(p.Sequence)
 		l.mu.Unlock()
 		if p.Current {
 			behind = l.mesh.store.Confirm(p.Index, sentAt.Add(-time.Duration(p.AgeMs)*time.Millisecond))
--- a/transport/mesh/relays_test.go
+++ b/transport/mesh/relays_test.go
@@ -37,7 +37,7 @@
 		for i := range fanout.MaxFullMeshProcesses + 1 {
 			incarnation++
 			record := &wire.ProcessRecord{Name: fmt.Sprintf("%s-%d", dataCentre, i), DataCentre: dataCentre, Incarnation: incarnation, Entry: true}
-			n := startWith(t, "127.0.0.1:0", record, func(address string) (*grpc.ClientConn, error) { return r.dial(dataCentre, address) }, seeds...)
+			n := startWith(t, fmt.Sprintf("127.0.0.%d:0", incarnation), record, func(address string) (*grpc.ClientConn, error) { return r.dial(dataCentre, address) }, seeds...)
 			r.mu.Lock()
 			r.dataCentreOf[n.address] = dataCentre
 			r.mu.Unlock()
