Refuse requests that may outlive the grace of a stop, and answer the rest before it ends

Cause: the time until the stop was weighed only for services with an engine, and there by the predicted time also where a stream can't be resumed. What still ran or waited at the end of the grace was cut. Before: TestRequestThatMayOutliveTheGraceIsRefused passed all three kinds on (200 after one attempt, 503 wanted); TestStopAnswersRequestsThatHaveNotBegun saw no end at the stop (504 at the deadline). After: both pass.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -235,7 +235,7 @@
 		r.server.scheduler.RecordFailure(e.Key)
 	}
 	r.server.logger.Warn().Str("request", r.request.ID).Str("endpoint", e.ID).Str("address", e.Address).
-		Str("data_centre", e.DataCentre).Int("send", r.attempts).Bool("begun", r.headerWritten).Str("last_event", r.lastEventID).
+		Str("data_centre", e.DataCentre).Int("send", r.attempts).Bool("begun", r.headerWritten.Load()).Str("last_event", r.lastEventID).
 		Bool("endpoint_ended", ended).Strs("shared_parts", r.loggedParts()).Err(err).Msg("An attempt failed.")
 }
 
@@ -265,6 +265,7 @@
 
 // writeHeader starts the answer to the caller.
 func (r *run) writeHeader(status int, header http.Header, length int64) {
-	r.headerWritten, r.status = true, status
+	r.headerWritten.Store(true)
+	r.status = status
 	r.writer.WriteHeader(status, header, length)
 }
--- a/coordination/serve/final.go
+++ b/coordination/serve/final.go
@@ -17,7 +17,7 @@
 	}
 	switch {
 	case err == nil:
-	case r.headerWritten:
+	case r.headerWritten.Load():
 		r.writer.Abort()
 	case ctx.Err() != nil:
 		err = fault.New(fault.Cancelled, "the caller closed the connection")
@@ -38,6 +38,9 @@
 	if errors.As(err, &e) && (r.mayHaveRun == 0 || !e.Kind.NotRun()) {
 		return e
 	}
+	if r.mayHaveRun == 0 && r.server.stop.isNear() {
+		return fault.Wrap(err, fault.Overloaded, "this entry stops").WithRetryAfter(stopRetryAfter)
+	}
 	if r.mayHaveRun == 0 {
 		return fault.Wrap(err, fault.Overloaded, "no endpoint accepted the request").WithRetryAfter(minRetryAfter)
 	}
@@ -52,7 +55,7 @@
 	outcome := "served"
 	if err != nil {
 		outcome = string(fault.KindOf(err))
-		if r.headerWritten {
+		if r.headerWritten.Load() {
 			outcome = "broken_off"
 		}
 	}
--- a/coordination/serve/metrics.go
+++ b/coordination/serve/metrics.go
@@ -97,7 +97,7 @@
 	switch {
 	case !taken:
 		class = "no_budget"
-	case r.headerWritten:
+	case r.headerWritten.Load():
 		class = "resumed"
 	}
 	r.server.metrics.Count("serve_repeats", metrics.Labels{Class: class})
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -107,7 +107,7 @@
 // waitsForPermits reports whether the answer has not begun and all endpoints wait for a
 // permit until after the given time.
 func (r *run) waitsForPermits(until time.Time) bool {
-	if r.headerWritten {
+	if r.headerWritten.Load() {
 		return false
 	}
 	state := r.server.stateCache.State()
@@ -152,7 +152,7 @@
 // request without an answer yet is refused early with a Retry-After; an answer
 // that has started waits for as long as its deadline allows.
 func (r *run) placementDeadline() time.Time {
-	if r.headerWritten {
+	if r.headerWritten.Load() {
 		return r.deadline.Add(-minAttemptTime)
 	}
 	until := r.admittedAt.Add(r.route.Objective / capacityWaitDivisor)
@@ -242,7 +242,7 @@
 // byte. After the header it is the whole caller timeout, from which the silence since
 // the last event is not subtracted.
 func (r *run) callerTimeoutLeft() time.Duration {
-	if r.headerWritten {
+	if r.headerWritten.Load() {
 		return r.route.CallerTimeout
 	}
 	return time.Until(r.request.Arrived.Add(r.route.CallerTimeout))
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -43,7 +43,7 @@
 		return errors.Join(errInvalidResponse, err)
 	case good && !response.Signed:
 		return errInvalidResponse
-	case !good && (!response.Signed || r.headerWritten || r.mayRunAgain()):
+	case !good && (!response.Signed || r.headerWritten.Load() || r.mayRunAgain()):
 		return fault.New(fault.EndpointFailed, "the endpoint responded with status %d", response.Status)
 	}
 	r.firstByteAt = time.Now()
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/enginemodel"
@@ -71,7 +72,7 @@
 	// thirds of the time remain for the retry.
 	retryAfterDivisor = 3
 	// stopSafetyFactor is the ratio of the time left until this entry stops to the
-	// expected time of an answer below which the request is refused. It exceeds 1
+	// expected time of a stream below which the request is refused. It exceeds 1
 	// because the passes of an engine become longer with the prefill of others.
 	stopSafetyFactor = 1.25
 	// stopRetryAfter is the Retry-After of a request that is refused because this
@@ -102,7 +103,7 @@
 	tried            map[uint64]bool // keys of the endpoints that were asked
 	attempts         int             // attempts so far
 	mayHaveRun       int             // attempts that an endpoint may have run
-	headerWritten    bool
+	headerWritten    atomic.Bool     // read by the stop of this entry too
 	lastEventID      string
 	eventsSent       int               // to the caller
 	attemptEvents    int               // events of the latest attempt
@@ -165,21 +166,31 @@
 	return nil
 }
 
-// checkTimeUntilStop refuses a request whose answer would probably be cut when
-// this entry stops.
+// checkTimeUntilStop refuses a request whose answer might be cut when this entry stops.
 func (r *run) checkTimeUntilStop() error {
-	at := r.server.stopsAt.Load()
-	engine := r.service.Engine
-	if at == nil || engine == nil {
+	at := r.server.stop.at.Load()
+	if at == nil {
 		return nil
 	}
-	expected := r.route.Objective + enginemodel.FromMs(enginemodel.AnswerMs(engine, maxOutputTokens(r.request, engine)))
-	if left := time.Until(*at); float64(left) < stopSafetyFactor*float64(expected) {
-		return fault.New(fault.Overloaded, "this entry stops in %v and the answer may take %v", left, expected).WithRetryAfter(stopRetryAfter)
+	longest := r.longestAnswer()
+	if left := time.Until(*at); left < longest {
+		return fault.New(fault.Overloaded, "this entry stops in %v and the answer may take %v", left, longest).WithRetryAfter(stopRetryAfter)
 	}
 	return nil
 }
 
+// longestAnswer returns the time that the answer may take. A plain request, or one that
+// can't go on elsewhere, may take all the time that it has. A stream that a caller can
+// resume elsewhere takes longer than predicted at most by stopSafetyFactor.
+func (r *run) longestAnswer() time.Duration {
+	engine := r.service.Engine
+	if engine == nil || !r.isRetrySafe() {
+		return time.Until(r.deadline)
+	}
+	expected := r.route.Objective + enginemodel.FromMs(enginemodel.AnswerMs(engine, maxOutputTokens(r.request, engine)))
+	return time.Duration(stopSafetyFactor * float64(expected))
+}
+
 // maxOutputTokens returns the caller's limit on the output, or the service's mean
 // output when the caller set none.
 func maxOutputTokens(q *Request, engine *catalogue.Engine) int {
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -140,7 +140,7 @@
 // Server serves callers' requests for one entry.
 type Server struct {
 	settings      atomic.Pointer[Settings]
-	stopsAt       atomic.Pointer[time.Time] // when requests still running are cut; nil unless the entry is draining
+	stop          stop
 	stateCache    *statecache.Store
 	directory     *directory.Directory
 	scheduler     *placement.Scheduler
@@ -158,6 +158,7 @@
 // NewServer returns a server that publishes its metrics in registry.
 func NewServer(settings Settings, stateCache *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, upstream Upstream, permits Permits, parts *quarantine.Guard, registry *metrics.Registry) *Server {
 	s := &Server{
+		stop:       newStop(),
 		startedAt:  time.Now(),
 		stateCache: stateCache,
 		directory:  dir,
@@ -182,10 +183,6 @@
 // SetSettings replaces the settings, also for requests that are running.
 func (s *Server) SetSettings(settings Settings) { s.settings.Store(&settings) }
 
-// StopAt sets the time at which this entry cuts the requests that still run. From
-// now on the server refuses requests to engines whose answer may take longer.
-func (s *Server) StopAt(at time.Time) { s.stopsAt.Store(&at) }
-
 // StateIsCurrent reports whether a quorum has confirmed the replicated state
 // recently enough to act on it. Without a limit on its age (MaxStateAge 0) the state
 // is current as soon as it has a catalogue.
@@ -200,9 +197,11 @@
 // Serve serves one request and returns when its answer is written or has failed.
 func (s *Server) Serve(ctx context.Context, q *Request, writer ResponseWriter) {
 	r := &run{server: s, request: q, writer: writer, tried: make(map[uint64]bool), lastEventID: q.LastEventID}
-	err := r.admit(ctx)
+	untilStop, release := s.stop.bound(ctx, &r.headerWritten)
+	defer release()
+	err := r.admit(untilStop)
 	if err == nil {
-		withDeadline, cancel := context.WithDeadline(ctx, r.deadline)
+		withDeadline, cancel := context.WithDeadline(untilStop, r.deadline)
 		err = r.runAttempts(withDeadline)
 		cancel()
 	}
--- a/coordination/serve/stop_test.go
+++ b/coordination/serve/stop_test.go
@@ -1,8 +1,13 @@
 package serve
 
 import (
+	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 )
 
 // A stopping entry refuses a request whose answer it would cut. Route "long" has an
@@ -37,3 +42,58 @@
 		}
 	}
 }
+
+// Guards against requests that come late in the grace of a stop being passed on and cut at
+// its end: plain ones, and streams that can't go on elsewhere.
+func TestRequestThatMayOutliveTheGraceIsRefused(t *testing.T) {
+	for _, route := range []string{"once", "again", "stream-once"} {
+		for _, c := range []struct {
+			left   time.Duration // of 2 s that the request may take
+			status int
+		}{{1500 * time.Millisecond, 503}, {time.Minute, 200}} {
+			b := newTestbed(t, good(events(1, 3)))
+			b.server.StopAt(time.Now().Add(c.left))
+			g := b.serve(t.Context(), route)
+			if sent := len(b.sentAttempts()); g.status != c.status || (sent == 0) != (c.status == 503) {
+				t.Errorf("%s with %v left: %d after %d attempts, want %d", route, c.left, g.status, sent, c.status)
+			}
+			if g.status == 503 && g.fault.RetryAfter != stopRetryAfter {
+				t.Errorf("%s: Retry-After is %v", route, g.fault.RetryAfter)
+			}
+		}
+	}
+}
+
+// Guards against a stop that cuts requests without an answer: one that an endpoint may
+// have run gets a 502, one that was not sent a promise that it has not run.
+func TestStopAnswersRequestsThatHaveNotBegun(t *testing.T) {
+	const left = 400 * time.Millisecond // until the stop; the requests may take 2 s
+	b := newTestbed(t, silent)
+	time.AfterFunc(left/4, func() { b.server.StopAt(time.Now().Add(left)) })
+	if g := b.serve(t.Context(), "once"); g.status != 502 || g.aborted {
+		t.Errorf("a request that was sent: %d, aborted %v", g.status, g.aborted)
+	}
+	b = newTestbed(t)
+	b.setMaxStateAge(time.Nanosecond) // requests wait for a newer state
+	time.AfterFunc(left/16, func() { b.server.StopAt(time.Now().Add(left / 4)) })
+	if g := b.serve(t.Context(), "once"); g.status != 503 || g.fault.Kind != fault.Overloaded {
+		t.Errorf("a request that waits: %v", g.fault)
+	}
+	b = newTestbed(t, func(ctx context.Context, a *Attempt) (*Response, error) {
+		response, err := good(events(1, 3))(ctx, a)
+		response.Body = io.NopCloser(io.MultiReader(response.Body, delayedReader(left*3/2), strings.NewReader(events(4, 6))))
+		return response, err
+	})
+	time.AfterFunc(left/4, func() { b.server.StopAt(time.Now().Add(left)) })
+	if g := b.serve(t.Context(), "stream"); g.status != 200 || g.aborted || g.body.String() != events(1, 6) {
+		t.Errorf("a stream that has begun: %d, aborted %v, %q", g.status, g.aborted, g.body.String())
+	}
+}
+
+// delayedReader reads nothing after a delay.
+type delayedReader time.Duration
+
+func (d delayedReader) Read([]byte) (int, error) {
+	time.Sleep(time.Duration(d))
+	return 0, io.EOF
+}
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -85,7 +85,7 @@
 				r.recordLate(plan, objectivePause, pause)
 			}
 			r.lastEventAt = now
-			if !r.headerWritten {
+			if !r.headerWritten.Load() {
 				r.writeHeader(response.Status, response.Header, -1)
 			}
 			if err := r.writer.Write(e.bytes); err != nil {
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	if !r.headerWritten {
+	if !r.headerWritten.Load() {
 		r.writeHeader(response.Status, response.Header, -1)
 	}
 	return nil
