Let nothing but events go on with a stream that has begun

Cause: a success was taken for the rest of the stream by its status alone, and an attempt without events for its end. The gate of our own fleets did the same. Change: the response must have the content type of events, or none and a first event with an ID; an end without events counts only with that type.

--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -18,6 +18,7 @@
 	cancelTimeout        = 2 * time.Second        // of one cancel or delete call
 	arrivalDelay         = 100 * time.Millisecond // longest assumed delay until a written request has arrived
 	cancelRetryInterval  = 100 * time.Millisecond
+	statusOK             = 200
 	statusOverload       = 503 // with NotRun, the endpoint has refused the attempt
 	statusNoMemory       = 507 // an engine ran out of memory
 	minServerErrorStatus = 500 // this status and all above it are server errors
@@ -236,7 +237,7 @@
 // relay copies the answer into the replay buffer until it is complete. An event
 // stream of a model engine that breaks is resumed up to maxResumes times.
 func (a *Attempt) relay(response *Response, outcome *wire.Outcome) error {
-	if !strings.HasPrefix(response.ContentType, "text/event-stream") {
+	if !isEventStream(response) {
 		return a.relayBody(response.Body, outcome)
 	}
 	events := newEventReader(response.Body, a.gate.IsEngine())
@@ -250,13 +251,17 @@
 			return err
 		}
 		defer resumed.Body.Close()
-		if resumed.Status != 200 || resumed.BootID != response.BootID {
+		if resumed.Status != statusOK || resumed.BootID != response.BootID || !isEventStream(resumed) {
 			return err
 		}
 		events.continueWith(resumed.Body)
 	}
 }
 
+func isEventStream(response *Response) bool {
+	return strings.HasPrefix(response.ContentType, "text/event-stream")
+}
+
 func (a *Attempt) relayEvents(events *eventReader, outcome *wire.Outcome) error {
 	for {
 		data, tokens, err := events.next()
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -123,6 +123,21 @@
 	})
 }
 
+// Guards against the text of an error in the middle of a stream: an endpoint whose stream
+// has broken answers the resumption with an error.
+func TestErrorOfAResumptionIsNoPartOfTheAnswer(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		e := newFakeEngine()
+		e.breakAfter, e.resumeError = 2, `{"error": "overloaded"}`+"\n\n"
+		r := newGate(e, inService)
+		defer r.stop()
+		text, last := readAnswer(r.submit(t, newOpen("a1", true)), 1)
+		if text != event(1)+event(2) || last.GetEnd().GetFailure() == nil {
+			t.Errorf("answer %q, last %v", text, last)
+		}
+	})
+}
+
 // An answer that is not acknowledged stops at the limit of its buffer.
 func TestUnreadAnswerIsBounded(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
--- a/coordination/gate/group.go
+++ b/coordination/gate/group.go
@@ -158,7 +158,7 @@
 // endpoint, so that it is deleted with its group reservation. The caller holds
 // mu.
 func (g *Gate) recordCreatedBlock(a *Attempt, status int, body []byte) {
-	if status != 200 || !strings.HasPrefix(a.open.Path, "/kv/") {
+	if status != statusOK || !strings.HasPrefix(a.open.Path, "/kv/") {
 		return
 	}
 	var created struct{ Block string }
--- a/coordination/gate/harness_test.go
+++ b/coordination/gate/harness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,11 +29,12 @@
 
 // fakeEngine is an endpoint in memory that records violations of its limits.
 type fakeEngine struct {
-	delay      time.Duration // between the write of a request and its arrival
-	tokens     int           // events of one answer
-	eventGap   time.Duration // between two events
-	coldLimit  int
-	breakAfter int // number of events after which the first stream of an attempt breaks; 0 for never
+	delay       time.Duration // between the write of a request and its arrival
+	tokens      int           // events of one answer
+	eventGap    time.Duration // between two events
+	coldLimit   int
+	breakAfter  int    // number of events after which the first stream of an attempt breaks; 0 for never
+	resumeError string // answered in place of a resumed stream, unless empty
 
 	mu         sync.Mutex
 	boot       int
@@ -146,6 +148,9 @@
 	if !ok {
 		return &gate.Response{Status: 404, Body: io.NopCloser(&io.LimitedReader{})}, nil
 	}
+	if e.resumeError != "" {
+		return &gate.Response{Status: 200, BootID: e.bootID(), ContentType: "application/json", Body: io.NopCloser(strings.NewReader(e.resumeError))}, nil
+	}
 	reader, writer := io.Pipe()
 	go e.stream(ctx, id, w, writer, int(from), 0, event)
 	return &gate.Response{Status: 200, BootID: e.bootID(), ContentType: "text/event-stream", Body: reader}, nil
--- a/coordination/serve/events.go
+++ b/coordination/serve/events.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // maxEventBytes bounds the bytes that are buffered for one event, with all that
@@ -24,7 +25,22 @@
 	id    string
 }
 
-var idField = []byte("id:")
+var (
+	idField       = []byte("id:")
+	commentPrefix = []byte(":")
+)
+
+const eventStreamType = "text/event-stream"
+
+// isStream reports whether the response says that it is a stream of events.
+func (response *Response) isStream() bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType)
+}
+
+// mayBeStream reports whether the response doesn't say that it is something else.
+func (response *Response) mayBeStream() bool {
+	return response.isStream() || response.Header.Get("Content-Type") == ""
+}
 
 // readEvents reads whole events from body and sends them to events. Its error is
 // nil only when the stream ended between two blocks. A block without an ID is held
@@ -92,6 +108,16 @@
 	}
 }
 
+// isComment reports whether an event holds nothing but comments and empty lines.
+func (e *event) isComment() bool {
+	for line := range bytes.Lines(e.bytes) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && !bytes.HasPrefix(line, commentPrefix) {
+			return false
+		}
+	}
+	return true
+}
+
 // follows reports whether an event may come after the one with the ID last: the
 // IDs differ, and increase where both are numbers.
 func (e *event) follows(last string) bool {
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -59,7 +59,9 @@
 	return true
 }
 
-// deliverStream writes events to the caller as they arrive.
+// deliverStream writes events to the caller as they arrive. A response that goes on with a
+// stream that has begun must show that it is one: by its content type, or with the ID of its
+// first event.
 func (r *run) deliverStream(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	if !response.Signed {
 		return errInvalidResponse
@@ -70,9 +72,13 @@
 	stall := time.NewTimer(r.firstStallTimeout(plan))
 	defer stall.Stop()
 	started := false
+	continues := r.headerWritten.Load()
 	for {
 		select {
 		case e := <-events:
+			if continues && r.attemptEvents == 0 && e.id == "" && !e.isComment() {
+				return fmt.Errorf("%w: its first event has no ID", errInvalidResponse)
+			}
 			if !e.follows(r.lastEventID) {
 				return fmt.Errorf("%w: event %q after event %q", errInvalidResponse, e.id, r.lastEventID)
 			}
@@ -103,6 +109,9 @@
 			if err == nil && r.attemptEvents < eventsOfGoingAnswer && r.endedUnder(ctx, plan) {
 				err = io.ErrUnexpectedEOF // without a length, the end of the process looks like that of the answer
 			}
+			if err == nil && continues && r.attemptEvents == 0 && !response.isStream() {
+				err = fmt.Errorf("%w: it has no events", errInvalidResponse)
+			}
 			return r.finishStream(response, err)
 		case <-stall.C:
 			if r.planFailover(ctx) {
