Bound the bytes without end that an endpoint may send, also those of all streams together

Cause here: the gate of our own fleets checked the limit of an event after each whole line, so a line without end was kept whole, and its client took heads of 10 MiB. On the users' platform each event was bounded, but not those of all streams together. Change: lines are bounded while they are read, heads to 64 KiB, and events that are being read share the 32 MiB of plain answers.

--- a/coordination/gate/sse.go
+++ b/coordination/gate/sse.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 )
@@ -39,7 +40,10 @@
 func (e *eventReader) next() (event []byte, tokens uint32, err error) {
 	var id uint64
 	for {
-		line, err := e.reader.ReadBytes('\n')
+		line, err := e.readLine(maxEventBytes - len(event))
+		if errors.Is(err, bufio.ErrTooLong) {
+			return nil, 0, err
+		}
 		if err != nil {
 			return e.atEnd(append(event, line...), err)
 		}
@@ -56,8 +60,21 @@
 			tokens = 1
 		case bytes.HasPrefix(field, commentPrefix): // comments contain no tokens
 		}
-		if len(event) > maxEventBytes {
-			return nil, 0, bufio.ErrTooLong
+	}
+}
+
+// readLine returns one line with its end. The error is bufio.ErrTooLong if it is longer
+// than maxBytes.
+func (e *eventReader) readLine(maxBytes int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		if len(line)+len(part) > maxBytes {
+			return nil, bufio.ErrTooLong
+		}
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
 		}
 	}
 }
--- a/coordination/serve/events.go
+++ b/coordination/serve/events.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync/atomic"
 )
 
 // maxEventBytes bounds the bytes that are buffered for one event, with all that
@@ -16,6 +17,9 @@
 // memory; a stream with longer events can't be served.
 const maxEventBytes = 256 << 10
 
+// lineBufferBytes is the size of the buffer through which a stream is read.
+const lineBufferBytes = 4 << 10
+
 // event is one server-sent event: a block with an ID, that is, lines up to and
 // including the next empty line. The blocks without an ID before it, such as comments
 // and empty lines, belong to it. Such blocks at the end of a stream form a last event
@@ -45,12 +49,14 @@
 // readEvents reads whole events from body and sends them to events. Its error is
 // nil only when the stream ended between two blocks. A block without an ID is held
 // back until a block with an ID or the end of the stream, so that an endpoint which
-// sends only comments or empty lines counts as silent.
-func readEvents(ctx context.Context, body io.Reader, events chan<- event) error {
-	lines := bufio.NewReaderSize(body, 4<<10)
+// sends only comments or empty lines counts as silent. The bytes of the event that is being
+// read are counted in buffered.
+func readEvents(ctx context.Context, body io.Reader, events chan<- event, buffered *atomic.Int64) error {
+	lines := bufio.NewReaderSize(body, lineBufferBytes)
 	var e event
+	defer func() { buffered.Add(-int64(len(e.bytes))) }()
 	for {
-		atBoundary, err := readBlock(lines, &e)
+		atBoundary, err := readBlock(lines, &e, buffered)
 		switch {
 		case errors.Is(err, io.EOF) && atBoundary && len(e.bytes) == 0:
 			return nil
@@ -70,6 +76,7 @@
 		if err != nil {
 			return nil
 		}
+		buffered.Add(-int64(len(e.bytes)))
 		e = event{}
 	}
 }
@@ -78,11 +85,14 @@
 // returns io.EOF at the end of the stream. atBoundary reports whether reading has
 // stopped between two blocks: after an empty line, or at an end of the stream before
 // the first byte of a block.
-func readBlock(lines *bufio.Reader, e *event) (atBoundary bool, err error) {
+func readBlock(lines *bufio.Reader, e *event, buffered *atomic.Int64) (atBoundary bool, err error) {
 	start := len(e.bytes)
 	lineStart := start
 	for {
 		part, err := lines.ReadSlice('\n')
+		if err := reserve(buffered, len(part)); err != nil {
+			return false, err
+		}
 		e.bytes = append(e.bytes, part...)
 		switch {
 		case len(e.bytes) > maxEventBytes:
--- a/coordination/serve/invalid_response_test.go
+++ b/coordination/serve/invalid_response_test.go
@@ -119,3 +119,24 @@
 		t.Errorf("aborted %v, body %q", g.aborted, text)
 	}
 }
+
+// Guards against many streams that each keep bytes without end below the bound of one event
+// and fill the memory together.
+func TestEventsOfAllStreamsTogetherAreBounded(t *testing.T) {
+	var buffered atomic.Int64
+	buffered.Store(maxBufferedBytes - maxEventBytes/2) // held by other streams
+	body := &endless{ctx: t.Context(), first: strings.NewReader(""), text: "data: x"}
+	if err := readEvents(t.Context(), body, make(chan event), &buffered); !errors.Is(err, errBufferFull) {
+		t.Errorf("a stream for which there is no room: %v", err)
+	}
+	if held := buffered.Load(); held != maxBufferedBytes-maxEventBytes/2 {
+		t.Errorf("%d bytes are held after the end of the stream", held)
+	}
+	events := make(chan event, 10)
+	if err := readEvents(t.Context(), strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), events, &buffered); err != nil || len(events) != 2 {
+		t.Errorf("a sound stream: %d events, %v", len(events), err)
+	}
+	if held := buffered.Load(); held != maxBufferedBytes-maxEventBytes/2 {
+		t.Errorf("%d bytes are held after the end of a sound stream", held)
+	}
+}
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -15,8 +15,8 @@
 	// maxPlainAnswerBytes bounds a plain answer, which is buffered whole before it
 	// is written to the caller. A longer response counts as invalid.
 	maxPlainAnswerBytes = 4 << 20
-	// maxBufferedBytes bounds the plain answers of all requests together. A response
-	// for which no room is left counts as invalid too.
+	// maxBufferedBytes bounds the plain answers and the events being read of all requests
+	// together. A response for which no room is left counts as invalid too.
 	maxBufferedBytes = 32 << 20
 	// readChunkBytes is the most that one read takes from a response.
 	readChunkBytes = 16 << 10
@@ -63,6 +63,15 @@
 	return body, err
 }
 
+// reserve adds n bytes to buffered, or fails if it would exceed maxBufferedBytes.
+func reserve(buffered *atomic.Int64, n int) error {
+	if buffered.Add(int64(n)) <= maxBufferedBytes {
+		return nil
+	}
+	buffered.Add(-int64(n))
+	return errBufferFull
+}
+
 // readBuffered reads a body to its end and adds the length of what it returns,
 // also on an error, to buffered.
 func readBuffered(body io.Reader, buffered *atomic.Int64) ([]byte, error) {
@@ -73,9 +82,8 @@
 		if len(text)+n > maxPlainAnswerBytes {
 			return text, errAnswerTooLong
 		}
-		if buffered.Add(int64(n)) > maxBufferedBytes {
-			buffered.Add(-int64(n))
-			return text, errBufferFull
+		if err := reserve(buffered, n); err != nil {
+			return text, err
 		}
 		text = append(text, chunk[:n]...)
 		switch {
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -150,7 +150,7 @@
 	budget        *retryBudget
 	startedAt     time.Time
 	retries       retrySchedule
-	bufferedBytes atomic.Int64 // of plain answers, over all requests
+	bufferedBytes atomic.Int64 // of plain answers and of events being read, over all requests
 	logger        *logs.Logger
 	metrics       *metrics.Registry
 }
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -68,7 +68,7 @@
 	}
 	events := make(chan event)
 	ended := make(chan error, 1)
-	go func() { ended <- readEvents(ctx, response.Body, events) }()
+	go func() { ended <- readEvents(ctx, response.Body, events, &r.server.bufferedBytes) }()
 	stall := time.NewTimer(r.firstStallTimeout(plan))
 	defer stall.Stop()
 	started := false
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -29,6 +29,9 @@
 	dialTimeout           = 500 * time.Millisecond
 	maxStateResponseBytes = 8 << 20 // of a response about the endpoint's state
 	maxIdleConns          = 8
+	// maxResponseHeaderBytes bounds the header of a response, which an endpoint may send
+	// without end.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // Client implements gate.Endpoint over HTTP. The endpoint's address is set from its
@@ -44,13 +47,16 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		attemptClient: newHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}),
-		stateClient:   newHTTPClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}),
+		attemptClient: newHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
+		stateClient:   newHTTPClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns}),
 	}
 }
 
-// newHTTPClient returns a client that does not follow redirects.
+// newHTTPClient returns a client that does not follow redirects or decompress, and that
+// gives up an endless header.
 func newHTTPClient(transport *http.Transport) *http.Client {
+	transport.DisableCompression = true
+	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	return &http.Client{
 		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
