Keep the ports of tests over restarts of their servers

Two tests were red because a port was given back while a replica was restarted, and taken by another socket. The listener is now kept for the test's life and handed to each server; while none listens, connections are reset, as from a host without the process. Used by the replicas of coordination/replica, role/control and the processes of transport/mesh, and for the late seed.

--- a/coordination/replica/cluster_test.go
+++ b/coordination/replica/cluster_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 )
@@ -51,7 +51,7 @@
 }
 
 type node struct {
-	address string
+	port    *loopback.Kept
 	folder  string
 	machine *recordingMachine
 	replica *Replica
@@ -79,20 +79,22 @@
 	return c
 }
 
-func newAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// keepPort takes a port that the test keeps over restarts of a replica.
+func keepPort(t testing.TB) *loopback.Kept {
+	t.Helper()
+	kept, err := loopback.Keep("127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = kept.Close() }) // nothing is left to be done on failure
+	return kept
 }
 
 func (c *cluster) create(n int) {
 	for range n {
-		address := newAddress(c.t)
-		c.peers = append(c.peers, address)
-		c.nodes = append(c.nodes, &node{address: address, folder: c.t.TempDir()})
+		kept := keepPort(c.t)
+		c.peers = append(c.peers, kept.Address())
+		c.nodes = append(c.nodes, &node{port: kept, folder: c.t.TempDir()})
 	}
 	for i := range n {
 		c.start(i)
@@ -109,23 +111,14 @@
 	}
 	r, err := Open(Options{
 		FindPeers:  find,
-		DataFolder: n.folder, Address: n.address, Peers: c.peers, Bootstrap: i < c.bootstrapCount,
+		DataFolder: n.folder, Address: n.port.Address(), Peers: c.peers, Bootstrap: i < c.bootstrapCount,
 		StateMachine: n.machine, Dial: c.dial, SnapshotIntervalEntries: 100, KeptEntries: 20,
 	})
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	n.replica = r
-	var listener net.Listener
-	for range 100 {
-		if listener, err = net.Listen("tcp", n.address); err == nil {
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	if err != nil {
-		c.t.Fatal(err)
-	}
+	listener := n.port.Listen()
 	server := grpc.NewServer()
 	wire.RegisterPeerServer(server, r)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/coordination/replica/transport_test.go
+++ b/coordination/replica/transport_test.go
@@ -32,7 +32,7 @@
 	n := c.nodes[2]
 	id := n.replica.ID()
 	n.stop()
-	n.address = newAddress(t)
+	n.port = keepPort(t)
 	c.start(2)
 	c.eventually("the member list contains the new address", func() bool {
 		l := c.leader()
@@ -40,7 +40,7 @@
 			return false
 		}
 		for _, m := range l.replica.Status().Members {
-			if m.Id == id && m.Address == n.address && !m.Learner {
+			if m.Id == id && m.Address == n.port.Address() && !m.Learner {
 				return true
 			}
 		}
--- a/role/control/cluster_test.go
+++ b/role/control/cluster_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"path/filepath"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/role/control"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 )
 
@@ -25,6 +25,7 @@
 // node is a control replica in the test's process, reached over loopback.
 type node struct {
 	address string
+	port    *loopback.Kept
 	folder  string
 	store   *configsync.Store
 	stop    func()
@@ -40,18 +41,12 @@
 func startCluster(t *testing.T) *cluster {
 	c := &cluster{t: t, pool: link.NewPool(link.Security{})}
 	t.Cleanup(c.pool.Close)
-	listeners := make([]net.Listener, 3)
-	for i := range listeners {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listeners[i] = listener
-		c.peers = append(c.peers, listener.Addr().String())
-		c.nodes = append(c.nodes, &node{address: c.peers[i], folder: filepath.Join(t.TempDir(), fmt.Sprint(i))})
+	for i := range 3 {
+		n := c.addNode(filepath.Join(t.TempDir(), fmt.Sprint(i)))
+		c.peers = append(c.peers, n.address)
 	}
-	for i, listener := range listeners {
-		c.start(i, listener)
+	for i := range c.nodes {
+		c.start(i)
 	}
 	t.Cleanup(func() {
 		for _, n := range c.nodes {
@@ -77,16 +72,23 @@
 	return ctx
 }
 
-// start runs a replica. With a nil listener it listens on its earlier address.
-func (c *cluster) start(i int, listener net.Listener) {
-	n := c.nodes[i]
-	if listener == nil {
-		c.await("the address to be free", func() bool {
-			var err error
-			listener, err = net.Listen("tcp", n.address)
-			return err == nil
-		})
+// addNode adds a replica that is not started yet. The test keeps its port over restarts.
+func (c *cluster) addNode(folder string) *node {
+	c.t.Helper()
+	port, err := loopback.Keep("127.0.0.1")
+	if err != nil {
+		c.t.Fatal(err)
 	}
+	c.t.Cleanup(func() { _ = port.Close() }) // nothing is left to be done on failure
+	n := &node{address: port.Address(), port: port, folder: folder}
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+// start runs a replica.
+func (c *cluster) start(i int) {
+	n := c.nodes[i]
+	listener := n.port.Listen()
 	hash := sha256.Sum256([]byte(operatorKey))
 	n.store = configsync.NewStore()
 	role, err := control.New(&control.Config{
--- a/role/control/ctl_test.go
+++ b/role/control/ctl_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -137,12 +136,8 @@
 func (c *cluster) testReplace(client cli) {
 	lost := c.memberAt(c.nodes[1].address)
 	c.nodes[1].stop()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	c.nodes = append(c.nodes, &node{address: listener.Addr().String(), folder: c.t.TempDir()})
-	c.start(3, listener)
+	c.addNode(c.t.TempDir())
+	c.start(3)
 	c.await("new voter", func() bool {
 		m := c.memberAt(c.nodes[3].address)
 		return m != nil && !m.Learner
--- a/role/control/operator_test.go
+++ b/role/control/operator_test.go
@@ -149,7 +149,7 @@
 		case <-time.After(300 * time.Millisecond):
 			i := restarts.IntN(3)
 			c.nodes[i].stop()
-			c.start(i, nil)
+			c.start(i)
 		}
 	}
 	var history []porcupine.Operation
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +29,7 @@
 	scheduler *placement.Scheduler
 	parts     *quarantine.Tracker
 	address   string
+	port      *loopback.Kept
 	stop      func()
 	still     sync.RWMutex // held while the process stands still; see standStill
 }
@@ -75,22 +75,30 @@
 
 func start(t *testing.T, name string, incarnation uint64, seeds ...string) *node {
 	t.Helper()
-	return startAt(t, "127.0.0.1:0", &wire.ProcessRecord{Name: name, Incarnation: incarnation, Entry: true}, seeds...)
+	return startAt(t, keepPort(t, "127.0.0.1"), &wire.ProcessRecord{Name: name, Incarnation: incarnation, Entry: true}, seeds...)
 }
 
-// startAt starts a process that listens at an address, and sets the address in its record.
-func startAt(t *testing.T, address string, record *wire.ProcessRecord, seeds ...string) *node {
+// keepPort takes a port of a loopback address that the test keeps over restarts.
+func keepPort(t *testing.T, host string) *loopback.Kept {
 	t.Helper()
-	return startWith(t, address, record, func(address string) (*grpc.ClientConn, error) { return link.Dial(address, link.Security{}) }, seeds...)
-}
-
-func startWith(t *testing.T, address string, record *wire.ProcessRecord, dial func(string) (*grpc.ClientConn, error), seeds ...string) *node {
-	t.Helper()
-	listener, err := net.Listen("tcp", address)
+	port, err := loopback.Keep(host)
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{store: statecache.NewStore(), directory: directory.New(), scheduler: placement.NewScheduler(time.Now), parts: quarantine.NewTracker(monotonic.Now), address: listener.Addr().String()}
+	t.Cleanup(func() { _ = port.Close() }) // nothing is left to be done on failure
+	return port
+}
+
+// startAt starts a process that listens on a port, and sets the address in its record.
+func startAt(t *testing.T, port *loopback.Kept, record *wire.ProcessRecord, seeds ...string) *node {
+	t.Helper()
+	return startWith(t, port, record, func(address string) (*grpc.ClientConn, error) { return link.Dial(address, link.Security{}) }, seeds...)
+}
+
+func startWith(t *testing.T, port *loopback.Kept, record *wire.ProcessRecord, dial func(string) (*grpc.ClientConn, error), seeds ...string) *node {
+	t.Helper()
+	listener := port.Listen()
+	n := &node{port: port, store: statecache.NewStore(), directory: directory.New(), scheduler: placement.NewScheduler(time.Now), parts: quarantine.NewTracker(monotonic.Now), address: port.Address()}
 	record.Address = n.address
 	n.mesh = New(Options{
 		Self:   record,
@@ -196,16 +204,14 @@
 
 // Two processes whose only seed starts after them get their process lists from it.
 func TestProcessesDiscoverEachOtherThroughALateSeed(t *testing.T) {
-	seed, err := loopback.ReserveAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
+	port := keepPort(t, "127.0.0.1")
+	seed := port.Address()
 	first := start(t, "first", 1, seed)
 	second := start(t, "second", 2, seed)
 	if first.mesh.SeedsSynced() || second.mesh.SeedsSynced() {
 		t.Fatal("a seed that does not run counts as synced")
 	}
-	startAt(t, seed, &wire.ProcessRecord{Name: "seed", Incarnation: 3}, seed)
+	startAt(t, port, &wire.ProcessRecord{Name: "seed", Incarnation: 3}, seed)
 	for _, n := range []*node{first, second} {
 		waitUntil(t, "the seed has synced", n.mesh.SeedsSynced)
 	}
@@ -217,7 +223,7 @@
 // The work of an entry is published to another entry, but not to the control process that
 // is the seed of both.
 func TestWorkIsPublishedToEntriesOnly(t *testing.T) {
-	control := startAt(t, "127.0.0.1:0", &wire.ProcessRecord{Name: "control", Incarnation: 1})
+	control := startAt(t, keepPort(t, "127.0.0.1"), &wire.ProcessRecord{Name: "control", Incarnation: 1})
 	one, other := start(t, "one", 2, control.address), start(t, "other", 3, control.address)
 	for _, n := range []*node{control, one, other} {
 		waitUntil(t, "all are known", func() bool { return len(n.directory.Processes()) == 3 })
@@ -241,7 +247,7 @@
 func TestRestartedProcessGetsAllWorkAtOnce(t *testing.T) {
 	a := start(t, "a", 1)
 	a.mesh.redialDelay = time.Hour
-	b := startAt(t, "127.0.0.1:0", &wire.ProcessRecord{Name: "b", Incarnation: 2, Entry: true}, a.address)
+	b := startAt(t, keepPort(t, "127.0.0.1"), &wire.ProcessRecord{Name: "b", Incarnation: 2, Entry: true}, a.address)
 	waitUntil(t, "they know each other", func() bool { return a.mesh.EntryCount() == 2 && b.mesh.EntryCount() == 2 })
 	a.directory.Announce(&wire.EndpointRecord{Id: "e1", BornMs: 1, Sequence: 1, Service: "s", Address: "10.0.0.1:80"})
 	a.scheduler.Choose(a.directory.Endpoints("s"), &placement.Request{
@@ -255,7 +261,7 @@
 		defer l.mu.Unlock()
 		return !l.up
 	})
-	restarted := startAt(t, b.address, &wire.ProcessRecord{Name: "b", Incarnation: 3, Entry: true}, a.address)
+	restarted := startAt(t, b.port, &wire.ProcessRecord{Name: "b", Incarnation: 3, Entry: true}, a.address)
 	waitUntil(t, "the restarted process knows the work", func() bool { return restarted.scheduler.Stats().Remote == 1 })
 }
 
