--- a/transport/mesh/delivery.go
+++ b/transport/mesh/delivery.go
@@ -13,8 +13,8 @@
 // it, until its link counts as lost.
 const deliveryPatience = 300 * time.Millisecond
 
-// delivered is the end of one link's confirmation.
-type delivered struct {
+// confirmationResult tells how the confirmation of one link has ended.
+type confirmationResult struct {
 	dataCentre string
 	otherHost  bool // the process runs on another host than this one
 	confirmed  bool // false if the link was lost
@@ -23,19 +23,19 @@
 // confirmation is an outstanding confirmation that a process has applied all updates that
 // were queued for it so far.
 type confirmation struct {
-	ping   uint64 // sequence number of the ping whose pong confirms it, 0 before it is sent
-	of     delivered
-	result chan<- delivered // has room for it
+	ping    uint64 // sequence number of the ping whose pong confirms it, 0 before it is sent
+	result  confirmationResult
+	results chan<- confirmationResult // has room for the result
 }
 
 func (c *confirmation) end(confirmed bool) {
-	c.of.confirmed = confirmed
-	c.result <- c.of
+	c.result.confirmed = confirmed
+	c.results <- c.result
 }
 
 // delivery is the state of one call of AwaitDelivery.
 type delivery struct {
-	results     chan delivered
+	results     chan confirmationResult
 	outstanding int             // confirmations
 	unconfirmed map[string]bool // data centres in which another host has a link and none has confirmed
 	confirmed   bool            // another host has confirmed
@@ -71,24 +71,24 @@
 func (m *Mesh) startDelivery() *delivery {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := &delivery{results: make(chan delivered, len(m.links)), unconfirmed: make(map[string]bool)}
+	d := &delivery{results: make(chan confirmationResult, len(m.links)), unconfirmed: make(map[string]bool)}
 	for _, l := range m.links {
 		if l.hasRole(roleKnown) {
 			continue
 		}
-		of := delivered{dataCentre: l.dataCentre, otherHost: m.isOtherHost(l.address)}
-		if !l.requestConfirmation(&confirmation{of: of, result: d.results}) {
+		result := confirmationResult{dataCentre: l.dataCentre, otherHost: m.isOtherHost(l.address)}
+		if !l.requestConfirmation(&confirmation{result: result, results: d.results}) {
 			continue
 		}
 		d.outstanding++
-		if of.otherHost {
-			d.unconfirmed[of.dataCentre] = true
+		if result.otherHost {
+			d.unconfirmed[result.dataCentre] = true
 		}
 	}
 	return d
 }
 
-func (d *delivery) record(r delivered) {
+func (d *delivery) record(r confirmationResult) {
 	d.outstanding--
 	if r.confirmed && r.otherHost {
 		d.confirmed = true
