Tell by its events, not its type, whether a response goes on with a stream

What goes on with a stream must begin with an event that has an ID; an end without events still needs the type.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -257,7 +257,7 @@
 // deliver writes the response to the caller.
 func (r *run) deliver(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	defer response.Body.Close()
-	if r.route.Kind == catalogue.Stream && response.isSuccess() && response.mayBeStream() {
+	if r.route.Kind == catalogue.Stream && response.isSuccess() {
 		return r.deliverStream(ctx, plan, response, cancel)
 	}
 	return r.deliverPlain(ctx, plan, response, cancel)
--- a/coordination/serve/events.go
+++ b/coordination/serve/events.go
@@ -34,18 +34,13 @@
 	commentPrefix = []byte(":")
 )
 
-const eventStreamType = "text/event-stream"
+const eventStreamType = "text/event-stream" // a content type
 
 // isStream reports whether the response says that it is a stream of events.
 func (response *Response) isStream() bool {
 	return strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType)
 }
 
-// mayBeStream reports whether the response doesn't say that it is something else.
-func (response *Response) mayBeStream() bool {
-	return response.isStream() || response.Header.Get("Content-Type") == ""
-}
-
 // readEvents reads whole events from body and sends them to events. Its error is
 // nil only when the stream ended between two blocks. A block without an ID is held
 // back until a block with an ID or the end of the stream, so that an endpoint which
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -41,8 +41,8 @@
 		return err
 	case err != nil:
 		return errors.Join(errInvalidResponse, err)
-	case good && (!response.Signed || r.headerWritten.Load()):
-		return errInvalidResponse // a stream that has begun can't go on with an answer of another kind
+	case good && !response.Signed:
+		return errInvalidResponse
 	case !good && (!response.Signed || r.headerWritten.Load() || r.mayRunAgain()):
 		return fault.New(fault.EndpointFailed, "the endpoint responded with status %d", response.Status)
 	}
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -60,8 +60,7 @@
 }
 
 // deliverStream writes events to the caller as they arrive. A response that goes on with a
-// stream that has begun must show that it is one: by its content type, or with the ID of its
-// first event.
+// stream that has begun must show that it does with the ID of its first event.
 func (r *run) deliverStream(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	if !response.Signed {
 		return errInvalidResponse
