Take the kept ports of tests with one function; name the end of a stop's grace

The function that ends the context near is called endNear. No change of behaviour, and no test's assertion changed.

--- a/coordination/replica/cluster_test.go
+++ b/coordination/replica/cluster_test.go
@@ -79,20 +79,9 @@
 	return c
 }
 
-// keepPort takes a port that the test keeps over restarts of a replica.
-func keepPort(t testing.TB) *loopback.Kept {
-	t.Helper()
-	kept, err := loopback.Keep("127.0.0.1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = kept.Close() }) // nothing is left to be done on failure
-	return kept
-}
-
 func (c *cluster) create(n int) {
 	for range n {
-		kept := keepPort(c.t)
+		kept := loopback.KeepFor(c.t, "127.0.0.1")
 		c.peers = append(c.peers, kept.Address())
 		c.nodes = append(c.nodes, &node{port: kept, folder: c.t.TempDir()})
 	}
--- a/coordination/serve/stop.go
+++ b/coordination/serve/stop.go
@@ -13,14 +13,14 @@
 
 // stop is the planned stop of an entry.
 type stop struct {
-	at     atomic.Pointer[time.Time] // when requests still running are cut; nil unless the entry is draining
-	near   context.Context           // ends finalAnswerMargin before
-	setEnd context.CancelFunc        // ends near
+	at      atomic.Pointer[time.Time] // when requests still running are cut; nil unless the entry is draining
+	near    context.Context           // ends finalAnswerMargin before
+	endNear context.CancelFunc
 }
 
 func newStop() stop {
-	near, setEnd := context.WithCancel(context.Background())
-	return stop{near: near, setEnd: setEnd}
+	near, endNear := context.WithCancel(context.Background())
+	return stop{near: near, endNear: endNear}
 }
 
 // StopAt sets the time at which this entry cuts the requests that still run. From now on
@@ -28,7 +28,7 @@
 // ends those whose answer has not begun.
 func (s *Server) StopAt(at time.Time) {
 	s.stop.at.Store(&at)
-	time.AfterFunc(time.Until(at)-finalAnswerMargin, s.stop.setEnd)
+	time.AfterFunc(time.Until(at)-finalAnswerMargin, s.stop.endNear)
 }
 
 // isNear reports whether requests that have not begun to be answered are being ended.
--- a/role/control/cluster_test.go
+++ b/role/control/cluster_test.go
@@ -75,11 +75,7 @@
 // addNode adds a replica that is not started yet. The test keeps its port over restarts.
 func (c *cluster) addNode(folder string) *node {
 	c.t.Helper()
-	port, err := loopback.Keep("127.0.0.1")
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	c.t.Cleanup(func() { _ = port.Close() }) // nothing is left to be done on failure
+	port := loopback.KeepFor(c.t, "127.0.0.1")
 	n := &node{address: port.Address(), port: port, folder: folder}
 	c.nodes = append(c.nodes, n)
 	return n
--- a/trials/loopback/kept.go
+++ b/trials/loopback/kept.go
@@ -27,6 +27,25 @@
 	return k, nil
 }
 
+// Test is what KeepFor needs of a testing.TB, so that programs which reserve ports don't
+// import package testing.
+type Test interface {
+	Helper()
+	Fatal(args ...any)
+	Cleanup(f func())
+}
+
+// KeepFor takes a free port of a loopback address until the end of a test.
+func KeepFor(t Test, host string) *Kept {
+	t.Helper()
+	kept, err := Keep(host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = kept.Close() }) // nothing is left to be done on failure
+	return kept
+}
+
 // Address returns the address of the port.
 func (k *Kept) Address() string { return k.listener.Addr().String() }
 
