Log what each process said to a forwarded call, and who leads the control group

A failed call now lists each process that was called, what it said and after how long. No logic is changed.

--- /dev/null
+++ b/coordination/controlplane/attempts.go
@@ -0,0 +1,60 @@
+package controlplane
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
+
+// attempt is a call to one process, as a part of a hedged call.
+type attempt struct {
+	address string
+	began   monotonic.Time
+	reply   *reply // nil until the process has answered
+}
+
+// reply is the result of a call to one process.
+type reply struct {
+	of     *attempt
+	took   time.Duration
+	answer *wire.SteeringAnswer
+	err    error
+}
+
+// isFinal reports whether no other process needs to be asked: the leader has answered, or
+// it has refused the call.
+func (r *reply) isFinal() bool {
+	kind := fault.KindOf(r.err)
+	return r.err == nil || kind != fault.NotLeader && kind != fault.OutcomeUnknown
+}
+
+// String says what the process has answered, and when.
+func (a *attempt) String() string {
+	if a.reply == nil {
+		return fmt.Sprintf("%s no answer for %d ms", a.address, monotonic.Since(a.began).Milliseconds())
+	}
+	what := "answered"
+	if a.reply.err != nil {
+		what = string(fault.KindOf(a.reply.err))
+	}
+	return fmt.Sprintf("%s %s after %d ms", a.address, what, a.reply.took.Milliseconds())
+}
+
+// attempts are the calls to processes that a hedged call has made, in their order.
+type attempts []*attempt
+
+// String says what each process has answered, and when.
+func (all attempts) String() string {
+	if len(all) == 0 {
+		return "none asked"
+	}
+	texts := make([]string, len(all))
+	for i, a := range all {
+		texts[i] = a.String()
+	}
+	return strings.Join(texts, ", ")
+}
--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -22,12 +23,6 @@
 // remoteCall is a call to the Steering service of another process.
 type remoteCall func(context.Context, wire.SteeringClient) (*wire.SteeringAnswer, error)
 
-// reply is the result of a call to one process.
-type reply struct {
-	answer *wire.SteeringAnswer
-	err    error
-}
-
 // leaderCandidates returns the addresses to call. If this process has a replica, it
 // is the leader's address, or none while no leader is known. Otherwise it is those of
 // all processes with a replica, the most recently heard first.
@@ -43,52 +38,89 @@
 	return addresses
 }
 
+// hedgedCall calls one process after the other until the leader has answered.
+type hedgedCall struct {
+	service   *Service
+	addresses []string // to call, in this order
+	call      remoteCall
+	attempts  attempts
+	waiting   int // number of attempts without an answer
+	replies   chan *reply
+	err       error // to return if none is the leader; says whether a change may have been made
+}
+
 // callHedged calls one process after the other until the leader has answered. The
 // next process is called as soon as one says that it does not lead, or after
 // hedgeDelay. If none is the leader, the error says whether a change may have been
 // made.
 func (s *Service) callHedged(ctx context.Context, addresses []string, call remoteCall) (*wire.SteeringAnswer, error) {
-	replies := make(chan reply, len(addresses))
-	result := reply{err: fault.New(fault.NotLeader, "no leader of the control group is known").WithRetryAfter(confirmInterval)}
+	h := &hedgedCall{
+		service: s, addresses: addresses, call: call, replies: make(chan *reply, len(addresses)),
+		err: fault.New(fault.NotLeader, "no leader of the control group is known").WithRetryAfter(confirmInterval),
+	}
+	answer, err := h.run(ctx)
+	if err != nil {
+		s.logger.RateLimitedWarn("call").Str("asked", h.attempts.String()).Err(err).Msg("A call to the leader of the control group has failed.")
+	}
+	return answer, err
+}
+
+func (h *hedgedCall) run(ctx context.Context) (*wire.SteeringAnswer, error) {
 	hedge := time.NewTimer(0)
 	defer hedge.Stop()
-	for asked, waiting := 0, 0; asked < len(addresses) || waiting > 0; {
+	for len(h.attempts) < len(h.addresses) || h.waiting > 0 {
 		next := hedge.C
-		if asked == len(addresses) {
+		if len(h.attempts) == len(h.addresses) {
 			next = nil
 		}
 		select {
 		case <-ctx.Done():
 			return nil, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "the leader of the control group did not answer")
 		case <-next:
-			address := addresses[asked]
-			asked, waiting = asked+1, waiting+1
-			go func() { replies <- s.callOne(ctx, address, call) }()
+			h.callNext(ctx)
 			hedge.Reset(hedgeDelay)
-		case got := <-replies:
-			waiting--
-			if got.err == nil || fault.KindOf(got.err) != fault.NotLeader && fault.KindOf(got.err) != fault.OutcomeUnknown {
+		case got := <-h.replies:
+			h.record(got)
+			if got.isFinal() {
 				return got.answer, got.err
 			}
-			if fault.KindOf(result.err) != fault.OutcomeUnknown {
-				result = got
-			}
 			hedge.Reset(0)
 		}
 	}
-	return nil, result.err
+	return nil, h.err
+}
+
+// callNext calls the next process.
+func (h *hedgedCall) callNext(ctx context.Context) {
+	a := &attempt{address: h.addresses[len(h.attempts)], began: monotonic.Now()}
+	h.attempts = append(h.attempts, a)
+	h.waiting++
+	go func() {
+		answer, err := h.service.callOne(ctx, a.address, h.call)
+		h.replies <- &reply{of: a, took: monotonic.Since(a.began), answer: answer, err: err}
+	}()
+}
+
+// record records the result of a call. The error to return stays one that leaves the
+// outcome open.
+func (h *hedgedCall) record(got *reply) {
+	got.of.reply = got
+	h.waiting--
+	if fault.KindOf(h.err) != fault.OutcomeUnknown {
+		h.err = got.err
+	}
 }
 
 // callOne calls the process at address. If it can't be dialled, the error is
 // NotLeader, since no change was made; if it does not answer, OutcomeUnknown.
-func (s *Service) callOne(ctx context.Context, address string, call remoteCall) reply {
+func (s *Service) callOne(ctx context.Context, address string, call remoteCall) (*wire.SteeringAnswer, error) {
 	conn, err := s.dial(address)
 	if err != nil {
-		return reply{err: fault.Wrap(err, fault.NotLeader, "the control process at %s can't be dialled", address)}
+		return nil, fault.Wrap(err, fault.NotLeader, "the control process at %s can't be dialled", address)
 	}
 	answer, err := call(ctx, wire.NewSteeringClient(conn))
 	if err != nil {
-		return reply{err: fault.Wrap(err, fault.OutcomeUnknown, "the control process at %s did not answer", address)}
+		return nil, fault.Wrap(err, fault.OutcomeUnknown, "the control process at %s did not answer", address)
 	}
-	return reply{answer: answer, err: fault.FromWire(answer.Failure)}
+	return answer, fault.FromWire(answer.Failure)
 }
--- a/coordination/raft/progress.go
+++ b/coordination/raft/progress.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
@@ -15,9 +16,22 @@
 	pendingSnapshot uint64 // index of a snapshot sent and not acknowledged, 0 if there is none
 	snapshotTicks   int    // since pendingSnapshot was sent
 	recentActive    bool   // heard, or newly added to peers, since the last call of quorumActive
+	silentTicks     int    // since the peer was last heard, or added to peers
 	ackedRound      uint64 // highest heartbeat round of this term that the peer has acknowledged
 }
 
+// String describes the progress for a log line.
+func (p *progress) String() string {
+	text := fmt.Sprintf("match %d next %d heard %d ticks ago", p.match, p.next, p.silentTicks)
+	if p.probing {
+		text += " probing"
+	}
+	if p.pendingSnapshot != 0 {
+		text += fmt.Sprintf(" snapshot %d on its way", p.pendingSnapshot)
+	}
+	return text
+}
+
 // tickSnapshot marks a pending snapshot as failed after retryTicks, so that it is
 // sent again.
 func (p *progress) tickSnapshot(retryTicks int) {
--- a/coordination/raft/raft.go
+++ b/coordination/raft/raft.go
@@ -191,6 +191,7 @@
 		r.broadcastHeartbeat()
 	}
 	for _, p := range r.peers {
+		p.silentTicks++
 		p.tickSnapshot(snapshotRetryElectionTimeouts * r.electionTicks)
 	}
 }
--- a/coordination/raft/status.go
+++ b/coordination/raft/status.go
@@ -46,6 +46,15 @@
 	return 0
 }
 
+// ProgressOf describes how far a peer has followed, for a log line. It is empty if this
+// replica does not lead or does not know the peer.
+func (r *Raft) ProgressOf(id string) string {
+	if p := r.peers[id]; p != nil {
+		return p.String()
+	}
+	return ""
+}
+
 // MembersAt returns the member list in effect at a log index, which must not be
 // compacted.
 func (r *Raft) MembersAt(index uint64) []*wire.Member { return r.members.at(index) }
--- a/coordination/raft/step.go
+++ b/coordination/raft/step.go
@@ -202,7 +202,7 @@
 	if r.role != Leader || p == nil {
 		return
 	}
-	p.recentActive = true
+	p.recentActive, p.silentTicks = true, 0
 	if m.Kind == heartbeatReply {
 		r.handleHeartbeatReply(m, p)
 		return
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -178,6 +178,7 @@
 	lastReadID        uint64
 	promotionIndex    map[string]uint64 // by learner ID: the index it must sync to become a voter
 	transferWaiters   []chan error
+	reporter          reporter
 }
 
 // Open locks the data folder, reads it and restores the state machine. Run
@@ -205,6 +206,7 @@
 		proposals:         make(map[uint64]proposal),
 		pendingReads:      make(map[uint64]readRequest),
 		promotionIndex:    make(map[string]uint64),
+		reporter:          reporter{calmAt: time.Now()},
 	}
 	if state.Snapshot != nil {
 		if err := r.restore(state.Snapshot); err != nil {
@@ -320,6 +322,7 @@
 
 func (r *Replica) publishStatus() {
 	s := r.raft.Status()
+	r.reporter.observe(r, s, time.Now())
 	next := &Status{
 		ID:              r.id,
 		Leader:          s.Leader,
