--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -28,8 +28,9 @@
 	folder             string
 	ports              [5]int // for callers, readiness, operators, and the first and last for links
 	running            map[string]*os.Process
-	diskFaultTolerance int    // number of hosts with a disk that may be lost at once, 0 for the default
-	seeds              [3]int // numbers of the seed hosts in the settings
+	diskFaultTolerance int      // number of hosts with a disk that may be lost at once, 0 for the default
+	seeds              [3]int   // numbers of the seed hosts in the settings
+	environment        []string // variables of the processes, beside those of the test
 }
 
 func newFakePlatform(t *testing.T) *fakePlatform {
@@ -72,7 +73,7 @@
 	}
 	defer log.Close()
 	command := exec.Command(p.binary, role)
-	command.Env = append(os.Environ(), "APRICOTSPOKE_NODE_FILE="+file)
+	command.Env = append(append(os.Environ(), p.environment...), "APRICOTSPOKE_NODE_FILE="+file)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		p.t.Fatal(err)
