Replace connections on which forwarded calls got no answer

Cause: calls to the leader are forwarded on connections that the process keeps. One that falls silent without a reset accepts calls and answers none; gRPC closes none by itself, and a call that timed out did not replace it. A process with a replica calls only the leader, so each call went there in vain. The mesh and the replicas replace their own silent connections, so leadership, confirmations and entries went on.

TestDeadConnectionIsReplacedWithinTheCall failed without the second calls.

Change: when all processes were called and one is silent for hedgeDelay, its connection is retired and it is called again on a new one within the same call. A connection without an answer for hedgeDelay when the call ends is retired as well. Calls that run on a retired connection may still end. A change may thereby be made twice, as before when leadership moved; the second changes nothing. The check of the membership retires its connections too.

The test of forwarded calls now names processes by address instead of counting calls, since one may be called twice; its cases and expectations are unchanged.

--- a/coordination/controlplane/attempts.go
+++ b/coordination/controlplane/attempts.go
@@ -8,15 +8,24 @@
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/grpc"
 )
 
 // attempt is a call to one process, as a part of a hedged call.
 type attempt struct {
 	address string
+	conn    grpc.ClientConnInterface // nil if the process can't be dialled
 	began   monotonic.Time
+	renewed bool   // the process is called on a new connection too
 	reply   *reply // nil until the process has answered
 }
 
+// isSilent reports whether the process has not answered for hedgeDelay. Its connection may
+// be dead.
+func (a *attempt) isSilent() bool {
+	return a.reply == nil && monotonic.Since(a.began) >= hedgeDelay
+}
+
 // reply is the result of a call to one process.
 type reply struct {
 	of     *attempt
--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -38,7 +38,8 @@
 	return addresses
 }
 
-// hedgedCall calls one process after the other until the leader has answered.
+// hedgedCall calls one process after the other until the leader has answered. Processes
+// that have not answered when all were called are called again on new connections.
 type hedgedCall struct {
 	service   *Service
 	addresses []string // to call, in this order
@@ -55,10 +56,11 @@
 // made.
 func (s *Service) callHedged(ctx context.Context, addresses []string, call remoteCall) (*wire.SteeringAnswer, error) {
 	h := &hedgedCall{
-		service: s, addresses: addresses, call: call, replies: make(chan *reply, len(addresses)),
+		service: s, addresses: addresses, call: call, replies: make(chan *reply, 2*len(addresses)),
 		err: fault.New(fault.NotLeader, "no leader of the control group is known").WithRetryAfter(confirmInterval),
 	}
 	answer, err := h.run(ctx)
+	h.retireSilent()
 	if err != nil {
 		s.logger.RateLimitedWarn("call").Str("asked", h.attempts.String()).Err(err).Msg("A call to the leader of the control group has failed.")
 	}
@@ -68,9 +70,9 @@
 func (h *hedgedCall) run(ctx context.Context) (*wire.SteeringAnswer, error) {
 	hedge := time.NewTimer(0)
 	defer hedge.Stop()
-	for len(h.attempts) < len(h.addresses) || h.waiting > 0 {
+	for h.mayCall() || h.waiting > 0 {
 		next := hedge.C
-		if len(h.attempts) == len(h.addresses) {
+		if !h.mayCall() {
 			next = nil
 		}
 		select {
@@ -84,19 +86,63 @@
 			if got.isFinal() {
 				return got.answer, got.err
 			}
-			hedge.Reset(0)
+			hedge.Reset(h.untilNext())
 		}
 	}
 	return nil, h.err
 }
 
-// callNext calls the next process.
+// allCalled reports whether each process has been called.
+func (h *hedgedCall) allCalled() bool { return len(h.attempts) >= len(h.addresses) }
+
+// mayCall reports whether there is a process to call, or to call on a new connection.
+func (h *hedgedCall) mayCall() bool { return !h.allCalled() || h.toRenew() != nil }
+
+// toRenew returns the first attempt without an answer whose process has been called on one
+// connection only, nil if there is none.
+func (h *hedgedCall) toRenew() *attempt {
+	for _, a := range h.attempts {
+		if a.reply == nil && !a.renewed {
+			return a
+		}
+	}
+	return nil
+}
+
+// untilNext returns the time until the next call, if no more processes answer.
+func (h *hedgedCall) untilNext() time.Duration {
+	if a := h.toRenew(); h.allCalled() && a != nil {
+		return hedgeDelay - monotonic.Since(a.began)
+	}
+	return 0
+}
+
+// callNext calls the next process. When all were called, it calls one that has not answered
+// on a new connection.
 func (h *hedgedCall) callNext(ctx context.Context) {
-	a := &attempt{address: h.addresses[len(h.attempts)], began: monotonic.Now()}
+	if !h.allCalled() {
+		h.start(ctx, &attempt{address: h.addresses[len(h.attempts)]})
+		return
+	}
+	a := h.toRenew()
+	a.renewed = true
+	h.service.retire(a)
+	h.start(ctx, &attempt{address: a.address, renewed: true})
+}
+
+// start begins an attempt.
+func (h *hedgedCall) start(ctx context.Context, a *attempt) {
+	a.began = monotonic.Now()
 	h.attempts = append(h.attempts, a)
 	h.waiting++
+	conn, err := h.service.dial(a.address)
+	if err != nil {
+		h.replies <- &reply{of: a, err: fault.Wrap(err, fault.NotLeader, "the control process at %s can't be dialled", a.address)}
+		return
+	}
+	a.conn = conn
 	go func() {
-		answer, err := h.service.callOne(ctx, a.address, h.call)
+		answer, err := callOne(ctx, a, h.call)
 		h.replies <- &reply{of: a, took: monotonic.Since(a.began), answer: answer, err: err}
 	}()
 }
@@ -111,16 +157,32 @@
 	}
 }
 
-// callOne calls the process at address. If it can't be dialled, the error is
-// NotLeader, since no change was made; if it does not answer, OutcomeUnknown.
-func (s *Service) callOne(ctx context.Context, address string, call remoteCall) (*wire.SteeringAnswer, error) {
-	conn, err := s.dial(address)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.NotLeader, "the control process at %s can't be dialled", address)
+// retireSilent retires the connections to processes that have not answered for hedgeDelay.
+func (h *hedgedCall) retireSilent() {
+	for _, a := range h.attempts {
+		if a.isSilent() {
+			h.service.retire(a)
+		}
 	}
-	answer, err := call(ctx, wire.NewSteeringClient(conn))
+}
+
+// retire lets later calls to the process of an attempt use a new connection, as the one of
+// the attempt may be dead.
+func (s *Service) retire(a *attempt) {
+	if a.conn == nil {
+		return
+	}
+	s.logger.RateLimitedWarn("retire").Str("address", a.address).Dur("silence", monotonic.Since(a.began)).
+		Msg("A process did not answer, so the connection to it is replaced.")
+	s.retireConnection(a.address, a.conn)
+}
+
+// callOne makes the call of an attempt. If the process does not answer, the error is
+// OutcomeUnknown.
+func callOne(ctx context.Context, a *attempt, call remoteCall) (*wire.SteeringAnswer, error) {
+	answer, err := call(ctx, wire.NewSteeringClient(a.conn))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.OutcomeUnknown, "the control process at %s did not answer", address)
+		return nil, fault.Wrap(err, fault.OutcomeUnknown, "the control process at %s did not answer", a.address)
 	}
 	return answer, fault.FromWire(answer.Failure)
 }
--- a/coordination/controlplane/forward_test.go
+++ b/coordination/controlplane/forward_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 )
 
 // Behaviours of a process that is called.
@@ -20,11 +23,59 @@
 	resets   = "resets"
 	refuses  = "refuses"
 	slowLead = "leads after a while"
+	dead     = "is reached by new connections only, and leads"
 )
 
-// newTestService returns a service without a replica.
-func newTestService() *Service {
-	return New(Options{Dial: func(string) (grpc.ClientConnInterface, error) { return nil, nil }})
+// fakeConn is a connection to a process that behaves in one way.
+type fakeConn struct {
+	grpc.ClientConnInterface
+	behaviour string
+}
+
+func (c *fakeConn) Invoke(ctx context.Context, _ string, _, answer any, _ ...grpc.CallOption) error {
+	got, err := respond(ctx, c.behaviour)
+	if err == nil {
+		proto.Merge(answer.(proto.Message), got)
+	}
+	return err
+}
+
+// fakeConns holds a connection to each address. Connections that were retired are replaced
+// by ones to a process that leads.
+type fakeConns struct {
+	mu    sync.Mutex
+	conns map[string]*fakeConn
+}
+
+func (f *fakeConns) dial(address string) (grpc.ClientConnInterface, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns[address], nil
+}
+
+func (f *fakeConns) retire(address string, conn grpc.ClientConnInterface) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conns[address].behaviour == dead {
+		f.conns[address] = &fakeConn{behaviour: leads}
+	}
+}
+
+// newTestService returns a service without a replica and the addresses of processes with
+// the given behaviours.
+func newTestService(behaviours ...string) (s *Service, addresses []string) {
+	conns := &fakeConns{conns: make(map[string]*fakeConn)}
+	for i, behaviour := range behaviours {
+		address := fmt.Sprint("process", i)
+		addresses = append(addresses, address)
+		conns.conns[address] = &fakeConn{behaviour: behaviour}
+	}
+	return New(Options{Dial: conns.dial, RetireConnection: conns.retire}), addresses
+}
+
+// read is a call to the leader.
+func read(ctx context.Context, c wire.SteeringClient) (*wire.SteeringAnswer, error) {
+	return c.Read(ctx, &wire.SteeringRead{})
 }
 
 func TestUnresponsiveProcessDoesNotDelayCallToLeader(t *testing.T) {
@@ -43,12 +94,9 @@
 		{"one may have made the change", []string{resets, follows}, fault.OutcomeUnknown},
 		{"one never answers", []string{follows, silent}, fault.OutcomeUnknown},
 	} {
-		s := newTestService()
+		s, addresses := newTestService(c.processes...)
 		ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
-		var calls atomic.Int32
-		_, err := s.callHedged(ctx, c.processes, func(ctx context.Context, _ wire.SteeringClient) (*wire.SteeringAnswer, error) {
-			return respond(ctx, c.processes[calls.Add(1)-1])
-		})
+		_, err := s.callHedged(ctx, addresses, read)
 		cancel()
 		if kind := fault.KindOf(err); kind != c.kind && !(err == nil && c.kind == "") {
 			t.Errorf("%s: %v", c.name, err)
@@ -56,9 +104,23 @@
 	}
 }
 
+// Guards against a connection that has fallen silent and is used for all later calls.
+func TestDeadConnectionIsReplacedWithinTheCall(t *testing.T) {
+	for _, processes := range [][]string{{dead}, {follows, dead, follows}, {dead, follows, follows}} {
+		bubble.Run(t, func(t *testing.T) {
+			s, addresses := newTestService(processes...)
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			if _, err := s.callHedged(ctx, addresses, read); err != nil {
+				t.Errorf("%v: %v", processes, err)
+			}
+		})
+	}
+}
+
 func respond(ctx context.Context, behaviour string) (*wire.SteeringAnswer, error) {
 	switch behaviour {
-	case silent:
+	case silent, dead:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	case resets:
--- a/coordination/controlplane/members.go
+++ b/coordination/controlplane/members.go
@@ -102,6 +102,7 @@
 		answer, err := wire.NewPeerClient(conn).Join(callCtx, &wire.JoinRequest{Id: status.ID, Address: s.address})
 		cancel()
 		if err != nil {
+			s.retireConnection(address, conn)
 			s.logger.RateLimitedWarn("membership").Str("address", address).Err(err).Msg("Another process could not be asked about this replica's membership.")
 			continue
 		}
--- a/role/host/control.go
+++ b/role/host/control.go
@@ -168,6 +168,7 @@
 		Store:              store,
 		Directory:          dir,
 		Dial:               func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
+		RetireConnection:   pool.Retire,
 		PeerAddresses:      func() []string { return otherVoters(dir, record.Address) },
 		SinceLastHeard:     links.Silence,
 		AwaitDelivery:      links.AwaitDelivery,
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -19,10 +19,12 @@
 	// minConnectTimeout is the time for which gRPC tries to connect before it starts again.
 	// A connection to a host that is down is given up early, as the host may be up at the
 	// next try.
-	minConnectTimeout    = 400 * time.Millisecond
-	maxReconnectDelay    = time.Second
-	emptyServiceConfig   = `{"methodConfig":[]}` // no method has a retry policy
-	maxConcurrentStreams = math.MaxUint32        // no limit, as the calls of a process can share one connection
+	minConnectTimeout  = 400 * time.Millisecond
+	maxReconnectDelay  = time.Second
+	emptyServiceConfig = `{"methodConfig":[]}` // no method has a retry policy
+	// retiredLifetime is how long a retired connection is kept for the calls that run on it.
+	retiredLifetime      = 5 * time.Second
+	maxConcurrentStreams = math.MaxUint32 // no limit, as the calls of a process can share one connection
 )
 
 // Security holds the TLS configurations of links. The zero value means plain text.
@@ -106,6 +108,19 @@
 	_ = conn.Close()
 }
 
+// Retire makes the next Get of an address open a new connection, if the pool still holds
+// the given one. Calls that run on it may end within retiredLifetime.
+func (p *Pool) Retire(address string, conn grpc.ClientConnInterface) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.conns[address]
+	if held == nil || conn != grpc.ClientConnInterface(held) {
+		return
+	}
+	delete(p.conns, address)
+	time.AfterFunc(retiredLifetime, func() { _ = held.Close() }) // fails only if it is closed already
+}
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
