Ask the other control processes when the known leader doesn't answer or none is known

Callers could see: a control process with a disk refuses or fails every change and read as long as its own replica knows no leader (a new replica that isn't admitted yet) or a wrong one (a replica that is no voter keeps its last leader), though the group has a leader that the other processes know. It called the believed leader only; processes without a disk call all replicas.

TestProcessWhoseReplicaKnowsNoLeaderAsksTheOthers failed before: "not_leader: no leader of the control group is known".

Change: the known leader is called first, then the others, the most recently heard first. A process that doesn't lead refuses at once, so without a leader the answer comes as before.

--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -23,19 +23,31 @@
 // remoteCall is a call to the Steering service of another process.
 type remoteCall func(context.Context, wire.SteeringClient) (*wire.SteeringAnswer, error)
 
-// leaderCandidates returns the addresses to call. If this process has a replica, it
-// is the leader's address, or none while no leader is known. Otherwise it is those of
-// all processes with a replica, the most recently heard first.
+// leaderCandidates returns the addresses to call: the leader that this process's replica
+// knows, if it has one, then the other processes with a replica, the most recently heard
+// first.
 func (s *Service) leaderCandidates() []string {
-	if s.replica != nil {
-		if address := s.replica.Status().LeaderAddress; address != "" {
-			return []string{address}
-		}
-		return nil
-	}
 	addresses := s.peerAddresses()
 	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(s.timeSinceHeard(a), s.timeSinceHeard(b)) })
-	return addresses
+	leader := s.knownLeaderAddress()
+	if leader == "" {
+		return addresses
+	}
+	others := slices.DeleteFunc(addresses, func(address string) bool { return address == leader })
+	return append([]string{leader}, others...)
+}
+
+// knownLeaderAddress returns the address of the leader that this process's replica knows,
+// empty if it knows no other process as the leader.
+func (s *Service) knownLeaderAddress() string {
+	if s.replica == nil {
+		return ""
+	}
+	status := s.replica.Status()
+	if status.IsLeader || status.LeaderAddress == s.address {
+		return ""
+	}
+	return status.LeaderAddress
 }
 
 // hedgedCall calls one process after the other until the leader has answered. Processes
--- a/coordination/controlplane/forward_test.go
+++ b/coordination/controlplane/forward_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/replica"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/trials/bubble"
@@ -118,6 +119,24 @@
 	}
 }
 
+// Guards against calls that are refused, or fail, as long as this process's own replica
+// knows no leader or a wrong one, while the group has one.
+func TestProcessWhoseReplicaKnowsNoLeaderAsksTheOthers(t *testing.T) {
+	conns := &fakeConns{conns: map[string]*fakeConn{"a": {behaviour: follows}, "b": {behaviour: leads}}}
+	outside, err := replica.Open(replica.Options{DataFolder: t.TempDir(), Address: "c"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{
+		Replica: outside, Dial: conns.dial, RetireConnection: conns.retire,
+		PeerAddresses:  func() []string { return []string{"a", "b"} },
+		SinceLastHeard: func() map[string]time.Duration { return nil },
+	})
+	if _, err := s.callLeader(t.Context(), read, nil); err != nil {
+		t.Error(err)
+	}
+}
+
 func respond(ctx context.Context, behaviour string) (*wire.SteeringAnswer, error) {
 	switch behaviour {
 	case silent, dead:
