A replica that is no voter forgets its lost leader

A learner or a removed replica kept a leader that it no longer heard for good. Read from the code, not seen in a run: callers at its host would get "the leader of the control group did not answer" after 0.9 s, as forwarded calls go only to the leader that the replica believes in; Status names the dead leader, so checkMembership never starts; and a replica that looks for the group is sent to that leader's address by Join.

Cause: raft.campaign returned for a replica that is not a voter before it cleared the leader. The election timer began anew, so leaderActive became true again for the dead leader and vote requests were ignored for half of the time.

Evidence: TestReplicaThatIsNoVoterForgetsItsLostLeader failed before: `id:"d" address:"d" learner:true: leader "a", active true, role 0, term 2 after two election timeouts without the leader`. It also checks that the leader is kept up to the election timeout, that nothing is sent and no term changed, and that the leader is known again when heard.

Why it works: campaign is called at the election timeout only; clearing the leader first gives non-voters the belief of voters. A vote in the same term stays safe, as votedFor is unchanged. Ruled out: learners that start elections; the test sees no message.

--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -35,13 +35,13 @@
 }
 
 // campaign requests votes from all voters, or pre-votes if pre is set. Pre-votes
-// don't change the term. It does nothing if this replica is not a voter.
+// don't change the term. A replica that is not a voter only forgets its leader.
 func (r *Raft) campaign(pre bool) {
 	r.resetElectionTimeout()
+	r.leader = ""
 	if !r.selfIsVoter() {
 		return
 	}
-	r.leader = ""
 	r.votes = map[string]bool{r.id: true}
 	kind, term := preVoteRequest, r.term+1
 	r.role = PreCandidate
--- a/coordination/raft/raft_test.go
+++ b/coordination/raft/raft_test.go
@@ -198,3 +198,35 @@
 		t.Fatalf("leader: role %d, term %d; restarted: term %d", leader.role, leader.term, restarted.term)
 	}
 }
+
+// A learner never campaigns, so nothing but its election timeout can end its belief.
+func TestReplicaThatIsNoVoterForgetsItsLostLeader(t *testing.T) {
+	learner := &wire.Member{Id: "d", Address: "d", Learner: true}
+	removed := &wire.Member{Id: "d", Address: "d", Removed: true}
+	for _, self := range []*wire.Member{learner, removed} {
+		r := newTestRaft("d", 2)
+		list := encodeMembers(&wire.MemberConfig{Members: append(voters("a", "b", "c"), self)})
+		r.Step(&wire.PeerMessage{Kind: appendEntries, From: "a", To: "d", Term: 2, Index: 1, LogTerm: 1, Entries: []*wire.LogEntry{
+			{Index: 2, Term: 2, Kind: wire.LogEntryKind_LOG_ENTRY_KIND_MEMBERS, Data: list}}})
+		flush(r)
+		for range r.electionTicks - 1 {
+			r.Tick()
+		}
+		if r.Status().Leader != "a" || !r.leaderActive() {
+			t.Fatalf("%v: the leader was forgotten before the election timeout", self)
+		}
+		for range 2 * r.electionTicks {
+			r.Tick()
+			if sent := flush(r); len(sent) > 0 {
+				t.Fatalf("%v: a replica that is no voter sent %v", self, sent)
+			}
+		}
+		if s := r.Status(); s.Leader != "" || r.leaderActive() || s.Role != Follower || s.Term != 2 {
+			t.Fatalf("%v: leader %q, active %v, role %d, term %d after two election timeouts without the leader", self, s.Leader, r.leaderActive(), s.Role, s.Term)
+		}
+		r.Step(&wire.PeerMessage{Kind: heartbeat, From: "a", To: "d", Term: 2})
+		if !r.leaderActive() || r.Status().Leader != "a" {
+			t.Fatalf("%v: the leader that came back is not known", self)
+		}
+	}
+}
