--- a/coordination/replica/directed_test.go
+++ b/coordination/replica/directed_test.go
@@ -1,9 +1,11 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/apricotspoke/apricotspoke/coordination/raft"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
 // leaderNode returns the running leader with the highest term, or nil.
@@ -182,3 +184,37 @@
 		t.Fatal("the old leader did not step down, or no new one was elected")
 	}
 }
+
+// The leader hears the follower, whose copy the quorum needs, all the time.
+func TestSnapshotLostWithoutReportDelaysCommitsForLessThanTheTarget(t *testing.T) {
+	s := newSim(t, 1, 3)
+	s.healAndConverge()
+	leader := s.leaderNode()
+	behind, away := s.nodesExcept(leader)[0], s.nodesExcept(leader)[1]
+	s.isolate(behind)
+	for range 30 {
+		s.propose(leader)
+		s.runRounds(2)
+	}
+	clear(s.blocked)
+	s.isolate(away)
+	lost := 0
+	for range recoveryTicks {
+		for _, n := range s.nodes {
+			s.tick(n)
+		}
+		for len(s.network) > 0 {
+			if lost == 0 && s.network[0].Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_SNAPSHOT {
+				s.network, lost = s.network[1:], 1
+				continue
+			}
+			s.deliver(0, false)
+		}
+		if l := s.leaderNode(); lost > 0 && l != nil && len(s.pendingProposals) == 0 {
+			s.propose(l)
+		}
+	}
+	if lost == 0 || !slices.Contains(s.acked, "op-31") {
+		t.Fatalf("%d snapshots lost, last acknowledged %s", lost, s.acked[len(s.acked)-1])
+	}
+}
