A new replica asks all known addresses at once for its group

A new replica with an empty disk asked the known addresses one after another, with up to 2 s for each that does not answer: with four it did not reach the leader within 8 s, two thirds of recoveryS. Each further round began with the same addresses.

Evidence: TestNewReplicaFindsGroup, in virtual time. Before: "four do not answer" and "eight do not answer": `the leader was not asked to admit the replica within 7.98s`. After: at once in both. It passes before and after where only the leader is known, seeds without a disk are away (discovery not complete), no process is heard for 3 s, and others refuse or know no leader: Bootstrap false needs no complete discovery.

Why it works: the inquiries run at the same time, and the first answer that names a leader ends them. A group is still created only if all have answered.

--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
@@ -134,34 +135,68 @@
 	answered     map[string]bool // addresses that answered
 }
 
-// inquire asks the replicas at all other known addresses whether there is a group.
+// inquiryAnswer is the answer of the replica at an address to an inquiry.
+type inquiryAnswer struct {
+	address string
+	answer  *wire.JoinResponse
+	err     error
+}
+
+// inquire asks the replicas at all other known addresses at once whether there is a
+// group. It returns as soon as one names a leader.
 func (r *Replica) inquire(ctx context.Context) inquiryResult {
-	addresses, complete := r.options.Peers, true
-	if r.options.FindPeers != nil {
-		addresses, complete = r.options.FindPeers()
-	}
+	addresses, complete := r.addressesToAsk()
 	found := inquiryResult{noGroup: complete, answered: make(map[string]bool)}
-	for _, address := range append(r.bootstrapGuard.addresses(), addresses...) {
-		if address == r.options.Address || found.answered[address] {
-			continue
-		}
-		answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address, InquireOnly: true})
-		found.answered[address] = err == nil
-		switch {
-		case err != nil:
-			found.noGroup = false
-		case answer.HasGroup && answer.LeaderAddress != "":
-			found.groupAddress = answer.LeaderAddress
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan inquiryAnswer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address, InquireOnly: true})
+			answers <- inquiryAnswer{address: address, answer: answer, err: err}
+		}()
+	}
+	for range addresses {
+		if found.add(<-answers, r.id) {
 			return found
-		case answer.HasGroup:
-			found.groupAddress, found.noGroup = address, false
-		case answer.Bootstrapping && answer.Id < r.id:
-			found.noGroup = false // the replica with the lowest ID creates the group
 		}
 	}
 	return found
 }
 
+// addressesToAsk returns the distinct other addresses that are known, and whether
+// discovery is complete.
+func (r *Replica) addressesToAsk() (addresses []string, complete bool) {
+	known, complete := r.options.Peers, true
+	if r.options.FindPeers != nil {
+		known, complete = r.options.FindPeers()
+	}
+	for _, address := range append(r.bootstrapGuard.addresses(), known...) {
+		if address != r.options.Address && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses, complete
+}
+
+// add takes in an answer to the replica with ID self. It reports whether the answer
+// names a leader.
+func (f *inquiryResult) add(a inquiryAnswer, self string) bool {
+	f.answered[a.address] = a.err == nil
+	switch {
+	case a.err != nil:
+		f.noGroup = false
+	case a.answer.HasGroup && a.answer.LeaderAddress != "":
+		f.groupAddress, f.noGroup = a.answer.LeaderAddress, false
+		return true
+	case a.answer.HasGroup:
+		f.groupAddress, f.noGroup = a.address, false
+	case a.answer.Bootstrapping && a.answer.Id < self:
+		f.noGroup = false // the replica with the lowest ID creates the group
+	}
+	return false
+}
+
 // requestJoin asks the replica at address to admit this one. joinGroup repeats the
 // request until this replica has joined.
 func (r *Replica) requestJoin(ctx context.Context, address string) {
