A new replica asks each leader that is named, not only the first

A new replica asked only the leader that the first answer named.

Evidence: three new cases of TestNewReplicaFindsGroup failed before, "one believes in a lost leader", "one believes that this replica leads" and "a former leader stands still": `the leader was not asked to admit the replica within 7.98s`.

Why it works: each leader that any answer names is asked to admit the replica as soon as it is named, and the first that answers as a leader ends the round. Only a leader can commit the change, and a second request for a member changes nothing.

--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
@@ -99,10 +101,7 @@
 func (r *Replica) joinGroup(ctx context.Context) {
 	for !r.Status().Joined {
 		found := r.inquire(ctx)
-		switch {
-		case found.groupAddress != "":
-			r.requestJoin(ctx, found.groupAddress)
-		case found.noGroup && r.options.Bootstrap && r.bootstrapGuard.decide(r.id, found.answered):
+		if found.noGroup && r.options.Bootstrap && r.bootstrapGuard.decide(r.id, found.answered) {
 			_ = r.enqueue(ctx, bootstrapRequest{})
 		}
 		select {
@@ -130,40 +129,57 @@
 // set if discovery is complete, all replicas have answered, and none of them
 // belongs to a group or is about to create one.
 type inquiryResult struct {
-	groupAddress string // of the group's leader, or of a member if no leader is known
-	noGroup      bool
-	answered     map[string]bool // addresses that answered
+	noGroup  bool
+	answered map[string]bool // addresses that answered
 }
 
 // inquiryAnswer is the answer of the replica at an address to an inquiry.
 type inquiryAnswer struct {
-	address string
-	answer  *wire.JoinResponse
-	err     error
+	address        string
+	answer         *wire.JoinResponse
+	err            error
+	leaderAnswered bool // the leader that it names has answered a request to join
 }
 
 // inquire asks the replicas at all other known addresses at once whether there is a
-// group. It returns as soon as one names a leader.
+// group, and each leader that they name to admit this replica: some may still name a
+// former leader. It returns as soon as a leader has answered such a request.
 func (r *Replica) inquire(ctx context.Context) inquiryResult {
 	addresses, complete := r.addressesToAsk()
 	found := inquiryResult{noGroup: complete, answered: make(map[string]bool)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan inquiryAnswer, len(addresses))
+	var named sync.Map // addresses that were asked to admit this replica
 	for _, address := range addresses {
-		go func() {
-			answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address, InquireOnly: true})
-			answers <- inquiryAnswer{address: address, answer: answer, err: err}
-		}()
+		go func() { answers <- r.inquireAt(ctx, address, &named) }()
 	}
 	for range addresses {
-		if found.add(<-answers, r.id) {
-			return found
+		a := <-answers
+		found.add(a, r.id)
+		if a.leaderAnswered {
+			break
 		}
 	}
 	return found
 }
 
+// inquireAt asks the replica at address whether there is a group, and the leader that it
+// names to admit this replica, unless named holds that leader. A member that names no
+// leader is asked itself, as it may lead by then.
+func (r *Replica) inquireAt(ctx context.Context, address string, named *sync.Map) inquiryAnswer {
+	a := inquiryAnswer{address: address}
+	a.answer, a.err = r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address, InquireOnly: true})
+	if a.err != nil || !a.answer.HasGroup {
+		return a
+	}
+	leader := cmp.Or(a.answer.LeaderAddress, address)
+	if _, known := named.LoadOrStore(leader, true); !known && leader != r.options.Address {
+		a.leaderAnswered = r.requestJoin(ctx, leader)
+	}
+	return a
+}
+
 // addressesToAsk returns the distinct other addresses that are known, and whether
 // discovery is complete.
 func (r *Replica) addressesToAsk() (addresses []string, complete bool) {
@@ -179,34 +195,32 @@
 	return addresses, complete
 }
 
-// add takes in an answer to the replica with ID self. It reports whether the answer
-// names a leader.
-func (f *inquiryResult) add(a inquiryAnswer, self string) bool {
+// add takes in an answer to the replica with ID self.
+func (f *inquiryResult) add(a inquiryAnswer, self string) {
 	f.answered[a.address] = a.err == nil
 	switch {
-	case a.err != nil:
+	case a.err != nil, a.answer.HasGroup:
 		f.noGroup = false
-	case a.answer.HasGroup && a.answer.LeaderAddress != "":
-		f.groupAddress, f.noGroup = a.answer.LeaderAddress, false
-		return true
-	case a.answer.HasGroup:
-		f.groupAddress, f.noGroup = a.address, false
 	case a.answer.Bootstrapping && a.answer.Id < self:
 		f.noGroup = false // the replica with the lowest ID creates the group
 	}
-	return false
 }
 
-// requestJoin asks the replica at address to admit this one. joinGroup repeats the
-// request until this replica has joined.
-func (r *Replica) requestJoin(ctx context.Context, address string) {
+// requestJoin asks the replica at address to admit this one, and reports whether it
+// leads and has answered. joinGroup repeats the request until this replica has joined.
+func (r *Replica) requestJoin(ctx context.Context, address string) bool {
 	answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address})
 	if err != nil {
-		return
+		return false
+	}
+	err = fault.FromWire(answer.Failure)
+	if fault.KindOf(err) == fault.NotLeader {
+		return false
 	}
-	if err := fault.FromWire(answer.Failure); err != nil && fault.KindOf(err) != fault.NotLeader {
+	if err != nil {
 		r.logger.Warn().Err(err).Msg("The group has not admitted this replica yet.")
 	}
+	return true
 }
 
 // callJoin calls Join on a new connection. It waits longer than other calls, since a
--- a/coordination/replica/join_test.go
+++ b/coordination/replica/join_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/wal/faultfs"
 	"google.golang.org/grpc"
@@ -16,13 +17,18 @@
 // joinTarget is how long a new replica may look for a group that is whole.
 const joinTarget = recoveryTicks * defaultTickInterval
 
-// joinServer answers the calls of Join at one address.
+// leaderDelay is the time after which the leader answers an inquiry, later than others.
+const leaderDelay = 50 * time.Millisecond
+
+// joinServer answers the calls of Join at one address, except for requests to join if
+// it stands.
 type joinServer struct {
 	grpc.ClientConnInterface
 	group    bool
 	believes string // address of the leader that it believes in
 	silent   bool
 	refuses  bool
+	stands   bool
 	admits   chan struct{} // closed at a request to join; nil if it does not lead
 }
 
@@ -32,10 +38,13 @@
 	switch {
 	case p.refuses:
 		return errors.New("refused")
-	case p.silent:
+	case p.silent, p.stands && !q.InquireOnly:
 		<-ctx.Done()
 		return ctx.Err()
 	case q.InquireOnly:
+		if p.admits != nil && !wait.For(ctx, leaderDelay) {
+			return ctx.Err()
+		}
 		answer.HasGroup, answer.LeaderAddress = p.group, p.believes
 	case p.admits == nil:
 		answer.Failure = fault.ToWire(notLeader())
@@ -48,7 +57,7 @@
 }
 
 // TestNewReplicaFindsGroup starts a replica with an empty disk that may not create a
-// group, beside processes that do not answer.
+// group, beside processes of which some do not answer or believe in a lost leader.
 func TestNewReplicaFindsGroup(t *testing.T) {
 	silent, refuses := &joinServer{silent: true}, &joinServer{refuses: true}
 	others := func(n int, p *joinServer) (servers []*joinServer) {
@@ -70,6 +79,9 @@
 		{"one does not answer", others(1, silent), 0, true},
 		{"four do not answer", others(4, silent), 0, true},
 		{"eight do not answer", others(8, silent), 0, false},
+		{"one believes in a lost leader", []*joinServer{{group: true, believes: "b"}, silent}, 0, true},
+		{"one believes that this replica leads", []*joinServer{{group: true, believes: "new"}}, 0, true},
+		{"a former leader stands still", []*joinServer{{group: true, believes: "a", stands: true}}, 0, true},
 		{"one knows no leader", []*joinServer{{group: true}}, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
