Let the batches between replicas follow the speed of the link

A leader that needed a follower far behind for its quorum, as after the loss of another replica's disk, committed nothing for good on a slow link, while heartbeats passed: one append held up to 1 MiB of entries and one call up to 2 MiB and an append, and each call must end within PeerTimeout, 500 ms. Each failed, the leader lost and won its office again and again.

Evidence: TestLeaderCommitsThroughFollowerFarBehindOnSlowLink, replicas in virtual time with links of 1 MiB/s and a follower that lacks 3 MiB.

Why it works: an append holds 64 KiB of entries, and the batches of one peer grow while their transfer, without the round trip, takes less than 62 ms, and shrink at 125 ms or a failed call. TestBatchesFollowSpeedOfLinkNotItsRoundTrip holds that a link with a round trip of 200 ms still gets full batches.

A single command larger than the link carries in PeerTimeout is still never committed there: TestCommandTooLargeForSlowLinksDoesNotStopTheGroup shows, before and after, that an election drops it and smaller ones are committed within the bound. So the leader doesn't step down for lack of commits.

--- a/coordination/raft/raft.go
+++ b/coordination/raft/raft.go
@@ -32,10 +32,11 @@
 
 const (
 	// maxAppendBytes bounds the entries of one append message. A single entry that
-	// is larger is sent in a message of its own. A larger limit makes a message take
-	// longer to transfer, which delays the heartbeats sent after it; a smaller one
-	// needs more messages to bring a follower up to date.
-	maxAppendBytes = 1 << 20
+	// is larger is sent in a message of its own. The transport puts several messages
+	// into one call as far as the link carries them in time, but can't divide one, so
+	// a larger limit keeps a follower on a slow link from ever catching up; a smaller
+	// one needs more messages.
+	maxAppendBytes = 64 << 10
 
 	// maxInflightEntries is the number of entries sent to one peer and not yet
 	// acknowledged at which no further entries are sent to it. The last append may
--- a/coordination/replica/transport.go
+++ b/coordination/replica/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"google.golang.org/grpc"
@@ -15,9 +16,15 @@
 	// Further ones are dropped.
 	peerQueueCapacity = 256
 
-	// fullBatchBytes is the size from which takeBatch adds no message to a batch. The
-	// last message may exceed it, by as much as an append with one large command.
+	// minBatchBytes and fullBatchBytes bound batchBound. The last message of a batch may
+	// exceed it, by as much as an append with one large command.
+	minBatchBytes  = 64 << 10
 	fullBatchBytes = 2 << 20
+
+	// A full batch that is transferred in less than this part of Options.PeerTimeout is
+	// followed by a larger one, and one that takes more than the other part by a smaller.
+	fastBatchDivisor = 8
+	slowBatchDivisor = 4
 )
 
 // transport sends messages to the other replicas. Each peer has bounded queues and
@@ -113,16 +120,46 @@
 func (p *peer) sendMessages() {
 	conn := &peerConn{peer: p}
 	defer conn.disconnect()
+	bound := batchBound{bytes: minBatchBytes}
 	for {
 		select {
 		case <-p.transport.ctx.Done():
 			return
 		case m := <-p.queue:
-			_ = conn.call(takeBatch(m, p.queue))
+			batch, size := takeBatch(m, p.queue, bound.bytes)
+			began := time.Now()
+			err := conn.call(batch)
+			bound.observe(size, time.Since(began), p.transport.options.PeerTimeout, err)
 		}
 	}
 }
 
+// batchBound is the size from which takeBatch adds no message to a batch. It follows
+// the speed of the link, so that calls end well within their timeout and heartbeats
+// don't wait long behind entries.
+type batchBound struct {
+	bytes     int
+	roundTrip time.Duration // of the fastest call since one has failed, 0 if none
+}
+
+// observe takes in a call with a batch of size bytes.
+func (b *batchBound) observe(size int, took, timeout time.Duration, err error) {
+	if err != nil {
+		*b = batchBound{bytes: minBatchBytes}
+		return
+	}
+	if b.roundTrip == 0 || took < b.roundTrip {
+		b.roundTrip = took
+	}
+	transfer := took - b.roundTrip
+	switch {
+	case transfer > timeout/slowBatchDivisor:
+		b.bytes = max(b.bytes/2, minBatchBytes)
+	case size >= b.bytes && transfer < timeout/fastBatchDivisor:
+		b.bytes = min(2*b.bytes, fullBatchBytes)
+	}
+}
+
 // sendSnapshots sends snapshots in chunks, on a separate connection so that they
 // don't delay heartbeats.
 func (p *peer) sendSnapshots() {
@@ -179,20 +216,20 @@
 }
 
 // takeBatch returns a batch of first and further queued messages, until the batch
-// has at least fullBatchBytes or the queue is empty.
-func takeBatch(first *wire.PeerMessage, queue chan *wire.PeerMessage) *wire.PeerMessages {
-	batch := &wire.PeerMessages{Messages: []*wire.PeerMessage{first}}
-	size := proto.Size(first)
-	for size < fullBatchBytes {
+// has at least bound bytes or the queue is empty, and its size.
+func takeBatch(first *wire.PeerMessage, queue chan *wire.PeerMessage, bound int) (batch *wire.PeerMessages, size int) {
+	batch = &wire.PeerMessages{Messages: []*wire.PeerMessage{first}}
+	size = proto.Size(first)
+	for size < bound {
 		select {
 		case m := <-queue:
 			batch.Messages = append(batch.Messages, m)
 			size += proto.Size(m)
 		default:
-			return batch
+			return batch, size
 		}
 	}
-	return batch
+	return batch, size
 }
 
 func closeConn(conn grpc.ClientConnInterface) {
