--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -1,7 +1,10 @@
 package replica
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
@@ -98,10 +101,7 @@
 func (r *Replica) joinGroup(ctx context.Context) {
 	for !r.Status().Joined {
 		found := r.inquire(ctx)
-		switch {
-		case found.groupAddress != "":
-			r.requestJoin(ctx, found.groupAddress)
-		case found.noGroup && r.options.Bootstrap && r.bootstrapGuard.decide(r.id, found.answered):
+		if found.noGroup && r.options.Bootstrap && r.bootstrapGuard.decide(r.id, found.answered) {
 			_ = r.enqueue(ctx, bootstrapRequest{})
 		}
 		select {
@@ -129,49 +129,98 @@
 // set if discovery is complete, all replicas have answered, and none of them
 // belongs to a group or is about to create one.
 type inquiryResult struct {
-	groupAddress string // of the group's leader, or of a member if no leader is known
-	noGroup      bool
-	answered     map[string]bool // addresses that answered
+	noGroup  bool
+	answered map[string]bool // addresses that answered
 }
 
-// inquire asks the replicas at all other known addresses whether there is a group.
+// inquiryAnswer is the answer of the replica at an address to an inquiry.
+type inquiryAnswer struct {
+	address        string
+	answer         *wire.JoinResponse
+	err            error
+	leaderAnswered bool // the leader that it names has answered a request to join
+}
+
+// inquire asks the replicas at all other known addresses at once whether there is a
+// group, and each leader that they name to admit this replica: some may still name a
+// former leader. It returns as soon as a leader has answered such a request.
 func (r *Replica) inquire(ctx context.Context) inquiryResult {
-	addresses, complete := r.options.Peers, true
-	if r.options.FindPeers != nil {
-		addresses, complete = r.options.FindPeers()
-	}
+	addresses, complete := r.addressesToAsk()
 	found := inquiryResult{noGroup: complete, answered: make(map[string]bool)}
-	for _, address := range append(r.bootstrapGuard.addresses(), addresses...) {
-		if address == r.options.Address || found.answered[address] {
-			continue
-		}
-		answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address, InquireOnly: true})
-		found.answered[address] = err == nil
-		switch {
-		case err != nil:
-			found.noGroup = false
-		case answer.HasGroup && answer.LeaderAddress != "":
-			found.groupAddress = answer.LeaderAddress
-			return found
-		case answer.HasGroup:
-			found.groupAddress, found.noGroup = address, false
-		case answer.Bootstrapping && answer.Id < r.id:
-			found.noGroup = false // the replica with the lowest ID creates the group
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan inquiryAnswer, len(addresses))
+	var named sync.Map // addresses that were asked to admit this replica
+	for _, address := range addresses {
+		go func() { answers <- r.inquireAt(ctx, address, &named) }()
+	}
+	for range addresses {
+		a := <-answers
+		found.add(a, r.id)
+		if a.leaderAnswered {
+			break
 		}
 	}
 	return found
 }
 
-// requestJoin asks the replica at address to admit this one. joinGroup repeats the
-// request until this replica has joined.
-func (r *Replica) requestJoin(ctx context.Context, address string) {
+// inquireAt asks the replica at address whether there is a group, and the leader that it
+// names to admit this replica, unless named holds that leader. A member that names no
+// leader is asked itself, as it may lead by then.
+func (r *Replica) inquireAt(ctx context.Context, address string, named *sync.Map) inquiryAnswer {
+	a := inquiryAnswer{address: address}
+	a.answer, a.err = r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address, InquireOnly: true})
+	if a.err != nil || !a.answer.HasGroup {
+		return a
+	}
+	leader := cmp.Or(a.answer.LeaderAddress, address)
+	if _, known := named.LoadOrStore(leader, true); !known && leader != r.options.Address {
+		a.leaderAnswered = r.requestJoin(ctx, leader)
+	}
+	return a
+}
+
+// addressesToAsk returns the distinct other addresses that are known, and whether
+// discovery is complete.
+func (r *Replica) addressesToAsk() (addresses []string, complete bool) {
+	known, complete := r.options.Peers, true
+	if r.options.FindPeers != nil {
+		known, complete = r.options.FindPeers()
+	}
+	for _, address := range append(r.bootstrapGuard.addresses(), known...) {
+		if address != r.options.Address && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses, complete
+}
+
+// add takes in an answer to the replica with ID self.
+func (f *inquiryResult) add(a inquiryAnswer, self string) {
+	f.answered[a.address] = a.err == nil
+	switch {
+	case a.err != nil, a.answer.HasGroup:
+		f.noGroup = false
+	case a.answer.Bootstrapping && a.answer.Id < self:
+		f.noGroup = false // the replica with the lowest ID creates the group
+	}
+}
+
+// requestJoin asks the replica at address to admit this one, and reports whether it
+// leads and has answered. joinGroup repeats the request until this replica has joined.
+func (r *Replica) requestJoin(ctx context.Context, address string) bool {
 	answer, err := r.callJoin(ctx, address, &wire.JoinRequest{Id: r.id, Address: r.options.Address})
 	if err != nil {
-		return
+		return false
 	}
-	if err := fault.FromWire(answer.Failure); err != nil && fault.KindOf(err) != fault.NotLeader {
+	err = fault.FromWire(answer.Failure)
+	if fault.KindOf(err) == fault.NotLeader {
+		return false
+	}
+	if err != nil {
 		r.logger.Warn().Err(err).Msg("The group has not admitted this replica yet.")
 	}
+	return true
 }
 
 // callJoin calls Join on a new connection. It waits longer than other calls, since a
