Don't take a close behind a stream's head for the end of the stream

An endpoint that stopped behind the head of a stream without length and chunks, or after comments, and closed: the caller got a 200 without events that ended as whole, and a stream that another endpoint should have gone on with ended as if complete (ORDER).

Cause: such an answer ends with its connection, and an end between two events counted as the stream's, also before the first one.

Now such an attempt has failed: a stream is a series of events, so an end that nothing but a close tells means something only behind one. Plain answers, and streams with a length or chunks, are judged as before.

--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -72,6 +72,7 @@
 	RetryAfter     time.Duration // how long to send nothing to the endpoint; 0 when it names no time
 	FailedHelper   string        // ID or address of the helper that caused the failure; empty when the endpoint itself did
 	RateLimit      RateLimit
+	EndsWithClose  bool // the header gives the body no length and no chunks: it ends with the connection
 }
 
 // RateLimit is what a response says of the rate limit of its endpoint, which holds for
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -17,6 +17,10 @@
 	objectivePause = "pause" // between events
 )
 
+// errNoEventBeforeClose marks a stream of which nothing shows that it began before its
+// connection was closed.
+var errNoEventBeforeClose = fmt.Errorf("the connection was closed before the first event: %w", io.ErrUnexpectedEOF)
+
 // firstStallTimeout is the silence before the first event, or before a plain
 // answer, that counts as a stall.
 func (r *run) firstStallTimeout(plan *placement.Plan) time.Duration {
@@ -78,6 +82,9 @@
 			if continues && r.attemptEvents == 0 && e.id == "" && !e.isComment() {
 				return fmt.Errorf("%w: its first event has no ID", errInvalidResponse)
 			}
+			if response.EndsWithClose && r.attemptEvents == 0 && e.isComment() {
+				return errNoEventBeforeClose
+			}
 			if !e.follows(r.lastEventID) {
 				return fmt.Errorf("%w: event %q after event %q", errInvalidResponse, e.id, r.lastEventID)
 			}
@@ -108,6 +115,9 @@
 			if err == nil && r.attemptEvents < eventsOfGoingAnswer && r.endedUnder(ctx, plan) {
 				err = io.ErrUnexpectedEOF // without a length, the end of the process looks like that of the answer
 			}
+			if err == nil && response.EndsWithClose && r.attemptEvents == 0 {
+				err = errNoEventBeforeClose
+			}
 			if err == nil && continues && r.attemptEvents == 0 && !response.isStream() {
 				err = fmt.Errorf("%w: it has no events", errInvalidResponse)
 			}
