--- a/coordination/gate/harness_test.go
+++ b/coordination/gate/harness_test.go
@@ -33,8 +33,11 @@
 	tokens      int           // events of one answer
 	eventGap    time.Duration // between two events
 	coldLimit   int
-	breakAfter  int    // number of events after which the first stream of an attempt breaks; 0 for never
-	resumeError string // answered in place of a resumed stream, unless empty
+	breakAfter  int                            // number of events after which the first stream of an attempt breaks; 0 for never
+	resumeError string                         // answered in place of a resumed stream, unless empty
+	service     string                         // name of the service, empty for an engine
+	answer      func() (*gate.Response, error) // answers each attempt in place of a stream, unless nil
+	resumption  func() (*gate.Response, error) // answers each resumption, unless nil
 
 	mu         sync.Mutex
 	boot       int
@@ -71,6 +74,9 @@
 	defer e.mu.Unlock()
 	e.sends = append(e.sends, call.Attempt)
 	e.runs[call.Attempt]++
+	if e.answer != nil {
+		return e.answer()
+	}
 	if len(e.active) >= e.admissible {
 		e.violations = append(e.violations, fmt.Sprintf("%s arrived at %d of %d", call.Attempt, len(e.active), e.admissible))
 	}
@@ -144,6 +150,9 @@
 func (e *fakeEngine) Resume(ctx context.Context, id string, from uint64) (*gate.Response, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.resumption != nil {
+		return e.resumption()
+	}
 	w, ok := e.active[id]
 	if !ok {
 		return &gate.Response{Status: 404, Body: io.NopCloser(&io.LimitedReader{})}, nil
@@ -291,7 +300,7 @@
 	var mu sync.Mutex
 	on := true
 	r.refreshConfig = func(keep bool) { mu.Lock(); on = keep; mu.Unlock() }
-	info := gate.EndpointInfo{Endpoint: "e1", Address: "a", Models: []string{"m"}, MemoryTokens: 100_000, Concurrency: 16, ColdConcurrency: e.coldLimit, PrefillTokensPerSecond: 1e6}
+	info := gate.EndpointInfo{Endpoint: "e1", Service: e.service, Address: "a", Models: []string{"m"}, MemoryTokens: 100_000, Concurrency: 16, ColdConcurrency: e.coldLimit, PrefillTokensPerSecond: 1e6}
 	go func() {
 		for ctx.Err() == nil {
 			mu.Lock()
