Don't take a close inside an engine's JSON answer for its end

In our own fleets an engine that answered without a length and stopped behind its head, or anywhere in its body, gave the caller a 200 with an empty or short body, framed as whole by the entry.

Cause: the gate takes the end of the connection for the end of an answer without length. Event streams need [DONE]; JSON answers needed nothing.

Now the brackets of such an answer are counted as it passes, and one that ends within its object or list, or before it, is a failure that may have run: the entry drops it, as it keeps answers until their end. No cut of an object ends with all brackets closed, so this misses none and refuses no whole one. Answers with a length or chunks and those of services are as before.

--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -19,6 +19,7 @@
 	arrivalDelay         = 100 * time.Millisecond // longest assumed delay until a written request has arrived
 	cancelRetryInterval  = 100 * time.Millisecond
 	statusOK             = 200
+	minRedirectStatus    = 300 // all statuses below it are successes
 	statusOverload       = 503 // with NotRun, the endpoint has refused the attempt
 	statusNoMemory       = 507 // an engine ran out of memory
 	minServerErrorStatus = 500 // this status and all above it are server errors
@@ -238,7 +239,7 @@
 // stream of a model engine that breaks is resumed up to maxResumes times.
 func (a *Attempt) relay(response *Response, outcome *wire.Outcome) error {
 	if !isEventStream(response) {
-		return a.relayBody(response.Body, outcome)
+		return a.relayBody(response, outcome)
 	}
 	events := newEventReader(response.Body, a.gate.IsEngine())
 	for resumes := 0; ; resumes++ {
@@ -279,15 +280,23 @@
 	}
 }
 
-func (a *Attempt) relayBody(body io.Reader, outcome *wire.Outcome) error {
+// relayBody copies an answer that is no event stream. One of an engine that ends with its
+// connection must be a whole JSON value.
+func (a *Attempt) relayBody(response *Response, outcome *wire.Outcome) error {
+	var end jsonEnd
+	mustBeJSON := response.EndsWithClose && a.gate.IsEngine() && response.Status < minRedirectStatus
 	buffer := make([]byte, maxChunkBytes)
 	for {
-		n, err := body.Read(buffer)
+		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			end.add(buffer[:n])
 			if err := a.forward(bytes.Clone(buffer[:n]), 0, outcome); err != nil {
 				return err
 			}
 		}
+		if errors.Is(err, io.EOF) && mustBeJSON && !end.whole() {
+			return io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
--- a/coordination/gate/port.go
+++ b/coordination/gate/port.go
@@ -49,6 +49,8 @@
 	NotRun      bool          // the endpoint states that it ran nothing
 	RetryAfter  time.Duration // 0 when the endpoint gives none
 	Body        io.ReadCloser
+
+	EndsWithClose bool // the body has no length and no chunks: it ends with the connection
 }
 
 // Listing contains the attempts that an endpoint runs or has queued.
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -160,6 +160,8 @@
 		NotRun:      response.Header.Get("X-Not-Run") == "true",
 		RetryAfter:  time.Duration(seconds) * time.Second,
 		Body:        body,
+
+		EndsWithClose: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
 	}, nil
 }
 
