Don't take a close inside an event of a service for the end of its stream

In our own fleets a plain service that answered with events, without a length, and stopped behind its head or inside an event gave the caller a 200 with no event or half of one, framed as whole by the entry.

Cause: only streams of engines must hold [DONE]; for a service any end of the connection counted as the stream's.

Now such a stream must end behind a whole event; otherwise it is a failure that may have run. Streams with a length or chunks are judged as before.

--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -242,6 +242,7 @@
 		return a.relayBody(response, outcome)
 	}
 	events := newEventReader(response.Body, a.gate.IsEngine())
+	events.endsWithClose = response.EndsWithClose
 	for resumes := 0; ; resumes++ {
 		err := a.relayEvents(events, outcome)
 		if err == nil || a.ctx.Err() != nil || resumes == maxResumes || !a.gate.IsEngine() {
--- a/coordination/gate/sse.go
+++ b/coordination/gate/sse.go
@@ -21,10 +21,12 @@
 // eventReader reads complete server-sent events, so that a broken stream can be
 // resumed after the last event that was forwarded.
 type eventReader struct {
-	reader      *bufio.Reader
-	requireDone bool // the stream is complete only after its [DONE] event
-	lastID      uint64
-	done        bool
+	reader        *bufio.Reader
+	requireDone   bool // the stream is complete only after its [DONE] event
+	endsWithClose bool // the stream is complete only after a whole event
+	lastID        uint64
+	begun         bool // an event with an ID or data was read
+	done          bool
 }
 
 func newEventReader(body io.Reader, requireDone bool) *eventReader {
@@ -86,6 +88,7 @@
 		return nil, 0, nil
 	}
 	e.lastID = max(id, e.lastID)
+	e.begun = e.begun || id > 0 || tokens > 0
 	return event, tokens, nil
 }
 
@@ -95,6 +98,9 @@
 	if err == io.EOF && e.requireDone && !e.done {
 		return nil, 0, io.ErrUnexpectedEOF
 	}
+	if err == io.EOF && e.endsWithClose && !e.done && (len(rest) > 0 || !e.begun) {
+		return nil, 0, io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		return rest, 0, io.EOF
 	}
