Keep gRPC from opening the stream of an attempt a second time in part

A caller of our own fleets waited until its deadline when the connection to a gate ended between its opening and the first message of the attempt; the gate waited for the rest of the request all the while.

Cause: gRPC opens a stream again by itself if the server has surely not seen it. The failed Send of the first message returned io.EOF and yet became part of the new stream: the gate got 1 message, and the entry, to which io.EOF is the end, sent no other (seen with a trace of both sides).

Now the entry asks for the context of the stream before it sends, which keeps gRPC from opening it again: the error comes at once, and the relay asks the gate and offers the request again as it does for others that did not arrive.

--- a/coordination/relay/streams.go
+++ b/coordination/relay/streams.go
@@ -21,14 +21,15 @@
 		a.enqueue(streamMessage{err: err, stream: stream, unsent: true})
 		return
 	}
-	go a.sendRequest(up, open, body)
+	ended := up.Context().Done() // asked for first, as gRPC then opens the stream only once
+	go a.sendRequest(up, ended, open, body)
 	a.receive(up, stream)
 }
 
 // sendRequest sends the request, and then acknowledgements until the stream
 // ends. Send errors are ignored, because the receiving side returns the
 // stream's error.
-func (a *Attempt) sendRequest(up wire.Gate_AttemptClient, open *wire.AttemptOpen, body []byte) {
+func (a *Attempt) sendRequest(up wire.Gate_AttemptClient, ended <-chan struct{}, open *wire.AttemptOpen, body []byte) {
 	if up.Send(&wire.AttemptUp{Of: &wire.AttemptUp_Open{Open: open}}) != nil {
 		return
 	}
@@ -48,7 +49,7 @@
 			if up.Send(&wire.AttemptUp{Of: &wire.AttemptUp_Acknowledged{Acknowledged: sequence}}) != nil {
 				return
 			}
-		case <-up.Context().Done():
+		case <-ended:
 			return
 		}
 	}
