Test heads cut in the middle with real processes

Two endpoints stop at every byte of their heads, with a length, chunks or neither, and close or reset; entries and control are processes.

The fake endpoint has one more behaviour, "cut head"; the others are as before.

--- a/role/host/fakeendpoint_test.go
+++ b/role/host/fakeendpoint_test.go
@@ -23,7 +23,8 @@
 	sequence  atomic.Int64
 	address   string
 	server    *http.Server
-	behaviour atomic.Value // "good", "full", "cut" (breaks off answers) or "foreign" (names another attempt)
+	behaviour atomic.Value // "good", "full", "cut" (breaks off answers), "cut head" or "foreign" (names another attempt)
+	headCut   atomic.Value // a headCut, for "cut head"
 
 	slots       atomic.Int64
 	coldMs      atomic.Int64
@@ -103,6 +104,10 @@
 	e.runs[id]++
 	e.received = append(e.received, q.Header.Clone())
 	e.mu.Unlock()
+	if behaviour == "cut head" {
+		e.headCut.Load().(headCut).answer(e.t, w, id)
+		return
+	}
 	if behaviour == "foreign" {
 		w.Header().Set("Attempt-Id", "another")
 	}
