Close the log file of an opening that failed

Operators could see: a replica whose disk is full at its first start opens its folder again each second, and each try leaves one file open; after as many tries as the process may have files nothing could be opened or accepted any more, long after the disk had room.

Cause: wal.Open closed the lock, not the log file, when the identity couldn't be written after the log file had been started.

The failed opening now closes what Log.Close closes. faultfs counts open files, is full for a span of its operations (creates, half of a write; also syncs and renames), and can keep or lose each unsynced change of a name by itself. With it: a folder opened again on a full disk keeps all that was acknowledged, and power loss near it leaves none that can't be opened (TestPowerLossAfterFullDiskOpensAgain).

--- a/state/wal/faultfs/faultfs.go
+++ b/state/wal/faultfs/faultfs.go
@@ -1,14 +1,17 @@
 // Package faultfs is an in-memory file system for tests. After a crash it keeps
 // what a disk is sure to keep: the contents of each file up to its last sync, and
 // the names up to the last sync of the folder. Of later writes and names, a random
-// part survives. It can crash at any operation, run out of space and fail a sync.
+// part survives. It can crash at any operation, run out of space for a while and fail a
+// sync.
 package faultfs
 
 import (
 	"errors"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 
@@ -18,7 +21,7 @@
 // ErrCrashed is returned by every operation between a crash and Restart.
 var ErrCrashed = errors.New("faultfs: crashed")
 
-// ErrFull is returned by a write beyond the capacity.
+// ErrFull is returned by operations that need room on a full disk.
 var ErrFull error = syscall.ENOSPC
 
 // ErrSyncFailed is returned by a sync that is set to fail.
@@ -32,8 +35,9 @@
 // FS is a disk with one folder. It is not safe for concurrent use.
 type FS struct {
 	names       map[string]*inode
-	journal     []map[string]*inode // the names after each change since the last sync of the folder
+	journal     []func(names map[string]*inode) // the changes of names since the last sync of the folder
 	durable     map[string]*inode
+	openFiles   int
 	locked      bool
 	crashed     bool
 	crashPoints int
@@ -42,6 +46,14 @@
 	CrashAt        int // number of the crash point at which to crash; 0 for never
 	CapacityBytes  int // of all files together; 0 for no limit
 	SyncsToFailure int // the sync with this number, counted from now, fails; 0 for none
+
+	// While Full is set, creates and writes fail, a write after half of its data. FullAt and
+	// FullUntil are the first crash point at which Full is set by itself, and the one from
+	// which it isn't any more; 0 for never.
+	Full              bool
+	FullAt, FullUntil int
+	FullSyncs         bool // syncs and renames fail too while the disk is full
+	Unordered         bool // each unsynced change of a name survives a crash or not, whatever becomes of the others
 }
 
 // New returns an empty disk. random decides which unsynced data survives a crash.
@@ -59,19 +71,42 @@
 // Restart makes the disk usable again, with the data that survived the crash.
 func (f *FS) Restart() {
 	kept := f.random(len(f.journal) + 1)
-	names := f.durable
-	if kept > 0 {
-		names = f.journal[kept-1]
+	f.names = copyNames(f.durable)
+	for i, change := range f.journal {
+		if f.survives(i, kept) {
+			change(f.names)
+		}
 	}
-	f.names = copyNames(names)
-	f.durable = copyNames(names)
+	f.durable = copyNames(f.names)
 	f.journal = nil
-	for _, node := range f.names {
-		f.tear(node)
+	for _, path := range slices.Sorted(maps.Keys(f.names)) {
+		f.tear(f.names[path])
+	}
+	f.locked, f.crashed, f.CrashAt, f.openFiles = false, false, 0, 0
+}
+
+// survives reports whether an unsynced change of a name survives a crash, given how many
+// survive if they do so in order.
+func (f *FS) survives(change, kept int) bool {
+	if f.Unordered {
+		return f.random(2) == 0
+	}
+	return change < kept
+}
+
+// OpenFiles returns the number of files that are open.
+func (f *FS) OpenFiles() int { return f.openFiles }
+
+// isFull reports whether the disk is full at this crash point.
+func (f *FS) isFull() bool {
+	if f.FullAt > 0 && f.crashPoints >= f.FullAt {
+		f.Full = f.crashPoints < f.FullUntil
 	}
-	f.locked, f.crashed, f.CrashAt = false, false, 0
+	return f.Full
 }
 
+func (f *FS) isFullForSyncs() bool { return f.isFull() && f.FullSyncs }
+
 // tear keeps a random part of the unsynced tail, sometimes overwritten with zeros.
 func (f *FS) tear(node *inode) {
 	tail := len(node.data) - node.syncedBytes
@@ -128,10 +163,13 @@
 	return f.passCrashPoint()
 }
 
-func (f *FS) changeNames(do func()) error {
+func (f *FS) changeNames(needsRoom func() bool, do func(names map[string]*inode)) error {
 	return f.change(func() error {
-		do()
-		f.journal = append(f.journal, copyNames(f.names))
+		if needsRoom() {
+			return ErrFull
+		}
+		do(f.names)
+		f.journal = append(f.journal, do)
 		return nil
 	})
 }
@@ -142,8 +180,11 @@
 // Create creates an empty file.
 func (f *FS) Create(path string) (wal.File, error) {
 	node := &inode{}
-	err := f.changeNames(func() { f.names[path] = node })
-	return &file{fs: f, node: node}, err
+	if err := f.changeNames(f.isFull, func(names map[string]*inode) { names[path] = node }); err != nil {
+		return nil, err
+	}
+	f.openFiles++
+	return &file{fs: f, node: node}, nil
 }
 
 // ReadFile returns a file's contents.
@@ -168,15 +209,17 @@
 
 // Rename moves a file, replacing any file at the new path.
 func (f *FS) Rename(from, to string) error {
-	return f.changeNames(func() {
-		f.names[to] = f.names[from]
-		delete(f.names, from)
+	node := f.names[from]
+	return f.changeNames(f.isFullForSyncs, func(names map[string]*inode) {
+		names[to] = node
+		delete(names, from)
 	})
 }
 
 // Remove deletes a file.
 func (f *FS) Remove(path string) error {
-	return f.changeNames(func() { delete(f.names, path) })
+	never := func() bool { return false }
+	return f.changeNames(never, func(names map[string]*inode) { delete(names, path) })
 }
 
 // SyncDir makes the present names durable.
@@ -190,8 +233,12 @@
 	})
 }
 
-// countSync counts a sync and returns ErrSyncFailed if it is the one to fail.
+// countSync counts a sync and returns ErrSyncFailed if it is the one to fail, or ErrFull
+// on a disk that is full for syncs.
 func (f *FS) countSync() error {
+	if f.isFullForSyncs() {
+		return ErrFull
+	}
 	if f.SyncsToFailure == 0 {
 		return nil
 	}
@@ -219,13 +266,14 @@
 }
 
 type file struct {
-	fs   *FS
-	node *inode
+	fs     *FS
+	node   *inode
+	closed bool
 }
 
 func (f *file) Write(data []byte) (int, error) {
 	err := f.fs.change(func() error {
-		if f.fs.CapacityBytes > 0 && f.fs.usedBytes()+len(data) > f.fs.CapacityBytes {
+		if f.fs.isFull() || f.fs.CapacityBytes > 0 && f.fs.usedBytes()+len(data) > f.fs.CapacityBytes {
 			f.node.data = append(f.node.data, data[:len(data)/2]...)
 			return ErrFull
 		}
@@ -245,7 +293,14 @@
 	})
 }
 
-func (f *file) Close() error { return nil }
+// Close doesn't count towards the crash points.
+func (f *file) Close() error {
+	if !f.closed {
+		f.closed = true
+		f.fs.openFiles--
+	}
+	return nil
+}
 
 func (f *FS) usedBytes() int {
 	total := 0
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -66,7 +66,7 @@
 	l := &Log{folder: folder, files: files, lock: lock}
 	state, err := l.load(entropy)
 	if err != nil {
-		_ = lock.Close()
+		_ = l.Close()
 		return nil, nil, err
 	}
 	return l, state, nil
