Remove what failed writes leave, before a full disk is opened again

Operators could see: a replica that stays away although nothing but its own data folder fills the disk.

"the data folder /data can't be written [...] (no space left on device)".

A failed write now removes its temporary file.

--- a/state/wal/diskfull_test.go
+++ b/state/wal/diskfull_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"fmt"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -156,6 +157,40 @@
 	})
 }
 
+func TestFailedSnapshotLeavesNoTemporaryFile(t *testing.T) {
+	fs := newDisk(1)
+	l, _ := mustOpen(t, fs)
+	fs.CapacityBytes = 1
+	for i := range uint64(3) {
+		if l.WriteSnapshot(&wire.LogSnapshot{Index: i + 1, State: make([]byte, 100)}) == nil {
+			t.Fatal("a snapshot was written on a full disk")
+		}
+	}
+	if left := leftFiles(fs, 0); len(left) != 0 {
+		t.Fatalf("left over: %q", left)
+	}
+}
+
+func TestFilesOfACrashDoNotKeepAFullDiskFromOpening(t *testing.T) {
+	for _, left := range []string{"snapshot-7.tmp", "snapshot-00000000000000000007", "log-00000000000000000000"} {
+		fs := newDisk(1)
+		saveEntries(t, fs, 4)
+		size := fs.Size(logFile(t, fs))
+		file, err := fs.Create(filepath.Join(folder, left))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := file.Write(make([]byte, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		_ = file.Close()
+		fs.CapacityBytes = 1000 + size
+		if _, s := mustOpen(t, fs); len(s.Entries) != 4 {
+			t.Fatalf("%s: %d entries", left, len(s.Entries))
+		}
+	}
+}
+
 // copyOf returns an empty disk that becomes full like another one, on which changes of
 // names survive in any order.
 func copyOf(other *faultfs.FS) *faultfs.FS {
--- a/state/wal/save.go
+++ b/state/wal/save.go
@@ -106,24 +106,24 @@
 	if err != nil {
 		return err
 	}
-	if err := file.Close(); err != nil {
-		return err
-	}
+	_ = file.Close() // it is synced
 	return l.renameAndSync(path)
 }
 
-// writeTemporary writes and syncs the temporary file of a path and returns it open.
+// writeTemporary writes and syncs the temporary file of a path and returns it open. A
+// failure leaves no file.
 func (l *Log) writeTemporary(path string, data []byte) (File, error) {
 	file, err := l.files.Create(path + temporarySuffix)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := file.Write(data); err != nil {
-		_ = file.Close()
-		return nil, err
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
 	}
-	if err := file.Sync(); err != nil {
+	if err != nil {
 		_ = file.Close()
+		_ = l.files.Remove(path + temporarySuffix)
 		return nil, err
 	}
 	return file, nil
@@ -133,6 +133,7 @@
 // rename survives a crash.
 func (l *Log) renameAndSync(path string) error {
 	if err := l.files.Rename(path+temporarySuffix, path); err != nil {
+		_ = l.files.Remove(path + temporarySuffix)
 		return err
 	}
 	return l.files.SyncDir(l.folder)
@@ -164,15 +165,30 @@
 	return nil
 }
 
-// removeOldFiles removes the files that the current log file doesn't need. A file
-// that is left over does no harm, so errors are ignored.
+// freeRoom removes what a crash or a failed write has left, so that there is room for the
+// next log file. Older files are removed only once the name of the current one is synced.
+func (l *Log) freeRoom(names []string, snapshotIndex uint64) {
+	l.remove(names, func(name string) bool { return strings.HasSuffix(name, temporarySuffix) })
+	if l.files.SyncDir(l.folder) == nil {
+		l.removeOldFiles(names, snapshotIndex)
+	}
+}
+
+// removeOldFiles removes the files that the current log file doesn't need.
 func (l *Log) removeOldFiles(names []string, snapshotIndex uint64) {
 	current := fmt.Sprintf("%s%020d", logPrefix, l.generation)
-	for _, name := range names {
-		old := strings.HasSuffix(name, temporarySuffix) ||
+	l.remove(names, func(name string) bool {
+		return strings.HasSuffix(name, temporarySuffix) ||
 			strings.HasPrefix(name, logPrefix) && name != current ||
 			strings.HasPrefix(name, snapshotPrefix) && name != snapshotName(snapshotIndex)
-		if old {
+	})
+}
+
+// remove removes the old ones of files. A file that is left over does no harm until the
+// next try, so errors are ignored.
+func (l *Log) remove(names []string, old func(name string) bool) {
+	for _, name := range names {
+		if old(name) {
 			_ = l.files.Remove(filepath.Join(l.folder, name))
 		}
 	}
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -86,6 +86,7 @@
 	} else if slices.Contains(names, identityFile) {
 		return nil, fault.New(fault.Corrupt, "%s has an identity but no log", l.folder)
 	}
+	l.freeRoom(names, state.Snapshot.GetIndex())
 	if err := l.startLogFile(state.HardState, state.Snapshot, state.Entries); err != nil {
 		return nil, err
 	}
