--- a/coordination/replica/ready.go
+++ b/coordination/replica/ready.go
@@ -65,9 +65,7 @@
 		r.hardState = ready.HardState
 	}
 	if ready.Snapshot != nil {
-		if err := r.discardSnapshot(); err != nil {
-			return err
-		}
+		r.discardSnapshot()
 		if err := r.log.SaveSnapshot(ready.Snapshot, r.hardState, ready.Entries); err != nil {
 			return err
 		}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -171,6 +171,8 @@
 	hardState         *wire.HardState
 	lastTimeMs        uint64 // highest command time in the log
 	writingSnapshot   bool   // a snapshot is being written to disk
+	ticks             uint64 // of the Raft clock since the start
+	nextSnapshotTick  uint64 // before which no snapshot is written
 	lastSnapshotIndex uint64
 	lastSnapshotBytes int64 // size of the last snapshot's state
 	proposals         map[uint64]proposal
@@ -257,9 +259,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			r.raft.Tick()
-			r.promoteLearners()
-			r.retryTransfer()
+			r.tick()
 		case w := <-r.snapshotResults:
 			if err := r.finishSnapshot(w); err != nil {
 				return r.logFailure(err)
@@ -282,6 +282,14 @@
 	return err
 }
 
+// tick advances the Raft clock and does what is due.
+func (r *Replica) tick() {
+	r.ticks++
+	r.raft.Tick()
+	r.promoteLearners()
+	r.retryTransfer()
+}
+
 // step passes a message to Raft. Chunks of a snapshot are kept until the last one
 // has arrived.
 func (r *Replica) step(m *wire.PeerMessage) {
--- a/coordination/replica/sim_test.go
+++ b/coordination/replica/sim_test.go
@@ -182,8 +182,7 @@
 	if !n.running() {
 		return
 	}
-	n.replica.raft.Tick()
-	n.replica.promoteLearners()
+	n.replica.tick()
 	s.process(n)
 }
 
--- a/coordination/replica/snapshot.go
+++ b/coordination/replica/snapshot.go
@@ -5,6 +5,10 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
+// snapshotRetryTicks is the number of ticks after which a snapshot is tried again that
+// could not be written, 9 s with the default tick.
+const snapshotRetryTicks = 300
+
 // snapshotResult is the result of writing a snapshot in the background.
 type snapshotResult struct {
 	snapshot *wire.LogSnapshot
@@ -16,7 +20,7 @@
 // that snapshot, so that a large state is not rewritten after a few small changes.
 func (r *Replica) maybeSnapshot() error {
 	s := r.raft.Status()
-	if r.writingSnapshot || s.Applied < r.lastSnapshotIndex+r.options.SnapshotIntervalEntries || r.log.Size() < r.lastSnapshotBytes {
+	if r.writingSnapshot || r.ticks < r.nextSnapshotTick || s.Applied < r.lastSnapshotIndex+r.options.SnapshotIntervalEntries || r.log.Size() < r.lastSnapshotBytes {
 		return nil
 	}
 	state, err := r.stateMachine.Snapshot()
@@ -40,12 +44,16 @@
 }
 
 // finishSnapshot makes the log start from a snapshot that has been written, and
-// compacts it.
+// compacts it. It returns an error if the log can't go on.
 func (r *Replica) finishSnapshot(w snapshotResult) error {
 	r.writingSnapshot = false
-	tail := r.raft.Entries(w.snapshot.Index + 1)
-	if err := r.log.UseSnapshot(w.snapshot, r.hardState, tail, w.err); err != nil {
-		return err
+	err := w.err
+	if err == nil {
+		err = r.log.UseSnapshot(w.snapshot, r.hardState, r.raft.Entries(w.snapshot.Index+1))
+	}
+	if err != nil {
+		r.postponeSnapshot(w.snapshot.Index, err)
+		return r.log.Err()
 	}
 	r.lastSnapshotIndex = w.snapshot.Index
 	r.lastSnapshotBytes = int64(len(w.snapshot.State))
@@ -54,12 +62,18 @@
 	return nil
 }
 
+// postponeSnapshot keeps the log as it is and lets the next snapshot wait.
+func (r *Replica) postponeSnapshot(index uint64, err error) {
+	r.nextSnapshotTick = r.ticks + snapshotRetryTicks
+	r.logger.RateLimitedWarn("snapshot").Str("replica", r.id).Uint64("index", index).Int64("log_bytes", r.log.Size()).Err(err).
+		Dur("pause", snapshotRetryTicks*r.options.TickInterval).Msg("A snapshot can't be written; the log is kept, and it is tried again after a pause.")
+}
+
 // discardSnapshot waits for a snapshot being written and drops it, as a newer one
 // has been received from the leader.
-func (r *Replica) discardSnapshot() error {
-	if !r.writingSnapshot {
-		return nil
+func (r *Replica) discardSnapshot() {
+	if r.writingSnapshot {
+		r.writingSnapshot = false
+		<-r.snapshotResults
 	}
-	r.writingSnapshot = false
-	return (<-r.snapshotResults).err
 }
--- a/state/wal/faultfs/faultfs.go
+++ b/state/wal/faultfs/faultfs.go
@@ -52,8 +52,9 @@
 	// which it isn't any more; 0 for never.
 	Full              bool
 	FullAt, FullUntil int
-	FullSyncs         bool // syncs and renames fail too while the disk is full
-	Unordered         bool // each unsynced change of a name survives a crash or not, whatever becomes of the others
+	FullFor           string // pattern of the names of the files that find the disk full; "" for all
+	FullSyncs         bool   // syncs and renames fail too while the disk is full
+	Unordered         bool   // each unsynced change of a name survives a crash or not, whatever becomes of the others
 }
 
 // New returns an empty disk. random decides which unsynced data survives a crash.
@@ -97,15 +98,29 @@
 // OpenFiles returns the number of files that are open.
 func (f *FS) OpenFiles() int { return f.openFiles }
 
-// isFull reports whether the disk is full at this crash point.
-func (f *FS) isFull() bool {
+// isFullFor reports whether the disk is full for a path at this crash point.
+func (f *FS) isFullFor(path string) bool {
 	if f.FullAt > 0 && f.crashPoints >= f.FullAt {
 		f.Full = f.crashPoints < f.FullUntil
 	}
-	return f.Full
+	if !f.Full || f.FullFor == "" {
+		return f.Full
+	}
+	matches, err := filepath.Match(f.FullFor, filepath.Base(path))
+	return matches && err == nil
 }
 
-func (f *FS) isFullForSyncs() bool { return f.isFull() && f.FullSyncs }
+func (f *FS) isFullForSyncs(path string) bool { return f.isFullFor(path) && f.FullSyncs }
+
+// pathOf returns the present path of a file, or "" if it was removed.
+func (f *FS) pathOf(node *inode) string {
+	for path, n := range f.names {
+		if n == node {
+			return path
+		}
+	}
+	return ""
+}
 
 // tear keeps a random part of the unsynced tail, sometimes overwritten with zeros.
 func (f *FS) tear(node *inode) {
@@ -163,9 +178,9 @@
 	return f.passCrashPoint()
 }
 
-func (f *FS) changeNames(needsRoom func() bool, do func(names map[string]*inode)) error {
+func (f *FS) changeNames(isFull func() bool, do func(names map[string]*inode)) error {
 	return f.change(func() error {
-		if needsRoom() {
+		if isFull() {
 			return ErrFull
 		}
 		do(f.names)
@@ -180,7 +195,8 @@
 // Create creates an empty file.
 func (f *FS) Create(path string) (wal.File, error) {
 	node := &inode{}
-	if err := f.changeNames(f.isFull, func(names map[string]*inode) { names[path] = node }); err != nil {
+	isFull := func() bool { return f.isFullFor(path) }
+	if err := f.changeNames(isFull, func(names map[string]*inode) { names[path] = node }); err != nil {
 		return nil, err
 	}
 	f.openFiles++
@@ -210,7 +226,8 @@
 // Rename moves a file, replacing any file at the new path.
 func (f *FS) Rename(from, to string) error {
 	node := f.names[from]
-	return f.changeNames(f.isFullForSyncs, func(names map[string]*inode) {
+	isFull := func() bool { return f.isFullForSyncs(from) }
+	return f.changeNames(isFull, func(names map[string]*inode) {
 		names[to] = node
 		delete(names, from)
 	})
@@ -223,9 +240,9 @@
 }
 
 // SyncDir makes the present names durable.
-func (f *FS) SyncDir(string) error {
+func (f *FS) SyncDir(path string) error {
 	return f.change(func() error {
-		if err := f.countSync(); err != nil {
+		if err := f.countSync(path); err != nil {
 			return err
 		}
 		f.durable, f.journal = copyNames(f.names), nil
@@ -233,10 +250,10 @@
 	})
 }
 
-// countSync counts a sync and returns ErrSyncFailed if it is the one to fail, or ErrFull
+// countSync counts a sync of a path and returns ErrSyncFailed if it is the one to fail, or ErrFull
 // on a disk that is full for syncs.
-func (f *FS) countSync() error {
-	if f.isFullForSyncs() {
+func (f *FS) countSync(path string) error {
+	if f.isFullForSyncs(path) {
 		return ErrFull
 	}
 	if f.SyncsToFailure == 0 {
@@ -273,7 +290,7 @@
 
 func (f *file) Write(data []byte) (int, error) {
 	err := f.fs.change(func() error {
-		if f.fs.isFull() || f.fs.CapacityBytes > 0 && f.fs.usedBytes()+len(data) > f.fs.CapacityBytes {
+		if f.fs.isFullFor(f.fs.pathOf(f.node)) || f.fs.CapacityBytes > 0 && f.fs.usedBytes()+len(data) > f.fs.CapacityBytes {
 			f.node.data = append(f.node.data, data[:len(data)/2]...)
 			return ErrFull
 		}
@@ -285,7 +302,7 @@
 
 func (f *file) Sync() error {
 	return f.fs.change(func() error {
-		if err := f.fs.countSync(); err != nil {
+		if err := f.fs.countSync(f.fs.pathOf(f.node)); err != nil {
 			return err
 		}
 		f.node.syncedBytes = len(f.node.data)
--- a/state/wal/save.go
+++ b/state/wal/save.go
@@ -25,12 +25,18 @@
 // SaveSnapshot writes and syncs a snapshot and starts a new log file with the hard
 // state and the entries after the snapshot. It removes older files.
 func (l *Log) SaveSnapshot(snapshot *wire.LogSnapshot, hard *wire.HardState, tail []*wire.LogEntry) error {
-	return l.UseSnapshot(snapshot, hard, tail, l.WriteSnapshot(snapshot))
+	if l.failed != nil {
+		return l.failed
+	}
+	if err := l.WriteSnapshot(snapshot); err != nil {
+		return l.fail(err)
+	}
+	return l.fail(l.UseSnapshot(snapshot, hard, tail))
 }
 
-// WriteSnapshot writes and syncs a snapshot that the log doesn't use yet. It is the
-// only method that may run concurrently with Save, but not with UseSnapshot or
-// SaveSnapshot.
+// WriteSnapshot writes and syncs a snapshot that the log doesn't use yet, so the log goes
+// on if that fails. It is the only method that may run concurrently with Save, but not
+// with UseSnapshot or SaveSnapshot.
 func (l *Log) WriteSnapshot(snapshot *wire.LogSnapshot) error {
 	payload, err := proto.Marshal(snapshot)
 	if err != nil {
@@ -39,26 +45,25 @@
 	return l.writeAtomically(snapshotName(snapshot.Index), encodeFrame(0, payload))
 }
 
-// UseSnapshot starts a new log file after a snapshot and removes older files.
-// written is the error that WriteSnapshot returned for the snapshot.
-func (l *Log) UseSnapshot(snapshot *wire.LogSnapshot, hard *wire.HardState, tail []*wire.LogEntry, written error) error {
+// UseSnapshot starts a new log file after a snapshot that WriteSnapshot has written, and
+// removes older files. If it fails before the new file has its name, the log goes on with
+// the current file and Err returns nil.
+func (l *Log) UseSnapshot(snapshot *wire.LogSnapshot, hard *wire.HardState, tail []*wire.LogEntry) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	if written != nil {
-		return l.fail(written)
-	}
 	if err := l.startLogFile(hard, snapshot, tail); err != nil {
 		return err
 	}
-	names, err := l.files.ReadDir(l.folder)
-	if err != nil {
-		return l.fail(err)
+	if names, err := l.files.ReadDir(l.folder); err == nil {
+		l.removeOldFiles(names, snapshot.Index)
 	}
-	l.removeOldFiles(names, snapshot.Index)
 	return nil
 }
 
+// Err returns the failure after which the log refuses all use, or nil.
+func (l *Log) Err() error { return l.failed }
+
 // Size returns the size of the current log file in bytes.
 func (l *Log) Size() int64 { return l.bytes }
 
@@ -139,17 +144,18 @@
 	return l.files.SyncDir(l.folder)
 }
 
-// startLogFile starts the next log file, whose first frame holds the given state.
+// startLogFile starts the next log file, whose first frame holds the given state. The
+// current file stays in use if that fails before the new one has its name.
 func (l *Log) startLogFile(hard *wire.HardState, snapshot *wire.LogSnapshot, tail []*wire.LogEntry) error {
 	payload, err := proto.Marshal(&wire.LogBatch{HardState: hard, Entries: tail, SnapshotIndex: snapshot.GetIndex()})
 	if err != nil {
-		return l.fail(err)
+		return err
 	}
 	frame := encodeFrame(0, payload)
 	path := filepath.Join(l.folder, fmt.Sprintf("%s%020d", logPrefix, l.generation+1))
 	file, err := l.writeTemporary(path, frame)
 	if err != nil {
-		return l.fail(err)
+		return err
 	}
 	if err := l.renameAndSync(path); err != nil {
 		_ = file.Close()
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -1,6 +1,6 @@
 // Package wal stores a replica's identity, hard state, log and snapshots in one
 // data folder. Save and SaveSnapshot return after the data is synced. After a
-// failed write or sync the log refuses all further use.
+// failed write or sync of the log file the log refuses all further use.
 package wal
 
 import (
@@ -88,7 +88,7 @@
 	}
 	l.freeRoom(names, state.Snapshot.GetIndex())
 	if err := l.startLogFile(state.HardState, state.Snapshot, state.Entries); err != nil {
-		return nil, err
+		return nil, l.fail(err)
 	}
 	if err := l.loadIdentity(names, state, entropy); err != nil {
 		return nil, err
