Let a folder open again whose clearing was cut short

Operators could see: a control process that runs and whose replica never comes back, after it was removed from the group and killed, or lost power, while it emptied its folder. One more loss then ends the quorum.

Cause: the files were deleted one after the other, unsynced and unmarked, past the replaceable file system, and while the removed replica might still be ending.

The control process waits for its replica's end, and the lock stays. The simulated disk lists its names in order, as the real one does.

--- a/role/host/control.go
+++ b/role/host/control.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/controlplane"
@@ -17,6 +15,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/state/hostconfig"
+	"github.com/apricotspoke/apricotspoke/state/wal"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/link"
@@ -60,7 +59,7 @@
 		}
 		if errors.Is(err, errRemoved) {
 			wasRemoved = true
-			if err := clearFolder(settings.Process.DataFolder); err != nil {
+			if err := wal.Clear(settings.Process.DataFolder, wal.Disk{}); err != nil {
 				logs.For("control").Error().Err(err).Msg("The data folder of a removed replica can't be cleared.")
 			}
 		}
@@ -88,20 +87,6 @@
 // errRemoved means that the group removed the replica in the data folder.
 var errRemoved = errors.New("the replica was removed from the group while it was down")
 
-// clearFolder deletes all files of a removed replica.
-func clearFolder(folder string) error {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return err
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Control is a control process, which operators and endpoints call.
 type Control struct {
 	settings   *platform.Settings
@@ -243,6 +228,8 @@
 	case err = <-replicaEnded:
 		err = &reopenError{cause: err}
 	case <-c.service.Removed():
+		stop()
+		<-replicaEnded // it holds the data folder
 		err = &reopenError{cause: errRemoved}
 	case <-ctx.Done():
 		c.shutDown(server)
--- a/state/wal/faultfs/faultfs.go
+++ b/state/wal/faultfs/faultfs.go
@@ -212,10 +212,10 @@
 	return append([]byte(nil), node.data...), nil
 }
 
-// ReadDir returns the names in a folder.
+// ReadDir returns the sorted names in a folder.
 func (f *FS) ReadDir(path string) ([]string, error) {
 	var names []string
-	for name := range f.names {
+	for _, name := range slices.Sorted(maps.Keys(f.names)) {
 		if rest, ok := strings.CutPrefix(name, path+string(filepath.Separator)); ok {
 			names = append(names, rest)
 		}
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -73,9 +73,9 @@
 }
 
 func (l *Log) load(entropy io.Reader) (*State, error) {
-	names, err := l.files.ReadDir(l.folder)
+	names, err := l.readNames()
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "the data folder %s can't be read", l.folder)
+		return nil, err
 	}
 	state := &State{HardState: &wire.HardState{}}
 	current := newest(names, logPrefix)
@@ -97,6 +97,21 @@
 	return state, nil
 }
 
+// readNames returns the names in the folder, after it has ended a clearing that was
+// interrupted.
+func (l *Log) readNames() ([]string, error) {
+	names, err := l.files.ReadDir(l.folder)
+	if err == nil && slices.Contains(names, clearedFile) {
+		if err = l.endClearing(names); err == nil {
+			names, err = l.files.ReadDir(l.folder)
+		}
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "the data folder %s can't be read or cleared", l.folder)
+	}
+	return names, nil
+}
+
 // loadIdentity reads the identity, or creates one in a folder without any state.
 func (l *Log) loadIdentity(names []string, state *State, entropy io.Reader) error {
 	path := filepath.Join(l.folder, identityFile)
