Serve operators and endpoints while only the replica waits for its disk

Operators saw: a control host with a full disk refuses all connections until the disk has room, also for what needs no disk of its own: forwarded changes and reads, heartbeats of endpoints, links. Others mark it as gone after 30 s.

Cause: the process's servers came up with a replica only, and opening the folder needs room.

Before: TestProcessServesWhileItsReplicaWaitsForAFullDisk (real processes, writes fail by a limit on the size of files): "timed out waiting until a configuration is accepted" after 60 s, "connect: connection refused" and a line a second at the host.

The process now runs like one without a data folder, which is a way of running that exists and is tested, while it tries the folder each second. Its record says that it doesn't vote, and the leader counts its voter as silent, so that unreachable voters are removed as before. Running calls are answered before the servers go down. Lines: stopped (replica, kind, cause), waiting (at most every ten seconds, how long, tries), starts again. The fixture of the real processes can pass logs through pipes, as the limit would cut log files too.

--- a/role/host/control.go
+++ b/role/host/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -11,11 +10,10 @@
 	"github.com/apricotspoke/apricotspoke/coordination/replica"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/platform"
-	"github.com/apricotspoke/apricotspoke/protocol/wait"
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/state/hostconfig"
-	"github.com/apricotspoke/apricotspoke/state/wal"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/link"
@@ -26,67 +24,12 @@
 
 const (
 	transferTimeout         = time.Second     // of a leader's transfer of leadership at shutdown
-	dataFolderRetryInterval = time.Second     // before a data folder that failed is opened again
 	operatorHeaderTimeout   = 3 * time.Second // for an operator to send a request's headers
 	operatorIdleTimeout     = time.Minute
 	operatorShutdownTimeout = time.Second // for operators' running calls at shutdown
 	maxOperatorHeaderBytes  = 16 << 10
 )
 
-// reopenError is an end of the replica after which it must be opened again from what is
-// on the disk: the data folder failed, or the group has removed the replica.
-type reopenError struct{ cause error }
-
-func (e *reopenError) Error() string { return "the replica must be opened again: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *reopenError) Unwrap() error { return e.cause }
-
-// RunControl runs a control process until ctx ends or a server fails. When the replica
-// ends, because its data folder failed or the group has removed it, RunControl wires and
-// runs the process's parts again after a pause, as often as needed. The data of a removed
-// replica is deleted first, and the process doesn't create a group any more.
-func RunControl(ctx context.Context, settings *platform.Settings, reload <-chan struct{}) error {
-	wasRemoved := false
-	for {
-		c, err := NewControl(settings)
-		if err == nil {
-			err = c.Run(ctx, reload)
-		}
-		var reopen *reopenError
-		if !errors.As(err, &reopen) || ctx.Err() != nil {
-			return err
-		}
-		if errors.Is(err, errRemoved) {
-			wasRemoved = true
-			if err := wal.Clear(settings.Process.DataFolder, wal.Disk{}); err != nil {
-				logs.For("control").Error().Err(err).Msg("The data folder of a removed replica can't be cleared.")
-			}
-		}
-		logs.For("control").Error().Err(err).Dur("pause", dataFolderRetryInterval).Msg("The replica has stopped and is opened again after a pause.")
-		if !wait.For(ctx, dataFolderRetryInterval) {
-			return nil
-		}
-		settings = rereadSettings(settings)
-		settings.Process.Found = settings.Process.Found && !wasRemoved
-	}
-}
-
-// rereadSettings reads the settings file again. It returns the current settings if
-// the file can't be read.
-func rereadSettings(current *platform.Settings) *platform.Settings {
-	next, err := platform.ReadSettings()
-	if err != nil {
-		logs.For("settings").Error().Err(err).Msg("The settings can't be read again; the earlier ones stay in force.")
-		return current
-	}
-	next.Process.MetricsPort = current.Process.MetricsPort // given on the command line
-	return next
-}
-
-// errRemoved means that the group removed the replica in the data folder.
-var errRemoved = errors.New("the replica was removed from the group while it was down")
-
 // Control is a control process, which operators and endpoints call.
 type Control struct {
 	settings   *platform.Settings
@@ -140,6 +83,7 @@
 
 func newService(p *hostconfig.Process, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
 	store *statecache.Store, dir *directory.Directory, pool *link.Pool, registry *metrics.Registry) *controlplane.Service {
+	away := newAbsences(monotonic.Now)
 	bootstrapVoters := func() int {
 		if !p.Found {
 			return 0
@@ -154,7 +98,7 @@
 		Directory:          dir,
 		Dial:               func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
 		PeerAddresses:      func() []string { return otherVoters(dir, record.Address) },
-		SinceLastHeard:     links.Silence,
+		SinceLastHeard:     func() map[string]time.Duration { return away.silence(links.Silence(), dir.Processes()) },
 		AwaitDelivery:      links.AwaitDelivery,
 		BootstrapVoters:    bootstrapVoters,
 		Metrics:            registry,
@@ -226,14 +170,14 @@
 	select {
 	case err = <-failed:
 	case err = <-replicaEnded:
-		err = &reopenError{cause: err}
+		err = &reopenError{replica: c.replica.ID(), cause: err}
 	case <-c.service.Removed():
 		stop()
 		<-replicaEnded // it holds the data folder
-		err = &reopenError{cause: errRemoved}
+		err = &reopenError{replica: c.replica.ID(), cause: errRemoved}
 	case <-ctx.Done():
-		c.shutDown(server)
 	}
+	c.shutDown(server)
 	c.logger.Info().Err(err).Msg("Control has stopped.")
 	return err
 }
--- /dev/null
+++ b/role/host/diskfull_test.go
@@ -0,0 +1,139 @@
+package host
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// pipeTo returns a pipe whose output is appended to a file.
+func (p *fakePlatform) pipeTo(log *os.File) *os.File {
+	p.t.Helper()
+	from, to, err := os.Pipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	go func() {
+		_, _ = io.Copy(log, from) // ends with the process
+		_ = from.Close()
+		_ = log.Close()
+	}()
+	return to
+}
+
+// limitFiles makes each write of a process to a file fail, as on a full disk, until it is
+// called with unix.RLIM_INFINITY.
+func (p *fakePlatform) limitFiles(name string, maxBytes uint64) {
+	p.t.Helper()
+	limit := unix.Rlimit{Cur: maxBytes, Max: unix.RLIM_INFINITY}
+	if err := unix.Prlimit(p.running[name].Pid, unix.RLIMIT_FSIZE, &limit, nil); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// descriptors returns the number of files and connections that a process has open.
+func (p *fakePlatform) descriptors(name string) int {
+	p.t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.running[name].Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return len(entries)
+}
+
+// temporaryFiles returns the names of the temporary files of all data folders.
+func (p *fakePlatform) temporaryFiles() []string {
+	names, _ := filepath.Glob(filepath.Join(p.folder, "data-*", "*.tmp")) // the pattern is valid
+	return names
+}
+
+// countLines returns how often the log of a process has a message.
+func (p *fakePlatform) countLines(name, message string) int {
+	return strings.Count(p.log(name), message)
+}
+
+// limitedFleet is a fleet of three control processes whose disks a test can fill.
+type limitedFleet struct {
+	*fakePlatform
+	version int
+	stops   [5]int // of each host's replica
+}
+
+func startLimitedFleet(t *testing.T, hosts int) *limitedFleet {
+	t.Helper()
+	t.Parallel()
+	f := &limitedFleet{fakePlatform: newFakePlatform(t)}
+	f.pipedLogs = true
+	for n := 1; n <= hosts; n++ {
+		f.start("control", n, true, true)
+	}
+	f.change(1)
+	return f
+}
+
+// change has a host accept a new configuration.
+func (f *limitedFleet) change(n int) {
+	f.t.Helper()
+	f.version++
+	f.putConfiguration(n, configuration(f.version, `"key"`))
+}
+
+// fill fills a host's disk and returns when its replica has stopped.
+func (f *limitedFleet) fill(n int) {
+	f.t.Helper()
+	name := fmt.Sprintf("control%d", n)
+	f.limitFiles(name, 0)
+	f.change(n%3 + 1)
+	f.stops[n]++
+	f.await("the replica has stopped", func() bool { return f.countLines(name, "The replica has stopped") == f.stops[n] })
+}
+
+// free gives a host's disk room and returns when its replica starts again.
+func (f *limitedFleet) free(n int) {
+	f.t.Helper()
+	name := fmt.Sprintf("control%d", n)
+	f.limitFiles(name, unix.RLIM_INFINITY)
+	f.await("the replica starts again", func() bool { return f.countLines(name, "the replica starts again") == f.stops[n] })
+}
+
+func TestProcessServesWhileItsReplicaWaitsForAFullDisk(t *testing.T) {
+	f := startLimitedFleet(t, 3)
+	for range 2 {
+		for n := 1; n <= 3; n++ {
+			f.fill(n)
+			for host := 1; host <= 3; host++ {
+				f.change(host)
+			}
+			f.free(n)
+			f.change(n)
+		}
+	}
+	for n := 1; n <= 3; n++ {
+		if status, text := f.operatorCall(n, "GET", "/configuration", nil); status != 200 || text != configuration(f.version, `"key"`) {
+			t.Errorf("read at %d: %d %q", n, status, text)
+		}
+	}
+	if names := f.temporaryFiles(); len(names) != 0 {
+		t.Errorf("left over: %q", names)
+	}
+}
+
+// A group of four with a full disk needs only two of the other three.
+func TestVoterWithAFullDiskIsRemovedAndJoinsAgain(t *testing.T) {
+	f := startLimitedFleet(t, 4)
+	others := func() string { return f.log("control1") + f.log("control2") + f.log("control3") }
+	f.await("four voters", func() bool { return strings.Count(others()+f.log("control4"), "becomes a voter") == 3 })
+	f.fill(4)
+	f.await("the voter is removed", func() bool { return strings.Contains(others(), "A voter that was replaced is removed.") })
+	f.change(4)
+	f.free(4)
+	f.stops[4]++
+	f.await("the removed replica has stopped", func() bool { return f.countLines("control4", "The replica has stopped") == f.stops[4] })
+	f.await("a new replica is a voter", func() bool { return strings.Count(others(), "becomes a voter") > 3 })
+	f.change(4)
+}
--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -30,6 +30,7 @@
 	running            map[string]*os.Process
 	diskFaultTolerance int    // number of hosts with a disk that may be lost at once, 0 for the default
 	seeds              [3]int // numbers of the seed hosts in the settings
+	pipedLogs          bool   // the processes' logs pass through pipes, which limits on the size of files leave alone
 }
 
 func newFakePlatform(t *testing.T) *fakePlatform {
@@ -70,6 +71,9 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	if p.pipedLogs {
+		log = p.pipeTo(log)
+	}
 	defer log.Close()
 	command := exec.Command(p.binary, role)
 	command.Env = append(os.Environ(), "APRICOTSPOKE_NODE_FILE="+file)
