Close the connections of a control process whose parts are wired again

Operators could see: a control process that runs out of descriptors after its replica was opened again some hundred times, and then neither accepts nor opens anything.

Cause: the pool of connections for calls to other control processes was never closed.

Before: TestReplicaThatStartsAgainLeavesNoConnectionOpen "the descriptors grow with each start: [22 25 28 32 35 36]", TestControlThatEndsLeavesNoGoroutine "timed out waiting until the goroutines end". After: 20 or 21 descriptors after each start, and all goroutines end.

Run closes the pool after the goroutine that calls through it has ended.

--- a/role/host/control.go
+++ b/role/host/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/controlplane"
@@ -37,6 +38,7 @@
 	record     *wire.ProcessRecord
 	mesh       *mesh.Mesh
 	replica    *replica.Replica // nil without a data folder
+	pool       *link.Pool       // for calls to other control processes
 	service    *controlplane.Service
 	metrics    *Metrics
 	logger     *logs.Logger
@@ -117,11 +119,11 @@
 	return addresses
 }
 
-func newControl(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, r *replica.Replica, s *controlplane.Service, metrics *Metrics, logger *logs.Logger) *Control {
+func newControl(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, r *replica.Replica, pool *link.Pool, s *controlplane.Service, metrics *Metrics, logger *logs.Logger) *Control {
 	if r != nil {
 		metrics.addReplica(r)
 	}
-	return &Control{settings: settings, reloadable: reloadable, record: record, mesh: m, replica: r, service: s, metrics: metrics, logger: logger}
+	return &Control{settings: settings, reloadable: reloadable, record: record, mesh: m, replica: r, pool: pool, service: s, metrics: metrics, logger: logger}
 }
 
 // Run serves until ctx ends, an HTTP server fails or the replica ends. A failure of the
@@ -130,7 +132,12 @@
 	p := &c.settings.Process
 	setMemoryLimit(p)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	var calls sync.WaitGroup // that use the pool
+	defer func() {
+		stop()
+		calls.Wait()
+		c.pool.Close()
+	}()
 	linkServer, err := serveLinks(c.record.Address, func(s *grpc.Server) {
 		wire.RegisterMeshServer(s, c.mesh)
 		wire.RegisterSteeringServer(s, c.service.Server())
@@ -159,7 +166,7 @@
 	}
 	defer server.Close()
 	go c.mesh.Run(background)
-	go c.service.Run(background)
+	calls.Go(func() { c.service.Run(background) })
 	go watchSettings(background, c.settings, reload, c.reloadable, func(next *hostconfig.Process) { c.mesh.SetSeeds(seedLinkAddresses(next)) })
 	replicaEnded := make(chan error, 1)
 	if c.replica != nil {
--- a/role/host/diskfull_test.go
+++ b/role/host/diskfull_test.go
@@ -1,13 +1,17 @@
 package host
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
+	"github.com/apricotspoke/apricotspoke/platform"
 	"golang.org/x/sys/unix"
 )
 
@@ -137,3 +141,48 @@
 	f.await("a new replica is a voter", func() bool { return strings.Count(others(), "becomes a voter") > 3 })
 	f.change(4)
 }
+
+func TestReplicaThatStartsAgainLeavesNoConnectionOpen(t *testing.T) {
+	f := startLimitedFleet(t, 3)
+	const rounds = 6
+	var open []int
+	for range rounds {
+		f.fill(3)
+		f.change(3)
+		f.free(3)
+		f.change(3)
+		open = append(open, f.descriptors("control3"))
+	}
+	t.Log("descriptors after each round:", open)
+	if slices.Min(open[rounds/2:]) > slices.Max(open[:rounds/2]) {
+		t.Errorf("the descriptors grow with each start: %d", open)
+	}
+}
+
+func TestControlThatEndsLeavesNoGoroutine(t *testing.T) {
+	p := newFakePlatform(t)
+	p.start("control", 2, true, true)
+	p.start("control", 3, true, true)
+	t.Setenv("APRICOTSPOKE_NODE_FILE", p.writeSettings("control1", 1, true, true))
+	const rounds = 6
+	before := runtime.NumGoroutine()
+	for round := range rounds {
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			settings, err := platform.ReadSettings()
+			if err == nil {
+				err = RunControl(ctx, settings, nil)
+			}
+			ended <- err
+		}()
+		for n := 1; n <= 3; n++ {
+			p.putConfiguration(n, configuration(3*round+n, `"key"`))
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.await("the goroutines end", func() bool { return runtime.NumGoroutine() < before+rounds })
+}
