--- a/coordination/replica/model_test.go
+++ b/coordination/replica/model_test.go
@@ -58,7 +58,7 @@
 
 // injectFault causes or ends a random fault.
 func (s *sim) injectFault(n, other *simNode) {
-	switch s.random.IntN(17) {
+	switch s.random.IntN(17 + s.fullDiskFaults) {
 	case 0:
 		s.blocked[[2]string{n.address, other.address}] = true
 	case 1:
@@ -86,6 +86,10 @@
 			_ = n.replica.raft.TransferLeadership()
 			s.process(n)
 		}
+	case 17:
+		n.fs.Full, n.fs.FullSyncs = true, s.random.IntN(2) == 0
+	case 18, 19:
+		n.fs.Full = false
 	}
 }
 
@@ -101,12 +105,23 @@
 // TestReplicasUnderFaults checks the invariants of Raft and the outcomes of
 // proposals and reads under random partitions, message loss, duplication and
 // reordering, freezes, crashes and losses of data folders.
-func TestReplicasUnderFaults(t *testing.T) {
+func TestReplicasUnderFaults(t *testing.T) { checkUnderFaults(t, 0) }
+
+// TestReplicasUnderFaultsAndFullDisks also fills disks, several at once.
+func TestReplicasUnderFaultsAndFullDisks(t *testing.T) {
+	checkUnderFaults(t, 3, "stop for a full disk", "opening on a full disk")
+}
+
+// checkUnderFaults runs the model, with so many of injectFault's cases for full disks, and
+// checks that all faults were caused, also the given ones.
+func checkUnderFaults(t *testing.T, fullDiskFaults int, faults ...string) {
+	t.Helper()
 	total := make(map[string]int)
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "replicas")
 		s := newSim(t, seed, size)
+		s.fullDiskFaults = fullDiskFaults
 		s.healAndConverge()
 		for i := range modelSteps {
 			s.randomStep()
@@ -122,7 +137,7 @@
 		}
 	})
 	t.Log(total)
-	for _, what := range []string{"acknowledged", "confirmed read", "outcome unknown", "leader elected", "lost folder", "crash", "crash at a disk operation", "partition", "freeze"} {
+	for _, what := range append(faults, "acknowledged", "confirmed read", "outcome unknown", "leader elected", "lost folder", "crash", "crash at a disk operation", "partition", "freeze") {
 		if total[what] == 0 {
 			t.Errorf("the model never caused: %s", what)
 		}
--- a/coordination/replica/sim_test.go
+++ b/coordination/replica/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -32,6 +33,7 @@
 	members          []*wire.Member // newest list that any replica has applied
 	membersIndex     uint64
 	proposed         int
+	fullDiskFaults   int // number of injectFault's cases for full disks
 	counts           map[string]int
 }
 
@@ -46,6 +48,7 @@
 	log          []string        // IDs of the applied operations
 	frozen       bool            // takes no step; messages for it go to heldMessages
 	heldMessages []*wire.PeerMessage
+	reopenIn     int // ticks after which a replica that failed is opened again; 0 for never
 }
 
 // running reports whether the node's replica can take a step.
@@ -129,13 +132,19 @@
 
 func (s *sim) start(n *simNode) {
 	n.fs.Restart()
+	n.reopenIn = 1
+	s.reopen(n)
+}
+
+// open opens a node's replica from what its disk holds.
+func (s *sim) open(n *simNode) error {
 	n.log = nil
 	r, err := Open(Options{
 		DataFolder: "/data", Address: n.address, StateMachine: n, FileSystem: n.fs, Random: s.random.IntN, Entropy: s,
 		SnapshotIntervalEntries: 12, KeptEntries: 4,
 	})
 	if err != nil {
-		s.t.Fatalf("%s does not open: %v", n.address, err)
+		return err
 	}
 	if n.lostIDs[r.id] {
 		s.t.Fatalf("%s restarted with the ID of a lost replica", n.address)
@@ -149,6 +158,7 @@
 	n.replica = r
 	s.nodesByID[r.id] = n
 	s.process(n)
+	return nil
 }
 
 func (s *sim) process(n *simNode) {
@@ -160,6 +170,11 @@
 	if err == nil && n.replica.writingSnapshot && s.random.IntN(3) == 0 {
 		err = n.replica.finishSnapshot(<-n.replica.snapshotResults)
 	}
+	if errors.Is(err, faultfs.ErrFull) {
+		s.counts["stop for a full disk"]++
+		s.stop(n, reopenTicks)
+		return
+	}
 	if err != nil {
 		if !n.fs.Crashed() {
 			s.t.Fatalf("%s failed: %v", n.address, err)
@@ -179,6 +194,9 @@
 }
 
 func (s *sim) tick(n *simNode) {
+	if !n.frozen {
+		s.reopen(n)
+	}
 	if !n.running() {
 		return
 	}
@@ -295,7 +313,7 @@
 	clear(s.blocked)
 	for round := range 4000 {
 		for _, n := range s.nodes {
-			n.fs.CrashAt = 0
+			n.fs.CrashAt, n.fs.Full = 0, false
 			s.unfreeze(n)
 			if n.replica == nil {
 				s.start(n)
