--- a/role/host/control.go
+++ b/role/host/control.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"os"
-	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/controlplane"
@@ -13,7 +11,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/replica"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/platform"
-	"github.com/apricotspoke/apricotspoke/protocol/wait"
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/state/hostconfig"
@@ -27,81 +25,12 @@
 
 const (
 	transferTimeout         = time.Second     // of a leader's transfer of leadership at shutdown
-	dataFolderRetryInterval = time.Second     // before a data folder that failed is opened again
 	operatorHeaderTimeout   = 3 * time.Second // for an operator to send a request's headers
 	operatorIdleTimeout     = time.Minute
 	operatorShutdownTimeout = time.Second // for operators' running calls at shutdown
 	maxOperatorHeaderBytes  = 16 << 10
 )
 
-// reopenError is an end of the replica after which it must be opened again from what is
-// on the disk: the data folder failed, or the group has removed the replica.
-type reopenError struct{ cause error }
-
-func (e *reopenError) Error() string { return "the replica must be opened again: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *reopenError) Unwrap() error { return e.cause }
-
-// RunControl runs a control process until ctx ends or a server fails. When the replica
-// ends, because its data folder failed or the group has removed it, RunControl wires and
-// runs the process's parts again after a pause, as often as needed. The data of a removed
-// replica is deleted first, and the process doesn't create a group any more.
-func RunControl(ctx context.Context, settings *platform.Settings, reload <-chan struct{}) error {
-	wasRemoved := false
-	for {
-		c, err := NewControl(settings)
-		if err == nil {
-			err = c.Run(ctx, reload)
-		}
-		var reopen *reopenError
-		if !errors.As(err, &reopen) || ctx.Err() != nil {
-			return err
-		}
-		if errors.Is(err, errRemoved) {
-			wasRemoved = true
-			if err := clearFolder(settings.Process.DataFolder); err != nil {
-				logs.For("control").Error().Err(err).Msg("The data folder of a removed replica can't be cleared.")
-			}
-		}
-		logs.For("control").Error().Err(err).Dur("pause", dataFolderRetryInterval).Msg("The replica has stopped and is opened again after a pause.")
-		if !wait.For(ctx, dataFolderRetryInterval) {
-			return nil
-		}
-		settings = rereadSettings(settings)
-		settings.Process.Found = settings.Process.Found && !wasRemoved
-	}
-}
-
-// rereadSettings reads the settings file again. It returns the current settings if
-// the file can't be read.
-func rereadSettings(current *platform.Settings) *platform.Settings {
-	next, err := platform.ReadSettings()
-	if err != nil {
-		logs.For("settings").Error().Err(err).Msg("The settings can't be read again; the earlier ones stay in force.")
-		return current
-	}
-	next.Process.MetricsPort = current.Process.MetricsPort // given on the command line
-	return next
-}
-
-// errRemoved means that the group removed the replica in the data folder.
-var errRemoved = errors.New("the replica was removed from the group while it was down")
-
-// clearFolder deletes all files of a removed replica.
-func clearFolder(folder string) error {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return err
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Control is a control process, which operators and endpoints call.
 type Control struct {
 	settings   *platform.Settings
@@ -109,6 +38,7 @@
 	record     *wire.ProcessRecord
 	mesh       *mesh.Mesh
 	replica    *replica.Replica // nil without a data folder
+	pool       *link.Pool       // for calls to other control processes
 	service    *controlplane.Service
 	metrics    *Metrics
 	logger     *logs.Logger
@@ -155,6 +85,7 @@
 
 func newService(p *hostconfig.Process, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
 	store *statecache.Store, dir *directory.Directory, pool *link.Pool, registry *metrics.Registry) *controlplane.Service {
+	away := newAbsences(monotonic.Now)
 	bootstrapVoters := func() int {
 		if !p.Found {
 			return 0
@@ -170,7 +101,7 @@
 		Dial:               func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
 		RetireConnection:   pool.Retire,
 		PeerAddresses:      func() []string { return otherVoters(dir, record.Address) },
-		SinceLastHeard:     links.Silence,
+		SinceLastHeard:     func() map[string]time.Duration { return away.silence(links.Silence(), dir.Processes()) },
 		AwaitDelivery:      links.AwaitDelivery,
 		BootstrapVoters:    bootstrapVoters,
 		Metrics:            registry,
@@ -189,11 +120,11 @@
 	return addresses
 }
 
-func newControl(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, r *replica.Replica, s *controlplane.Service, metrics *Metrics, logger *logs.Logger) *Control {
+func newControl(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, r *replica.Replica, pool *link.Pool, s *controlplane.Service, metrics *Metrics, logger *logs.Logger) *Control {
 	if r != nil {
 		metrics.addReplica(r)
 	}
-	return &Control{settings: settings, reloadable: reloadable, record: record, mesh: m, replica: r, service: s, metrics: metrics, logger: logger}
+	return &Control{settings: settings, reloadable: reloadable, record: record, mesh: m, replica: r, pool: pool, service: s, metrics: metrics, logger: logger}
 }
 
 // Run serves until ctx ends, an HTTP server fails or the replica ends. A failure of the
@@ -202,7 +133,12 @@
 	p := &c.settings.Process
 	setMemoryLimit(p)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	var calls sync.WaitGroup // that use the pool
+	defer func() {
+		stop()
+		calls.Wait()
+		c.pool.Close()
+	}()
 	linkServer, err := serveLinks(c.record.Address, func(s *grpc.Server) {
 		wire.RegisterMeshServer(s, c.mesh)
 		wire.RegisterSteeringServer(s, c.service.Server())
@@ -231,7 +167,7 @@
 	}
 	defer server.Close()
 	go c.mesh.Run(background)
-	go c.service.Run(background)
+	calls.Go(func() { c.service.Run(background) })
 	go watchSettings(background, c.settings, reload, c.reloadable, func(next *hostconfig.Process) { c.mesh.SetSeeds(seedLinkAddresses(next)) })
 	replicaEnded := make(chan error, 1)
 	if c.replica != nil {
@@ -242,12 +178,14 @@
 	select {
 	case err = <-failed:
 	case err = <-replicaEnded:
-		err = &reopenError{cause: err}
+		err = &reopenError{replica: c.replica.ID(), cause: err}
 	case <-c.service.Removed():
-		err = &reopenError{cause: errRemoved}
+		stop()
+		<-replicaEnded // it holds the data folder
+		err = &reopenError{replica: c.replica.ID(), cause: errRemoved}
 	case <-ctx.Done():
-		c.shutDown(server)
 	}
+	c.shutDown(server)
 	c.logger.Info().Err(err).Msg("Control has stopped.")
 	return err
 }
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -1,6 +1,6 @@
 // Package wal stores a replica's identity, hard state, log and snapshots in one
 // data folder. Save and SaveSnapshot return after the data is synced. After a
-// failed write or sync the log refuses all further use.
+// failed write or sync of the log file the log refuses all further use.
 package wal
 
 import (
@@ -66,16 +66,16 @@
 	l := &Log{folder: folder, files: files, lock: lock}
 	state, err := l.load(entropy)
 	if err != nil {
-		_ = lock.Close()
+		_ = l.Close()
 		return nil, nil, err
 	}
 	return l, state, nil
 }
 
 func (l *Log) load(entropy io.Reader) (*State, error) {
-	names, err := l.files.ReadDir(l.folder)
+	names, err := l.readNames()
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "the data folder %s can't be read", l.folder)
+		return nil, err
 	}
 	state := &State{HardState: &wire.HardState{}}
 	current := newest(names, logPrefix)
@@ -86,8 +86,9 @@
 	} else if slices.Contains(names, identityFile) {
 		return nil, fault.New(fault.Corrupt, "%s has an identity but no log", l.folder)
 	}
+	l.freeRoom(names, state.Snapshot.GetIndex())
 	if err := l.startLogFile(state.HardState, state.Snapshot, state.Entries); err != nil {
-		return nil, err
+		return nil, l.fail(err)
 	}
 	if err := l.loadIdentity(names, state, entropy); err != nil {
 		return nil, err
@@ -96,6 +97,21 @@
 	return state, nil
 }
 
+// readNames returns the names in the folder, after it has ended a clearing that was
+// interrupted.
+func (l *Log) readNames() ([]string, error) {
+	names, err := l.files.ReadDir(l.folder)
+	if err == nil && slices.Contains(names, clearedFile) {
+		if err = l.endClearing(names); err == nil {
+			names, err = l.files.ReadDir(l.folder)
+		}
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "the data folder %s can't be read or cleared", l.folder)
+	}
+	return names, nil
+}
+
 // loadIdentity reads the identity, or creates one in a folder without any state.
 func (l *Log) loadIdentity(names []string, state *State, entropy io.Reader) error {
 	path := filepath.Join(l.folder, identityFile)
