Probe connections with calls, so that a silent one is closed whoever ends its calls

Callers saw: every call on a connection that had fallen silent without a reset failed, for as long as each caller left before its call timed out. Cause: a connection is replaced only after a call that ends with DeadlineExceeded; a call whose caller cancels ends with Canceled, and gRPC closed no connection itself.

gRPC's own keep-alive sends a probe when a connection with a call was silent for 10 s (its shortest interval), also if the call has ended meanwhile, and at once with the first call after that; without an answer for 2 s it closes the connection, and the next call opens a new one. It is a second line: calls that time out still replace a connection after their own, shorter time. Servers accept such probes.

--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 )
 
 const (
@@ -23,6 +24,15 @@
 	maxReconnectDelay    = time.Second
 	emptyServiceConfig   = `{"methodConfig":[]}` // no method has a retry policy
 	maxConcurrentStreams = math.MaxUint32        // no limit, as the calls of a process can share one connection
+	// probeAfter is the silence after which a connection with a call is probed. gRPC allows
+	// no shorter one.
+	probeAfter = 10 * time.Second
+	// probeTimeout is the time without an answer to a probe, or with unacknowledged bytes,
+	// after which a connection is closed. It is longer than the silence after which links
+	// with heartbeats of their own are replaced.
+	probeTimeout = 2 * time.Second
+	// minProbeInterval is the shortest interval of probes that a server accepts.
+	minProbeInterval = probeAfter / 2
 )
 
 // Security holds the TLS configurations of links. The zero value means plain text.
@@ -33,7 +43,9 @@
 
 // Dial returns a connection that is opened when it is first used. After a failure it is
 // opened again after 50 ms, then after delays that grow by the factor 1.6 up to
-// maxReconnectDelay, each varied at random by up to 20 %.
+// maxReconnectDelay, each varied at random by up to 20 %. A connection that has fallen
+// silent is closed by probes, however short its calls are; a call after probeAfter without
+// any starts a probe at once.
 func Dial(address string, security Security) (*grpc.ClientConn, error) {
 	transport := insecure.NewCredentials()
 	if security.Client != nil {
@@ -49,6 +61,7 @@
 			MinConnectTimeout: minConnectTimeout,
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectDelay},
 		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: probeAfter, Timeout: probeTimeout}),
 	)
 }
 
@@ -59,6 +72,7 @@
 		options = append(options, grpc.Creds(credentials.NewTLS(security.Server)))
 	}
 	options = append(options,
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minProbeInterval, PermitWithoutStream: true}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxConcurrentStreams),
