Close connections of peers that are gone without closing them

What happened: a peer that loses power, or whose connection falls silent for good, leaves a half-open connection. Its server kept the streams on it, with their goroutines, buffers and whatever the handler holds, since gRPC's own default is a probe after two hours. Only an agent had shorter ones.

Before: halfopen_test.go:80: the stream of a peer that has been silent for a minute is open (-run TestServerEndsStreamsOfSilentPeers, virtual time).

A server probes after 30 s of silence and closes 2 s later. 30 s, as a probe of some 200 bytes on a connection to each of 240 other entries is then 1.6 KB/s (a sum, not measured). Streams that must be missed sooner have pings of their own.

--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -33,6 +33,10 @@
 	probeTimeout = 2 * time.Second
 	// minProbeInterval is the shortest interval of probes that a server accepts.
 	minProbeInterval = probeAfter / 2
+	// serverProbeAfter is the silence after which a server probes a connection, also one
+	// without calls. A shorter one costs more traffic, as entries keep a connection to each
+	// other entry.
+	serverProbeAfter = 30 * time.Second
 )
 
 // Security holds the TLS configurations of links. The zero value means plain text.
@@ -66,12 +70,14 @@
 }
 
 // NewServer returns a gRPC server for links of the fleet. A panic in a handler ends only
-// its call.
+// its call. Connections of peers that are gone without closing them are closed. The given
+// options take precedence.
 func NewServer(security Security, options ...grpc.ServerOption) *grpc.Server {
 	if security.Server != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(security.Server)))
 	}
-	options = append(options,
+	defaults := []grpc.ServerOption{grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverProbeAfter, Timeout: probeTimeout})}
+	options = append(append(defaults, options...),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minProbeInterval, PermitWithoutStream: true}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
