End the mesh stream of a sender that is silent

What happened: after an entry's host lost power, or its link had fallen silent and no new one came, the other entries kept counting its requests as work at the endpoints, up to the requests' time limits, and kept the stream with its two goroutines for good. Cause: only the sender watches a mesh stream, by its pongs; the receiving side removed the work when the stream ended, which a half-open connection never does.

Before: silence_test.go:48: timed out waiting: the work is removed (30 s, -run TestWorkOfASilentEntryIsRemoved: the link is black-holed, new ones too, and the sender stops). After: passes in 5.1 s.

A sender pings each 1.2 s at the slowest; the receiving side now ends a stream without a ping for three of these intervals, the time after which the sender itself would have replaced it. TestSilentLinkIsReplaced shows the sending side, which passed before too.

--- a/transport/mesh/instream.go
+++ b/transport/mesh/instream.go
@@ -1,12 +1,18 @@
 package mesh
 
 import (
+	"errors"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
+// senderTimeout is the time without a ping after which the stream of another process ends.
+const senderTimeout = maxMissedPings * idlePingInterval
+
+var errSilentSender = errors.New("the sender of a mesh stream is silent")
+
 // inStream is the stream that another process has opened to this one.
 type inStream struct {
 	changed chan struct{} // the catalogue state has changed or is fresh again
@@ -14,7 +20,8 @@
 }
 
 // Exchange implements wire.MeshServer. It applies the updates of another process and
-// answers its pings. The first frame that it sends lists the processes that this one knows.
+// answers its pings, until the stream ends or no ping comes for senderTimeout. The first frame
+// that it sends lists the processes that this one knows.
 func (m *Mesh) Exchange(stream wire.Mesh_ExchangeServer) error {
 	first, err := stream.Recv()
 	if err != nil {
@@ -50,11 +57,16 @@
 			m.applyFrame(s, sender, frame)
 		}
 	}()
+	silence := time.NewTimer(senderTimeout)
+	defer silence.Stop()
 	for {
 		var pong *wire.MeshPong
 		open := true
 		select {
+		case <-silence.C:
+			return errSilentSender
 		case pong, open = <-pongs:
+			silence.Reset(senderTimeout)
 		case <-s.changed:
 			pong = &wire.MeshPong{Index: m.store.State().Index, Current: m.store.IsFresh()}
 		}
