Replace silent connections between the replicas of package control

Callers saw: after the connections between control replicas had fallen silent, every call that a follower forwards (claims, settlements, leases, orders, changes and reads of operators) got no answer, and followers' copies of the configuration grew old. Cause: forwarded calls, followers' configuration polls and the gathering of the status take connections from the pool and never replace one.

A call that gets no answer in time replaces its connection, as those of the clients do.

--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -102,11 +102,7 @@
 		if member.Id == st.ID || member.Removed {
 			continue
 		}
-		conn, err := s.Dial(member.Address)
-		if err != nil {
-			continue
-		}
-		peer := configPeer{wire.NewConfigClient(conn)}
+		peer := configPeer{service: s, address: member.Address}
 		if member.Id == st.Leader {
 			peers = append([]configsync.Peer{peer}, peers...)
 		} else {
@@ -116,8 +112,19 @@
 	return peers
 }
 
-type configPeer struct{ client wire.ConfigClient }
+// configPeer is another replica, which serves its configuration.
+type configPeer struct {
+	service *Service
+	address string
+}
 
+// Sync implements configsync.Peer.
 func (p configPeer) Sync(ctx context.Context, request *wire.SyncRequest) (*wire.SyncResponse, error) {
-	return p.client.Sync(ctx, request, grpc.WaitForReady(false))
+	conn, err := p.service.Dial(p.address)
+	if err != nil {
+		return nil, err
+	}
+	response, err := wire.NewConfigClient(conn).Sync(ctx, request, grpc.WaitForReady(false))
+	p.service.replaceIfSilent(p.address, conn, err)
+	return response, err
 }
--- a/coordination/control/forward.go
+++ b/coordination/control/forward.go
@@ -35,6 +35,7 @@
 	defer cancel()
 	response, err := call(conn, metadata.AppendToOutgoingContext(ctx, forwardedHeader, "1"), request)
 	if err != nil {
+		s.replaceIfSilent(st.LeaderAddress, conn, err)
 		return none, forwardError(err, st.LeaderAddress)
 	}
 	return response, nil
--- a/coordination/control/status.go
+++ b/coordination/control/status.go
@@ -80,6 +80,7 @@
 			}
 			response, err := fetchStatus(ctx, conn, request)
 			if err != nil {
+				o.replaceIfSilent(member.Address, conn, err)
 				return
 			}
 			mu.Lock()
--- a/role/control/role.go
+++ b/role/control/role.go
@@ -96,6 +96,7 @@
 		Machine:         m,
 		Store:           store,
 		Dial:            func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
+		Replace:         func(address string, conn grpc.ClientConnInterface) { pool.Replace(address, conn.(*grpc.ClientConn)) },
 		OperatorKeyHash: hash,
 	}), nil
 }
