Let a call for a permit fail only after its own time

Callers saw: (1) requests that left within 0.1 s never had a silent connection to an issuer replaced, so that all of them got no permit; (2) a request with little time left, as under overload, closed the connection to a sound issuer under the calls of all others, which then took the issuer for unreachable for a second. Cause: the call ended with the request, by its cancellation (which replaces nothing) or its deadline (which was taken for the issuer's silence).

The call now has only its own time; the request returns when it ends, and the call goes on. The clients replace a connection after the same status as before.

--- a/coordination/permits/permits.go
+++ b/coordination/permits/permits.go
@@ -79,9 +79,9 @@
 	if address == p.self || address == "" {
 		return p.issue(q)
 	}
-	asking, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	response, err := p.ask(asking, address, q)
+	response, err := rendezvous.Ask(ctx, askTimeout, func(ctx context.Context) (*wire.PermitResponse, error) {
+		return p.ask(ctx, address, q)
+	})
 	if err != nil {
 		if ctx.Err() == nil {
 			p.outages.RecordFailure(address, err)
