Let a call for a lease on suspect parts fail only after its own time

Callers saw: requests with suspect parts that leave within 0.1 s never had a silent connection to the granter replaced, so that none of them got a lease.

Before: silence_test.go:73: the silent connection is kept after 40 callers that left (transport/triallink, -run TestCallersThatLeaveDoNotHideASilentConnection).

--- a/coordination/quarantine/guard.go
+++ b/coordination/quarantine/guard.go
@@ -72,9 +72,9 @@
 	if granter == g.self || granter == "" {
 		return g.leaseOf(g.Answer(q), g.self, parts, appeal)
 	}
-	asking, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	response, err := g.calls.Take(asking, granter, q)
+	response, err := rendezvous.Ask(ctx, askTimeout, func(ctx context.Context) (*wire.TrialResponse, error) {
+		return g.calls.Take(ctx, granter, q)
+	})
 	if err != nil {
 		if ctx.Err() == nil {
 			g.outages.RecordFailure(granter, err)
