Give up calls to control, readiness and metrics whose other end is silent

What happened: an operator or endpoint whose connection fell silent in the middle of a body, or while it was to read an answer, held a goroutine, a descriptor and up to a whole configuration (8 MB) of a control process for as long as TCP kept the connection; the readiness and metrics servers kept such connections and idle ones too. Cause: the servers bounded only the head of a call, and control idle connections.

All three servers now bound the body and the answer with 30 s, as the callers' server of package callerhttp bounds bodies, and keep idle connections a minute. The users' callers have limits of their own in package platform.

--- a/role/host/control.go
+++ b/role/host/control.go
@@ -29,8 +29,7 @@
 	transferTimeout         = time.Second     // of a leader's transfer of leadership at shutdown
 	dataFolderRetryInterval = time.Second     // before a data folder that failed is opened again
 	operatorHeaderTimeout   = 3 * time.Second // for an operator to send a request's headers
-	operatorIdleTimeout     = time.Minute
-	operatorShutdownTimeout = time.Second // for operators' running calls at shutdown
+	operatorShutdownTimeout = time.Second     // for operators' running calls at shutdown
 	maxOperatorHeaderBytes  = 16 << 10
 )
 
@@ -219,12 +218,8 @@
 		return err
 	}
 	defer metricsServer.Close()
-	server := &http.Server{
-		Handler:           platform.ControlPlaneHandler(p.OperatorAddress, c.service),
-		ReadHeaderTimeout: operatorHeaderTimeout,
-		IdleTimeout:       operatorIdleTimeout,
-		MaxHeaderBytes:    maxOperatorHeaderBytes,
-	}
+	server := newHTTPServer(platform.ControlPlaneHandler(p.OperatorAddress, c.service), operatorHeaderTimeout)
+	server.MaxHeaderBytes = maxOperatorHeaderBytes
 	if err := serveHTTP(p.OperatorAddress, server, failed); err != nil {
 		return err
 	}
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -160,7 +160,7 @@
 		return err
 	}
 	defer metricsServer.Close()
-	readyServer := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: callerHeaderTimeout}
+	readyServer := newHTTPServer(http.HandlerFunc(e.serveReady), callerHeaderTimeout)
 	if err := serveHTTP(p.ReadyAddress, readyServer, failed); err != nil {
 		return err
 	}
--- a/role/host/metrics.go
+++ b/role/host/metrics.go
@@ -68,10 +68,10 @@
 // serve listens on the metrics port, if one is set. It returns the server for the
 // caller to close.
 func (m *Metrics) serve(failed chan<- error) (*http.Server, error) {
-	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		m.registry.WriteText(w)
-	})}
+	}), time.Second)
 	if m.process.MetricsPort == 0 {
 		return server, nil
 	}
