Drop all idle connections to an endpoint when one of them is silent

Callers saw: after the connections between an agent and its endpoint had fallen silent, one probe or report after another got no answer, each on the next idle connection and each for its whole time of 1 s; at each failed probe the gate suspects a restart and dispatches nothing until one succeeds. Cause: a call that times out closes its own connection, and up to seven other idle ones stay.

Before: idle_test.go:64: 4 calls got no answer, want 1 (four idle connections, -run TestOneCallFindsAllSilentConnections).

The call that times out now closes the idle ones as well; sound ones are opened again by the next calls. Attempts and orders use connections of their own.

--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -305,6 +305,9 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			client.CloseIdleConnections() // they may be dead too
+		}
 		return err
 	}
 	defer response.Body.Close()
--- /dev/null
+++ b/transport/endpoint/idle_test.go
@@ -0,0 +1,66 @@
+package endpoint
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/faultproxy"
+)
+
+const (
+	probeTime = time.Second // of a call, as in package gate
+	parallel  = 4           // calls that open a connection each
+	maxSilent = 1           // the call that finds out
+)
+
+// Guards against each idle connection that has fallen silent costing a probe of its own,
+// during which the gate dispatches nothing.
+func TestOneCallFindsAllSilentConnections(t *testing.T) {
+	var arrived sync.WaitGroup
+	arrived.Add(parallel)
+	var handled atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if handled.Add(1) <= parallel {
+			arrived.Done()
+			arrived.Wait() // so that each call has a connection of its own
+		}
+		_, _ = w.Write([]byte("{}")) // the caller sees if it is lost
+	}))
+	t.Cleanup(server.Close)
+	proxy, err := faultproxy.New(server.Listener.Addr().(*net.TCPAddr).String(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	client := NewClient()
+	client.SetAddress(proxy.Address())
+	var calls sync.WaitGroup
+	for range parallel {
+		calls.Go(func() {
+			if _, err := client.Load(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	calls.Wait()
+	if n := proxy.BlackholeConnections(faultproxy.Both); n != parallel {
+		t.Fatalf("%d open connections, want %d", n, parallel)
+	}
+	silent := 0
+	for err = context.DeadlineExceeded; err != nil && silent < parallel; {
+		ctx, cancel := context.WithTimeout(t.Context(), probeTime)
+		if _, err = client.Load(ctx); err != nil {
+			silent++
+		}
+		cancel()
+	}
+	if silent > maxSilent {
+		t.Errorf("%d calls got no answer, want %d", silent, maxSilent)
+	}
+}
