Let a call to a control replica fail only after its own time

Callers could see: (1) while callers leave within 0.2 s, a silent connection to the preferred replica is kept and no claim is answered, although two other replicas are there; (2) a request whose deadline is near closes a sound connection to a replica under all other calls of its process. Cause: the call ended with its caller. (1) needs a caller that cancels; read in the code, claims end by the request's deadline and leases with the process, so that today only (2) is within reach.

Each call to a replica has its own time only, as its purpose in the client is to tell a dead replica from a slow caller. Calls may be sent again and so may also end late.

--- a/transport/controllink/client.go
+++ b/transport/controllink/client.go
@@ -8,12 +8,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/rendezvous"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 )
 
 // Time limits of a call to one replica, after which the next replica is tried. A smaller
@@ -75,8 +77,10 @@
 	return response, err
 }
 
-// Done reports the start or the result of an operator's order.
+// Done reports the start or the result of an operator's order. The caller may change the
+// request afterwards.
 func (c *Client) Done(ctx context.Context, request *wire.OrderDoneRequest) error {
+	request = proto.CloneOf(request) // a call that ctx has ended may still send it
 	response, err := callReplicas(ctx, c, quorumWriteTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.OrderDoneResponse, error) {
 		return wire.NewOrderReportsClient(conn).Done(ctx, request)
 	})
@@ -121,18 +125,19 @@
 	return false
 }
 
-// callReplica calls one replica.
+// callReplica calls one replica. Whoever ends ctx, a connection is replaced when the call's
+// own time has run out.
 func callReplica[T any](ctx context.Context, c *Client, address string, timeout time.Duration, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn, err := c.pool.Get(address)
-	if err != nil {
-		var zero T
-		return zero, err
-	}
-	response, err := call(ctx, conn)
-	if status.Code(err) == codes.DeadlineExceeded {
-		c.pool.Replace(address, conn) // the connection may be dead
-	}
-	return response, err
+	return rendezvous.Ask(ctx, timeout, func(ctx context.Context) (T, error) {
+		conn, err := c.pool.Get(address)
+		if err != nil {
+			var none T
+			return none, err
+		}
+		response, err := call(ctx, conn)
+		if status.Code(err) == codes.DeadlineExceeded {
+			c.pool.Replace(address, conn) // the connection may be dead
+		}
+		return response, err
+	})
 }
