Give up a buffered answer that its caller does not read

What happened: a caller whose connection fell silent before its answer, or that does not read it, held the request, a goroutine and the whole answer for as long as TCP kept the connection. The memory counts in the budget that all requests of the entry share, so others are refused for it. Cause: only streams had a write deadline.

Before: silence_test.go:60: an answer that nobody reads is held after an hour (transport/callerhttp, -run TestAnswerThatIsNotReadIsGivenUp, virtual time).

Writing a buffered answer is bounded by 30 s, as reading a body of the same size.

--- a/transport/callerhttp/handlers.go
+++ b/transport/callerhttp/handlers.go
@@ -125,7 +125,17 @@
 	}
 	hold.Release(c.promptTokens + sink.outputTokens)
 	c.recordAnswer(end.Status)
-	writeOutcome(c.w, &wire.Outcome{Status: end.Status, ContentType: end.ContentType, Body: sink.body}, origin.Endpoint)
+	c.writeOutcome(&wire.Outcome{Status: end.Status, ContentType: end.ContentType, Body: sink.body}, origin.Endpoint)
+}
+
+// answerWriteTimeout bounds the writing of a buffered answer. It is as long as a body of the
+// same size may take to arrive.
+const answerWriteTimeout = bodyReadTimeout
+
+// writeOutcome sends a complete answer, unless the caller does not read it in time.
+func (c *call) writeOutcome(outcome *wire.Outcome, endpoint string) {
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+	writeOutcome(c.w, outcome, endpoint)
 }
 
 // releaseQuota returns all quota of a failed request when nothing ran, and otherwise the
@@ -211,7 +221,7 @@
 		c.w.Header().Set("X-Idempotent-Replay", "true")
 	}
 	hold.Release(c.promptTokens + prompt.EstimateTokens(len(answer.Outcome.GetBody())))
-	writeOutcome(c.w, answer.Outcome, answer.Endpoint)
+	c.writeOutcome(answer.Outcome, answer.Endpoint)
 }
 
 // handleResume resumes a streamed answer that was begun on another connection, possibly
