--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -12,7 +12,6 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 )
 
 const (
@@ -24,19 +23,6 @@
 	maxReconnectDelay    = time.Second
 	emptyServiceConfig   = `{"methodConfig":[]}` // no method has a retry policy
 	maxConcurrentStreams = math.MaxUint32        // no limit, as the calls of a process can share one connection
-	// probeAfter is the silence after which a connection with a call is probed. gRPC allows
-	// no shorter one.
-	probeAfter = 10 * time.Second
-	// probeTimeout is the time without an answer to a probe, or with unacknowledged bytes,
-	// after which a connection is closed. It is longer than the silence after which links
-	// with heartbeats of their own are replaced.
-	probeTimeout = 2 * time.Second
-	// minProbeInterval is the shortest interval of probes that a server accepts.
-	minProbeInterval = probeAfter / 2
-	// serverProbeAfter is the silence after which a server probes a connection, also one
-	// without calls. A shorter one costs more traffic, as entries keep a connection to each
-	// other entry.
-	serverProbeAfter = 30 * time.Second
 )
 
 // Security holds the TLS configurations of links. The zero value means plain text.
@@ -65,7 +51,7 @@
 			MinConnectTimeout: minConnectTimeout,
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectDelay},
 		}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: probeAfter, Timeout: probeTimeout}),
+		probeServer(),
 	)
 }
 
@@ -76,9 +62,8 @@
 	if security.Server != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(security.Server)))
 	}
-	defaults := []grpc.ServerOption{grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverProbeAfter, Timeout: probeTimeout})}
-	options = append(append(defaults, options...),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minProbeInterval, PermitWithoutStream: true}),
+	options = append(probeClients(), options...)
+	options = append(options,
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxConcurrentStreams),
