--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -35,7 +35,9 @@
 
 // Dial returns a connection that is opened when it is first used. After a failure it is
 // opened again after 50 ms, then after delays that grow by the factor 1.6 up to
-// maxReconnectDelay, each varied at random by up to 20 %.
+// maxReconnectDelay, each varied at random by up to 20 %. A connection that has fallen
+// silent is closed by probes, however short its calls are; a call after probeAfter without
+// any starts a probe at once.
 func Dial(address string, security Security) (*grpc.ClientConn, error) {
 	transport := insecure.NewCredentials()
 	if security.Client != nil {
@@ -51,15 +53,18 @@
 			MinConnectTimeout: minConnectTimeout,
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectDelay},
 		}),
+		probeServer(),
 	)
 }
 
 // NewServer returns a gRPC server for links of the fleet. A panic in a handler ends only
-// its call.
+// its call. Connections of peers that are gone without closing them are closed. The given
+// options take precedence.
 func NewServer(security Security, options ...grpc.ServerOption) *grpc.Server {
 	if security.Server != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(security.Server)))
 	}
+	options = append(probeClients(), options...)
 	options = append(options,
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
