--- a/coordination/replica/slowlink_test.go
+++ b/coordination/replica/slowlink_test.go
@@ -160,8 +160,8 @@
 			t.Fatal(err)
 		}
 	}
-	links.setAway(others[1])
 	links.setRate(bytesPerSecond)
+	links.setAway(others[1])
 	const bound = recoveryTicks*defaultTickInterval + lagBytes*time.Second/bytesPerSecond
 	if !links.commitsWithin(t, bound) {
 		t.Errorf("nothing was committed within %v", bound)
@@ -176,6 +176,12 @@
 	}
 }
 
+func TestLeaderCommitsThroughFollowerThatNeedsSnapshotOnSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		commitThroughSlowFollower(t, Options{SnapshotIntervalEntries: 20, KeptEntries: 4}, 30<<10)
+	})
+}
+
 // A round trip that takes long says nothing about the link's speed.
 func TestBatchesFollowSpeedOfLinkNotItsRoundTrip(t *testing.T) {
 	for _, c := range []struct {
--- a/coordination/replica/snapshot_chunks.go
+++ b/coordination/replica/snapshot_chunks.go
@@ -7,8 +7,9 @@
 
 const (
 	// maxChunkBytes bounds one chunk. Each chunk is a call of its own, which must end
-	// within Options.PeerTimeout.
-	maxChunkBytes = 1 << 20
+	// within Options.PeerTimeout: with the default, on a link of 512 KiB a second. A
+	// smaller one takes more round trips for a snapshot.
+	maxChunkBytes = 256 << 10
 
 	// maxSnapshotBytes bounds a snapshot that is received in chunks, and with it the
 	// memory that the size given in its first chunk makes the receiver allocate.
