Test that the group commits again after a disk that blocked goes on

One sync of 5 s at the leader: another one leads and commits after 1.0 s in virtual time. At a follower that the quorum needs: the leader steps down, as its heartbeats aren't answered, and an operation is committed 0.4 to 0.9 s after the sync ends. Neither is a leader that is heard and commits nothing. Passes; no change of logic.

The bed of TestLeaderCommitsThrough… waits for its replicas to end, and takes the leader of the highest term, as a replica whose disk blocks goes on naming itself.

--- a/coordination/replica/slowlink_test.go
+++ b/coordination/replica/slowlink_test.go
@@ -24,8 +24,15 @@
 	replicas map[string]*Replica // by address
 
 	mu             sync.Mutex
-	bytesPerSecond int    // 0 for no limit
-	away           string // address that nothing reaches or leaves
+	bytesPerSecond int                      // 0 for no limit
+	away           string                   // address that nothing reaches or leaves
+	syncTimes      map[string]time.Duration // of the disk of the replica at an address
+}
+
+func (l *virtualLinks) setSyncTime(address string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.syncTimes[address] = d
 }
 
 func (l *virtualLinks) setRate(bytesPerSecond int) {
@@ -83,14 +90,14 @@
 
 // startVirtual starts n replicas in a bubble of synctest and waits until all are voters.
 func startVirtual(t *testing.T, options Options, n int) *virtualLinks {
-	links := &virtualLinks{replicas: map[string]*Replica{}}
+	links := &virtualLinks{replicas: map[string]*Replica{}, syncTimes: map[string]time.Duration{}}
 	for i := range n {
 		options.Peers = append(options.Peers, fmt.Sprint("host-", i))
 	}
 	for i, address := range options.Peers {
 		o := options
 		o.DataFolder, o.Address, o.Bootstrap, o.StateMachine = "/data", address, i == 0, &recordingMachine{}
-		o.FileSystem = faultfs.New(func(int) int { return 0 })
+		o.FileSystem = slowDisk{faultfs.New(func(int) int { return 0 }), links, address}
 		o.Random = rand.New(rand.NewPCG(uint64(i), 1)).IntN
 		o.Dial = func(to string) (grpc.ClientConnInterface, error) {
 			return virtualConn{links: links, from: address, to: to}, nil
@@ -102,8 +109,10 @@
 		r.runAsync = func(work func()) { work() } // faultfs is not safe for concurrent use
 		links.replicas[address] = r
 	}
+	var running sync.WaitGroup
+	t.Cleanup(running.Wait)
 	for _, r := range links.replicas {
-		go func() { _ = r.Run(t.Context()) }()
+		running.Go(func() { _ = r.Run(t.Context()) })
 	}
 	for links.leader() == nil || len(activeVoters(links.leader().Status().Members)) < n {
 		time.Sleep(defaultTickInterval)
@@ -111,13 +120,14 @@
 	return links
 }
 
-func (l *virtualLinks) leader() *Replica {
+// leader returns the replica that leads in the highest term, or nil.
+func (l *virtualLinks) leader() (found *Replica) {
 	for _, r := range l.replicas {
-		if r.Status().CanConfirmReads {
-			return r
+		if s := r.Status(); s.CanConfirmReads && (found == nil || s.Term > found.Status().Term) {
+			found = r
 		}
 	}
-	return nil
+	return found
 }
 
 // others returns the addresses of the replicas other than r, in order.
