Keep the two loops of a configuration follower at different peers

Callers could see: new requests refused as the configuration had not been confirmed for 3 s, after one peer fell silent, though others would have confirmed it. Cause: a loop whose peer is away for a moment moves on to the next one, which is the other loop's, and from then on both fail and move together; a silent peer holds both for 0.9 s, and each silent connection after it again.

A loop now passes over the peer that the other one polls, as their comment said. With two peers, one of them away, one loop stays with it.

--- a/coordination/configsync/follower.go
+++ b/coordination/configsync/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wait"
@@ -24,6 +25,8 @@
 	// polls of processes that lose a peer together. While there are no peers, it is
 	// the pause before they are looked for again.
 	minRetryDelay = 50 * time.Millisecond
+	// loops is the number of loops that poll.
+	loops = 2
 )
 
 // Peer is a process that can be polled for the configuration.
@@ -38,6 +41,9 @@
 	store   *Store
 	process *wire.ProcessInfo
 	peers   func() []Peer // in order of preference; the result may change
+
+	mu sync.Mutex
+	at [loops]int // place of the peer that each loop polls, modulo the number of peers
 }
 
 // NewFollower returns a follower. It calls peers before each poll. The peers see
@@ -49,26 +55,44 @@
 // Run polls peers until ctx ends. Two loops poll different peers, so that one peer
 // that does not respond delays no update.
 func (f *Follower) Run(ctx context.Context) {
-	go f.poll(ctx, 0)
-	f.poll(ctx, 1)
+	f.mu.Lock()
+	f.at = [loops]int{0, 1}
+	f.mu.Unlock()
+	go f.poll(ctx, 1)
+	f.poll(ctx, 0)
 }
 
-// poll polls one peer until pollPeer returns false, and then the next one.
-func (f *Follower) poll(ctx context.Context, offset int) {
-	at := offset
+// poll polls one peer until pollPeer returns false, and then another one.
+func (f *Follower) poll(ctx context.Context, loop int) {
 	for ctx.Err() == nil {
 		peers := f.peers()
 		if len(peers) == 0 {
 			wait.For(ctx, minRetryDelay)
 			continue
 		}
-		if !f.pollPeer(ctx, peers[at%len(peers)]) {
-			at++
+		if !f.pollPeer(ctx, peers[f.place(loop)%len(peers)]) {
+			f.advance(loop, len(peers))
 			wait.For(ctx, minRetryDelay+rand.N(minRetryDelay))
 		}
 	}
 }
 
+func (f *Follower) place(loop int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at[loop]
+}
+
+// advance moves a loop to the next peer, past the one that the other loop polls.
+func (f *Follower) advance(loop, peers int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at[loop]++
+	if f.at[loop]%peers == f.at[1-loop]%peers {
+		f.at[loop]++
+	}
+}
+
 // pollPeer sends one Sync request. It returns false when the peer did not respond, or
 // when its response did not confirm the store anew and the last confirmation, which
 // may come from the other loop, is longer ago than longPollWait.
