--- a/coordination/replica/diskfull_test.go
+++ b/coordination/replica/diskfull_test.go
@@ -10,7 +10,7 @@
 
 // Times in ticks of 30 ms.
 const (
-	reopenTicks = 34  // the second after which a process opens a failed replica again
+	reopenTicks = 34  // the second after which a process opens a replica that failed or was removed again
 	ackTicks    = 133 // the 4 s in which a change must be acknowledged
 )
 
--- a/coordination/replica/join_test.go
+++ b/coordination/replica/join_test.go
@@ -11,6 +11,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/wal/faultfs"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 	"google.golang.org/grpc"
 )
 
@@ -85,7 +86,7 @@
 		{"one knows no leader", []*joinServer{{group: true}}, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { findGroup(t, c.others, c.knows, c.seeds) })
+			bubble.Run(t, func(t *testing.T) { findGroup(t, c.others, c.knows, c.seeds) })
 		})
 	}
 }
--- a/coordination/replica/recovery_test.go
+++ b/coordination/replica/recovery_test.go
@@ -18,10 +18,8 @@
 	recoveryTicks = 8000 / 30
 	// joinTicks is JoinInterval.
 	joinTicks = 10
-	// membershipCheckTicks and reopenTicks are membershipCheckAfter of package
-	// controlplane and the pause before a removed replica is opened again.
+	// membershipCheckTicks is membershipCheckAfter of package controlplane.
 	membershipCheckTicks = 3000 / 30
-	reopenTicks          = 1000 / 30
 	// minReachable is the least number of voters that must be reachable for another one
 	// to be removed.
 	minReachable = 4
--- a/coordination/replica/slowlink_test.go
+++ b/coordination/replica/slowlink_test.go
@@ -14,6 +14,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/wal/faultfs"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 )
@@ -181,13 +182,13 @@
 func TestLeaderCommitsThroughFollowerFarBehindOnSlowLink(t *testing.T) {
 	for _, entryBytes := range []int{4 << 10, 30 << 10, 300 << 10} {
 		t.Run(fmt.Sprint(entryBytes), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { commitThroughSlowFollower(t, Options{}, entryBytes) })
+			bubble.Run(t, func(t *testing.T) { commitThroughSlowFollower(t, Options{}, entryBytes) })
 		})
 	}
 }
 
 func TestLeaderCommitsThroughFollowerThatNeedsSnapshotOnSlowLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		commitThroughSlowFollower(t, Options{SnapshotIntervalEntries: 20, KeptEntries: 4}, 30<<10)
 	})
 }
@@ -225,7 +226,7 @@
 // carries within PeerTimeout.
 func TestCommandTooLargeForSlowLinksDoesNotStopTheGroup(t *testing.T) {
 	for _, bytesPerSecond := range []int{12 << 20, 3 << 20, 1 << 20} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, func(t *testing.T) {
 			links := startVirtual(t, Options{}, 3)
 			links.setRate(bytesPerSecond)
 			go func() { _, _ = links.leader().Propose(t.Context(), command(strings.Repeat("x", 7<<20))) }()
