Replace the dead connections of a large group within the first call

Callers could see: after all kept connections had fallen silent, the first call at a host of a group of five or more voters was lost, and with it up to two seconds until it was sent again. Cause: processes were called one each 250 ms, and a second time on a new connection only when all had been called; callTimeout left no time for that.

A silent process is called on a new connection after hedgeDelay, whether all were called or not. Once one has answered on a new connection only, the next are called on new ones at once.

--- a/coordination/controlplane/attempts.go
+++ b/coordination/controlplane/attempts.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
-	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"google.golang.org/grpc"
 )
@@ -15,15 +14,20 @@
 type attempt struct {
 	address string
 	conn    grpc.ClientConnInterface // nil if the process can't be dialled
-	began   monotonic.Time
-	renewed bool   // the process is called on a new connection too
-	reply   *reply // nil until the process has answered
+	began   time.Time
+	renews  *attempt // the attempt on an older connection, nil if this is the first one
+	renewed bool     // the process is called on a new connection too
+	reply   *reply   // nil until the process has answered
 }
 
+// mayBeRenewed reports whether the process is called on a new connection once it has been
+// silent.
+func (a *attempt) mayBeRenewed() bool { return a.reply == nil && a.renews == nil && !a.renewed }
+
 // isSilent reports whether the process has not answered for hedgeDelay. Its connection may
 // be dead.
 func (a *attempt) isSilent() bool {
-	return a.reply == nil && monotonic.Since(a.began) >= hedgeDelay
+	return a.reply == nil && time.Since(a.began) >= hedgeDelay
 }
 
 // reply is the result of a call to one process.
@@ -44,7 +48,7 @@
 // String says what the process has answered, and when.
 func (a *attempt) String() string {
 	if a.reply == nil {
-		return fmt.Sprintf("%s no answer for %d ms", a.address, monotonic.Since(a.began).Milliseconds())
+		return fmt.Sprintf("%s no answer for %d ms", a.address, time.Since(a.began).Milliseconds())
 	}
 	what := "answered"
 	if a.reply.err != nil {
--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -7,17 +7,16 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
-	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
 // hedgeDelay is the time after which the next process is called too if one has not
-// answered. callTimeout leaves time for four such calls. A shorter delay calls more
-// processes while one is only slow; a longer one leaves time for fewer.
+// answered, and this one again on a new connection. A shorter delay calls more
+// processes while one is only slow; a longer one leaves less time for those after it.
 //
-// If leadership moves between two calls, a change may be made twice. The second time
-// changes nothing if the first is still in effect, or a newer version of the
-// catalogue. A change of a data centre is made once, as its copies have one operation.
+// If a leader is slow, or leadership moves between two calls, a change may be made twice.
+// The second time changes nothing if the first is still in effect, or a newer version of
+// the catalogue. A change of a data centre is made once, as its copies have one operation.
 const hedgeDelay = 250 * time.Millisecond
 
 // remoteCall is a call to the Steering service of another process.
@@ -50,14 +49,16 @@
 	return status.LeaderAddress
 }
 
-// hedgedCall calls one process after the other until the leader has answered. Processes
-// that have not answered when all were called are called again on new connections.
+// hedgedCall calls one process after the other until the leader has answered. A process that
+// is silent for hedgeDelay is called again on a new connection.
 type hedgedCall struct {
 	service   *Service
 	addresses []string // to call, in this order
 	call      remoteCall
+	called    int // number of addresses that were called
 	attempts  attempts
-	waiting   int // number of attempts without an answer
+	waiting   int  // number of attempts without an answer
+	deadFound bool // a process has answered on a new connection only, so others may be dead too
 	replies   chan *reply
 	err       error // to return if none is the leader; says whether a change may have been made
 }
@@ -91,60 +92,60 @@
 		case <-ctx.Done():
 			return nil, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "the leader of the control group did not answer")
 		case <-next:
-			h.callNext(ctx)
-			hedge.Reset(hedgeDelay)
+			h.callMore(ctx)
+			hedge.Reset(h.untilSilent())
 		case got := <-h.replies:
 			h.record(got)
 			if got.isFinal() {
 				return got.answer, got.err
 			}
-			hedge.Reset(h.untilNext())
+			if h.called < len(h.addresses) {
+				hedge.Reset(0)
+			}
 		}
 	}
 	return nil, h.err
 }
 
-// allCalled reports whether each process has been called.
-func (h *hedgedCall) allCalled() bool { return len(h.attempts) >= len(h.addresses) }
-
-// mayCall reports whether there is a process to call, or to call on a new connection.
-func (h *hedgedCall) mayCall() bool { return !h.allCalled() || h.toRenew() != nil }
+// mayCall reports whether there is a process to call, now or once it has been silent.
+func (h *hedgedCall) mayCall() bool {
+	return h.called < len(h.addresses) || slices.ContainsFunc(h.attempts, (*attempt).mayBeRenewed)
+}
 
-// toRenew returns the first attempt without an answer whose process has been called on one
-// connection only, nil if there is none.
-func (h *hedgedCall) toRenew() *attempt {
+// untilSilent returns the time after which more processes are called if no answer comes.
+func (h *hedgedCall) untilSilent() time.Duration {
+	delay := hedgeDelay
 	for _, a := range h.attempts {
-		if a.reply == nil && !a.renewed {
-			return a
+		if a.mayBeRenewed() {
+			delay = min(delay, hedgeDelay-time.Since(a.began))
 		}
 	}
-	return nil
+	return delay
 }
 
-// untilNext returns the time until the next call, if no more processes answer.
-func (h *hedgedCall) untilNext() time.Duration {
-	if a := h.toRenew(); h.allCalled() && a != nil {
-		return hedgeDelay - monotonic.Since(a.began)
+// callMore calls the next process, and those that are silent once more on new connections.
+func (h *hedgedCall) callMore(ctx context.Context) {
+	for _, a := range h.attempts {
+		if a.mayBeRenewed() && a.isSilent() {
+			a.renewed = true
+			h.service.retire(a)
+			h.start(ctx, &attempt{address: a.address, renews: a})
+		}
 	}
-	return 0
-}
-
-// callNext calls the next process. When all were called, it calls one that has not answered
-// on a new connection.
-func (h *hedgedCall) callNext(ctx context.Context) {
-	if !h.allCalled() {
-		h.start(ctx, &attempt{address: h.addresses[len(h.attempts)]})
+	if h.called == len(h.addresses) {
 		return
 	}
-	a := h.toRenew()
-	a.renewed = true
-	h.service.retire(a)
-	h.start(ctx, &attempt{address: a.address, renewed: true})
+	address := h.addresses[h.called]
+	h.called++
+	if h.deadFound {
+		h.service.replaceConnection(address)
+	}
+	h.start(ctx, &attempt{address: address})
 }
 
 // start begins an attempt.
 func (h *hedgedCall) start(ctx context.Context, a *attempt) {
-	a.began = monotonic.Now()
+	a.began = time.Now()
 	h.attempts = append(h.attempts, a)
 	h.waiting++
 	conn, err := h.service.connections.Connection(a.address)
@@ -155,7 +156,7 @@
 	a.conn = conn
 	go func() {
 		answer, err := callOne(ctx, a, h.call)
-		h.replies <- &reply{of: a, took: monotonic.Since(a.began), answer: answer, err: err}
+		h.replies <- &reply{of: a, took: time.Since(a.began), answer: answer, err: err}
 	}()
 }
 
@@ -164,6 +165,9 @@
 func (h *hedgedCall) record(got *reply) {
 	got.of.reply = got
 	h.waiting--
+	if first := got.of.renews; first != nil && first.reply == nil {
+		h.deadFound = true
+	}
 	if fault.KindOf(h.err) != fault.OutcomeUnknown {
 		h.err = got.err
 	}
@@ -184,11 +188,18 @@
 	if a.conn == nil {
 		return
 	}
-	s.logger.RateLimitedWarn("retire").Str("address", a.address).Dur("silence", monotonic.Since(a.began)).
+	s.logger.RateLimitedWarn("retire").Str("address", a.address).Dur("silence", time.Since(a.began)).
 		Msg("A process did not answer, so the connection to it is replaced.")
 	s.connections.Retire(a.address, a.conn)
 }
 
+// replaceConnection lets the next call to a process use a new connection.
+func (s *Service) replaceConnection(address string) {
+	if conn, err := s.connections.Connection(address); err == nil {
+		s.connections.Retire(address, conn)
+	}
+}
+
 // callOne makes the call of an attempt. If the process does not answer, the error is
 // OutcomeUnknown.
 func callOne(ctx context.Context, a *attempt, call remoteCall) (*wire.SteeringAnswer, error) {
--- a/coordination/controlplane/forward_test.go
+++ b/coordination/controlplane/forward_test.go
@@ -25,6 +25,8 @@
 	refuses  = "refuses"
 	slowLead = "leads after a while"
 	dead     = "is reached by new connections only, and leads"
+
+	deadFollower = "is reached by new connections only, and follows"
 )
 
 // fakeConn is a connection to a process that behaves in one way.
@@ -57,8 +59,11 @@
 func (f *fakeConns) Retire(address string, conn grpc.ClientConnInterface) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.conns[address].behaviour == dead {
+	switch f.conns[address].behaviour {
+	case dead:
 		f.conns[address] = &fakeConn{behaviour: leads}
+	case deadFollower:
+		f.conns[address] = &fakeConn{behaviour: follows}
 	}
 }
 
@@ -139,7 +144,7 @@
 
 func respond(ctx context.Context, behaviour string) (*wire.SteeringAnswer, error) {
 	switch behaviour {
-	case silent, dead:
+	case silent, dead, deadFollower:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	case resets:
