Let no group be created beside one whose replicas wait for their disks

Before: TestNoGroupIsCreatedBesideOneOnFullDisks "timed out waiting until every host has the configuration of before".

A process that serves without its replica keeps saying that it votes; a call to its replica fails, and nobody creates a group while one does. The leader learns of the absence from these answers ("unimplemented") instead of the record, and counts the voter as silent while they go on.

--- a/role/host/absence.go
+++ b/role/host/absence.go
@@ -1,43 +1,88 @@
 package host
 
 import (
+	"context"
+	"io"
 	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
-	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/transport/link"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
-// absences remembers since when control processes run without a replica, so that a replica
-// whose process serves without it counts as silent.
+// absenceTimeout is the time after which an absence that was not seen again is forgotten.
+// A leader calls the others many times in it.
+const absenceTimeout = time.Second
+
+// absences remembers which control processes have said, in answer to this replica's calls,
+// that they serve without a replica. Such a replica counts as silent.
 type absences struct {
-	now   func() monotonic.Time
-	mu    sync.Mutex
-	since map[string]monotonic.Time // by address
+	now func() monotonic.Time
+
+	mu   sync.Mutex
+	seen map[string]absence // by address
 }
 
-func newAbsences(now func() monotonic.Time) *absences {
-	return &absences{now: now, since: make(map[string]monotonic.Time)}
+// absence is the time of the first and of the last answer without a replica.
+type absence struct{ first, last monotonic.Time }
+
+func newAbsences() *absences {
+	return &absences{now: monotonic.Now, seen: make(map[string]absence)}
 }
 
-// silence returns for how long each linked process, or its replica, was not heard.
-func (a *absences) silence(linked map[string]time.Duration, processes []*wire.ProcessRecord) map[string]time.Duration {
+// record records the result of a call to a replica. Only an answer tells whether there is
+// one.
+func (a *absences) record(address string, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	since := make(map[string]monotonic.Time)
-	for _, p := range processes {
-		if p.Votes {
-			continue
-		}
-		began, known := a.since[p.Address]
-		if !known {
-			began = a.now()
+	switch status.Code(err) {
+	case codes.OK:
+		delete(a.seen, address)
+	case codes.Unimplemented:
+		now, seen := a.now(), a.seen[address]
+		if seen.last == 0 || now.Sub(seen.last) > absenceTimeout {
+			seen.first = now
 		}
-		since[p.Address] = began
-		if heard, ok := linked[p.Address]; ok {
-			linked[p.Address] = max(heard, a.now().Sub(began))
+		seen.last = now
+		a.seen[address] = seen
+	}
+}
+
+// addTo raises the silence of processes, by address, to that of their replicas.
+func (a *absences) addTo(silence map[string]time.Duration) map[string]time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for address, seen := range a.seen {
+		if heard, linked := silence[address]; linked && a.now().Sub(seen.last) <= absenceTimeout {
+			silence[address] = max(heard, seen.last.Sub(seen.first))
 		}
 	}
-	a.since = since
-	return linked
+	return silence
+}
+
+// dial opens a connection to a replica.
+func (a *absences) dial(address string) (grpc.ClientConnInterface, error) {
+	conn, err := link.Dial(address, link.Security{})
+	if err != nil {
+		return nil, err
+	}
+	return &replicaConn{ClientConnInterface: conn, Closer: conn, address: address, absences: a}, nil
+}
+
+// replicaConn records the results of its calls.
+type replicaConn struct {
+	grpc.ClientConnInterface
+	io.Closer
+	address  string
+	absences *absences
+}
+
+// Invoke implements grpc.ClientConnInterface.
+func (c *replicaConn) Invoke(ctx context.Context, method string, args, reply any, options ...grpc.CallOption) error {
+	err := c.ClientConnInterface.Invoke(ctx, method, args, reply, options...)
+	c.absences.record(c.address, err)
+	return err
 }
--- a/role/host/absence_test.go
+++ b/role/host/absence_test.go
@@ -1,32 +1,41 @@
 package host
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
-	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 func TestVoterWhoseProcessServesWithoutItsReplicaCountsAsSilent(t *testing.T) {
-	const linked = 100 * time.Millisecond
+	const linked, pause = 100 * time.Millisecond, 500 * time.Millisecond
 	now := monotonic.Time(time.Hour)
-	a := newAbsences(func() monotonic.Time { return now })
-	for _, step := range []struct {
-		votes bool
-		pause time.Duration
+	a := newAbsences()
+	a.now = func() monotonic.Time { return now }
+	without, unreachable := status.Error(codes.Unimplemented, "unknown service"), errors.New("no answer")
+	for i, step := range []struct {
+		err   error
+		pause time.Duration // after the call
 		want  time.Duration
 	}{
-		{true, time.Minute, linked},
-		{false, 5 * time.Second, linked},
-		{false, 3 * time.Second, 5 * time.Second},
-		{false, 0, 8 * time.Second},
-		{true, 0, linked},
-		{false, 0, linked},
+		{nil, 0, linked},
+		{without, pause, linked},
+		{without, pause, pause},
+		{unreachable, pause, pause},
+		{without, pause, 3 * pause},
+		{nil, pause, linked},
+		{without, pause, linked},
+		{without, 10 * pause, pause},
+		{without, pause, linked}, // not seen for long in between
+		{without, 10 * pause, pause},
+		{unreachable, 0, linked},
 	} {
-		got := a.silence(map[string]time.Duration{"a": linked}, []*wire.ProcessRecord{{Address: "a", Votes: step.votes}, {Address: "b"}})
-		if len(got) != 1 || got["a"] != step.want {
-			t.Errorf("at %v, votes %v: %v, want %v", time.Duration(now), step.votes, got, step.want)
+		a.record("a", step.err)
+		if got := a.addTo(map[string]time.Duration{"a": linked, "b": linked}); got["a"] != step.want || got["b"] != linked {
+			t.Errorf("step %d: %v, want %v", i, got, step.want)
 		}
 		now = now.Add(step.pause)
 	}
--- a/role/host/control.go
+++ b/role/host/control.go
@@ -11,7 +11,6 @@
 	"github.com/apricotspoke/apricotspoke/coordination/replica"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/platform"
-	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/state/hostconfig"
@@ -44,10 +43,14 @@
 	logger     *logs.Logger
 }
 
+// replicaAway is set in a control process that serves without the replica in its data
+// folder, which can't be opened now.
+type replicaAway bool
+
 // NewControl wires a control process.
-func NewControl(settings *platform.Settings) (*Control, error) {
+func NewControl(settings *platform.Settings, away replicaAway) (*Control, error) {
 	container := newContainer(settings, controlKind)
-	for _, constructor := range []any{newMachine, openReplica, newService, newControl} {
+	for _, constructor := range []any{func() replicaAway { return away }, newMachine, newAbsences, openReplica, newService, newControl} {
 		if err := container.Provide(constructor); err != nil {
 			return nil, err
 		}
@@ -62,9 +65,9 @@
 }
 
 // openReplica opens this host's replica of the control group. It returns nil for a
-// process without a data folder.
-func openReplica(p *hostconfig.Process, record *wire.ProcessRecord, m *catalogue.Machine, links *mesh.Mesh, dir *directory.Directory) (*replica.Replica, error) {
-	if p.DataFolder == "" {
+// process without a data folder, and while the replica is away.
+func openReplica(p *hostconfig.Process, away replicaAway, record *wire.ProcessRecord, m *catalogue.Machine, links *mesh.Mesh, dir *directory.Directory, absent *absences) (*replica.Replica, error) {
+	if p.DataFolder == "" || bool(away) {
 		return nil, nil
 	}
 	r, err := replica.Open(replica.Options{
@@ -74,7 +77,7 @@
 		Bootstrap:    p.Found,
 		StateMachine: m,
 		Dial: func(address string) (grpc.ClientConnInterface, error) {
-			return link.Dial(address, link.Security{})
+			return absent.dial(address)
 		},
 	})
 	if err != nil {
@@ -84,8 +87,7 @@
 }
 
 func newService(p *hostconfig.Process, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
-	store *statecache.Store, dir *directory.Directory, pool *link.Pool, registry *metrics.Registry) *controlplane.Service {
-	away := newAbsences(monotonic.Now)
+	store *statecache.Store, dir *directory.Directory, absent *absences, pool *link.Pool, registry *metrics.Registry) *controlplane.Service {
 	bootstrapVoters := func() int {
 		if !p.Found {
 			return 0
@@ -100,7 +102,7 @@
 		Directory:          dir,
 		Dial:               func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
 		PeerAddresses:      func() []string { return otherVoters(dir, record.Address) },
-		SinceLastHeard:     func() map[string]time.Duration { return away.silence(links.Silence(), dir.Processes()) },
+		SinceLastHeard:     func() map[string]time.Duration { return absent.addTo(links.Silence()) },
 		AwaitDelivery:      links.AwaitDelivery,
 		BootstrapVoters:    bootstrapVoters,
 		Metrics:            registry,
@@ -173,7 +175,7 @@
 		go func() { replicaEnded <- c.replica.Run(background) }()
 	}
 	c.logger.Info().Str("process", c.record.Name).Str("address", c.record.Address).Str("data_centre", p.DataCentre).
-		Bool("found", p.Found).Bool("votes", c.record.Votes).Strs("seeds", p.Seeds).Msg("Control has started.")
+		Bool("found", p.Found).Bool("votes", c.record.Votes).Bool("replica", c.replica != nil).Strs("seeds", p.Seeds).Msg("Control has started.")
 	select {
 	case err = <-failed:
 	case err = <-replicaEnded:
--- a/role/host/diskfull_test.go
+++ b/role/host/diskfull_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/apricotspoke/apricotspoke/platform"
@@ -90,11 +91,16 @@
 // fill fills a host's disk and returns when its replica has stopped.
 func (f *limitedFleet) fill(n int) {
 	f.t.Helper()
-	name := fmt.Sprintf("control%d", n)
-	f.limitFiles(name, 0)
+	f.limitFiles(fmt.Sprintf("control%d", n), 0)
 	f.change(n%3 + 1)
+	f.awaitStop(n)
+}
+
+// awaitStop returns when a host's replica has stopped once more.
+func (f *limitedFleet) awaitStop(n int) {
+	f.t.Helper()
 	f.stops[n]++
-	f.await("the replica has stopped", func() bool { return f.countLines(name, "The replica has stopped") == f.stops[n] })
+	f.await("the replica has stopped", func() bool { return f.countLines(fmt.Sprintf("control%d", n), "The replica has stopped") == f.stops[n] })
 }
 
 // free gives a host's disk room and returns when its replica starts again.
@@ -118,8 +124,8 @@
 		}
 	}
 	for n := 1; n <= 3; n++ {
-		if status, text := f.operatorCall(n, "GET", "/configuration", nil); status != 200 || text != configuration(f.version, `"key"`) {
-			t.Errorf("read at %d: %d %q", n, status, text)
+		if !f.read(n) {
+			t.Errorf("host %d lacks the newest configuration", n)
 		}
 	}
 	if names := f.temporaryFiles(); len(names) != 0 {
@@ -131,17 +137,81 @@
 func TestVoterWithAFullDiskIsRemovedAndJoinsAgain(t *testing.T) {
 	f := startLimitedFleet(t, 4)
 	others := func() string { return f.log("control1") + f.log("control2") + f.log("control3") }
-	f.await("four voters", func() bool { return strings.Count(others()+f.log("control4"), "becomes a voter") == 3 })
+	voters := func() int { return strings.Count(others(), "becomes a voter") }
+	f.await("four voters", func() bool { return voters()+f.countLines("control4", "becomes a voter") == 3 })
+	before := voters()
 	f.fill(4)
 	f.await("the voter is removed", func() bool { return strings.Contains(others(), "A voter that was replaced is removed.") })
 	f.change(4)
 	f.free(4)
-	f.stops[4]++
-	f.await("the removed replica has stopped", func() bool { return f.countLines("control4", "The replica has stopped") == f.stops[4] })
-	f.await("a new replica is a voter", func() bool { return strings.Count(others(), "becomes a voter") > 3 })
+	f.awaitStop(4) // as it was removed
+	f.await("a new replica is a voter", func() bool { return voters() > before })
 	f.change(4)
 }
 
+func TestNoGroupIsCreatedBesideOneOnFullDisks(t *testing.T) {
+	f := startLimitedFleet(t, 3)
+	for n := 1; n <= 3; n++ {
+		f.await("every host has joined", func() bool { return f.read(n) })
+	}
+	for n := 1; n <= 3; n++ {
+		f.stop(fmt.Sprintf("control%d", n), syscall.SIGKILL)
+	}
+	if err := os.RemoveAll(filepath.Join(f.folder, "data-control3")); err != nil {
+		t.Fatal(err)
+	}
+	created := f.countCreated()
+	f.startFull = true
+	f.start("control", 1, true, true)
+	f.start("control", 2, true, true)
+	f.startFull = false
+	f.awaitStop(1)
+	f.awaitStop(2)
+	f.start("control", 3, true, true)
+	// The new replica asks the others, which have no replica yet, many times meanwhile.
+	f.await("the folders are tried again", func() bool { return f.countLines("control1", "The replica waits until") == 2 })
+	f.free(1)
+	f.free(2)
+	for n := 1; n <= 3; n++ {
+		f.await("every host has the configuration of before", func() bool { return f.read(n) })
+	}
+	if now := f.countCreated(); now != created {
+		t.Errorf("%d groups were created beside the first one", now-created)
+	}
+	f.change(3)
+}
+
+// read reports whether a host returns the newest configuration.
+func (f *limitedFleet) read(n int) bool {
+	status, text := f.operatorCall(n, "GET", "/configuration", nil)
+	return status == 200 && text == configuration(f.version, `"key"`)
+}
+
+// countCreated returns the number of control groups that were created.
+func (f *limitedFleet) countCreated() (created int) {
+	for n := 1; n <= 3; n++ {
+		created += f.countLines(fmt.Sprintf("control%d", n), "A new control group is founded.")
+	}
+	return created
+}
+
+func TestFirstStartsOnFullDisksEndInOneGroup(t *testing.T) {
+	t.Parallel()
+	f := &limitedFleet{fakePlatform: newFakePlatform(t)}
+	f.pipedLogs, f.startFull = true, true
+	for n := 1; n <= 3; n++ {
+		f.start("control", n, true, true)
+		f.awaitStop(n)
+	}
+	for n := 1; n <= 3; n++ {
+		f.free(n)
+	}
+	f.change(2)
+	if created := f.countCreated(); created != 1 || len(f.temporaryFiles()) != 0 {
+		t.Errorf("%d groups were created, temporary files: %q", created, f.temporaryFiles())
+	}
+}
+
 func TestReplicaThatStartsAgainLeavesNoConnectionOpen(t *testing.T) {
 	f := startLimitedFleet(t, 3)
 	const rounds = 6
--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -30,6 +30,7 @@
 	running            map[string]*os.Process
 	diskFaultTolerance int    // number of hosts with a disk that may be lost at once, 0 for the default
 	seeds              [3]int // numbers of the seed hosts in the settings
+	startFull          bool   // processes start as on a full disk; see limitFiles
 	pipedLogs          bool   // the processes' logs pass through pipes, which limits on the size of files leave alone
 }
 
@@ -76,6 +77,9 @@
 	}
 	defer log.Close()
 	command := exec.Command(p.binary, role)
+	if p.startFull {
+		command = exec.Command("sh", "-c", `ulimit -S -f 0 && exec "$0" "$1"`, p.binary, role)
+	}
 	command.Env = append(os.Environ(), "APRICOTSPOKE_NODE_FILE="+file)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
--- a/role/host/reopen.go
+++ b/role/host/reopen.go
@@ -40,7 +40,7 @@
 func RunControl(ctx context.Context, settings *platform.Settings, reload <-chan struct{}) error {
 	wasRemoved := false
 	for {
-		err := runControl(ctx, settings, reload)
+		err := runControl(ctx, settings, false, reload)
 		var reopen *reopenError
 		if !errors.As(err, &reopen) || ctx.Err() != nil {
 			return err
@@ -61,26 +61,25 @@
 	}
 }
 
-func runControl(ctx context.Context, settings *platform.Settings, reload <-chan struct{}) error {
-	c, err := NewControl(settings)
+func runControl(ctx context.Context, settings *platform.Settings, away replicaAway, reload <-chan struct{}) error {
+	c, err := NewControl(settings, away)
 	if err != nil {
 		return err
 	}
 	return c.Run(ctx, reload)
 }
 
-// serveWithoutReplica runs the control process like one without a data folder until the
-// data folder can be opened or ctx ends.
+// serveWithoutReplica runs the control process without its replica until the data folder
+// can be opened or ctx ends. Its record still says that it votes, so that others wait for
+// its replica before they create a group.
 func serveWithoutReplica(ctx context.Context, settings *platform.Settings, reload <-chan struct{}) error {
-	without := *settings
-	without.Process.DataFolder = ""
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		defer cancel()
 		awaitDataFolder(ctx, settings.Process.DataFolder)
 	}()
-	return runControl(ctx, &without, reload)
+	return runControl(ctx, settings, true, reload)
 }
 
 // awaitDataFolder returns when the data folder could be opened, or when ctx ends.
