Repeat the clearing of a suspect part, as its first telling may be lost

Callers could see: at an entry whose link was closed when a part was cleared, requests with the part waited for a lease each until one was granted. Cause: reports of ends are repeated once a second for 30 s, clearings were told once.

TestClearingThatWasLostIsToldAgain failed before: "standing 1 after the entry's events were told again". Clearings are now repeated like reports, 64 of them at most, with their age rounded up so that they clear no later end.

--- a/coordination/quarantine/events.go
+++ b/coordination/quarantine/events.go
@@ -4,11 +4,50 @@
 	"slices"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
-// repeatedFor is the time for which a report is repeated to the other entries.
-const repeatedFor = 30 * time.Second
+const (
+	// repeatedFor is the time for which a report or a clearing is repeated to the other
+	// entries.
+	repeatedFor = 30 * time.Second
+	// maxClearings bounds the clearings that are repeated; the oldest are forgotten first.
+	maxClearings = 64
+)
+
+// clearing tells that parts are no suspects any more, as an answer of this entry went on.
+type clearing struct {
+	parts []uint64
+	at    monotonic.Time
+}
+
+// rememberClearing keeps a clearing for its repetition. The caller holds the lock.
+func (t *Tracker) rememberClearing(c *clearing) {
+	t.clearings = append(t.clearings, c)
+	if len(t.clearings) > maxClearings {
+		t.clearings = slices.Delete(t.clearings, 0, 1)
+	}
+}
+
+// ownClearings returns the events of the latest clearings by this entry.
+func (t *Tracker) ownClearings() []*wire.PartEvent {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.clearings = slices.DeleteFunc(t.clearings, func(c *clearing) bool { return now.Sub(c.at) >= repeatedFor })
+	var events []*wire.PartEvent
+	for _, c := range t.clearings {
+		events = append(events, soundEvent(c.parts, now.Sub(c.at)))
+	}
+	return events
+}
+
+// soundEvent returns the event that tells that an answer with the parts went on some time
+// ago. The time is rounded up, so that it clears no later end.
+func soundEvent(parts []uint64, age time.Duration) *wire.PartEvent {
+	return &wire.PartEvent{Parts: parts, AgeMs: uint32(age.Milliseconds()) + 1}
+}
 
 // Apply applies events of other entries.
 func (t *Tracker) Apply(events []*wire.PartEvent) {
@@ -41,10 +80,12 @@
 	return t.eventsOf(func(*report) bool { return true })
 }
 
-// OwnEvents returns the events of the latest reports of this entry's own requests.
+// OwnEvents returns the events of the latest reports of this entry's own requests, and of
+// the clearings by its answers. They are repeated, as the first telling may have been lost.
 func (t *Tracker) OwnEvents() []*wire.PartEvent {
 	now := t.now()
-	return t.eventsOf(func(r *report) bool { return r.own && now.Sub(r.at) < repeatedFor })
+	reports := t.eventsOf(func(r *report) bool { return r.own && now.Sub(r.at) < repeatedFor })
+	return append(reports, t.ownClearings()...)
 }
 
 // EventsOf returns what is known of the parts: the events of the reports that hold one of
@@ -57,7 +98,7 @@
 	defer t.mu.Unlock()
 	for _, p := range parts {
 		if at, known := t.sound.get(p); known {
-			events = append(events, &wire.PartEvent{Parts: []uint64{p}, AgeMs: uint32(t.now().Sub(at).Milliseconds()) + 1})
+			events = append(events, soundEvent([]uint64{p}, t.now().Sub(at)))
 		}
 	}
 	return events
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -80,6 +80,7 @@
 	// quarantined holds those of the suspects that are quarantined.
 	quarantined map[uint64]*suspect
 	reports     []*report       // the oldest first
+	clearings   []*clearing     // by answers of this entry that went on, the oldest first
 	sound       *history        // when an answer last went on, by part
 	ended       *history        // when an endpoint ended, by its key
 	heard       *history        // when a report was heard, by its hash
@@ -224,6 +225,7 @@
 		return
 	}
 	if cleared := t.clear(parts, now); len(cleared) > 0 {
+		t.rememberClearing(&clearing{parts: cleared, at: now})
 		t.publish([]*wire.PartEvent{{Parts: cleared}})
 	}
 }
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -175,6 +175,28 @@
 
 // What the entries tell each other must lead to the same belief, in any order and when it
 // is told twice.
+// Guards against a clearing that an entry never learns, since it is told once and a link was
+// closed at that moment.
+func TestClearingThatWasLostIsToldAgain(t *testing.T) {
+	from, c := newTestTracker()
+	to := NewTracker(func() monotonic.Time { return c.now })
+	end(from, c, 1, "part")
+	to.Apply(from.OwnEvents())
+	from.RecordSound(Keys(service, []string{"part"})) // nobody hears it
+	if got := standing(to, "part"); got != Unclear {
+		t.Fatalf("standing %v of a part that is not known to be cleared", got)
+	}
+	c.advance(time.Second)
+	to.Apply(from.OwnEvents())
+	if got := standing(to, "part"); got != Clear {
+		t.Errorf("standing %v after the entry's events were told again", got)
+	}
+	c.advance(repeatedFor)
+	if events := from.OwnEvents(); len(events) > 0 {
+		t.Errorf("%d events are told for good", len(events))
+	}
+}
+
 func TestEntriesAgreeWhateverTheOrderOfEvents(t *testing.T) {
 	seen, c := newTestTracker()
 	var events []*wire.PartEvent
