Don't take an old group for a new one when a replica starts again

Operators could see: changes refused with "the new control group does not have all its voters yet" for 8 s after the leader's replica was opened again, in a group that had lost a voter and had been in use for long.

Cause: a process that may create a group refuses changes for 8 s after each start while there are fewer voters than processes with a disk.

A replica whose folder already names MinVoters voters belongs to no new group. A group with fewer, which a single disk may still end, is guarded as before.

--- a/role/host/control.go
+++ b/role/host/control.go
@@ -86,10 +86,13 @@
 	return r, nil
 }
 
+// newService creates the control plane. A group that had enough voters when this process
+// opened its replica is no new one, even if it has lost some since.
 func newService(p *hostconfig.Process, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, r *replica.Replica, m *catalogue.Machine, links *mesh.Mesh,
 	store *statecache.Store, dir *directory.Directory, absent *absences, pool *link.Pool, registry *metrics.Registry) *controlplane.Service {
+	established := r != nil && countVoters(r.Status().Members) >= reloadable.Get().Bounds.MinVoters()
 	bootstrapVoters := func() int {
-		if !p.Found {
+		if !p.Found || established {
 			return 0
 		}
 		return max(reloadable.Get().Bounds.MinVoters(), 1+len(otherVoters(dir, record.Address)))
@@ -110,6 +113,16 @@
 	})
 }
 
+// countVoters returns the number of voters in a member list.
+func countVoters(members []*wire.Member) (voters int) {
+	for _, m := range members {
+		if !m.Learner && !m.Removed {
+			voters++
+		}
+	}
+	return voters
+}
+
 // otherVoters returns the addresses of the other processes with a replica.
 func otherVoters(dir *directory.Directory, self string) []string {
 	var addresses []string
--- a/role/host/diskfull_test.go
+++ b/role/host/diskfull_test.go
@@ -65,6 +65,7 @@
 // limitedFleet is a fleet of three control processes whose disks a test can fill.
 type limitedFleet struct {
 	*fakePlatform
+	hosts   int
 	version int
 	stops   [5]int // of each host's replica
 }
@@ -72,7 +73,7 @@
 func startLimitedFleet(t *testing.T, hosts int) *limitedFleet {
 	t.Helper()
 	t.Parallel()
-	f := &limitedFleet{fakePlatform: newFakePlatform(t)}
+	f := &limitedFleet{fakePlatform: newFakePlatform(t), hosts: hosts}
 	f.pipedLogs = true
 	for n := 1; n <= hosts; n++ {
 		f.start("control", n, true, true)
@@ -138,7 +139,7 @@
 	f := startLimitedFleet(t, 4)
 	others := func() string { return f.log("control1") + f.log("control2") + f.log("control3") }
 	voters := func() int { return strings.Count(others(), "becomes a voter") }
-	f.await("four voters", func() bool { return voters()+f.countLines("control4", "becomes a voter") == 3 })
+	f.await("four voters", func() bool { return f.countAll("becomes a voter") == 3 })
 	before := voters()
 	f.fill(4)
 	f.await("the voter is removed", func() bool { return strings.Contains(others(), "A voter that was replaced is removed.") })
@@ -160,7 +161,7 @@
 	if err := os.RemoveAll(filepath.Join(f.folder, "data-control3")); err != nil {
 		t.Fatal(err)
 	}
-	created := f.countCreated()
+	created := f.countAll("A new control group is founded.")
 	f.startFull = true
 	f.start("control", 1, true, true)
 	f.start("control", 2, true, true)
@@ -175,7 +176,7 @@
 	for n := 1; n <= 3; n++ {
 		f.await("every host has the configuration of before", func() bool { return f.read(n) })
 	}
-	if now := f.countCreated(); now != created {
+	if now := f.countAll("A new control group is founded."); now != created {
 		t.Errorf("%d groups were created beside the first one", now-created)
 	}
 	f.change(3)
@@ -187,17 +188,9 @@
 	return status == 200 && text == configuration(f.version, `"key"`)
 }
 
-// countCreated returns the number of control groups that were created.
-func (f *limitedFleet) countCreated() (created int) {
-	for n := 1; n <= 3; n++ {
-		created += f.countLines(fmt.Sprintf("control%d", n), "A new control group is founded.")
-	}
-	return created
-}
-
 func TestFirstStartsOnFullDisksEndInOneGroup(t *testing.T) {
 	t.Parallel()
-	f := &limitedFleet{fakePlatform: newFakePlatform(t)}
+	f := &limitedFleet{fakePlatform: newFakePlatform(t), hosts: 3}
 	f.pipedLogs, f.startFull = true, true
 	for n := 1; n <= 3; n++ {
 		f.start("control", n, true, true)
@@ -207,7 +200,7 @@
 		f.free(n)
 	}
 	f.change(2)
-	if created := f.countCreated(); created != 1 || len(f.temporaryFiles()) != 0 {
+	if created := f.countAll("A new control group is founded."); created != 1 || len(f.temporaryFiles()) != 0 {
 		t.Errorf("%d groups were created, temporary files: %q", created, f.temporaryFiles())
 	}
 }
@@ -256,3 +249,29 @@
 	}
 	p.await("the goroutines end", func() bool { return runtime.NumGoroutine() < before+rounds })
 }
+
+func TestReplicaThatStartsAgainDoesNotTakeItsGroupForANewOne(t *testing.T) {
+	f := startLimitedFleet(t, 4)
+	f.await("four voters", func() bool { return f.countAll("becomes a voter") == 3 })
+	f.stop("control4", syscall.SIGKILL)
+	f.await("a voter is removed", func() bool { return f.countAll("A voter that was replaced is removed.") > 0 })
+	const refused = "does not have all its voters yet"
+	before := f.countAll(refused)
+	for range 2 {
+		for n := 1; n <= 3; n++ {
+			f.fill(n)
+			f.free(n)
+		}
+	}
+	if now := f.countAll(refused); now != before {
+		t.Errorf("%d changes of an old group were refused as if it were new", now-before)
+	}
+}
+
+// countAll returns how often the logs of all hosts have a message.
+func (f *limitedFleet) countAll(message string) (lines int) {
+	for n := 1; n <= f.hosts; n++ {
+		lines += f.countLines(fmt.Sprintf("control%d", n), message)
+	}
+	return lines
+}
