--- a/coordination/controlplane/attempts.go
+++ b/coordination/controlplane/attempts.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -47,14 +48,26 @@
 
 // String says what the process has answered, and when.
 func (a *attempt) String() string {
+	who := a.address
+	if a.renews != nil {
+		who += " on a new connection"
+	}
 	if a.reply == nil {
-		return fmt.Sprintf("%s no answer for %d ms", a.address, time.Since(a.began).Milliseconds())
+		return fmt.Sprintf("%s no answer for %d ms", who, time.Since(a.began).Milliseconds())
 	}
-	what := "answered"
-	if a.reply.err != nil {
-		what = string(fault.KindOf(a.reply.err))
+	return fmt.Sprintf("%s %s after %d ms", who, a.reply.outcome(), a.reply.took.Milliseconds())
+}
+
+// outcome names the result of a call for a log line, with the cause if it got no answer.
+func (r *reply) outcome() string {
+	kind := fault.KindOf(r.err)
+	switch {
+	case r.err == nil:
+		return "answered"
+	case kind == fault.OutcomeUnknown && r.answer == nil:
+		return fmt.Sprintf("%s (%.80s)", kind, errors.Unwrap(r.err))
 	}
-	return fmt.Sprintf("%s %s after %d ms", a.address, what, a.reply.took.Milliseconds())
+	return string(kind)
 }
 
 // attempts are the calls to processes that a hedged call has made, in their order.
--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -25,10 +25,13 @@
 // leaderCandidates returns the addresses to call: the leader that this process's replica
 // knows, if it has one, then the other processes with a replica, the most recently heard
 // first.
-func (s *Service) leaderCandidates() []string {
+func (s *Service) leaderCandidates() []string { return s.candidates(s.knownLeaderAddress()) }
+
+// candidates returns the addresses to call if leader is the one of the known leader, empty
+// if none is known.
+func (s *Service) candidates(leader string) []string {
 	addresses := s.peerAddresses()
 	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(s.timeSinceHeard(a), s.timeSinceHeard(b)) })
-	leader := s.knownLeaderAddress()
 	if leader == "" {
 		return addresses
 	}
@@ -173,10 +176,10 @@
 	}
 }
 
-// retireSilent retires the connections to processes that have not answered for hedgeDelay.
+// retireSilent retires the connections on which processes have not answered for hedgeDelay.
 func (h *hedgedCall) retireSilent() {
 	for _, a := range h.attempts {
-		if a.isSilent() {
+		if a.isSilent() && !a.renewed {
 			h.service.retire(a)
 		}
 	}
@@ -188,7 +191,7 @@
 	if a.conn == nil {
 		return
 	}
-	s.logger.RateLimitedWarn("retire").Str("address", a.address).Dur("silence", time.Since(a.began)).
+	s.logger.RateLimitedWarn("retire "+a.address).Str("address", a.address).Dur("silence", time.Since(a.began)).
 		Msg("A process did not answer, so the connection to it is replaced.")
 	s.connections.Retire(a.address, a.conn)
 }
--- a/coordination/controlplane/forward_test.go
+++ b/coordination/controlplane/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -46,8 +47,9 @@
 // fakeConns holds a connection to each address. Connections that were retired are replaced
 // by ones to a process that leads.
 type fakeConns struct {
-	mu    sync.Mutex
-	conns map[string]*fakeConn
+	mu      sync.Mutex
+	conns   map[string]*fakeConn
+	retired map[string]int // by address
 }
 
 func (f *fakeConns) Connection(address string) (grpc.ClientConnInterface, error) {
@@ -59,6 +61,10 @@
 func (f *fakeConns) Retire(address string, conn grpc.ClientConnInterface) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.retired == nil {
+		f.retired = make(map[string]int)
+	}
+	f.retired[address]++
 	switch f.conns[address].behaviour {
 	case dead:
 		f.conns[address] = &fakeConn{behaviour: leads}
@@ -124,6 +130,22 @@
 	}
 }
 
+// Guards against dead connections that later calls use, as the call that met them ended.
+func TestConnectionsThatAreSilentAtTheEndOfACallAreRetired(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		conns := &fakeConns{conns: map[string]*fakeConn{"a": {behaviour: silent}, "b": {behaviour: slowLead}, "c": {behaviour: follows}}}
+		s := New(Options{Connections: conns})
+		ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+		defer cancel()
+		if _, err := s.callHedged(ctx, []string{"c", "a", "b"}, read); err != nil {
+			t.Error(err)
+		}
+		if conns.retired["a"] != 2 || conns.retired["c"] != 0 {
+			t.Errorf("connections were retired %v times, want both to the silent process and none to the one that answered", conns.retired)
+		}
+	})
+}
+
 // Guards against calls that are refused, or fail, as long as this process's own replica
 // knows no leader or a wrong one, while the group has one.
 func TestProcessWhoseReplicaKnowsNoLeaderAsksTheOthers(t *testing.T) {
@@ -174,4 +196,7 @@
 	if len(got) != 3 || got[0] != "fresh" || got[1] != "old" || got[2] != "gone" {
 		t.Errorf("processes are called in the order %q", got)
 	}
+	if got := s.candidates("old"); !slices.Equal(got, []string{"old", "fresh", "gone"}) {
+		t.Errorf("with a known leader processes are called in the order %q", got)
+	}
 }
--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -128,6 +128,7 @@
 	}
 	wasLeader := false
 	for s.waitForConfirmation(ctx) {
+		s.reportStandstill()
 		status := s.replica.Status()
 		if status.IsLeader != wasLeader {
 			wasLeader = status.IsLeader
@@ -376,7 +377,9 @@
 		err := fault.New(fault.NotLeader, "this process does not lead the control group").WithRetryAfter(confirmInterval)
 		return &wire.SteeringAnswer{Failure: fault.ToWire(err)}, nil
 	}
+	began := time.Now()
 	answer, err := f()
+	s.service.reportSlowCall(time.Since(began), err)
 	if err != nil {
 		return &wire.SteeringAnswer{Failure: fault.ToWire(err)}, nil
 	}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -141,6 +141,7 @@
 	SnapshotIndex   uint64
 	Members         []*wire.Member // in effect, perhaps not committed yet; includes removed members
 	LeaderSince     time.Time      // when this replica first saw the current leader in its term
+	PublishedAt     time.Time      // when this status was published
 	Joined          bool           // an applied member list contains this replica, at its address or as removed
 }
 
@@ -342,6 +343,7 @@
 		FirstIndex:      s.FirstIndex,
 		SnapshotIndex:   s.SnapshotIndex,
 		Members:         s.Members,
+		PublishedAt:     time.Now(),
 		Joined:          r.joined(s.Applied),
 	}
 	for _, m := range s.Members {
