--- a/coordination/configsync/follower_test.go
+++ b/coordination/configsync/follower_test.go
@@ -5,10 +5,10 @@
 	"errors"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // fakePeer holds each poll for the time that the request allows, and then confirms the
@@ -43,7 +43,7 @@
 func TestLoopsPollDifferentPeersAfterAFailure(t *testing.T) {
 	for count := 2; count <= 5; count++ {
 		for away := range 2 {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
 				fakes := make([]*fakePeer, count)
 				peers := make([]Peer, count)
 				for i := range fakes {
--- a/coordination/rendezvous/ask_test.go
+++ b/coordination/rendezvous/ask_test.go
@@ -4,8 +4,9 @@
 	"context"
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 const (
@@ -17,7 +18,7 @@
 // against such callers hiding a silent one.
 func TestCallFailsOnlyAfterItsOwnTime(t *testing.T) {
 	for answersAfter, want := range map[time.Duration]error{limit / 2: nil, 2 * limit: context.DeadlineExceeded} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), hasLeft)
 			defer cancel()
 			began, ended := time.Now(), make(chan error, 1)
--- a/coordination/replica/slowdisk_test.go
+++ b/coordination/replica/slowdisk_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/state/wal"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // slowDisk is a disk whose syncs take the time that links hold for its replica.
@@ -38,7 +38,7 @@
 func TestGroupCommitsOnceDiskThatBlockedGoesOn(t *testing.T) {
 	const blocked = 5 * time.Second
 	for _, ofLeader := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, func(t *testing.T) {
 			links := startVirtual(t, Options{}, 3)
 			leader := links.leader()
 			others := links.others(leader)
--- a/role/host/silentcaller_test.go
+++ b/role/host/silentcaller_test.go
@@ -6,8 +6,9 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // pipeListener accepts one connection and then waits until it is closed.
@@ -44,7 +45,7 @@
 		"in a body left over": "POST /unread HTTP/1.1\r\nHost: control\r\nContent-Length: 1000\r\n\r\nhalf",
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testSilentCall(t, call) })
+			bubble.Run(t, func(t *testing.T) { testSilentCall(t, call) })
 		})
 	}
 }
--- a/transport/callerhttp/silence_test.go
+++ b/transport/callerhttp/silence_test.go
@@ -5,10 +5,10 @@
 	"net"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // pipeListener accepts one connection and then waits until it is closed.
@@ -39,7 +39,7 @@
 // Guards against callers that have gone silent and hold the memory of their answers for
 // good, of which all requests of the entry share one budget.
 func TestAnswerThatIsNotReadIsGivenUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		listener := &pipeListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
 		written := make(chan struct{})
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/transport/link/halfopen_test.go
+++ b/transport/link/halfopen_test.go
@@ -5,10 +5,10 @@
 	"net"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/test/bufconn"
@@ -44,7 +44,7 @@
 // Guards against streams of peers that are gone without closing them, which hold their
 // goroutines and memory for good.
 func TestServerEndsStreamsOfSilentPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		listener := bufconn.Listen(1 << 16)
 		server, gates := NewServer(Security{}), &countingServer{}
 		wire.RegisterGateServer(server, gates)
