Count refusals of an old group only after each process's first start is over

On a busy machine (load 40) a process at its first start, which must refuse while a new group lacks voters, led within 8 s of it: "27 changes of an old group were refused as if it were new".

--- a/role/host/diskfull_test.go
+++ b/role/host/diskfull_test.go
@@ -255,14 +255,16 @@
 	f.await("four voters", func() bool { return f.countAll("becomes a voter") == 3 })
 	f.stop("control4", syscall.SIGKILL)
 	f.await("a voter is removed", func() bool { return f.countAll("A voter that was replaced is removed.") > 0 })
-	const refused = "does not have all its voters yet"
-	before := f.countAll(refused)
-	for range 2 {
+	fillAll := func() {
 		for n := 1; n <= 3; n++ {
 			f.fill(n)
 			f.free(n)
 		}
 	}
+	fillAll() // so that no process is at its first start
+	const refused = "does not have all its voters yet"
+	before := f.countAll(refused)
+	fillAll()
 	if now := f.countAll(refused); now != before {
 		t.Errorf("%d changes of an old group were refused as if it were new", now-before)
 	}
