Wait in tests for removals of voters that did not fail

TestReplacedControlHostDoesNotCountForTheQuorum took the line of a failed removal for a removal and killed a second of four voters, after which no quorum was left: "timed out waiting until a configuration is accepted", beside other work (load 40), with the line "error":"not_leader: [...]","message":"A voter that was replaced is removed." It waits for a line without an error now, which is stricter; the new tests do the same.

--- a/role/host/diskfull_test.go
+++ b/role/host/diskfull_test.go
@@ -142,7 +142,7 @@
 	f.await("four voters", func() bool { return f.countAll("becomes a voter") == 3 })
 	before := voters()
 	f.fill(4)
-	f.await("the voter is removed", func() bool { return strings.Contains(others(), "A voter that was replaced is removed.") })
+	f.await("the voter is removed", func() bool { return strings.Contains(others(), voterRemoved) })
 	f.change(4)
 	f.free(4)
 	f.awaitStop(4) // as it was removed
@@ -254,7 +254,7 @@
 	f := startLimitedFleet(t, 4)
 	f.await("four voters", func() bool { return f.countAll("becomes a voter") == 3 })
 	f.stop("control4", syscall.SIGKILL)
-	f.await("a voter is removed", func() bool { return f.countAll("A voter that was replaced is removed.") > 0 })
+	f.await("a voter is removed", func() bool { return f.countAll(voterRemoved) > 0 })
 	fillAll := func() {
 		for n := 1; n <= 3; n++ {
 			f.fill(n)
--- a/role/host/host_test.go
+++ b/role/host/host_test.go
@@ -11,6 +11,9 @@
 	"testing"
 )
 
+// voterRemoved is the end of the log line of a voter's removal that did not fail.
+const voterRemoved = `"error":null,"message":"A voter that was replaced is removed."`
+
 // startFleet starts three control processes, two entries and two endpoints, and waits
 // until they serve a first configuration.
 func startFleet(t *testing.T) (p *fakePlatform, first, second *fakeEndpoint) {
@@ -198,7 +201,7 @@
 	p.start("control", 5, true, false)
 	p.await("the new host is a voter and the old one is removed", func() bool {
 		log := p.log("control2") + p.log("control3")
-		return strings.Contains(log, "becomes a voter") && strings.Contains(log, "was replaced is removed")
+		return strings.Contains(log, "becomes a voter") && strings.Contains(log, voterRemoved)
 	})
 	p.stop("control2", syscall.SIGKILL)
 	p.putConfiguration(3, configuration(20, `"key"`))
