--- a/transport/controllink/client.go
+++ b/transport/controllink/client.go
@@ -13,8 +13,6 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -129,15 +127,6 @@
 // own time has run out.
 func callReplica[T any](ctx context.Context, c *Client, address string, timeout time.Duration, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
 	return rendezvous.Ask(ctx, timeout, func(ctx context.Context) (T, error) {
-		conn, err := c.pool.Get(address)
-		if err != nil {
-			var none T
-			return none, err
-		}
-		response, err := call(ctx, conn)
-		if status.Code(err) == codes.DeadlineExceeded {
-			c.pool.Replace(address, conn) // the connection may be dead
-		}
-		return response, err
+		return link.Call(c.pool, address, func(conn *grpc.ClientConn) (T, error) { return call(ctx, conn) })
 	})
 }
--- a/transport/controllink/config.go
+++ b/transport/controllink/config.go
@@ -6,6 +6,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
@@ -57,13 +58,7 @@
 
 // Sync implements configsync.Peer.
 func (p *ConfigPeer) Sync(ctx context.Context, request *wire.SyncRequest) (*wire.SyncResponse, error) {
-	conn, err := p.pool.Get(p.address)
-	if err != nil {
-		return nil, err
-	}
-	response, err := wire.NewConfigClient(conn).Sync(ctx, request)
-	if status.Code(err) == codes.DeadlineExceeded {
-		p.pool.Replace(p.address, conn) // the connection may be dead
-	}
-	return response, err
+	return link.Call(p.pool, p.address, func(conn *grpc.ClientConn) (*wire.SyncResponse, error) {
+		return wire.NewConfigClient(conn).Sync(ctx, request)
+	})
 }
--- a/transport/permitlink/permitlink.go
+++ b/transport/permitlink/permitlink.go
@@ -7,8 +7,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/permits"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
+	"google.golang.org/grpc"
 )
 
 // Server answers the requests of other entries. It implements wire.PermitsServer.
@@ -29,14 +28,8 @@
 // connections.
 func NewAsk(pool *link.Pool) permits.Ask {
 	return func(ctx context.Context, address string, q *wire.PermitRequest) (*wire.PermitResponse, error) {
-		conn, err := pool.Get(address)
-		if err != nil {
-			return nil, err
-		}
-		response, err := wire.NewPermitsClient(conn).Take(ctx, q)
-		if status.Code(err) == codes.DeadlineExceeded {
-			pool.Replace(address, conn) // the connection may be dead
-		}
-		return response, err
+		return link.Call(pool, address, func(conn *grpc.ClientConn) (*wire.PermitResponse, error) {
+			return wire.NewPermitsClient(conn).Take(ctx, q)
+		})
 	}
 }
--- a/transport/triallink/triallink.go
+++ b/transport/triallink/triallink.go
@@ -8,8 +8,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
+	"google.golang.org/grpc"
 )
 
 // Server answers the calls of other entries. It implements wire.TrialsServer.
@@ -41,30 +40,15 @@
 
 // Take implements quarantine.Calls.
 func (c *Calls) Take(ctx context.Context, address string, q *wire.TrialRequest) (*wire.TrialResponse, error) {
-	var response *wire.TrialResponse
-	err := c.call(address, func(client wire.TrialsClient) (err error) {
-		response, err = client.Take(ctx, q)
-		return err
+	return link.Call(c.pool, address, func(conn *grpc.ClientConn) (*wire.TrialResponse, error) {
+		return wire.NewTrialsClient(conn).Take(ctx, q)
 	})
-	return response, err
 }
 
 // End implements quarantine.Calls.
 func (c *Calls) End(ctx context.Context, address string, q *wire.TrialEnd) error {
-	return c.call(address, func(client wire.TrialsClient) error {
-		_, err := client.End(ctx, q)
-		return err
+	_, err := link.Call(c.pool, address, func(conn *grpc.ClientConn) (*wire.TrialEnded, error) {
+		return wire.NewTrialsClient(conn).End(ctx, q)
 	})
-}
-
-func (c *Calls) call(address string, call func(wire.TrialsClient) error) error {
-	conn, err := c.pool.Get(address)
-	if err != nil {
-		return err
-	}
-	err = call(wire.NewTrialsClient(conn))
-	if status.Code(err) == codes.DeadlineExceeded {
-		c.pool.Replace(address, conn) // the connection may be dead
-	}
 	return err
 }
