--- a/role/host/silentcaller_test.go
+++ b/role/host/silentcaller_test.go
@@ -11,31 +11,6 @@
 	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
-// pipeListener accepts one connection and then waits until it is closed.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-}
-
-// Accept implements net.Listener.
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *pipeListener) Close() error {
-	close(l.closed)
-	return nil
-}
-
-// Addr implements net.Listener.
-func (*pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // Guards against calls of operators, endpoints and checks whose other end has gone silent
 // and that hold a goroutine, a descriptor and up to a whole configuration for good.
 func TestSilentCallsAreGivenUp(t *testing.T) {
@@ -52,7 +27,6 @@
 
 func testSilentCall(t *testing.T, call string) {
 	const answer = 1 << 20
-	listener := &pipeListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
 	ended := make(chan struct{})
 	server := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == "/unread" {
@@ -66,9 +40,8 @@
 			close(ended)
 		}
 	}
-	go func() { _ = server.Serve(listener) }() // ends when the server is closed
 	near, far := net.Pipe()
-	listener.conns <- far
+	go func() { _ = server.Serve(bubble.Listen(far)) }() // ends when the server is closed
 	if _, err := io.WriteString(near, call); err != nil {
 		t.Fatal(err)
 	}
