Give each listener of a test a loopback address of its own

Cause: the endpoint takes one text for each request that reaches its port, and another client's request had taken this one's. Ports of closed listeners are given out again by the kernel, and gRPC clients of other tests go on calling theirs. The transport doesn't send an attempt twice: each has a connection of its own.

Change: loopback.Listen gives each listener one of 16 million addresses, so that a client of an earlier one can't reach it. Test beds and proxies use it, and so do kept ports.

--- a/coordination/replica/cluster_test.go
+++ b/coordination/replica/cluster_test.go
@@ -81,7 +81,7 @@
 
 func (c *cluster) create(n int) {
 	for range n {
-		kept := loopback.KeepFor(c.t, "127.0.0.1")
+		kept := loopback.KeepFor(c.t)
 		c.peers = append(c.peers, kept.Address())
 		c.nodes = append(c.nodes, &node{port: kept, folder: c.t.TempDir()})
 	}
--- a/coordination/replica/transport_test.go
+++ b/coordination/replica/transport_test.go
@@ -33,7 +33,7 @@
 	n := c.nodes[2]
 	id := n.replica.ID()
 	n.stop()
-	n.port = loopback.KeepFor(t, "127.0.0.1")
+	n.port = loopback.KeepFor(t)
 	c.start(2)
 	c.eventually("the member list contains the new address", func() bool {
 		l := c.leader()
--- a/ctl/call_test.go
+++ b/ctl/call_test.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"strings"
 	"sync"
 	"testing"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -48,10 +48,7 @@
 
 func startLossyReplica(t *testing.T) (*lossyReplica, string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := loopback.Listen(t)
 	f := &lossyReplica{applied: make(map[string]bool)}
 	server := grpc.NewServer()
 	wire.RegisterOperatorServer(server, f)
--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -122,10 +121,7 @@
 	wire.RegisterOrderReportsServer(server, peers)
 	wire.RegisterAnnounceServer(server, peers)
 	wire.RegisterConfigServer(server, controllink.NewConfigServer(store, nil))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := loopback.Listen(t)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 	go func() {
--- a/role/control/cluster_test.go
+++ b/role/control/cluster_test.go
@@ -75,7 +75,7 @@
 // addNode adds a replica that is not started yet. The test keeps its port over restarts.
 func (c *cluster) addNode(folder string) *node {
 	c.t.Helper()
-	port := loopback.KeepFor(c.t, "127.0.0.1")
+	port := loopback.KeepFor(c.t)
 	n := &node{address: port.Address(), port: port, folder: folder}
 	c.nodes = append(c.nodes, n)
 	return n
--- a/role/entry/testbed_test.go
+++ b/role/entry/testbed_test.go
@@ -14,14 +14,12 @@
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 )
 
 func listen(t *testing.T) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := loopback.Listen(t)
 	return l
 }
 
--- a/transport/controllink/silence_test.go
+++ b/transport/controllink/silence_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/trials/faultproxy"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 )
 
@@ -36,10 +36,7 @@
 func startProxies(t *testing.T, register func(*grpc.Server)) (proxies []*faultproxy.Proxy, addresses []string) {
 	t.Helper()
 	for range replicas {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		listener := loopback.Listen(t)
 		server := link.NewServer(link.Security{})
 		register(server)
 		go func() { _ = server.Serve(listener) }() // ends when the server is stopped
--- a/transport/endpoint/client_test.go
+++ b/transport/endpoint/client_test.go
@@ -3,23 +3,19 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 // Guards against a response header without end filling the memory: the client must give it
 // up once it is far longer than any header, not when its caller loses patience.
 func TestEndlessHeadIsGivenUp(t *testing.T) {
 	const headBytes = 1 << 20
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
+	listener := loopback.Listen(t)
 	go func() {
 		for {
 			conn, err := listener.Accept()
--- a/transport/endpoint/cuthead_test.go
+++ b/transport/endpoint/cuthead_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 const (
@@ -34,11 +35,7 @@
 // or resets.
 func startCutter(t *testing.T, reset bool) (client *Client, next chan string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := loopback.Listen(t)
 	next = make(chan string, 1)
 	go func() {
 		for {
--- a/transport/gatelink/cuthead_test.go
+++ b/transport/gatelink/cuthead_test.go
@@ -13,6 +13,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
@@ -48,11 +49,7 @@
 // of bytes from the target.
 func startCutProxy(t *testing.T, target string, after int64, reset bool) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
+	l := loopback.Listen(t)
 	go func() {
 		for limit := after; ; limit = 1 << 40 {
 			client, err := l.Accept()
@@ -81,10 +78,7 @@
 // runCut runs an attempt at a gate whose first connection ends after some bytes.
 func runCut(t *testing.T, gate *wholeGate, after int64, reset bool) (text string, err error) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := loopback.Listen(t)
 	server := link.NewServer(link.Security{})
 	wire.RegisterGateServer(server, gate)
 	go func() { _ = server.Serve(l) }() // ends when it is stopped
--- a/transport/gatelink/links_test.go
+++ b/transport/gatelink/links_test.go
@@ -12,6 +12,7 @@
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 // proxy forwards TCP connections. A muted connection stays open and forwards nothing more;
@@ -30,10 +31,7 @@
 }
 
 func newProxy(t *testing.T, target string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := loopback.Listen(t)
 	p := &proxy{listener: l, target: target}
 	go p.accept()
 	t.Cleanup(func() { _ = l.Close(); p.forEach(func(c *proxiedConn) { c.close() }) })
@@ -168,10 +166,7 @@
 	for name, damage := range damages {
 		t.Run(name, func(t *testing.T) {
 			gate := &countingGate{}
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
+			l := loopback.Listen(t)
 			server := link.NewServer(link.Security{})
 			wire.RegisterGateServer(server, gate)
 			go func() { _ = server.Serve(l) }()
@@ -204,10 +199,7 @@
 // gRPC does not send an attempt again when its connection breaks while the attempt is in
 // transit to the gate.
 func TestAttemptIsNeverResent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := loopback.Listen(t)
 	gate := &countingGate{}
 	server := link.NewServer(link.Security{})
 	wire.RegisterGateServer(server, gate)
--- a/transport/gatereport/silence_test.go
+++ b/transport/gatereport/silence_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/trials/faultproxy"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 const (
@@ -54,10 +54,7 @@
 // Guards against a gate whose reports an entry no longer gets because the connection has
 // fallen silent: the entry would choose other endpoints for good.
 func TestReportsGoOnAfterASilentConnection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := loopback.Listen(t)
 	e := &entry{sequences: make(chan uint64, 1000)}
 	server := link.NewServer(link.Security{})
 	wire.RegisterAnnounceServer(server, e)
--- a/transport/link/recover_test.go
+++ b/transport/link/recover_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -24,10 +24,7 @@
 func (panickingServer) Exchange(wire.Mesh_ExchangeServer) error { panic("unexpected") }
 
 func TestHandlerPanicEndsOnlyItsCall(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := loopback.Listen(t)
 	server := NewServer(Security{})
 	wire.RegisterOperatorServer(server, panickingServer{})
 	wire.RegisterMeshServer(server, panickingServer{})
--- a/transport/link/security_test.go
+++ b/transport/link/security_test.go
@@ -9,13 +9,13 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 // authority signs the certificates of one fleet.
@@ -66,10 +66,7 @@
 // callConfig serves Config under the server's security and calls it under the client's.
 func callConfig(t *testing.T, server, client Security) error {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := loopback.Listen(t)
 	s := NewServer(server)
 	wire.RegisterConfigServer(s, configServer{})
 	go func() { _ = s.Serve(listener) }()
--- a/transport/link/silence_test.go
+++ b/transport/link/silence_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/trials/faultproxy"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 const (
@@ -39,10 +39,7 @@
 // serveBehindProxy starts a server and a proxy to it.
 func serveBehindProxy(t *testing.T) *faultproxy.Proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := loopback.Listen(t)
 	server := NewServer(Security{})
 	wire.RegisterGateServer(server, echoServer{})
 	go func() { _ = server.Serve(listener) }() // ends when the server is stopped
--- a/transport/mesh/delivery_test.go
+++ b/transport/mesh/delivery_test.go
@@ -58,9 +58,9 @@
 	record := func(name string, incarnation uint64) *wire.ProcessRecord {
 		return &wire.ProcessRecord{Name: name, Incarnation: incarnation, Entry: true}
 	}
-	a = startAt(t, loopback.KeepFor(t, "127.0.0.1"), record("a", 1))
-	b = startAt(t, loopback.KeepFor(t, "127.0.0.2"), record("b", 2), a.address)
-	c = startAt(t, loopback.KeepFor(t, "127.0.0.3"), record("c", 3), a.address)
+	a = startAt(t, loopback.KeepFor(t), record("a", 1))
+	b = startAt(t, loopback.KeepFor(t), record("b", 2), a.address)
+	c = startAt(t, loopback.KeepFor(t), record("c", 3), a.address)
 	waitUntil(t, "all links are up", func() bool { return a.mesh.Stats().LinksUp == 2 && a.mesh.Stats().LinksByRole["near"] == 2 })
 	return a, b, c
 }
@@ -108,11 +108,11 @@
 
 // Guards against an acknowledgement by a process that has no link to anybody.
 func TestDeliveryFailsWithoutLinks(t *testing.T) {
-	alone := startAt(t, loopback.KeepFor(t, "127.0.0.1"), &wire.ProcessRecord{Name: "alone", Incarnation: 1}, "127.0.0.9:1")
+	alone := startAt(t, loopback.KeepFor(t), &wire.ProcessRecord{Name: "alone", Incarnation: 1}, "127.0.0.9:1")
 	if err := alone.mesh.AwaitDelivery(t.Context()); fault.KindOf(err) != fault.OutcomeUnknown {
 		t.Errorf("a process that reaches no seed: %v", err)
 	}
-	only := startAt(t, loopback.KeepFor(t, "127.0.0.2"), &wire.ProcessRecord{Name: "only", Incarnation: 2})
+	only := startAt(t, loopback.KeepFor(t), &wire.ProcessRecord{Name: "only", Incarnation: 2})
 	if err := only.mesh.AwaitDelivery(t.Context()); err != nil {
 		t.Errorf("a fleet of one process: %v", err)
 	}
--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -75,7 +75,7 @@
 
 func start(t *testing.T, name string, incarnation uint64, seeds ...string) *node {
 	t.Helper()
-	return startAt(t, loopback.KeepFor(t, "127.0.0.1"), &wire.ProcessRecord{Name: name, Incarnation: incarnation, Entry: true}, seeds...)
+	return startAt(t, loopback.KeepFor(t), &wire.ProcessRecord{Name: name, Incarnation: incarnation, Entry: true}, seeds...)
 }
 
 // startAt starts a process that listens on a port, and sets the address in its record.
@@ -193,7 +193,7 @@
 
 // Two processes whose only seed starts after them get their process lists from it.
 func TestProcessesDiscoverEachOtherThroughALateSeed(t *testing.T) {
-	port := loopback.KeepFor(t, "127.0.0.1")
+	port := loopback.KeepFor(t)
 	seed := port.Address()
 	first := start(t, "first", 1, seed)
 	second := start(t, "second", 2, seed)
@@ -212,7 +212,7 @@
 // The work of an entry is published to another entry, but not to the control process that
 // is the seed of both.
 func TestWorkIsPublishedToEntriesOnly(t *testing.T) {
-	control := startAt(t, loopback.KeepFor(t, "127.0.0.1"), &wire.ProcessRecord{Name: "control", Incarnation: 1})
+	control := startAt(t, loopback.KeepFor(t), &wire.ProcessRecord{Name: "control", Incarnation: 1})
 	one, other := start(t, "one", 2, control.address), start(t, "other", 3, control.address)
 	for _, n := range []*node{control, one, other} {
 		waitUntil(t, "all are known", func() bool { return len(n.directory.Processes()) == 3 })
@@ -236,7 +236,7 @@
 func TestRestartedProcessGetsAllWorkAtOnce(t *testing.T) {
 	a := start(t, "a", 1)
 	a.mesh.redialDelay = time.Hour
-	b := startAt(t, loopback.KeepFor(t, "127.0.0.1"), &wire.ProcessRecord{Name: "b", Incarnation: 2, Entry: true}, a.address)
+	b := startAt(t, loopback.KeepFor(t), &wire.ProcessRecord{Name: "b", Incarnation: 2, Entry: true}, a.address)
 	waitUntil(t, "they know each other", func() bool { return a.mesh.EntryCount() == 2 && b.mesh.EntryCount() == 2 })
 	a.directory.Announce(&wire.EndpointRecord{Id: "e1", BornMs: 1, Sequence: 1, Service: "s", Address: "10.0.0.1:80"})
 	a.scheduler.Choose(a.directory.Endpoints("s"), &placement.Request{
--- a/transport/mesh/relays_test.go
+++ b/transport/mesh/relays_test.go
@@ -38,7 +38,7 @@
 		for i := range fanout.MaxFullMeshProcesses + 1 {
 			incarnation++
 			record := &wire.ProcessRecord{Name: fmt.Sprintf("%s-%d", dataCentre, i), DataCentre: dataCentre, Incarnation: incarnation, Entry: true}
-			n := startWith(t, loopback.KeepFor(t, fmt.Sprintf("127.0.0.%d", incarnation)), record, func(address string) (*grpc.ClientConn, error) { return r.dial(dataCentre, address) }, seeds...)
+			n := startWith(t, loopback.KeepFor(t), record, func(address string) (*grpc.ClientConn, error) { return r.dial(dataCentre, address) }, seeds...)
 			r.mu.Lock()
 			r.dataCentreOf[n.address] = dataCentre
 			r.mu.Unlock()
@@ -278,7 +278,7 @@
 		return s
 	}
 	from.parts.RecordEnd("s", []string{"bad"}, 1, from.parts.Now(), nil)
-	late := startAt(t, loopback.KeepFor(t, "127.0.0.1"), &wire.ProcessRecord{Name: "late", Incarnation: 999, Entry: true, DataCentre: "b"}, from.address)
+	late := startAt(t, loopback.KeepFor(t), &wire.ProcessRecord{Name: "late", Incarnation: 999, Entry: true, DataCentre: "b"}, from.address)
 	all := append([]*node{late}, append(r.nodes["a"], r.nodes["b"]...)...)
 	for _, n := range all {
 		waitUntil(t, "the suspect is known", func() bool { return standing(n) == quarantine.Unclear })
--- a/transport/mesh/silence_test.go
+++ b/transport/mesh/silence_test.go
@@ -30,7 +30,7 @@
 		}
 		return link.Dial(address, link.Security{})
 	}
-	b = startWith(t, loopback.KeepFor(t, "127.0.0.2"), &wire.ProcessRecord{Name: "b", Incarnation: 2, Entry: true}, dial, a.address)
+	b = startWith(t, loopback.KeepFor(t), &wire.ProcessRecord{Name: "b", Incarnation: 2, Entry: true}, dial, a.address)
 	waitUntil(t, "they know each other", func() bool { return a.mesh.EntryCount() == 2 && b.mesh.EntryCount() == 2 })
 	b.directory.Announce(&wire.EndpointRecord{Id: "e1", BornMs: 1, Sequence: 1, Service: "s", Address: "10.0.0.1:80"})
 	b.scheduler.Choose(b.directory.Endpoints("s"), &placement.Request{
--- a/transport/permitlink/permitlink_test.go
+++ b/transport/permitlink/permitlink_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -11,16 +10,14 @@
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 const key = 7
 
 // An issuer that has never heard of a limit must learn it from the entry that asks.
 func TestIssuerLearnsTheLimitFromTheEntryThatAsks(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := loopback.Listen(t)
 	address := listener.Addr().String()
 	limits := placement.NewScheduler(time.Now)
 	processes := func() []*wire.ProcessRecord { return []*wire.ProcessRecord{{Address: address, Entry: true}} }
@@ -44,11 +41,7 @@
 
 // A connection that has gone silent must not be used for the next permit.
 func TestSilentConnectionIsReplaced(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections, never answers
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := loopback.Listen(t) // accepts connections, never answers
 	pool := link.NewPool(link.Security{})
 	t.Cleanup(pool.Close)
 	address := listener.Addr().String()
--- a/transport/triallink/silence_test.go
+++ b/transport/triallink/silence_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/trials/faultproxy"
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 const (
@@ -22,10 +22,7 @@
 // startPair returns the guard of an entry whose granter answers behind a proxy.
 func startPair(t *testing.T) (*quarantine.Guard, *faultproxy.Proxy) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := loopback.Listen(t)
 	proxy, err := faultproxy.New(listener.Addr().String(), 1)
 	if err != nil {
 		t.Fatal(err)
--- a/trials/faultproxy/proxy.go
+++ b/trials/faultproxy/proxy.go
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 // AcceptMode is what the proxy does with new connections.
@@ -51,10 +53,10 @@
 	closed     bool
 }
 
-// New starts a proxy to a target on a free loopback port. The seed determines the
+// New starts a proxy to a target on a loopback address of its own. The seed determines the
 // sequence of random delays.
 func New(target string, seed uint64) (*Proxy, error) {
-	return Listen("127.0.0.1:0", target, seed)
+	return Listen(net.JoinHostPort(loopback.UnusedHost(), "0"), target, seed)
 }
 
 // Listen starts a proxy to a target on the given address.
--- a/trials/faultproxy/proxy_test.go
+++ b/trials/faultproxy/proxy_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 const (
@@ -18,11 +20,7 @@
 // echoServer starts a server that sends back what it receives, and returns its address.
 func echoServer(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
+	listener := loopback.Listen(t)
 	go func() {
 		for {
 			conn, err := listener.Accept()
--- a/trials/loopback/kept.go
+++ b/trials/loopback/kept.go
@@ -15,43 +15,17 @@
 	server *serverListener // that listens now, nil for none
 }
 
-// Keep takes a free port of a loopback address, such as 127.0.0.1. The caller must call
-// Close.
-func Keep(host string) (*Kept, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return nil, err
-	}
-	k := &Kept{listener: listener}
-	go k.accept()
-	return k, nil
-}
-
-// Test is what KeepFor needs of a testing.TB, so that programs which reserve ports don't
-// import package testing.
-type Test interface {
-	Helper()
-	Fatal(args ...any)
-	Cleanup(f func())
-}
-
-// KeepFor takes a free port of a loopback address until the end of a test.
-func KeepFor(t Test, host string) *Kept {
+// KeepFor takes a port of an unused loopback address until the end of a test.
+func KeepFor(t Test) *Kept {
 	t.Helper()
-	kept, err := Keep(host)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = kept.Close() }) // nothing is left to be done on failure
-	return kept
+	k := &Kept{listener: Listen(t)}
+	go k.accept()
+	return k
 }
 
 // Address returns the address of the port.
 func (k *Kept) Address() string { return k.listener.Addr().String() }
 
-// Close gives the port back.
-func (k *Kept) Close() error { return k.listener.Close() }
-
 // Listen returns a listener for a server, in place of an earlier one. Closing it keeps the
 // port.
 func (k *Kept) Listen() net.Listener {
--- a/trials/loopback/kept_test.go
+++ b/trials/loopback/kept_test.go
@@ -9,7 +9,7 @@
 // Guards against a port that is given back while its server is restarted: nobody else may
 // listen on it, callers must be turned away meanwhile, and the next server gets the calls.
 func TestKeptPortIsNeverFree(t *testing.T) {
-	kept := KeepFor(t, "127.0.0.1")
+	kept := KeepFor(t)
 	for range 3 {
 		listener := kept.Listen()
 		go func() {
