Run the test of late requests in the grace in virtual time

Cause, from its log: the attempt was placed at 54.712, and after the 100 ms of the route's objective the request went to a second endpoint (54.813), for which the test has no answer. The first one answers at once, but the goroutine that asks it had not run for 100 ms of real time.

Change: the test runs in a bubble, where time passes only while all goroutines wait.

--- a/coordination/serve/stop_test.go
+++ b/coordination/serve/stop_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
 // A stopping entry refuses a request whose answer it would cut. Route "long" has an
@@ -47,20 +48,26 @@
 // its end: plain ones, and streams that can't go on elsewhere.
 func TestRequestThatMayOutliveTheGraceIsRefused(t *testing.T) {
 	for _, route := range []string{"once", "again", "stream-once"} {
-		for _, c := range []struct {
-			left   time.Duration // of 2 s that the request may take
-			status int
-		}{{1500 * time.Millisecond, 503}, {time.Minute, 200}} {
-			b := newTestbed(t, good(events(1, 3)))
-			b.server.StopAt(time.Now().Add(c.left))
-			g := b.serve(t.Context(), route)
-			if sent := len(b.sentAttempts()); g.status != c.status || (sent == 0) != (c.status == 503) {
-				t.Errorf("%s with %v left: %d after %d attempts, want %d", route, c.left, g.status, sent, c.status)
-			}
-			if g.status == 503 && g.fault.RetryAfter != stopRetryAfter {
-				t.Errorf("%s: Retry-After is %v", route, g.fault.RetryAfter)
-			}
-		}
+		bubble.Run(t, func(t *testing.T) {
+			testRefusalBeforeTheStop(t, route, 1500*time.Millisecond, 503) // of 2 s that the request may take
+			testRefusalBeforeTheStop(t, route, time.Minute, 200)
+		})
+	}
+}
+
+// testRefusalBeforeTheStop serves a request some time before the stop of its entry. It is sent
+// unless it is refused with a time.
+func testRefusalBeforeTheStop(t *testing.T, route string, left time.Duration, status int) {
+	t.Helper()
+	b := newTestbed(t, good(events(1, 3)))
+	b.setMaxStateAge(0)
+	b.server.StopAt(time.Now().Add(left))
+	g := b.serve(t.Context(), route)
+	if sent := len(b.sentAttempts()); g.status != status || (sent == 0) != (status == 503) {
+		t.Errorf("%s with %v left: %d after %d attempts, want %d", route, left, g.status, sent, status)
+	}
+	if g.status == 503 && g.fault.RetryAfter != stopRetryAfter {
+		t.Errorf("%s: Retry-After is %v", route, g.fault.RetryAfter)
 	}
 }
 
