Release memory reserved for a prompt whose endpoint is lost

Cause: an endpoint whose host loses power closes no connection, and a connection on which nothing is sent shows no loss. The attempt waited for its answer until the request's deadline, and its entry renewed the reservations all the while. The stall timeout of a long prompt is up to seven tenths of the time limit, and ends nothing while no other endpoint has room.

Change: an attempt with reservations ends once its endpoint is lost: another incarnation is known under its ID or at its address, or its announcements are overdue and it accepts no connection. The request then goes on elsewhere as after any failure. Other attempts wait as before.

--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -31,11 +31,6 @@
 	// silentRetention is how long an endpoint that is not gone is kept after its last
 	// announcement.
 	silentRetention = 2 * time.Minute
-	// gossipRecentWindow is how long a changed record is part of every gossip round.
-	gossipRecentWindow = 10 * time.Second
-	// gossipCycleRounds is the number of rounds in which each record that isn't part of
-	// every round is sent once.
-	gossipCycleRounds = 16
 	// refreshEvery: announcements that change nothing are published to the other
 	// processes only if their sequence number is a multiple of it. The others are
 	// merged here only.
@@ -73,6 +68,7 @@
 // for concurrent use.
 type Directory struct {
 	logger *logs.Logger
+	now    func() monotonic.Time
 
 	mu        sync.Mutex
 	processes map[string]*process    // by address
@@ -83,9 +79,13 @@
 }
 
 // New returns an empty directory.
-func New() *Directory {
+func New() *Directory { return NewWithClock(monotonic.Now) }
+
+// NewWithClock returns an empty directory that tells the time by a clock.
+func NewWithClock(now func() monotonic.Time) *Directory {
 	return &Directory{
 		logger:    logs.For("directory"),
+		now:       now,
 		processes: make(map[string]*process),
 		endpoints: make(map[string]*Endpoint),
 		byKey:     make(map[uint64]*Endpoint),
@@ -120,7 +120,7 @@
 	d.mu.Unlock()
 	r := &wire.EndpointRecord{Id: id, BornMs: bornMs}
 	if known != nil && (bornMs == 0 || bornMs == known.BornMs) {
-		r = known.record(monotonic.Now())
+		r = known.record(d.now())
 	}
 	r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_GONE
 	d.Announce(r)
@@ -140,7 +140,7 @@
 // MarkDraining records and publishes that an endpoint is draining. It stays so whatever
 // this incarnation announces later.
 func (d *Directory) MarkDraining(e *Endpoint) {
-	r := e.record(monotonic.Now())
+	r := e.record(d.now())
 	r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_DRAINING
 	r.Sequence++ // processes of earlier builds take a condition only from a newer record
 	d.Announce(r)
@@ -165,7 +165,7 @@
 // incarnation, condition or address, and when old and new disagree on whether the
 // endpoint is cold now. Other fields, such as the slots, are stored but don't count.
 func (d *Directory) merge(r *wire.EndpointRecord) (newest, stateChanged bool) {
-	now := monotonic.Now()
+	now := d.now()
 	next := fromRecord(r, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -303,11 +303,35 @@
 	return ""
 }
 
+// IsSuperseded reports whether another incarnation is known that was started after this one
+// under the same ID or at the same address.
+func (d *Directory) IsSuperseded(e *Endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, other := range d.endpoints {
+		if (id == e.ID || other.Address == e.Address) && other.BornMs > e.BornMs {
+			return true
+		}
+	}
+	return false
+}
+
+// Silence returns the time since any process last heard from an incarnation of an endpoint,
+// as far as known.
+func (d *Directory) Silence(e *Endpoint) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known := d.byKey[e.Key]; known != nil {
+		e = known
+	}
+	return d.now().Sub(e.HeardAt)
+}
+
 // reindex groups the endpoints by service and deletes expired ones, which happens
 // nowhere else. Of several endpoints with one address, only the one born last is kept in
 // the index, as it has taken over the address.
 func (d *Directory) reindex() {
-	now := monotonic.Now()
+	now := d.now()
 	d.byService = make(map[string][]*Endpoint)
 	holders := make(map[string]*Endpoint)
 	for id, e := range d.endpoints {
@@ -343,31 +367,3 @@
 	}
 	return n
 }
-
-// EndpointRecords returns the records of all endpoints, gone ones included.
-func (d *Directory) EndpointRecords() []*wire.EndpointRecord {
-	return d.selectRecords(func(*Endpoint, monotonic.Time) bool { return true })
-}
-
-// GossipRecords returns the records to send in one round of gossip: those that changed
-// within gossipRecentWindow or are not ready, and one in gossipCycleRounds of the
-// others, selected by key, so that a message grows more slowly than the fleet.
-func (d *Directory) GossipRecords(round uint64) []*wire.EndpointRecord {
-	return d.selectRecords(func(e *Endpoint, now monotonic.Time) bool {
-		return e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY ||
-			now.Sub(e.changedAt) < gossipRecentWindow || e.Key%gossipCycleRounds == round%gossipCycleRounds
-	})
-}
-
-func (d *Directory) selectRecords(wanted func(e *Endpoint, now monotonic.Time) bool) []*wire.EndpointRecord {
-	now := monotonic.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	records := make([]*wire.EndpointRecord, 0, len(d.endpoints))
-	for _, e := range d.endpoints {
-		if wanted(e, now) {
-			records = append(records, e.record(now))
-		}
-	}
-	return records
-}
--- a/coordination/directory/processes.go
+++ b/coordination/directory/processes.go
@@ -46,7 +46,7 @@
 
 // putProcess stores a record. The caller holds the lock.
 func (d *Directory) putProcess(r *wire.ProcessRecord) {
-	d.processes[r.Address] = &process{record: r, storedAt: monotonic.Now()}
+	d.processes[r.Address] = &process{record: r, storedAt: d.now()}
 	line := d.logger.Info().Str("process", r.Name).Str("address", r.Address).Str("data_centre", r.DataCentre).
 		Uint64("incarnation", r.Incarnation).Uint32("revision", r.Revision).Bool("votes", r.Votes)
 	if r.Gone {
@@ -96,7 +96,7 @@
 // listProcesses returns the records, gone ones only if withGone is set. It also deletes
 // the expired records of gone processes, which happens nowhere else.
 func (d *Directory) listProcesses(withGone bool) []*wire.ProcessRecord {
-	now := monotonic.Now()
+	now := d.now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	records := make([]*wire.ProcessRecord, 0, len(d.processes))
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -61,7 +61,8 @@
 
 // attempt sends the request to the endpoints of a plan and delivers the answer.
 func (r *run) attempt(ctx context.Context, plan *placement.Plan) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(nil) }
 	defer cancel()
 	if err := r.checkBeforeSend(plan); err != nil {
 		return err
@@ -79,10 +80,17 @@
 	r.attemptEvents, r.goesOn, r.sentAt = 0, false, r.server.parts.Now()
 	r.mayHaveRun++
 	r.measureLimitedSend(plan)
+	if reserved != nil {
+		go r.endOnLoss(ctx, plan.Endpoints[0], cancelCause)
+	}
 	response, err := r.send(ctx, plan, reserved, cancel)
 	if err == nil {
 		err = r.deliver(ctx, plan, response, cancel)
 	}
+	if lost := lossOf(ctx); err != nil && lost != nil {
+		err = lost
+	}
+	reserved.end() // before what recordResult asks of the endpoint
 	r.recordResult(ctx, plan, err)
 	return err
 }
@@ -228,7 +236,7 @@
 	case errors.As(err, &notSent):
 		r.mayHaveRun--
 		r.server.scheduler.RecordUnreachable(e.Key)
-	case ctx.Err() != nil && !errors.Is(err, errStalled):
+	case ctx.Err() != nil && !errors.Is(err, errStalled) && !errors.Is(err, errEndpointLost):
 		return // the caller left or the deadline passed, which says nothing about the endpoint
 	default:
 		ended = r.recordEnd(ctx, plan)
--- a/coordination/serve/crashfleet_test.go
+++ b/coordination/serve/crashfleet_test.go
@@ -160,6 +160,9 @@
 	return true, 0
 }
 
+// Reaches implements Upstream.
+func (f *crashFleet) Reaches(context.Context, *directory.Endpoint) bool { return true }
+
 // HasEnded implements Upstream.
 func (f *crashFleet) HasEnded(_ context.Context, e *directory.Endpoint) bool {
 	time.Sleep(callTime)
--- a/coordination/serve/reserve.go
+++ b/coordination/serve/reserve.go
@@ -44,6 +44,7 @@
 	parts  []reservation
 	stop   context.CancelFunc
 	done   chan struct{} // closed when renewal has ended
+	once   sync.Once     // releases
 }
 
 // reservation is the part at one endpoint.
@@ -109,17 +110,19 @@
 	}
 }
 
-// end stops the renewal and releases the reservations in the background. It does
-// nothing when s is nil.
+// end stops the renewal and releases the reservations in the background, the first time
+// that it is called. It does nothing when s is nil.
 func (s *reservations) end() {
 	if s == nil {
 		return
 	}
-	s.stop()
-	go func() {
-		<-s.done
-		s.releaseAll()
-	}()
+	s.once.Do(func() {
+		s.stop()
+		go func() {
+			<-s.done
+			s.releaseAll()
+		}()
+	})
 }
 
 // releaseAll releases each reservation, also those that were never confirmed: a
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -92,6 +92,8 @@
 	// HasEnded reports whether the process of an endpoint has ended, as its host refuses
 	// connections. It is false if nothing answers at all.
 	HasEnded(ctx context.Context, e *directory.Endpoint) bool
+	// Reaches reports whether an endpoint accepts a connection.
+	Reaches(ctx context.Context, e *directory.Endpoint) bool
 	// Reserve reserves KV cache memory at an endpoint for a prompt that several
 	// endpoints prefill, or renews the reservation of that ticket. It expires
 	// when ttl has passed since the endpoint received the call.
--- a/coordination/serve/testbed_test.go
+++ b/coordination/serve/testbed_test.go
@@ -41,12 +41,13 @@
 	permitCalls      int
 	onPermit         func()          // called by Take unless nil
 	ended            map[string]bool // by ID of the endpoints whose process has ended
+	unreachable      map[string]bool // by ID of the endpoints that accept no connections
 }
 
 // newTestbed has three endpoints of service "s".
 func newTestbed(t *testing.T, responses ...func(ctx context.Context, a *Attempt) (*Response, error)) *testbed {
 	t.Helper()
-	b := &testbed{stateCache: statecache.NewStore(), directory: directory.New(), scheduler: placement.NewScheduler(time.Now), responses: responses}
+	b := &testbed{stateCache: statecache.NewStore(), directory: directory.NewWithClock(clockOfTest()), scheduler: placement.NewScheduler(time.Now), responses: responses}
 	settings := Settings{
 		DataCentre: "dc1", MaxStateAge: time.Second, RetryRatio: 0.2, RetrySlack: 20,
 		RetryWindow: 10 * time.Second, EntryCount: func() int { return 1 },
@@ -86,6 +87,13 @@
 	return b
 }
 
+// clockOfTest returns a clock that begins now and goes by the time of a bubble, if the test runs
+// in one.
+func clockOfTest() func() monotonic.Time {
+	start := time.Now()
+	return func() monotonic.Time { return monotonic.Time(time.Since(start)) }
+}
+
 // route returns a route to service "s" under /name/.
 func route(name string, kind catalogue.RouteKind, resumable bool, maxEndpoints int) catalogue.Route {
 	return catalogue.Route{
@@ -126,6 +134,13 @@
 	return b.ended[e.ID]
 }
 
+// Reaches implements Upstream.
+func (b *testbed) Reaches(_ context.Context, e *directory.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.unreachable[e.ID]
+}
+
 // Reserve implements Upstream.
 func (b *testbed) Reserve(_ context.Context, e *directory.Endpoint, _ string, tokens int, _ time.Duration) error {
 	b.mu.Lock()
