Count the descriptors of a replica that starts again over 12 rounds

With six rounds the least of the last three may exceed the most of the first three by chance.

Change: 12 rounds, and the least of the last four against the most of the first four.

--- a/role/host/diskfull_test.go
+++ b/role/host/diskfull_test.go
@@ -207,7 +207,7 @@
 
 func TestReplicaThatStartsAgainLeavesNoConnectionOpen(t *testing.T) {
 	f := startLimitedFleet(t, 3)
-	const rounds = 6
+	const rounds, third = 12, 4
 	var open []int
 	for range rounds {
 		f.fill(3)
@@ -217,7 +217,7 @@
 		open = append(open, f.descriptors("control3"))
 	}
 	t.Log("descriptors after each round:", open)
-	if slices.Min(open[rounds/2:]) > slices.Max(open[:rounds/2]) {
+	if slices.Min(open[rounds-third:]) > slices.Max(open[:third]) {
 		t.Errorf("the descriptors grow with each start: %d", open)
 	}
 }
