Bound silent calls at the HTTP servers of agents and control

An announcement whose endpoint has gone silent in its body, or a check that doesn't read its answer, held a connection and a goroutine of role/agent or role/control until TCP gave it up, if ever.

Cause: these servers bounded the header only; those of role/host had bounds of their own.

Change: transport/shortcall makes the servers of all three.

The test of role/host moved with its function.

--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/apricotspoke/apricotspoke/transport/gatereport"
 	"github.com/apricotspoke/apricotspoke/transport/gateserver"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/transport/shortcall"
 	"go.uber.org/dig"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
@@ -224,7 +225,7 @@
 
 func (a *Agent) serveHTTP(announceListener net.Listener, failed chan<- error) []*http.Server {
 	serve := func(listener net.Listener, handler http.Handler) *http.Server {
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+		server := shortcall.NewServer(handler, readHeaderTimeout)
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
--- a/role/control/program.go
+++ b/role/control/program.go
@@ -13,6 +13,7 @@
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/transport/shortcall"
 	"github.com/go-chi/chi/v5"
 	"google.golang.org/grpc"
 )
@@ -122,7 +123,9 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { registry.WriteText(w) })
-	return &http.Server{Addr: address, Handler: router, ReadHeaderTimeout: readHeaderTimeout}
+	server := shortcall.NewServer(router, readHeaderTimeout)
+	server.Addr = address
+	return server
 }
 
 // serveHTTP serves until the server is closed or fails. Without an address it never
--- a/role/host/control.go
+++ b/role/host/control.go
@@ -18,6 +18,7 @@
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/transport/mesh"
+	"github.com/apricotspoke/apricotspoke/transport/shortcall"
 	"go.uber.org/dig"
 	"google.golang.org/grpc"
 )
@@ -169,7 +170,7 @@
 		return err
 	}
 	defer metricsServer.Close()
-	server := newHTTPServer(platform.ControlPlaneHandler(p.OperatorAddress, c.service), operatorHeaderTimeout)
+	server := shortcall.NewServer(platform.ControlPlaneHandler(p.OperatorAddress, c.service), operatorHeaderTimeout)
 	server.MaxHeaderBytes = maxOperatorHeaderBytes
 	if err := serveHTTP(p.OperatorAddress, server, failed); err != nil {
 		return err
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -23,6 +23,7 @@
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/transport/mesh"
 	"github.com/apricotspoke/apricotspoke/transport/permitlink"
+	"github.com/apricotspoke/apricotspoke/transport/shortcall"
 	"github.com/apricotspoke/apricotspoke/transport/triallink"
 	"go.uber.org/dig"
 	"google.golang.org/grpc"
@@ -160,7 +161,7 @@
 		return err
 	}
 	defer metricsServer.Close()
-	readyServer := newHTTPServer(http.HandlerFunc(e.serveReady), callerHeaderTimeout)
+	readyServer := shortcall.NewServer(http.HandlerFunc(e.serveReady), callerHeaderTimeout)
 	if err := serveHTTP(p.ReadyAddress, readyServer, failed); err != nil {
 		return err
 	}
--- a/role/host/host.go
+++ b/role/host/host.go
@@ -44,11 +44,6 @@
 	// offsets from the first port.
 	controlPortOffset = 0
 	entryPortOffset   = 1
-	// shortCallTimeout bounds a call of an operator, an endpoint or a check: its body and its
-	// answer. It is far longer than they wait.
-	shortCallTimeout = 30 * time.Second
-	// shortCallIdleTimeout is how long a connection without a call is kept.
-	shortCallIdleTimeout = time.Minute
 )
 
 // newContainer returns a container with the constructors that both kinds of
@@ -198,18 +193,6 @@
 	return server, nil
 }
 
-// newHTTPServer returns a server of short calls. Connections whose other end is silent in
-// the middle of a call, doesn't read its answer or makes no further call are closed.
-func newHTTPServer(handler http.Handler, headerTimeout time.Duration) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       shortCallTimeout,
-		WriteTimeout:      shortCallTimeout,
-		IdleTimeout:       shortCallIdleTimeout,
-	}
-}
-
 // serveHTTP listens on an address and serves until the server is shut down. A failure
 // while serving is sent to failed.
 func serveHTTP(address string, server *http.Server, failed chan<- error) error {
--- a/role/host/metrics.go
+++ b/role/host/metrics.go
@@ -18,6 +18,7 @@
 	"github.com/apricotspoke/apricotspoke/state/hostconfig"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"github.com/apricotspoke/apricotspoke/transport/mesh"
+	"github.com/apricotspoke/apricotspoke/transport/shortcall"
 )
 
 // Metrics serves a process's metrics as text.
@@ -68,7 +69,7 @@
 // serve listens on the metrics port, if one is set. It returns the server for the
 // caller to close.
 func (m *Metrics) serve(failed chan<- error) (*http.Server, error) {
-	server := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := shortcall.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		m.registry.WriteText(w)
 	}), time.Second)
--- a/role/host/silentcaller_test.go
+++ b/transport/shortcall/shortcall_test.go
@@ -1,4 +1,4 @@
-package host
+package shortcall
 
 import (
 	"io"
@@ -28,7 +28,7 @@
 func testSilentCall(t *testing.T, call string) {
 	const answer = 1 << 20
 	ended := make(chan struct{})
-	server := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	server := NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == "/unread" {
 			return
 		}
