Give the HTTP servers of tests and reserved addresses hosts of their own

Change: package httpserver starts each HTTP server of a test at loopback.Listen, and ReserveAddress adds a host of its own to the port that it reserves.

Still dialled on purpose: ports 1 of 127.0.0.1 and 127.0.0.9, where tests want nobody; the kernel never gives out port 1.

--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -17,6 +17,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/controllink"
 	"github.com/apricotspoke/apricotspoke/transport/link"
+	"github.com/apricotspoke/apricotspoke/trials/httpserver"
 	"github.com/apricotspoke/apricotspoke/trials/loopback"
 	"google.golang.org/grpc"
 )
@@ -181,8 +182,7 @@
 func TestAgentProcess(t *testing.T) {
 	peers, address := startFakePeers(t)
 	endpoint := &fakeEndpoint{requests: map[string]int{}, active: map[string]bool{}, release: make(chan struct{})}
-	endpointServer := httptest.NewServer(endpoint)
-	defer endpointServer.Close()
+	endpointServer := httpserver.Start(t, endpoint)
 	options := &Options{
 		ID: "agent1", DataCentre: "dc1", Listen: freeAddress(t), AnnounceListen: freeAddress(t),
 		Control: []string{address}, DrainLimit: time.Minute,
--- a/role/agent/restart_test.go
+++ b/role/agent/restart_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/trials/fakeendpoint"
+	"github.com/apricotspoke/apricotspoke/trials/httpserver"
 )
 
 const (
@@ -80,8 +80,7 @@
 		DecodePerToken: 2 * time.Millisecond, Concurrency: 16, ColdConcurrency: 2, LoadLag: 100 * time.Millisecond, Seed: 1,
 	})
 	go engine.Run(t.Context())
-	engineServer := httptest.NewServer(engine.Handler())
-	defer engineServer.Close()
+	engineServer := httpserver.Start(t, engine.Handler())
 	agent, err := New(options)
 	if err != nil {
 		t.Fatal(err)
--- a/transport/endpoint/idle_test.go
+++ b/transport/endpoint/idle_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/trials/faultproxy"
+	"github.com/apricotspoke/apricotspoke/trials/httpserver"
 )
 
 const (
@@ -25,14 +25,13 @@
 	var arrived sync.WaitGroup
 	arrived.Add(parallel)
 	var handled atomic.Int32
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := httpserver.Start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if handled.Add(1) <= parallel {
 			arrived.Done()
 			arrived.Wait() // so that each call has a connection of its own
 		}
 		_, _ = w.Write([]byte("{}")) // the caller sees if it is lost
 	}))
-	t.Cleanup(server.Close)
 	proxy, err := faultproxy.New(server.Listener.Addr().(*net.TCPAddr).String(), 1)
 	if err != nil {
 		t.Fatal(err)
--- a/trials/cluster/invariants_test.go
+++ b/trials/cluster/invariants_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/trials/fakeendpoint"
+	"github.com/apricotspoke/apricotspoke/trials/httpserver"
 )
 
 // The check must find what a gate causes that ignores the endpoint's limits: a violation,
@@ -19,8 +19,7 @@
 		config.ColdConcurrency, config.Concurrency, config.MemoryTokens, config.PrefillTokensPerSecond = 1, 1, 1000, 1
 		e := fakeendpoint.New(config)
 		go e.Run(t.Context())
-		server := httptest.NewServer(e.Handler())
-		t.Cleanup(server.Close)
+		server := httpserver.Start(t, e.Handler())
 		return &Endpoint{Process: &Process{Name: "e"}, HTTPAddress: strings.TrimPrefix(server.URL, "http://")}
 	}
 	post := func(e *Endpoint, path, attempt, body string) {
@@ -59,7 +58,7 @@
 // memory in use that the state before it showed.
 func TestCheckReportsLastStateWhenTimeRunsOut(t *testing.T) {
 	answered := false
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	server := httpserver.Start(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if answered {
 			<-q.Context().Done()
 			return
@@ -69,7 +68,6 @@
 			t.Error(err)
 		}
 	}))
-	defer server.Close()
 	e := &Endpoint{Process: &Process{Name: "e"}, HTTPAddress: strings.TrimPrefix(server.URL, "http://")}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
--- a/trials/fakeendpoint/endpoint_test.go
+++ b/trials/fakeendpoint/endpoint_test.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/trials/completions"
+	"github.com/apricotspoke/apricotspoke/trials/httpserver"
 )
 
 func startEndpoint(t *testing.T, change func(*Config)) (*Endpoint, string) {
@@ -26,8 +26,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go e.Run(ctx)
-	server := httptest.NewServer(e.Handler())
-	t.Cleanup(server.Close)
+	server := httpserver.Start(t, e.Handler())
 	return e, server.URL
 }
 
--- a/trials/loopback/listen.go
+++ b/trials/loopback/listen.go
@@ -27,8 +27,14 @@
 	return listener
 }
 
-// UnusedHost returns one of 16 million loopback addresses. Those of 127.0 and 127.255 are
-// left to servers that choose their addresses otherwise.
+// UnusedHost returns one of 16 million loopback addresses.
 func UnusedHost() string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	return fmt.Sprintf("%s.%d", UnusedNetwork(), 1+rand.IntN(254))
+}
+
+// UnusedNetwork returns the first three numbers of one of 65 thousand networks of 254
+// loopback addresses. Those of 127.0 and 127.255 are left to servers that choose their
+// addresses otherwise.
+func UnusedNetwork() string {
+	return fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
 }
--- a/trials/loopback/loopback.go
+++ b/trials/loopback/loopback.go
@@ -29,10 +29,11 @@
 	locks []net.Listener
 }
 
-// ReserveAddress reserves a port until this process ends, and returns an address with it.
+// ReserveAddress reserves a port until this process ends, and returns an address with it on
+// a host of its own, where no client of a process that had the port before calls.
 func ReserveAddress() (string, error) {
 	port, err := ReservePorts(1)
-	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)), err
+	return net.JoinHostPort(UnusedHost(), strconv.Itoa(port)), err
 }
 
 // ReservePorts reserves consecutive ports until this process ends. Nothing listens on
--- a/trials/loopback/loopback_test.go
+++ b/trials/loopback/loopback_test.go
@@ -32,6 +32,33 @@
 	work.Wait()
 }
 
+// Guards against a process that gets the calls of a client which still calls the address of
+// a process of an earlier program, whose ports are free again.
+func TestReservedAddressesAreNeverUsedAgain(t *testing.T) {
+	const programs = 1000 // of 16,000 ports
+	used := make(map[string]bool)
+	for range programs {
+		address, err := ReserveAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if used[address] {
+			t.Fatalf("%s was used before", address)
+		}
+		used[address] = true
+		releaseLast()
+	}
+}
+
+// releaseLast gives the last reserved port back, as the end of its program does.
+func releaseLast() {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	last := len(held.locks) - 1
+	release(held.locks[last:])
+	held.locks = held.locks[:last]
+}
+
 // A port on which another address of the machine listens must not be reserved.
 func TestPortInUseIsNotReserved(t *testing.T) {
 	first, err := ReservePorts(1)
