Give each simulated fleet of role/host a network of its own

The hosts of all fleets were 127.0.1.1 to 127.0.1.9, at ports that are free again when their program has ended, and the simulated endpoints listened on 127.0.1.101 upwards at ports that the kernel gives out again. A process of an earlier program's fleet that lives on, or a client that still calls an endpoint, reached the next one at that address.

Change: a fleet's hosts lie in one of 65 thousand loopback networks, and endpoints listen at loopback.Listen.

--- a/role/host/crashingpart_test.go
+++ b/role/host/crashingpart_test.go
@@ -94,7 +94,7 @@
 // callWithParts sends a request for a stream whose prompt has the given parts, and reports
 // whether it got the whole answer.
 func (p *fakePlatform) callWithParts(n int, id, parts string) (status int, whole bool) {
-	status, text, _ := call("POST", fmt.Sprintf("http://%s/stream/x", net.JoinHostPort(host(n), fmt.Sprint(p.ports[0]))), []byte("body of "+id), map[string]string{
+	status, text, _ := call("POST", fmt.Sprintf("http://%s/stream/x", net.JoinHostPort(p.host(n), fmt.Sprint(p.ports[0]))), []byte("body of "+id), map[string]string{
 		"Attempt-Id": id, "X-Api-Key": "key", "Deadline-Ms": "3000", "Token-Usage": "100,10", "Prefix-Hash": parts,
 	})
 	return status, status == http.StatusOK && strings.Count(text, "id: ") == 10
@@ -195,7 +195,7 @@
 // ctl runs the operators' command line against the control processes.
 func (p *fakePlatform) ctl(arguments ...string) (string, error) {
 	for n := 1; n <= 3; n++ {
-		arguments = append(arguments, "--control", net.JoinHostPort(host(n), fmt.Sprint(p.ports[3])))
+		arguments = append(arguments, "--control", net.JoinHostPort(p.host(n), fmt.Sprint(p.ports[3])))
 	}
 	out, err := exec.Command("go", append([]string{"run", "github.com/apricotspoke/apricotspoke/cmd/apricotspokectl"}, arguments...)...).CombinedOutput()
 	return string(out), err
--- a/role/host/fakeendpoint_test.go
+++ b/role/host/fakeendpoint_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
 // fakeEndpoint simulates an endpoint and counts the requests that it ran.
@@ -41,10 +42,7 @@
 
 func newFakeEndpoint(t *testing.T, n int) *fakeEndpoint {
 	t.Helper()
-	l, err := net.Listen("tcp", host(100+n)+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := loopback.Listen(t)
 	e := &fakeEndpoint{t: t, id: fmt.Sprintf("i-%d", n), bornMs: time.Now().UnixMilli(), address: l.Addr().String(), runs: make(map[string]int)}
 	e.behaviour.Store("good")
 	e.rateLimit.Store("")
--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -26,6 +26,7 @@
 	t                  *testing.T
 	binary             string
 	folder             string
+	network            string // of the hosts' loopback addresses, of this fleet alone
 	ports              [5]int // for callers, readiness, operators, and the first and last for links
 	running            map[string]*os.Process
 	diskFaultTolerance int      // number of hosts with a disk that may be lost at once, 0 for the default
@@ -43,7 +44,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	p.ports = freePorts(t)
+	p.network, p.ports = freeAddresses(t)
 	t.Cleanup(func() {
 		for name := range p.running {
 			p.stop(name, syscall.SIGKILL)
@@ -52,18 +53,18 @@
 	return p
 }
 
-// freePorts reserves five ports in a row for a fleet.
-func freePorts(t *testing.T) [5]int {
+// freeAddresses returns the network of a fleet's hosts, and reserves five ports in a row.
+func freeAddresses(t *testing.T) (network string, ports [5]int) {
 	t.Helper()
 	first, err := loopback.ReservePorts(5)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return [5]int{first, first + 1, first + 2, first + 3, first + 4}
+	return loopback.UnusedNetwork(), [5]int{first, first + 1, first + 2, first + 3, first + 4}
 }
 
 // host returns the loopback address of a simulated host.
-func host(n int) string { return fmt.Sprintf("127.0.1.%d", n) }
+func (p *fakePlatform) host(n int) string { return fmt.Sprintf("%s.%d", p.network, n) }
 
 func (p *fakePlatform) start(role string, n int, disk, bootstrap bool) {
 	p.t.Helper()
@@ -108,7 +109,7 @@
 dataDir: %[13]s
 faultTolerance: {machines: %[14]d}
 bounds: {contactMs: 3000, graceS: 8, strictRevocation: true, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 100}
-`, name, host(n), n, p.ports[0], p.ports[1], p.ports[2], p.ports[3], p.ports[4], host(p.seeds[0]), host(p.seeds[1]), host(p.seeds[2]), bootstrap, dataDir, p.diskFaultTolerance)
+`, name, p.host(n), n, p.ports[0], p.ports[1], p.ports[2], p.ports[3], p.ports[4], p.host(p.seeds[0]), p.host(p.seeds[1]), p.host(p.seeds[2]), bootstrap, dataDir, p.diskFaultTolerance)
 	file := filepath.Join(p.folder, name+".yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		p.t.Fatal(err)
@@ -174,7 +175,7 @@
 	p.t.Helper()
 	for _, n := range hosts {
 		p.await("the entry is ready", func() bool {
-			status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", host(n), p.ports[1]), nil, nil)
+			status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", p.host(n), p.ports[1]), nil, nil)
 			return status == 200
 		})
 	}
@@ -208,13 +209,13 @@
 }
 
 func (p *fakePlatform) operatorCall(n int, method, path string, body []byte) (int, string) {
-	status, text, _ := call(method, fmt.Sprintf("http://%s:%d%s", host(n), p.ports[2], path), body, nil)
+	status, text, _ := call(method, fmt.Sprintf("http://%s:%d%s", p.host(n), p.ports[2], path), body, nil)
 	return status, text
 }
 
 // request sends a request to an entry, with a forged tenant that the entry must replace.
 func (p *fakePlatform) request(n int, path, key, id string) (int, string, http.Header) {
-	return call("POST", fmt.Sprintf("http://%s:%d%s", host(n), p.ports[0], path), []byte("body of "+id), map[string]string{
+	return call("POST", fmt.Sprintf("http://%s:%d%s", p.host(n), p.ports[0], path), []byte("body of "+id), map[string]string{
 		"Attempt-Id": id, "X-Api-Key": key, "Deadline-Ms": "5000", "Tenant": "forged", "Token-Usage": "100,10",
 	})
 }
--- a/role/host/host_test.go
+++ b/role/host/host_test.go
@@ -261,7 +261,7 @@
 		t.Fatal(err)
 	}
 	p.await("the entry is not ready", func() bool {
-		status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", host(4), p.ports[1]), nil, nil)
+		status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", p.host(4), p.ports[1]), nil, nil)
 		return status != 200
 	})
 	served := 0
@@ -299,7 +299,7 @@
 	p.seeds = [3]int{7, 8, 9} // no host there
 	p.start("entry", 4, false, true)
 	ready := func() bool {
-		status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", host(4), p.ports[1]), nil, nil)
+		status, _, _ := call("GET", fmt.Sprintf("http://%s:%d/readyz", p.host(4), p.ports[1]), nil, nil)
 		return status == 200
 	}
 	p.await("the entry has started", func() bool { return strings.Contains(p.log("entry4"), "The entry has started.") })
--- a/role/host/silentconnections_test.go
+++ b/role/host/silentconnections_test.go
@@ -18,7 +18,7 @@
 	var proxies []*faultproxy.Proxy
 	var detours []string
 	for _, n := range hosts {
-		address := net.JoinHostPort(host(n), strconv.Itoa(p.ports[3]))
+		address := net.JoinHostPort(p.host(n), strconv.Itoa(p.ports[3]))
 		proxy, err := faultproxy.New(address, uint64(n))
 		if err != nil {
 			p.t.Fatal(err)
