Describe a pool of connections once

coordination/control had two functions for its connections (Dial, Replace) with a replacement of silent ones of its own, coordination/controlplane an interface (Connections), and transport/link a third replacement (Call). Package connections has one interface, which link.Pool implements, and the one call that replaces a silent connection. Pool.Get returns the interface, which makes Pool.Connection superfluous. Replace still closes a connection at once and Retire later; who calls which is as before.

Changed in tests: TestRetiredConnectionIsReplacedAtOnceAndClosedLater asks the connection of the pool for its type before its state; the fake pool of controlplane has the interface's methods. No check is changed.

--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"google.golang.org/grpc"
 )
@@ -120,11 +121,7 @@
 
 // Sync implements configsync.Peer.
 func (p configPeer) Sync(ctx context.Context, request *wire.SyncRequest) (*wire.SyncResponse, error) {
-	conn, err := p.service.Dial(p.address)
-	if err != nil {
-		return nil, err
-	}
-	response, err := wire.NewConfigClient(conn).Sync(ctx, request, grpc.WaitForReady(false))
-	p.service.replaceIfSilent(p.address, conn, err)
-	return response, err
+	return connections.Call(p.service.Connections, p.address, func(conn grpc.ClientConnInterface) (*wire.SyncResponse, error) {
+		return wire.NewConfigClient(conn).Sync(ctx, request, grpc.WaitForReady(false))
+	})
 }
--- a/coordination/control/control.go
+++ b/coordination/control/control.go
@@ -8,13 +8,12 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/coordination/quota"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/machine"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 )
 
 const (
@@ -28,10 +27,8 @@
 	Replica Replica
 	Machine *machine.Machine
 	Store   *configsync.Store
-	// Dial returns a connection to another process of the fleet.
-	Dial func(address string) (grpc.ClientConnInterface, error)
-	// Replace closes a connection to another process, so that Dial returns a new one.
-	Replace func(address string, conn grpc.ClientConnInterface)
+	// Connections are those to the other processes of the fleet.
+	Connections connections.Pool
 	// OperatorKeyHash is the SHA-256 of the operators' key.
 	OperatorKeyHash [sha256.Size]byte
 }
@@ -73,14 +70,6 @@
 	wire.RegisterOrderReportsServer(server, &orderReportsServer{Service: s})
 }
 
-// replaceIfSilent replaces the connection of a call that got no answer in time: it may be
-// dead.
-func (s *Service) replaceIfSilent(address string, conn grpc.ClientConnInterface, err error) {
-	if status.Code(err) == codes.DeadlineExceeded {
-		s.Replace(address, conn)
-	}
-}
-
 // propose commits a command and returns the state machine's response.
 func propose[R any](ctx context.Context, s *Service, command *wire.Command) (R, error) {
 	var none R
--- a/coordination/control/forward.go
+++ b/coordination/control/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -27,7 +28,7 @@
 	if forwarded(ctx) || st.LeaderAddress == "" || st.Leader == st.ID {
 		return none, fault.New(fault.NotLeader, "replica %s is not the leader and cannot forward the call", st.ID)
 	}
-	conn, err := s.Dial(st.LeaderAddress)
+	conn, err := s.Connections.Get(st.LeaderAddress)
 	if err != nil {
 		return none, fault.Wrap(err, fault.NotLeader, "could not connect to leader %s", st.LeaderAddress)
 	}
@@ -35,7 +36,7 @@
 	defer cancel()
 	response, err := call(conn, metadata.AppendToOutgoingContext(ctx, forwardedHeader, "1"), request)
 	if err != nil {
-		s.replaceIfSilent(st.LeaderAddress, conn, err)
+		connections.ReplaceIfSilent(s.Connections, st.LeaderAddress, conn, err)
 		return none, forwardError(err, st.LeaderAddress)
 	}
 	return response, nil
--- a/coordination/control/status.go
+++ b/coordination/control/status.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"google.golang.org/grpc"
@@ -74,15 +75,12 @@
 			continue
 		}
 		wait.Go(func() {
-			conn, err := o.Dial(member.Address)
+			response, err := connections.Call(o.Connections, member.Address, func(conn grpc.ClientConnInterface) (*wire.StatusResponse, error) {
+				return wire.NewOperatorClient(conn).Status(ctx, request)
+			})
 			if err != nil {
 				return
 			}
-			response, err := fetchStatus(ctx, conn, request)
-			if err != nil {
-				o.replaceIfSilent(member.Address, conn, err)
-				return
-			}
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, response)
@@ -92,10 +90,6 @@
 	return all
 }
 
-func fetchStatus(ctx context.Context, conn grpc.ClientConnInterface, request *wire.StatusRequest) (*wire.StatusResponse, error) {
-	return wire.NewOperatorClient(conn).Status(ctx, request)
-}
-
 // newestProcesses keeps the most recent status of each process.
 func newestProcesses(list []*wire.ProcessStatus) []*wire.ProcessStatus {
 	slices.SortFunc(list, func(a, b *wire.ProcessStatus) int {
--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -151,7 +151,7 @@
 	a.began = time.Now()
 	h.attempts = append(h.attempts, a)
 	h.waiting++
-	conn, err := h.service.connections.Connection(a.address)
+	conn, err := h.service.connections.Get(a.address)
 	if err != nil {
 		h.replies <- &reply{of: a, err: fault.Wrap(err, fault.NotLeader, "the control process at %s can't be dialled", a.address)}
 		return
@@ -198,7 +198,7 @@
 
 // replaceConnection lets the next call to a process use a new connection.
 func (s *Service) replaceConnection(address string) {
-	if conn, err := s.connections.Connection(address); err == nil {
+	if conn, err := s.connections.Get(address); err == nil {
 		s.connections.Retire(address, conn)
 	}
 }
--- a/coordination/controlplane/forward_test.go
+++ b/coordination/controlplane/forward_test.go
@@ -52,12 +52,14 @@
 	retired map[string]int // by address
 }
 
-func (f *fakeConns) Connection(address string) (grpc.ClientConnInterface, error) {
+func (f *fakeConns) Get(address string) (grpc.ClientConnInterface, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.conns[address], nil
 }
 
+func (f *fakeConns) Replace(address string, conn grpc.ClientConnInterface) { f.Retire(address, conn) }
+
 func (f *fakeConns) Retire(address string, conn grpc.ClientConnInterface) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/coordination/controlplane/members.go
+++ b/coordination/controlplane/members.go
@@ -94,7 +94,7 @@
 	}
 	s.membershipTimerStart = time.Now()
 	for _, address := range s.peerAddresses() {
-		conn, err := s.connections.Connection(address)
+		conn, err := s.connections.Get(address)
 		if err != nil {
 			continue
 		}
--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/replica"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
@@ -20,7 +21,6 @@
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
-	"google.golang.org/grpc"
 )
 
 const (
@@ -52,10 +52,10 @@
 	stateMachine       *catalogue.Machine
 	store              *statecache.Store
 	directory          *directory.Directory
-	connections        Connections
-	peerAddresses      func() []string // addresses of the other processes with a replica
-	bootstrapVoters    func() int      // see Options
-	minReachableVoters func() int      // see Options
+	connections        connections.Pool // to the other processes
+	peerAddresses      func() []string  // addresses of the other processes with a replica
+	bootstrapVoters    func() int       // see Options
+	minReachableVoters func() int       // see Options
 	startedAt          time.Time
 	address            string // at which other processes reach this one
 	sinceLastHeard     func() map[string]time.Duration
@@ -68,16 +68,6 @@
 	metrics              *metrics.Registry
 }
 
-// Connections are kept connections to other processes, one for each address. Package link
-// has a pool of them.
-type Connections interface {
-	// Connection returns the connection to an address.
-	Connection(address string) (grpc.ClientConnInterface, error)
-	// Retire makes the next call of Connection return a new one, as the given one may be
-	// dead.
-	Retire(address string, conn grpc.ClientConnInterface)
-}
-
 // Options configures a Service.
 type Options struct {
 	Address            string           // at which other processes reach this one
@@ -85,7 +75,7 @@
 	StateMachine       *catalogue.Machine
 	Store              *statecache.Store
 	Directory          *directory.Directory
-	Connections        Connections                     // to the other processes
+	Connections        connections.Pool                // to the other processes
 	PeerAddresses      func() []string                 // addresses of the other processes with a replica
 	SinceLastHeard     func() map[string]time.Duration // time since each process was last heard, by its address
 	AwaitDelivery      func(ctx context.Context) error // waits until the directory's updates so far survive the loss of this process
--- a/role/control/cluster_test.go
+++ b/role/control/cluster_test.go
@@ -112,7 +112,7 @@
 	}
 }
 
-func (c *cluster) conn(i int) *grpc.ClientConn {
+func (c *cluster) conn(i int) grpc.ClientConnInterface {
 	conn, err := c.pool.Get(c.nodes[i].address)
 	if err != nil {
 		c.t.Fatal(err)
--- a/role/control/role.go
+++ b/role/control/role.go
@@ -95,8 +95,7 @@
 		Replica:         r,
 		Machine:         m,
 		Store:           store,
-		Dial:            func(address string) (grpc.ClientConnInterface, error) { return pool.Get(address) },
-		Replace:         func(address string, conn grpc.ClientConnInterface) { pool.Replace(address, conn.(*grpc.ClientConn)) },
+		Connections:     pool,
 		OperatorKeyHash: hash,
 	}), nil
 }
--- a/transport/controllink/client.go
+++ b/transport/controllink/client.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/coordination/rendezvous"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
@@ -42,14 +43,14 @@
 
 // Claim requests the right to run a non-repeatable request.
 func (c *Client) Claim(ctx context.Context, request *wire.ClaimRequest) (*wire.ClaimResponse, error) {
-	return callReplicas(ctx, c, quorumWriteTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.ClaimResponse, error) {
+	return callReplicas(ctx, c, quorumWriteTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (*wire.ClaimResponse, error) {
 		return wire.NewClaimsClient(conn).Claim(ctx, request)
 	})
 }
 
 // Settle records the outcome of an attempt.
 func (c *Client) Settle(ctx context.Context, request *wire.SettleRequest) (*wire.SettleResponse, error) {
-	return callReplicas(ctx, c, quorumWriteTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.SettleResponse, error) {
+	return callReplicas(ctx, c, quorumWriteTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (*wire.SettleResponse, error) {
 		return wire.NewClaimsClient(conn).Settle(ctx, request)
 	})
 }
@@ -57,7 +58,7 @@
 // Lease requests shares of the contracts' quotas, which an entry then spends locally. The
 // response may have a failure in place of grants.
 func (c *Client) Lease(ctx context.Context, request *wire.LeaseRequest) (*wire.LeaseResponse, error) {
-	return callReplicas(ctx, c, leaseTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.LeaseResponse, error) {
+	return callReplicas(ctx, c, leaseTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (*wire.LeaseResponse, error) {
 		return wire.NewQuotasClient(conn).Lease(ctx, request)
 	})
 }
@@ -66,7 +67,7 @@
 // has at most one gate. A failure in the response is returned as an error. A response
 // without a held lease is no error: it says when to ask again.
 func (c *Client) Acquire(ctx context.Context, request *wire.GateLeaseRequest) (*wire.GateLeaseResponse, error) {
-	response, err := callReplicas(ctx, c, leaseTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.GateLeaseResponse, error) {
+	response, err := callReplicas(ctx, c, leaseTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (*wire.GateLeaseResponse, error) {
 		return wire.NewGateLeasesClient(conn).Acquire(ctx, request)
 	})
 	if err == nil && response.Failure != nil {
@@ -79,7 +80,7 @@
 // request afterwards.
 func (c *Client) Done(ctx context.Context, request *wire.OrderDoneRequest) error {
 	request = proto.CloneOf(request) // a call that ctx has ended may still send it
-	response, err := callReplicas(ctx, c, quorumWriteTimeout, func(ctx context.Context, conn *grpc.ClientConn) (*wire.OrderDoneResponse, error) {
+	response, err := callReplicas(ctx, c, quorumWriteTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (*wire.OrderDoneResponse, error) {
 		return wire.NewOrderReportsClient(conn).Done(ctx, request)
 	})
 	if err != nil {
@@ -97,7 +98,7 @@
 // ends. It starts with the replica that answered most recently, at first with the first
 // one. The timeout applies to each replica. If none answers, it returns the result of the
 // last one tried, which may be a response with a failure such as NotLeader and no error.
-func callReplicas[T failureResponse](ctx context.Context, c *Client, timeout time.Duration, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
+func callReplicas[T failureResponse](ctx context.Context, c *Client, timeout time.Duration, call func(context.Context, grpc.ClientConnInterface) (T, error)) (T, error) {
 	var response T
 	err := errNoReplica
 	for range c.addresses {
@@ -125,8 +126,8 @@
 
 // callReplica calls one replica. Whoever ends ctx, a connection is replaced when the call's
 // own time has run out.
-func callReplica[T any](ctx context.Context, c *Client, address string, timeout time.Duration, call func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
+func callReplica[T any](ctx context.Context, c *Client, address string, timeout time.Duration, call func(context.Context, grpc.ClientConnInterface) (T, error)) (T, error) {
 	return rendezvous.Ask(ctx, timeout, func(ctx context.Context) (T, error) {
-		return link.Call(c.pool, address, func(conn *grpc.ClientConn) (T, error) { return call(ctx, conn) })
+		return connections.Call(c.pool, address, func(conn grpc.ClientConnInterface) (T, error) { return call(ctx, conn) })
 	})
 }
--- a/transport/controllink/config.go
+++ b/transport/controllink/config.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/apricotspoke/apricotspoke/coordination/configsync"
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"google.golang.org/grpc"
@@ -58,7 +59,7 @@
 
 // Sync implements configsync.Peer.
 func (p *ConfigPeer) Sync(ctx context.Context, request *wire.SyncRequest) (*wire.SyncResponse, error) {
-	return link.Call(p.pool, p.address, func(conn *grpc.ClientConn) (*wire.SyncResponse, error) {
+	return connections.Call(p.pool, p.address, func(conn grpc.ClientConnInterface) (*wire.SyncResponse, error) {
 		return wire.NewConfigClient(conn).Sync(ctx, request)
 	})
 }
--- a/transport/gatelink/links.go
+++ b/transport/gatelink/links.go
@@ -94,7 +94,7 @@
 
 // heartbeat runs a heartbeat stream until it fails. It returns true if the gate did not
 // answer for heartbeatTimeout.
-func (l *Links) heartbeat(conn *grpc.ClientConn) bool {
+func (l *Links) heartbeat(conn grpc.ClientConnInterface) bool {
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
 	stream, err := wire.NewGateClient(conn).Beat(ctx)
--- a/transport/gatereport/sender.go
+++ b/transport/gatereport/sender.go
@@ -106,7 +106,7 @@
 // sendUntilFailure sends reports on one stream until it fails. It returns true if the
 // process has acknowledged none for the target's silenceTimeout. A timer cancels the stream
 // if opening it takes longer than that; it is reset while reports are acknowledged.
-func (s *Sender) sendUntilFailure(ctx context.Context, conn *grpc.ClientConn, t target) bool {
+func (s *Sender) sendUntilFailure(ctx context.Context, conn grpc.ClientConnInterface, t target) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var heard atomic.Int64
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -74,7 +74,7 @@
 	return grpc.NewServer(options...)
 }
 
-// Pool holds one connection per address.
+// Pool holds one connection per address. It implements connections.Pool.
 type Pool struct {
 	security Security
 
@@ -88,7 +88,7 @@
 }
 
 // Get returns the connection to an address and creates it if there is none.
-func (p *Pool) Get(address string) (*grpc.ClientConn, error) {
+func (p *Pool) Get(address string) (grpc.ClientConnInterface, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if conn, ok := p.conns[address]; ok {
@@ -102,24 +102,16 @@
 	return conn, nil
 }
 
-// Connection is Get for callers that need no more than an interface.
-func (p *Pool) Connection(address string) (grpc.ClientConnInterface, error) {
-	conn, err := p.Get(address)
-	if err != nil {
-		return nil, err
-	}
-	return conn, nil
-}
-
 // Replace closes the given connection to an address, and its streams fail. If the pool
 // still holds that connection, the next Get creates a new one.
-func (p *Pool) Replace(address string, conn *grpc.ClientConn) {
+func (p *Pool) Replace(address string, conn grpc.ClientConnInterface) {
+	given := conn.(*grpc.ClientConn) // as all connections of a pool
 	p.mu.Lock()
-	if p.conns[address] == conn {
+	if p.conns[address] == given {
 		delete(p.conns, address)
 	}
 	p.mu.Unlock()
-	_ = conn.Close()
+	_ = given.Close()
 }
 
 // Retire makes the next Get of an address open a new connection, if the pool still holds
--- a/transport/link/retire_test.go
+++ b/transport/link/retire_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 )
 
@@ -13,10 +14,11 @@
 	t.Parallel()
 	pool := NewPool(Security{})
 	t.Cleanup(pool.Close)
-	old, err := pool.Get("127.0.0.1:1")
+	conn, err := pool.Get("127.0.0.1:1")
 	if err != nil {
 		t.Fatal(err)
 	}
+	old := conn.(*grpc.ClientConn)
 	pool.Retire("127.0.0.1:1", old)
 	renewed, err := pool.Get("127.0.0.1:1")
 	if err != nil || renewed == old {
--- a/transport/permitlink/permitlink.go
+++ b/transport/permitlink/permitlink.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/coordination/permits"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
@@ -28,7 +29,7 @@
 // connections.
 func NewAsk(pool *link.Pool) permits.Ask {
 	return func(ctx context.Context, address string, q *wire.PermitRequest) (*wire.PermitResponse, error) {
-		return link.Call(pool, address, func(conn *grpc.ClientConn) (*wire.PermitResponse, error) {
+		return connections.Call(pool, address, func(conn grpc.ClientConnInterface) (*wire.PermitResponse, error) {
 			return wire.NewPermitsClient(conn).Take(ctx, q)
 		})
 	}
--- a/transport/triallink/triallink.go
+++ b/transport/triallink/triallink.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 
+	"github.com/apricotspoke/apricotspoke/coordination/connections"
 	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/link"
@@ -40,14 +41,14 @@
 
 // Take implements quarantine.Calls.
 func (c *Calls) Take(ctx context.Context, address string, q *wire.TrialRequest) (*wire.TrialResponse, error) {
-	return link.Call(c.pool, address, func(conn *grpc.ClientConn) (*wire.TrialResponse, error) {
+	return connections.Call(c.pool, address, func(conn grpc.ClientConnInterface) (*wire.TrialResponse, error) {
 		return wire.NewTrialsClient(conn).Take(ctx, q)
 	})
 }
 
 // End implements quarantine.Calls.
 func (c *Calls) End(ctx context.Context, address string, q *wire.TrialEnd) error {
-	_, err := link.Call(c.pool, address, func(conn *grpc.ClientConn) (*wire.TrialEnded, error) {
+	_, err := connections.Call(c.pool, address, func(conn grpc.ClientConnInterface) (*wire.TrialEnded, error) {
 		return wire.NewTrialsClient(conn).End(ctx, q)
 	})
 	return err
