Decode the newest catalogue only, beside the replica's goroutine

Cause: catalogue.Machine decompressed, decoded and checked each committed version in Apply, which the replica calls in the goroutine that also answers heartbeats and votes.

A publisher decodes the newest state on another goroutine and skips those that are replaced meanwhile. Validity is decided before proposing, as it was (the control plane API decodes a document first); the process that did so hands the result on. A confirmation of a state that is still being decoded counts once it is there, so that a stream of versions can't keep the state from being confirmed.

A committed catalogue that a build can't decode was refused in Apply; that is now logged as an error, and the process stays behind until a newer one comes.

TestVersionAndIndexNeverDecrease compared the decoded texts of two machines; their states hold none now, so it decodes both as a receiver does.

--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -183,7 +183,8 @@
 	s.metrics.ObserveDuration("control_quorum_ms", metrics.Labels{Class: class}, monotonic.Now().Sub(requestedAt))
 }
 
-// Install replaces the catalogue with c, whose encoded form is text. It returns nil
+// Install replaces the catalogue with c, whose encoded form is text. The caller has checked
+// c, as no replica checks a change that is committed. Install returns nil
 // once the change is durable, or if the same or a newer version is in effect. If
 // the same version is in effect with other content, it fails with Conflict.
 func (s *Service) Install(ctx context.Context, c *catalogue.Catalogue, text []byte) error {
@@ -191,6 +192,9 @@
 	if err != nil {
 		return err
 	}
+	if s.replica != nil {
+		s.stateMachine.Offer(change, text, c)
+	}
 	outcome, err := s.change(ctx, &wire.Command{Of: &wire.Command_Catalogue{Catalogue: change}})
 	if err == nil && outcome.Conflict {
 		err = fault.New(fault.Conflict, "version %d is in effect with other content", c.Version)
--- a/coordination/statecache/store.go
+++ b/coordination/statecache/store.go
@@ -3,6 +3,8 @@
 package statecache
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,9 @@
 // ConfirmedWithin and limits of their own.
 const maxFreshAge = time.Second
 
+// maxEarlyConfirmations bounds the confirmations that wait for their states.
+const maxEarlyConfirmations = 64
+
 // Store holds one process's copy of the state. It never goes back to an older
 // state.
 type Store struct {
@@ -26,12 +31,16 @@
 	confirmed atomic.Pointer[confirmation]
 
 	mu       sync.Mutex
+	early    []confirmation // of states that are on their way, in ascending order of index
 	onChange []func(*catalogue.State)
 	onFresh  []func()
 }
 
-// confirmation holds the time at which the state was the newest.
-type confirmation struct{ asOf monotonic.Time }
+// confirmation holds the time at which the state at an index was the newest.
+type confirmation struct {
+	index uint64
+	asOf  monotonic.Time
+}
 
 // NewStore returns a store with an empty, unconfirmed state.
 func NewStore() *Store {
@@ -53,8 +62,8 @@
 }
 
 // OnFresh adds a function that is called when a state that was not fresh is
-// confirmed and becomes fresh. Confirm calls it under the conditions that OnChange
-// describes.
+// confirmed and becomes fresh. Confirm and Update call it under the conditions that
+// OnChange describes.
 func (s *Store) OnFresh(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,27 +87,51 @@
 	for _, f := range s.onChange {
 		f(next)
 	}
+	for len(s.early) > 0 && s.early[0].index <= next.Index {
+		s.confirm(s.early[0])
+		s.early = s.early[1:]
+	}
 }
 
 // Confirm records that the state at index was the newest one at asOf. It returns
-// true, and records nothing, when the store's state is older than that.
+// true when the store's state is older than that. The confirmation then counts once
+// that state or a newer one has come, which may have to be decoded first.
 func (s *Store) Confirm(index uint64, asOf monotonic.Time) (behind bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if index > s.State().Index {
+		s.keepEarly(confirmation{index: index, asOf: asOf})
 		return true
 	}
-	if old := s.confirmed.Load(); old != nil && asOf <= old.asOf {
-		return false
+	s.confirm(confirmation{index: index, asOf: asOf})
+	return false
+}
+
+// keepEarly keeps a confirmation of a state that has not come. Of each index only the
+// latest is kept. Of too many, those of the newest states are forgotten.
+func (s *Store) keepEarly(c confirmation) {
+	at, found := slices.BinarySearchFunc(s.early, c.index, func(have confirmation, index uint64) int { return cmp.Compare(have.index, index) })
+	switch {
+	case found:
+		s.early[at].asOf = max(s.early[at].asOf, c.asOf)
+	case at < maxEarlyConfirmations:
+		s.early = slices.Insert(s.early, at, c)
+		s.early = s.early[:min(len(s.early), maxEarlyConfirmations)]
+	}
+}
+
+// confirm records a confirmation of this state, unless a later one is recorded.
+func (s *Store) confirm(c confirmation) {
+	if old := s.confirmed.Load(); old != nil && c.asOf <= old.asOf {
+		return
 	}
 	wasFresh := s.IsFresh()
-	s.confirmed.Store(&confirmation{asOf: asOf})
+	s.confirmed.Store(&c)
 	if !wasFresh && s.IsFresh() {
 		for _, f := range s.onFresh {
 			f()
 		}
 	}
-	return false
 }
 
 // Age returns the time since the state was last confirmed to be the newest; false
--- a/coordination/statecache/store_test.go
+++ b/coordination/statecache/store_test.go
@@ -60,3 +60,30 @@
 		t.Error("an older confirmation replaced the newer one")
 	}
 }
+
+// Guards against a state that is never confirmed while newer ones come faster than they
+// are decoded: each confirmation was for a state that had not been decoded yet.
+func TestConfirmationCountsOnceItsStateHasCome(t *testing.T) {
+	s := NewStore()
+	now := monotonic.Now()
+	for i := range uint64(10) {
+		s.Confirm(3+i, now.Add(time.Duration(i)*time.Second-time.Hour))
+	}
+	s.Update(&catalogue.State{Index: 4}, "test")
+	if age, known := s.Age(); !known || age < time.Hour-2*time.Second || age > time.Hour {
+		t.Errorf("state 4 was confirmed %v ago (%v), want an hour less a second", age, known)
+	}
+	for i := range uint64(2 * maxEarlyConfirmations) {
+		s.Confirm(20+i, now.Add(-time.Minute))
+	}
+	if len(s.early) > maxEarlyConfirmations {
+		t.Errorf("%d confirmations wait for their states", len(s.early))
+	}
+	fresh := 0
+	s.OnFresh(func() { fresh++ })
+	s.Confirm(20, now)
+	s.Update(&catalogue.State{Index: 20}, "test")
+	if !s.IsFresh() || fresh != 1 {
+		t.Errorf("fresh=%v, OnFresh was called %d times", s.IsFresh(), fresh)
+	}
+}
--- a/state/catalogue/catalogue_test.go
+++ b/state/catalogue/catalogue_test.go
@@ -181,6 +181,16 @@
 	}
 }
 
+// textOf returns the text of a state, as a process that receives it decodes it.
+func textOf(t rapid.TB, s *State) string {
+	t.Helper()
+	received, err := FromWire(s.ToWire(), nil, decodeVersion)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(received.Text)
+}
+
 // Whatever commands are applied, the version and index never decrease, and a
 // snapshot restores the state.
 func TestVersionAndIndexNeverDecrease(t *testing.T) {
@@ -213,7 +223,7 @@
 		if err := other.Restore(snapshot); err != nil {
 			t.Fatal(err)
 		}
-		if a, b := m.State(), other.State(); a.Index != b.Index || a.Version() != b.Version() || string(a.Text) != string(b.Text) || fmt.Sprint(a.DataCentresOut) != fmt.Sprint(b.DataCentresOut) {
+		if a, b := m.State(), other.State(); a.Index != b.Index || a.Version() != b.Version() || textOf(t, a) != textOf(t, b) || fmt.Sprint(a.DataCentresOut) != fmt.Sprint(b.DataCentresOut) {
 			t.Fatalf("restored %+v, want %+v", b, a)
 		}
 	})
--- a/state/catalogue/machine.go
+++ b/state/catalogue/machine.go
@@ -7,29 +7,41 @@
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"google.golang.org/protobuf/proto"
 )
 
 // Machine is the replicated state machine of the catalogue. A replica calls Apply,
-// ApplyMembers, Snapshot and Restore from one goroutine; any goroutine may call State.
+// ApplyMembers, Snapshot and Restore from one goroutine; any goroutine may call the other
+// methods. None of the four decodes a catalogue, so the replicated state depends on no
+// decoder, and what they cost doesn't depend on the number of versions. Catalogues are
+// checked before they are proposed; a publisher decodes the newest one.
 type Machine struct {
-	decode   Decode
-	mu       sync.Mutex // serializes Apply, ApplyMembers, Snapshot and Restore for callers with several goroutines
-	applied  uint64
-	state    atomic.Pointer[State]
-	onChange func(*State)
+	mu        sync.Mutex // serializes Apply, ApplyMembers, Snapshot and Restore for callers with several goroutines
+	applied   uint64
+	state     atomic.Pointer[State]
+	publisher publisher
 }
 
-// NewMachine returns an empty machine. It calls onChange after each change.
+// NewMachine returns an empty machine. It calls onChange with decoded states, on another
+// goroutine unless the catalogue is known already. A state is left out if there is a newer
+// one before it is decoded.
 func NewMachine(decode Decode, onChange func(*State)) *Machine {
-	m := &Machine{decode: decode, onChange: onChange}
+	m := &Machine{publisher: publisher{decode: decode, onChange: onChange, logger: logs.For("catalogue")}}
 	m.state.Store(&State{})
 	return m
 }
 
-// State returns the latest state. The caller must not modify it.
+// State returns the latest state, in which Text and Catalogue are nil. The caller must not
+// modify it.
 func (m *Machine) State() *State { return m.state.Load() }
 
+// Offer passes on what the content of a change decodes to, so that it isn't decoded again
+// if the change is applied. Of several only the one with the highest version is kept.
+func (m *Machine) Offer(change *wire.CatalogueChange, text []byte, c *Catalogue) {
+	m.publisher.offer(&State{Text: text, Catalogue: c, digest: change.Digest})
+}
+
 // Apply applies a committed command and returns a *wire.ChangeOutcome or an error.
 func (m *Machine) Apply(index uint64, command *wire.Command) any {
 	m.mu.Lock()
@@ -58,18 +70,9 @@
 	case change.Version <= now.Version():
 		return m.outcome(false)
 	}
-	next, err := FromWire(&wire.CatalogueState{
-		Index:          index,
-		Content:        change.Content,
-		Digest:         change.Digest,
-		DataCentresOut: now.DataCentresOut,
-		Quarantined:    quarantinedToWire(now.Quarantined),
-		Orders:         ordersToWire(now.orders),
-	}, now, m.decode)
-	if err != nil {
-		return err
-	}
-	m.publish(next)
+	next := *now
+	next.Index, next.version, next.digest, next.compressed = index, change.Version, change.Digest, change.Content
+	m.publish(&next)
 	return m.outcome(false)
 }
 
@@ -88,7 +91,7 @@
 
 func (m *Machine) publish(s *State) {
 	m.state.Store(s)
-	m.onChange(s)
+	m.publisher.publish(s)
 }
 
 // ApplyMembers records the log index; members are not part of the catalogue.
@@ -113,10 +116,6 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s, err := FromWire(message, m.State(), m.decode)
-	if err != nil {
-		return err
-	}
-	m.publish(s)
+	m.publish(undecoded(message))
 	return nil
 }
--- a/state/catalogue/state.go
+++ b/state/catalogue/state.go
@@ -28,6 +28,7 @@
 	DataCentresOut []string // sorted
 	Quarantined    []QuarantinedPart
 
+	version    uint64 // of the content, also where it is not decoded
 	digest     []byte
 	compressed []byte
 	orders     []order // sorted by data centre
@@ -42,7 +43,7 @@
 // Version returns the catalogue's version, or 0 before the first one.
 func (s *State) Version() uint64 {
 	if s.Catalogue == nil {
-		return 0
+		return s.version
 	}
 	return s.Catalogue.Version
 }
@@ -90,18 +91,37 @@
 // FromWire decodes a state. It reuses the catalogue of known, which may be nil, if
 // the digests are equal.
 func FromWire(m *wire.CatalogueState, known *State, decode Decode) (*State, error) {
-	s := &State{Index: m.Index, DataCentresOut: slices.Sorted(slices.Values(m.DataCentresOut)), Quarantined: quarantinedFromWire(m.Quarantined), digest: m.Digest, compressed: m.Content, orders: ordersFromWire(m.Orders)}
-	if len(m.Content) == 0 {
-		return s, nil
+	return undecoded(m).decoded(known, decode)
+}
+
+// undecoded returns a state whose catalogue is not decoded: Text and Catalogue are nil.
+func undecoded(m *wire.CatalogueState) *State {
+	return &State{
+		Index:          m.Index,
+		DataCentresOut: slices.Sorted(slices.Values(m.DataCentresOut)),
+		Quarantined:    quarantinedFromWire(m.Quarantined),
+		version:        m.Version,
+		digest:         m.Digest,
+		compressed:     m.Content,
+		orders:         ordersFromWire(m.Orders),
+	}
+}
+
+// decoded returns a copy with Text and Catalogue. It takes them from known, which may be
+// nil, if the digests are equal.
+func (s *State) decoded(known *State, decode Decode) (*State, error) {
+	next := *s
+	if len(s.compressed) == 0 {
+		return &next, nil
 	}
-	if known != nil && bytes.Equal(known.digest, m.Digest) {
-		s.Text, s.Catalogue = known.Text, known.Catalogue
-		return s, nil
+	if known != nil && bytes.Equal(known.digest, s.digest) {
+		next.Text, next.Catalogue = known.Text, known.Catalogue
+		return &next, nil
 	}
 	var err error
-	if s.Text, err = decompress(m.Content); err != nil {
+	if next.Text, err = decompress(s.compressed); err != nil {
 		return nil, err
 	}
-	s.Catalogue, err = decode(s.Text)
-	return s, err
+	next.Catalogue, err = decode(next.Text)
+	return &next, err
 }
