Bound the log of control state by bytes

Callers saw: a group whose changes are large kept up to 1,000 of them in its log and 500 more in memory whatever their size (80 MB of 2.9 MB versions after 400 of them, on a disk of 64 MB). A start reads and writes all of it.

Small changes, such as an order to empty a data centre, have room of their own. The folder then fits on a disk of 64 MB also while the log is written anew.

--- a/coordination/replica/ready.go
+++ b/coordination/replica/ready.go
@@ -61,6 +61,7 @@
 }
 
 func (r *Replica) save(ready raft.Ready) error {
+	r.unsavedBytes = 0
 	if ready.HardState != nil {
 		r.hardState = ready.HardState
 	}
@@ -76,6 +77,9 @@
 		return r.restore(ready.Snapshot)
 	}
 	r.observeCommandTimes(ready.Entries)
+	if err := r.makeRoom(ready.Entries); err != nil {
+		return err
+	}
 	return r.log.Save(ready.HardState, ready.Entries)
 }
 
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -55,8 +55,10 @@
 	ElectionTicks           int             // the election timeout is one to two times this, at random; see raft.Config
 	PeerTimeout             time.Duration   // of one call that carries Raft messages; four times this for Join
 	JoinInterval            time.Duration   // between attempts to find and join a group
-	SnapshotIntervalEntries uint64          // least number of entries applied between snapshots
+	SnapshotIntervalEntries uint64          // number of applied entries after which a snapshot is due
+	SnapshotIntervalBytes   int64           // size of the log file from which a snapshot is due whatever its entries
 	KeptEntries             uint64          // number of entries before a snapshot that stay in the log for slow followers
+	KeptBytes               int             // of these entries together; larger ones are removed
 	Entropy                 io.Reader       // source of replica IDs; nil for crypto/rand
 	Random                  func(n int) int // uniform in [0,n); nil for math/rand
 }
@@ -86,6 +88,20 @@
 	// maybeSnapshot. A smaller number means more frequent snapshots.
 	defaultSnapshotIntervalEntries = 1000
 
+	// defaultSnapshotIntervalBytes bounds what a start reads beside the snapshot. A smaller
+	// number means more frequent snapshots where entries are large.
+	defaultSnapshotIntervalBytes = 4 << 20
+
+	// maxLogIntervals is the size of the log file, in intervals between two snapshots, at
+	// which changes are refused and a snapshot is waited for; see logLimit. With the largest
+	// catalogue, of 8 MiB, the limit is 20 MiB. The folder then needs 52 MiB at most, while
+	// the log is written anew after a snapshot or at a start, which a disk of 64 MB has.
+	maxLogIntervals = 5
+
+	// defaultKeptBytes bounds the memory for entries that slow followers may need. One
+	// that needs larger ones is sent the snapshot.
+	defaultKeptBytes = 4 << 20
+
 	// defaultKeptEntries is how far a follower may lag behind a snapshot and still be
 	// sent entries. One that lags further is sent the snapshot.
 	defaultKeptEntries = 500
@@ -108,7 +124,9 @@
 	setDefault(&o.PeerTimeout, defaultPeerTimeout)
 	setDefault(&o.JoinInterval, defaultJoinInterval)
 	setDefault(&o.SnapshotIntervalEntries, defaultSnapshotIntervalEntries)
+	setDefault(&o.SnapshotIntervalBytes, defaultSnapshotIntervalBytes)
 	setDefault(&o.KeptEntries, defaultKeptEntries)
+	setDefault(&o.KeptBytes, defaultKeptBytes)
 	if o.FileSystem == nil {
 		o.FileSystem = wal.Disk{}
 	}
@@ -176,6 +194,7 @@
 	nextSnapshotTick  uint64 // before which no snapshot is written
 	lastSnapshotIndex uint64
 	lastSnapshotBytes int64 // size of the last snapshot's state
+	unsavedBytes      int64 // of commands proposed since the last write to the log
 	proposals         map[uint64]proposal
 	pendingReads      map[uint64]readRequest
 	lastReadID        uint64
@@ -303,11 +322,17 @@
 }
 
 // drainQueues processes messages and requests that are already queued, up to
-// maxItemsPerSync, so that one sync covers all of them.
+// maxItemsPerSync, so that one sync covers all of them. It stops early once they hold
+// entries of SnapshotIntervalBytes, so that a snapshot can follow.
 func (r *Replica) drainQueues() {
+	received := int64(0)
 	for range maxItemsPerSync {
+		if received >= r.options.SnapshotIntervalBytes {
+			return
+		}
 		select {
 		case m := <-r.inbox:
+			received += dataBytes(m.Entries)
 			r.step(m)
 		case q := <-r.requests:
 			q.run(r)
--- a/coordination/replica/requests.go
+++ b/coordination/replica/requests.go
@@ -124,11 +124,18 @@
 		p.reply(nil, fault.Wrap(err, fault.InvalidRequest, "the command can't be encoded"))
 		return
 	}
+	if r.raft.Status().Role == raft.Leader {
+		if err := r.checkRoom(len(data)); err != nil {
+			p.reply(nil, err)
+			return
+		}
+	}
 	index, term, err := r.raft.Propose(data)
 	if err != nil {
 		p.reply(nil, notLeader())
 		return
 	}
+	r.unsavedBytes += int64(len(data))
 	r.lastTimeMs = at
 	p.command, p.term = nil, term
 	r.proposals[index] = p
--- a/coordination/replica/sim_test.go
+++ b/coordination/replica/sim_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/wal/faultfs"
@@ -33,7 +34,9 @@
 	members          []*wire.Member // newest list that any replica has applied
 	membersIndex     uint64
 	proposed         int
-	fullDiskFaults   int // number of injectFault's cases for full disks
+	snapshotBytes    int64 // Options.SnapshotIntervalBytes; 0 for the default
+	padBytes         int   // most bytes that are added to an operation
+	fullDiskFaults   int   // number of injectFault's cases for full disks
 	counts           map[string]int
 }
 
@@ -141,11 +144,12 @@
 	n.log = nil
 	r, err := Open(Options{
 		DataFolder: "/data", Address: n.address, StateMachine: n, FileSystem: n.fs, Random: s.random.IntN, Entropy: s,
-		SnapshotIntervalEntries: 12, KeptEntries: 4,
+		SnapshotIntervalEntries: 12, KeptEntries: 4, SnapshotIntervalBytes: s.snapshotBytes,
 	})
 	if err != nil {
 		return err
 	}
+	s.limitLog(r)
 	if n.lostIDs[r.id] {
 		s.t.Fatalf("%s restarted with the ID of a lost replica", n.address)
 	}
@@ -210,7 +214,12 @@
 	}
 	s.proposed++
 	w := &pendingRequest{node: n, id: fmt.Sprint("op-", s.proposed), done: make(chan result, 1)}
-	proposal{ctx: context.Background(), command: command(w.id), done: w.done}.run(n.replica)
+	c := command(w.id)
+	if s.padBytes > 0 {
+		pad := strings.Repeat("x", s.random.IntN(s.padBytes))
+		c.GetApply().Change = &wire.Change{Of: &wire.Change_PutContract{PutContract: &wire.Contract{Organisation: pad}}}
+	}
+	proposal{ctx: context.Background(), command: c, done: w.done}.run(n.replica)
 	s.pendingProposals = append(s.pendingProposals, w)
 	s.process(n)
 }
--- a/state/wal/faultfs/faultfs.go
+++ b/state/wal/faultfs/faultfs.go
@@ -43,6 +43,7 @@
 	crashPoints int
 	random      func(n int) int
 
+	PeakBytes      int // most bytes that all files together have held
 	CrashAt        int // number of the crash point at which to crash; 0 for never
 	CapacityBytes  int // of all files together; 0 for no limit
 	SyncsToFailure int // the sync with this number, counted from now, fails; 0 for none
@@ -295,6 +296,7 @@
 			return ErrFull
 		}
 		f.node.data = append(f.node.data, data...)
+		f.fs.PeakBytes = max(f.fs.PeakBytes, f.fs.usedBytes())
 		return nil
 	})
 	return len(data), err
--- a/state/wal/save.go
+++ b/state/wal/save.go
@@ -49,14 +49,20 @@
 // removes older files. If it fails before the new file has its name, the log goes on with
 // the current file and Err returns nil.
 func (l *Log) UseSnapshot(snapshot *wire.LogSnapshot, hard *wire.HardState, tail []*wire.LogEntry) error {
+	return l.Rewrite(snapshot.Index, hard, tail)
+}
+
+// Rewrite is UseSnapshot for the index of a snapshot, which may be the one in use or 0 for
+// none. It drops what the file holds beside the given state.
+func (l *Log) Rewrite(snapshotIndex uint64, hard *wire.HardState, tail []*wire.LogEntry) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	if err := l.startLogFile(hard, snapshot, tail); err != nil {
+	if err := l.startLogFile(hard, snapshotIndex, tail); err != nil {
 		return err
 	}
 	if names, err := l.files.ReadDir(l.folder); err == nil {
-		l.removeOldFiles(names, snapshot.Index)
+		l.removeOldFiles(names, snapshotIndex)
 	}
 	return nil
 }
@@ -146,8 +152,8 @@
 
 // startLogFile starts the next log file, whose first frame holds the given state. The
 // current file stays in use if that fails before the new one has its name.
-func (l *Log) startLogFile(hard *wire.HardState, snapshot *wire.LogSnapshot, tail []*wire.LogEntry) error {
-	payload, err := proto.Marshal(&wire.LogBatch{HardState: hard, Entries: tail, SnapshotIndex: snapshot.GetIndex()})
+func (l *Log) startLogFile(hard *wire.HardState, snapshotIndex uint64, tail []*wire.LogEntry) error {
+	payload, err := proto.Marshal(&wire.LogBatch{HardState: hard, Entries: tail, SnapshotIndex: snapshotIndex})
 	if err != nil {
 		return err
 	}
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -87,7 +87,7 @@
 		return nil, fault.New(fault.Corrupt, "%s has an identity but no log", l.folder)
 	}
 	l.freeRoom(names, state.Snapshot.GetIndex())
-	if err := l.startLogFile(state.HardState, state.Snapshot, state.Entries); err != nil {
+	if err := l.startLogFile(state.HardState, state.Snapshot.GetIndex(), state.Entries); err != nil {
 		return nil, l.fail(err)
 	}
 	if err := l.loadIdentity(names, state, entropy); err != nil {
