Refuse a quarantined part with 503, which says that the request has not run, not that it is wrong

TestQuarantinedPartIsNoFaultOfTheRequest failed before (400 instead of 503). checkRestart of TestPartThatCrashesEndpointsIsNoLongerSent asked for 400; it asks for 503, a time, the kind and the part's name now, which is stricter. The line of causes_test has the status 503.

--- a/coordination/serve/crash.go
+++ b/coordination/serve/crash.go
@@ -21,6 +21,10 @@
 	// trialRetryAfter is the Retry-After of a request with a part of which another request
 	// is the trial. It is about the time in which an answer begins.
 	trialRetryAfter = 500 * time.Millisecond
+	// quarantineRetryAfter is the Retry-After of a request with a quarantined part. It is
+	// longer than callers have left, so that those that repeat the request do so as late
+	// and as seldom as they may.
+	quarantineRetryAfter = 30 * time.Second
 )
 
 // partsUnclearError reports that a request was not sent, as a part of its prompt has become
@@ -69,7 +73,7 @@
 func (r *run) refuseParts(part uint64) error {
 	r.server.logger.Warn().Str("request", r.request.ID).Uint64("part", part).Str("id", r.partID(part)).
 		Strs("shared_parts", r.loggedParts()).Msg("A request is refused, as a part of its prompt ends endpoints.")
-	return fault.New(fault.PromptQuarantined, "part %q of the prompt ends the endpoints of service %s", r.partID(part), r.service.Name)
+	return fault.New(fault.PromptQuarantined, "part %q of the prompt ends the endpoints of service %s", r.partID(part), r.service.Name).WithRetryAfter(quarantineRetryAfter)
 }
 
 // partID returns the caller's ID of a part.
--- a/coordination/serve/crash_test.go
+++ b/coordination/serve/crash_test.go
@@ -1,10 +1,15 @@
 package serve
 
 import (
+	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
 // serveParts serves a stream whose prompt has parts that others may share.
@@ -66,6 +71,35 @@
 	}
 }
 
+// quarantinePart quarantines a part for good, as its endpoints ended one after the other.
+func (b *testbed) quarantinePart(part string) {
+	b.parts.SetRecorded([]catalogue.QuarantinedPart{{Key: quarantine.Key("s", part), Service: "s", ID: part, Final: true}})
+}
+
+// A configured request must not be called wrong for a quarantined part, nor be told that it
+// has not run once it may have.
+func TestQuarantinedPartIsNoFaultOfTheRequest(t *testing.T) {
+	t.Run("before a send", func(t *testing.T) {
+		b := newTestbed(t)
+		b.quarantinePart("part")
+		g := b.serveParts(t, "part")
+		if g.status != 503 || g.fault.Kind != fault.PromptQuarantined || g.fault.RetryAfter < quarantineRetryAfter || !strings.Contains(g.fault.Error(), `"part"`) || len(b.sentAttempts()) != 0 {
+			t.Errorf("status %d, %v, %d sent, want 503 that names the part, and nothing sent", g.status, g.fault, len(b.sentAttempts()))
+		}
+	})
+	t.Run("after a send", func(t *testing.T) {
+		b := newTestbed(t)
+		b.responses = append(b.responses, func(context.Context, *Attempt) (*Response, error) {
+			b.quarantinePart("part")
+			return nil, io.ErrUnexpectedEOF
+		})
+		g := b.serveParts(t, "part")
+		if g.status != 502 || !strings.Contains(g.fault.Error(), `"part"`) || len(b.sentAttempts()) != 1 {
+			t.Errorf("status %d, %v, %d sent, want 502 that names the part, and one send", g.status, g.fault, len(b.sentAttempts()))
+		}
+	})
+}
+
 // A request with a suspect part must be refused at once, with a time, while another request
 // tries the part.
 func TestRequestWithASuspectPartIsNotSentBesideATrial(t *testing.T) {
--- a/ctl/causes_test.go
+++ b/ctl/causes_test.go
@@ -29,7 +29,7 @@
 {"time":"2026-01-01T10:00:00.000Z","request":"limited","out_of_permits":true,"message":"No endpoint has room."}
 {"time":"2026-01-01T10:00:00.000Z","request":"limited","outcome":"overloaded","status":503,"message":"The request has its final answer."}
 {"time":"2026-01-01T10:00:00.000Z","request":"lost","endpoint":"e3","helpers":[],"message":"Endpoints were chosen."}
-{"time":"2026-01-01T10:00:00.000Z","request":"bad","outcome":"prompt_quarantined","status":400,"message":"The request has its final answer."}
+{"time":"2026-01-01T10:00:00.000Z","request":"bad","outcome":"prompt_quarantined","status":503,"message":"The request has its final answer."}
 `
 	path := filepath.Join(t.TempDir(), "log")
 	if err := os.WriteFile(path, []byte(log), 0o600); err != nil {
--- a/protocol/fault/fault.go
+++ b/protocol/fault/fault.go
@@ -56,7 +56,7 @@
 	UnknownModel:       {404, true, "name a model of the contract"},
 	UnknownService:     {404, true, "name a service of the contract"},
 	PromptTooLong:      {400, true, "shorten the prompt or ask the operator for a longer limit"},
-	PromptQuarantined:  {400, true, "leave that part out; operators: find out why it ends endpoints, then lift the quarantine"},
+	PromptQuarantined:  {503, true, "leave that part out; operators: find out why it ends endpoints, then lift the quarantine"},
 	BodyTooLarge:       {413, true, "send a smaller body"},
 	LimitExceeded:      {429, true, "send again after Retry-After"},
 	Overloaded:         {503, true, "send again after Retry-After"},
--- a/role/host/crashingpart_test.go
+++ b/role/host/crashingpart_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 )
 
 // The users' rule: of the requests with a part under which crashesToNotice endpoints have
@@ -93,11 +94,23 @@
 
 // callWithParts sends a request for a stream whose prompt has the given parts, and reports
 // whether it got the whole answer.
-func (p *fakePlatform) callWithParts(n int, id, parts string) (status int, whole bool) {
-	status, text, _ := call("POST", fmt.Sprintf("http://%s/stream/x", net.JoinHostPort(host(n), fmt.Sprint(p.ports[0]))), []byte("body of "+id), map[string]string{
+func (p *fakePlatform) callWithParts(n int, id, parts string) (whole bool) {
+	status, text, _ := p.sendWithParts(n, id, parts)
+	return status == http.StatusOK && strings.Count(text, "id: ") == 10
+}
+
+// isQuarantined reports whether an entry refuses a request for the crashing part, as one
+// that has not run, with a time, and names the part.
+func (p *fakePlatform) isQuarantined(n int, id, parts string) bool {
+	status, text, header := p.sendWithParts(n, id, parts)
+	return status == http.StatusServiceUnavailable && header.Get("Retry-After") != "" &&
+		strings.Contains(text, string(fault.PromptQuarantined)) && strings.Contains(text, crashingPart)
+}
+
+func (p *fakePlatform) sendWithParts(n int, id, parts string) (status int, text string, header http.Header) {
+	return call("POST", fmt.Sprintf("http://%s/stream/x", net.JoinHostPort(host(n), fmt.Sprint(p.ports[0]))), []byte("body of "+id), map[string]string{
 		"Attempt-Id": id, "X-Api-Key": "key", "Deadline-Ms": "3000", "Token-Usage": "100,10", "Prefix-Hash": parts,
 	})
-	return status, status == http.StatusOK && strings.Count(text, "id: ") == 10
 }
 
 // Requests of many entries whose prompts share a part that crashes each endpoint must stop
@@ -134,7 +147,7 @@
 		})
 		callers.Go(func() {
 			for i := 0; time.Since(began) < lasting; i++ {
-				_, whole := p.callWithParts(n, fmt.Sprintf("good-%d-%d", n, i), fmt.Sprintf("f0:40,g%d:100,s%d%d:1", i%4, n, i))
+				whole := p.callWithParts(n, fmt.Sprintf("good-%d-%d", n, i), fmt.Sprintf("f0:40,g%d:100,s%d%d:1", i%4, n, i))
 				if time.Since(began) > 2*crashGrace {
 					mu.Lock()
 					sound++
@@ -165,9 +178,8 @@
 	}
 	s.platform.awaitReady(hosts...)
 	for _, n := range hosts {
-		status, _ := s.platform.callWithParts(n, fmt.Sprintf("again-%d", n), fmt.Sprintf("f1:40,%s:100,c%d:1", crashingPart, n))
-		if status != http.StatusBadRequest {
-			s.t.Errorf("a restarted entry answers %d to a quarantined part", status)
+		if !s.platform.isQuarantined(n, fmt.Sprintf("again-%d", n), fmt.Sprintf("f1:40,%s:100,c%d:1", crashingPart, n)) {
+			s.t.Errorf("restarted entry %d does not refuse a quarantined part by its name", n)
 		}
 	}
 	if ended := s.endCount() - before; ended != 0 {
@@ -178,8 +190,7 @@
 			s.t.Logf("%v: %s", err, out)
 			return false
 		}
-		status, _ := s.platform.callWithParts(hosts[0], "lifted", fmt.Sprintf("f1:40,%s:100,c:1", crashingPart))
-		return status != http.StatusBadRequest
+		return !s.platform.isQuarantined(hosts[0], "lifted", fmt.Sprintf("f1:40,%s:100,c:1", crashingPart))
 	})
 	if s.endCount() == before {
 		s.t.Error("no request with the part was sent after the quarantine had been lifted")
