Stop a request that ends one endpoint after the other, whoever repeats it

Cause: ends were put down to the shared parts of prompts alone, and sound requests with these parts cleared them again and again. The quarantine now knows a request by its service, method, path with query and body too: a suspect from its first end, sent with a lease only, also by the attempt that has just ended an endpoint, and quarantined for good after three.

TestRequestIsNotSentOnBesideARepeatOfIt, TestRequestIsClearedByAnAnswer and TestRequestThatEndsEndpointsIsQuarantinedWithoutItsParts are new. Existing tests only follow the new signature of RecordEnd, and the requests of the simulated fleet have bodies of their own.

--- a/coordination/quarantine/bench_test.go
+++ b/coordination/quarantine/bench_test.go
@@ -18,7 +18,7 @@
 				for n := range 50 {
 					ids = append(ids, fmt.Sprintf("%d-%d", i, n))
 				}
-				tracker.RecordEnd("s", ids, uint64(i+1), now-1, nil)
+				tracker.RecordEnd(End{Service: "s", Parts: ids, Endpoint: uint64(i + 1), SentAt: now - 1})
 			}
 			ids := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
 			b.ReportAllocs()
--- a/coordination/quarantine/events.go
+++ b/coordination/quarantine/events.go
@@ -59,7 +59,7 @@
 	now := t.now()
 	for _, e := range events {
 		at := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
-		if len(e.Parts) == 0 || len(e.Parts) > MaxParts {
+		if len(e.Parts) == 0 && (e.Request == 0 || e.Endpoint == 0) || len(e.Parts) > MaxParts {
 			continue
 		}
 		if e.Endpoint == 0 {
@@ -71,7 +71,7 @@
 		}
 		parts := slices.Clone(e.Parts)
 		slices.Sort(parts)
-		t.addReport(&report{endpoint: e.Endpoint, parts: parts, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond), appeal: e.Appeal, alone: e.Alone})
+		t.addReport(&report{endpoint: e.Endpoint, parts: parts, request: e.Request, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond), appeal: e.Appeal, alone: e.Alone})
 	}
 }
 
@@ -92,7 +92,7 @@
 // them, and when answers last went on.
 func (t *Tracker) EventsOf(parts []uint64) []*wire.PartEvent {
 	events := t.eventsOf(func(r *report) bool {
-		return slices.ContainsFunc(parts, func(p uint64) bool { return contains(r.parts, p) })
+		return slices.ContainsFunc(parts, r.concerns)
 	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -116,11 +116,13 @@
 	return events
 }
 
-// event returns the event that tells other processes a report. The caller holds the lock.
+// event returns the event that tells other processes a report: not of parts that have been
+// cleared since. The caller holds the lock.
 func (t *Tracker) event(r *report) *wire.PartEvent {
 	now := t.now()
+	suspects := slices.DeleteFunc(slices.Clone(r.parts), func(p uint64) bool { return t.suspects[p] == nil })
 	return &wire.PartEvent{
-		Parts: r.parts, Endpoint: r.endpoint, Appeal: r.appeal, Alone: r.alone,
+		Parts: suspects, Request: r.request, Endpoint: r.endpoint, Appeal: r.appeal, Alone: r.alone,
 		AgeMs: uint32(now.Sub(r.at).Milliseconds()), SentAgeMs: uint32(now.Sub(r.sentAt).Milliseconds()),
 	}
 }
--- a/coordination/quarantine/recorded.go
+++ b/coordination/quarantine/recorded.go
@@ -44,6 +44,7 @@
 	}
 	s.final = s.final || q.Final
 	s.service, s.id = q.Service, q.ID
+	s.isRequest = s.isRequest || IsRequestName(q.ID)
 	t.logger.Warn().Uint64("part", q.Key).Str("service", q.Service).Str("id", q.ID).Bool("final", q.Final).
 		Msg("A recorded quarantine of a part of prompts applies.")
 }
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -16,6 +16,9 @@
 	// quarantined. With two, an endpoint that ends by chance under a part's trial would
 	// quarantine it.
 	endsForProof = 3
+	// Where only some endpoints ended one after the other, mixedEnds of them prove a part,
+	// and endsForProof a request.
+	mixedEnds = 4
 	// Endpoints that ended under requests sent before the first one ended prove a part too
 	// if there are manyEnds of them over at least manyEndsSpan: endpoints that end at one
 	// moment have a common cause outside their requests.
@@ -38,6 +41,7 @@
 type report struct {
 	endpoint uint64
 	parts    []uint64 // shared by the prompt with others, sorted
+	request  uint64   // key of the request, 0 if unknown
 	at       monotonic.Time
 	sentAt   monotonic.Time // of the request
 	appeal   uint64         // the quarantined part that the request tried, 0 if none
@@ -46,21 +50,43 @@
 	holders  int            // suspects that hold it
 }
 
-// hash identifies a report, whoever tells it.
+// hash identifies a report, whoever tells it. That of a known request is told with fewer
+// parts once some are cleared.
 func (r *report) hash() uint64 {
 	hash := fnv.New64a()
 	text := binary.BigEndian.AppendUint64(nil, r.endpoint)
-	for _, p := range r.parts {
+	identity := r.parts
+	if r.request != 0 {
+		identity = []uint64{r.request}
+	}
+	for _, p := range identity {
 		text = binary.BigEndian.AppendUint64(text, p)
 	}
 	_, _ = hash.Write(text) // a hash write never fails
 	return hash.Sum64()
 }
 
-// suspect is a part under which endpoints have ended since an answer last went on with it.
+// keys returns the keys of the parts and of the request, the latter last.
+func (r *report) keys() []uint64 {
+	if r.request == 0 {
+		return r.parts
+	}
+	return append(slices.Clip(r.parts), r.request)
+}
+
+// concerns reports whether the report is about a part or request.
+func (r *report) concerns(key uint64) bool {
+	return key == r.request && key != 0 || contains(r.parts, key)
+}
+
+// suspect is a part or request under which endpoints have ended since an answer last went
+// on with it.
 type suspect struct {
-	service string // empty until an endpoint ended under a request of this entry
-	id      string // of the part, shortened; empty like service
+	// isRequest is set for a request. It needs no appeals: whoever sends its content sends
+	// all that the endpoints ended under.
+	isRequest bool
+	service   string // empty until an endpoint ended under a request of this entry
+	id        string // of the part, shortened; empty like service
 	// reports holds one report of each endpoint, by time: that of an appeal, else that of
 	// the request that was sent last.
 	reports []*report
@@ -125,9 +151,10 @@
 	return n
 }
 
-// isProved reports whether the ends can't be chance.
-func isProved(reports []*report) bool {
-	if endsAfter(reports, 0) >= endsForProof {
+// isProved reports whether the ends can't be chance; mixed is the number of ends that
+// suffices if only some came one after the other.
+func isProved(reports []*report, mixed int) bool {
+	if oneByOne := endsAfter(reports, 0); oneByOne >= endsForProof || oneByOne > 1 && len(reports) >= mixed {
 		return true
 	}
 	return len(reports) >= manyEnds && reports[len(reports)-1].at.Sub(reports[0].at) >= manyEndsSpan
@@ -137,8 +164,12 @@
 // reports whether that has changed it.
 func (s *suspect) judge(part uint64) bool {
 	wasQuarantined, wasFinal := s.quarantined, s.final
+	mixed := mixedEnds
+	if s.isRequest {
+		mixed = endsForProof
+	}
 	for i := range s.reports {
-		if isProved(s.reports[:i+1]) {
+		if isProved(s.reports[:i+1], mixed) {
 			s.quarantined = true
 			break
 		}
@@ -156,7 +187,7 @@
 	if len(s.reports)-appeals >= manyEnds {
 		appeals, alone = appeals+1, alone+1
 	}
-	s.final = s.final || alone >= maxAppeals || appeals >= maxAnyAppeals
+	s.final = s.final || alone >= maxAppeals || appeals >= maxAnyAppeals || s.isRequest && s.quarantined
 	return s.quarantined != wasQuarantined || s.final != wasFinal
 }
 
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -177,27 +177,43 @@
 	return unclear, quarantined
 }
 
-// RecordEnd records that an endpoint of a service ended under a request of this entry, sent
-// at sentAt with a lease or nil, before the answer went on, and publishes that.
-func (t *Tracker) RecordEnd(service string, ids []string, endpoint uint64, sentAt monotonic.Time, lease *Lease) {
-	parts := Keys(service, ids)
-	if len(parts) == 0 {
+// End is an end of an endpoint under a request of this entry, before its answer went on.
+type End struct {
+	Service  string
+	Parts    []string // IDs of the shared parts of the prompt
+	Request  uint64   // key of the request, 0 if it has none
+	Path     string   // of the request, for the operators
+	Endpoint uint64   // key of the incarnation
+	SentAt   monotonic.Time
+	Lease    *Lease // with which the request was sent, nil if without
+}
+
+// RecordEnd records the end of an endpoint, and publishes it.
+func (t *Tracker) RecordEnd(e End) {
+	parts := Keys(e.Service, e.Parts)
+	if len(parts) == 0 && e.Request == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := &report{endpoint: endpoint, parts: parts, at: t.now(), sentAt: sentAt, own: true}
-	r.appeal = lease.appealed()
+	r := &report{endpoint: e.Endpoint, parts: parts, request: e.Request, at: t.now(), sentAt: e.SentAt, own: true}
+	r.appeal = e.Lease.appealed()
 	r.alone = r.appeal != 0 && t.othersAreSound(parts, r.appeal)
 	t.addReport(r)
-	for _, id := range ids[:min(len(ids), MaxParts)] {
-		if s := t.suspects[Key(service, id)]; s != nil {
-			s.service, s.id = service, id[:min(len(id), maxIDBytes)]
-		}
+	for _, id := range e.Parts[:min(len(e.Parts), MaxParts)] {
+		t.name(Key(e.Service, id), e.Service, id[:min(len(id), maxIDBytes)])
 	}
+	t.name(e.Request, e.Service, requestName(e.Path))
 	t.publish([]*wire.PartEvent{t.event(r)})
 }
 
+// name keeps the name of a suspect. The caller holds the lock.
+func (t *Tracker) name(key uint64, service, id string) {
+	if s := t.suspects[key]; s != nil {
+		s.service, s.id = service, id
+	}
+}
+
 // othersAreSound reports whether an answer is known to have gone on with each of the parts
 // but one. The caller holds the lock.
 func (t *Tracker) othersAreSound(parts []uint64, except uint64) bool {
@@ -210,7 +226,7 @@
 }
 
 // RecordSound records that an answer of this entry went on, and publishes which suspects
-// that clears.
+// among its parts that clears.
 func (t *Tracker) RecordSound(parts []uint64) {
 	if len(parts) == 0 {
 		return
@@ -221,6 +237,28 @@
 	for _, p := range parts[:min(len(parts), maxRememberedParts)] {
 		t.sound.putLatest(p, now)
 	}
+	t.publishCleared(parts, now)
+}
+
+// RecordRequestSound records that an answer of this entry to a request went on, and
+// publishes whether that clears the request. The history keeps suspects alone, as requests
+// are as many as answers.
+func (t *Tracker) RecordRequestSound(request uint64) {
+	if t.suspected.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	if t.suspects[request] != nil {
+		t.sound.putLatest(request, now)
+		t.publishCleared([]uint64{request}, now)
+	}
+}
+
+// publishCleared clears the suspects among the keys and publishes that. The caller holds
+// the lock.
+func (t *Tracker) publishCleared(parts []uint64, now monotonic.Time) {
 	if len(t.suspects) == 0 {
 		return
 	}
@@ -242,7 +280,7 @@
 	t.counts.Ends++
 	var blamed []uint64
 	proved, ends := false, 0
-	for _, p := range r.parts {
+	for _, p := range r.keys() {
 		soundAt, wasSound := t.sound.get(p)
 		if wasSound && soundAt > r.at {
 			continue
@@ -252,6 +290,7 @@
 			s = &suspect{wasSound: wasSound}
 			t.suspects[p] = s
 		}
+		s.isRequest = s.isRequest || p == r.request
 		if !s.add(r) {
 			continue
 		}
@@ -324,7 +363,7 @@
 // forget removes a report. A suspect without reports is removed too, unless it is
 // quarantined. The caller holds the lock.
 func (t *Tracker) forget(old *report) {
-	for _, p := range old.parts {
+	for _, p := range old.keys() {
 		s := t.suspects[p]
 		if s == nil {
 			continue
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -27,7 +27,7 @@
 	sentAt := c.now
 	c.advance(100 * time.Millisecond)
 	_, quarantined := t.unclear(Keys(service, parts))
-	t.RecordEnd(service, parts, endpoint, sentAt, &Lease{appeal: quarantined})
+	t.RecordEnd(End{Service: service, Parts: parts, Endpoint: endpoint, SentAt: sentAt, Lease: &Lease{appeal: quarantined}})
 	c.advance(time.Millisecond)
 }
 
@@ -72,7 +72,7 @@
 	sentAt := c.now
 	c.advance(200 * time.Millisecond)
 	for i := range uint64(200) {
-		tracker.RecordEnd(service, []string{"rare"}, i, sentAt, nil)
+		tracker.RecordEnd(End{Service: service, Parts: []string{"rare"}, Endpoint: i, SentAt: sentAt, Lease: nil})
 		c.advance(2 * time.Millisecond)
 	}
 	if got := standing(tracker, "rare"); got != Unclear {
@@ -264,3 +264,52 @@
 		t.Errorf("standing %v after the quarantine was lifted", got)
 	}
 }
+
+// A request under which three endpoints ended one after the other must not be sent again by
+// anybody, and its parts, which sound requests share, must stay free.
+func TestRequestThatEndsEndpointsIsQuarantinedWithoutItsParts(t *testing.T) {
+	tracker, c := newTestTracker()
+	told := NewTracker(tracker.now)
+	request, other := RequestKey(service, "POST", "/x", []byte("bad")), RequestKey(service, "POST", "/x", []byte("good"))
+	for i := range uint64(endsForProof) {
+		sentAt := c.now
+		c.advance(100 * time.Millisecond)
+		tracker.RecordEnd(End{Service: service, Parts: []string{"first"}, Request: request, Path: "/x", Endpoint: i + 1, SentAt: sentAt})
+		c.advance(time.Millisecond)
+		tracker.RecordSound(Keys(service, []string{"first"}))
+	}
+	told.Apply(tracker.Events())
+	told.Apply([]*wire.PartEvent{{Parts: Keys(service, []string{"first"})}})
+	for name, at := range map[string]*Tracker{"that saw the ends": tracker, "that was told": told} {
+		if got, _ := at.Check(append(Keys(service, []string{"first"}), request)); got != Quarantined {
+			t.Errorf("standing %v of the request at the entry %s", got, name)
+		}
+		if got, _ := at.Check(append(Keys(service, []string{"first"}), other)); got != Clear {
+			t.Errorf("standing %v of another request with its part at the entry %s", got, name)
+		}
+	}
+	recorded := tracker.Unrecorded()
+	if len(recorded) != 1 || recorded[0].Key != request || !recorded[0].Final || !IsRequestName(recorded[0].ID) {
+		t.Errorf("to be recorded: %v", recorded)
+	}
+}
+
+// Endpoints that end at one moment under copies of one request say nothing against it, and
+// one answer to it clears it.
+func TestRequestIsClearedByAnAnswer(t *testing.T) {
+	tracker, c := newTestTracker()
+	request := RequestKey(service, "GET", "/popular", nil)
+	sentAt := c.now
+	c.advance(time.Second)
+	for i := range uint64(20) {
+		tracker.RecordEnd(End{Service: service, Request: request, Endpoint: i + 1, SentAt: sentAt})
+	}
+	if got, _ := tracker.Check([]uint64{request}); got != Unclear {
+		t.Errorf("standing %v after ends at one moment, want a trial", got)
+	}
+	c.advance(time.Second)
+	tracker.RecordRequestSound(request)
+	if got, _ := tracker.Check([]uint64{request}); got != Clear {
+		t.Errorf("standing %v after an answer went on", got)
+	}
+}
--- a/coordination/serve/crash.go
+++ b/coordination/serve/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
@@ -40,7 +41,7 @@
 func (r *run) awaitParts(ctx context.Context) error {
 	until := r.placementDeadline()
 	for {
-		standing, part := r.server.parts.Check(r.parts)
+		standing, part := r.server.parts.Check(r.suspectKeys())
 		switch {
 		case standing == quarantine.Clear, standing == quarantine.Unclear && r.lease != nil:
 			return nil
@@ -49,7 +50,7 @@
 		case standing == quarantine.Postponed:
 			return errPartTried()
 		}
-		lease, retryAfter := r.server.parts.Take(ctx, r.service.Name, r.parts, time.Until(r.deadline))
+		lease, retryAfter := r.server.parts.Take(ctx, r.service.Name, r.suspectKeys(), time.Until(r.deadline))
 		r.logLease(part, lease != nil, retryAfter)
 		if lease != nil {
 			r.lease = lease
@@ -73,11 +74,21 @@
 func (r *run) refuseParts(part uint64) error {
 	r.server.logger.Warn().Str("request", r.request.ID).Uint64("part", part).Str("id", r.partID(part)).
 		Strs("shared_parts", r.loggedParts()).Msg("A request is refused, as a part of its prompt ends endpoints.")
+	if part == r.requestKey {
+		return fault.New(fault.PromptQuarantined, "this request, whoever sends it, ends the endpoints of service %s", r.service.Name).WithRetryAfter(quarantineRetryAfter)
+	}
 	return fault.New(fault.PromptQuarantined, "part %q of the prompt ends the endpoints of service %s", r.partID(part), r.service.Name).WithRetryAfter(quarantineRetryAfter)
 }
 
-// partID returns the caller's ID of a part.
+// suspectKeys returns the keys under which the quarantine knows the request: those of its
+// shared parts and its own.
+func (r *run) suspectKeys() []uint64 { return append(slices.Clip(r.parts), r.requestKey) }
+
+// partID returns the caller's ID of a part, or the path if the key is that of the request.
 func (r *run) partID(key uint64) string {
+	if key == r.requestKey {
+		return r.request.Path
+	}
 	for _, id := range r.request.SharedParts {
 		if quarantine.Key(r.service.Name, id) == key {
 			return id
@@ -93,7 +104,7 @@
 
 // checkParts checks the parts again right before the request is sent.
 func (r *run) checkParts() error {
-	standing, part := r.server.parts.Check(r.parts)
+	standing, part := r.server.parts.Check(r.suspectKeys())
 	switch {
 	case standing == quarantine.Quarantined:
 		return r.refuseParts(part)
@@ -106,7 +117,7 @@
 // partsAreClear reports whether the request may be sent a second time beside an attempt
 // that still runs.
 func (r *run) partsAreClear() bool {
-	standing, _ := r.server.parts.Check(r.parts)
+	standing, _ := r.server.parts.Check(r.suspectKeys())
 	return standing == quarantine.Clear
 }
 
@@ -123,6 +134,7 @@
 	if !r.goesOn {
 		r.goesOn = true
 		r.server.parts.RecordSound(r.parts)
+		r.server.parts.RecordRequestSound(r.requestKey)
 	}
 }
 
@@ -130,7 +142,10 @@
 func (r *run) recordEnd(ctx context.Context, plan *placement.Plan) bool {
 	ended := r.endedUnder(ctx, plan)
 	if ended {
-		r.server.parts.RecordEnd(r.service.Name, r.request.SharedParts, plan.Endpoints[0].Key, r.sentAt, r.lease)
+		r.server.parts.RecordEnd(quarantine.End{
+			Service: r.service.Name, Parts: r.request.SharedParts, Request: r.requestKey, Path: r.request.Path,
+			Endpoint: plan.Endpoints[0].Key, SentAt: r.sentAt, Lease: r.lease,
+		})
 	}
 	return ended
 }
@@ -140,7 +155,7 @@
 // that drains and one that does not answer at all are no such case.
 func (r *run) endedUnder(ctx context.Context, plan *placement.Plan) bool {
 	e := plan.Endpoints[0]
-	if len(r.parts) == 0 || r.goesOn || !r.isReady(e.Key) {
+	if r.goesOn || !r.isReady(e.Key) {
 		return false
 	}
 	return r.server.upstream.HasEnded(ctx, e)
--- a/coordination/serve/crash_test.go
+++ b/coordination/serve/crash_test.go
@@ -100,12 +100,32 @@
 	})
 }
 
+// Guards against an attempt that goes from the endpoint that it has ended to the next one,
+// beside a repeat of the same request elsewhere, since its parts are known to be sound.
+func TestRequestIsNotSentOnBesideARepeatOfIt(t *testing.T) {
+	b := newTestbed(t)
+	b.endAll()
+	b.parts.RecordSound(quarantine.Keys("s", []string{"part"}))
+	q := b.request("stream")
+	b.responses = append(b.responses, func(context.Context, *Attempt) (*Response, error) {
+		key := quarantine.RequestKey("s", q.Method, q.Target, q.Body)
+		b.parts.RecordEnd(quarantine.End{Service: "s", Parts: []string{"part"}, Request: key, Endpoint: 1, SentAt: b.parts.Now()})
+		if lease, _ := b.server.parts.Take(t.Context(), "s", []uint64{key}, time.Minute); lease == nil {
+			t.Error("no lease for a repeat of the request")
+		}
+		return nil, io.ErrUnexpectedEOF
+	})
+	if g := b.serveParts(t, "part"); g.status != 502 || len(b.sentAttempts()) != 1 {
+		t.Errorf("status %d, %d sends, want 502 after one send", g.status, len(b.sentAttempts()))
+	}
+}
+
 // A request with a suspect part must be refused at once, with a time, while another request
 // tries the part.
 func TestRequestWithASuspectPartIsNotSentBesideATrial(t *testing.T) {
 	b := newTestbed(t, breakingOff(""), good(twoEvents))
 	keys := quarantine.Keys("s", []string{"part"})
-	b.parts.RecordEnd("s", []string{"part"}, 1, b.parts.Now(), nil)
+	b.parts.RecordEnd(quarantine.End{Service: "s", Parts: []string{"part"}, Endpoint: 1, SentAt: b.parts.Now()})
 	lease, _ := b.server.parts.Take(t.Context(), "s", keys, time.Minute)
 	if lease == nil {
 		t.Fatal("no lease for a suspect part")
--- a/coordination/serve/crashfleet_test.go
+++ b/coordination/serve/crashfleet_test.go
@@ -32,6 +32,10 @@
 	mostSendsAfterwards = 3
 )
 
+// deadlyRequest is the body of a request that ends each endpoint that runs it, whoever
+// sends it under whatever attempt ID.
+const deadlyRequest = "deadly"
+
 const (
 	fleetEndpoints = 20
 	fleetLasting   = 20 * time.Second
@@ -193,8 +197,11 @@
 	return &Response{Status: 200, Header: http.Header{}, Body: body, Signed: true, MatchesAttempt: true}, nil
 }
 
-// badPart returns the bad part of a request's prompt.
+// badPart returns the bad part of a request's prompt, or deadlyRequest.
 func (f *crashFleet) badPart(q *Request) string {
+	if string(q.Body) == deadlyRequest {
+		return deadlyRequest
+	}
 	for _, part := range q.SharedParts {
 		if slices.Contains(f.bad, part) {
 			return part
@@ -250,8 +257,12 @@
 func (f *crashFleet) request(ctx context.Context, server *Server, kind, id string, parts ...string) {
 	g := &recorder{}
 	began := time.Now()
+	body := []byte(id)
+	if kind == deadlyRequest {
+		body = []byte(deadlyRequest)
+	}
 	server.Serve(ctx, &Request{
-		ID: id, Method: "POST", Host: "h", Path: "/stream/x", Target: "/stream/x", Header: http.Header{}, Arrived: time.Now(), TimeLimit: 8 * time.Second, SharedParts: parts,
+		Body: body, ID: id, Method: "POST", Host: "h", Path: "/stream/x", Target: "/stream/x", Header: http.Header{}, Arrived: time.Now(), TimeLimit: 8 * time.Second, SharedParts: parts,
 	}, g)
 	status := g.status
 	if g.aborted || status == 200 && strings.Count(g.body.String(), "id: ") != fleetEvents {
@@ -277,8 +288,11 @@
 	for i := 0; time.Since(f.began) < fleetLasting; i++ {
 		server := f.servers[random.IntN(len(f.servers))]
 		first, other := fmt.Sprintf("first%d", random.IntN(3)), fmt.Sprintf("rare%d", random.IntN(60))
-		bad := f.bad[random.IntN(len(f.bad))]
-		if i%5 == 0 && time.Since(f.began) > time.Second {
+		isBad := i%5 == 0 && time.Since(f.began) > time.Second
+		if isBad && len(f.bad) == 0 {
+			f.wg.Go(func() { f.request(ctx, server, deadlyRequest, fmt.Sprint("d", i), first) })
+		} else if isBad {
+			bad := f.bad[random.IntN(len(f.bad))]
 			f.wg.Go(func() { f.request(ctx, server, "bad", fmt.Sprint("b", i), first, bad) })
 		} else {
 			f.wg.Go(func() { f.request(ctx, server, "sound", fmt.Sprint("g", i), first, other) })
@@ -289,10 +303,18 @@
 	time.Sleep(time.Second) // for the ends of leases, which nobody waits for
 }
 
+// culprits returns the bad parts, or deadlyRequest if there are none.
+func (f *crashFleet) culprits() []string {
+	if len(f.bad) == 0 {
+		return []string{deadlyRequest}
+	}
+	return f.bad
+}
+
 // check checks the users' rule for each part, and that sound requests are served.
 func (f *crashFleet) check(t *testing.T, mostEnds int) {
 	t.Helper()
-	for _, part := range f.bad {
+	for _, part := range f.culprits() {
 		ends, late := f.ends[part], 0
 		if len(ends) >= crashesToNotice {
 			limit := ends[crashesToNotice-1].Add(crashGrace)
@@ -337,3 +359,29 @@
 		}
 	}
 }
+
+// Guards against one request that, repeated under new attempt IDs at any entries, ends one
+// endpoint after the other while all its parts are shared by sound requests.
+func TestRepeatedRequestThatCrashesEndpointsIsStopped(t *testing.T) {
+	const mostEnds, endsToStop = 5, 3 // the aims of issue 41
+	for _, entries := range []int{1, 8, 25, 70} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				f := newCrashFleet(entries)
+				f.run(t.Context(), rand.New(rand.NewPCG(uint64(entries), 1)))
+				f.check(t, mostEnds)
+				late := 0
+				if ends := f.ends[deadlyRequest]; len(ends) >= endsToStop {
+					for _, at := range f.sends[deadlyRequest] {
+						if at.Sub(ends[endsToStop-1]) > crashGrace {
+							late++
+						}
+					}
+				}
+				if late > 0 {
+					t.Errorf("%d sends later than %v after the third end", late, crashGrace)
+				}
+			})
+		})
+	}
+}
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -110,6 +110,7 @@
 	goesOn           bool              // the answer of the latest attempt has gone on
 	sentAt           monotonic.Time    // of the latest attempt
 	parts            []uint64          // keys of the prompt's parts that other requests may share
+	requestKey       uint64            // the same for all repeats of the request
 	lease            *quarantine.Lease // for the next attempt, while one of the parts is suspect
 	lastEventAt      time.Time         // when the last event was sent to the caller
 	permitDenials    int
@@ -142,6 +143,7 @@
 	}
 	r.service = c.Services[pickService(r.route.Split, q.ID)]
 	r.parts = quarantine.Keys(r.service.Name, q.SharedParts)
+	r.requestKey = quarantine.RequestKey(r.service.Name, q.Method, q.Target, q.Body)
 	r.deadline = q.Arrived.Add(min(q.TimeLimit, r.route.Timeout))
 	if err := r.checkTimeUntilStop(); err != nil {
 		return err
--- a/transport/mesh/relays_test.go
+++ b/transport/mesh/relays_test.go
@@ -277,7 +277,7 @@
 		s, _ := n.parts.Check(part)
 		return s
 	}
-	from.parts.RecordEnd("s", []string{"bad"}, 1, from.parts.Now(), nil)
+	from.parts.RecordEnd(quarantine.End{Service: "s", Parts: []string{"bad"}, Endpoint: 1, SentAt: from.parts.Now()})
 	late := startAt(t, loopback.KeepFor(t), &wire.ProcessRecord{Name: "late", Incarnation: 999, Entry: true, DataCentre: "b"}, from.address)
 	all := append([]*node{late}, append(r.nodes["a"], r.nodes["b"]...)...)
 	for _, n := range all {
