--- a/coordination/controlplane/simlinks_test.go
+++ b/coordination/controlplane/simlinks_test.go
@@ -168,7 +168,7 @@
 	return silence
 }
 
-// simPool keeps one connection to each address. It implements Connections.
+// simPool keeps one connection to each address. It implements connections.Pool.
 type simPool struct {
 	links *simLinks
 	from  string
@@ -178,7 +178,7 @@
 }
 
 // Connection implements Connections.
-func (p *simPool) Connection(address string) (grpc.ClientConnInterface, error) {
+func (p *simPool) Get(address string) (grpc.ClientConnInterface, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[address] == nil {
@@ -188,6 +188,9 @@
 }
 
 // Retire implements Connections.
+// Replace implements connections.Pool.
+func (p *simPool) Replace(address string, conn grpc.ClientConnInterface) { p.Retire(address, conn) }
+
 func (p *simPool) Retire(address string, conn grpc.ClientConnInterface) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
