--- a/coordination/controlplane/simlinks_test.go
+++ b/coordination/controlplane/simlinks_test.go
@@ -177,7 +177,7 @@
 	conns map[string]*simConn
 }
 
-// Connection implements Connections.
+// Get implements connections.Pool.
 func (p *simPool) Get(address string) (grpc.ClientConnInterface, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -187,10 +187,10 @@
 	return p.conns[address], nil
 }
 
-// Retire implements Connections.
 // Replace implements connections.Pool.
 func (p *simPool) Replace(address string, conn grpc.ClientConnInterface) { p.Retire(address, conn) }
 
+// Retire implements connections.Pool.
 func (p *simPool) Retire(address string, conn grpc.ClientConnInterface) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
