Send permits' rate to endpoints until they are heard after a return

Cause: entries asked only whether the last announcement says cold, not whether it can still tell. Coldness without requests goes unnoticed.

Change: a record of an endpoint names the log index of the state of the process that heard the announcement. If that is below the index of the order that put the data centre back, the endpoint may be cold and gets permits at the cold rate of its service; the same if nothing was heard for 4 s and it has answered this entry nothing. Permits and their issuer are as before. The first announcement that counts is published at once. Entries that were started or cut off meanwhile need no mark of their own.

The fake endpoint of role/host can be in another data centre; no check is changed.

--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -15,6 +15,7 @@
 
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 )
 
@@ -54,6 +55,7 @@
 	Condition  wire.EndpointCondition
 	ColdUntil  monotonic.Time
 	HeardAt    monotonic.Time // last time any process heard from it, as far as known
+	HeardIndex uint64         // log index of the newest state of a process that heard from it, at that time
 	Key        uint64         // identifies this incarnation to the scheduler
 	changedAt  monotonic.Time // of the last change as merge reports it
 }
@@ -80,6 +82,7 @@
 	endpoints map[string]*Endpoint   // by ID
 	byService map[string][]*Endpoint // one per address, gone ones left out; nil when reindex is due
 	publish   func(records []*wire.EndpointRecord, urgent bool)
+	state     func() *catalogue.State
 }
 
 // New returns an empty directory.
@@ -90,20 +93,38 @@
 		endpoints: make(map[string]*Endpoint),
 		byKey:     make(map[uint64]*Endpoint),
 		publish:   func([]*wire.EndpointRecord, bool) {},
+		state:     func() *catalogue.State { return &catalogue.State{} },
 	}
 }
 
+// SetStateLookup sets the function that returns the newest replicated state of this
+// process. It must be called before the directory is in use.
+func (d *Directory) SetStateLookup(f func() *catalogue.State) { d.state = f }
+
+// HeardSinceReturn reports whether an endpoint has been heard from since its data centre
+// was last put back into service: by a process that had already received that order. Until
+// then it may have become cold while it got no requests.
+func (d *Directory) HeardSinceReturn(e *Endpoint) bool {
+	return e.HeardIndex >= d.state().ReturnIndex(e.DataCentre)
+}
+
 // OnUpdate sets the function that publishes to other processes what this one has
 // learnt from an endpoint itself. Its argument urgent is false when the records are ready
 // and merge has found no change in them. It must be called before the directory is in use.
 func (d *Directory) OnUpdate(f func(records []*wire.EndpointRecord, urgent bool)) { d.publish = f }
 
-// Announce merges a record that this process received from the endpoint itself, or made
-// of what the endpoint told it, and publishes it to the other processes if it is a
-// change. A record that is no change, be it newer or not, is published only by the rule
+// Announce merges an announcement that this process received from the endpoint itself and
+// publishes it, as announce says. It enters the index of this process's state in the record.
+func (d *Directory) Announce(r *wire.EndpointRecord) {
+	r.HeardIndex = d.state().Index
+	d.announce(r)
+}
+
+// announce merges an announcement, or a record that this process made of what the endpoint
+// told it otherwise, and publishes it to the other processes if it is a change. A record that is no change, be it newer or not, is published only by the rule
 // of refreshEvery. That the endpoint is not ready is always published: it may be said only
 // once more, and the process that heard it first may have ended before it told others.
-func (d *Directory) Announce(r *wire.EndpointRecord) {
+func (d *Directory) announce(r *wire.EndpointRecord) {
 	_, stateChanged := d.merge(r)
 	urgent := stateChanged || r.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY
 	if urgent || r.Sequence%refreshEvery == 0 {
@@ -123,7 +144,7 @@
 		r = known.record(monotonic.Now())
 	}
 	r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_GONE
-	d.Announce(r)
+	d.announce(r)
 }
 
 // Incarnation returns the start of the known incarnation of an endpoint, as in
@@ -143,7 +164,7 @@
 	r := e.record(monotonic.Now())
 	r.Condition = wire.EndpointCondition_ENDPOINT_CONDITION_DRAINING
 	r.Sequence++ // processes of earlier builds take a condition only from a newer record
-	d.Announce(r)
+	d.announce(r)
 }
 
 // MergeEndpoints merges records from another process. It returns those that are newer
@@ -162,8 +183,8 @@
 // merge stores the record if it is the first one of its endpoint or newer than the
 // known one, and reports whether it did. A leave that names no incarnation marks the
 // known record as gone. stateChanged is true for the first record, for one with another
-// incarnation, condition or address, and when old and new disagree on whether the
-// endpoint is cold now. Other fields, such as the slots, are stored but don't count.
+// incarnation, condition or address, when old and new disagree on whether the endpoint is
+// cold now, and for the first one since its data centre was put back into service. Other fields, such as the slots, are stored but don't count.
 func (d *Directory) merge(r *wire.EndpointRecord) (newest, stateChanged bool) {
 	now := monotonic.Now()
 	next := fromRecord(r, now)
@@ -183,19 +204,21 @@
 	if old != nil && old.BornMs == next.BornMs {
 		next.Condition = max(next.Condition, old.Condition)
 		next.HeardAt = max(next.HeardAt, old.HeardAt)
+		next.HeardIndex = max(next.HeardIndex, old.HeardIndex)
 	}
 	if old != nil {
 		delete(d.byKey, old.Key)
 	}
 	d.endpoints[r.Id], d.byKey[next.Key] = next, next
 	d.byService = nil
-	if old != nil && old.BornMs == next.BornMs && old.Condition == next.Condition && old.Address == next.Address && old.Cold(now) == next.Cold(now) {
+	if old != nil && old.BornMs == next.BornMs && old.Condition == next.Condition && old.Address == next.Address && old.Cold(now) == next.Cold(now) && d.HeardSinceReturn(old) == d.HeardSinceReturn(next) {
 		next.changedAt = old.changedAt
 		return true, false
 	}
 	d.logger.Info().Str("endpoint", next.ID).Uint64("born_ms", next.BornMs).Str("address", next.Address).
 		Str("data_centre", next.DataCentre).Str("condition", conditionName(next.Condition)).
-		Uint32("cold_ms", r.ColdMs).Uint32("age_ms", r.HeardAgeMs).Msg("An endpoint was added or has changed.")
+		Uint32("cold_ms", r.ColdMs).Uint32("age_ms", r.HeardAgeMs).
+		Uint64("heard_index", next.HeardIndex).Bool("heard_since_return", d.HeardSinceReturn(next)).Msg("An endpoint was added or has changed.")
 	return true, true
 }
 
@@ -255,7 +278,7 @@
 	return &Endpoint{
 		ID: r.Id, BornMs: r.BornMs, Sequence: r.Sequence, Service: r.Service, Address: r.Address,
 		DataCentre: r.DataCentre, Slots: int(r.Slots), Condition: r.Condition,
-		ColdUntil: heard.Add(time.Duration(r.ColdMs) * time.Millisecond), HeardAt: heard,
+		ColdUntil: heard.Add(time.Duration(r.ColdMs) * time.Millisecond), HeardAt: heard, HeardIndex: r.HeardIndex,
 		Key: KeyOf(r.Id, r.BornMs),
 	}
 }
@@ -266,6 +289,7 @@
 		DataCentre: e.DataCentre, Slots: uint32(e.Slots), Condition: e.Condition,
 		ColdMs:     uint32(max(0, e.ColdUntil.Sub(e.HeardAt)).Milliseconds()),
 		HeardAgeMs: uint32(max(0, now.Sub(e.HeardAt)).Milliseconds()),
+		HeardIndex: e.HeardIndex,
 	}
 }
 
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -175,17 +175,17 @@
 	for i, e := range endpoints {
 		state := s.stateOf(e.Key)
 		state.name = e.ID
-		if !state.isUsable(e, req, now) || state.permitRate(e, req.Service, now, steadyNow) != Unlimited && !state.permit.mayAsk(now) {
+		if !state.isUsable(e, req, now) || s.permitRate(state, e, req.Service, now, steadyNow) != Unlimited && !state.permit.mayAsk(now) {
 			continue
 		}
 		c := &s.candidateBuffer[i]
 		s.fillCandidate(c, e.Key, req.Service.Engine, now)
-		c.endpoint, c.cold = e, e.Cold(steadyNow)
-		if c.cold && req.Service.ColdRequestsPerSecond > 0 && !s.allowsColdArrival(c, req, now) {
+		coldness := s.coldness(state, e, now, steadyNow)
+		c.endpoint, c.cold = e, coldness == Cold
+		if coldRate(req.Service, coldness) != Unlimited && !s.allowsColdArrival(c, req, now) {
 			continue
 		}
-		silent := steadyNow.Sub(e.HeardAt) > silentAfter && now.Sub(c.state.health.lastSuccessAt) > silentAfter
-		if now.Before(c.state.health.backoffUntil) || silent {
+		if now.Before(state.health.backoffUntil) || state.isSilent(e, now, steadyNow) {
 			lastResort = append(lastResort, c)
 		} else {
 			preferred = append(preferred, c)
@@ -202,11 +202,11 @@
 	return !req.Excluded(e) && !state.health.draining && !now.Before(state.health.busyUntil)
 }
 
-// allowsColdArrival reports whether a cold endpoint can take a further arrival. Those
-// of a data centre known from load reports are left to the entries there, which see
-// every arrival.
+// allowsColdArrival reports whether an endpoint that is or may be cold can take a further
+// arrival. Cold ones of a data centre known from load reports are left to the entries
+// there, which see every arrival.
 func (s *Scheduler) allowsColdArrival(c *candidate, req *Request, now time.Time) bool {
-	if s.isReported(c) {
+	if c.cold && s.isReported(c) {
 		return false
 	}
 	return float64(c.state.recentArrivals(now)+1) <= req.Service.ColdRequestsPerSecond
--- a/coordination/placement/permit.go
+++ b/coordination/placement/permit.go
@@ -8,6 +8,47 @@
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
+// Coldness is what this entry knows of whether an endpoint is cold. All but Warm bound the
+// requests that it gets from all entries together.
+type Coldness string
+
+const (
+	Warm Coldness = "warm"
+	Cold Coldness = "cold" // in the cold start that it has announced
+	// Unheard means that the endpoint may have become cold while its data centre was out of
+	// service, as nothing was heard from it since.
+	Unheard Coldness = "unheard"
+	// Silent means that the endpoint may have become cold since it was last heard from, as
+	// that is longer ago than silentAfter.
+	Silent Coldness = "silent"
+)
+
+// Coldness returns what this entry knows of whether an endpoint is cold.
+func (s *Scheduler) Coldness(e *directory.Endpoint) Coldness {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.coldness(s.stateOf(e.Key), e, s.now(), monotonic.Now())
+}
+
+// coldness is Coldness for a caller that holds the lock and has read the clocks.
+func (s *Scheduler) coldness(state *endpointState, e *directory.Endpoint, now time.Time, steadyNow monotonic.Time) Coldness {
+	switch {
+	case e.Cold(steadyNow):
+		return Cold
+	case !s.heardSinceReturn(e):
+		return Unheard
+	case state.isSilent(e, now, steadyNow):
+		return Silent
+	}
+	return Warm
+}
+
+// isSilent reports whether for silentAfter neither this entry nor, as far as it knows,
+// another process has heard from an endpoint.
+func (state *endpointState) isSilent(e *directory.Endpoint, now time.Time, steadyNow monotonic.Time) bool {
+	return steadyNow.Sub(e.HeardAt) > silentAfter && now.Sub(state.health.lastSuccessAt) > silentAfter
+}
+
 // permit says when a request of this entry may ask for a permit for an endpoint.
 type permit struct {
 	asking      bool // a request is asking
@@ -45,27 +86,27 @@
 }
 
 // PermitRate returns the rate, in requests a second, at which permits for an endpoint are
-// issued: its allowed rate or, while it is cold, the rate that its service accepts then, if
-// that is lower. It is Unlimited if no permit is needed.
+// issued: its allowed rate or, unless it is known to be warm, the rate that its service
+// accepts from a cold one, if that is lower. It is Unlimited if no permit is needed.
 func (s *Scheduler) PermitRate(e *directory.Endpoint, service *catalogue.Service) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stateOf(e.Key).permitRate(e, service, s.now(), monotonic.Now())
+	return s.permitRate(s.stateOf(e.Key), e, service, s.now(), monotonic.Now())
 }
 
 // permitRate is PermitRate for a caller that holds the lock and has read the clocks.
-func (state *endpointState) permitRate(e *directory.Endpoint, service *catalogue.Service, now time.Time, steadyNow monotonic.Time) float64 {
-	return min(state.rateLimit.allowed(now), coldRate(e, service, steadyNow))
+func (s *Scheduler) permitRate(state *endpointState, e *directory.Endpoint, service *catalogue.Service, now time.Time, steadyNow monotonic.Time) float64 {
+	return min(state.rateLimit.allowed(now), coldRate(service, s.coldness(state, e, now, steadyNow)))
 }
 
-// ColdRate returns the rate that an endpoint accepts because it is cold, in requests a
-// second, Unlimited if it isn't.
-func ColdRate(e *directory.Endpoint, service *catalogue.Service) float64 {
-	return coldRate(e, service, monotonic.Now())
+// ColdRate returns the rate that an endpoint accepts because it is or may be cold, in
+// requests a second, Unlimited if it is known to be warm.
+func (s *Scheduler) ColdRate(e *directory.Endpoint, service *catalogue.Service) float64 {
+	return coldRate(service, s.Coldness(e))
 }
 
-func coldRate(e *directory.Endpoint, service *catalogue.Service, now monotonic.Time) float64 {
-	if service.ColdRequestsPerSecond > 0 && e.Cold(now) {
+func coldRate(service *catalogue.Service, coldness Coldness) float64 {
+	if service.ColdRequestsPerSecond > 0 && coldness != Warm {
 		return service.ColdRequestsPerSecond
 	}
 	return Unlimited
@@ -89,7 +130,7 @@
 		if !state.isUsable(e, req, now) {
 			continue
 		}
-		rate, left := state.permitRate(e, req.Service, now, steadyNow), state.permit.deniedUntil.Sub(now)
+		rate, left := s.permitRate(state, e, req.Service, now, steadyNow), state.permit.deniedUntil.Sub(now)
 		if rate == Unlimited || left <= 0 || state.permit.asking {
 			return 0, 0, false
 		}
--- a/coordination/placement/scheduler.go
+++ b/coordination/placement/scheduler.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/enginemodel"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
@@ -44,31 +45,35 @@
 	inFlight          map[enginemodel.WorkID]*work
 	awaitingConflicts []*work // of this entry, until EndConflictWindow
 	// lastNumber is the number of the last own work item.
-	lastNumber      uint64
-	tieBreakSeed    uint64  // orders equal endpoints at this entry
-	bias            float64 // recent ratio of the time to the first event to its prediction
-	publish         func(*wire.WorkEvent, Scope)
-	reportedKeys    map[string][]uint64 // endpoints in the last report of each data centre that sends load reports
-	engineOf        func(key uint64) *catalogue.Engine
-	isKnown         func(key uint64) bool // whether the endpoint may still exist
-	forecastAfter   enginemodel.Forecast  // reused; forecast with the part being evaluated
-	candidateBuffer []candidate           // reused
-	workEnded       chan struct{}         // closed and replaced when work ends
+	lastNumber   uint64
+	tieBreakSeed uint64  // orders equal endpoints at this entry
+	bias         float64 // recent ratio of the time to the first event to its prediction
+	publish      func(*wire.WorkEvent, Scope)
+	reportedKeys map[string][]uint64 // endpoints in the last report of each data centre that sends load reports
+	engineOf     func(key uint64) *catalogue.Engine
+	isKnown      func(key uint64) bool // whether the endpoint may still exist
+	// heardSinceReturn reports whether the endpoint was heard from since its data centre
+	// was put back into service.
+	heardSinceReturn func(e *directory.Endpoint) bool
+	forecastAfter    enginemodel.Forecast // reused; forecast with the part being evaluated
+	candidateBuffer  []candidate          // reused
+	workEnded        chan struct{}        // closed and replaced when work ends
 }
 
 // NewScheduler returns a scheduler without work. It takes the time from now.
 func NewScheduler(now func() time.Time) *Scheduler {
 	return &Scheduler{
-		now:          now,
-		logger:       logs.For("placement"),
-		states:       make(map[uint64]*endpointState),
-		inFlight:     make(map[enginemodel.WorkID]*work),
-		bias:         1,
-		publish:      func(*wire.WorkEvent, Scope) {},
-		reportedKeys: make(map[string][]uint64),
-		engineOf:     func(uint64) *catalogue.Engine { return nil },
-		isKnown:      func(uint64) bool { return true },
-		workEnded:    make(chan struct{}),
+		now:              now,
+		logger:           logs.For("placement"),
+		states:           make(map[uint64]*endpointState),
+		inFlight:         make(map[enginemodel.WorkID]*work),
+		bias:             1,
+		publish:          func(*wire.WorkEvent, Scope) {},
+		reportedKeys:     make(map[string][]uint64),
+		engineOf:         func(uint64) *catalogue.Engine { return nil },
+		isKnown:          func(uint64) bool { return true },
+		heardSinceReturn: func(*directory.Endpoint) bool { return true },
+		workEnded:        make(chan struct{}),
 	}
 }
 
@@ -88,6 +93,10 @@
 // the scheduler is in use.
 func (s *Scheduler) SetEndpointLookup(f func(key uint64) bool) { s.isKnown = f }
 
+// SetReturnLookup sets the function that reports whether an endpoint was heard from since
+// its data centre was put back into service. It must be set before the scheduler is in use.
+func (s *Scheduler) SetReturnLookup(f func(e *directory.Endpoint) bool) { s.heardSinceReturn = f }
+
 // SetTieBreakSeed gives this entry its own order of equal endpoints. Otherwise entries
 // that all choose at the same moment, as after a restart of all, would choose the same
 // endpoint. It must be called before the first endpoint is known.
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -84,7 +84,7 @@
 // few parts.
 func (r *run) takePermit(ctx context.Context, plan *placement.Plan) bool {
 	e, scheduler := plan.Endpoints[0], r.server.scheduler
-	perSecond := scheduler.PermitRate(e, r.service)
+	coldness, perSecond := scheduler.Coldness(e), scheduler.PermitRate(e, r.service)
 	if perSecond == placement.Unlimited {
 		return true
 	}
@@ -92,11 +92,11 @@
 		plan.Handle.Close()
 		return false
 	}
-	granted, retryAfter := r.server.permits.Take(ctx, e, placement.ColdRate(e, r.service))
+	granted, retryAfter := r.server.permits.Take(ctx, e, scheduler.ColdRate(e, r.service))
 	scheduler.EndPermit(e.Key, retryAfter)
 	r.measurePermit(granted)
 	r.server.logger.Info().Str("request", r.request.ID).Str("endpoint", e.ID).Float64("per_second", perSecond).
-		Bool("granted", granted).Dur("retry_after", retryAfter).Msg("A permit was asked for.")
+		Str("coldness", string(coldness)).Bool("granted", granted).Dur("retry_after", retryAfter).Msg("A permit was asked for.")
 	if !granted {
 		r.permitDenials++
 		plan.Handle.Close()
--- a/role/host/fakeendpoint_test.go
+++ b/role/host/fakeendpoint_test.go
@@ -26,6 +26,7 @@
 	behaviour atomic.Value // "good", "full", "cut" (breaks off answers), "cut head" or "foreign" (names another attempt)
 	headCut   atomic.Value // a headCut, for "cut head"
 
+	dataCentre  atomic.Value // text
 	slots       atomic.Int64
 	coldMs      atomic.Int64
 	answerDelay atomic.Int64 // time before each answer, as a time.Duration
@@ -48,6 +49,7 @@
 	e := &fakeEndpoint{t: t, id: fmt.Sprintf("i-%d", n), bornMs: time.Now().UnixMilli(), address: l.Addr().String(), runs: make(map[string]int)}
 	e.behaviour.Store("good")
 	e.rateLimit.Store("")
+	e.dataCentre.Store("z1")
 	e.slots.Store(4)
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(l) }() // ends with the test
@@ -68,7 +70,7 @@
 
 func (e *fakeEndpoint) heartbeat(state string) []byte {
 	text, err := json.Marshal(map[string]any{
-		"service": "s", "address": e.address, "zone": "z1", "version": "v1", "slots": e.slots.Load(), "state": state,
+		"service": "s", "address": e.address, "zone": e.dataCentre.Load(), "version": "v1", "slots": e.slots.Load(), "state": state,
 		"coldRemainingMs": e.coldMs.Load(), "sequence": e.sequence.Add(1), "born": e.bornMs,
 	})
 	if err != nil {
--- a/role/host/host.go
+++ b/role/host/host.go
@@ -62,7 +62,7 @@
 		func() *wire.ProcessRecord { return newProcessRecord(&settings.Process, kind) },
 		func() *logs.Logger { return logs.For(kind.name) },
 		func() *link.Pool { return link.NewPool(link.Security{}) },
-		metrics.New, statecache.NewStore, directory.New, newScheduler, newTracker, newMesh, newMetrics,
+		metrics.New, statecache.NewStore, newDirectory, newScheduler, newTracker, newMesh, newMetrics,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			panic(err) // a programming error: dig can't use the constructor
@@ -127,6 +127,13 @@
 	return tracker
 }
 
+// newDirectory returns a directory that knows the replicated state.
+func newDirectory(store *statecache.Store) *directory.Directory {
+	dir := directory.New()
+	dir.SetStateLookup(store.State)
+	return dir
+}
+
 // newScheduler returns a scheduler that looks up endpoints in the directory, and the
 // engine of an endpoint in the catalogue, by the endpoint's service.
 func newScheduler(record *wire.ProcessRecord, store *statecache.Store, dir *directory.Directory) *placement.Scheduler {
@@ -143,6 +150,7 @@
 		return nil
 	})
 	scheduler.SetEndpointLookup(func(key uint64) bool { return dir.ServiceOf(key) != "" })
+	scheduler.SetReturnLookup(dir.HeardSinceReturn)
 	return scheduler
 }
 
--- a/state/catalogue/orders.go
+++ b/state/catalogue/orders.go
@@ -32,6 +32,15 @@
 	return s.orders[at]
 }
 
+// ReturnIndex returns the log index at which a data centre that is in service was last put
+// back, 0 if it never was or is out of service.
+func (s *State) ReturnIndex(dataCentre string) uint64 {
+	if !s.InService(dataCentre) {
+		return 0
+	}
+	return s.latestOrder(dataCentre).index
+}
+
 // withOrder returns the orders with o in place of the one for the same data centre.
 func (s *State) withOrder(o order) []order {
 	orders := slices.Clone(s.orders)
