Confirm the state while hosts that are down are asked about membership

After more than 3 s without a quorum a new leader answered reads and changes at once, but confirmed the state seconds later, so that entries, which serve by a confirmed state alone, answered 503 for that long more.

Cause: a replica without a leader asked the others whether it is still a member, one after the other, each for up to a second if it didn't answer, in the goroutine that also confirms. Whoever was elected meanwhile finished asking first.

The check has a goroutine of its own and asks all at once.

TestNewLeaderConfirmsWhileHostsThatAreDownDoNotAnswer failed before. Not seen with real processes.

--- a/coordination/controlplane/linearizable_test.go
+++ b/coordination/controlplane/linearizable_test.go
@@ -47,15 +47,14 @@
 	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
 	total := make(map[string]int)
 	for seed := *simFirstSeed; seed < *simFirstSeed+*simSeeds; seed++ {
-		bubble.Run(t, func(t *testing.T) {
-			s := newSimRun(uint64(seed))
-			for _, what := range s.run(t.Context()) {
-				t.Errorf("seed %d: %s", seed, what)
-			}
-			for what, n := range s.counts {
-				total[what] += n
-			}
-		})
+		s := newSimRun(uint64(seed))
+		bubble.Run(t, func(t *testing.T) { s.run(t.Context()) })
+		for _, what := range s.history.faults {
+			t.Errorf("seed %d: %s", seed, what)
+		}
+		for what, n := range s.counts {
+			total[what] += n
+		}
 	}
 	t.Log(total)
 	for _, what := range []string{"change", "read with a replica", "read without a replica", "read while its replica is away", "full disk",
@@ -76,8 +75,8 @@
 	return s
 }
 
-// run returns what was wrong.
-func (s *simRun) run(ctx context.Context) []string {
+// run runs the fleet, its clients and the faults.
+func (s *simRun) run(ctx context.Context) {
 	for _, h := range s.hosts {
 		h.start()
 	}
@@ -105,7 +104,6 @@
 	for _, h := range s.hosts {
 		h.losePower()
 	}
-	return s.history.faults
 }
 
 // injectFaults causes faults for a time.
--- a/coordination/controlplane/members.go
+++ b/coordination/controlplane/members.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/replica"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -22,8 +24,8 @@
 	// membershipCheckAfter is the time without a leader after which a replica checks
 	// whether it is still a member, and the time between two such checks.
 	membershipCheckAfter = 3 * time.Second
-	// membershipCallTimeout bounds the removal of a voter, and each call of
-	// checkMembership to another process. Run waits for them.
+	// membershipCallTimeout bounds the removal of a voter, for which Run waits, and the
+	// calls of checkMembership to the other processes.
 	membershipCallTimeout = time.Second
 )
 
@@ -76,9 +78,17 @@
 	return time.Duration(1<<63 - 1)
 }
 
+// watchMembership checks this replica's membership until ctx ends. Hosts that are down keep
+// it waiting, so it has a goroutine of its own.
+func (s *Service) watchMembership(ctx context.Context) {
+	for wait.For(ctx, confirmInterval) {
+		s.checkMembership(ctx, s.replica.Status())
+	}
+}
+
 // checkMembership finds out whether this replica was removed from the group while it
-// was down or unreachable, and closes s.removed if it was. It sends the other
-// processes a request to join, which only the leader carries out: for a member at
+// was down or unreachable, and closes s.removed if it was. It sends all other
+// processes at once a request to join, which only the leader carries out: for a member at
 // this address it changes nothing, for a member at another address it records the
 // new one, and a replica that is not in the member list is added as a learner.
 //
@@ -93,24 +103,32 @@
 		return
 	}
 	s.membershipTimerStart = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, membershipCallTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
 	for _, address := range s.peerAddresses() {
-		conn, err := s.connections.Connection(address)
-		if err != nil {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, membershipCallTimeout)
-		answer, err := wire.NewPeerClient(conn).Join(callCtx, &wire.JoinRequest{Id: status.ID, Address: s.address})
-		cancel()
-		if err != nil {
-			s.connections.Retire(address, conn)
-			s.logger.RateLimitedWarn("membership").Str("address", address).Err(err).Msg("Another process could not be asked about this replica's membership.")
-			continue
-		}
-		if fault.KindOf(fault.FromWire(answer.Failure)) == fault.Conflict {
-			s.logger.Warn().Str("replica", status.ID).Str("address", address).Msg("This replica has been removed from the group.")
-			s.removedOnce.Do(func() { close(s.removed) })
-			return
-		}
+		calls.Go(func() { s.askMembership(ctx, address, status.ID) })
+	}
+	calls.Wait()
+}
+
+// askMembership sends a process a request to join and closes s.removed if it says that
+// this replica was removed.
+func (s *Service) askMembership(ctx context.Context, address, id string) {
+	conn, err := s.connections.Connection(address)
+	if err != nil {
+		s.logger.RateLimitedWarn("membership").Str("address", address).Err(err).Msg("Another process can't be dialled to ask about this replica's membership.")
+		return
+	}
+	answer, err := wire.NewPeerClient(conn).Join(ctx, &wire.JoinRequest{Id: id, Address: s.address})
+	if err != nil {
+		s.connections.Retire(address, conn)
+		s.logger.RateLimitedWarn("membership").Str("address", address).Err(err).Msg("Another process could not be asked about this replica's membership.")
+		return
+	}
+	if fault.KindOf(fault.FromWire(answer.Failure)) == fault.Conflict {
+		s.logger.Warn().Str("replica", id).Str("address", address).Msg("This replica has been removed from the group.")
+		s.removedOnce.Do(func() { close(s.removed) })
 	}
 }
 
--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -61,7 +61,7 @@
 	sinceLastHeard     func() map[string]time.Duration
 	deliver            func(ctx context.Context) error // see Options.AwaitDelivery
 
-	membershipTimerStart time.Time     // time from which membershipCheckAfter counts; owned by Run
+	membershipTimerStart time.Time     // time from which membershipCheckAfter counts; owned by watchMembership
 	removed              chan struct{} // closed by checkMembership; see Removed
 	removedOnce          sync.Once
 	logger               *logs.Logger
@@ -126,6 +126,9 @@
 	if s.replica == nil {
 		return
 	}
+	var membership sync.WaitGroup
+	defer membership.Wait()
+	membership.Go(func() { s.watchMembership(ctx) })
 	wasLeader := false
 	for s.waitForConfirmation(ctx) {
 		s.reportStandstill()
@@ -139,7 +142,6 @@
 			s.confirm(ctx)
 			s.removeUnreachableVoter(ctx, status)
 		}
-		s.checkMembership(ctx, status)
 	}
 }
 
