Let an order name a state that is not decoded yet

An operator's order for a data centre names the newest state that the process knows. The process took the newest decoded one, so an order that followed an acknowledged one while a catalogue was being decoded was refused as overtaken by it.

StateIndex counts the state of the log as well. The lift of a quarantine names the decoded state still, on which it was decided.

Test: TestOrderNamesAStateThatIsNotDecodedYet, which failed before.

--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -205,8 +205,11 @@
 	return err
 }
 
-// StateIndex returns the log index of the newest state that this process knows.
-func (s *Service) StateIndex() uint64 { return s.store.State().Index }
+// StateIndex returns the log index of the newest state that this process knows, which may
+// not be decoded yet.
+func (s *Service) StateIndex() uint64 {
+	return max(s.store.State().Index, s.stateMachine.State().Index)
+}
 
 // SetDataCentre takes a data centre out of service if out is set, and puts it back
 // into service otherwise. givenAt is the index of the state on which the operator gave
@@ -231,7 +234,7 @@
 // set. If the quarantine was recorded after the state that this process knows, it stays
 // and the error is NotCurrent.
 func (s *Service) LiftQuarantine(ctx context.Context, part uint64, byOperator bool) error {
-	givenAt := s.StateIndex()
+	givenAt := s.store.State().Index // on which the lift was decided
 	change := &wire.QuarantineChange{Key: part, Lift: true, ByOperator: byOperator, GivenAt: &givenAt}
 	return s.changeQuarantine(ctx, change, "The end of the quarantine of a part of prompts was submitted.")
 }
