--- a/state/wal/diskfull_test.go
+++ b/state/wal/diskfull_test.go
@@ -198,3 +198,52 @@
 	fs.FullAt, fs.FullUntil, fs.FullSyncs, fs.Unordered = other.FullAt, other.FullUntil, other.FullSyncs, true
 	return fs
 }
+
+// Sizes that coordination/replica keeps to with the largest catalogue.
+const (
+	smallDiskBytes    = 64_000_000
+	longestLogBytes   = 21 << 20
+	largestStateBytes = 8 << 20
+)
+
+// Guards against a folder that is within its bounds and can't be opened again for want of
+// room, as opening writes the log anew beside the old one, also after a snapshot that was
+// cut off.
+func TestLongestLogOpensOnASmallDisk(t *testing.T) {
+	fs := faultfs.New(func(int) int { return 0 })
+	fs.CapacityBytes = smallDiskBytes
+	l, _, err := wal.Open(folder, fs, rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hard := &wire.HardState{Term: 2, Vote: "b"}
+	if err := l.SaveSnapshot(&wire.LogSnapshot{Index: 1, Term: 2, State: make([]byte, largestStateBytes)}, hard, nil); err != nil {
+		t.Fatal(err)
+	}
+	last := uint64(1)
+	for l.Size() < longestLogBytes {
+		last++
+		e := newEntry(last, 2)
+		e.Data = make([]byte, 1<<20)
+		if err := l.Save(nil, []*wire.LogEntry{e}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.WriteSnapshot(&wire.LogSnapshot{Index: last, Term: 2, State: make([]byte, largestStateBytes)}); err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	for range 2 {
+		l, s, err := wal.Open(folder, fs, rand.Reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Snapshot.GetIndex() != 1 || uint64(len(s.Entries)) != last-1 {
+			t.Fatalf("snapshot at %d and %d entries, want 1 and %d", s.Snapshot.GetIndex(), len(s.Entries), last-1)
+		}
+		_ = l.Close()
+	}
+	if fs.PeakBytes > smallDiskBytes {
+		t.Errorf("%d bytes were needed", fs.PeakBytes)
+	}
+}
