Don't hold back a request that many send for a single end

A request was a suspect that needs a lease from its first end. Where many callers send the same request and one endpoint ends by chance under it, all of them would wait for one trial. An entry now remembers which requests it has answered, in a history of their own, and a first end under one of them asks for no lease, as with a popular part.

TestRequestThatWasSoundIsSentAfterOneEnd failed before.

--- a/coordination/quarantine/history.go
+++ b/coordination/quarantine/history.go
@@ -46,3 +46,13 @@
 	at, known = h.older[key]
 	return at, known
 }
+
+// soundAt returns when an answer with a part or to a request last went on. The caller holds
+// the lock.
+func (t *Tracker) soundAt(key uint64) (at monotonic.Time, known bool) {
+	at, known = t.sound.get(key)
+	if own, ownKnown := t.soundOwn.get(key); ownKnown {
+		at, known = max(at, own), true
+	}
+	return at, known
+}
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -82,6 +82,7 @@
 	reports     []*report       // the oldest first
 	clearings   []*clearing     // by answers of this entry that went on, the oldest first
 	sound       *history        // when an answer last went on, by part
+	soundOwn    *history        // the same by request, for the answers of this entry
 	ended       *history        // when an endpoint ended, by its key
 	heard       *history        // when a report was heard, by its hash
 	recorded    map[uint64]bool // quarantines of the control group, and whether they are final
@@ -102,7 +103,7 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker(now func() monotonic.Time) *Tracker {
 	return &Tracker{
-		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), ended: newHistory(), heard: newHistory(),
+		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), soundOwn: newHistory(), ended: newHistory(), heard: newHistory(),
 		publish: func([]*wire.PartEvent) {}, onProof: func(bool) {},
 	}
 }
@@ -245,15 +246,13 @@
 }
 
 // RecordRequestSound records that an answer of this entry to a request went on, and
-// publishes whether that clears the request. The history keeps suspects alone, as requests
-// are as many as answers.
+// publishes whether that clears the request. Requests have a history of their own, as they
+// are as many as answers and would push the parts out.
 func (t *Tracker) RecordRequestSound(request uint64) {
-	if t.suspected.Load() == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	t.soundOwn.putLatest(request, now)
 	if t.suspects[request] != nil {
 		t.sound.putLatest(request, now)
 		t.publishCleared([]uint64{request}, now)
@@ -285,7 +284,7 @@
 	var blamed []uint64
 	proved, ends := false, 0
 	for _, p := range r.keys() {
-		soundAt, wasSound := t.sound.get(p)
+		soundAt, wasSound := t.soundAt(p)
 		if wasSound && soundAt > r.at {
 			continue
 		}
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -294,6 +294,20 @@
 	}
 }
 
+// A request that many send must not be held back by a single end, like a popular part.
+func TestRequestThatWasSoundIsSentAfterOneEnd(t *testing.T) {
+	tracker, c := newTestTracker()
+	request := RequestKey(service, "GET", "/popular", nil)
+	tracker.RecordRequestSound(request)
+	for i, want := range []Standing{Clear, Unclear} {
+		c.advance(time.Second)
+		tracker.RecordEnd(End{Service: service, Request: request, Endpoint: uint64(i + 1), SentAt: c.now - 1})
+		if got, _ := tracker.Check([]uint64{request}); got != want {
+			t.Errorf("standing %v after %d ends, want %v", got, i+1, want)
+		}
+	}
+}
+
 // Endpoints that end at one moment under copies of one request say nothing against it, and
 // one answer to it clears it.
 func TestRequestIsClearedByAnAnswer(t *testing.T) {
