Decode a catalogue once in a control process

Change: the log and the links of a process share one decoder, which decodes one text at a time and the last one only once.

--- a/role/host/control.go
+++ b/role/host/control.go
@@ -59,8 +59,8 @@
 	return c, dig.RootCause(err)
 }
 
-func newMachine(store *statecache.Store) *catalogue.Machine {
-	return catalogue.NewMachine(platform.DecodeConfiguration, func(s *catalogue.State) { store.Update(s, "log") })
+func newMachine(store *statecache.Store, decode catalogue.Decode) *catalogue.Machine {
+	return catalogue.NewMachine(decode, func(s *catalogue.State) { store.Update(s, "log") })
 }
 
 // openReplica opens this host's replica of the control group. It returns nil for a
--- a/role/host/host.go
+++ b/role/host/host.go
@@ -62,6 +62,7 @@
 		func() *wire.ProcessRecord { return newProcessRecord(&settings.Process, kind) },
 		func() *logs.Logger { return logs.For(kind.name) },
 		func() *link.Pool { return link.NewPool(link.Security{}) },
+		func() catalogue.Decode { return catalogue.Shared(platform.DecodeConfiguration) },
 		metrics.New, statecache.NewStore, directory.New, newScheduler, newTracker, newMesh, newMetrics,
 	} {
 		if err := container.Provide(constructor); err != nil {
@@ -111,12 +112,12 @@
 	return links
 }
 
-func newMesh(p *hostconfig.Process, record *wire.ProcessRecord, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, parts *quarantine.Tracker) *mesh.Mesh {
+func newMesh(p *hostconfig.Process, record *wire.ProcessRecord, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, parts *quarantine.Tracker, decode catalogue.Decode) *mesh.Mesh {
 	return mesh.New(mesh.Options{
 		Self:   record,
 		Seeds:  seedLinkAddresses(p),
 		Dial:   func(address string) (*grpc.ClientConn, error) { return link.Dial(address, link.Security{}) },
-		Decode: platform.DecodeConfiguration,
+		Decode: decode,
 	}, store, dir, scheduler, parts)
 }
 
