--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -316,16 +316,6 @@
 	return answer.Outcome, nil
 }
 
-// callLeader calls local if this process leads, and remote on the leader otherwise.
-func (s *Service) callLeader(ctx context.Context, remote remoteCall, local func(context.Context) (*wire.SteeringAnswer, error)) (*wire.SteeringAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if s.replica != nil && s.replica.Status().IsLeader {
-		return local(ctx)
-	}
-	return s.callHedged(ctx, s.leaderCandidates(), remote)
-}
-
 // changeLocal proposes a command to this process's replica, which must lead.
 func (s *Service) changeLocal(ctx context.Context, command *wire.Command) (*wire.SteeringAnswer, error) {
 	if s.isBootstrapping() {
