Start the crashing fleets of role/host in one place

TestPartThatCrashesEndpointsIsNoLongerSent and TestEntriesOutliveControlProcessesThatDoNotAnswerAQuarantine started the same fleet in the same lines. All of role/host passed once on a clean copy (100 s, other load beside).

--- a/role/host/crashingpart_test.go
+++ b/role/host/crashingpart_test.go
@@ -43,6 +43,26 @@
 	ends     []time.Time // of endpoints
 }
 
+// startCrashSite starts three control processes, entries on the given hosts and endpoints,
+// and waits until they serve a first configuration.
+func startCrashSite(t *testing.T, hosts ...int) *crashSite {
+	t.Helper()
+	p := newFakePlatform(t)
+	for n := 1; n <= 3; n++ {
+		p.start("control", n, true, true)
+	}
+	for _, n := range hosts {
+		p.start("entry", n, false, true)
+	}
+	s := &crashSite{t: t, platform: p}
+	for range crashingFleet {
+		s.startEndpoint(t.Context())
+	}
+	p.putConfiguration(2, configuration(5, `"key"`))
+	p.awaitReady(hosts...)
+	return s
+}
+
 // startEndpoint starts an endpoint that runs until it crashes or ctx ends.
 func (s *crashSite) startEndpoint(ctx context.Context) {
 	s.mu.Lock()
@@ -104,22 +124,9 @@
 // being sent; sound ones that share all but that part must be served.
 func TestPartThatCrashesEndpointsIsNoLongerSent(t *testing.T) {
 	t.Parallel()
-	p := newFakePlatform(t)
-	for n := 1; n <= 3; n++ {
-		p.start("control", n, true, true)
-	}
 	hosts := []int{1, 4, 5, 6}
-	for _, n := range hosts {
-		p.start("entry", n, false, true)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	site := &crashSite{t: t, platform: p}
-	for range crashingFleet {
-		site.startEndpoint(ctx)
-	}
-	p.putConfiguration(2, configuration(5, `"key"`))
-	p.awaitReady(hosts...)
+	site := startCrashSite(t, hosts...)
+	p := site.platform
 	var mu sync.Mutex
 	sound, served := 0, 0
 	began := time.Now()
--- a/role/host/frozencontrol_test.go
+++ b/role/host/frozencontrol_test.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -13,22 +12,9 @@
 // Guards against an entry that ends when control processes do not answer its quarantine.
 func TestEntriesOutliveControlProcessesThatDoNotAnswerAQuarantine(t *testing.T) {
 	t.Parallel()
-	p := newFakePlatform(t)
-	for n := 1; n <= 3; n++ {
-		p.start("control", n, true, true)
-	}
 	hosts := []int{1, 4}
-	for _, n := range hosts {
-		p.start("entry", n, false, true)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	site := &crashSite{t: t, platform: p}
-	for range crashingFleet {
-		site.startEndpoint(ctx)
-	}
-	p.putConfiguration(2, configuration(5, `"key"`))
-	p.awaitReady(hosts...)
+	site := startCrashSite(t, hosts...)
+	p := site.platform
 	began := time.Now()
 	var callers sync.WaitGroup
 	for _, n := range hosts {
