--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -21,6 +21,7 @@
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -303,9 +304,10 @@
 // change proposes a command on the leader and returns its outcome. If a later change has
 // overtaken it, the error is NotCurrent.
 func (s *Service) change(ctx context.Context, command *wire.Command) (*wire.ChangeOutcome, error) {
+	own := proto.CloneOf(command) // the replica sets its time
 	answer, err := s.callLeader(ctx, func(ctx context.Context, c wire.SteeringClient) (*wire.SteeringAnswer, error) {
 		return c.Change(ctx, &wire.SteeringChange{Command: command})
-	}, func(ctx context.Context) (*wire.SteeringAnswer, error) { return s.changeLocal(ctx, command) })
+	}, func(ctx context.Context) (*wire.SteeringAnswer, error) { return s.changeLocal(ctx, own) })
 	if err != nil {
 		return nil, err
 	}
@@ -316,16 +318,6 @@
 	return answer.Outcome, nil
 }
 
-// callLeader calls local if this process leads, and remote on the leader otherwise.
-func (s *Service) callLeader(ctx context.Context, remote remoteCall, local func(context.Context) (*wire.SteeringAnswer, error)) (*wire.SteeringAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if s.replica != nil && s.replica.Status().IsLeader {
-		return local(ctx)
-	}
-	return s.callHedged(ctx, s.leaderCandidates(), remote)
-}
-
 // changeLocal proposes a command to this process's replica, which must lead.
 func (s *Service) changeLocal(ctx context.Context, command *wire.Command) (*wire.SteeringAnswer, error) {
 	if s.isBootstrapping() {
