--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -21,6 +21,7 @@
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -300,9 +301,10 @@
 // change proposes a command on the leader and returns its outcome. If a later change has
 // overtaken it, the error is NotCurrent.
 func (s *Service) change(ctx context.Context, command *wire.Command) (*wire.ChangeOutcome, error) {
+	own := proto.CloneOf(command) // the replica sets its time
 	answer, err := s.callLeader(ctx, func(ctx context.Context, c wire.SteeringClient) (*wire.SteeringAnswer, error) {
 		return c.Change(ctx, &wire.SteeringChange{Command: command})
-	}, func(ctx context.Context) (*wire.SteeringAnswer, error) { return s.changeLocal(ctx, command) })
+	}, func(ctx context.Context) (*wire.SteeringAnswer, error) { return s.changeLocal(ctx, own) })
 	if err != nil {
 		return nil, err
 	}
