Log the removal of a member where it is applied, and wait for that in tests

The group had done it: the leader's request ended with outcome_unknown after its second, and 8 s later all replicas listed the new voters without the old one. The test waited for a line without an error, which never comes then. TestVoterWithAFullDiskIsRemovedAndJoinsAgain failed once in the same way at a load of 60; that all was committed at index 11 fits, its logs are lost.

Each replica logs a removal when it applies the committed list, and the tests wait for that line. It is as strict: it says that the removal is committed, and no more often than before that it is not.

--- a/coordination/replica/ready.go
+++ b/coordination/replica/ready.go
@@ -128,7 +128,9 @@
 			}
 			result = r.stateMachine.Apply(e.Index, command)
 		case wire.LogEntryKind_LOG_ENTRY_KIND_MEMBERS:
-			r.stateMachine.ApplyMembers(e.Index, raft.DecodeMembers(e))
+			members := raft.DecodeMembers(e)
+			r.reportRemovals(e.Index, members)
+			r.stateMachine.ApplyMembers(e.Index, members)
 		}
 		r.answerProposal(e, result)
 	}
--- a/coordination/replica/report.go
+++ b/coordination/replica/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/raft"
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
 const (
@@ -50,6 +51,19 @@
 		Msg("The control group commits nothing.")
 }
 
+// reportRemovals logs which members a committed list has removed.
+func (r *Replica) reportRemovals(index uint64, members []*wire.Member) {
+	removedBefore := make(map[string]bool)
+	for _, m := range r.raft.MembersAt(index - 1) {
+		removedBefore[m.Id] = m.Removed
+	}
+	for _, m := range members {
+		if m.Removed && !removedBefore[m.Id] {
+			r.logger.Info().Str("replica", m.Id).Str("address", m.Address).Uint64("index", index).Msg("A member has been removed from the group.")
+		}
+	}
+}
+
 // memberText lists the members that are not removed, with their progress if this replica
 // leads.
 func memberText(r *Replica, s raft.Status) string {
--- a/role/host/host_test.go
+++ b/role/host/host_test.go
@@ -11,8 +11,9 @@
 	"testing"
 )
 
-// voterRemoved is the end of the log line of a voter's removal that did not fail.
-const voterRemoved = `"error":null,"message":"A voter that was replaced is removed."`
+// voterRemoved is the log line of a replica that has applied a committed removal. The line
+// of the leader that asked for it may say that its outcome is unknown.
+const voterRemoved = `"message":"A member has been removed from the group."`
 
 // startFleet starts three control processes, two entries and two endpoints, and waits
 // until they serve a first configuration.
