--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -121,9 +121,10 @@
 }
 
 // announce merges an announcement, or a record that this process made of what the endpoint
-// told it otherwise, and publishes it to the other processes if it is a change. A record that is no change, be it newer or not, is published only by the rule
-// of refreshEvery. That the endpoint is not ready is always published: it may be said only
-// once more, and the process that heard it first may have ended before it told others.
+// told it otherwise, and publishes it to the other processes if it is a change. A record
+// that is no change, be it newer or not, is published only by the rule of refreshEvery. That
+// the endpoint is not ready is always published: it may be said only once more, and the
+// process that heard it first may have ended before it told others.
 func (d *Directory) announce(r *wire.EndpointRecord) {
 	_, stateChanged := d.merge(r)
 	urgent := stateChanged || r.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY
@@ -184,7 +185,8 @@
 // known one, and reports whether it did. A leave that names no incarnation marks the
 // known record as gone. stateChanged is true for the first record, for one with another
 // incarnation, condition or address, when old and new disagree on whether the endpoint is
-// cold now, and for the first one since its data centre was put back into service. Other fields, such as the slots, are stored but don't count.
+// cold now, and for the first one since its data centre was put back into service. Other
+// fields, such as the slots, are stored but don't count.
 func (d *Directory) merge(r *wire.EndpointRecord) (newest, stateChanged bool) {
 	now := d.now()
 	next := fromRecord(r, now)
