--- a/role/host/returncold_test.go
+++ b/role/host/returncold_test.go
@@ -64,6 +64,27 @@
 	return mostInWindow(e.arrivalsSince(from), time.Second)
 }
 
+// logBeliefs logs what the processes have believed of an endpoint, and what permits were asked
+// for it.
+func (p *fakePlatform) logBeliefs(e *fakeEndpoint, hosts ...int) {
+	names := []string{"control1", "control2", "control3"}
+	for _, n := range hosts {
+		names = append(names, fmt.Sprint("entry", n))
+	}
+	for _, name := range names {
+		permits := 0
+		for line := range strings.Lines(p.log(name)) {
+			switch {
+			case strings.Contains(line, "A permit was asked for."):
+				permits++
+			case strings.Contains(line, "A newer state is applied."), strings.Contains(line, `"endpoint":"`+e.id+`"`) && strings.Contains(line, "heard_index"):
+				p.t.Log(name, strings.TrimSpace(line))
+			}
+		}
+		p.t.Log(name, "asked for permits:", permits)
+	}
+}
+
 // The users' rule for a cold endpoint, for any second.
 const mostColdPerSecond = 4*1.5 + 5
 
@@ -74,6 +95,7 @@
 	p, returned, announce := startFleetWithReturn(t, hosts...)
 	if most := press(p, returned, "unheard", 2*time.Second, hosts...); most > mostColdPerSecond {
 		t.Errorf("an endpoint that may be cold got %d requests in a second, allowed are %v", most, mostColdPerSecond)
+		p.logBeliefs(returned, hosts...)
 	}
 	announce()
 	for _, n := range hosts {
@@ -100,5 +122,6 @@
 	startEntries(p, restarted...)
 	if most := press(p, returned, "restarted", 2*time.Second, hosts...); most > mostColdPerSecond {
 		t.Errorf("an endpoint that may be cold got %d requests in a second, allowed are %v", most, mostColdPerSecond)
+		p.logBeliefs(returned, hosts...)
 	}
 }
