Write to callers through a bounded queue, apart from watching the endpoint

Callers saw streams cut or moved, and operators saw endpoints marked and retry budget spent, when a caller read slowly: deliverStream wrote to the caller in the goroutine that watches the endpoint, so the response stayed unread, the endpoint aborted it after some seconds, and the abort counted as its failure. A reset of the caller's connection was retried at another endpoint, and a plain answer to a caller that had gone marked its endpoint.

Each request has a queue now, of 64 KiB and one event at most, counted in the budget of buffered answers, and a goroutine that writes it to the caller in pieces of 4 KiB. The endpoint is not read while the queue is full; that time counts neither as a stall nor as a pause. A response that breaks off after it was left unread is put down to the caller: a stream that can be resumed goes on once the caller has taken what was queued, without a mark and without retry budget; else it ends as cancelled. A caller that takes nothing for 10 s is ended, and the slowest one when the budget is short. ResponseWriter has a new method Interrupt for this.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -79,6 +79,7 @@
 	}
 	r.attemptEvents, r.goesOn, r.sentAt = 0, false, r.server.parts.Now()
 	r.mayHaveRun++
+	r.out.beginAttempt()
 	r.measureLimitedSend(plan)
 	if reserved != nil {
 		go r.endOnLoss(ctx, plan.Endpoints[0], cancelCause)
@@ -238,6 +239,8 @@
 		r.server.scheduler.RecordUnreachable(e.Key)
 	case ctx.Err() != nil && !errors.Is(err, errStalled) && !errors.Is(err, errEndpointLost):
 		return // the caller left or the deadline passed, which says nothing about the endpoint
+	case errors.Is(err, errCaller), errors.Is(err, errAbortedUnread), errors.Is(err, errBufferFull):
+		// The caller or the memory of this entry is the cause.
 	default:
 		ended = r.recordEnd(ctx, plan)
 		r.server.scheduler.RecordFailure(e.Key)
@@ -262,7 +265,7 @@
 	r.server.scheduler.RecordRefusal(plan.Endpoints[0].Key)
 }
 
-// deliver writes the response to the caller.
+// deliver reads the response and queues it for the caller.
 func (r *run) deliver(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	defer response.Body.Close()
 	if r.route.Kind == catalogue.Stream && response.isSuccess() {
@@ -271,9 +274,9 @@
 	return r.deliverPlain(ctx, plan, response, cancel)
 }
 
-// writeHeader starts the answer to the caller.
+// writeHeader starts the answer to the caller. What follows goes through r.out.
 func (r *run) writeHeader(status int, header http.Header, length int64) {
 	r.headerWritten.Store(true)
 	r.status = status
-	r.writer.WriteHeader(status, header, length)
+	r.out.start(status, header, length)
 }
--- /dev/null
+++ b/coordination/serve/callerqueue.go
@@ -0,0 +1,329 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// maxQueuedBytes is the length of a queue from which its endpoint is not read further.
+	// It holds the whole of most answers, so that a slow caller seldom holds a slot of an
+	// endpoint. A queue exceeds it by one event at most.
+	maxQueuedBytes = 64 << 10
+	// maxWriteBytes is the most that one write to a caller takes. A caller that takes less
+	// than this in callerStallTimeout is ended.
+	maxWriteBytes = 4 << 10
+	// callerStallTimeout is how long a caller may take nothing. It exceeds the some seconds
+	// after which endpoints abort an unread response, so that a caller that reads on after
+	// such an abort gets the rest of a stream that can be resumed.
+	callerStallTimeout = 10 * time.Second
+	// unreadAbortMin and unreadAbortWindow tell when a response that breaks off was aborted
+	// because it was unread: it was left unread for that long in the attempt, and until that
+	// long ago, as the bytes that had arrived are read first.
+	unreadAbortMin    = time.Second
+	unreadAbortWindow = 2 * time.Second
+)
+
+// The errors of callers. They say nothing about the endpoint.
+var (
+	errCaller        = errors.New("the caller did not take the answer")
+	errCallerStalled = errors.New("it has taken nothing for too long")
+	errCallerEvicted = errors.New("the buffers are full and it was the slowest")
+	errCallerSlow    = errors.New("it had not taken all at the end of the request")
+)
+
+// callerQueue holds what is to be written to one caller. Its goroutine, which start starts,
+// is the only one that uses the writer until done is closed.
+type callerQueue struct {
+	server *Server
+	writer ResponseWriter
+	wake   chan struct{} // capacity 1: something has changed for the goroutine
+	done   chan struct{} // closed when the goroutine has ended
+	failed chan struct{} // closed when the caller takes nothing more
+
+	mu           sync.Mutex
+	chunks       [][]byte
+	bytes        int // queued or being written
+	closed       bool
+	finished     bool
+	err          error
+	changed      chan struct{} // closed, and replaced, when bytes were taken or the caller has failed
+	stalledSince time.Time     // since when the caller has taken nothing; zero while nothing is queued
+	unreadSince  time.Time     // since when the endpoint is not read; zero while it is
+	readAgainAt  time.Time     // the end of the last time in which the endpoint was not read
+	unread       time.Duration // of the latest attempt, in all
+}
+
+func newCallerQueue(s *Server, writer ResponseWriter) *callerQueue {
+	return &callerQueue{
+		server: s, writer: writer, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		failed: make(chan struct{}), changed: make(chan struct{}),
+	}
+}
+
+// start starts the goroutine, which first writes the header.
+func (q *callerQueue) start(status int, header http.Header, length int64) {
+	q.server.callers.add(q)
+	go func() {
+		defer close(q.done)
+		defer q.finish()
+		q.writer.WriteHeader(status, header, length)
+		q.writeAll()
+	}()
+}
+
+// writeAll writes what is queued until the queue is closed and empty or the caller fails.
+func (q *callerQueue) writeAll() {
+	stall := time.AfterFunc(callerStallTimeout, func() { q.end(errCallerStalled) })
+	defer stall.Stop()
+	var joined []byte
+	for {
+		stall.Stop()
+		piece, more := q.next(&joined)
+		if !more {
+			return
+		}
+		if piece == nil {
+			<-q.wake
+			continue
+		}
+		stall.Reset(callerStallTimeout)
+		if err := q.writer.Write(piece); err != nil {
+			q.fail(err)
+			return
+		}
+		q.take(len(piece))
+	}
+}
+
+// next returns the next piece to write, nil while nothing is queued. more is false when
+// nothing is to be written any more. Short chunks are joined in *joined, so that one write
+// takes them.
+func (q *callerQueue) next(joined *[]byte) (piece []byte, more bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case q.err != nil:
+		return nil, false
+	case len(q.chunks) == 0:
+		return nil, !q.closed
+	case len(q.chunks) == 1 || len(q.chunks[0]) >= maxWriteBytes:
+		first := q.chunks[0]
+		n := min(len(first), maxWriteBytes)
+		if q.chunks[0] = first[n:]; n == len(first) {
+			q.dropFirst()
+		}
+		return first[:n], true
+	}
+	*joined = (*joined)[:0]
+	for len(q.chunks) > 0 && len(*joined)+len(q.chunks[0]) <= maxWriteBytes {
+		*joined = append(*joined, q.chunks[0]...)
+		q.dropFirst()
+	}
+	return *joined, true
+}
+
+// dropFirst drops the first chunk, which the list would keep in memory otherwise.
+func (q *callerQueue) dropFirst() {
+	q.chunks[0] = nil
+	if q.chunks = q.chunks[1:]; len(q.chunks) == 0 {
+		q.chunks = nil
+	}
+}
+
+// push queues a chunk, whose bytes the sender has reserved. If the caller has failed it
+// releases them and returns the error.
+func (q *callerQueue) push(chunk []byte) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.err != nil {
+		q.server.releaseBytes(len(chunk))
+		return q.err
+	}
+	if len(chunk) == 0 {
+		return nil
+	}
+	if q.bytes == 0 {
+		q.stalledSince = time.Now()
+	}
+	q.chunks = append(q.chunks, chunk)
+	q.bytes += len(chunk)
+	q.server.callers.queued.Add(int64(len(chunk)))
+	q.notify()
+	return nil
+}
+
+// take records that the caller has taken n bytes.
+func (q *callerQueue) take(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.release(n)
+	q.stalledSince = time.Now()
+	q.announce()
+}
+
+// release releases n bytes of the queue. The caller holds the lock.
+func (q *callerQueue) release(n int) {
+	q.bytes -= n
+	q.server.callers.queued.Add(-int64(n))
+	q.server.releaseBytes(n)
+}
+
+// announce wakes those who wait for room. The caller holds the lock.
+func (q *callerQueue) announce() {
+	close(q.changed)
+	q.changed = make(chan struct{})
+}
+
+// notify wakes the goroutine.
+func (q *callerQueue) notify() {
+	select {
+	case q.wake <- struct{}{}:
+	default: // it is about to look
+	}
+}
+
+// close says that nothing follows.
+func (q *callerQueue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	q.notify()
+}
+
+// fail records the first error of the caller, after which nothing more is written. It
+// returns false if there was one before or all has been written.
+func (q *callerQueue) fail(cause error) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.err != nil || q.finished {
+		return false
+	}
+	q.err = errors.Join(errCaller, cause)
+	close(q.failed)
+	q.announce()
+	q.notify()
+	return true
+}
+
+// end ends the caller for a reason of this entry, also in the middle of a write.
+func (q *callerQueue) end(cause error) {
+	if q.fail(cause) {
+		q.writer.Interrupt()
+	}
+}
+
+// finish releases what is left when the goroutine ends.
+func (q *callerQueue) finish() {
+	q.server.callers.remove(q)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.finished = true
+	q.release(q.bytes)
+	q.chunks = nil
+}
+
+// failure returns the error of the caller, nil if there is none.
+func (q *callerQueue) failure() error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.err
+}
+
+// hasRoom reports whether the endpoint may be read. The caller holds the lock.
+func (q *callerQueue) hasRoom() bool {
+	return q.bytes == 0 || q.bytes < maxQueuedBytes && !q.server.callersAreFull()
+}
+
+// awaitRoom waits until the endpoint may be read.
+func (q *callerQueue) awaitRoom(ctx context.Context) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.err == nil && !q.hasRoom() {
+		q.server.measureCallers("queue_full")
+		defer q.pauseReading()()
+	}
+	return q.await(ctx, q.hasRoom)
+}
+
+// pauseReading marks the endpoint as not being read until the returned function is called.
+// The caller of both holds the lock.
+func (q *callerQueue) pauseReading() (resume func()) {
+	q.unreadSince = time.Now()
+	return func() {
+		q.readAgainAt = time.Now()
+		q.unread += q.readAgainAt.Sub(q.unreadSince)
+		q.unreadSince = time.Time{}
+	}
+}
+
+// awaitEmpty waits until the caller has taken everything.
+func (q *callerQueue) awaitEmpty(ctx context.Context) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.await(ctx, func() bool { return q.bytes == 0 })
+}
+
+// await waits for a condition on what is queued. The caller holds the lock, which is
+// released meanwhile.
+func (q *callerQueue) await(ctx context.Context, holds func() bool) error {
+	for q.err == nil && !holds() {
+		changed := q.changed
+		q.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		q.mu.Lock()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return q.err
+}
+
+// readSince returns since when the endpoint is read as fast as it sends: now while it is
+// not read, and the zero time if it always was.
+func (q *callerQueue) readSince() time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.unreadSince.IsZero() {
+		return time.Now()
+	}
+	return q.readAgainAt
+}
+
+// beginAttempt resets what wasUnread goes by.
+func (q *callerQueue) beginAttempt() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.unread = 0
+}
+
+// wasUnread reports whether an endpoint that breaks off its response now may have done so
+// because the response was left unread.
+func (q *callerQueue) wasUnread() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.unread >= unreadAbortMin && time.Since(q.readAgainAt) <= unreadAbortWindow
+}
+
+// holdsBytes reports whether the caller has yet to take something.
+func (q *callerQueue) holdsBytes() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.bytes > 0
+}
+
+// stalled returns for how long the caller has taken nothing of what is queued.
+func (q *callerQueue) stalled(now time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.bytes == 0 || q.err != nil {
+		return 0
+	}
+	return now.Sub(q.stalledSince)
+}
--- /dev/null
+++ b/coordination/serve/callers.go
@@ -0,0 +1,176 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/wait"
+	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+)
+
+const (
+	// callersShareDivisor divides the budget: from that length of the queues of all callers
+	// together on, only endpoints of callers with an empty queue are read. The rest is left
+	// for the answers of callers that read.
+	callersShareDivisor = 2
+	// bufferWait is how long an answer waits for the budget. A longer wait delays the answers
+	// that are being read; a shorter one fails them before a stalled caller is ended.
+	bufferWait = 300 * time.Millisecond
+	// bufferPollInterval is the pause between two tries to reserve bytes.
+	bufferPollInterval = 20 * time.Millisecond
+	// evictableAfter is how long a caller must have taken nothing to be ended when the
+	// budget is short. Callers that read take something within a round trip.
+	evictableAfter = time.Second
+)
+
+// callers are the queues of all callers whose answer has begun.
+type callers struct {
+	queued atomic.Int64 // bytes in all queues
+
+	mu     sync.Mutex
+	queues map[*callerQueue]struct{}
+}
+
+func (c *callers) add(q *callerQueue) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.queues == nil {
+		c.queues = make(map[*callerQueue]struct{})
+	}
+	c.queues[q] = struct{}{}
+}
+
+func (c *callers) remove(q *callerQueue) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.queues, q)
+}
+
+// mostStalled returns the queue whose caller has taken nothing for longest, and for at
+// least evictableAfter; nil if there is none.
+func (c *callers) mostStalled() *callerQueue {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var found *callerQueue
+	now, longest := time.Now(), evictableAfter
+	for q := range c.queues {
+		if stalled := q.stalled(now); stalled >= longest {
+			found, longest = q, stalled
+		}
+	}
+	return found
+}
+
+// reserveBytes reserves n bytes of the budget that all buffers share.
+func (s *Server) reserveBytes(n int) error { return reserve(&s.bufferedBytes, n) }
+
+// releaseBytes releases bytes that reserveBytes or a reader has reserved.
+func (s *Server) releaseBytes(n int) { s.bufferedBytes.Add(-int64(n)) }
+
+// callersAreFull reports whether the queues of all callers together use up their share of
+// the budget.
+func (s *Server) callersAreFull() bool {
+	return s.callers.queued.Load() >= maxBufferedBytes/callersShareDivisor
+}
+
+// awaitBytes reserves n bytes. While the budget is used up, it ends the callers that have
+// taken nothing for longest, and waits for up to bufferWait.
+func (s *Server) awaitBytes(ctx context.Context, n int) error {
+	until := time.Now().Add(bufferWait)
+	for {
+		err := s.reserveBytes(n)
+		if err == nil || !time.Now().Before(until) {
+			return err
+		}
+		if q := s.callers.mostStalled(); q != nil {
+			q.end(errCallerEvicted)
+		}
+		if !wait.For(ctx, bufferPollInterval) {
+			return ctx.Err()
+		}
+	}
+}
+
+// measureCallers counts an event of the queues of callers.
+func (s *Server) measureCallers(class string) {
+	s.metrics.Count("serve_slow_callers", metrics.Labels{Class: class})
+}
+
+// writeCallerMetrics writes the bytes that are buffered for callers.
+func (s *Server) writeCallerMetrics(w io.Writer) {
+	fmt.Fprintf(w, "serve_caller_queue_bytes %d\nserve_buffered_bytes %d\n", s.callers.queued.Load(), s.bufferedBytes.Load())
+}
+
+// pacedBody reads a response no faster than the caller takes the answer and the budget
+// allows.
+type pacedBody struct {
+	ctx   context.Context
+	body  io.Reader
+	queue *callerQueue
+}
+
+// Read implements io.Reader.
+func (p *pacedBody) Read(buffer []byte) (int, error) {
+	if err := p.queue.awaitRoom(p.ctx); err != nil {
+		return 0, err
+	}
+	// What the reader keeps, it reserves itself.
+	if err := p.queue.server.awaitBytes(p.ctx, len(buffer)); err != nil {
+		return 0, err
+	}
+	p.queue.server.releaseBytes(len(buffer))
+	return p.body.Read(buffer)
+}
+
+// errAbortedUnread marks a response that its endpoint aborted after the caller's slowness
+// had left it unread.
+var errAbortedUnread = errors.New("the endpoint aborted a response that was left unread for a slow caller")
+
+// awaitCaller returns nil when a stream whose endpoint aborted it unread can go on: it may
+// be resumed, and the caller has taken what was queued.
+func (r *run) awaitCaller(ctx context.Context, aborted error) error {
+	if !r.mayRunAgain() {
+		return fault.Wrap(aborted, fault.Cancelled, "the caller read too slowly for its endpoint")
+	}
+	began := time.Now()
+	if err := r.out.awaitEmpty(ctx); err != nil {
+		return err
+	}
+	r.lastEventAt = time.Now() // what the caller did not read is no pause of the answer
+	r.server.measureCallers("continued")
+	r.server.logger.Info().Str("request", r.request.ID).Str("last_event", r.lastEventID).Dur("waited", time.Since(began)).
+		Int("sends", r.attempts).Msg("A stream goes on whose endpoint aborted it as its caller read slowly.")
+	return nil
+}
+
+// settle returns when the caller has taken all of the answer that was queued, or is ended
+// because it has not by the end of ctx. err is the result of the attempts.
+func (r *run) settle(ctx context.Context, err error) error {
+	if !r.headerWritten.Load() {
+		return err
+	}
+	r.out.close()
+	select {
+	case <-r.out.done:
+	case <-ctx.Done():
+		if r.out.holdsBytes() {
+			err = nil // the caller had not taken what the endpoint was in time with
+		}
+		r.out.end(errCallerSlow)
+		<-r.out.done
+	}
+	failure := r.out.failure()
+	if failure == nil || err != nil && !errors.Is(err, errCaller) {
+		return err
+	}
+	r.server.measureCallers("ended")
+	r.server.logger.Warn().Str("request", r.request.ID).Int("events", r.eventsSent).Str("last_event", r.lastEventID).
+		Err(failure).Msg("A caller was ended that did not take its answer.")
+	return fault.Wrap(failure, fault.Cancelled, "the caller did not take the whole answer")
+}
--- a/coordination/serve/final.go
+++ b/coordination/serve/final.go
@@ -55,7 +55,7 @@
 	outcome := "served"
 	if err != nil {
 		outcome = string(fault.KindOf(err))
-		if r.headerWritten.Load() {
+		if r.headerWritten.Load() && outcome != string(fault.Cancelled) {
 			outcome = "broken_off"
 		}
 	}
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -15,8 +15,8 @@
 	// maxPlainAnswerBytes bounds a plain answer, which is buffered whole before it
 	// is written to the caller. A longer response counts as invalid.
 	maxPlainAnswerBytes = 4 << 20
-	// maxBufferedBytes bounds the plain answers and the events being read of all requests
-	// together. A response for which no room is left counts as invalid too.
+	// maxBufferedBytes bounds the plain answers, the events being read and the queues of
+	// callers of all requests together. A response for which no room is left counts as invalid too.
 	maxBufferedBytes = 32 << 20
 	// readChunkBytes is the most that one read takes from a response.
 	readChunkBytes = 16 << 10
@@ -31,10 +31,15 @@
 
 func (response *Response) isSuccess() bool { return response.Status >= 200 && response.Status < 300 }
 
-// deliverPlain reads a response whole and writes it to the caller.
+// deliverPlain reads a response whole and queues it for the caller.
 func (r *run) deliverPlain(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	body, err := r.readPlain(ctx, plan, response, cancel)
-	defer r.server.bufferedBytes.Add(-int64(len(body)))
+	queued := false
+	defer func() {
+		if !queued {
+			r.server.releaseBytes(len(body))
+		}
+	}()
 	good := response.isSuccess()
 	switch {
 	case errors.Is(err, errStalled):
@@ -48,14 +53,15 @@
 	}
 	r.firstByteAt = time.Now()
 	r.writeHeader(response.Status, response.Header, int64(len(body)))
-	return r.writer.Write(body)
+	queued = true
+	return r.out.push(body)
 }
 
 // readPlain reads a response to its end. It cancels a stalled attempt once another
 // endpoint has room. The bytes returned are counted in Server.bufferedBytes.
 func (r *run) readPlain(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) ([]byte, error) {
 	body, stalled, err := awaitResult(ctx, r, plan, cancel, func() ([]byte, error) {
-		return readBuffered(response.Body, &r.server.bufferedBytes)
+		return readBuffered(&pacedBody{ctx, response.Body, r.out}, &r.server.bufferedBytes)
 	})
 	if stalled {
 		return body, errStalled
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -92,7 +92,8 @@
 type run struct {
 	server           *Server
 	request          *Request
-	writer           ResponseWriter
+	writer           ResponseWriter // used by out once that has started, until that has ended
+	out              *callerQueue
 	route            *catalogue.Route
 	service          *catalogue.Service
 	organisation     string
@@ -100,19 +101,19 @@
 	deadline         time.Time // of the whole answer
 	admittedAt       time.Time
 	catalogueVersion uint64
-	tried            map[uint64]bool // keys of the endpoints that were asked
-	attempts         int             // attempts so far
-	mayHaveRun       int             // attempts that an endpoint may have run
-	headerWritten    atomic.Bool     // read by the stop of this entry too
-	lastEventID      string
-	eventsSent       int               // to the caller
+	tried            map[uint64]bool   // keys of the endpoints that were asked
+	attempts         int               // attempts so far
+	mayHaveRun       int               // attempts that an endpoint may have run
+	headerWritten    atomic.Bool       // read by the stop of this entry too
+	lastEventID      string            // of the last event that was queued for the caller
+	eventsSent       int               // queued for the caller
 	attemptEvents    int               // events of the latest attempt
 	goesOn           bool              // the answer of the latest attempt has gone on
 	sentAt           monotonic.Time    // of the latest attempt
 	parts            []uint64          // keys of the prompt's parts that other requests may share
 	requestKey       uint64            // the same for all repeats of the request
 	lease            *quarantine.Lease // for the next attempt, while one of the parts is suspect
-	lastEventAt      time.Time         // when the last event was sent to the caller
+	lastEventAt      time.Time         // when the last event arrived, or its endpoint was read again after that
 	permitDenials    int
 	hadConflict      bool            // a plan was dropped because it conflicted with another entry's
 	nextPlan         *placement.Plan // chosen before a stalled attempt was cancelled
@@ -272,6 +273,12 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, errAbortedUnread) {
+			if err := r.awaitCaller(ctx, err); err != nil {
+				return err
+			}
+			continue
+		}
 		if ctx.Err() != nil || r.nextPlan == nil && !r.mayRetry(err) {
 			return err
 		}
@@ -285,6 +292,8 @@
 	var notSent *NotSentError
 	var unclear *partsUnclearError
 	switch {
+	case errors.Is(err, errCaller):
+		return false
 	case errors.As(err, &unclear), errors.Is(err, errTakenOut):
 		return true // nothing was sent; awaitParts and place bound the wait
 	case errors.As(err, &notSent), errors.Is(err, errNoMemory):
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -127,6 +127,7 @@
 	Write(p []byte) error                                     // flushes
 	WriteError(err *fault.Error)                              // a whole answer of the entry's own
 	Abort()                                                   // closes the connection, so that the caller sees an incomplete answer
+	Interrupt()                                               // makes a Write that runs, and later ones, return an error; called by any goroutine
 }
 
 // Settings configures a Server. It can be replaced while requests run.
@@ -153,7 +154,8 @@
 	budget        *retryBudget
 	startedAt     time.Time
 	retries       retrySchedule
-	bufferedBytes atomic.Int64 // of plain answers and of events being read, over all requests
+	bufferedBytes atomic.Int64 // of plain answers, of events being read and in the queues of callers, over all requests
+	callers       callers
 	logger        *logs.Logger
 	metrics       *metrics.Registry
 }
@@ -174,6 +176,7 @@
 	}
 	s.budget = newRetryBudget(s.settings.Load)
 	s.SetSettings(settings)
+	registry.AddCollector(s.writeCallerMetrics)
 	registry.AddCollector(func(w io.Writer) {
 		left := s.budget.remaining()
 		for _, service := range slices.Sorted(maps.Keys(left)) {
@@ -199,13 +202,13 @@
 
 // Serve serves one request and returns when its answer is written or has failed.
 func (s *Server) Serve(ctx context.Context, q *Request, writer ResponseWriter) {
-	r := &run{server: s, request: q, writer: writer, tried: make(map[uint64]bool), lastEventID: q.LastEventID}
+	r := &run{server: s, request: q, writer: writer, out: newCallerQueue(s, writer), tried: make(map[uint64]bool), lastEventID: q.LastEventID}
 	untilStop, release := s.stop.bound(ctx, &r.headerWritten)
 	defer release()
 	err := r.admit(untilStop)
 	if err == nil {
 		withDeadline, cancel := context.WithDeadline(untilStop, r.deadline)
-		err = r.runAttempts(withDeadline)
+		err = r.settle(withDeadline, r.runAttempts(withDeadline))
 		cancel()
 	}
 	r.finish(ctx, err)
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -63,77 +64,133 @@
 	return true
 }
 
-// deliverStream writes events to the caller as they arrive. A response that goes on with a
-// stream that has begun must show that it does with the ID of its first event.
+// deliverStream queues events for the caller as they arrive, and never waits for the
+// caller. A response that goes on with a stream that has begun must show that it does with
+// the ID of its first event.
 func (r *run) deliverStream(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	if !response.Signed {
 		return errInvalidResponse
 	}
 	events := make(chan event)
 	ended := make(chan error, 1)
-	go func() { ended <- readEvents(ctx, response.Body, events, &r.server.bufferedBytes) }()
+	body := &pacedBody{ctx, response.Body, r.out}
+	go func() { ended <- readEvents(ctx, body, events, &r.server.bufferedBytes) }()
 	stall := time.NewTimer(r.firstStallTimeout(plan))
 	defer stall.Stop()
-	started := false
 	continues := r.headerWritten.Load()
 	for {
 		select {
 		case e := <-events:
-			if continues && r.attemptEvents == 0 && e.id == "" && !e.isComment() {
-				return fmt.Errorf("%w: its first event has no ID", errInvalidResponse)
-			}
-			if response.EndsWithClose && r.attemptEvents == 0 && e.isComment() {
-				return errNoEventBeforeClose
-			}
-			if !e.follows(r.lastEventID) {
-				return fmt.Errorf("%w: event %q after event %q", errInvalidResponse, e.id, r.lastEventID)
-			}
-			now := time.Now()
-			if !started {
-				started = true
-				r.recordFirstEvent(plan, now)
-			}
-			if pause := now.Sub(r.lastEventAt); r.eventsSent > 0 && r.route.PauseObjective > 0 && pause > r.route.PauseObjective {
-				r.recordLate(plan, objectivePause, pause)
-			}
-			r.lastEventAt = now
-			if !r.headerWritten.Load() {
-				r.writeHeader(response.Status, response.Header, -1)
-			}
-			if err := r.writer.Write(e.bytes); err != nil {
+			if err := r.queueEvent(ctx, plan, response, e, continues); err != nil {
 				return err
 			}
-			r.eventsSent++
-			if r.attemptEvents++; r.attemptEvents == eventsOfGoingAnswer {
-				r.recordGoingOn()
-			}
-			if e.id != "" {
-				r.lastEventID = e.id
-			}
 			stall.Reset(r.pauseStallTimeout(plan))
 		case err := <-ended:
-			if err == nil && r.attemptEvents < eventsOfGoingAnswer && r.endedUnder(ctx, plan) {
-				err = io.ErrUnexpectedEOF // without a length, the end of the process looks like that of the answer
-			}
-			if err == nil && response.EndsWithClose && r.attemptEvents == 0 {
-				err = errNoEventBeforeClose
-			}
-			if err == nil && continues && r.attemptEvents == 0 && !response.isStream() {
-				err = fmt.Errorf("%w: it has no events", errInvalidResponse)
-			}
-			return r.finishStream(response, err)
+			return r.endStream(ctx, plan, response, err, continues)
 		case <-stall.C:
+			if left := time.Until(r.out.readSince().Add(r.pauseStallTimeout(plan))); left > 0 {
+				stall.Reset(left) // the endpoint was not read for a part of the time
+				continue
+			}
 			if r.planFailover(ctx) {
 				cancel()
 				return errStalled
 			}
 			stall.Reset(failoverRetryInterval)
+		case <-r.out.failed:
+			return r.out.failure()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// queueEvent checks an event and queues it for the caller.
+func (r *run) queueEvent(ctx context.Context, plan *placement.Plan, response *Response, e event, continues bool) error {
+	if err := r.checkEvent(response, &e, continues); err != nil {
+		return err
+	}
+	r.recordEvent(plan, time.Now())
+	if !r.headerWritten.Load() {
+		r.writeHeader(response.Status, response.Header, -1)
+	}
+	if err := r.server.awaitBytes(ctx, len(e.bytes)); err != nil {
+		return err
+	}
+	if err := r.out.push(e.bytes); err != nil {
+		return err
+	}
+	r.eventsSent++
+	if r.attemptEvents++; r.attemptEvents == eventsOfGoingAnswer {
+		r.recordGoingOn()
+	}
+	if e.id != "" {
+		r.lastEventID = e.id
+	}
+	return nil
+}
+
+// checkEvent returns an error for an event that can't be the next one of this answer.
+func (r *run) checkEvent(response *Response, e *event, continues bool) error {
+	switch {
+	case continues && r.attemptEvents == 0 && e.id == "" && !e.isComment():
+		return fmt.Errorf("%w: its first event has no ID", errInvalidResponse)
+	case response.EndsWithClose && r.attemptEvents == 0 && e.isComment():
+		return errNoEventBeforeClose
+	case !e.follows(r.lastEventID):
+		return fmt.Errorf("%w: event %q after event %q", errInvalidResponse, e.id, r.lastEventID)
+	}
+	return nil
+}
+
+// recordEvent records the time of an event. The time in which the endpoint was not read
+// doesn't count as a pause.
+func (r *run) recordEvent(plan *placement.Plan, now time.Time) {
+	if r.attemptEvents == 0 {
+		r.recordFirstEvent(plan, now)
+	}
+	from := later(r.lastEventAt, r.out.readSince())
+	if pause := now.Sub(from); r.eventsSent > 0 && r.route.PauseObjective > 0 && pause > r.route.PauseObjective {
+		r.recordLate(plan, objectivePause, pause)
+	}
+	r.lastEventAt = now
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// endStream returns the result of a stream whose body was read to its end or failed with err.
+func (r *run) endStream(ctx context.Context, plan *placement.Plan, response *Response, err error, continues bool) error {
+	if err == nil && r.attemptEvents < eventsOfGoingAnswer && r.endedUnder(ctx, plan) {
+		err = io.ErrUnexpectedEOF // without a length, the end of the process looks like that of the answer
+	}
+	if err == nil && response.EndsWithClose && r.attemptEvents == 0 {
+		err = errNoEventBeforeClose
+	}
+	if err == nil && continues && r.attemptEvents == 0 && !response.isStream() {
+		err = fmt.Errorf("%w: it has no events", errInvalidResponse)
+	}
+	if err != nil && r.brokeOffUnread(ctx, err) {
+		err = fmt.Errorf("%w: %w", errAbortedUnread, err)
+	}
+	return r.finishStream(response, err)
+}
+
+// brokeOffUnread reports whether a response that failed with err was aborted because it was
+// left unread for the caller.
+func (r *run) brokeOffUnread(ctx context.Context, err error) bool {
+	for _, other := range []error{errCaller, errInvalidResponse, errBufferFull} {
+		if errors.Is(err, other) {
+			return false
+		}
+	}
+	return ctx.Err() == nil && r.out.wasUnread()
+}
+
 // finishStream returns nil when the stream ended completely. It starts the answer
 // of a stream without events.
 func (r *run) finishStream(response *Response, err error) error {
--- a/coordination/serve/testbed_test.go
+++ b/coordination/serve/testbed_test.go
@@ -192,6 +192,8 @@
 	aborted bool
 	sent    int          // calls of WriteHeader and WriteError
 	onWrite func() error // called by Write unless nil
+
+	onInterrupt func() // called by Interrupt unless nil
 }
 
 func (g *recorder) WriteHeader(code int, _ http.Header, _ int64) { g.status, g.sent = code, g.sent+1 }
@@ -210,6 +212,12 @@
 
 func (g *recorder) Abort() { g.aborted = true }
 
+func (g *recorder) Interrupt() {
+	if g.onInterrupt != nil {
+		g.onInterrupt()
+	}
+}
+
 // serve serves one request for a route.
 func (b *testbed) serve(ctx context.Context, route string) *recorder {
 	g := &recorder{}
--- a/ctl/causes.go
+++ b/ctl/causes.go
@@ -88,6 +88,8 @@
 		return ""
 	case outcome == "broken_off" && cancelledByCaller(q.final):
 		return "cancelled by the caller or its timeout: " + c.lateCause(q)
+	case outcome == string(fault.Cancelled) && q.final.number("events") > 0:
+		return "cancelled: the caller did not take its answer"
 	case outcome == "broken_off":
 		return "broken off: the endpoint's stream ended"
 	case q.limited && outcome == "overloaded":
