Bound what the kernel holds for a caller, and count chunks until their end is written

A caller that read 130 KB/s through a receive buffer of 16 KiB was ended after 10 s as if it took nothing: the send buffer of its connection had grown to some MB, and a blocked write goes on only when a third of that is free. At most 16 KiB are unsent now (TCP_NOTSENT_LOWAT); without the limit 3.9 MB were taken for a caller that read nothing.

A plain answer that was written in part released bytes that were still held. A request whose caller has failed is not placed again. A caller that is ended because its endpoint aborted an answer that can't go on is counted and logged as the others are.

--- a/coordination/serve/callerqueue.go
+++ b/coordination/serve/callerqueue.go
@@ -35,6 +35,12 @@
 	errCallerSlow    = errors.New("it had not taken all at the end of the request")
 )
 
+// chunk is an event, or a plain answer.
+type chunk struct {
+	rest []byte // to be written
+	size int
+}
+
 // callerQueue holds what is to be written to one caller. Its goroutine, which start starts,
 // is the only one that uses the writer until done is closed.
 type callerQueue struct {
@@ -45,8 +51,9 @@
 	failed chan struct{} // closed when the caller takes nothing more
 
 	mu           sync.Mutex
-	chunks       [][]byte
+	chunks       []chunk
 	bytes        int // queued or being written
+	reserved     int // bytes of the budget: the whole of each chunk until its end is written
 	closed       bool
 	finished     bool
 	err          error
@@ -82,7 +89,7 @@
 	var joined []byte
 	for {
 		stall.Stop()
-		piece, more := q.next(&joined)
+		piece, done, more := q.next(&joined)
 		if !more {
 			return
 		}
@@ -95,79 +102,85 @@
 			q.fail(err)
 			return
 		}
-		q.take(len(piece))
+		q.take(len(piece), done)
 	}
 }
 
-// next returns the next piece to write, nil while nothing is queued. more is false when
-// nothing is to be written any more. Short chunks are joined in *joined, so that one write
-// takes them.
-func (q *callerQueue) next(joined *[]byte) (piece []byte, more bool) {
+// next returns the next piece to write, nil while nothing is queued, and the size of the
+// chunks that end in it. more is false when nothing is to be written any more. Short chunks
+// are joined in *joined, so that one write takes them.
+func (q *callerQueue) next(joined *[]byte) (piece []byte, done int, more bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	switch {
 	case q.err != nil:
-		return nil, false
+		return nil, 0, false
 	case len(q.chunks) == 0:
-		return nil, !q.closed
-	case len(q.chunks) == 1 || len(q.chunks[0]) >= maxWriteBytes:
-		first := q.chunks[0]
-		n := min(len(first), maxWriteBytes)
-		if q.chunks[0] = first[n:]; n == len(first) {
-			q.dropFirst()
+		return nil, 0, !q.closed
+	case len(q.chunks) == 1 || len(q.chunks[0].rest) >= maxWriteBytes:
+		first := &q.chunks[0]
+		n := min(len(first.rest), maxWriteBytes)
+		piece, first.rest = first.rest[:n], first.rest[n:]
+		if len(first.rest) == 0 {
+			done = q.dropFirst()
 		}
-		return first[:n], true
+		return piece, done, true
 	}
 	*joined = (*joined)[:0]
-	for len(q.chunks) > 0 && len(*joined)+len(q.chunks[0]) <= maxWriteBytes {
-		*joined = append(*joined, q.chunks[0]...)
-		q.dropFirst()
+	for len(q.chunks) > 0 && len(*joined)+len(q.chunks[0].rest) <= maxWriteBytes {
+		*joined = append(*joined, q.chunks[0].rest...)
+		done += q.dropFirst()
 	}
-	return *joined, true
+	return *joined, done, true
 }
 
-// dropFirst drops the first chunk, which the list would keep in memory otherwise.
-func (q *callerQueue) dropFirst() {
-	q.chunks[0] = nil
+// dropFirst drops the first chunk, which the list would keep in memory otherwise, and
+// returns its size.
+func (q *callerQueue) dropFirst() (size int) {
+	size = q.chunks[0].size
+	q.chunks[0] = chunk{}
 	if q.chunks = q.chunks[1:]; len(q.chunks) == 0 {
 		q.chunks = nil
 	}
+	return size
 }
 
 // push queues a chunk, whose bytes the sender has reserved. If the caller has failed it
 // releases them and returns the error.
-func (q *callerQueue) push(chunk []byte) error {
+func (q *callerQueue) push(text []byte) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.err != nil {
-		q.server.releaseBytes(len(chunk))
+		q.server.releaseBytes(len(text))
 		return q.err
 	}
-	if len(chunk) == 0 {
+	if len(text) == 0 {
 		return nil
 	}
 	if q.bytes == 0 {
 		q.stalledSince = time.Now()
 	}
-	q.chunks = append(q.chunks, chunk)
-	q.bytes += len(chunk)
-	q.server.callers.queued.Add(int64(len(chunk)))
+	q.chunks = append(q.chunks, chunk{rest: text, size: len(text)})
+	q.bytes += len(text)
+	q.reserved += len(text)
+	q.server.callers.queued.Add(int64(len(text)))
 	q.notify()
 	return nil
 }
 
-// take records that the caller has taken n bytes.
-func (q *callerQueue) take(n int) {
+// take records that the caller has taken n bytes, with the end of chunks of the size done.
+func (q *callerQueue) take(n, done int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.release(n)
+	q.bytes -= n
+	q.release(done)
 	q.stalledSince = time.Now()
 	q.announce()
 }
 
-// release releases n bytes of the queue. The caller holds the lock.
+// release releases n bytes of the budget. The caller holds the lock.
 func (q *callerQueue) release(n int) {
-	q.bytes -= n
+	q.reserved -= n
 	q.server.callers.queued.Add(-int64(n))
 	q.server.releaseBytes(n)
 }
@@ -209,11 +222,14 @@
 	return true
 }
 
-// end ends the caller for a reason of this entry, also in the middle of a write.
-func (q *callerQueue) end(cause error) {
-	if q.fail(cause) {
+// end ends the caller for a reason of this entry, also in the middle of a write. It returns
+// what fail returns.
+func (q *callerQueue) end(cause error) bool {
+	ended := q.fail(cause)
+	if ended {
 		q.writer.Interrupt()
 	}
+	return ended
 }
 
 // finish releases what is left when the goroutine ends.
@@ -222,8 +238,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.finished = true
-	q.release(q.bytes)
-	q.chunks = nil
+	q.release(q.reserved)
+	q.chunks, q.bytes = nil, 0
 }
 
 // failure returns the error of the caller, nil if there is none.
--- a/coordination/serve/callers.go
+++ b/coordination/serve/callers.go
@@ -136,7 +136,7 @@
 // be resumed, and the caller has taken what was queued.
 func (r *run) awaitCaller(ctx context.Context, aborted error) error {
 	if !r.mayRunAgain() {
-		return fault.Wrap(aborted, fault.Cancelled, "the caller read too slowly for its endpoint")
+		return aborted
 	}
 	began := time.Now()
 	if err := r.out.awaitEmpty(ctx); err != nil {
@@ -159,14 +159,16 @@
 	select {
 	case <-r.out.done:
 	case <-ctx.Done():
-		if r.out.holdsBytes() {
+		if r.out.holdsBytes() && r.out.end(errCallerSlow) {
 			err = nil // the caller had not taken what the endpoint was in time with
 		}
-		r.out.end(errCallerSlow)
 		<-r.out.done
 	}
 	failure := r.out.failure()
-	if failure == nil || err != nil && !errors.Is(err, errCaller) {
+	switch {
+	case errors.Is(err, errAbortedUnread):
+		failure = err
+	case failure == nil, err != nil && !errors.Is(err, errCaller):
 		return err
 	}
 	r.server.measureCallers("ended")
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -273,6 +273,9 @@
 		if err == nil {
 			return nil
 		}
+		if failure := r.out.failure(); failure != nil {
+			return failure
+		}
 		if errors.Is(err, errAbortedUnread) {
 			if err := r.awaitCaller(ctx, err); err != nil {
 				return err
--- a/coordination/serve/slowcaller_test.go
+++ b/coordination/serve/slowcaller_test.go
@@ -332,3 +332,35 @@
 		})
 	}
 }
+
+// Guards against a want of memory in this entry that is recorded as a failure of the
+// endpoint, and against answers that fail although memory is free a moment later.
+func TestWantOfMemoryIsNotTheEndpointsFault(t *testing.T) {
+	for _, route := range []string{"stream-once", "once"} {
+		for _, c := range []struct {
+			held   time.Duration // the whole budget, by others
+			status int
+		}{{bufferWait / 2, 200}, {never, 502}} {
+			bubble.Run(t, func(t *testing.T) {
+				b := newSlowTestbed(t, good(longEvents(1, 5)))
+				if err := b.server.reserveBytes(maxBufferedBytes); err != nil {
+					t.Fatal(err)
+				}
+				release := time.AfterFunc(c.held, func() { b.server.releaseBytes(maxBufferedBytes) })
+				caller := newSlowCaller(steadily(0))
+				if b.serveSlow(t.Context(), route, caller); caller.status != c.status {
+					t.Errorf("%s, budget held for %v: status %d, %v", route, c.held, caller.status, caller.fault)
+				}
+				if n := b.scheduler.Stats().BackingOff; n != 0 {
+					t.Errorf("%s, budget held for %v: %d endpoints are in back-off", route, c.held, n)
+				}
+				if release.Stop() {
+					b.server.releaseBytes(maxBufferedBytes)
+				}
+				if held := b.server.bufferedBytes.Load(); held != 0 {
+					t.Errorf("%d bytes are held after the end", held)
+				}
+			})
+		}
+	}
+}
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -166,7 +166,7 @@
 		return err
 	}
 	defer readyServer.Close()
-	callerServer := &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}
+	callerServer := &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes, ConnContext: platform.LimitUnsent}
 	if err := serveHTTP(p.CallerAddress, callerServer, failed); err != nil {
 		return err
 	}
--- a/role/host/fakeendpoint_test.go
+++ b/role/host/fakeendpoint_test.go
@@ -24,7 +24,7 @@
 	sequence  atomic.Int64
 	address   string
 	server    *http.Server
-	behaviour atomic.Value // "good", "full", "cut" (breaks off answers), "cut head" or "foreign" (names another attempt)
+	behaviour atomic.Value // "good", "full", "cut" (breaks off answers), "cut head", "large" (streams) or "foreign" (names another attempt)
 	headCut   atomic.Value // a headCut, for "cut head"
 
 	dataCentre  atomic.Value // text
@@ -167,6 +167,10 @@
 			e.t.Errorf("Last-Event-Id %q: %v", last, err)
 		}
 	}
+	if behaviour == "large" {
+		streamLarge(w, lastID)
+		return
+	}
 	for i := lastID + 1; i <= 10; i++ {
 		if behaviour == "cut" && i == 5 {
 			_, _ = io.WriteString(w, "id: 5\nda")
