--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -71,12 +71,10 @@
 	return c.answers < allowedAnswers && c.usedMemoryTokens+c.spareTokens+needed <= engine.MemoryTokens
 }
 
-// mayHelp reports whether the endpoint has memory for one of n parts of another endpoint's
-// prompt and may prefill it. An endpoint with a rate limit may not: a part counts as a
-// request to it, and is worth nothing to the caller when another part finds no permit.
-func (c *candidate) mayHelp(req *Request, n int) bool {
-	return !c.rateLimited && c.usedMemoryTokens+c.spareTokens+req.PromptTokens/n <= req.Service.Engine.MemoryTokens
-}
+// mayHelp reports whether the endpoint may prefill a part of another endpoint's prompt. An
+// endpoint with a rate limit may not: a part counts as a request to it, and is worth
+// nothing to the caller when another part finds no permit.
+func (c *candidate) mayHelp() bool { return !c.rateLimited }
 
 // slots returns the number of answers that the endpoint decodes at once, at least 1.
 func (c *candidate) slots(engine *catalogue.Engine) int {
--- a/coordination/placement/memory.go
+++ b/coordination/placement/memory.go
@@ -16,12 +16,3 @@
 	}
 	return int(reportedSpareRequests * (engine.MeanPromptTokens + engine.MeanOutputTokens))
 }
-
-// partTokensAt returns the memory, in tokens, of the part of a prompt that the i-th endpoint
-// prefills for another one, which holds it until the answer begins.
-func (w *work) partTokensAt(i int) int {
-	if w.started || i == 0 {
-		return 0
-	}
-	return w.promptTokens / len(w.endpoints)
-}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -234,7 +234,7 @@
 func (s *Scheduler) bestHelpers(candidates []*candidate, main *candidate, req *Request, n int, prefill enginemodel.Prefill) []option {
 	options := make([]option, 0, len(candidates))
 	for _, c := range candidates {
-		if c != main && c.mayHelp(req, n) {
+		if c != main && c.mayHelp() {
 			options = append(options, s.evaluate(c, req, prefill, true))
 		}
 	}
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -68,9 +68,9 @@
 func (w *work) memoryTokensAt(i int) int {
 	switch {
 	case w.heldTokens != nil && i > 0:
-		return max(w.heldTokens[i], w.partTokensAt(i))
+		return w.heldTokens[i]
 	case i > 0:
-		return w.partTokensAt(i)
+		return 0
 	}
 	total := w.promptTokens + w.outputTokens
 	for _, tokens := range w.heldTokens {
