Priorities of organisations and routes in one order, by service

Where organisations have priorities, those of routes had no effect: the one replaced the other. The catalogue now derives, once for each version, which services have routes of different priorities and the place of each pair of priorities among those that the configuration allows. Nothing uses it yet. docs/design/waiting.md describes the queue that will.

--- a/state/catalogue/build.go
+++ b/state/catalogue/build.go
@@ -17,6 +17,7 @@
 		return nil, err
 	}
 	c.indexRoutes()
+	c.indexPriorities()
 	return c, nil
 }
 
--- a/state/catalogue/catalogue.go
+++ b/state/catalogue/catalogue.go
@@ -29,6 +29,10 @@
 
 	byHost map[string][]*Route // longest prefix first
 	byKey  map[string]*Organisation
+	// priorities holds, sorted, those of the requests of each service whose routes differ
+	// in priority.
+	priorities                map[string][]Priority
+	hasOrganisationPriorities bool // some organisation has a priority
 }
 
 // Route maps a host and a path prefix to services.
@@ -85,7 +89,7 @@
 type Organisation struct {
 	Name     string
 	Keys     []string
-	Priority *int // overrides that of the route; nil for none
+	Priority *int // overrides that of the route, see PriorityOf; nil for none
 }
 
 // Limits bound the requests and connections of callers.
--- /dev/null
+++ b/state/catalogue/priority.go
@@ -0,0 +1,108 @@
+package catalogue
+
+import (
+	"cmp"
+	"slices"
+)
+
+// LowestPriority is the least urgent priority, which has the highest number; 0 is the most
+// urgent.
+const LowestPriority = 9
+
+// ClampPriority limits a priority to the range that endpoints accept.
+func ClampPriority(priority int) int { return min(max(priority, 0), LowestPriority) }
+
+// Priority is the priority of a request: that of its organisation, then that of its route.
+type Priority struct{ Organisation, Route int }
+
+// Compare orders priorities, the most urgent one first.
+func (p Priority) Compare(other Priority) int {
+	return cmp.Or(cmp.Compare(p.Organisation, other.Organisation), cmp.Compare(p.Route, other.Route))
+}
+
+// PriorityOf returns the priority of requests of an organisation, nil for none, to a route.
+// The route's takes the place of that of an organisation without one.
+func PriorityOf(o *Organisation, r *Route) Priority {
+	route := ClampPriority(r.Priority)
+	if o == nil || o.Priority == nil {
+		return Priority{Organisation: route, Route: route}
+	}
+	return Priority{Organisation: ClampPriority(*o.Priority), Route: route}
+}
+
+// HasPriorities reports whether the routes of a service have different priorities.
+func (c *Catalogue) HasPriorities(service string) bool { return c.priorities[service] != nil }
+
+// EnginePriority returns the number from 0 to LowestPriority that tells the engines of a
+// service with different priorities the place of p among the priorities of its requests.
+// With more priorities than numbers, neighbours share a number.
+func (c *Catalogue) EnginePriority(service string, p Priority) int {
+	known := c.priorities[service]
+	if !c.hasOrganisationPriorities {
+		return p.Route
+	}
+	place, _ := slices.BinarySearchFunc(known, p, Priority.Compare)
+	if len(known) > LowestPriority+1 {
+		place = place * (LowestPriority + 1) / len(known)
+	}
+	return ClampPriority(place)
+}
+
+// indexPriorities finds the priorities of the requests of each service whose routes have
+// different ones.
+func (c *Catalogue) indexPriorities() {
+	c.priorities = make(map[string][]Priority)
+	byService := make(map[string][]*Route)
+	for i := range c.Routes {
+		for _, share := range c.Routes[i].Split {
+			if share.Weight > 0 {
+				byService[share.Service] = append(byService[share.Service], &c.Routes[i])
+			}
+		}
+	}
+	organisations := c.organisationsByPriority()
+	for service, routes := range byService {
+		differ := slices.ContainsFunc(routes, func(r *Route) bool { return ClampPriority(r.Priority) != ClampPriority(routes[0].Priority) })
+		if differ {
+			c.priorities[service] = prioritiesOf(organisations, routes)
+		}
+	}
+}
+
+// organisationsByPriority returns one organisation of each priority, and nil for those
+// without one, which also stands for public routes.
+func (c *Catalogue) organisationsByPriority() []*Organisation {
+	representatives := []*Organisation{nil}
+	var seen [LowestPriority + 1]bool
+	for i := range c.Organisations {
+		o := &c.Organisations[i]
+		if o.Priority == nil || seen[ClampPriority(*o.Priority)] {
+			continue
+		}
+		seen[ClampPriority(*o.Priority)] = true
+		representatives = append(representatives, o)
+	}
+	c.hasOrganisationPriorities = len(representatives) > 1
+	return c.withoutAbsent(representatives)
+}
+
+// withoutAbsent leaves out the nil if each request has an organisation with a priority.
+func (c *Catalogue) withoutAbsent(representatives []*Organisation) []*Organisation {
+	without := slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Priority == nil })
+	public := slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Public })
+	if without || public || !c.KeysRequired() {
+		return representatives
+	}
+	return representatives[1:]
+}
+
+func prioritiesOf(organisations []*Organisation, routes []*Route) []Priority {
+	var all []Priority
+	for _, o := range organisations {
+		for _, r := range routes {
+			all = append(all, PriorityOf(o, r))
+		}
+	}
+	slices.SortFunc(all, Priority.Compare)
+	return slices.Compact(all)
+}
