Weigh the priority of routes, and pack short answers by the demand for long prompts

Where the routes of one service differ in priority and organisations have priorities of their own, the priorities of routes had no effect, so long prompts with seconds to spare were placed where they made several urgent answers late.

--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -18,6 +18,10 @@
 	// pause objectives, and smaller, as pauses are predicted better.
 	firstEventMargin = 0.6
 	pauseMargin      = 0.35
+	// maxFirstEventMargin bounds the margin. A prediction is off by the work that reaches
+	// the endpoints meanwhile, which doesn't grow with a far objective; with a margin in
+	// proportion, requests that have time would be hurried at the cost of others.
+	maxFirstEventMargin = 2400 * time.Millisecond
 	// otherDataCentreCostShare is the cost of an endpoint in another data centre, as a
 	// share of the credit.
 	otherDataCentreCostShare = 0.02
@@ -74,7 +78,8 @@
 	plainQueueFactor = 3
 )
 
-// packing is the rule by which short answers share endpoints.
+// packing is the rule by which short answers share endpoints. For services with different
+// priorities in large fleets, it follows the demand, see demandPacking.
 type packing struct {
 	// bonusShare is the bonus of an endpoint that already decodes answers, as a share
 	// of the credit. Packing leaves other endpoints free to prefill long prompts.
@@ -115,6 +120,7 @@
 	PauseObjective time.Duration // for the time between events; 0 for plain requests
 	TimeLimit      time.Duration // time left for the whole answer
 	Credit         float64       // weight of serving the request on time
+	Ranked         bool          // the routes of the service have different priorities
 	Excluded       func(e *directory.Endpoint) bool
 }
 
--- a/coordination/placement/evaluate.go
+++ b/coordination/placement/evaluate.go
@@ -74,5 +74,6 @@
 	if objective <= 0 {
 		return 0
 	}
-	return min(1, max(0, (limit-predictedMs)/(limit*margin)))
+	marginMs := min(limit*margin, enginemodel.Milliseconds(maxFirstEventMargin))
+	return min(1, max(0, (limit-predictedMs)/marginMs))
 }
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -210,7 +210,7 @@
 
 // bestMain returns the best and the second best main endpoint, nil where there is none.
 func (s *Scheduler) bestMain(candidates []*candidate, req *Request, prefill enginemodel.Prefill) (best, second *option) {
-	long, packingRule := isLong(req), s.packing()
+	long, packingRule := isLong(req), s.packing(candidates, req)
 	for _, c := range candidates {
 		o := s.evaluate(c, req, prefill, false)
 		if !c.canAnswer(req, o.firstMs) || !long && o.firstMs > req.maxFirstMs() {
--- a/coordination/placement/reports.go
+++ b/coordination/placement/reports.go
@@ -39,12 +39,16 @@
 	}
 }
 
-// packing returns the packing rule for the size of the fleet.
-func (s *Scheduler) packing() packing {
-	if len(s.reportedKeys) > 0 {
-		return largeFleetPacking
+// packing returns the packing rule for the size of the fleet and, where the routes of the
+// service have different priorities, for the demand at the candidates.
+func (s *Scheduler) packing(candidates []*candidate, req *Request) packing {
+	switch {
+	case len(s.reportedKeys) == 0:
+		return smallFleetPacking
+	case req.Ranked:
+		return demandPacking(longLoad(candidates, s.now()))
 	}
-	return smallFleetPacking
+	return largeFleetPacking
 }
 
 // isReported reports whether the load in the candidate's data centre is known from
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -45,6 +45,7 @@
 	rateLimit    rateLimit
 	permit       permit
 	reported     reportedLoad
+	demand       demand
 }
 
 // event returns the event that opens the work item at other entries. Its ReadUs is the
@@ -116,6 +117,9 @@
 		s.advanceQueue(state, key, w.openedAt)
 		state.inFlight = append(state.inFlight, w)
 		state.addArrival(w.openedAt)
+		if w.isLong() {
+			state.demand.add(w.prefill.Ms, w.openedAt)
+		}
 		state.queue.Add(enginemodel.Part{Work: w.id, Prefill: w.prefill, Helper: i > 0}, w.openedAt)
 		s.postponeFirstEvents(state, key, w.openedAt)
 	}
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
-	"github.com/apricotspoke/apricotspoke/coordination/enginemodel"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wait"
@@ -233,7 +231,8 @@
 		d.PromptTokens = q.PromptTokens
 		d.OutputTokens = expectedOutputTokens(q, engine)
 		d.PauseObjective = r.route.PauseObjective
-		d.Credit = math.Pow(max(1, enginemodel.PrefillMs(engine, q.PromptTokens, 1)), creditExponent) * math.Pow(urgencyRatio, -float64(r.priority))
+		d.Credit = r.credit(engine)
+		d.Ranked = r.ranked
 	}
 	return d
 }
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -17,21 +17,9 @@
 )
 
 const (
-	// creditExponent is the power of the prefill time in the credit of a request. The
-	// credit is the weight that the scheduler gives to serving the request on time,
-	// against that of other requests. It grows more slowly than the prefill time, so
-	// that long prompts neither starve nor crowd out short ones: with an exponent of
-	// 0 all requests weigh the same, with 1 they weigh as much as they take.
-	creditExponent = 0.62
-	// urgencyRatio is the ratio between the credits of two requests whose
-	// priorities differ by one. Between the most and the least urgent priority the
-	// ratio is 1.5^9, about 38.
-	urgencyRatio = 1.5
 	// lowestPriority is the least urgent priority, which has the highest number; 0 is
 	// the most urgent.
 	lowestPriority = 9
-	// plainCredit is the credit of a request to a service without an engine.
-	plainCredit = 1
 	// capacityPollInterval is how often a waiting request tries placement again
 	// when no work ends in the meantime.
 	capacityPollInterval = 20 * time.Millisecond
@@ -98,6 +86,8 @@
 	service          *catalogue.Service
 	organisation     string
 	priority         int       // 0 is the most urgent
+	ranked           bool      // the routes of the service have different priorities
+	routeRank        int       // of the route's priority among them; 0 is the most urgent
 	deadline         time.Time // of the whole answer
 	admittedAt       time.Time
 	catalogueVersion uint64
@@ -143,6 +133,7 @@
 		return err
 	}
 	r.service = c.Services[pickService(r.route.Split, q.ID)]
+	r.ranked, r.routeRank = c.HasPriorities(r.service.Name), c.RouteRank(r.service.Name, r.route)
 	r.parts = quarantine.Keys(r.service.Name, q.SharedParts)
 	r.requestKey = quarantine.RequestKey(r.service.Name, q.Method, q.Target, q.Body)
 	r.deadline = q.Arrived.Add(min(q.TimeLimit, r.route.Timeout))
--- a/state/catalogue/catalogue.go
+++ b/state/catalogue/catalogue.go
@@ -32,7 +32,8 @@
 	// priorities holds, sorted, those of the requests of each service whose routes differ
 	// in priority.
 	priorities                map[string][]Priority
-	hasOrganisationPriorities bool // some organisation has a priority
+	routePriorities           map[string][]int // of their routes alone, sorted
+	hasOrganisationPriorities bool             // some organisation has a priority
 }
 
 // Route maps a host and a path prefix to services.
--- a/state/catalogue/priority.go
+++ b/state/catalogue/priority.go
@@ -33,6 +33,13 @@
 // HasPriorities reports whether the routes of a service have different priorities.
 func (c *Catalogue) HasPriorities(service string) bool { return c.priorities[service] != nil }
 
+// RouteRank returns how many different priorities of the service's routes are more urgent
+// than that of a route; 0 where they don't differ.
+func (c *Catalogue) RouteRank(service string, r *Route) int {
+	place, _ := slices.BinarySearch(c.routePriorities[service], ClampPriority(r.Priority))
+	return place
+}
+
 // EnginePriority returns the number from 0 to LowestPriority that tells the engines of a
 // service with different priorities the place of p among the priorities of its requests.
 // With more priorities than numbers, neighbours share a number.
@@ -51,7 +58,7 @@
 // indexPriorities finds the priorities of the requests of each service whose routes have
 // different ones.
 func (c *Catalogue) indexPriorities() {
-	c.priorities = make(map[string][]Priority)
+	c.priorities, c.routePriorities = make(map[string][]Priority), make(map[string][]int)
 	byService := make(map[string][]*Route)
 	for i := range c.Routes {
 		for _, share := range c.Routes[i].Split {
@@ -65,6 +72,7 @@
 		differ := slices.ContainsFunc(routes, func(r *Route) bool { return ClampPriority(r.Priority) != ClampPriority(routes[0].Priority) })
 		if differ {
 			c.priorities[service] = prioritiesOf(organisations, routes)
+			c.routePriorities[service] = routePriorities(routes)
 		}
 	}
 }
@@ -106,3 +114,13 @@
 	slices.SortFunc(all, Priority.Compare)
 	return slices.Compact(all)
 }
+
+// routePriorities returns the different priorities of routes, sorted.
+func routePriorities(routes []*Route) []int {
+	var all []int
+	for _, r := range routes {
+		all = append(all, ClampPriority(r.Priority))
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
