--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -54,6 +54,7 @@
 	crossDataCentreDelay time.Duration // of events to another data centre
 	outcomes             map[string]*outcome
 	downDataCentres      map[string]bool // out of service
+	ranked               bool            // routes differ in priority
 	// startedAt is when the entries were started; requests that arrived before wait
 	// from then on.
 	startedAt time.Time
@@ -172,6 +173,7 @@
 	maxTokens        int     // longest prompt
 	events           int
 	objective, pause time.Duration
+	rank             int // of the route's priority; counts where the fleet has ranked routes
 }
 
 // simulate generates arrivals for the given time and runs until their answers have
@@ -225,7 +227,7 @@
 	req := &Request{
 		Service: f.service, DataCentre: entry.dataCentre, PromptTokens: prompt, OutputTokens: k.events * 36,
 		Objective: k.objective, ObjectiveLeft: k.objective - f.now.Sub(arrived), PauseObjective: k.pause, TimeLimit: 15 * time.Second,
-		CallerTimeout: k.callerTimeout() - f.now.Sub(arrived), Credit: math.Pow(enginemodel.PrefillMs(f.service.Engine, prompt, 1), 0.62),
+		CallerTimeout: k.callerTimeout() - f.now.Sub(arrived), Credit: f.credit(k, prompt), Ranked: f.ranked,
 		Excluded: func(e *directory.Endpoint) bool { return f.downDataCentres[e.DataCentre] },
 	}
 	p := entry.scheduler.Choose(f.endpoints, req)
@@ -249,6 +251,15 @@
 	}
 }
 
+// credit is the weight that package serve gives to a request.
+func (f *fleet) credit(k requestKind, prompt int) float64 {
+	credit := math.Pow(enginemodel.PrefillMs(f.service.Engine, prompt, 1), 0.62)
+	if f.ranked {
+		credit *= math.Pow(3, -float64(k.rank))
+	}
+	return credit
+}
+
 // send delivers the parts of a prompt to the engines of a plan.
 func (f *fleet) send(p *Plan, k requestKind, prompt int, arrived time.Time) {
 	a := &fleetAnswer{kind: k, plan: p, outcome: f.outcomes[k.name], prompt: prompt, arrived: arrived, partsLeft: len(p.Endpoints), eventsLeft: k.events}
