The decisions of an admission queue, without I/O

Requests that find no capacity each try again on their own, so chance decides which is placed first and all are refused only after an eighth of their objective. Nothing uses it yet.

--- /dev/null
+++ b/coordination/admissionqueue/order.go
@@ -0,0 +1,96 @@
+package admissionqueue
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+// rank is what the place of a request in the order depends on, the most important first.
+type rank struct {
+	begun    bool
+	owed     bool // its priority or organisation is owed a request
+	priority catalogue.Priority
+	overdue  bool
+	timeLeft int     // doubles with each step
+	cost     float64 // of the organisation's recent requests
+	due      time.Time
+	number   uint64
+}
+
+func (r *rank) compare(other *rank) int {
+	return cmp.Or(
+		trueFirst(r.begun, other.begun),
+		trueFirst(r.owed, other.owed),
+		r.priority.Compare(other.priority),
+		trueFirst(other.overdue, r.overdue),
+		cmp.Compare(r.timeLeft, other.timeLeft),
+		cmp.Compare(r.cost, other.cost),
+		r.due.Compare(other.due),
+		cmp.Compare(r.number, other.number),
+	)
+}
+
+func trueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// rankOf returns the rank of a request as if none were owed.
+func (q *Queue) rankOf(e *Entry, now time.Time) rank {
+	left := max(0, e.Due.Sub(now))
+	return rank{
+		begun: e.Begun, priority: e.Priority, overdue: e.isDeferred(now),
+		timeLeft: bits.Len64(uint64(left.Milliseconds())), cost: q.usage.cost(e.Organisation, now), due: e.Due, number: e.number,
+	}
+}
+
+// order returns the waiting requests in their order.
+func (q *Queue) order(now time.Time) []*Entry {
+	if q.sorted && q.sortedAt.Equal(now) {
+		return q.waiting
+	}
+	for _, e := range q.waiting {
+		e.rank = q.rankOf(e, now)
+	}
+	q.sort()
+	if q.markOwed(now) {
+		q.sort()
+	}
+	q.sorted, q.sortedAt = true, now
+	return q.waiting
+}
+
+func (q *Queue) sort() {
+	slices.SortFunc(q.waiting, func(a, b *Entry) int { return a.rank.compare(&b.rank) })
+}
+
+// markOwed marks the first request of each priority and organisation that is owed one. It
+// reports whether there is any. Overdue requests are passed over: served late, they would
+// take the place of one that can be on time.
+func (q *Queue) markOwed(now time.Time) (found bool) {
+	owed := q.usage.owed(now)
+	for _, e := range q.waiting {
+		if len(owed) == 0 {
+			break
+		}
+		if e.rank.begun || e.rank.overdue {
+			continue
+		}
+		for _, g := range groupsOf(e) {
+			if owed[g] {
+				e.rank.owed, found = true, true
+				delete(owed, g)
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/coordination/admissionqueue/queue_test.go
@@ -0,0 +1,286 @@
+package admissionqueue
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// at returns a time after the start, in ms.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// request returns a request of organisation "o" that may wait for 100 ms of its 800 ms.
+func request(priority int) *Entry {
+	return &Entry{Priority: catalogue.Priority{Route: priority}, Organisation: "o", Joined: start, Due: at(800), Until: at(100), Cost: 1}
+}
+
+// with changes a request.
+func with(e *Entry, change func(*Entry)) *Entry {
+	change(e)
+	return e
+}
+
+// names of the entries in the order, by the map.
+func names(q *Queue, now time.Time, by map[*Entry]string) (order []string) {
+	for _, e := range q.order(now) {
+		order = append(order, by[e])
+	}
+	return order
+}
+
+// Each rule of the order must count only among requests that are equal by the rules before.
+func TestOrder(t *testing.T) {
+	q := New()
+	q.Join(with(request(5), func(e *Entry) { e.Organisation = "used" }), start)
+	q.Placed(q.Next(start, 1), start)
+	entries := []struct {
+		name string
+		*Entry
+	}{
+		{"begun", with(request(9), func(e *Entry) { e.Begun = true })},
+		{"organisation", with(request(7), func(e *Entry) { e.Priority.Organisation = -1 })},
+		{"urgent", request(0)},
+		{"urgent but late", with(request(0), func(e *Entry) { e.Due = at(-1) })},
+		{"soon due", with(request(1), func(e *Entry) { e.Due = at(100) })},
+		{"unused organisation", with(request(1), func(e *Entry) { e.Due = at(801) })},
+		{"exact time", with(request(1), func(e *Entry) { e.Organisation = "used" })},
+		{"arrival", with(request(1), func(e *Entry) { e.Organisation = "used" })},
+	}
+	by, want := make(map[*Entry]string), []string{}
+	for _, e := range entries {
+		by[e.Entry], want = e.name, append(want, e.name)
+	}
+	for _, i := range []int{3, 6, 5, 1, 7, 0, 4, 2} {
+		q.Join(entries[i].Entry, start)
+	}
+	if got := names(q, start, by); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	entries[7].Priority = catalogue.Priority{Organisation: -2}
+	q.Reorder()
+	if got := names(q, start, by); got[1] != "arrival" {
+		t.Errorf("after its priority has changed, the arrival is not second: %v", got)
+	}
+}
+
+// An arrival must not take what fits a request ahead of it, so those are tried before it on
+// each state; and one without news must not be tried again and again.
+func TestThoseAheadAreTriedFirst(t *testing.T) {
+	q, ahead, overdue := New(), request(0), with(request(0), func(e *Entry) { e.Due = at(-1) })
+	q.Join(ahead, start)
+	q.Join(overdue, start)
+	next := func(ms int, change uint64, want *Entry) {
+		t.Helper()
+		got := q.Next(at(ms), change)
+		if got != want {
+			t.Fatalf("after %d ms the next one is %+v, want %+v", ms, got, want)
+		}
+		if got != nil {
+			q.DidNotFit(got, at(ms), change)
+		}
+	}
+	next(0, 1, ahead)
+	next(0, 1, overdue)
+	next(0, 1, nil)
+	arrival := request(1)
+	q.Join(arrival, at(1))
+	next(1, 1, arrival)
+	next(2, 2, ahead)
+	next(2, 2, arrival) // work has ended, which the overdue one doesn't wait for
+	next(2, 2, nil)
+	next(12, 2, ahead)
+	next(12, 2, arrival)
+	next(20, 2, overdue)
+}
+
+// A request that never fits must be overtaken, as else one long prompt stops all; only so
+// often before it holds the others back; and these for a part of their wait only.
+func TestOvertakingAndHoldingAreBounded(t *testing.T) {
+	q := New()
+	long := with(request(0), func(e *Entry) { e.Until = at(2000) })
+	q.Join(long, start)
+	overtaken, longestHold := 0, 0
+	for ms := 0; ms < 1500; ms++ {
+		q.Join(with(request(1), func(e *Entry) { e.Joined, e.Due, e.Until = at(ms), at(ms+800), at(ms+100) }), at(ms))
+		for e := q.Next(at(ms), uint64(ms)); e != nil; e = q.Next(at(ms), uint64(ms)) {
+			if e == long {
+				q.DidNotFit(e, at(ms), uint64(ms))
+				continue
+			}
+			overtaken++
+			longestHold = max(longestHold, int(at(ms).Sub(e.Joined).Milliseconds()))
+			q.Placed(e, at(ms))
+		}
+		if ms == maxOvertakes+40 && overtaken > maxOvertakes {
+			t.Errorf("%d requests have overtaken within 40 ms of the bound of %d", overtaken, maxOvertakes)
+		}
+	}
+	if longestHold != 50 {
+		t.Errorf("a request that may wait for 100 ms was held back for %d ms, want half", longestHold)
+	}
+	if overtaken < 1400 {
+		t.Errorf("%d of 1,500 requests were served beside one that doesn't fit", overtaken)
+	}
+}
+
+// Requests must be shed from the end of the order, only if the forecast is beyond their
+// wait, and never all: else what becomes free would be idle.
+func TestShedding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New()
+		forecast := make(map[*Entry]Forecast)
+		ms := func(most int, name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		for range rapid.IntRange(0, 12).Draw(t, "waiting") {
+			e := request(rapid.IntRange(0, 2).Draw(t, "priority"))
+			e.Begun, e.Until, e.Due = rapid.Bool().Draw(t, "begun"), start.Add(ms(200, "until")), start.Add(ms(400, "due"))
+			forecast[e] = Forecast{Wait: ms(100, "wait"), Interval: ms(60, "interval")}
+			q.Join(e, start)
+		}
+		order := slices.Clone(q.order(start))
+		shed := q.Shed(start, func(e *Entry) (Forecast, bool) { return forecast[e], true })
+		for _, s := range shed {
+			if s.Entry.Begun || !isLate(s.Entry, s.Turn, forecast[s.Entry]) || slices.Contains(q.waiting, s.Entry) {
+				t.Fatalf("shed %+v", s)
+			}
+		}
+		ahead, notBegun := time.Duration(0), 0
+		for _, e := range order {
+			kept := slices.Contains(q.waiting, e)
+			if kept && !e.Begun && notBegun > 0 && isLate(e, 0, forecast[e]) {
+				t.Fatalf("kept %+v, whose own forecast is beyond its wait", e)
+			}
+			if !kept && (notBegun == 0 || !isLate(e, ahead, forecast[e])) {
+				t.Fatalf("shed %+v, which the requests ahead leave enough time or which is the first", e)
+			}
+			if kept {
+				ahead += forecast[e].Interval
+			}
+			if !e.Begun {
+				notBegun++
+			}
+		}
+	})
+}
+
+// isLate reports whether a request is placed or served too late after others take a time.
+func isLate(e *Entry, ahead time.Duration, f Forecast) bool {
+	return start.Add(ahead).After(e.Until) || start.Add(ahead+f.Wait).After(e.Due)
+}
+
+// The time that kept requests take must count for those behind them, with the pace of this
+// entry's placements where it is faster than the forecast.
+func TestSheddingCountsThoseAhead(t *testing.T) {
+	q := New()
+	forecast := func(*Entry) (Forecast, bool) { return Forecast{Interval: 30 * time.Millisecond}, true }
+	for range 10 {
+		q.Join(request(0), start)
+	}
+	if shed := q.Shed(start, forecast); len(shed) != 6 || q.Len() != 4 || shed[0].Place != 4 || shed[0].Wait() != 120*time.Millisecond {
+		t.Errorf("kept %d of 10 that may wait for 100 ms at one every 30 ms; shed %+v", q.Len(), shed)
+	}
+	for ms := 0; ms < 100; ms += 10 {
+		q.Join(request(0), at(ms))
+		q.Placed(q.Next(at(ms), uint64(ms)), at(ms))
+	}
+	for range 20 {
+		q.Join(with(request(0), func(e *Entry) { e.Until = at(190) }), at(90))
+	}
+	if q.Shed(at(90), forecast); q.Len() != 11 {
+		t.Errorf("kept %d of 24 that may wait for 100 ms at one every 10 ms", q.Len())
+	}
+}
+
+// Over a stretch of overload each priority and organisation must be served at least a
+// quarter as often as all, whatever the mix, and urgent requests at least as often as all.
+func TestNobodyStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 12), 6, 6).Draw(t, "weights") // of 3 priorities and 3 organisations
+		room := rapid.IntRange(30, 90).Draw(t, "room")                            // % of the arrivals that can be served
+		load := newLoad(weights, rapid.Uint64().Draw(t, "seed"))
+		load.run(t, 60_000, 10, room)
+		all := load.served["all"] / load.arrived["all"]
+		for name, arrived := range load.arrived {
+			if share := load.served[name] / arrived; arrived >= 20 && share < all/4 {
+				t.Fatalf("%s: %.3f of %.0f served, of all %.3f; %v", name, share, arrived, all, load)
+			}
+		}
+		if load.arrived["priority 0"] >= 20 && load.served["priority 0"]/load.arrived["priority 0"] < all-0.02 {
+			t.Fatalf("urgent requests are served less often than all: %v", load)
+		}
+	})
+}
+
+// load sends a request every few ms, with priorities and organisations by their weights.
+type load struct {
+	weights         []int
+	random          uint64
+	arrived, served map[string]float64
+}
+
+func newLoad(weights []int, seed uint64) *load {
+	return &load{weights: weights, random: seed | 1, arrived: make(map[string]float64), served: make(map[string]float64)}
+}
+
+// pick returns an index by weight, from a xorshift generator.
+func (l *load) pick(weights []int) int {
+	l.random ^= l.random << 13
+	l.random ^= l.random >> 7
+	l.random ^= l.random << 17
+	sum := 0
+	for _, w := range weights {
+		sum += w
+	}
+	at := int(l.random % uint64(sum))
+	for i, w := range weights {
+		if at < w {
+			return i
+		}
+		at -= w
+	}
+	return 0
+}
+
+func count(in map[string]float64, e *Entry) {
+	for _, name := range []string{"all", fmt.Sprint("priority ", e.Priority.Route), "organisation " + e.Organisation} {
+		in[name]++
+	}
+}
+
+func (l *load) run(t *rapid.T, forMs, everyMs, room int) {
+	q, tokens := New(), 0
+	for ms := 0; ms < forMs; ms += everyMs {
+		e := with(request(l.pick(l.weights[:3])), func(e *Entry) {
+			e.Organisation = fmt.Sprint(l.pick(l.weights[3:]))
+			e.Joined, e.Due, e.Until = at(ms), at(ms+800), at(ms+100)
+		})
+		count(l.arrived, e)
+		q.Join(e, at(ms))
+		tokens = min(tokens+room, 200)
+		for e := q.Next(at(ms), uint64(ms)); e != nil; e = q.Next(at(ms), uint64(ms)) {
+			if tokens < 100 {
+				q.DidNotFit(e, at(ms), uint64(ms))
+				continue
+			}
+			tokens -= 100
+			count(l.served, e)
+			q.Placed(e, at(ms))
+		}
+		q.Shed(at(ms), func(*Entry) (Forecast, bool) { return Forecast{}, true })
+		for _, e := range slices.Clone(q.waiting) {
+			if at(ms).After(e.Until) {
+				q.Leave(e)
+			}
+		}
+		if q.Len() > 15 {
+			t.Fatalf("%d requests wait, though 100 ms bring 10", q.Len())
+		}
+	}
+}
