Waiting requests are placed in order where routes differ in priority

Callers of urgent routes were refused as often as others under overload, and all refusals came after an eighth of the objective: each request tried placement on its own. Now they wait in one queue for each service in an entry, are tried in its order, and the last ones are shed at once by the forecast.

Where organisations have priorities, those of routes now count too, also in the number that engines are told. Services whose routes have equal priorities are served as before.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -169,7 +169,7 @@
 		LastEventID:  r.lastEventID,
 	}
 	if r.service.Engine != nil {
-		a.Priority = &r.priority
+		a.Priority = &r.enginePriority
 	}
 	for _, e := range plan.Endpoints[1:] {
 		a.Helpers = append(a.Helpers, Helper{Address: e.Address, Ticket: reserved.ticketAt(e)})
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -17,7 +17,9 @@
 
 // place returns a plan with a permit to send it, and waits for one until the placement
 // deadline while no endpoint has room. After that, and at once if all endpoints wait for a
-// permit for longer, the error is Overloaded with a Retry-After.
+// permit for longer or the queue sheds the request, the error is Overloaded with a
+// Retry-After. Where the routes of the service differ in priority, waiting requests are
+// placed in the order of the queue; elsewhere each tries on its own.
 func (r *run) place(ctx context.Context) (*placement.Plan, error) {
 	if plan := r.nextPlan; plan != nil {
 		r.nextPlan = nil
@@ -26,9 +28,11 @@
 		}
 	}
 	until := r.placementDeadline()
+	turn := r.joinQueue(ctx, until)
+	defer turn.leave()
 	for {
 		changed := r.server.scheduler.WorkEnded()
-		plan := r.tryPlace()
+		plan := r.placeInTurn(turn)
 		if plan != nil && !r.awaitConflicts(ctx, plan) {
 			continue
 		}
@@ -38,15 +42,15 @@
 		if plan != nil && r.permitDenials < maxPermitDenials {
 			continue // other endpoints may have room
 		}
-		if time.Now().After(until) || r.waitsForPermits(until) {
-			return nil, r.noCapacity()
+		if turn.isShed() || time.Now().After(until) || r.waitsForPermits(until) {
+			return nil, r.noCapacity(turn)
 		}
-		if r.isOverdue() {
+		if r.isOverdue() && !turn.hasBegun() {
 			// A nil channel is never ready, so a late request only polls. Requests that
 			// can still meet their objective wait for the change and are placed first.
 			changed = nil
 		}
-		if !r.waitForChange(ctx, changed) {
+		if !r.waitForChange(ctx, changed, turn.decided()) {
 			return nil, ctx.Err()
 		}
 	}
@@ -115,12 +119,26 @@
 	return all && time.Now().Add(wait).After(until)
 }
 
+// placeInTurn returns a plan, or nil when no endpoint has room now or others are ahead in
+// the queue.
+func (r *run) placeInTurn(turn *turn) *placement.Plan {
+	if turn == nil {
+		return r.choosePlan()
+	}
+	return turn.take()
+}
+
+// capacity examines the endpoints for this request.
+func (r *run) capacity() placement.Capacity {
+	state := r.server.stateCache.State()
+	return r.server.scheduler.Capacity(r.server.directory.Endpoints(r.service.Name), r.placementRequest(state))
+}
+
 // noCapacity logs how full the endpoints are and returns an Overloaded error with
 // a Retry-After.
-func (r *run) noCapacity() error {
+func (r *run) noCapacity(turn *turn) error {
 	r.measureWait("no_room")
-	state := r.server.stateCache.State()
-	capacity := r.server.scheduler.Capacity(r.server.directory.Endpoints(r.service.Name), r.placementRequest(state))
+	capacity := turn.withQueue(r.capacity())
 	after := r.retryAfter(capacity)
 	line := r.server.logger.Warn().Str("request", r.request.ID).Str("service", r.service.Name)
 	if best := capacity.BestPlan; best != nil {
@@ -156,8 +174,7 @@
 		return r.deadline.Add(-minAttemptTime)
 	}
 	until := r.admittedAt.Add(r.route.Objective / capacityWaitDivisor)
-	// A process that has just started may not have heard from all endpoints yet.
-	allKnown := r.server.startedAt.Add(time.Duration(startupIntervals * float64(r.server.settings.Load().AnnounceInterval)))
+	allKnown := r.server.endpointsKnownAt()
 	callerLimit := r.request.Arrived.Add(time.Duration(callerTimeoutShare * float64(r.route.CallerTimeout)))
 	if allKnown.After(until) && callerLimit.After(until) {
 		return earlier(allKnown, callerLimit)
@@ -165,6 +182,11 @@
 	return until
 }
 
+// endpointsKnownAt is when this process has surely heard from all endpoints since its start.
+func (s *Server) endpointsKnownAt() time.Time {
+	return s.startedAt.Add(time.Duration(startupIntervals * float64(s.settings.Load().AnnounceInterval)))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -184,9 +206,9 @@
 	return time.Until(r.request.Arrived.Add(r.route.Objective))
 }
 
-// tryPlace returns a plan, or nil when no endpoint has room now or the state is
+// choosePlan returns a plan, or nil when no endpoint has room now or the state is
 // not current.
-func (r *run) tryPlace() *placement.Plan {
+func (r *run) choosePlan() *placement.Plan {
 	if !r.server.StateIsCurrent() {
 		return nil
 	}
@@ -199,15 +221,16 @@
 	return plan
 }
 
-// waitForChange waits until changed is closed, for capacityPollInterval at most.
-// It returns false when ctx has ended.
-func (r *run) waitForChange(ctx context.Context, changed <-chan struct{}) bool {
+// waitForChange waits until changed is closed or decided receives, for
+// capacityPollInterval at most. It returns false when ctx has ended.
+func (r *run) waitForChange(ctx context.Context, changed, decided <-chan struct{}) bool {
 	timer := time.NewTimer(capacityPollInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-changed:
+	case <-decided:
 	case <-timer.C:
 	}
 	return true
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/admissionqueue"
 	"github.com/apricotspoke/apricotspoke/coordination/enginemodel"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
 	"github.com/apricotspoke/apricotspoke/coordination/quarantine"
@@ -27,14 +28,11 @@
 	// priorities differ by one. Between the most and the least urgent priority the
 	// ratio is 1.5^9, about 38.
 	urgencyRatio = 1.5
-	// lowestPriority is the least urgent priority, which has the highest number; 0 is
-	// the most urgent.
-	lowestPriority = 9
 	// plainCredit is the credit of a request to a service without an engine.
 	plainCredit = 1
 	// capacityPollInterval is how often a waiting request tries placement again
 	// when no work ends in the meantime.
-	capacityPollInterval = 20 * time.Millisecond
+	capacityPollInterval = admissionqueue.PollInterval
 	// conflictWindow is how long a request waits for conflicting plans of other
 	// entries before it is sent. The event of a plan that takes longer to arrive is
 	// missed; a longer window delays the request.
@@ -96,8 +94,10 @@
 	route            *catalogue.Route
 	service          *catalogue.Service
 	organisation     string
-	priority         int       // 0 is the most urgent
-	deadline         time.Time // of the whole answer
+	priority         int                // the organisation's or else the route's; 0 is the most urgent
+	priorities       catalogue.Priority // both
+	enginePriority   int                // as engines are told it
+	deadline         time.Time          // of the whole answer
 	admittedAt       time.Time
 	catalogueVersion uint64
 	tried            map[uint64]bool // keys of the endpoints that were asked
@@ -137,11 +137,12 @@
 	if r.route = c.Match(hostOnly(q.Host), q.Path); r.route == nil {
 		return fault.New(fault.NotFound, "no route matches %s%s", q.Host, q.Path)
 	}
-	r.priority = clampPriority(r.route.Priority)
-	if err := r.authenticate(c); err != nil {
+	organisation, err := r.authenticate(c)
+	if err != nil {
 		return err
 	}
 	r.service = c.Services[pickService(r.route.Split, q.ID)]
+	r.setPriorities(c, catalogue.PriorityOf(organisation, r.route))
 	r.parts = quarantine.Keys(r.service.Name, q.SharedParts)
 	r.requestKey = quarantine.RequestKey(r.service.Name, q.Method, q.Target, q.Body)
 	r.deadline = q.Arrived.Add(min(q.TimeLimit, r.route.Timeout))
@@ -161,7 +162,7 @@
 		if time.Now().After(until) {
 			return fault.New(fault.NotCurrent, "this entry's copy of the replicated state is not current").WithRetryAfter(staleRetryAfter)
 		}
-		if !r.waitForChange(ctx, nil) {
+		if !r.waitForChange(ctx, nil, nil) {
 			return ctx.Err()
 		}
 	}
@@ -202,25 +203,28 @@
 	return int(engine.MeanOutputTokens)
 }
 
-// authenticate finds the organisation of the request's API key, unless the route
-// is public.
-func (r *run) authenticate(c *catalogue.Catalogue) error {
+// authenticate finds the organisation of the request's API key. It is nil if the route is
+// public or no keys are required.
+func (r *run) authenticate(c *catalogue.Catalogue) (*catalogue.Organisation, error) {
 	if r.route.Public || !c.KeysRequired() {
-		return nil
+		return nil, nil
 	}
 	o := c.OrganisationByKey(r.request.APIKey)
 	if o == nil {
-		return fault.New(fault.Unauthenticated, "the API key belongs to no organisation")
+		return nil, fault.New(fault.Unauthenticated, "the API key belongs to no organisation")
 	}
 	r.organisation = o.Name
-	if o.Priority != nil {
-		r.priority = clampPriority(*o.Priority)
-	}
-	return nil
+	return o, nil
 }
 
-// clampPriority limits a priority to the range that endpoints accept.
-func clampPriority(priority int) int { return min(max(priority, 0), lowestPriority) }
+// setPriorities sets the priorities of the request. Engines are told both where the routes
+// of the service differ in priority.
+func (r *run) setPriorities(c *catalogue.Catalogue, p catalogue.Priority) {
+	r.priorities, r.priority, r.enginePriority = p, p.Organisation, p.Organisation
+	if c.HasPriorities(r.service.Name) {
+		r.enginePriority = c.EnginePriority(r.service.Name, p)
+	}
+}
 
 func hostOnly(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -153,6 +153,7 @@
 	budget        *retryBudget
 	startedAt     time.Time
 	retries       retrySchedule
+	queues        *waitingQueues
 	bufferedBytes atomic.Int64 // of plain answers and of events being read, over all requests
 	logger        *logs.Logger
 	metrics       *metrics.Registry
@@ -173,12 +174,14 @@
 		metrics:    registry,
 	}
 	s.budget = newRetryBudget(s.settings.Load)
+	s.queues = newWaitingQueues(s)
 	s.SetSettings(settings)
 	registry.AddCollector(func(w io.Writer) {
 		left := s.budget.remaining()
 		for _, service := range slices.Sorted(maps.Keys(left)) {
 			fmt.Fprintf(w, "repeats_left{service=%q} %d\n", service, left[service])
 		}
+		s.queues.writeLengths(w)
 	})
 	return s
 }
--- /dev/null
+++ b/coordination/serve/waiting.go
@@ -0,0 +1,276 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/admissionqueue"
+	"github.com/apricotspoke/apricotspoke/coordination/enginemodel"
+	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+// waitingQueues holds the queue of each service whose routes differ in priority. There are
+// as many as such services were in a catalogue since the start.
+type waitingQueues struct {
+	server *Server
+
+	mu        sync.Mutex
+	byService map[string]*waitingQueue
+}
+
+func newWaitingQueues(s *Server) *waitingQueues {
+	return &waitingQueues{server: s, byService: make(map[string]*waitingQueue)}
+}
+
+// of returns the queue of a service, nil if its requests are placed without one.
+func (w *waitingQueues) of(c *catalogue.Catalogue, service string) *waitingQueue {
+	if w == nil || !c.HasPriorities(service) {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.byService[service]
+	if q == nil {
+		q = &waitingQueue{server: w.server, queue: admissionqueue.New(), turns: make(map[*admissionqueue.Entry]*turn)}
+		w.byService[service] = q
+	}
+	return q
+}
+
+func (w *waitingQueues) writeLengths(out io.Writer) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(w.byService)) {
+		fmt.Fprintf(out, "serve_queue_length{service=%q} %d\n", service, w.byService[service].length())
+	}
+}
+
+// waitingQueue lets the requests of one service that wait for a plan try placement in the
+// order of the admission queue. The goroutine of whichever request wakes first tries for
+// all of them.
+type waitingQueue struct {
+	server *Server
+
+	mu       sync.Mutex
+	queue    *admissionqueue.Queue
+	turns    map[*admissionqueue.Entry]*turn
+	change   uint64          // counts the ends of work that a round has seen
+	workEnds <-chan struct{} // from the scheduler, as the last round saw it
+	version  uint64          // of the catalogue whose priorities the waiting requests have
+	shedLog  shedLog
+}
+
+func (q *waitingQueue) length() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.Len()
+}
+
+// turn is the place of one request in a waitingQueue. While it is registered, the request's
+// own goroutine writes no field of the run that placement reads. The methods allow nil, for
+// a request that is placed without a queue.
+type turn struct {
+	queue *waitingQueue
+	run   *run
+	ctx   context.Context // of the request; a round passes over one that has ended
+	wake  chan struct{}   // receives when a decision was made by another goroutine
+
+	// The queue's lock guards these fields.
+	entry      *admissionqueue.Entry
+	registered bool
+	plan       *placement.Plan // chosen, not taken yet
+	shed       *admissionqueue.Shed
+}
+
+// joinQueue registers the request in the queue of its service. It returns nil if the
+// service has none.
+func (r *run) joinQueue(ctx context.Context, until time.Time) *turn {
+	return r.join(ctx, r.queueEntry(until))
+}
+
+// tryPlace returns a plan for another attempt beside one that runs, nil when no endpoint has
+// room now, the state is not current, or requests that are ahead in the queue take it.
+func (r *run) tryPlace() *placement.Plan {
+	e := r.queueEntry(r.deadline)
+	e.Failover = true
+	t := r.join(context.Background(), e)
+	defer t.leave()
+	return r.placeInTurn(t)
+}
+
+func (r *run) join(ctx context.Context, e *admissionqueue.Entry) *turn {
+	q := r.server.queues.of(r.server.stateCache.State().Catalogue, r.service.Name)
+	if q == nil {
+		return nil
+	}
+	t := &turn{queue: q, run: r, ctx: ctx, wake: make(chan struct{}, 1), entry: e}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.register(t)
+	q.queue.Join(t.entry, time.Now())
+	return t
+}
+
+// queueEntry describes the request to the queue.
+func (r *run) queueEntry(until time.Time) *admissionqueue.Entry {
+	now := time.Now()
+	return &admissionqueue.Entry{
+		Priority: r.priorities, Organisation: r.organisation, Begun: r.headerWritten.Load(),
+		Joined: now, Due: now.Add(r.objectiveLeft()), Until: until, Cost: r.predictedWork(),
+	}
+}
+
+// predictedWork returns the time that the prefill of the request and its part of a full
+// batch take an engine, in ms. It is 1 for a plain service.
+func (r *run) predictedWork() float64 {
+	engine := r.service.Engine
+	if engine == nil {
+		return 1
+	}
+	decodeMs := enginemodel.AnswerMs(engine, expectedOutputTokens(r.request, engine)) / float64(max(1, engine.Slots))
+	return enginemodel.PrefillMs(engine, r.request.PromptTokens, 1) + decodeMs
+}
+
+func (q *waitingQueue) register(t *turn) {
+	q.turns[t.entry], t.registered = t, true
+}
+
+func (q *waitingQueue) unregister(t *turn) {
+	delete(q.turns, t.entry)
+	t.registered = false
+}
+
+// take returns the plan of the request, if it is its turn. A request whose last plan was
+// dropped registers again.
+func (t *turn) take() *placement.Plan {
+	q := t.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !t.registered && t.plan == nil && t.shed == nil {
+		q.register(t)
+		q.queue.Return(t.entry, time.Now())
+	}
+	if t.plan == nil && t.shed == nil {
+		q.round()
+	}
+	plan := t.plan
+	t.plan = nil
+	return plan
+}
+
+// round tries placement for all requests that are due, in their order, and sheds those that
+// can't be served in time. The caller holds the lock.
+func (q *waitingQueue) round() {
+	now := time.Now()
+	if workEnds := q.server.scheduler.WorkEnded(); workEnds != q.workEnds {
+		q.workEnds = workEnds
+		q.change++
+	}
+	q.applyPriorities()
+	tried := false
+	for e := q.queue.Next(now, q.change); e != nil; e = q.queue.Next(now, q.change) {
+		t := q.turns[e]
+		tried = true
+		var plan *placement.Plan
+		if t.mayBePlaced() {
+			plan = t.run.choosePlan()
+		}
+		if plan == nil {
+			q.queue.DidNotFit(e, now, q.change)
+			continue
+		}
+		q.queue.Placed(e, now)
+		t.plan = plan
+		q.unregister(t)
+		t.notify()
+	}
+	if tried {
+		q.shed(now)
+	}
+}
+
+// mayBePlaced reports whether the request has not ended, nor is about to be ended by the
+// stop of this entry. What it was sent then would be cut.
+func (t *turn) mayBePlaced() bool {
+	return t.ctx.Err() == nil && (t.entry.Begun || !t.queue.server.stop.isNear())
+}
+
+// applyPriorities gives the waiting requests the priorities of a new catalogue.
+func (q *waitingQueue) applyPriorities() {
+	c := q.server.stateCache.State().Catalogue
+	if c == nil || c.Version == q.version {
+		return
+	}
+	q.version = c.Version
+	for e, t := range q.turns {
+		e.Priority = t.run.prioritiesIn(c)
+	}
+	q.queue.Reorder()
+}
+
+// prioritiesIn returns the priorities of the request by a newer catalogue, those that it
+// has if that has no such route.
+func (r *run) prioritiesIn(c *catalogue.Catalogue) catalogue.Priority {
+	route := c.Match(hostOnly(r.request.Host), r.request.Path)
+	if route == nil {
+		return r.priorities
+	}
+	var o *catalogue.Organisation
+	if !route.Public && c.KeysRequired() {
+		o = c.OrganisationByKey(r.request.APIKey)
+	}
+	return catalogue.PriorityOf(o, route)
+}
+
+// notify wakes the request after a decision about it.
+func (t *turn) notify() {
+	select {
+	case t.wake <- struct{}{}:
+	default: // it has yet to notice an earlier decision
+	}
+}
+
+// decided returns the channel that receives when another request's round has decided about
+// this one.
+func (t *turn) decided() <-chan struct{} {
+	if t == nil {
+		return nil
+	}
+	return t.wake
+}
+
+// hasBegun reports whether the answer of a request in a queue has begun. Such a request is
+// placed first, also if it is overdue.
+func (t *turn) hasBegun() bool { return t != nil && t.entry.Begun }
+
+// leave takes the request out of the queue and drops a plan that it has not taken. If its
+// priorities have changed meanwhile, the request keeps the new ones.
+func (t *turn) leave() {
+	if t == nil {
+		return
+	}
+	t.queue.mu.Lock()
+	t.queue.queue.Leave(t.entry)
+	t.queue.unregister(t)
+	plan, priority := t.plan, t.entry.Priority
+	t.plan = nil
+	t.queue.mu.Unlock()
+	if plan != nil {
+		plan.Handle.Close()
+	}
+	if priority != t.run.priorities {
+		t.run.setPriorities(t.run.server.stateCache.State().Catalogue, priority)
+	}
+	if !t.entry.Failover {
+		t.run.measureQueue(time.Since(t.entry.Joined))
+	}
+}
--- /dev/null
+++ b/coordination/serve/waiting_test.go
@@ -0,0 +1,395 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
+)
+
+const (
+	queueEndpoints = engineEndpoints
+	queueSlots     = 4
+	queueFirstMs   = 40 // until the first event, once an answer has a slot
+	queueAnswerMs  = 200
+)
+
+// queueBed is a testbed with one engine service, whose routes have the priorities 0 to 2.
+// Its endpoints answer one request in each of their slots and let others wait in order of
+// arrival.
+type queueBed struct {
+	*testbed
+	slots map[string]chan struct{} // by ID of the endpoint
+	held  map[string]chan error    // by ID: answers end when they receive from it; nil to end after queueAnswerMs
+	sent  []string                 // IDs of requests in the order of their attempts, with the priority for the engine
+}
+
+// The objectives of the routes, by priority.
+var queueObjectives = []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond}
+
+var queueEngine = &catalogue.Engine{
+	Slots: queueSlots, MemoryTokens: 100_000, StepsPerPass: 10, StepMs: 4, PrefillTokensPerMs: 20, ChunkTokens: 500, MeanOutputTokens: 40,
+}
+
+// setPriorities puts a catalogue into force in which the routes have these priorities.
+func (b *queueBed) setPriorities(t *testing.T, version uint64, engine *catalogue.Engine, priorities ...int) {
+	c := &catalogue.Catalogue{Version: version, Services: map[string]*catalogue.Service{"engine": {Name: "engine", Engine: engine}}}
+	for i, p := range priorities {
+		c.Routes = append(c.Routes, catalogue.Route{
+			Name: fmt.Sprint("r", i), Host: "h", PathPrefix: fmt.Sprintf("/r%d/", i), Kind: catalogue.Stream, Resumable: true, MaxEndpoints: 2, Priority: p,
+			Timeout: 20 * time.Second, Objective: queueObjectives[i], PauseObjective: 5 * time.Second, CallerTimeout: 20 * time.Second,
+			Split: []catalogue.Share{{Service: "engine", Weight: 1}},
+		})
+	}
+	for i := range 4 {
+		c.Organisations = append(c.Organisations, catalogue.Organisation{Name: fmt.Sprint("o", i), Keys: []string{fmt.Sprint("key", i)}})
+	}
+	built, err := catalogue.Build(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.stateCache.Update(&catalogue.State{Index: version, Catalogue: built}, "test")
+}
+
+func newQueueBed(t *testing.T, engine *catalogue.Engine) *queueBed {
+	b := &queueBed{testbed: newEngineTestbed(t), slots: make(map[string]chan struct{})}
+	for i := range queueEndpoints {
+		b.slots[fmt.Sprint("long", i)] = make(chan struct{}, queueSlots)
+	}
+	b.setPriorities(t, 2, engine, 0, 1, 2)
+	b.server.upstream = b
+	return b
+}
+
+// Send implements Upstream.
+func (b *queueBed) Send(ctx context.Context, a *Attempt) (*Response, error) {
+	b.mu.Lock()
+	id := a.Request.ID
+	if a.Priority != nil {
+		id = fmt.Sprint(id, " ", *a.Priority)
+	}
+	b.sent = append(b.sent, id)
+	b.mu.Unlock()
+	slots, held := b.slots[a.Endpoint.ID], b.held[a.Endpoint.ID]
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	time.Sleep(queueFirstMs * time.Millisecond)
+	reader, writer := io.Pipe()
+	go func() {
+		defer func() { <-slots }()
+		from := 1
+		_, _ = fmt.Sscan(a.LastEventID, &from)
+		_, _ = io.WriteString(writer, events(from+1, from+3))
+		if held == nil {
+			time.Sleep((queueAnswerMs - queueFirstMs) * time.Millisecond)
+			_ = writer.Close()
+			return
+		}
+		select {
+		case err := <-held:
+			_ = writer.CloseWithError(err)
+		case <-ctx.Done():
+			_ = writer.CloseWithError(ctx.Err())
+		}
+	}()
+	return &Response{Status: 200, Header: http.Header{}, Body: reader, Signed: true, MatchesAttempt: true}, nil
+}
+
+// queueRequest returns a request to the route with an index.
+func queueRequest(id string, route, organisation int) *Request {
+	path := fmt.Sprintf("/r%d/x", route)
+	return &Request{
+		ID: id, Method: "POST", Host: "h", Path: path, Target: path, Header: http.Header{}, APIKey: fmt.Sprint("key", organisation),
+		Arrived: time.Now(), TimeLimit: 5 * time.Second, PromptTokens: 100, MaxOutputTokens: 40,
+	}
+}
+
+// tally counts what callers got, of all, of a route or of an organisation.
+type tally struct {
+	arrived, inTime, late, refused, other float64
+	refusedAfter                          time.Duration // sum
+	longestRefusal                        time.Duration
+}
+
+func (y tally) share() float64 { return y.inTime / y.arrived }
+
+func (y tally) String() string {
+	return fmt.Sprintf("%.0f arrived, %.3f in time, %.0f late, %.0f refused after %v (at most %v), %.0f other", y.arrived, y.share(), y.late, y.refused,
+		y.refusedAfter/time.Duration(max(1, y.refused)), y.longestRefusal, y.other)
+}
+
+type tallies struct {
+	mu      sync.Mutex
+	by      map[string]*tally
+	returns map[int64]int // callers told to come back, by the 100 ms
+}
+
+func (s *tallies) add(g *firstWrite, q *Request, route, organisation int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range []string{"all", fmt.Sprint("route ", route), fmt.Sprint("organisation ", organisation)} {
+		y := s.by[name]
+		if y == nil {
+			y = &tally{}
+			s.by[name] = y
+		}
+		y.arrived++
+		after := time.Since(q.Arrived)
+		switch {
+		case g.status == 200 && g.at.Sub(q.Arrived) <= queueObjectives[route]:
+			y.inTime++
+		case g.status == 200:
+			y.late++
+		case g.status == 503:
+			y.refused++
+			y.refusedAfter += after
+			y.longestRefusal = max(y.longestRefusal, after)
+		default:
+			y.other++
+		}
+	}
+	if g.status == 503 {
+		s.returns[time.Now().Add(g.fault.RetryAfter).UnixMilli()/100]++
+	}
+}
+
+// firstWrite is a recorder that notes the time of the first event.
+type firstWrite struct {
+	recorder
+	at time.Time
+}
+
+func (g *firstWrite) Write(p []byte) error {
+	if g.at.IsZero() {
+		g.at = time.Now()
+	}
+	return g.recorder.Write(p)
+}
+
+// overload sends 114 requests a second for 30 s, at random, with a burst of 12 at once each
+// second: a fifth urgent, half normal, the rest batch; 5, 15, 30 and 50 of 100 from the four
+// organisations. The endpoints can answer 80 a second (16 slots, 200 ms each), 70% of that.
+func overload(t *testing.T, ordered bool) *tallies {
+	s := &tallies{by: make(map[string]*tally), returns: make(map[int64]int)}
+	bubble.Run(t, func(t *testing.T) {
+		b, random := newQueueBed(t, queueEngine), rand.New(rand.NewPCG(1, 2))
+		if !ordered {
+			b.server.queues = nil
+		}
+		pick := func(weights ...int) int {
+			at := random.IntN(100)
+			for i, w := range weights {
+				if at -= w; at < 0 {
+					return i
+				}
+			}
+			return len(weights)
+		}
+		var wg sync.WaitGroup
+		send := func() {
+			route, organisation := pick(20, 50), pick(5, 15, 30)
+			q, g := queueRequest(fmt.Sprint(random.Uint64()), route, organisation), &firstWrite{}
+			wg.Go(func() {
+				b.server.Serve(t.Context(), q, g)
+				s.add(g, q, route, organisation)
+			})
+		}
+		for began, burst := time.Now(), 1; time.Since(began) < 30*time.Second; {
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / 102))
+			send()
+			if time.Since(began) > time.Duration(burst)*time.Second {
+				burst++
+				for range 12 {
+					send()
+				}
+			}
+		}
+		wg.Wait()
+	})
+	return s
+}
+
+// Guards against urgent requests that are refused for the sake of others, priorities and
+// organisations that starve, and refusals that come late or send callers back together;
+// see overload for the load. The behaviour without a queue, each request trying on its own,
+// is played for comparison.
+func TestOverloadServesByPriority(t *testing.T) {
+	before, now := overload(t, false), overload(t, true)
+	all, allBefore := now.by["all"], before.by["all"]
+	for name, y := range now.by {
+		t.Logf("%s: without a queue %v; with it %v", name, before.by[name], y)
+		if y.share() < all.share()/4 || y.other > 0 {
+			t.Errorf("%s: %v, of all %v", name, y, all)
+		}
+	}
+	if urgent := now.by["route 0"].share(); urgent < 0.95 || urgent < before.by["route 0"].share()+0.2 {
+		t.Errorf("urgent requests: %.3f in time", urgent)
+	}
+	if now.by["route 1"].share() < now.by["route 2"].share() {
+		t.Error("the least urgent requests are served more often than others")
+	}
+	if all.share() < 0.97*allBefore.share() {
+		t.Errorf("of all requests %.3f are in time, without a queue %.3f", all.share(), allBefore.share())
+	}
+	if all.refusedAfter/time.Duration(all.refused) > allBefore.refusedAfter/time.Duration(allBefore.refused)/3 || all.longestRefusal > allBefore.longestRefusal {
+		t.Errorf("refusals come late: %v", all)
+	}
+	for slot, callers := range now.returns {
+		if callers > 10 {
+			t.Errorf("%d callers are told to come back in the same 100 ms, %d", callers, slot)
+		}
+	}
+}
+
+// fill sends requests until no endpoint has capacity. Their answers are held.
+func (b *queueBed) fill(t *testing.T, wg *sync.WaitGroup) {
+	b.held = make(map[string]chan error)
+	for _, e := range b.directory.Endpoints("engine") {
+		b.held[e.ID] = make(chan error)
+		b.scheduler.RecordSuccess(e.Key) // the scheduler's clock isn't virtual, so they would count as silent
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	for i := range 4 * queueEndpoints * queueSlots { // each slot may have two requests waiting for it
+		wg.Go(func() { b.server.Serve(ctx, queueRequest(fmt.Sprint("fill", i), 2, 0), &recorder{}) })
+	}
+	time.Sleep(250 * time.Millisecond) // those that found no capacity are refused
+	synctest.Wait()
+	b.sent = nil
+}
+
+// waitFor sends requests that wait, each to the route with the number in its ID, and
+// returns their answers.
+func (b *queueBed) waitFor(ctx context.Context, wg *sync.WaitGroup, ids ...string) map[string]*recorder {
+	answers := make(map[string]*recorder)
+	for _, id := range ids {
+		g := &recorder{}
+		answers[id] = g
+		q := queueRequest(id, int(id[1]-'0'), 1)
+		if id == "r1 brief" {
+			q.TimeLimit = 30 * time.Millisecond
+		}
+		wg.Go(func() { b.server.Serve(ctx, q, g) })
+		time.Sleep(time.Millisecond)
+	}
+	synctest.Wait()
+	return answers
+}
+
+// waiting returns the length of the queue.
+func (b *queueBed) waiting() int {
+	synctest.Wait()
+	return b.server.queues.byService["engine"].length()
+}
+
+// inQueueBed runs a test whose endpoints have no capacity.
+func inQueueBed(t *testing.T, test func(t *testing.T, b *queueBed, wg *sync.WaitGroup)) {
+	bubble.Run(t, func(t *testing.T) {
+		b, wg := newQueueBed(t, nil), &sync.WaitGroup{}
+		b.fill(t, wg)
+		test(t, b, wg)
+		for _, held := range b.held {
+			close(held)
+		}
+		wg.Wait()
+		if left := len(b.scheduler.OwnEvents()); left != 0 || b.waiting() != 0 {
+			t.Errorf("%d work items and %d waiting requests are left", left, b.waiting())
+		}
+	})
+}
+
+// Capacity must go to the request that is first in the order, not to the one that came
+// first or comes just now, and by the priorities that the configuration has by then.
+func TestWaitingRequestsArePlacedInOrder(t *testing.T) {
+	for _, c := range []struct {
+		priorities []int // of the catalogue that comes into force while they wait
+		want       []string
+	}{
+		{[]int{0, 1, 2}, []string{"r0", "r1", "r2"}},
+		{[]int{1, 2, 0}, []string{"r2", "r0", "r1"}},
+	} {
+		inQueueBed(t, func(t *testing.T, b *queueBed, wg *sync.WaitGroup) {
+			b.waitFor(t.Context(), wg, "r2", "r1", "r0")
+			b.setPriorities(t, 3, nil, c.priorities...)
+			for range c.want {
+				b.held["long0"] <- nil
+				synctest.Wait()
+			}
+			if !slices.Equal(b.sent, c.want) {
+				t.Errorf("placed %v, want %v", b.sent, c.want)
+			}
+		})
+	}
+}
+
+// A request that can't get an answer any more must leave the queue at once, and those that
+// stay must not miss what it leaves.
+func TestRequestsLeaveTheQueueAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		id     string
+		end    func(b *queueBed, cancel context.CancelFunc)
+		status int
+		stay   int
+	}{
+		"caller leaves":    {"r1", func(_ *queueBed, cancel context.CancelFunc) { cancel() }, 0, 1},
+		"deadline passes":  {"r1 brief", func(*queueBed, context.CancelFunc) { time.Sleep(30 * time.Millisecond) }, 503, 1},
+		"the entry stops":  {"r1", func(b *queueBed, _ context.CancelFunc) { b.server.stop.endNear() }, 503, 0},
+		"a plan is chosen": {"r1", func(b *queueBed, cancel context.CancelFunc) { b.held["long1"] <- nil; cancel() }, 0, 0},
+	} {
+		inQueueBed(t, func(t *testing.T, b *queueBed, wg *sync.WaitGroup) {
+			stays := b.waitFor(t.Context(), wg, "r2")["r2"]
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			leaves := b.waitFor(ctx, wg, c.id)[c.id]
+			c.end(b, cancel)
+			if waiting := b.waiting(); waiting != c.stay || leaves.status != c.status {
+				t.Errorf("%s: %d wait, want %d; its status is %d, want %d", name, waiting, c.stay, leaves.status, c.status)
+			}
+			if stays.status == 0 && c.stay == 0 && !slices.Contains(b.sent, "r2") {
+				t.Errorf("%s: the other request neither waits nor was placed", name)
+			}
+		})
+	}
+}
+
+// A broken answer that has begun must get the next capacity before urgent requests that
+// have not begun.
+func TestBrokenAnswerGoesFirst(t *testing.T) {
+	inQueueBed(t, func(t *testing.T, b *queueBed, wg *sync.WaitGroup) {
+		b.waitFor(t.Context(), wg, "r0", "r0 again", "r0 once more")
+		b.held["long0"] <- errors.New("reset") // nothing is sent to this endpoint for a time
+		synctest.Wait()
+		for _, id := range []string{"long1", "long2"} {
+			b.held[id] <- nil
+			synctest.Wait()
+		}
+		if len(b.sent) != 2 || !strings.HasPrefix(b.sent[0], "fill") || b.sent[1] != "r0" {
+			t.Errorf("placed %v, want the broken answer and then an urgent request", b.sent)
+		}
+	})
+}
+
+// Without different priorities there must be no queue, and engines must be told the
+// priorities that they were told before.
+func TestNoQueueWithoutPriorities(t *testing.T) {
+	b := newQueueBed(t, queueEngine)
+	b.setPriorities(t, 3, queueEngine, 4, 4, 4)
+	b.server.Serve(t.Context(), queueRequest("r0", 0, 0), &recorder{})
+	if len(b.server.queues.byService) != 0 || !slices.Equal(b.sent, []string{"r0 4"}) {
+		t.Errorf("%d queues; sent %v", len(b.server.queues.byService), b.sent)
+	}
+}
