--- a/coordination/serve/waiting.go
+++ b/coordination/serve/waiting.go
@@ -108,10 +108,14 @@
 }
 
 func (r *run) join(ctx context.Context, e *admissionqueue.Entry) *turn {
-	q := r.server.queues.of(r.server.stateCache.State().Catalogue, r.service.Name)
+	c := r.server.stateCache.State().Catalogue
+	q := r.server.queues.of(c, r.service.Name)
 	if q == nil {
 		return nil
 	}
+	if c.Version != r.catalogueVersion {
+		e.Priority = r.prioritiesIn(c) // a retry may come long after admission
+	}
 	t := &turn{queue: q, run: r, ctx: ctx, wake: make(chan struct{}, 1), entry: e}
 	q.mu.Lock()
 	defer q.mu.Unlock()
