Freed capacity is offered to urgent requests of all entries first

Less urgent requests are now offered the capacity of work that has ended 10 ms later for each more urgent priority, without a message.

--- a/coordination/admissionqueue/order.go
+++ b/coordination/admissionqueue/order.go
@@ -65,6 +65,7 @@
 	if q.markOwed(now) {
 		q.sort()
 	}
+	q.setDelays(now)
 	q.sorted, q.sortedAt = true, now
 	return q.waiting
 }
--- a/coordination/admissionqueue/queue.go
+++ b/coordination/admissionqueue/queue.go
@@ -50,6 +50,7 @@
 	forecast                Forecast
 	hasForecast             bool
 	rank                    rank
+	delay                   time.Duration // after which it is offered the capacity of work that has ended
 }
 
 // Queue is the queue of one service. It is not safe for concurrent use.
@@ -60,6 +61,7 @@
 	lastEntry uint64
 	usage     usage
 	pace      pace
+	stagger   stagger
 }
 
 // New returns an empty queue.
@@ -104,12 +106,13 @@
 // Next returns the first request to try now, nil if there is none. change counts the ends
 // of work. The caller must call Placed, DidNotFit or Leave for it before the next call.
 func (q *Queue) Next(now time.Time, change uint64) *Entry {
+	q.stagger.note(now, change)
 	holding := false
 	for _, e := range q.order(now) {
 		if holding && e.isHeld(now) {
 			continue
 		}
-		if e.isDue(now, change) {
+		if q.isDue(e, now, change) {
 			return e
 		}
 		holding = holding || e.holdsBack(now)
@@ -135,14 +138,22 @@
 // DidNotFit records that a request was tried and no endpoint has capacity for it.
 func (q *Queue) DidNotFit(e *Entry, now time.Time, change uint64) {
 	e.triedAt, e.triedAtChange = now, change
+	q.stagger.scarceUntil = now.Add(scarceFor)
 }
 
 // isDue reports whether the request is to be tried now.
-func (e *Entry) isDue(now time.Time, change uint64) bool {
+func (q *Queue) isDue(e *Entry, now time.Time, change uint64) bool {
 	if e.isDeferred(now) {
 		return now.Sub(e.triedAt) >= PollInterval
 	}
-	return e.triedAtChange != change || now.Sub(e.triedAt) >= TryInterval
+	offered, all := q.stagger.offered(now, e.delay)
+	switch {
+	case e.triedAt.IsZero():
+		return all || !now.Before(q.stagger.scarceUntil) || now.Sub(e.Joined) >= e.delay
+	case e.triedAtChange < offered:
+		return true
+	}
+	return all && now.Sub(e.triedAt) >= TryInterval
 }
 
 // isDeferred reports whether the request is overdue, so that others are tried before it.
--- /dev/null
+++ b/coordination/admissionqueue/stagger.go
@@ -0,0 +1,96 @@
+package admissionqueue
+
+import (
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+const (
+	// staggerStep is how much later than the next more urgent priority a request is offered
+	// the capacity of work that has ended. Other entries, where more urgent requests may
+	// wait, have heard of that end by then, and this entry of their choices; it is the time
+	// that such events are given elsewhere too (conflictWindow in package serve).
+	staggerStep = 10 * time.Millisecond
+	// maxStagger bounds the steps, and the allowed wait divided by staggerDivisor the delay:
+	// capacity isn't used in the meantime, but for requests that wait at an endpoint.
+	maxStagger     = 3
+	staggerDivisor = 4
+	// scarceFor is how long after a request that didn't fit capacity counts as scarce. While
+	// it doesn't, an arrival is tried at once.
+	scarceFor = time.Second
+	// endSpacing bounds the ends that are remembered. Those within it count as one.
+	endSpacing = 2 * time.Millisecond
+)
+
+// workEnd is an end of work, by the change that it counted as.
+type workEnd struct {
+	at     time.Time
+	change uint64
+}
+
+// stagger remembers the ends of work that some waiting requests aren't offered yet.
+type stagger struct {
+	recent      []workEnd // of the last maxStagger steps
+	settled     uint64    // the last change before these
+	scarceUntil time.Time
+}
+
+// note records the present change and forgets what all requests are offered.
+func (s *stagger) note(now time.Time, change uint64) {
+	last := len(s.recent) - 1
+	switch {
+	case last < 0 && change != s.settled, last >= 0 && change != s.recent[last].change && now.Sub(s.recent[last].at) >= endSpacing:
+		s.recent = append(s.recent, workEnd{at: now, change: change})
+	case last >= 0:
+		s.recent[last].change = change
+	}
+	for len(s.recent) > 0 && now.Sub(s.recent[0].at) >= maxStagger*staggerStep {
+		s.settled, s.recent = s.recent[0].change, s.recent[1:]
+	}
+}
+
+// offered returns the last change that a request with the given delay is offered, and
+// whether it is the present one.
+func (s *stagger) offered(now time.Time, delay time.Duration) (change uint64, all bool) {
+	change, all = s.settled, true
+	for _, end := range s.recent {
+		if now.Sub(end.at) < delay {
+			return change, false
+		}
+		change = end.change
+	}
+	return change, true
+}
+
+// Pause returns the time until the capacity of work that has ended is offered to further
+// requests, at most PollInterval.
+func (q *Queue) Pause(now time.Time) time.Duration {
+	pause := PollInterval
+	for _, e := range q.waiting {
+		for _, end := range q.stagger.recent {
+			if left := e.delay - now.Sub(end.at); left > 0 {
+				pause = min(pause, left)
+			}
+		}
+	}
+	return pause
+}
+
+// setDelays sets the delays of the waiting requests. Those that go before their priority
+// have none.
+func (q *Queue) setDelays(now time.Time) {
+	steps := make(map[catalogue.Priority]int)
+	for _, e := range q.waiting {
+		if e.rank.begun || e.rank.owed {
+			e.delay = 0
+			continue
+		}
+		n, known := steps[e.Priority]
+		if !known {
+			n = min(q.usage.moreUrgentPriorities(e.Priority, now), maxStagger)
+			steps[e.Priority] = n
+		}
+		e.delay = min(time.Duration(n)*staggerStep, e.allowedWait()/staggerDivisor)
+	}
+}
--- a/coordination/admissionqueue/usage.go
+++ b/coordination/admissionqueue/usage.go
@@ -115,6 +115,19 @@
 	return s.cost
 }
 
+// moreUrgentPriorities returns the number of more urgent priorities with recent arrivals.
+func (u *usage) moreUrgentPriorities(p catalogue.Priority, now time.Time) (n int) {
+	for g, s := range u.groups {
+		if g.isOrganisation || g.priority.Compare(p) >= 0 {
+			continue
+		}
+		if s.decay(now); s.arrived >= negligible {
+			n++
+		}
+	}
+	return n
+}
+
 // moreUrgentShare returns the recent arrivals of more urgent priorities, relative to the
 // requests placed: the share of the capacity that is theirs, at most maxMoreUrgentShare.
 func (u *usage) moreUrgentShare(p catalogue.Priority, now time.Time) float64 {
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -50,7 +50,7 @@
 			// can still meet their objective wait for the change and are placed first.
 			changed = nil
 		}
-		if !r.waitForChange(ctx, changed, turn.decided()) {
+		if !r.waitForChange(ctx, changed, turn) {
 			return nil, ctx.Err()
 		}
 	}
@@ -221,16 +221,17 @@
 	return plan
 }
 
-// waitForChange waits until changed is closed or decided receives, for
-// capacityPollInterval at most. It returns false when ctx has ended.
-func (r *run) waitForChange(ctx context.Context, changed, decided <-chan struct{}) bool {
-	timer := time.NewTimer(capacityPollInterval)
+// waitForChange waits until changed is closed, for capacityPollInterval at most. A request
+// with a turn in a queue also waits for a decision about it, and at most until the queue
+// offers capacity to further requests. It returns false when ctx has ended.
+func (r *run) waitForChange(ctx context.Context, changed <-chan struct{}, turn *turn) bool {
+	timer := time.NewTimer(turn.pause())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-changed:
-	case <-decided:
+	case <-turn.decided():
 	case <-timer.C:
 	}
 	return true
--- a/coordination/serve/waiting.go
+++ b/coordination/serve/waiting.go
@@ -252,6 +252,16 @@
 	return t.wake
 }
 
+// pause returns how long to wait at most until the next round.
+func (t *turn) pause() time.Duration {
+	if t == nil {
+		return capacityPollInterval
+	}
+	t.queue.mu.Lock()
+	defer t.queue.mu.Unlock()
+	return t.queue.queue.Pause(time.Now())
+}
+
 // hasBegun reports whether the answer of a request in a queue has begun. Such a request is
 // placed first, also if it is overdue.
 func (t *turn) hasBegun() bool { return t != nil && t.entry.Begun }
