--- a/coordination/serve/waiting_overload_test.go
+++ b/coordination/serve/waiting_overload_test.go
@@ -28,12 +28,16 @@
 type tallies struct {
 	mu      sync.Mutex
 	by      map[string]*tally
+	failed  int           // neither served nor refused
 	returns map[int64]int // callers told to come back, by the 100 ms
 }
 
 func (s *tallies) add(g *recorder, took, objective time.Duration, names ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if g.status != 200 && g.status != 503 {
+		s.failed++
+	}
 	if g.status == 503 {
 		s.returns[time.Now().Add(g.fault.RetryAfter).UnixMilli()/100]++
 	}
@@ -169,6 +173,9 @@
 	if now.by["route 1"].share() < now.by["route 2"].share() {
 		t.Error("the least urgent requests are served more often than others")
 	}
+	if now.failed > 0 {
+		t.Errorf("%d requests have failed", now.failed)
+	}
 	if all.share() < 0.97*allBefore.share() {
 		t.Errorf("of all requests %.3f are in time, without a queue %.3f", all.share(), allBefore.share())
 	}
