--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -154,6 +154,7 @@
 	budget        *retryBudget
 	startedAt     time.Time
 	retries       retrySchedule
+	queues        *waitingQueues
 	bufferedBytes atomic.Int64 // of plain answers, of events being read and in the queues of callers, over all requests
 	callers       callers
 	logger        *logs.Logger
@@ -175,6 +176,7 @@
 		metrics:    registry,
 	}
 	s.budget = newRetryBudget(s.settings.Load)
+	s.queues = newWaitingQueues(s)
 	s.SetSettings(settings)
 	registry.AddCollector(s.writeCallerMetrics)
 	registry.AddCollector(func(w io.Writer) {
@@ -182,6 +184,7 @@
 		for _, service := range slices.Sorted(maps.Keys(left)) {
 			fmt.Fprintf(w, "repeats_left{service=%q} %d\n", service, left[service])
 		}
+		s.queues.writeLengths(w)
 	})
 	return s
 }
