Estimate endpoints' load between reports and spread choices by it

Entries that read the same load report chose the same endpoint until the next one, and so did all entries for a plain service. The new package loadestimate estimates loads between two reports and draws endpoints by their free capacity. Nothing uses the package yet.

--- /dev/null
+++ b/coordination/loadestimate/pick.go
@@ -0,0 +1,119 @@
+package loadestimate
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// freshShare bounds the unknown arrivals, as a share of the slots of all options, up
+	// to which two options are drawn and the one with the lower estimate is chosen. With
+	// more, comparing two stale estimates rejects more than drawing one.
+	freshShare = 0.75
+	// The unknown arrivals are multiplied before the options are filled up, as single
+	// endpoints get more or fewer of them than the mean. With 1 the emptiest endpoints are
+	// overloaded by chance; a second draw allows for a wider first one.
+	staleFactor = 3
+	freshFactor = 24
+	// minArrivals is the least number of unknown arrivals that a choice assumes. It is
+	// small against one request, and lets equal options share the choices.
+	minArrivals = 0.001
+)
+
+// Option is an endpoint that can be chosen.
+type Option struct {
+	Load     float64 // estimated requests, with all costs that count as requests
+	Slots    float64 // requests that it serves at once, above 0
+	Capacity float64 // requests that it holds
+}
+
+// Random is a source of numbers in [0, 1).
+type Random interface{ Float64() float64 }
+
+// Picker chooses among options. Its choices depend on its arguments and its random source
+// only.
+type Picker struct {
+	random Random
+	steps  []fillStep // reused
+}
+
+// NewPicker returns a picker that draws from a random source.
+func NewPicker(random Random) *Picker { return &Picker{random: random} }
+
+// Pick returns the index of the chosen option, -1 when none has free capacity. The options
+// are filled up to a common load per slot, such that they take a multiple of the unknown
+// arrivals, and are drawn in proportion to what each lacks to that level. Without unknown
+// arrivals the least loaded options are drawn; with many, all by their free capacity.
+func (p *Picker) Pick(options []Option, unknownArrivals float64) int {
+	slots := 0.0
+	for i := range options {
+		slots += options[i].Slots
+	}
+	if unknownArrivals > freshShare*slots {
+		return p.draw(options, p.fillLevel(options, staleFactor*unknownArrivals))
+	}
+	level := p.fillLevel(options, freshFactor*max(unknownArrivals, minArrivals))
+	first := p.draw(options, level)
+	if first < 0 {
+		return first
+	}
+	second := p.draw(options, level)
+	if options[second].loadPerSlot() < options[first].loadPerSlot() {
+		return second
+	}
+	return first
+}
+
+// draw returns an option in proportion to what it lacks to a load per slot, -1 when all
+// are above it or full.
+func (p *Picker) draw(options []Option, level float64) int {
+	total := 0.0
+	for i := range options {
+		total += options[i].freeBelow(level)
+	}
+	point := p.random.Float64() * total
+	chosen := -1
+	for i := range options {
+		free := options[i].freeBelow(level)
+		if free <= 0 {
+			continue
+		}
+		chosen = i
+		if point -= free; point < 0 {
+			break
+		}
+	}
+	return chosen
+}
+
+func (o *Option) loadPerSlot() float64 { return o.Load / o.Slots }
+
+// freeBelow returns the capacity that is free below a load per slot.
+func (o *Option) freeBelow(level float64) float64 {
+	return max(0, min(level*o.Slots, o.Capacity)-o.Load)
+}
+
+// fillStep is a load per slot from which on an option is filled, or no longer.
+type fillStep struct{ level, slots float64 }
+
+// fillLevel returns the load per slot up to which the options take the given number of
+// requests. When they can't take as many, it is the highest that any of them can reach.
+func (p *Picker) fillLevel(options []Option, requests float64) float64 {
+	p.steps = p.steps[:0]
+	for i := range options {
+		if o := &options[i]; o.Load < o.Capacity {
+			p.steps = append(p.steps, fillStep{o.loadPerSlot(), o.Slots}, fillStep{o.Capacity / o.Slots, -o.Slots})
+		}
+	}
+	slices.SortFunc(p.steps, func(x, y fillStep) int { return cmp.Compare(x.level, y.level) })
+	level, slots := 0.0, 0.0
+	for _, s := range p.steps {
+		filled := (s.level - level) * slots
+		if filled >= requests {
+			return level + requests/slots
+		}
+		requests -= filled
+		level, slots = s.level, slots+s.slots
+	}
+	return level
+}
