Spread plain requests and choices by load reports over endpoints

For short prompts, all entries that read one load report took the endpoint that was best by it, until the next report.

Plain services, and endpoints known from load reports that are about equal, are now drawn by their estimated free capacity. Choices for engines in fleets without load reports are as before. There are counters for the choices spread, the estimates corrected and the age of reports.

--- a/coordination/loadestimate/group.go
+++ b/coordination/loadestimate/group.go
@@ -86,14 +86,10 @@
 // difference to the one before.
 func (g *Group) Apply(now time.Time) {
 	g.removeUnused(now)
-	if len(g.endpoints) == 0 {
-		return
-	}
 	mean := 0.0
 	for _, e := range g.endpoints {
-		mean += e.incoming
+		mean += e.incoming / float64(len(g.endpoints))
 	}
-	mean /= float64(len(g.endpoints))
 	if passed := now.Sub(g.reportedAt); !g.reportedAt.IsZero() && passed > 0 && passed <= maxReportGap {
 		g.learn(mean, passed.Seconds())
 	} else {
@@ -146,7 +142,10 @@
 
 // Age returns the time since the last report, false before the first one.
 func (g *Group) Age(now time.Time) (time.Duration, bool) {
-	return max(0, now.Sub(g.reportedAt)), !g.reportedAt.IsZero()
+	if g.reportedAt.IsZero() {
+		return 0, false
+	}
+	return max(0, now.Sub(g.reportedAt)), true
 }
 
 // Load returns the estimated load of the endpoint: its last report, which goes to the mean
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,8 +16,9 @@
 	state            *endpointState
 	cold             bool
 	rateLimited      bool
-	answers          int // that it decodes or will decode
-	contextTokens    int // prompt tokens of these answers
+	answers          int     // that it decodes or will decode
+	load             float64 // the same before rounding, where it is estimated
+	contextTokens    int     // prompt tokens of these answers
 	usedMemoryTokens int
 	batch            enginemodel.DecodeBatch
 	forecast         enginemodel.Forecast
@@ -32,8 +34,9 @@
 // fillCandidate is newCandidate for a used candidate, whose lists it reuses.
 func (s *Scheduler) fillCandidate(c *candidate, key uint64, engine *catalogue.Engine, now time.Time) {
 	state := s.stateOf(key)
-	reported := &state.reported
-	*c = candidate{state: state, rateLimited: state.rateLimit.allowed(now) != Unlimited, answers: reported.answers, contextTokens: reported.batch.ContextTokens, usedMemoryTokens: reported.memoryTokens, batch: reported.batch, forecast: c.forecast}
+	reported, estimated := &state.reported, state.estimatedAnswers(now)
+	reportedAnswers := int(math.Round(estimated))
+	*c = candidate{state: state, rateLimited: state.rateLimit.allowed(now) != Unlimited, answers: reportedAnswers, contextTokens: reported.batch.ContextTokens, usedMemoryTokens: reported.memoryTokens, batch: reported.batch, forecast: c.forecast}
 	for _, w := range state.inFlight {
 		c.usedMemoryTokens += w.memoryTokensAt(slices.Index(w.endpoints, key))
 		if w.endpoints[0] != key {
@@ -46,6 +49,7 @@
 			c.batch.ContextTokens += w.promptTokens
 		}
 	}
+	c.load = estimated + float64(c.answers-reportedAnswers)
 	if engine != nil {
 		state.engine = engine
 		state.queue.Advance(engine, c.batch, now)
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -132,10 +132,13 @@
 	Candidates     int
 	ActiveAnswers  int     // at the main endpoint, this one not counted
 	BacklogMs      float64 // prefill waiting at the main endpoint
-	RunnerUp       string  // ID of the next best main endpoint
-	Score          float64 // in credit; for a plain service, the negated load per slot and data centre cost
-	RunnerUpScore  float64 // likewise, of the runner-up
-	Loss           float64 // credit that other work loses by this plan
+	// ReportAge is the age of the load report by which the main endpoint is known, 0 when
+	// its work items are known.
+	ReportAge     time.Duration
+	RunnerUp      string  // ID of the next best main endpoint
+	Score         float64 // in credit; for a plain service, the negated load per slot and data centre cost
+	RunnerUpScore float64 // likewise, of the runner-up
+	Loss          float64 // credit that other work loses by this plan
 
 	prefill enginemodel.Prefill // on each endpoint
 }
@@ -151,7 +154,7 @@
 	}
 	var p *Plan
 	if req.Service.Engine == nil {
-		p = choosePlain(candidates, req)
+		p = s.choosePlain(candidates, req, s.now())
 	} else {
 		p = s.chooseForEngine(candidates, req)
 	}
@@ -159,6 +162,7 @@
 		return nil
 	}
 	p.Candidates = len(candidates)
+	s.noteReportAge(p, s.now())
 	p.Handle = s.openWork(p, req)
 	return p
 }
@@ -179,9 +183,11 @@
 			continue
 		}
 		c := &s.candidateBuffer[i]
+		s.trackLoad(state, e, now)
 		s.fillCandidate(c, e.Key, req.Service.Engine, now)
 		coldness := s.coldness(state, e, now, steadyNow)
 		c.endpoint, c.cold = e, coldness == Cold
+		c.correctRejected(req.Service.Engine, now)
 		if coldRate(req.Service, coldness) != Unlimited && !s.allowsColdArrival(c, req, now) {
 			continue
 		}
@@ -206,40 +212,8 @@
 // arrival. Cold ones of a data centre known from load reports are left to the entries
 // there, which see every arrival.
 func (s *Scheduler) allowsColdArrival(c *candidate, req *Request, now time.Time) bool {
-	if c.cold && s.isReported(c) {
+	if c.cold && c.isReported() {
 		return false
 	}
 	return float64(c.state.recentArrivals(now)+1) <= req.Service.ColdRequestsPerSecond
 }
-
-// choosePlain returns a plan with the least loaded endpoint of a plain service, nil
-// when all queues are full.
-func choosePlain(candidates []*candidate, req *Request) *Plan {
-	var best, second *candidate
-	score := func(c *candidate) float64 {
-		s := float64(c.answers) / float64(max(1, c.endpoint.Slots))
-		if c.endpoint.DataCentre != req.DataCentre {
-			s += otherDataCentreCostShare
-		}
-		return s
-	}
-	for _, c := range candidates {
-		if c.answers >= plainQueueFactor*max(1, c.endpoint.Slots) {
-			continue
-		}
-		switch {
-		case best == nil || score(c) < score(best):
-			best, second = c, best
-		case second == nil || score(c) < score(second):
-			second = c
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	p := &Plan{Endpoints: []*directory.Endpoint{best.endpoint}, Score: -score(best), ActiveAnswers: best.answers}
-	if second != nil {
-		p.RunnerUp, p.RunnerUpScore = second.endpoint.ID, -score(second)
-	}
-	return p
-}
--- a/coordination/placement/evaluate.go
+++ b/coordination/placement/evaluate.go
@@ -31,7 +31,7 @@
 	switch {
 	case c.endpoint.DataCentre == req.DataCentre:
 		return 0
-	case helper || !s.isReported(c):
+	case helper || !c.isReported():
 		return otherDataCentreCostShare
 	case isLong(req):
 		return reportedDataCentreLongCostShare
--- a/coordination/placement/health.go
+++ b/coordination/placement/health.go
@@ -72,12 +72,14 @@
 }
 
 // RecordRefusal records that an endpoint refused a request because it is full. This
-// doesn't count as a failure.
+// doesn't count as a failure. It raises the endpoint's estimated load for a short time.
 func (s *Scheduler) RecordRefusal(key uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := &s.stateOf(key).health
-	h.backoffUntil = enginemodel.Later(h.backoffUntil, s.now().Add(refusalBackoff))
+	state := s.stateOf(key)
+	now := s.now()
+	state.health.backoffUntil = enginemodel.Later(state.health.backoffUntil, now.Add(refusalBackoff))
+	s.recordRejection(state, key, now)
 }
 
 // RecordBusy records that an endpoint asked for no requests for a time, and publishes it
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -77,7 +77,7 @@
 	}
 	tracked := make([]*candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if !s.isReported(c) {
+		if !c.isReported() {
 			tracked = append(tracked, c)
 		}
 	}
@@ -211,6 +211,7 @@
 // bestMain returns the best and the second best main endpoint, nil where there is none.
 func (s *Scheduler) bestMain(candidates []*candidate, req *Request, prefill enginemodel.Prefill) (best, second *option) {
 	long, packingRule := isLong(req), s.packing()
+	s.estimates.reportedMains = s.estimates.reportedMains[:0]
 	for _, c := range candidates {
 		o := s.evaluate(c, req, prefill, false)
 		if !c.canAnswer(req, o.firstMs) || !long && o.firstMs > req.maxFirstMs() {
@@ -218,6 +219,9 @@
 		}
 		if !long {
 			o.addPreference(req.Credit * c.preference(req, o.firstMs, packingRule))
+			if c.isReported() {
+				s.estimates.reportedMains = append(s.estimates.reportedMains, o)
+			}
 		}
 		switch {
 		case best == nil || o.isBetterThan(best):
@@ -226,7 +230,10 @@
 			second = &o
 		}
 	}
-	return best, second
+	if long {
+		return best, second
+	}
+	return s.pickMain(best, second, req)
 }
 
 // bestHelpers returns the n-1 endpoints other than main with the highest scores for
--- a/coordination/placement/reports.go
+++ b/coordination/placement/reports.go
@@ -30,6 +30,7 @@
 		if !slices.Contains(dataCentres, dataCentre) {
 			s.replaceReport(dataCentre, nil)
 			delete(s.reportedKeys, dataCentre)
+			s.dropGroups(dataCentre)
 		}
 	}
 	for _, dataCentre := range dataCentres {
@@ -49,9 +50,8 @@
 
 // isReported reports whether the load in the candidate's data centre is known from
 // load reports.
-func (s *Scheduler) isReported(c *candidate) bool {
-	_, reported := s.reportedKeys[c.endpoint.DataCentre]
-	return reported
+func (c *candidate) isReported() bool {
+	return c.state.estimate != nil
 }
 
 // ApplyReport applies the load report of one data centre, which replaces its previous
@@ -64,7 +64,8 @@
 	}
 }
 
-// replaceReport replaces the reported load of a data centre. The caller holds the
+// replaceReport replaces the reported load of a data centre. Reports have no number, so
+// one that was overtaken counts until the next. The caller holds the
 // lock.
 func (s *Scheduler) replaceReport(dataCentre string, endpoints []*wire.EndpointWork) {
 	now := s.now()
@@ -86,12 +87,16 @@
 			credit:         float64(e.CreditMilli) / millisPerCredit,
 			pauseObjective: time.Duration(e.PauseMs) * time.Millisecond,
 		}
+		if state.estimate != nil {
+			state.estimate.SetLoad(float64(e.Answers))
+		}
 		if e.ReadUs > 0 {
 			prefill := enginemodel.Prefill{Ms: float64(e.ReadUs) / 1e3, Tokens: float64(e.ReadTokens)}
 			state.queue.Add(enginemodel.Part{Work: reportedWork, Prefill: prefill}, now)
 		}
 	}
 	s.reportedKeys[dataCentre] = keys
+	s.applyToGroups(dataCentre, now)
 }
 
 // BuildReport sums up the work at the given endpoints of this entry's data centre that
--- a/coordination/placement/scheduler.go
+++ b/coordination/placement/scheduler.go
@@ -58,6 +58,7 @@
 	forecastAfter    enginemodel.Forecast // reused; forecast with the part being evaluated
 	candidateBuffer  []candidate          // reused
 	workEnded        chan struct{}        // closed and replaced when work ends
+	estimates        estimates
 }
 
 // NewScheduler returns a scheduler without work. It takes the time from now.
@@ -74,6 +75,7 @@
 		isKnown:          func(uint64) bool { return true },
 		heardSinceReturn: func(*directory.Endpoint) bool { return true },
 		workEnded:        make(chan struct{}),
+		estimates:        newEstimates(),
 	}
 }
 
@@ -97,13 +99,15 @@
 // its data centre was put back into service. It must be set before the scheduler is in use.
 func (s *Scheduler) SetReturnLookup(f func(e *directory.Endpoint) bool) { s.heardSinceReturn = f }
 
-// SetTieBreakSeed gives this entry its own order of equal endpoints. Otherwise entries
+// SetTieBreakSeed gives this entry its own order of equal endpoints and its own random
+// choices among those about equal. Otherwise entries
 // that all choose at the same moment, as after a restart of all, would choose the same
 // endpoint. It must be called before the first endpoint is known.
 func (s *Scheduler) SetTieBreakSeed(seed uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tieBreakSeed = seed
+	s.estimates.seed(seed)
 }
 
 // tieBreakRank returns an endpoint's place in this entry's order of equal endpoints.
--- a/coordination/placement/work.go
+++ b/coordination/placement/work.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/enginemodel"
+	"github.com/apricotspoke/apricotspoke/coordination/loadestimate"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
@@ -45,6 +46,8 @@
 	rateLimit    rateLimit
 	permit       permit
 	reported     reportedLoad
+	estimate     *loadestimate.Endpoint // nil where the load isn't known from load reports
+	rejection    loadestimate.Rejection
 }
 
 // event returns the event that opens the work item at other entries. Its ReadUs is the
--- a/role/host/metrics.go
+++ b/role/host/metrics.go
@@ -38,6 +38,7 @@
 		fmt.Fprintf(w, "ledger_own_work %d\nledger_other_work %d\nledger_resting_endpoints %d\nprediction_bias %.3f\n",
 			stats.Own, stats.Remote, stats.BackingOff, stats.Bias)
 		fmt.Fprintf(w, "ledger_reported_answers %d\nendpoints_rate_limited %d\n", scheduler.ReportedAnswers(), stats.RateLimited)
+		writeEstimateStats(w, scheduler.EstimateStats())
 		counts := parts.Counts()
 		fmt.Fprintf(w, "parts_suspect %d\nparts_quarantined %d\nparts_recorded %d\n", counts.Suspects, counts.Quarantined, len(state.Quarantined))
 		fmt.Fprintf(w, "parts_ends_total %d\nparts_cleared_total %d\nparts_proved_total %d\n", counts.Ends, counts.Cleared, counts.Proved)
@@ -50,6 +51,21 @@
 	return &Metrics{process: p, registry: registry}
 }
 
+// writeEstimateStats writes the counts of choices by estimated load. The classes of the
+// histogram are cumulative.
+func writeEstimateStats(w io.Writer, stats placement.EstimateStats) {
+	fmt.Fprintf(w, "placement_spread_choices_total %d\nplacement_corrected_estimates_total %d\n", stats.Spread, stats.Corrected)
+	sum := uint64(0)
+	for i, n := range stats.ReportAges {
+		sum += n
+		bound := "+Inf"
+		if i < len(placement.ReportAgeBounds) {
+			bound = strconv.FormatInt(placement.ReportAgeBounds[i].Milliseconds(), 10)
+		}
+		fmt.Fprintf(w, "placement_report_age_ms{le=%q} %d\n", bound, sum)
+	}
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
