--- a/coordination/loadestimate/group.go
+++ b/coordination/loadestimate/group.go
@@ -44,6 +44,10 @@
 	// kept and spread are smoothed sums of the products of successive deviations and of
 	// their squares; kept/spread is the share of a deviation that a report leaves.
 	kept, spread float64
+	// meanNow and keptNow are the estimated mean and the share of a deviation that is left
+	// at estimatedAt, as all endpoints are usually estimated for one moment.
+	estimatedAt      time.Time
+	meanNow, keptNow float64
 }
 
 // Endpoint is the reported load of one endpoint.
@@ -95,7 +99,7 @@
 	} else {
 		g.growth, g.taught = 0, 0
 	}
-	g.reportedAt, g.mean = now, mean
+	g.reportedAt, g.mean, g.estimatedAt = now, mean, time.Time{}
 	for _, e := range g.endpoints {
 		e.load, e.incoming = e.incoming, 0
 	}
@@ -140,9 +144,10 @@
 	g.decay = min(max(-math.Log(share)/seconds, minDecay), maxDecay)
 }
 
-// Age returns the time since the last report, false before the first one.
+// Age returns the time since the last report, false before the first one and for an
+// endpoint without a group.
 func (g *Group) Age(now time.Time) (time.Duration, bool) {
-	if g.reportedAt.IsZero() {
+	if g == nil || g.reportedAt.IsZero() {
 		return 0, false
 	}
 	return max(0, now.Sub(g.reportedAt)), true
@@ -155,18 +160,22 @@
 	if g == nil || g.reportedAt.IsZero() {
 		return e.load
 	}
-	age := max(0, now.Sub(g.reportedAt))
-	mean := max(0, g.mean+g.growth*min(age, growthHorizon).Seconds())
-	return mean + (e.load-g.mean)*math.Exp(-g.decay*age.Seconds())*share(mean, g.mean)
+	if !now.Equal(g.estimatedAt) {
+		g.estimate(now)
+	}
+	return g.meanNow + (e.load-g.mean)*g.keptNow
 }
 
-// share keeps the deviations in proportion to a mean that shrinks, so that no estimate
-// is negative.
-func share(mean, reported float64) float64 {
-	if mean >= reported {
-		return 1
+// estimate sets the estimates of the group. The deviations shrink with the mean, so that
+// no load is negative.
+func (g *Group) estimate(now time.Time) {
+	age := max(0, now.Sub(g.reportedAt))
+	g.estimatedAt = now
+	g.meanNow = max(0, g.mean+g.growth*min(age, growthHorizon).Seconds())
+	g.keptNow = math.Exp(-g.decay * age.Seconds())
+	if g.meanNow < g.mean {
+		g.keptNow *= g.meanNow / g.mean
 	}
-	return mean / reported
 }
 
 // UnknownArrivals returns how many requests others are expected to have sent to the
--- a/coordination/loadestimate/pick.go
+++ b/coordination/loadestimate/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -45,6 +46,9 @@
 // arrivals, and are drawn in proportion to what each lacks to that level. Without unknown
 // arrivals the least loaded options are drawn; with many, all by their free capacity.
 func (p *Picker) Pick(options []Option, unknownArrivals float64) int {
+	if math.IsInf(unknownArrivals, 1) {
+		return p.draw(options, unknownArrivals)
+	}
 	slots := 0.0
 	for i := range options {
 		slots += options[i].Slots
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -34,8 +33,8 @@
 // fillCandidate is newCandidate for a used candidate, whose lists it reuses.
 func (s *Scheduler) fillCandidate(c *candidate, key uint64, engine *catalogue.Engine, now time.Time) {
 	state := s.stateOf(key)
-	reported, estimated := &state.reported, state.estimatedAnswers(now)
-	reportedAnswers := int(math.Round(estimated))
+	reported := &state.reported
+	estimated, reportedAnswers := state.estimatedAnswers(now)
 	*c = candidate{state: state, rateLimited: state.rateLimit.allowed(now) != Unlimited, answers: reportedAnswers, contextTokens: reported.batch.ContextTokens, usedMemoryTokens: reported.memoryTokens, batch: reported.batch, forecast: c.forecast}
 	for _, w := range state.inFlight {
 		c.usedMemoryTokens += w.memoryTokensAt(slices.Index(w.endpoints, key))
--- a/coordination/placement/estimate.go
+++ b/coordination/placement/estimate.go
@@ -18,6 +18,9 @@
 	// scores differ by no more than this share of the credit, which is less than two
 	// answers differ by largeFleetPacking.
 	equalScoreShare = 0.02
+	// freshReportAge: up to this age, more than two intervals between load reports, a slot
+	// that a report shows as taken isn't estimated to be free.
+	freshReportAge = 400 * time.Millisecond
 )
 
 // ReportAgeBounds are the upper bounds of the classes of Stats.ReportAges; the last class
@@ -101,14 +104,20 @@
 	}
 }
 
-// estimatedAnswers returns the estimated number of answers that load reports tell of. The
-// other sums stay as reported: with all of them estimated, more answers began after their
-// caller's timeout in a burst of short prompts.
-func (state *endpointState) estimatedAnswers(now time.Time) float64 {
+// estimatedAnswers returns the estimated number of answers that load reports tell of, and
+// the number that counts for its slots. The other sums stay as reported: with all of them
+// estimated, more answers began after their caller's timeout in a burst of short prompts.
+func (state *endpointState) estimatedAnswers(now time.Time) (load float64, answers int) {
+	reported := state.reported.answers
 	if state.estimate == nil {
-		return float64(state.reported.answers)
+		return float64(reported), reported
 	}
-	return state.estimate.Load(now)
+	load = state.estimate.Load(now)
+	answers = int(math.Round(load))
+	if age, known := state.estimate.Group().Age(now); known && age < freshReportAge {
+		answers = max(answers, reported)
+	}
+	return load, answers
 }
 
 // correctRejected raises the load of a candidate that has rejected a request. The
@@ -132,7 +141,8 @@
 		return
 	}
 	s.estimates.stats.Corrected++
-	line := s.logger.Info().Str("endpoint", state.name).Uint64("key", key).Int("known_work", len(state.inFlight)).Float64("reported_answers", state.estimatedAnswers(now))
+	answers, _ := state.estimatedAnswers(now)
+	line := s.logger.Info().Str("endpoint", state.name).Uint64("key", key).Int("known_work", len(state.inFlight)).Float64("reported_answers", answers)
 	if state.estimate != nil && state.estimate.Group() != nil {
 		age, _ := state.estimate.Group().Age(now)
 		line.Dur("report_age", age)
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -219,9 +219,6 @@
 		}
 		if !long {
 			o.addPreference(req.Credit * c.preference(req, o.firstMs, packingRule))
-			if c.isReported() {
-				s.estimates.reportedMains = append(s.estimates.reportedMains, o)
-			}
 		}
 		switch {
 		case best == nil || o.isBetterThan(best):
@@ -229,6 +226,9 @@
 		case second == nil || o.isBetterThan(second):
 			second = &o
 		}
+		if !long && c.isReported() && o.score >= best.score-req.Credit*equalScoreShare {
+			s.estimates.reportedMains = append(s.estimates.reportedMains, o)
+		}
 	}
 	if long {
 		return best, second
