--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -15,8 +15,9 @@
 	state            *endpointState
 	cold             bool
 	rateLimited      bool
-	answers          int // that it decodes or will decode
-	contextTokens    int // prompt tokens of these answers
+	answers          int     // that it decodes or will decode
+	load             float64 // the same before rounding, where it is estimated
+	contextTokens    int     // prompt tokens of these answers
 	usedMemoryTokens int
 	spareTokens      int // of the memory, kept free
 	batch            enginemodel.DecodeBatch
@@ -34,7 +35,8 @@
 func (s *Scheduler) fillCandidate(c *candidate, key uint64, engine *catalogue.Engine, now time.Time) {
 	state := s.stateOf(key)
 	reported := &state.reported
-	*c = candidate{state: state, rateLimited: state.rateLimit.allowed(now) != Unlimited, answers: reported.answers, contextTokens: reported.batch.ContextTokens, usedMemoryTokens: reported.memoryTokens, batch: reported.batch, forecast: c.forecast}
+	estimated, reportedAnswers := state.estimatedAnswers(now)
+	*c = candidate{state: state, rateLimited: state.rateLimit.allowed(now) != Unlimited, answers: reportedAnswers, contextTokens: reported.batch.ContextTokens, usedMemoryTokens: reported.memoryTokens, batch: reported.batch, forecast: c.forecast}
 	for _, w := range state.inFlight {
 		c.usedMemoryTokens += w.memoryTokensAt(slices.Index(w.endpoints, key))
 		if w.endpoints[0] != key {
@@ -47,6 +49,7 @@
 			c.batch.ContextTokens += w.promptTokens
 		}
 	}
+	c.load = estimated + float64(c.answers-reportedAnswers)
 	if engine != nil {
 		state.engine = engine
 		state.queue.Advance(engine, c.batch, now)
--- a/coordination/placement/memory.go
+++ b/coordination/placement/memory.go
@@ -11,7 +11,7 @@
 // holds nothing keeps none free, so that a prompt of the size of its memory finds a place.
 func (s *Scheduler) spareMemoryTokens(c *candidate, req *Request) int {
 	engine := req.Service.Engine
-	if engine == nil || c.usedMemoryTokens == 0 || !s.isReported(c) {
+	if engine == nil || c.usedMemoryTokens == 0 || !c.isReported() {
 		return 0
 	}
 	return int(reportedSpareRequests * (engine.MeanPromptTokens + engine.MeanOutputTokens))
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -77,7 +77,7 @@
 	}
 	tracked := make([]*candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if !s.isReported(c) {
+		if !c.isReported() {
 			tracked = append(tracked, c)
 		}
 	}
@@ -211,6 +211,7 @@
 // bestMain returns the best and the second best main endpoint, nil where there is none.
 func (s *Scheduler) bestMain(candidates []*candidate, req *Request, prefill enginemodel.Prefill) (best, second *option) {
 	long, packingRule := isLong(req), s.packing(candidates, req)
+	s.estimates.reportedMains = s.estimates.reportedMains[:0]
 	for _, c := range candidates {
 		o := s.evaluate(c, req, prefill, false)
 		if !c.canAnswer(req, o.firstMs) || !long && o.firstMs > req.maxFirstMs() {
@@ -225,8 +226,14 @@
 		case second == nil || o.isBetterThan(second):
 			second = &o
 		}
+		if !long && c.isReported() && o.score >= best.score-req.Credit*equalScoreShare {
+			s.estimates.reportedMains = append(s.estimates.reportedMains, o)
+		}
+	}
+	if long {
+		return best, second
 	}
-	return best, second
+	return s.pickMain(best, second, req)
 }
 
 // bestHelpers returns the n-1 endpoints other than main with the highest scores for
