Read the bounds of unused reservations from the settings

Operators state idleMaxMs and releaseMs among the bounds of the settings file, and no process read them. They are now part of hostconfig.Bounds, and a negative one is refused like the other times. Nothing uses them yet.

--- a/state/hostconfig/check.go
+++ b/state/hostconfig/check.go
@@ -28,7 +28,7 @@
 		"the port range %d to %d for links must hold at least %d ports between 1 and 65535", p.FirstLinkPort, p.LastLinkPort, linkPortsPerHost)
 	add(p.MemoryBytes < 0, "the memory limit of %d bytes is negative", p.MemoryBytes)
 	b := &p.Bounds
-	add(b.RevokedWithin < 0 || b.AnnounceEvery < 0 || b.StopWithin < 0 || b.RepeatWindow < 0, "a time among the bounds is negative")
+	add(b.RevokedWithin < 0 || b.AnnounceEvery < 0 || b.StopWithin < 0 || b.RepeatWindow < 0 || b.ReservedUnusedFor < 0 || b.ReleasedWithin < 0, "a time among the bounds is negative")
 	add(b.RepeatRatio < 0 || b.RepeatSlack < 0, "RepeatRatio or RepeatSlack, which limit repeats, is negative")
 	add(b.HostsLost < 0, "the number of hosts that may be lost at once, %d, is negative", b.HostsLost)
 	return errors.Join(problems...)
--- a/state/hostconfig/hostconfig.go
+++ b/state/hostconfig/hostconfig.go
@@ -32,7 +32,13 @@
 	RepeatRatio   float64       // retries allowed for each request of a service in the window; zero allows none
 	RepeatSlack   float64       // retries of a service allowed in the window in addition to RepeatRatio, for all entries together; zero allows none
 	RepeatWindow  time.Duration // sliding window over which the retries and requests are counted
-	HostsLost     int           // hosts with a disk that may fail at the same time; MinVoters treats zero as one
+	// ReservedUnusedFor is how long an endpoint's memory may be reserved, or waited for,
+	// while no request has used it.
+	ReservedUnusedFor time.Duration
+	// ReleasedWithin is how long memory may stay reserved after the last request that
+	// used it has ended.
+	ReleasedWithin time.Duration
+	HostsLost      int // hosts with a disk that may fail at the same time; MinVoters treats zero as one
 }
 
 // minGroupReplicas is the number of voters of the smallest control group that survives
--- a/state/hostconfig/hostconfig_test.go
+++ b/state/hostconfig/hostconfig_test.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// Guards against a negative bound of reservations, with which none would be renewed.
+func TestCheckReportsNegativeBoundsOfReservations(t *testing.T) {
+	for _, b := range []Bounds{{ReservedUnusedFor: -1}, {ReleasedWithin: -1}} {
+		p := process()
+		p.Bounds = b
+		if err := p.Check(); err == nil || !strings.Contains(err.Error(), "time") {
+			t.Errorf("%+v: %v", b, err)
+		}
+	}
+}
+
 func TestReloadAppliesWhatMayChange(t *testing.T) {
 	first := process()
 	reloadable := NewReloadable(&first)
