--- a/coordination/serve/unused_test.go
+++ b/coordination/serve/unused_test.go
@@ -30,31 +30,30 @@
 	refusals  atomic.Int64 // of memory
 	clock     func() monotonic.Time
 
-	mu        sync.Mutex
-	held      map[string]*holding // by endpoint and ticket
-	all       []*holding
-	usedUntil map[string]monotonic.Time // by ticket, when the last request that used it ended
-	asked     int
-	// onCall returns how late a call is executed whose response is lost, 0 for a call
-	// that gets its response. It is nil if all do.
-	onCall      func(operation string) (late time.Duration)
+	mu    sync.Mutex
+	all   []*holding
+	uses  map[string]*use // by ticket
+	asked int
+	// losing names the calls whose response is lost: reserve, renew or release. They are
+	// executed late.
+	losing      string
+	late        time.Duration
 	unreported  bool          // reports get no response
 	reportDelay time.Duration // how old reports are
-	usedSince   map[string]monotonic.Time
 }
 
 // holding is one time for which an endpoint holds memory under a ticket.
 type holding struct {
-	key, ticket string
-	tokens      int
-	from, until monotonic.Time
+	endpoint, ticket string
+	tokens           int
+	from, until      monotonic.Time
 }
 
+// use is the time for which a request uses the memory under a ticket.
+type use struct{ from, until monotonic.Time }
+
 func newTicketFleet(t *testing.T, responses ...func(context.Context, *Attempt) (*Response, error)) *ticketFleet {
-	f := &ticketFleet{
-		testbed: newEngineTestbed(t, responses...), held: make(map[string]*holding),
-		usedUntil: make(map[string]monotonic.Time), usedSince: make(map[string]monotonic.Time),
-	}
+	f := &ticketFleet{testbed: newEngineTestbed(t, responses...), uses: make(map[string]*use)}
 	clock := clockOfTest()
 	f.clock = func() monotonic.Time { return clock().Add(time.Duration(f.suspended.Load())) }
 	f.server.upstream, f.server.now = f, f.clock
@@ -64,19 +63,28 @@
 	return f
 }
 
-// call executes a call now, or late without a response.
-func (f *ticketFleet) call(operation string, execute func()) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	late := time.Duration(0)
-	if f.onCall != nil {
-		late = f.onCall(operation)
+// heldAt returns what an endpoint holds now, and what of it under a ticket, nil if nothing.
+// The caller holds the lock.
+func (f *ticketFleet) heldAt(e *directory.Endpoint, ticket string) (all []*holding, own *holding) {
+	for _, h := range f.all {
+		if h.endpoint != e.ID || h.until <= f.clock() {
+			continue
+		}
+		all = append(all, h)
+		if h.ticket == ticket {
+			own = h
+		}
 	}
-	if late == 0 {
+	return all, own
+}
+
+// call executes a call now, or late without a response. The caller holds the lock.
+func (f *ticketFleet) call(name string, execute func()) error {
+	if name != f.losing {
 		execute()
 		return nil
 	}
-	time.AfterFunc(late, func() {
+	time.AfterFunc(f.late, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		execute()
@@ -86,71 +94,56 @@
 
 // Reserve implements Upstream.
 func (f *ticketFleet) Reserve(_ context.Context, e *directory.Endpoint, ticket string, tokens int, ttl time.Duration) error {
-	key, operation := e.ID+" "+ticket, "reserve"
-	if f.isHeld(key) {
-		operation = "renew"
-	} else if f.heldAt(e.ID)+tokens > endpointMemory {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name, used := "reserve", tokens
+	all, own := f.heldAt(e, ticket)
+	for _, h := range all {
+		used += h.tokens
+	}
+	if own != nil {
+		name = "renew"
+	} else if used > endpointMemory {
 		f.refusals.Add(1)
 		return fault.New(fault.EndpointFailed, "no memory")
 	}
-	return f.call(operation, func() {
-		now := f.clock()
-		h := f.held[key]
-		if h == nil || h.until <= now {
-			h = &holding{key: key, ticket: ticket, tokens: tokens, from: now}
-			f.held[key], f.all = h, append(f.all, h)
+	return f.call(name, func() {
+		_, h := f.heldAt(e, ticket)
+		if h == nil {
+			h = &holding{endpoint: e.ID, ticket: ticket, tokens: tokens, from: f.clock()}
+			f.all = append(f.all, h)
 		}
-		h.until = now.Add(ttl)
+		h.until = f.clock().Add(ttl)
 	})
 }
 
-func (f *ticketFleet) isHeld(key string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	h := f.held[key]
-	return h != nil && f.clock() < h.until
-}
-
-// heldAt returns the tokens that are reserved at an endpoint.
-func (f *ticketFleet) heldAt(id string) (tokens int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, h := range f.held {
-		if strings.HasPrefix(h.key, id+" ") && f.clock() < h.until {
-			tokens += h.tokens
-		}
-	}
-	return tokens
-}
-
 // Release implements Upstream.
 func (f *ticketFleet) Release(_ context.Context, e *directory.Endpoint, ticket string) error {
 	time.Sleep(20 * time.Millisecond) // as to another region
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.call("release", func() {
-		if h := f.held[e.ID+" "+ticket]; h != nil {
-			h.until = min(h.until, f.clock())
+		if _, h := f.heldAt(e, ticket); h != nil {
+			h.until = f.clock()
 		}
 	})
 }
 
 // Tickets implements Upstream.
-func (f *ticketFleet) Tickets(_ context.Context, e *directory.Endpoint) ([]Ticket, error) {
+func (f *ticketFleet) Tickets(_ context.Context, e *directory.Endpoint) (tickets []Ticket, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
 	if f.unreported {
 		return nil, fault.New(fault.EndpointFailed, "no response")
 	}
-	var tickets []Ticket
-	for _, h := range f.held {
-		if !strings.HasPrefix(h.key, e.ID+" ") || h.until <= f.clock() {
-			continue
-		}
+	all, _ := f.heldAt(e, "")
+	for _, h := range all {
 		state := TicketHeld
-		if since, used := f.usedSince[h.ticket]; used && f.clock().Sub(since) >= f.reportDelay {
+		if u := f.uses[h.ticket]; u != nil && f.clock().Sub(u.from) >= f.reportDelay {
 			state = TicketUsed
 		}
-		tickets = append(tickets, Ticket{ID: h.ticket, State: state, Age: f.clock().Sub(h.from)})
+		tickets = append(tickets, Ticket{ID: h.ticket, State: state})
 	}
 	return tickets, nil
 }
@@ -159,17 +152,14 @@
 func (f *ticketFleet) use(ctx context.Context, a *Attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	u := &use{from: f.clock()}
 	for _, h := range a.Helpers {
-		if h.Ticket != "" {
-			f.usedSince[h.Ticket] = f.clock()
-		}
+		f.uses[h.Ticket] = u
 	}
 	context.AfterFunc(ctx, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		for _, h := range a.Helpers {
-			f.usedUntil[h.Ticket] = f.clock()
-		}
+		u.until = f.clock()
 	})
 }
 
@@ -180,18 +170,15 @@
 	defer f.mu.Unlock()
 	made := make(map[string]bool)
 	for _, h := range f.all {
-		if made[h.key] && f.suspended.Load() > 0 {
-			t.Errorf("%s was reserved anew after the suspension", h.key)
-		}
-		made[h.key] = true
-		if _, used := f.usedSince[h.ticket]; used {
-			if over := h.until.Sub(f.usedUntil[h.ticket]); over > releaseBound {
-				t.Errorf("%s stays reserved for %v after the request that used it", h.key, over)
-			}
-			continue
+		key := h.endpoint + h.ticket
+		if made[key] && f.suspended.Load() > 0 {
+			t.Errorf("memory at %s was reserved anew after the suspension", h.endpoint)
 		}
-		if idle := h.until.Sub(h.from); idle > unusedBound {
-			t.Errorf("%s was reserved for %v without a request that used it", h.key, idle)
+		made[key] = true
+		if u := f.uses[h.ticket]; u != nil && h.until.Sub(u.until) > releaseBound {
+			t.Errorf("memory at %s stays reserved for %v after the request that used it", h.endpoint, h.until.Sub(u.until))
+		} else if u == nil && h.until.Sub(h.from) > unusedBound {
+			t.Errorf("memory at %s was reserved for %v without a request that used it", h.endpoint, h.until.Sub(h.from))
 		}
 	}
 }
@@ -214,17 +201,6 @@
 	}
 }
 
-// losing returns a function for onCall with which the calls of one operation get no
-// response and are executed late.
-func losing(operation string, late time.Duration) func(string) time.Duration {
-	return func(o string) time.Duration {
-		if o == operation {
-			return late
-		}
-		return 0
-	}
-}
-
 // suspendAfter2s suspends the host of the entry.
 func (f *ticketFleet) suspendAfter2s(lasts time.Duration) {
 	time.AfterFunc(2*time.Second, func() { f.suspended.Add(int64(lasts)) })
@@ -258,10 +234,10 @@
 		"it sends comments and never begins":    {func(ctx context.Context, _ *Attempt) (*Response, error) { return silentAfter(ctx, ": wait\n\n") }, nil},
 		"it is cut off and still announced":     {silent, func(f *ticketFleet) { f.unreachable = map[string]bool{"long0": true, "long1": true} }},
 		"it restarts after 2 s":                 {silent, func(f *ticketFleet) { time.AfterFunc(2*time.Second, f.restartMain) }},
-		"releases are lost":                     {silent, func(f *ticketFleet) { f.onCall = losing("release", time.Hour) }},
-		"releases are executed late":            {silent, func(f *ticketFleet) { f.onCall = losing("release", 2*time.Second) }},
-		"renewals are executed late":            {silent, func(f *ticketFleet) { f.onCall = losing("renew", 2200*time.Millisecond) }},
-		"renewals are lost":                     {silent, func(f *ticketFleet) { f.onCall = losing("renew", time.Hour) }},
+		"releases are lost":                     {silent, func(f *ticketFleet) { f.losing, f.late = "release", time.Hour }},
+		"releases are executed late":            {silent, func(f *ticketFleet) { f.losing, f.late = "release", 2*time.Second }},
+		"renewals are executed late":            {silent, func(f *ticketFleet) { f.losing, f.late = "renew", 2200*time.Millisecond }},
+		"renewals are lost":                     {silent, func(f *ticketFleet) { f.losing, f.late = "renew", time.Hour }},
 		"the entry's host is suspended for 5 s": {silent, func(f *ticketFleet) { f.suspendAfter2s(5 * time.Second) }},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -305,7 +281,7 @@
 func TestRenewalExecutedAfterTheReleaseIsReleased(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *ticketFleet) {
 		f.responses = []func(context.Context, *Attempt) (*Response, error){f.silentUsing(0, 2*time.Second)}
-		f.onCall = losing("renew", 1400*time.Millisecond)
+		f.losing, f.late = "renew", 1400*time.Millisecond
 		f.serveLong(t)
 	})
 }
