Correct what hedgeDelay says of orders for a data centre

The comment spoke of copies with one operation. Since orders replaced the list of operations, the state keeps the latest order for each data centre, refuses orders given before it and ignores its copies.

--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -16,7 +16,8 @@
 //
 // If a leader is slow, or leadership moves between two calls, a change may be made twice.
 // The second time changes nothing if the first is still in effect, or a newer version of
-// the catalogue. A change of a data centre is made once, as its copies have one operation.
+// the catalogue. An order for a data centre is carried out once: the state keeps the latest
+// order for each, refuses orders that were given before it, and ignores its copies.
 const hedgeDelay = 250 * time.Millisecond
 
 // remoteCall is a call to the Steering service of another process.
