Name the steps of a quarantine with ordinary terms

Code and pages of the quarantine spoke of convictions and appeals, which the field doesn't use. A quarantine is now confirmed, and the requests that try a quarantined part are probes, as with circuit breakers; "trial" was taken, for any request with a lease. Names on the wire (the field appeal of PartEvent), log keys and counters stay. Nothing changes in what runs.

--- a/coordination/quarantine/conviction.go
+++ b/coordination/quarantine/confirmation.go
@@ -2,15 +2,16 @@
 
 import "slices"
 
-// minRequests is the number of different requests under which endpoints must end before a
-// part is convicted without appeals: of one request, the request itself may be the cause.
+// minRequests is the number of different requests under which endpoints must end before the
+// quarantine of a part is confirmed without probes: of one request, the request itself may
+// be the cause.
 const minRequests = 2
 
-// convict makes the quarantine of a part final if enough endpoints ended one after the
+// confirm makes the quarantine of a part final if enough endpoints ended one after the
 // other, under different requests, for whose ends it is the only part that is still suspect:
 // answers with the others have gone on since. It reports whether it did. The caller holds
 // the lock.
-func (t *Tracker) convict(part uint64, s *suspect) bool {
+func (t *Tracker) confirm(part uint64, s *suspect) bool {
 	if s.final || s.isRequest || !s.quarantined {
 		return false
 	}
@@ -36,11 +37,11 @@
 	return true
 }
 
-// convictAll convicts what is quarantined, after parts were cleared. The caller holds the
-// lock.
-func (t *Tracker) convictAll() {
+// confirmAll confirms the quarantines that have become certain, after parts were cleared.
+// The caller holds the lock.
+func (t *Tracker) confirmAll() {
 	for p, s := range t.quarantined {
-		if t.convict(p, s) {
+		if t.confirm(p, s) {
 			t.logQuarantine(p, s)
 			t.onProof(false)
 		}
--- a/coordination/quarantine/conviction_test.go
+++ b/coordination/quarantine/confirmation_test.go
@@ -20,15 +20,15 @@
 	c.advance(time.Millisecond)
 }
 
-// Three endpoints must suffice for a part once all other parts are cleared: an appeal costs
+// Three endpoints must suffice for a part once all other parts are cleared: a probe costs
 // one more.
-func TestPartIsConvictedWithoutAppealsOnceTheOthersAreCleared(t *testing.T) {
+func TestPartIsConfirmedWithoutProbesOnceTheOthersAreCleared(t *testing.T) {
 	tracker, c := newTestTracker()
 	for i := range uint64(endsForProof) {
 		endUnder(tracker, c, i+1, "", "first", "bad")
 	}
 	if got := standing(tracker, "bad"); got == Quarantined {
-		t.Error("the part is convicted while another one may be the cause")
+		t.Error("the part's quarantine is confirmed while another one may be the cause")
 	}
 	tracker.RecordSound(Keys(service, []string{"first"}))
 	if got := standing(tracker, "bad"); got != Quarantined {
@@ -39,16 +39,16 @@
 	}
 }
 
-// Guards against the conviction of a rare sound part whose requests ran beside the culprit's
-// each time.
-func TestPartOfRequestsBesideTheCulpritIsNotConvicted(t *testing.T) {
+// Guards against a confirmed quarantine of a rare sound part whose requests ran beside the
+// culprit's each time.
+func TestPartOfRequestsBesideTheCulpritIsNotConfirmed(t *testing.T) {
 	tracker, c := newTestTracker()
 	for i := range uint64(endsForProof + 1) {
 		endUnder(tracker, c, i+1, "rare", "bad")
 	}
 	for _, part := range []string{"rare", "bad"} {
 		if got := standing(tracker, part); got != Unclear {
-			t.Errorf("standing %v of %s, want an appeal", got, part)
+			t.Errorf("standing %v of %s, want a probe", got, part)
 		}
 	}
 	tracker.RecordSound(Keys(service, []string{"rare"}))
@@ -60,8 +60,9 @@
 	}
 }
 
-// Ends under one repeated request must not convict its parts: the request is the cause.
-func TestRepeatedRequestDoesNotConvictItsPart(t *testing.T) {
+// Ends under one repeated request must not confirm the quarantine of its parts: the request
+// is the cause.
+func TestRepeatedRequestDoesNotConfirmItsPart(t *testing.T) {
 	tracker, c := newTestTracker()
 	for i := range uint64(endsForProof) {
 		sentAt := c.now
@@ -70,6 +71,6 @@
 		c.advance(time.Millisecond)
 	}
 	if got := standing(tracker, "rare"); got != Unclear {
-		t.Errorf("standing %v of the part, want an appeal", got)
+		t.Errorf("standing %v of the part, want a probe", got)
 	}
 }
--- a/coordination/quarantine/events.go
+++ b/coordination/quarantine/events.go
@@ -71,7 +71,7 @@
 		}
 		parts := slices.Clone(e.Parts)
 		slices.Sort(parts)
-		t.addReport(&report{endpoint: e.Endpoint, parts: parts, request: e.Request, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond), appeal: e.Appeal, alone: e.Alone})
+		t.addReport(&report{endpoint: e.Endpoint, parts: parts, request: e.Request, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond), probed: e.Appeal, alone: e.Alone})
 	}
 }
 
@@ -122,7 +122,7 @@
 	now := t.now()
 	suspects := slices.DeleteFunc(slices.Clone(r.parts), func(p uint64) bool { return t.suspects[p] == nil })
 	return &wire.PartEvent{
-		Parts: suspects, Request: r.request, Endpoint: r.endpoint, Appeal: r.appeal, Alone: r.alone,
+		Parts: suspects, Request: r.request, Endpoint: r.endpoint, Appeal: r.probed, Alone: r.alone,
 		AgeMs: uint32(now.Sub(r.at).Milliseconds()), SentAgeMs: uint32(now.Sub(r.sentAt).Milliseconds()),
 	}
 }
--- a/coordination/quarantine/guard.go
+++ b/coordination/quarantine/guard.go
@@ -52,25 +52,25 @@
 	id      uint64
 	granter string // address
 	parts   []uint64
-	appeal  uint64 // the quarantined one of the parts, 0 if there is none
+	probed  uint64 // the quarantined one of the parts, 0 if there is none
 }
 
-// appealed returns the quarantined part that a request with the lease tries, 0 without one.
-func (l *Lease) appealed() uint64 {
+// probedPart returns the quarantined part that a request with the lease tries, 0 without one.
+func (l *Lease) probedPart() uint64 {
 	if l == nil {
 		return 0
 	}
-	return l.appeal
+	return l.probed
 }
 
 // Take asks for a lease on the unclear ones of a request's parts; the request lasts a time
 // at most. If Take returns none, retryAfter is when to ask again.
 func (g *Guard) Take(ctx context.Context, service string, parts []uint64, lasts time.Duration) (l *Lease, retryAfter time.Duration) {
-	parts, appeal := g.unclear(parts)
+	parts, probed := g.unclear(parts)
 	q := &wire.TrialRequest{Parts: parts, LastsMs: uint32(max(lasts, 0).Milliseconds()), Events: g.EventsOf(parts)}
 	granter := rendezvous.First(Key(service, ""), "", g.processes(), g.outages.MayAsk)
 	if granter == g.self || granter == "" {
-		return g.leaseOf(g.Answer(q), g.self, parts, appeal)
+		return g.leaseOf(g.Answer(q), g.self, parts, probed)
 	}
 	response, err := rendezvous.Ask(ctx, askTimeout, func(ctx context.Context) (*wire.TrialResponse, error) {
 		return g.calls.Take(ctx, granter, q)
@@ -83,14 +83,14 @@
 	}
 	g.outages.RecordAnswer(granter)
 	g.Apply(response.Events)
-	return g.leaseOf(response, granter, parts, appeal)
+	return g.leaseOf(response, granter, parts, probed)
 }
 
-func (g *Guard) leaseOf(response *wire.TrialResponse, granter string, parts []uint64, appeal uint64) (l *Lease, retryAfter time.Duration) {
+func (g *Guard) leaseOf(response *wire.TrialResponse, granter string, parts []uint64, probed uint64) (l *Lease, retryAfter time.Duration) {
 	if response.Lease == 0 {
 		return nil, time.Duration(response.RetryAfterMs) * time.Millisecond
 	}
-	return &Lease{guard: g, id: response.Lease, granter: granter, parts: parts, appeal: appeal}, 0
+	return &Lease{guard: g, id: response.Lease, granter: granter, parts: parts, probed: probed}, 0
 }
 
 // Answer answers the request of an entry for a lease.
--- a/coordination/quarantine/leases.go
+++ b/coordination/quarantine/leases.go
@@ -15,27 +15,27 @@
 	maxLeaseTime = 5 * time.Second
 	// leaseRetry is when an entry that got no lease is to ask again.
 	leaseRetry = 100 * time.Millisecond
-	// appealPrecedence is the time for which an appeal that waits for other leases to end
+	// probePrecedence is the time for which a probe that waits for other leases to end
 	// keeps new ones from being granted.
-	appealPrecedence = 500 * time.Millisecond
+	probePrecedence = 500 * time.Millisecond
 )
 
 // lease allows one request with suspect parts.
 type lease struct {
-	parts  []uint64
-	appeal bool // of a quarantined part
-	until  monotonic.Time
+	parts []uint64
+	probe bool // of a quarantined part
+	until monotonic.Time
 }
 
-// leases grants leases, one at a time for each part. An appeal is the only request with a
+// leases grants leases, one at a time for each part. A probe is the only request with a
 // lease while it runs: the endpoint must not end under another one beside it. It is safe
 // for concurrent use.
 type leases struct {
 	now func() monotonic.Time
 
-	mu         sync.Mutex
-	held       map[uint64]lease // by ID
-	appealsEnd monotonic.Time   // until when an appeal takes precedence
+	mu            sync.Mutex
+	held          map[uint64]lease // by ID
+	precedenceEnd monotonic.Time   // until when a probe takes precedence
 }
 
 func newLeases(now func() monotonic.Time) *leases {
@@ -43,8 +43,8 @@
 }
 
 // take returns the ID of a lease for a request that lasts a time at most. It returns 0 while
-// one of the parts is leased, or an appeal excludes the lease.
-func (l *leases) take(parts []uint64, lasts time.Duration, appeal bool) uint64 {
+// one of the parts is leased, or a probe excludes the lease.
+func (l *leases) take(parts []uint64, lasts time.Duration, probe bool) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -53,21 +53,21 @@
 			delete(l.held, id)
 			continue
 		}
-		if appeal {
-			l.appealsEnd = now.Add(appealPrecedence)
+		if probe {
+			l.precedenceEnd = now.Add(probePrecedence)
 		}
-		if appeal || other.appeal || slices.ContainsFunc(other.parts, func(p uint64) bool { return slices.Contains(parts, p) }) {
+		if probe || other.probe || slices.ContainsFunc(other.parts, func(p uint64) bool { return slices.Contains(parts, p) }) {
 			return 0
 		}
 	}
-	if !appeal && now < l.appealsEnd {
+	if !probe && now < l.precedenceEnd {
 		return 0
 	}
-	if appeal {
-		l.appealsEnd = 0
+	if probe {
+		l.precedenceEnd = 0
 	}
 	id := rand.Uint64() | 1 // never 0
-	l.held[id] = lease{parts: parts, appeal: appeal, until: now.Add(min(lasts, maxLeaseTime))}
+	l.held[id] = lease{parts: parts, probe: probe, until: now.Add(min(lasts, maxLeaseTime))}
 	return id
 }
 
--- a/coordination/quarantine/leases_test.go
+++ b/coordination/quarantine/leases_test.go
@@ -25,22 +25,22 @@
 	}
 }
 
-// An appeal must be alone, and must not wait for ever behind other trials.
-func TestAppealIsAloneAndTakesPrecedence(t *testing.T) {
+// A probe must be alone, and must not wait for ever behind other trials.
+func TestProbeIsAloneAndTakesPrecedence(t *testing.T) {
 	now := monotonic.Time(0)
 	l := newLeases(func() monotonic.Time { return now })
 	first := l.take([]uint64{1}, time.Second, false)
 	if l.take([]uint64{2}, time.Second, true) != 0 {
-		t.Error("an appeal beside a trial")
+		t.Error("a probe beside a trial")
 	}
 	if l.take([]uint64{3}, time.Second, false) != 0 {
-		t.Error("a new trial goes before an appeal that waits")
+		t.Error("a new trial goes before a probe that waits")
 	}
 	l.end(first)
 	if l.take([]uint64{2}, time.Second, true) == 0 {
-		t.Error("no appeal after the trial")
+		t.Error("no probe after the trial")
 	}
 	if l.take([]uint64{3}, time.Second, false) != 0 {
-		t.Error("a trial beside an appeal")
+		t.Error("a trial beside a probe")
 	}
 }
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -28,14 +28,14 @@
 	maxEnds = 16
 	// A quarantined part is tried again by requests without another quarantined part, as
 	// the ends may be the fault of a part that was always beside it. The quarantine is
-	// final once endpoints have ended under maxAppeals such requests whose other parts
-	// are known to be sound, or under maxAnyAppeals of any such requests. Both are one less
+	// final once endpoints have ended under maxProbes such requests whose other parts
+	// are known to be sound, or under maxAnyProbes of any such requests. Both are one less
 	// if many endpoints had ended before.
-	maxAppeals    = 2
-	maxAnyAppeals = 3
-	// One appeal whose other parts are known to be sound suffices if the ends, with its own,
-	// came under requestsForShortAppeal different requests: no single request explains them.
-	requestsForShortAppeal = 3
+	maxProbes    = 2
+	maxAnyProbes = 3
+	// One probe whose other parts are known to be sound suffices if the ends, with its own,
+	// came under requestsForSingleProbe different requests: no single request explains them.
+	requestsForSingleProbe = 3
 	// maxIDBytes bounds the ID of a part in logs and in the state.
 	maxIDBytes = 64
 )
@@ -47,8 +47,8 @@
 	request  uint64   // key of the request, 0 if unknown
 	at       monotonic.Time
 	sentAt   monotonic.Time // of the request
-	appeal   uint64         // the quarantined part that the request tried, 0 if none
-	alone    bool           // the other parts of the appeal were known to be sound
+	probed   uint64         // the quarantined part that the request tried, 0 if none
+	alone    bool           // the other parts of the probe were known to be sound
 	own      bool           // of a request of this entry
 	holders  int            // suspects that hold it
 }
@@ -85,12 +85,12 @@
 // suspect is a part or request under which endpoints have ended since an answer last went
 // on with it.
 type suspect struct {
-	// isRequest is set for a request. It needs no appeals: whoever sends its content sends
+	// isRequest is set for a request. It needs no probes: whoever sends its content sends
 	// all that the endpoints ended under.
 	isRequest bool
 	service   string // empty until an endpoint ended under a request of this entry
 	id        string // of the part, shortened; empty like service
-	// reports holds one report of each endpoint, by time: that of an appeal, else that of
+	// reports holds one report of each endpoint, by time: that of a probe, else that of
 	// the request that was sent last.
 	reports []*report
 	// wasSound is set if an answer is known to have gone on before the first end.
@@ -111,7 +111,7 @@
 func (s *suspect) add(r *report) bool {
 	known := slices.IndexFunc(s.reports, func(other *report) bool { return other.endpoint == r.endpoint })
 	if known >= 0 {
-		if s.reports[known].appeal != 0 || r.appeal == 0 && s.reports[known].sentAt >= r.sentAt {
+		if s.reports[known].probed != 0 || r.probed == 0 && s.reports[known].sentAt >= r.sentAt {
 			return false
 		}
 		s.reports[known].holders--
@@ -182,23 +182,23 @@
 			break
 		}
 	}
-	appeals, alone := 0, 0
+	probes, alone := 0, 0
 	for _, r := range s.reports {
-		if r.appeal != part {
+		if r.probed != part {
 			continue
 		}
-		appeals++
+		probes++
 		if r.alone {
 			alone++
 		}
 	}
-	if len(s.reports)-appeals >= manyEnds {
-		appeals, alone = appeals+1, alone+1
+	if len(s.reports)-probes >= manyEnds {
+		probes, alone = probes+1, alone+1
 	}
-	if countRequests(s.reports) >= requestsForShortAppeal && alone > 0 {
+	if countRequests(s.reports) >= requestsForSingleProbe && alone > 0 {
 		alone++
 	}
-	s.final = s.final || alone >= maxAppeals || appeals >= maxAnyAppeals || s.isRequest && s.quarantined
+	s.final = s.final || alone >= maxProbes || probes >= maxAnyProbes || s.isRequest && s.quarantined
 	return s.quarantined != wasQuarantined || s.final != wasFinal
 }
 
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -202,8 +202,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &report{endpoint: e.Endpoint, parts: parts, request: e.Request, at: t.now(), sentAt: e.SentAt, own: true}
-	r.appeal = e.Lease.appealed()
-	r.alone = r.appeal != 0 && t.othersAreSound(parts, r.appeal)
+	r.probed = e.Lease.probedPart()
+	r.alone = r.probed != 0 && t.othersAreSound(parts, r.probed)
 	t.addReport(r)
 	for _, id := range e.Parts[:min(len(e.Parts), MaxParts)] {
 		t.name(Key(e.Service, id), e.Service, id[:min(len(id), maxIDBytes)])
@@ -311,7 +311,7 @@
 		return
 	}
 	t.reports = append(t.reports, r)
-	t.convictAll()
+	t.confirmAll()
 	if len(t.reports) > maxReports {
 		t.forget(t.reports[0])
 	}
@@ -354,7 +354,7 @@
 	}
 	t.dropUnusedReports()
 	if len(cleared) > 0 {
-		t.convictAll()
+		t.confirmAll()
 	}
 	return cleared
 }
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -27,7 +27,7 @@
 	sentAt := c.now
 	c.advance(100 * time.Millisecond)
 	_, quarantined := t.unclear(Keys(service, parts))
-	t.RecordEnd(End{Service: service, Parts: parts, Endpoint: endpoint, SentAt: sentAt, Lease: &Lease{appeal: quarantined}})
+	t.RecordEnd(End{Service: service, Parts: parts, Endpoint: endpoint, SentAt: sentAt, Lease: &Lease{probed: quarantined}})
 	c.advance(time.Millisecond)
 }
 
@@ -47,9 +47,9 @@
 		tracker.RecordSound(Keys(service, []string{"first", "other"}))
 	}
 	if got := standing(tracker, "first", "bad"); got != Unclear {
-		t.Errorf("standing %v after the proof, want an appeal", got)
+		t.Errorf("standing %v after the proof, want a probe", got)
 	}
-	for i := range uint64(maxAppeals) {
+	for i := range uint64(maxProbes) {
 		tracker.RecordSound(Keys(service, []string{"second"}))
 		end(tracker, c, endsForProof+i+1, "second", "bad")
 		tracker.RecordSound(Keys(service, []string{"second"}))
@@ -128,7 +128,7 @@
 // Two bad parts at once, each in prompts without the other, must both be quarantined.
 func TestTwoBadPartsAreBothQuarantined(t *testing.T) {
 	tracker, c := newTestTracker()
-	for i := range uint64(endsForProof + maxAppeals) {
+	for i := range uint64(endsForProof + maxProbes) {
 		end(tracker, c, 2*i+1, "first", "bad1")
 		end(tracker, c, 2*i+2, "first", "bad2")
 		tracker.RecordSound(Keys(service, []string{"first"}))
@@ -201,7 +201,7 @@
 	seen, c := newTestTracker()
 	var events []*wire.PartEvent
 	seen.OnEvents(func(e []*wire.PartEvent) { events = append(events, e...) })
-	for i := range uint64(endsForProof + maxAppeals) {
+	for i := range uint64(endsForProof + maxProbes) {
 		end(seen, c, i+1, "bad")
 	}
 	told := NewTracker(seen.now)
@@ -212,8 +212,8 @@
 	if got := standing(told, "bad"); got != Quarantined {
 		t.Errorf("standing %v at an entry that was told", got)
 	}
-	if got := told.Counts().Ends; got != endsForProof+maxAppeals {
-		t.Errorf("%d ends are known, want %d", got, endsForProof+maxAppeals)
+	if got := told.Counts().Ends; got != endsForProof+maxProbes {
+		t.Errorf("%d ends are known, want %d", got, endsForProof+maxProbes)
 	}
 }
 
@@ -243,7 +243,7 @@
 // started, and end there when it is lifted, also if an entry that is behind repeats reports.
 func TestRecordedQuarantineHoldsUntilItIsLifted(t *testing.T) {
 	seen, c := newTestTracker()
-	for i := range uint64(endsForProof + maxAppeals) {
+	for i := range uint64(endsForProof + maxProbes) {
 		end(seen, c, i+1, "bad")
 	}
 	unrecorded := seen.Unrecorded()
