--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -204,10 +204,11 @@
 			preferred = append(preferred, c)
 		}
 	}
-	if len(preferred) > 0 {
-		return preferred
+	if len(preferred) == 0 {
+		preferred = lastResort
 	}
-	return lastResort
+	s.assumeUnheardWork(preferred, req, now)
+	return preferred
 }
 
 // isUsable reports whether the endpoint takes requests like this one at all now.
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,6 +56,8 @@
 	outcomes             map[string]*outcome
 	downDataCentres      map[string]bool // out of service
 	ranked               bool            // routes differ in priority
+	isolated             int             // the first entries, which hear nothing and are not heard
+	isolatedShare        float64         // of the requests, which arrive at the isolated entries
 	// startedAt is when the entries were started; requests that arrived before wait
 	// from then on.
 	startedAt time.Time
@@ -112,7 +115,7 @@
 	e.scheduler.OnWorkEvent(func(event *wire.WorkEvent, scope Scope) {
 		for _, other := range f.entries {
 			switch {
-			case other == e:
+			case other == e, f.isIsolated(other), f.isIsolated(e):
 			case other.dataCentre == e.dataCentre:
 				f.after(f.localDelay, func() { other.scheduler.ApplyRemote(uint64(i+1), []*wire.WorkEvent{event}) })
 			case !size.loadReports || scope == AllDataCentres:
@@ -208,9 +211,20 @@
 func (f *fleet) arrive(k requestKind) {
 	f.outcomes[k.name].requests++
 	prompt := f.drawPromptTokens(k)
-	f.place(f.entries[f.random.IntN(len(f.entries))], k, prompt, f.now, false)
+	f.place(f.arrivalEntry(), k, prompt, f.now, false)
 }
 
+// arrivalEntry draws the entry at which a request arrives.
+func (f *fleet) arrivalEntry() *fleetEntry {
+	if f.isolated > 0 && f.random.Float64() < f.isolatedShare {
+		return f.entries[f.random.IntN(f.isolated)]
+	}
+	return f.entries[f.isolated+f.random.IntN(len(f.entries)-f.isolated)]
+}
+
+// isIsolated reports whether an entry hears nothing and is not heard.
+func (f *fleet) isIsolated(e *fleetEntry) bool { return slices.Contains(f.entries[:f.isolated], e) }
+
 // drawPromptTokens draws a prompt length.
 func (f *fleet) drawPromptTokens(k requestKind) int {
 	prompt := int(float64(k.medianTokens) * math.Exp(k.sigma*f.random.NormFloat64()))
--- a/coordination/placement/scheduler.go
+++ b/coordination/placement/scheduler.go
@@ -59,6 +59,7 @@
 	candidateBuffer  []candidate          // reused
 	workEnded        chan struct{}        // closed and replaced when work ends
 	estimates        estimates
+	entries          heardEntries
 }
 
 // NewScheduler returns a scheduler without work. It takes the time from now.
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -148,6 +148,7 @@
 		go runEvery(ctx, fullWorkInterval, m.publishFullWork)
 		go runEvery(ctx, partsInterval, m.repeatParts)
 		go runEvery(ctx, loadReportInterval, m.publishLoadReport)
+		go runEvery(ctx, pingInterval, m.reportHeardEntries)
 	}
 	runEvery(ctx, checkInterval, func() {
 		m.scheduler.Expire()
--- a/transport/mesh/topology.go
+++ b/transport/mesh/topology.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// reportHeardEntries tells the scheduler how many of the entries that publish all their work
+// to this process answer its pings.
+func (m *Mesh) reportHeardEntries() {
+	known, heard := 0, 0
+	m.mu.Lock()
+	for _, l := range m.links {
+		if !l.hasRole(roleNear) || !l.entry.Load() {
+			continue
+		}
+		known++
+		if monotonic.Since(l.lastHeardAt()) <= maxMissedPings*pingInterval {
+			heard++
+		}
+	}
+	m.mu.Unlock()
+	m.scheduler.SetHeardEntries(known, heard)
+}
+
 // neededLinks collects the links that the topology needs, with their roles.
 type neededLinks struct {
 	mesh  *Mesh
