Bound the memory and the connections that callers can take

Clients that sent large bodies up to just short of their end made an entry hold 398 to 430 MiB of its 96 and up to 612 of its 400 descriptors: each body was read whole into a buffer that doubles, without a bound over all connections, a body could take as long as its caller wanted, and nothing limited connections.

transport/bodybudget charges bodies as they arrive to a budget of an eighth of the process's memory, in segments. When it is short, bodies without progress give way, then the newest large ones; a body must bring 16 KiB, or its end, in each 3 s. Refusals are 503 with Retry-After, 408 (the new kind body_timeout) and 413, after which the connection is closed without reading the rest. transport/connlimit limits callers' connections by limits.maxFds and memoryMb, closes idle ones first, and enforces the configuration's limits of headers and idle times. Counters and log lines come with both.

--- a/protocol/fault/fault.go
+++ b/protocol/fault/fault.go
@@ -25,6 +25,7 @@
 	PromptTooLong      Kind = "prompt_too_long"
 	PromptQuarantined  Kind = "prompt_quarantined" // a part of the prompt ends the endpoints that run it
 	BodyTooLarge       Kind = "body_too_large"
+	BodyTimeout        Kind = "body_timeout" // the body arrived too slowly; nothing of the request was used
 	LimitExceeded      Kind = "limit_exceeded"
 	Overloaded         Kind = "overloaded" // what could serve the request is in service but has no capacity for it now
 	DeadlineUnmeetable Kind = "deadline_unmeetable"
@@ -58,6 +59,7 @@
 	PromptTooLong:      {400, true, "shorten the prompt or ask the operator for a longer limit"},
 	PromptQuarantined:  {503, true, "leave that part out; operators: find out why it ends endpoints, then lift the quarantine"},
 	BodyTooLarge:       {413, true, "send a smaller body"},
+	BodyTimeout:        {408, true, "send the whole body without pauses"},
 	LimitExceeded:      {429, true, "send again after Retry-After"},
 	Overloaded:         {503, true, "send again after Retry-After"},
 	DeadlineUnmeetable: {503, true, "send again after Retry-After or allow a later deadline"},
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -14,12 +14,15 @@
 	"github.com/apricotspoke/apricotspoke/coordination/serve"
 	"github.com/apricotspoke/apricotspoke/coordination/statecache"
 	"github.com/apricotspoke/apricotspoke/platform"
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/monotonic"
 	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/hostconfig"
 	"github.com/apricotspoke/apricotspoke/telemetry/logs"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+	"github.com/apricotspoke/apricotspoke/transport/bodybudget"
+	"github.com/apricotspoke/apricotspoke/transport/connlimit"
 	"github.com/apricotspoke/apricotspoke/transport/link"
 	"github.com/apricotspoke/apricotspoke/transport/mesh"
 	"github.com/apricotspoke/apricotspoke/transport/permitlink"
@@ -30,6 +33,8 @@
 )
 
 const (
+	// The fields of an HTTP server can't change while it serves, and it starts before there
+	// is a configuration. The shorter times of the configuration are enforced by connlimit.
 	callerHeaderTimeout  = 10 * time.Second // for a caller to send a request's headers
 	callerIdleTimeout    = time.Minute
 	maxCallerHeaderBytes = 64 << 10
@@ -59,6 +64,8 @@
 	guard           *quarantine.Guard
 	recorder        *quarantine.Recorder
 	metrics         *Metrics
+	bodies          *bodybudget.Budget
+	connections     *connlimit.Limiter
 	logger          *logs.Logger
 	draining        atomic.Bool
 	runningRequests atomic.Int64 // at the stop, logged as "cut": those that were interrupted
@@ -76,7 +83,7 @@
 // NewEntry wires an entry.
 func NewEntry(settings *platform.Settings) (*Entry, error) {
 	container := newContainer(settings, entryKind)
-	for _, constructor := range []any{newPermits, newGuard, newRecorder, newServer, newEntry} {
+	for _, constructor := range []any{newPermits, newGuard, newRecorder, newServer, newBodyBudget, newConnectionLimiter, newEntry} {
 		if err := container.Provide(constructor); err != nil {
 			return nil, err
 		}
@@ -135,8 +142,8 @@
 	return settings
 }
 
-func newEntry(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, store *statecache.Store, dir *directory.Directory, server *serve.Server, p *permits.Permits, guard *quarantine.Guard, recorder *quarantine.Recorder, metrics *Metrics, logger *logs.Logger) *Entry {
-	return &Entry{settings: settings, reloadable: reloadable, record: record, mesh: m, store: store, directory: dir, server: server, permits: p, guard: guard, recorder: recorder, metrics: metrics, logger: logger}
+func newEntry(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, store *statecache.Store, dir *directory.Directory, server *serve.Server, p *permits.Permits, guard *quarantine.Guard, recorder *quarantine.Recorder, metrics *Metrics, bodies *bodybudget.Budget, connections *connlimit.Limiter, logger *logs.Logger) *Entry {
+	return &Entry{settings: settings, reloadable: reloadable, record: record, mesh: m, store: store, directory: dir, server: server, permits: p, guard: guard, recorder: recorder, metrics: metrics, bodies: bodies, connections: connections, logger: logger}
 }
 
 // Run serves until ctx ends or an HTTP server fails. A failure of the link server while
@@ -167,15 +174,20 @@
 	}
 	defer readyServer.Close()
 	callerServer := &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}
-	if err := serveHTTP(p.CallerAddress, callerServer, failed); err != nil {
-		return err
+	e.connections.Attach(callerServer)
+	callerListener, err := e.connections.Listen(p.CallerAddress)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "can't listen on %s", p.CallerAddress)
 	}
+	serveListener(callerListener, callerServer, failed)
 	defer callerServer.Close()
+	go e.connections.Run(background)
 	go e.mesh.Run(background)
 	go e.recorder.Run(background)
 	go watchSettings(background, e.settings, reload, e.reloadable, func(next *hostconfig.Process) {
 		e.mesh.SetSeeds(seedLinkAddresses(next))
 		e.server.SetSettings(serveSettings(next, e.mesh))
+		e.bodies.SetTotal(bodybudget.ShareOf(next.MemoryBytes))
 	})
 	e.logger.Info().Str("process", e.record.Name).Str("address", e.record.Address).Str("data_centre", p.DataCentre).
 		Strs("seeds", p.Seeds).Msg("The entry has started.")
@@ -223,12 +235,8 @@
 			defer e.runningRequests.Add(-1)
 			e.server.Serve(q.Context(), r, a)
 		},
-		MaxBodyBytes: func() int {
-			if c := e.store.State().Catalogue; c != nil {
-				return c.Limits.BodyBytes
-			}
-			return 0
-		},
-		Draining: e.draining.Load,
+		Bodies:       e.bodies,
+		MaxBodyBytes: func() int { return configuredLimits(e.store).BodyBytes },
+		Draining:     e.draining.Load,
 	}
 }
--- a/role/host/host.go
+++ b/role/host/host.go
@@ -184,7 +184,7 @@
 		applied, afterRestart := reloadable.Reload(&next.Process)
 		p := reloadable.Get()
 		logger.Info().Strs("taken", applied).Strs("wait_for_restart", afterRestart).Strs("seeds", p.Seeds).
-			Any("bounds", p.Bounds).Int64("memory_bytes", p.MemoryBytes).Msg("Changed settings were read.")
+			Any("bounds", p.Bounds).Int64("memory_bytes", p.MemoryBytes).Int("descriptors", p.MaxDescriptors).Msg("Changed settings were read.")
 		setMemoryLimit(p)
 		apply(p)
 	}
@@ -209,10 +209,15 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "can't listen on %s", address)
 	}
+	serveListener(listener, server, failed)
+	return nil
+}
+
+// serveListener serves until the server is shut down. A failure is sent to failed.
+func serveListener(listener net.Listener, server *http.Server, failed chan<- error) {
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- fmt.Errorf("serving %s: %w", address, err)
+			failed <- fmt.Errorf("serving %s: %w", listener.Addr(), err)
 		}
 	}()
-	return nil
 }
--- a/state/hostconfig/check.go
+++ b/state/hostconfig/check.go
@@ -27,6 +27,7 @@
 	add(p.FirstLinkPort < 1 || p.LastLinkPort > 65535 || p.LastLinkPort-p.FirstLinkPort+1 < linkPortsPerHost,
 		"the port range %d to %d for links must hold at least %d ports between 1 and 65535", p.FirstLinkPort, p.LastLinkPort, linkPortsPerHost)
 	add(p.MemoryBytes < 0, "the memory limit of %d bytes is negative", p.MemoryBytes)
+	add(p.MaxDescriptors < 0, "the limit of %d descriptors is negative", p.MaxDescriptors)
 	b := &p.Bounds
 	add(b.RevokedWithin < 0 || b.AnnounceEvery < 0 || b.StopWithin < 0 || b.RepeatWindow < 0, "a time among the bounds is negative")
 	add(b.RepeatRatio < 0 || b.RepeatSlack < 0, "RepeatRatio or RepeatSlack, which limit repeats, is negative")
--- a/state/hostconfig/hostconfig.go
+++ b/state/hostconfig/hostconfig.go
@@ -20,6 +20,7 @@
 	DataFolder      string   // empty for a host without a disk
 	MetricsPort     int      // on the host's address; 0 for none
 	MemoryBytes     int64    // memory limit of the process
+	MaxDescriptors  int      // files and connections that the process may have open; 0 for no limit
 	Bounds          Bounds
 }
 
--- a/state/hostconfig/reload.go
+++ b/state/hostconfig/reload.go
@@ -21,12 +21,12 @@
 func (r *Reloadable) Get() *Process { return r.process.Load() }
 
 // Reload applies the settings that may change while the process runs: the seeds, the
-// memory limit and the bounds. It returns the names of the fields that changed and of
+// memory limit, the limit of descriptors and the bounds. It returns the names of the fields that changed and of
 // those that change with a restart only.
 func (r *Reloadable) Reload(next *Process) (applied, afterRestart []string) {
 	before := *r.Get()
 	now := before
-	now.Seeds, now.MemoryBytes, now.Bounds = next.Seeds, next.MemoryBytes, next.Bounds
+	now.Seeds, now.MemoryBytes, now.MaxDescriptors, now.Bounds = next.Seeds, next.MemoryBytes, next.MaxDescriptors, next.Bounds
 	r.process.Store(&now)
 	wanted := *next
 	wanted.MetricsPort = before.MetricsPort // set on the command line, not in the file
--- /dev/null
+++ b/transport/bodybudget/budget.go
@@ -0,0 +1,214 @@
+// Package bodybudget bounds the memory that request bodies and buffered answers take in
+// one process. Bytes are charged as they arrive. When they don't fit, unfinished bodies are
+// evicted: first those without progress, then the newest large ones.
+package bodybudget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/telemetry/logs"
+)
+
+const (
+	// DefaultBytes is the budget of a process whose memory isn't known.
+	DefaultBytes = 64 << 20
+	// memoryDivisor makes the budget an eighth of the process's memory. The runtime's soft
+	// limit is 0.6 of it, and the entry of a fleet of 300 hosts needs most of that itself.
+	memoryDivisor = 8
+	// largeBodyBytes is the size from which a body is large. Ordinary bodies have at most
+	// 250 KB.
+	largeBodyBytes = 256 << 10
+	// largeShare is the part of the budget that large bodies and answers may fill, in
+	// quarters. The rest stays free for the bodies of ordinary requests.
+	largeShare = 3
+	// stalledAfter is the time without progress after which a body is evicted before
+	// others.
+	stalledAfter = 250 * time.Millisecond
+	// retryAfter is told to refused callers. Unfinished bodies without progress end within
+	// progressWindow, so that there is room soon.
+	retryAfter = time.Second
+)
+
+// Budget counts the bytes of one process. Its methods may be called concurrently.
+type Budget struct {
+	mu           sync.Mutex
+	changed      *sync.Cond // signalled when bytes are released or a body is evicted
+	totalBytes   int64
+	maxBodyBytes int64 // limit of a body, as of the last one that began
+	heldBytes    int64
+	leavingBytes int64 // the part of heldBytes that evicted bodies hold until their readers return
+	bodies       map[*unfinished]struct{}
+	counts       Counts
+	logger       *logs.Logger
+
+	joining sync.Mutex // held while a large body is copied to one buffer
+}
+
+// Counts are the bodies and reservations that a budget refused, by cause.
+type Counts struct {
+	Evicted  int64 // unfinished bodies, without progress or the newest, while the budget was short
+	NoRoom   int64 // bodies and reservations for which nothing could be evicted
+	TimedOut int64 // bodies that made too little progress
+	TooLarge int64 // bodies over the limit
+}
+
+// New returns a budget of totalBytes.
+func New(totalBytes int64) *Budget {
+	b := &Budget{totalBytes: totalBytes, bodies: make(map[*unfinished]struct{}), logger: logs.For("bodies")}
+	b.changed = sync.NewCond(&b.mu)
+	return b
+}
+
+// ShareOf returns the budget of a process by its memory, DefaultBytes if that is unknown (0).
+func ShareOf(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		return DefaultBytes
+	}
+	return memoryBytes / memoryDivisor
+}
+
+// SetTotal changes the budget. What is held stays held.
+func (b *Budget) SetTotal(totalBytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.totalBytes = totalBytes
+	b.changed.Broadcast()
+}
+
+// Reserve charges n bytes of an answer that is buffered. If they don't fit, it evicts
+// unfinished bodies and waits until their readers have returned. It returns an Overloaded
+// error if that doesn't make room.
+func (b *Budget) Reserve(n int) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.charge(nil, int64(n))
+}
+
+// Release returns n bytes that Reserve charged.
+func (b *Budget) Release(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.release(int64(n))
+}
+
+// HeldBytes returns the bytes that are charged now.
+func (b *Budget) HeldBytes() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.heldBytes
+}
+
+// Counts returns how many bodies and reservations were refused.
+func (b *Budget) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts
+}
+
+// EvictStalled evicts the unfinished body that has made no progress for longest, if there is
+// one without progress. It is for a caller that is short of connections.
+func (b *Budget) EvictStalled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	victim := b.longestStalled(0)
+	if victim == nil {
+		return false
+	}
+	b.evict(victim)
+	return true
+}
+
+// charge adds n bytes to a body, or to an answer if u is nil. It waits while bytes of
+// evicted bodies will make enough room.
+func (b *Budget) charge(u *unfinished, n int64) error {
+	large := u == nil || u.chargedBytes+n > largeBodyBytes
+	for {
+		if u != nil && u.evicted {
+			return errEvicted()
+		}
+		limit := b.limit(large)
+		if b.heldBytes+n <= limit {
+			break
+		}
+		if b.heldBytes-b.leavingBytes+n <= limit {
+			b.changed.Wait()
+			continue
+		}
+		victim := b.victim(large)
+		if victim == nil {
+			b.counts.NoRoom++
+			return fault.New(fault.Overloaded, "the memory for request bodies and answers is used up").WithRetryAfter(retryAfter)
+		}
+		b.evict(victim)
+	}
+	b.heldBytes += n
+	if u != nil {
+		u.chargedBytes += n
+	}
+	return nil
+}
+
+func (b *Budget) release(n int64) {
+	b.heldBytes -= n
+	b.changed.Broadcast()
+}
+
+// limit returns how many bytes may be charged. Beside them there is always room for the copy
+// of the one large body that is joined, and for a body of the full size.
+func (b *Budget) limit(large bool) int64 {
+	limit := max(b.totalBytes-b.maxBodyBytes, (b.maxBodyBytes+segmentBytes)*4/largeShare)
+	if large {
+		return limit * largeShare / 4
+	}
+	return limit
+}
+
+// victim returns the unfinished body to evict: the one without progress for longest, else the
+// newest large one, else the newest. For a large body or an answer no small body is evicted,
+// unless it makes no progress. It returns nil if there is none.
+func (b *Budget) victim(forLarge bool) *unfinished {
+	if u := b.longestStalled(1); u != nil {
+		return u
+	}
+	var newest *unfinished
+	for u := range b.bodies {
+		if u.evicted || u.chargedBytes == 0 || forLarge && !u.isLarge() {
+			continue
+		}
+		if newest == nil || u.isLarge() && !newest.isLarge() || u.isLarge() == newest.isLarge() && u.began.After(newest.began) {
+			newest = u
+		}
+	}
+	return newest
+}
+
+// longestStalled returns the body without progress for longest, of those to which at least
+// minBytes are charged. It returns nil if none is without progress.
+func (b *Budget) longestStalled(minBytes int64) *unfinished {
+	var longest *unfinished
+	now := time.Now()
+	for u := range b.bodies {
+		if u.evicted || u.chargedBytes < minBytes || now.Sub(u.progressAt) < stalledAfter {
+			continue
+		}
+		if longest == nil || u.progressAt.Before(longest.progressAt) {
+			longest = u
+		}
+	}
+	return longest
+}
+
+// evict makes the reader of a body return. Its bytes stay charged until then.
+func (b *Budget) evict(u *unfinished) {
+	u.evicted = true
+	b.leavingBytes += u.chargedBytes
+	b.counts.Evicted++
+	u.interrupt()
+	b.changed.Broadcast()
+}
+
+func errEvicted() error {
+	return fault.New(fault.Overloaded, "the memory for request bodies is used up and the body has not arrived yet").WithRetryAfter(retryAfter)
+}
--- /dev/null
+++ b/transport/bodybudget/http.go
@@ -0,0 +1,51 @@
+package bodybudget
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/protocol/fault"
+)
+
+// refusalWriteTimeout bounds the writing of an answer to a caller whose body was refused and
+// who may read nothing.
+const refusalWriteTimeout = 5 * time.Second
+
+// ReadRequest reads the body of a request, of at most maxBytes and until deadline. After an
+// error the caller must call CloseUnread before it writes the answer.
+func (b *Budget) ReadRequest(w http.ResponseWriter, r *http.Request, maxBytes int, deadline time.Time) (*Body, error) {
+	if r.ContentLength == 0 {
+		return &Body{budget: b}, nil
+	}
+	control := http.NewResponseController(w)
+	body, err := b.Read(Source{Reader: r.Body, SetReadDeadline: control.SetReadDeadline, AnnouncedBytes: r.ContentLength, MaxBytes: maxBytes, Deadline: deadline})
+	if err != nil {
+		b.logRefusal(err)
+		return nil, err
+	}
+	_ = control.SetReadDeadline(time.Time{}) // fails if the caller has disconnected
+	return body, nil
+}
+
+// logRefusal logs why a body was refused, unless its caller has disconnected.
+func (b *Budget) logRefusal(err error) {
+	kind := fault.KindOf(err)
+	if kind == fault.InvalidRequest {
+		return
+	}
+	b.logger.RateLimitedWarn(string(kind)).Int64("held_bytes", b.HeldBytes()).Err(err).Msg("A request body is refused.")
+}
+
+// CloseUnread makes the server close the connection after the answer, without reading what is
+// left of the body. The answer isn't lost in a reset, as the server ends its side first and
+// waits for some time: it does so for a body over the limit of a MaxBytesReader, so such a
+// reader is made to exceed its limit.
+func CloseUnread(w http.ResponseWriter) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Unix(1, 0)) // net/http would read on for 256 KiB; not supported in some tests
+	_ = control.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	w.Header().Set("Connection", "close")
+	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+}
--- /dev/null
+++ b/transport/connlimit/conn.go
@@ -0,0 +1,143 @@
+package connlimit
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// receiveBufferBytes bounds what the kernel holds of a connection that the server does
+	// not read, such as requests sent behind one that is running. Without it the kernel lets
+	// the buffer grow to many megabytes. It is enough for a body of 250 KB within a second
+	// at a round-trip time of 200 ms.
+	receiveBufferBytes = 64 << 10
+	// serverBytes is what the server holds of a connection: two buffers of 4 KiB, a
+	// stack, and the request.
+	serverBytes = 24 << 10
+	// BytesPerConnection is the memory that one connection may take before the body of a
+	// request.
+	BytesPerConnection = serverBytes + receiveBufferBytes
+	// readAheadBytes is the most that the server reads beyond a header.
+	readAheadBytes = 4 << 10
+	// What a refused connection has sent is read for up to
+	// refusalTimeout and refusalReadBytes, so that the answer isn't lost in a reset.
+	refusalTimeout   = 100 * time.Millisecond
+	refusalReadBytes = 64 << 10
+)
+
+const (
+	refusedAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headerAnswer  = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+var errHeaderTooLong = errors.New("the header of a request is too long")
+
+// phase is what the server does with a connection.
+type phase int
+
+const (
+	phaseIdle    phase = iota // waiting for the first byte of a request
+	phaseHeader               // reading a header
+	phaseRequest              // reading a body or handling a request
+)
+
+// conn is a connection of a limiter. The limiter's lock guards its fields.
+type conn struct {
+	*net.TCPConn
+	limiter     *Limiter
+	phase       phase
+	since       time.Time // of the phase
+	headerBytes int
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.limiter.recordHeader(c, n) {
+		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = io.WriteString(c.TCPConn, headerAnswer) // the client may have disconnected
+		discardRest(c.TCPConn)
+		return 0, errHeaderTooLong
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.limiter.remove(c)
+	return c.TCPConn.Close()
+}
+
+// listener accepts connections within the limits.
+type listener struct {
+	*net.TCPListener
+	limiter *Limiter
+}
+
+// Listen listens on a TCP address for a server that is attached to the limiter.
+func (l *Limiter) Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: limitReceiveBuffer}
+	inner, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{TCPListener: inner.(*net.TCPListener), limiter: l}, nil
+}
+
+// limitReceiveBuffer sets the receive buffer of a listener, which its connections inherit.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(descriptor uintptr) {
+		failed = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+	})
+	return errors.Join(err, failed)
+}
+
+// Accept implements net.Listener. It refuses connections over the limit.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{TCPConn: inner, limiter: l.limiter, since: time.Now()}
+		if l.limiter.admit(c) {
+			return c, nil
+		}
+		l.limiter.refuse(inner)
+	}
+}
+
+// refuse answers a new connection over the limit and closes it.
+func (l *Limiter) refuse(inner *net.TCPConn) {
+	evicted := l.evictStalled()
+	l.logger.RateLimitedWarn("refused").Bool("evicted_body", evicted).Int("limit", l.limits().Connections).
+		Msg("The limit of connections is reached; a new one is refused.")
+	select {
+	case l.refusals <- struct{}{}:
+	default:
+		_ = inner.Close() // without an answer
+		return
+	}
+	go func() {
+		defer func() { <-l.refusals }()
+		defer inner.Close()
+		_ = inner.SetDeadline(time.Now().Add(refusalTimeout))
+		if _, err := io.WriteString(inner, refusedAnswer); err != nil {
+			return
+		}
+		discardRest(inner)
+	}()
+}
+
+// discardRest ends the sending side after an answer and reads what the client still sends,
+// as a close with unread bytes would reset the connection.
+func discardRest(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(refusalTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c, refusalReadBytes)) // ends at its deadline
+}
