Count buffered answers and the product's own bodies in the same budget

An entry buffered up to 32 MiB of endpoints' answers whatever memory its host has, beside the bodies of callers. Answers are charged to the budget of bodies now (serve.Server.SetMemory, interface serve.Memory); without a budget the limit is 32 MiB as before. Unfinished bodies give way to them.

The entry's server has limits for whole requests and idle connections.

--- a/coordination/serve/events.go
+++ b/coordination/serve/events.go
@@ -8,7 +8,6 @@
 	"io"
 	"strconv"
 	"strings"
-	"sync/atomic"
 )
 
 // maxEventBytes bounds the bytes that are buffered for one event, with all that
@@ -46,7 +45,7 @@
 // back until a block with an ID or the end of the stream, so that an endpoint which
 // sends only comments or empty lines counts as silent. The bytes of the event that is being
 // read are counted in buffered.
-func readEvents(ctx context.Context, body io.Reader, events chan<- event, buffered *atomic.Int64) error {
+func readEvents(ctx context.Context, body io.Reader, events chan<- event, buffered *answerBuffer) error {
 	lines := bufio.NewReaderSize(body, lineBufferBytes)
 	var e event
 	defer func() { buffered.Add(-int64(len(e.bytes))) }()
@@ -80,7 +79,7 @@
 // returns io.EOF at the end of the stream. atBoundary reports whether reading has
 // stopped between two blocks: after an empty line, or at an end of the stream before
 // the first byte of a block.
-func readBlock(lines *bufio.Reader, e *event, buffered *atomic.Int64) (atBoundary bool, err error) {
+func readBlock(lines *bufio.Reader, e *event, buffered *answerBuffer) (atBoundary bool, err error) {
 	start := len(e.bytes)
 	lineStart := start
 	for {
--- a/coordination/serve/invalid_response_test.go
+++ b/coordination/serve/invalid_response_test.go
@@ -123,8 +123,8 @@
 // Guards against many streams that each keep bytes without end below the bound of one event
 // and fill the memory together.
 func TestEventsOfAllStreamsTogetherAreBounded(t *testing.T) {
-	var buffered atomic.Int64
-	buffered.Store(maxBufferedBytes - maxEventBytes/2) // held by other streams
+	var buffered answerBuffer
+	buffered.held.Store(maxBufferedBytes - maxEventBytes/2) // held by other streams
 	body := &endless{ctx: t.Context(), first: strings.NewReader(""), text: "data: x"}
 	if err := readEvents(t.Context(), body, make(chan event), &buffered); !errors.Is(err, errBufferFull) {
 		t.Errorf("a stream for which there is no room: %v", err)
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
@@ -16,14 +15,15 @@
 	// is written to the caller. A longer response counts as invalid.
 	maxPlainAnswerBytes = 4 << 20
 	// maxBufferedBytes bounds the plain answers and the events being read of all requests
-	// together. A response for which no room is left counts as invalid too.
+	// together, in a server without SetMemory. A response for which no room is left counts as
+	// invalid too.
 	maxBufferedBytes = 32 << 20
 	// readChunkBytes is the most that one read takes from a response.
 	readChunkBytes = 16 << 10
 )
 
 // errBufferFull marks a response with which the buffered plain answers of all requests
-// would exceed maxBufferedBytes.
+// would exceed their bound.
 var errBufferFull = errors.New("the buffer for responses is full")
 
 // errAnswerTooLong marks a response beyond maxPlainAnswerBytes.
@@ -63,18 +63,9 @@
 	return body, err
 }
 
-// reserve adds n bytes to buffered, or fails if it would exceed maxBufferedBytes.
-func reserve(buffered *atomic.Int64, n int) error {
-	if buffered.Add(int64(n)) <= maxBufferedBytes {
-		return nil
-	}
-	buffered.Add(-int64(n))
-	return errBufferFull
-}
-
 // readBuffered reads a body to its end and adds the length of what it returns,
 // also on an error, to buffered.
-func readBuffered(body io.Reader, buffered *atomic.Int64) ([]byte, error) {
+func readBuffered(body io.Reader, buffered *answerBuffer) ([]byte, error) {
 	var text []byte
 	chunk := make([]byte, readChunkBytes)
 	for {
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -153,7 +153,7 @@
 	budget        *retryBudget
 	startedAt     time.Time
 	retries       retrySchedule
-	bufferedBytes atomic.Int64 // of plain answers and of events being read, over all requests
+	bufferedBytes answerBuffer // of plain answers and of events being read, over all requests
 	logger        *logs.Logger
 	metrics       *metrics.Registry
 }
--- a/role/entry/entry.go
+++ b/role/entry/entry.go
@@ -20,7 +20,11 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	closeTimeout      = 2 * time.Second // for closing the listener, and for returning quota
+	// readTimeout bounds the rest of a body that is not used, as that of a request without a
+	// route. It is longer than callerhttp allows for a body.
+	readTimeout  = 40 * time.Second
+	idleTimeout  = time.Minute
+	closeTimeout = 2 * time.Second // for closing the listener, and for returning quota
 )
 
 // Control is the control role in the same process.
@@ -93,7 +97,7 @@
 		running.Go(func() { sendError(failed, e.control.Run(background)) })
 	}
 	go func() { sendError(failed, e.fleetServer.Serve(fleetListener)) }()
-	server := &http.Server{Handler: e.callerServer.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: e.callerServer.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 	go func() { sendError(failed, server.Serve(callerListener)) }()
 	e.log.Info().Str("http", callerListener.Addr().String()).Str("fleet", fleetListener.Addr().String()).Msg("The entry is serving.")
 	var err error
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -112,8 +112,10 @@
 	return quarantine.NewRecorder(tracker, client)
 }
 
-func newServer(reloadable *hostconfig.Reloadable, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, m *mesh.Mesh, p *permits.Permits, guard *quarantine.Guard, registry *metrics.Registry) *serve.Server {
-	return serve.NewServer(serveSettings(reloadable.Get(), m), store, dir, scheduler, platform.NewUpstream(recordDraining(scheduler, dir)), p, guard, registry)
+func newServer(reloadable *hostconfig.Reloadable, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, m *mesh.Mesh, p *permits.Permits, guard *quarantine.Guard, bodies *bodybudget.Budget, registry *metrics.Registry) *serve.Server {
+	server := serve.NewServer(serveSettings(reloadable.Get(), m), store, dir, scheduler, platform.NewUpstream(recordDraining(scheduler, dir)), p, guard, registry)
+	server.SetMemory(bodies)
+	return server
 }
 
 // recordDraining returns a function that is called when an endpoint answers that it
--- a/transport/callerhttp/call.go
+++ b/transport/callerhttp/call.go
@@ -12,6 +12,7 @@
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
+	"github.com/apricotspoke/apricotspoke/transport/bodybudget"
 )
 
 const (
@@ -45,13 +46,22 @@
 	c := &call{server: s, w: w, r: r, id: relay.NewAttemptID(), startedAt: time.Now(), memory: s.BodyBudget.newReservation()}
 	w.Header().Set("X-Request-Id", c.id)
 	if err := c.readRequest(); err != nil {
-		c.fail(err)
-		c.close()
+		c.refuse(err)
 		return nil, false
 	}
 	return c, true
 }
 
+// refuse sends the response for an error before the request has been read, and ends the call.
+// It closes the connection if a part of the body is still to come.
+func (c *call) refuse(err error) {
+	if c.r.ContentLength != 0 && c.memory.body == nil {
+		bodybudget.CloseUnread(c.w)
+	}
+	c.fail(err)
+	c.close()
+}
+
 func (c *call) readRequest() error {
 	if err := c.authenticate(); err != nil {
 		return err
