Let ordinary callers through beside clients that hold connections

New connections without a byte yet counted as the idle ones that give way first; each refused body held its connection for the 500 ms that net/http waits before it closes; an answer found no room when small unfinished bodies had filled the budget; and most refused connections were closed without an answer.

Connections give way after 10 ms without a request or 50 ms with a part of a header, answered ones that are about to be closed first. A body without progress gives its place to a new connection at once, within a quarter of the limit. Refused connections get their 503 at once. Answers may fill the whole budget, which is a sixth of the memory now, and all unfinished bodies give way to them; bodies are admitted up to three quarters, large ones up to a half.

--- a/role/host/memory.go
+++ b/role/host/memory.go
@@ -20,18 +20,17 @@
 	// connectionMemoryDivisor makes callers' connections take at most a quarter of the
 	// process's memory.
 	connectionMemoryDivisor = 4
-	// minConnections keeps an entry reachable, whatever its settings say.
-	minConnections = 16
 )
 
-// maxConnections returns how many connections of callers an entry holds; 0 for no limit.
+// maxConnections returns how many connections of callers an entry holds, beside those with
+// which connlimit may exceed the limit; 0 for no limit.
 func maxConnections(p *hostconfig.Process) int {
 	limit := 0
 	if p.MaxDescriptors > 0 {
-		limit = max(minConnections, (p.MaxDescriptors-reservedDescriptors)/descriptorsPerCaller)
+		limit = connlimit.LimitFor((p.MaxDescriptors - reservedDescriptors) / descriptorsPerCaller)
 	}
 	if p.MemoryBytes > 0 {
-		byMemory := max(minConnections, int(p.MemoryBytes/connectionMemoryDivisor/connlimit.BytesPerConnection))
+		byMemory := connlimit.LimitFor(int(p.MemoryBytes / connectionMemoryDivisor / connlimit.BytesPerConnection))
 		if limit == 0 || byMemory < limit {
 			limit = byMemory
 		}
@@ -68,6 +67,7 @@
 		fmt.Fprintf(w, "caller_connections %d\n", c.Open)
 		fmt.Fprintf(w, "caller_connections_closed{cause=\"refused\"} %d\n", c.Refused)
 		fmt.Fprintf(w, "caller_connections_closed{cause=\"evicted_idle\"} %d\ncaller_connections_closed{cause=\"evicted_header\"} %d\n", c.EvictedIdle, c.EvictedHeader)
+		fmt.Fprintf(w, "caller_connections_closed{cause=\"evicted_body\"} %d\n", c.EvictedBody)
 		fmt.Fprintf(w, "caller_connections_closed{cause=\"idle\"} %d\ncaller_connections_closed{cause=\"slow_header\"} %d\n", c.IdleTimeouts, c.SlowHeaders)
 		fmt.Fprintf(w, "caller_connections_closed{cause=\"long_header\"} %d\n", c.LongHeaders)
 	})
--- a/role/host/memory_test.go
+++ b/role/host/memory_test.go
@@ -15,12 +15,12 @@
 		want        int
 	}{
 		{0, 0, 0},
-		{0, 4100, 1950},
-		{184 << 20, 0, 535},
-		{184 << 20, 4100, 535},
-		{504 << 20, 4100, 1466},
-		{504 << 20, 1000, 400},
-		{1 << 20, 50, minConnections},
+		{0, 4100, 1560},
+		{184 << 20, 0, 428},
+		{184 << 20, 4100, 428},
+		{504 << 20, 4100, 1172},
+		{504 << 20, 1000, 320},
+		{1 << 20, 50, 16},
 	} {
 		if got := maxConnections(&hostconfig.Process{MemoryBytes: c.memoryBytes, MaxDescriptors: c.descriptors}); got != c.want {
 			t.Errorf("%d bytes and %d descriptors: %d connections, want %d", c.memoryBytes, c.descriptors, got, c.want)
--- a/transport/bodybudget/body.go
+++ b/transport/bodybudget/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
@@ -52,8 +53,9 @@
 	progressAt   time.Time // when progressBytes had arrived again, or when it began
 	markedBytes  int       // received at progressAt
 	chargedBytes int64
-	evicted      bool
+	evicted      atomic.Bool
 
+	armedUntil    time.Time // read deadline that was set last
 	receivedBytes int
 	full          [][]byte // segments before current
 	current       []byte
@@ -102,7 +104,7 @@
 // remove takes a body out of those that may be evicted.
 func (b *Budget) remove(u *unfinished) {
 	delete(b.bodies, u)
-	if u.evicted {
+	if u.evicted.Load() {
 		b.leavingBytes -= u.chargedBytes
 	}
 }
@@ -167,19 +169,16 @@
 	if !u.source.Deadline.IsZero() && u.source.Deadline.Before(deadline) {
 		deadline = u.source.Deadline
 	}
-	_ = u.source.SetReadDeadline(deadline) // fails if the connection has ended, and then the read does too
-	if u.isEvicted() {
+	if !deadline.Equal(u.armedUntil) {
+		u.armedUntil = deadline
+		_ = u.source.SetReadDeadline(deadline) // fails if the connection has ended, and then the read does too
+	}
+	if u.evicted.Load() {
 		return errEvicted()
 	}
 	return nil
 }
 
-func (u *unfinished) isEvicted() bool {
-	u.budget.mu.Lock()
-	defer u.budget.mu.Unlock()
-	return u.evicted
-}
-
 func (u *unfinished) recordProgress(n int) {
 	u.receivedBytes += n
 	if u.receivedBytes-u.markedBytes < progressBytes {
@@ -194,7 +193,7 @@
 // readError returns the error of a read that failed.
 func (u *unfinished) readError(err error) error {
 	switch {
-	case u.isEvicted():
+	case u.evicted.Load():
 		return errEvicted()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		u.budget.count(func(c *Counts) { c.TimedOut++ })
@@ -209,7 +208,7 @@
 	b := u.budget
 	b.mu.Lock()
 	b.remove(u)
-	if u.evicted {
+	if u.evicted.Load() {
 		b.release(u.chargedBytes)
 		b.mu.Unlock()
 		u.recycle()
--- a/transport/bodybudget/budget.go
+++ b/transport/bodybudget/budget.go
@@ -14,15 +14,17 @@
 const (
 	// DefaultBytes is the budget of a process whose memory isn't known.
 	DefaultBytes = 64 << 20
-	// memoryDivisor makes the budget an eighth of the process's memory. The runtime's soft
+	// memoryDivisor makes the budget a sixth of the process's memory. The runtime's soft
 	// limit is 0.6 of it, and the entry of a fleet of 300 hosts needs most of that itself.
-	memoryDivisor = 8
+	memoryDivisor = 6
 	// largeBodyBytes is the size from which a body is large. Ordinary bodies have at most
 	// 250 KB.
 	largeBodyBytes = 256 << 10
-	// largeShare is the part of the budget that large bodies and answers may fill, in
-	// quarters. The rest stays free for the bodies of ordinary requests.
-	largeShare = 3
+	// largeQuarters and bodyQuarters are the parts of the budget that may be filled when a
+	// large body, or any body, needs more. The rest stays free for ordinary bodies, and for
+	// the answers of requests that run.
+	largeQuarters = 2
+	bodyQuarters  = 3
 	// stalledAfter is the time without progress after which a body is evicted before
 	// others.
 	stalledAfter = 250 * time.Millisecond
@@ -123,12 +125,12 @@
 // charge adds n bytes to a body, or to an answer if u is nil. It waits while bytes of
 // evicted bodies will make enough room.
 func (b *Budget) charge(u *unfinished, n int64) error {
-	large := u == nil || u.chargedBytes+n > largeBodyBytes
+	large := u != nil && u.chargedBytes+n > largeBodyBytes
 	for {
-		if u != nil && u.evicted {
+		if u != nil && u.evicted.Load() {
 			return errEvicted()
 		}
-		limit := b.limit(large)
+		limit := b.limit(u != nil, large)
 		if b.heldBytes+n <= limit {
 			break
 		}
@@ -157,24 +159,27 @@
 
 // limit returns how many bytes may be charged. Beside them there is always room for the copy
 // of the one large body that is joined, and for a body of the full size.
-func (b *Budget) limit(large bool) int64 {
-	limit := max(b.totalBytes-b.maxBodyBytes, (b.maxBodyBytes+segmentBytes)*4/largeShare)
-	if large {
-		return limit * largeShare / 4
+func (b *Budget) limit(body, large bool) int64 {
+	limit := max(b.totalBytes-b.maxBodyBytes, (b.maxBodyBytes+segmentBytes)*4/largeQuarters)
+	switch {
+	case large:
+		return limit * largeQuarters / 4
+	case body:
+		return limit * bodyQuarters / 4
 	}
 	return limit
 }
 
 // victim returns the unfinished body to evict: the one without progress for longest, else the
-// newest large one, else the newest. For a large body or an answer no small body is evicted,
-// unless it makes no progress. It returns nil if there is none.
+// newest large one, else the newest. For a large body no small one is evicted, unless it
+// makes no progress. It returns nil if there is none.
 func (b *Budget) victim(forLarge bool) *unfinished {
 	if u := b.longestStalled(1); u != nil {
 		return u
 	}
 	var newest *unfinished
 	for u := range b.bodies {
-		if u.evicted || u.chargedBytes == 0 || forLarge && !u.isLarge() {
+		if u.evicted.Load() || u.chargedBytes == 0 || forLarge && !u.isLarge() {
 			continue
 		}
 		if newest == nil || u.isLarge() && !newest.isLarge() || u.isLarge() == newest.isLarge() && u.began.After(newest.began) {
@@ -190,7 +195,7 @@
 	var longest *unfinished
 	now := time.Now()
 	for u := range b.bodies {
-		if u.evicted || u.chargedBytes < minBytes || now.Sub(u.progressAt) < stalledAfter {
+		if u.evicted.Load() || u.chargedBytes < minBytes || now.Sub(u.progressAt) < stalledAfter {
 			continue
 		}
 		if longest == nil || u.progressAt.Before(longest.progressAt) {
@@ -202,7 +207,7 @@
 
 // evict makes the reader of a body return. Its bytes stay charged until then.
 func (b *Budget) evict(u *unfinished) {
-	u.evicted = true
+	u.evicted.Store(true)
 	b.leavingBytes += u.chargedBytes
 	b.counts.Evicted++
 	u.interrupt()
--- a/transport/bodybudget/budget_test.go
+++ b/transport/bodybudget/budget_test.go
@@ -99,7 +99,7 @@
 // without progress give way, the longest first, and no others.
 func TestBodiesWithoutProgressGiveWay(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
-		b := New(4 * testMaxBytes) // 3 beside the copy, of which large bodies fill 2.25
+		b := New(6 * testMaxBytes) // 5 beside the copy, of which large bodies fill 2.5
 		stopped, dripping := startReading(b), startReading(b)
 		stopped.send(testMaxBytes - 1)
 		time.Sleep(time.Millisecond)
@@ -180,7 +180,7 @@
 		b := New(4 * testMaxBytes)
 		unfinished := startReading(b)
 		unfinished.send(testMaxBytes - 1)
-		if err := b.Reserve(2 * testMaxBytes); err != nil {
+		if err := b.Reserve(5 * testMaxBytes / 2); err != nil {
 			t.Errorf("an answer beside an unfinished body: %v", err)
 		}
 		if kind := unfinished.end(); kind != fault.Overloaded {
@@ -189,7 +189,7 @@
 		if err := b.Reserve(testMaxBytes); fault.KindOf(err) != fault.Overloaded || fault.From(err).RetryAfter <= 0 {
 			t.Errorf("beyond the budget: %v", err)
 		}
-		b.Release(2 * testMaxBytes)
+		b.Release(5 * testMaxBytes / 2)
 		if b.HeldBytes() != 0 {
 			t.Errorf("%d held", b.HeldBytes())
 		}
--- a/transport/connlimit/conn.go
+++ b/transport/connlimit/conn.go
@@ -43,6 +43,8 @@
 	phaseIdle    phase = iota // waiting for the first byte of a request
 	phaseHeader               // reading a header
 	phaseRequest              // reading a body or handling a request
+	phaseClosing              // waiting, after the answer and the end of the own side, before the close
+	phases                    // number of phases
 )
 
 // conn is a connection of a limiter. The limiter's lock guards its fields.
@@ -72,6 +74,13 @@
 	return c.TCPConn.Close()
 }
 
+// CloseWrite ends the own side of the connection. The server calls it some time before it
+// closes a connection whose request was refused.
+func (c *conn) CloseWrite() error {
+	c.limiter.markClosing(c)
+	return c.TCPConn.CloseWrite()
+}
+
 // listener accepts connections within the limits.
 type listener struct {
 	*net.TCPListener
@@ -114,26 +123,36 @@
 
 // refuse answers a new connection over the limit and closes it.
 func (l *Limiter) refuse(inner *net.TCPConn) {
-	evicted := l.evictStalled()
-	l.logger.RateLimitedWarn("refused").Bool("evicted_body", evicted).Int("limit", l.limits().Connections).
+	l.logger.RateLimitedWarn("refused").Int("limit", l.limits().Connections).
 		Msg("The limit of connections is reached; a new one is refused.")
+	_ = inner.SetWriteDeadline(time.Now().Add(refusalTimeout)) // a new connection takes so few bytes at once
+	discardArrived(inner)
+	_, _ = io.WriteString(inner, refusedAnswer) // the client may have disconnected
 	select {
 	case l.refusals <- struct{}{}:
 	default:
-		_ = inner.Close() // without an answer
+		_ = inner.Close()
 		return
 	}
 	go func() {
 		defer func() { <-l.refusals }()
 		defer inner.Close()
-		_ = inner.SetDeadline(time.Now().Add(refusalTimeout))
-		if _, err := io.WriteString(inner, refusedAnswer); err != nil {
-			return
-		}
 		discardRest(inner)
 	}()
 }
 
+// discardArrived reads what has arrived on a connection, without waiting for more.
+func discardArrived(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return // the connection has ended
+	}
+	_ = raw.Read(func(descriptor uintptr) bool {
+		_, _ = syscall.Read(int(descriptor), make([]byte, readAheadBytes)) // nothing may have arrived
+		return true
+	})
+}
+
 // discardRest ends the sending side after an answer and reads what the client still sends,
 // as a close with unread bytes would reset the connection.
 func discardRest(c *net.TCPConn) {
--- a/transport/connlimit/limiter.go
+++ b/transport/connlimit/limiter.go
@@ -3,6 +3,7 @@
 package connlimit
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -16,12 +17,20 @@
 	// sweepInterval is how often headers and idle connections are checked against their
 	// time limits.
 	sweepInterval = 250 * time.Millisecond
-	// headerStalledAfter is the time after which an incomplete header gives way to a new
-	// connection.
-	headerStalledAfter = 250 * time.Millisecond
+	// idleAfter and headerStalledAfter are the times after which a connection without a
+	// request, or with an incomplete header, gives way to a new one. Ordinary clients send a
+	// header right behind the connection. Longer times keep them out while others open
+	// connections without pause, shorter ones close them before they are read.
+	idleAfter          = 10 * time.Millisecond
+	headerStalledAfter = 50 * time.Millisecond
+	// overshootDivisor lets new connections exceed the limit by a quarter, in place of ones
+	// whose bodies were evicted and which are about to be closed.
+	overshootDivisor = 4
+	// minConnections keeps a process reachable, whatever its settings say.
+	minConnections = 16
 	// maxRefusals bounds the refused connections that wait for their answer to be read.
-	// Further ones are closed without an answer.
-	maxRefusals = 16
+	// Further ones are closed at once, and may be reset before they have read it.
+	maxRefusals = 64
 )
 
 // Limits of the connections of one server. Zero means that a limit is not set.
@@ -38,6 +47,7 @@
 	Refused       int64 // new ones, as the limit was reached
 	EvictedIdle   int64 // idle ones, for new ones
 	EvictedHeader int64 // ones with an incomplete header, for new ones
+	EvictedBody   int64 // ones with a body without progress, for new ones
 	IdleTimeouts  int64
 	SlowHeaders   int64
 	LongHeaders   int64
@@ -46,7 +56,7 @@
 // Limiter holds the connections of one server.
 type Limiter struct {
 	limits       func() Limits
-	evictStalled func() bool // ends a request whose body makes no progress; reports whether there was one
+	evictStalled func() bool // refuses a request whose body makes no progress; reports whether there was one
 	logger       *logs.Logger
 	refusals     chan struct{}
 
@@ -56,11 +66,17 @@
 }
 
 // New returns a limiter. limits is called for each decision, so its result may change.
-// evictStalled is called when a new connection is refused.
+// evictStalled is called, without the limiter's lock, when no other connection can give way.
 func New(limits func() Limits, evictStalled func() bool) *Limiter {
 	return &Limiter{limits: limits, evictStalled: evictStalled, logger: logs.For("connections"), refusals: make(chan struct{}, maxRefusals), open: make(map[*conn]struct{})}
 }
 
+// LimitFor returns the limit with which at most total connections are open, also while the
+// limit is exceeded for connections that are about to be closed.
+func LimitFor(total int) int {
+	return max(minConnections, total*overshootDivisor/(overshootDivisor+1))
+}
+
 // Attach lets the limiter see the states of a server's connections. The server must serve
 // a listener of Listen.
 func (l *Limiter) Attach(server *http.Server) {
@@ -118,47 +134,81 @@
 // admit adds a new connection, or returns false if the limit is reached and no connection
 // can give way.
 func (l *Limiter) admit(c *conn) bool {
-	limits := l.limits()
+	limit := l.limits().Connections
+	victim, admitted := l.tryAdmit(c, limit)
+	if !admitted {
+		admitted = l.evictStalled() && l.admitBeyond(c, limit)
+	}
+	if victim != nil {
+		_ = victim.Close() // the server finds it closed
+	}
+	if !admitted {
+		l.mu.Lock()
+		l.counts.Refused++
+		l.mu.Unlock()
+	}
+	return admitted
+}
+
+// tryAdmit adds a connection if there is room, or a connection that can give way.
+func (l *Limiter) tryAdmit(c *conn, limit int) (victim *conn, admitted bool) {
 	l.mu.Lock()
-	var victim *conn
-	if limits.Connections > 0 && len(l.open) >= limits.Connections {
-		if victim = l.victim(time.Now()); victim == nil {
-			l.counts.Refused++
-			l.mu.Unlock()
-			return false
-		}
-		if victim.phase == phaseIdle {
-			l.counts.EvictedIdle++
-		} else {
-			l.counts.EvictedHeader++
+	defer l.mu.Unlock()
+	if limit > 0 && len(l.open) >= limit {
+		victim = l.victim(time.Now())
+		if victim == nil {
+			return nil, false
 		}
+		l.countEviction(victim)
 		delete(l.open, victim)
 	}
 	l.open[c] = struct{}{}
-	l.mu.Unlock()
-	if victim != nil {
-		_ = victim.Close() // the server finds it closed
-		l.logger.RateLimitedWarn("evicted").Int("limit", limits.Connections).Msg("The limit of connections is reached; one without a request is closed for a new one.")
+	return victim, true
+}
+
+// admitBeyond adds a connection in place of one whose body was evicted.
+func (l *Limiter) admitBeyond(c *conn, limit int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.open) >= limit+limit/overshootDivisor {
+		return false
 	}
+	l.counts.EvictedBody++
+	l.open[c] = struct{}{}
 	return true
 }
 
-// victim returns the connection that has been idle for longest, else the one whose header
-// has been incomplete for longest, else nil.
+func (l *Limiter) countEviction(victim *conn) {
+	switch victim.phase {
+	case phaseIdle:
+		l.counts.EvictedIdle++
+	case phaseHeader:
+		l.counts.EvictedHeader++
+	}
+}
+
+// victim returns the connection that gives way to a new one: one that was answered and is
+// about to be closed, else one without a request, else one with an incomplete header; of
+// each kind the one for which that has been so for longest. It returns nil if there is none.
 func (l *Limiter) victim(now time.Time) *conn {
-	var idle, header *conn
+	var victims [phases]*conn
 	for c := range l.open {
-		switch {
-		case c.phase == phaseIdle && (idle == nil || c.since.Before(idle.since)):
-			idle = c
-		case c.phase == phaseHeader && now.Sub(c.since) >= headerStalledAfter && (header == nil || c.since.Before(header.since)):
-			header = c
+		age := now.Sub(c.since)
+		if c.phase == phaseIdle && age < idleAfter || c.phase == phaseHeader && age < headerStalledAfter {
+			continue
+		}
+		if longest := victims[c.phase]; longest == nil || c.since.Before(longest.since) {
+			victims[c.phase] = c
 		}
 	}
-	if idle != nil {
-		return idle
-	}
-	return header
+	return cmp.Or(victims[phaseClosing], victims[phaseIdle], victims[phaseHeader])
+}
+
+// markClosing records that a connection was answered and is about to be closed.
+func (l *Limiter) markClosing(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.phase, c.since = phaseClosing, time.Now()
 }
 
 func (l *Limiter) remove(c *conn) {
@@ -185,7 +235,7 @@
 	limits := l.limits()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.phase == phaseRequest {
+	if c.phase == phaseRequest || c.phase == phaseClosing {
 		return true
 	}
 	if c.phase == phaseIdle {
--- a/transport/connlimit/limiter_test.go
+++ b/transport/connlimit/limiter_test.go
@@ -20,12 +20,13 @@
 	held    chan struct{}
 	release chan struct{}
 	evicted atomic.Int64
+	stalled atomic.Bool // there is a body without progress
 }
 
 func newTestServer(t *testing.T, limits Limits) *testServer {
 	t.Helper()
 	s := &testServer{t: t, held: make(chan struct{}, 100), release: make(chan struct{})}
-	s.limiter = New(func() Limits { return limits }, func() bool { s.evicted.Add(1); return false })
+	s.limiter = New(func() Limits { return limits }, func() bool { s.evicted.Add(1); return s.stalled.Load() })
 	l, err := s.limiter.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -58,6 +59,16 @@
 	return c
 }
 
+// awaitHeld waits until a request to /hold is handled.
+func (s *testServer) awaitHeld() {
+	s.t.Helper()
+	select {
+	case <-s.held:
+	case <-time.After(time.Minute): // ends a test that hangs
+		s.t.Fatal("a request is not handled")
+	}
+}
+
 // status reads an answer; 0 for none.
 func status(c net.Conn) int {
 	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -87,6 +98,15 @@
 	s.t.Fatalf("never %d connections in phase %d", n, p)
 }
 
+// age makes all connections look as if they had been in their phase for a while.
+func (s *testServer) age() {
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
+	for c := range s.limiter.open {
+		c.since = c.since.Add(-headerStalledAfter)
+	}
+}
+
 const (
 	request     = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	heldRequest = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -95,16 +115,21 @@
 // Guards against more connections than the process can hold, against a running request that
 // gives way to a new connection, and against a refusal without an answer.
 func TestNewConnectionTakesThePlaceOfAnIdleOne(t *testing.T) {
-	s := newTestServer(t, Limits{Connections: 2})
+	s := newTestServer(t, Limits{Connections: 4})
+	s.connect(heldRequest)
+	s.awaitHeld()
+	s.connect(heldRequest)
+	s.awaitHeld()
 	running := s.connect(heldRequest)
-	<-s.held
+	s.awaitHeld()
 	idle := s.connect(request)
 	if status(idle) != 200 {
 		t.Fatal("no answer")
 	}
 	s.awaitPhase(phaseIdle, 1)
+	s.age()
 	second := s.connect(heldRequest)
-	<-s.held
+	s.awaitHeld()
 	if status(idle) != 0 {
 		t.Error("the idle connection is open")
 	}
@@ -112,11 +137,15 @@
 	if code := status(refused); code != 503 || s.evicted.Load() != 1 {
 		t.Errorf("a connection over the limit: status %d, %d evictions asked for", code, s.evicted.Load())
 	}
+	s.stalled.Store(true)
+	if code := status(s.connect(request)); code != 200 {
+		t.Errorf("a connection in place of a body without progress: status %d", code)
+	}
 	close(s.release)
 	if status(running) != 200 || status(second) != 200 {
 		t.Error("a running request was ended")
 	}
-	if c := s.limiter.Counts(); c.Refused != 1 || c.EvictedIdle != 1 || c.Open > 2 {
+	if c := s.limiter.Counts(); c.Refused != 1 || c.EvictedIdle != 1 || c.EvictedBody != 1 || c.Open > 5 {
 		t.Errorf("%+v", c)
 	}
 }
@@ -125,7 +154,7 @@
 func TestTimeLimitsOfHeadersAndIdleConnections(t *testing.T) {
 	s := newTestServer(t, Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
 	header, idle, running := s.connect(request[:10]), s.connect(""), s.connect(heldRequest)
-	<-s.held
+	s.awaitHeld()
 	s.awaitPhase(phaseHeader, 1)
 	s.awaitPhase(phaseIdle, 1)
 	s.limiter.sweep(time.Now().Add(time.Second))
