Take no lock for reads of bodies

Each read of a body took the lock of the limiter of connections, and looked up the limits, although only headers are counted.

--- a/transport/connlimit/conn.go
+++ b/transport/connlimit/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -47,10 +48,11 @@
 	phases                    // number of phases
 )
 
-// conn is a connection of a limiter. The limiter's lock guards its fields.
+// conn is a connection of a limiter. The limiter's lock guards phase, since and headerBytes.
 type conn struct {
 	*net.TCPConn
 	limiter     *Limiter
+	inRequest   atomic.Bool // phaseRequest or phaseClosing: reads aren't counted, and take no lock
 	phase       phase
 	since       time.Time // of the phase
 	headerBytes int
@@ -59,7 +61,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.limiter.recordHeader(c, n) {
+	if n > 0 && !c.inRequest.Load() && !c.limiter.recordHeader(c, n) {
 		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = io.WriteString(c.TCPConn, headerAnswer) // the client may have disconnected
 		discardRest(c.TCPConn)
--- a/transport/connlimit/limiter.go
+++ b/transport/connlimit/limiter.go
@@ -209,6 +209,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.phase, c.since = phaseClosing, time.Now()
+	c.inRequest.Store(true)
 }
 
 func (l *Limiter) remove(c *conn) {
@@ -224,8 +225,10 @@
 	switch state {
 	case http.StateIdle:
 		c.phase, c.since, c.headerBytes = phaseIdle, time.Now(), 0
+		c.inRequest.Store(false)
 	case http.StateActive, http.StateHijacked:
 		c.phase = phaseRequest
+		c.inRequest.Store(true)
 	}
 }
 
@@ -235,9 +238,6 @@
 	limits := l.limits()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.phase == phaseRequest || c.phase == phaseClosing {
-		return true
-	}
 	if c.phase == phaseIdle {
 		c.phase, c.since = phaseHeader, time.Now()
 	}
