--- a/coordination/serve/callers.go
+++ b/coordination/serve/callers.go
@@ -76,7 +76,7 @@
 // callersAreFull reports whether the queues of all callers together use up their share of
 // the budget.
 func (s *Server) callersAreFull() bool {
-	return s.callers.queued.Load() >= maxBufferedBytes/callersShareDivisor
+	return s.callers.queued.Load() >= s.bufferedBytes.capacity()/callersShareDivisor
 }
 
 // awaitBytes reserves n bytes. While the budget is used up, it ends the callers that have
--- a/coordination/serve/serve.go
+++ b/coordination/serve/serve.go
@@ -183,7 +183,7 @@
 	startedAt     time.Time
 	retries       retrySchedule
 	queues        *waitingQueues
-	bufferedBytes atomic.Int64 // of plain answers, of events being read and in the queues of callers, over all requests
+	bufferedBytes answerBuffer // of plain answers, of events being read and in the queues of callers, over all requests
 	callers       callers
 	refusedMemory refusedMemory
 	now           func() monotonic.Time // for the reservations
