Add apricotspokectl explain: where a request would be placed now, and why

Operators could only learn from logs why a request went to an endpoint, after it was sent. Entries now answer GET /explain beside their metrics, and the command prints the answer as a table or as JSON. Nothing is sent.

Scheduler.Choose is split into decide and openWork. Explain runs decide on a copy of what a decision changes: simulated queues, load estimates and their groups, demand, and the state of the random source. The copy draws what the next choice draws, so the explained plan is that choice, and the original stays as it is. The reason for which an endpoint is left out comes from the code that leaves it out (examine, unfit, objection, exclusion). The place in the admission queue comes from a copy of the queue, and Retry-After from the schedule without an assignment.

Ruled out: a flag in Choose that suppresses each side effect, as each new one would need another condition; and reasons worked out a second time.

Not foreseen: a refusal by the queue's forecast, a denied permit, a quarantined part, a refused memory reservation.

--- a/coordination/enginemodel/queue.go
+++ b/coordination/enginemodel/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
@@ -39,6 +40,11 @@
 	scratch []Part
 }
 
+// Clone returns a copy that can be advanced without changing the queue.
+func (q *Queue) Clone() Queue {
+	return Queue{simulatedUntil: q.simulatedUntil, passEnds: q.passEnds, waiting: slices.Clone(q.waiting)}
+}
+
 // Advance simulates the prefill up to now.
 func (q *Queue) Advance(e *catalogue.Engine, batch DecodeBatch, now time.Time) {
 	for q.passEnds.Before(now) {
--- a/coordination/loadestimate/pick.go
+++ b/coordination/loadestimate/pick.go
@@ -46,19 +46,9 @@
 // arrivals, and are drawn in proportion to what each lacks to that level. Without unknown
 // arrivals the least loaded options are drawn; with many, all by their free capacity.
 func (p *Picker) Pick(options []Option, unknownArrivals float64) int {
-	if math.IsInf(unknownArrivals, 1) {
-		return p.draw(options, unknownArrivals)
-	}
-	slots := 0.0
-	for i := range options {
-		slots += options[i].Slots
-	}
-	if unknownArrivals > freshShare*slots {
-		return p.draw(options, p.fillLevel(options, staleFactor*unknownArrivals))
-	}
-	level := p.fillLevel(options, freshFactor*max(unknownArrivals, minArrivals))
+	level, compare := p.level(options, unknownArrivals)
 	first := p.draw(options, level)
-	if first < 0 {
+	if first < 0 || !compare {
 		return first
 	}
 	second := p.draw(options, level)
@@ -68,6 +58,34 @@
 	return first
 }
 
+// Eligible returns the indices of the options that Pick may draw. It draws none.
+func (p *Picker) Eligible(options []Option, unknownArrivals float64) []int {
+	level, _ := p.level(options, unknownArrivals)
+	var eligible []int
+	for i := range options {
+		if options[i].freeBelow(level) > 0 {
+			eligible = append(eligible, i)
+		}
+	}
+	return eligible
+}
+
+// level returns the load per slot below which options are drawn, and whether two are drawn
+// and compared.
+func (p *Picker) level(options []Option, unknownArrivals float64) (level float64, compare bool) {
+	if math.IsInf(unknownArrivals, 1) {
+		return unknownArrivals, false
+	}
+	slots := 0.0
+	for i := range options {
+		slots += options[i].Slots
+	}
+	if unknownArrivals > freshShare*slots {
+		return p.fillLevel(options, staleFactor*unknownArrivals), false
+	}
+	return p.fillLevel(options, freshFactor*max(unknownArrivals, minArrivals)), true
+}
+
 // draw returns an option in proportion to what it lacks to a load per slot, -1 when all
 // are above it or full.
 func (p *Picker) draw(options []Option, level float64) int {
--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -13,6 +13,7 @@
 type candidate struct {
 	endpoint         *directory.Endpoint
 	state            *endpointState
+	reason           Reason // why it is left out or a last resort
 	cold             bool
 	rateLimited      bool
 	answers          int     // that it decodes or will decode
@@ -57,10 +58,10 @@
 	}
 }
 
-// canAnswer reports whether the candidate has a slot and memory for an answer that is
-// predicted to begin after firstMs. An answer that is on time may queue for a slot; a
-// late one doesn't get the last slots.
-func (c *candidate) canAnswer(req *Request, firstMs float64) bool {
+// unfit returns why the candidate can't be the main endpoint of an answer that is predicted
+// to begin after firstMs. An answer that is on time may queue for a slot; a late one
+// doesn't get the last slots. A long prompt is judged by its whole plan instead of firstMs.
+func (c *candidate) unfit(req *Request, firstMs float64) Reason {
 	engine := req.Service.Engine
 	slots := c.slots(engine)
 	allowedAnswers := slots + slots/queuedAnswersDivisor
@@ -71,7 +72,15 @@
 	if needed > engine.MemoryTokens {
 		needed = engine.MemoryTokens / minOwnMemoryDivisor // helpers reserve the rest
 	}
-	return c.answers < allowedAnswers && c.usedMemoryTokens+c.spareTokens+needed <= engine.MemoryTokens
+	switch {
+	case c.answers >= allowedAnswers:
+		return NoSlot
+	case c.usedMemoryTokens+c.spareTokens+needed > engine.MemoryTokens:
+		return NoMemory
+	case !isLong(req) && firstMs > req.maxFirstMs():
+		return TooLate
+	}
+	return NoReason
 }
 
 // mayHelp reports whether the endpoint may prefill a part of another endpoint's prompt. An
--- a/coordination/placement/capacity.go
+++ b/coordination/placement/capacity.go
@@ -44,9 +44,13 @@
 func (s *Scheduler) Capacity(endpoints []*directory.Endpoint, req *Request) Capacity {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.capacity(endpoints, s.candidates(endpoints, req), req)
+}
+
+// capacity is Capacity for a caller that holds the lock and has the candidates.
+func (s *Scheduler) capacity(endpoints []*directory.Endpoint, candidates []*candidate, req *Request) Capacity {
 	capacity := Capacity{Endpoints: len(endpoints), LeastAnswers: math.MaxInt}
 	var waits []float64
-	candidates := s.candidates(endpoints, req)
 	if req.Service.Engine != nil {
 		capacity.BestPlan = s.bestPlan(candidates, req)
 	}
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -154,7 +154,17 @@
 func (s *Scheduler) Choose(endpoints []*directory.Endpoint, req *Request) *Plan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := s.candidates(endpoints, req)
+	p := s.decide(s.candidates(endpoints, req), req)
+	if p == nil {
+		return nil
+	}
+	p.Handle = s.openWork(p, req)
+	return p
+}
+
+// decide returns the plan of Choose, without a work item. Explain makes it on a copy of the
+// scheduler.
+func (s *Scheduler) decide(candidates []*candidate, req *Request) *Plan {
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -169,13 +179,12 @@
 	}
 	p.Candidates = len(candidates)
 	s.noteReportAge(p, s.now())
-	p.Handle = s.openWork(p, req)
 	return p
 }
 
-// candidates returns the endpoints that can be chosen. An endpoint without a permit, when
-// one was asked for, can't. Endpoints that are in back-off or silent are returned only when
-// there is no other.
+// candidates returns the endpoints that can be chosen. Endpoints that are in back-off or
+// silent are returned only when there is no other. The i-th endpoint's reason for being
+// left out is then that of the i-th candidateBuffer.
 func (s *Scheduler) candidates(endpoints []*directory.Endpoint, req *Request) []*candidate {
 	now, steadyNow := s.now(), monotonic.Now()
 	if len(s.candidateBuffer) < len(endpoints) {
@@ -183,25 +192,13 @@
 	}
 	var preferred, lastResort []*candidate
 	for i, e := range endpoints {
-		state := s.stateOf(e.Key)
-		state.name = e.ID
-		if !state.isUsable(e, req, now) || s.permitRate(state, e, req.Service, now, steadyNow) != Unlimited && !state.permit.mayAsk(now) {
-			continue
-		}
 		c := &s.candidateBuffer[i]
-		s.trackLoad(state, e, now)
-		s.fillCandidate(c, e.Key, req.Service.Engine, now)
-		coldness := s.coldness(state, e, now, steadyNow)
-		c.endpoint, c.cold = e, coldness == Cold
-		c.spareTokens = s.spareMemoryTokens(c, req)
-		c.correctRejected(req.Service.Engine, now)
-		if coldRate(req.Service, coldness) != Unlimited && !s.allowsColdArrival(c, req, now) {
-			continue
-		}
-		if now.Before(state.health.backoffUntil) || state.isSilent(e, now, steadyNow) {
-			lastResort = append(lastResort, c)
-		} else {
+		c.reason = s.examine(c, e, req, now, steadyNow)
+		switch c.reason {
+		case NoReason:
 			preferred = append(preferred, c)
+		case InBackoff, NotHeard:
+			lastResort = append(lastResort, c)
 		}
 	}
 	if len(preferred) > 0 {
@@ -210,9 +207,46 @@
 	return lastResort
 }
 
-// isUsable reports whether the endpoint takes requests like this one at all now.
-func (state *endpointState) isUsable(e *directory.Endpoint, req *Request, now time.Time) bool {
-	return !req.Excluded(e) && !state.health.draining && !now.Before(state.health.busyUntil)
+// examine fills the candidate of an endpoint, unless the endpoint can't be chosen, and
+// returns why it is left out or is only a last resort. An endpoint without a permit, when
+// one was asked for, can't be chosen.
+func (s *Scheduler) examine(c *candidate, e *directory.Endpoint, req *Request, now time.Time, steadyNow monotonic.Time) Reason {
+	state := s.stateOf(e.Key)
+	state.name = e.ID
+	if reason := state.unusable(e, req, now); reason != NoReason {
+		return reason
+	}
+	if s.permitRate(state, e, req.Service, now, steadyNow) != Unlimited && !state.permit.mayAsk(now) {
+		return WaitsForPermit
+	}
+	s.trackLoad(state, e, now)
+	s.fillCandidate(c, e.Key, req.Service.Engine, now)
+	coldness := s.coldness(state, e, now, steadyNow)
+	c.endpoint, c.cold = e, coldness == Cold
+	c.spareTokens = s.spareMemoryTokens(c, req)
+	c.correctRejected(req.Service.Engine, now)
+	switch {
+	case coldRate(req.Service, coldness) != Unlimited && !s.allowsColdArrival(c, req, now):
+		return AtColdRate
+	case now.Before(state.health.backoffUntil):
+		return InBackoff
+	case state.isSilent(e, now, steadyNow):
+		return NotHeard
+	}
+	return NoReason
+}
+
+// unusable returns why the endpoint takes no requests like this one at all now.
+func (state *endpointState) unusable(e *directory.Endpoint, req *Request, now time.Time) Reason {
+	switch {
+	case req.Excluded(e):
+		return Excluded
+	case state.health.draining:
+		return Draining
+	case now.Before(state.health.busyUntil):
+		return Busy
+	}
+	return NoReason
 }
 
 // allowsColdArrival reports whether an endpoint that is or may be cold can take a further
--- a/coordination/placement/estimate.go
+++ b/coordination/placement/estimate.go
@@ -44,10 +44,13 @@
 type estimates struct {
 	groups        map[groupKey]*loadestimate.Group
 	picker        *loadestimate.Picker
+	source        *rand.PCG // of the picker
 	stats         EstimateStats
 	loadOptions   []loadestimate.Option // reused
 	plainOptions  []*candidate          // reused
 	reportedMains []option              // reused
+	notesEligible bool                  // set in the copy of Explain only, as it allocates
+	eligible      []int                 // options that the last pick may have drawn, if notesEligible
 }
 
 func newEstimates() estimates {
@@ -58,7 +61,8 @@
 
 // seed sets the random source of the choices.
 func (e *estimates) seed(seed uint64) {
-	e.picker = loadestimate.NewPicker(rand.New(rand.NewPCG(seed, 0)))
+	e.source = rand.NewPCG(seed, 0)
+	e.picker = loadestimate.NewPicker(rand.New(e.source))
 }
 
 // trackLoad adds a candidate to its group if its data centre sends load reports, and
@@ -200,6 +204,9 @@
 
 // pick is Picker.Pick with a count of the choices among several options.
 func (e *estimates) pick(options []loadestimate.Option, unknownArrivals float64) int {
+	if e.notesEligible {
+		e.eligible = e.picker.Eligible(options, unknownArrivals)
+	}
 	i := e.picker.Pick(options, unknownArrivals)
 	if i >= 0 && len(options) > 1 {
 		e.stats.Spread++
--- /dev/null
+++ b/coordination/placement/explain.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
+)
+
+// Explanation tells what Choose would do now, and why.
+type Explanation struct {
+	Plan *Plan // without a Handle; nil when no endpoint can take the request now
+	// NoPlan is why the best plan isn't taken. It is NoReason when there is a plan, and when
+	// the endpoints' reasons leave none.
+	NoPlan Reason
+	// Reported is set when the load of the main endpoint is known from load reports.
+	Reported bool
+	// AboutEqual are the endpoints among which the main one is drawn at random; empty when
+	// it isn't drawn.
+	AboutEqual []*directory.Endpoint
+	Verdicts   []Verdict // one for each endpoint
+	Capacity   Capacity
+	// PermitWait is the time until the first permit may be asked for, when OutOfPermits.
+	PermitWait   time.Duration
+	OutOfPermits bool // all usable endpoints wait for a permit
+}
+
+// Verdict tells whether an endpoint can be the main one.
+type Verdict struct {
+	Endpoint *directory.Endpoint
+	Reason   Reason        // why it is left out
+	For      time.Duration // how long that holds; 0 when it isn't known
+}
+
+// Explain makes the decision of Choose on a copy of the scheduler, so that nothing changes:
+// no work item is opened, no event published, no random number drawn. It takes the lock
+// for several times as long as Choose.
+func (s *Scheduler) Explain(endpoints []*directory.Endpoint, req *Request) *Explanation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clone(endpoints)
+	c.estimates.notesEligible = true
+	candidates := c.candidates(endpoints, req)
+	x := &Explanation{Plan: c.decide(candidates, req)}
+	if x.Plan != nil {
+		x.Reported = c.states[x.Plan.Endpoints[0].Key].estimate != nil
+		x.AboutEqual = c.drawnAmong(x.Plan, req)
+	}
+	c.estimates.notesEligible = false
+	x.Capacity = c.capacity(endpoints, candidates, req)
+	if best := x.Capacity.BestPlan; x.Plan == nil && best != nil {
+		x.NoPlan = best.objection(req)
+	}
+	x.Verdicts = c.verdicts(endpoints, candidates, req, max(x.Plan.size(), x.Capacity.BestPlan.size(), 1))
+	x.PermitWait, _, x.OutOfPermits = c.permitWait(endpoints, req)
+	return x
+}
+
+// size returns the number of endpoints, 0 for no plan.
+func (p *Plan) size() int {
+	if p == nil {
+		return 0
+	}
+	return len(p.Endpoints)
+}
+
+// drawnAmong returns the endpoints among which the last decision has drawn the main one.
+func (s *Scheduler) drawnAmong(p *Plan, req *Request) []*directory.Endpoint {
+	var drawn []*directory.Endpoint
+	for _, i := range s.estimates.eligible {
+		if req.Service.Engine == nil {
+			drawn = append(drawn, s.estimates.plainOptions[i].endpoint)
+		} else {
+			drawn = append(drawn, s.estimates.reportedMains[i].endpoint)
+		}
+	}
+	if len(drawn) < 2 || !slices.Contains(drawn, p.Endpoints[0]) {
+		return nil // the plan has a main endpoint that is not drawn
+	}
+	return drawn
+}
+
+// verdicts returns why each endpoint can't be the main one of a plan over n endpoints.
+func (s *Scheduler) verdicts(endpoints []*directory.Endpoint, candidates []*candidate, req *Request, n int) []Verdict {
+	unfit := s.unfitReasons(candidates, req, n)
+	verdicts := make([]Verdict, 0, len(endpoints))
+	for i, e := range endpoints {
+		v := Verdict{Endpoint: e, Reason: s.candidateBuffer[i].reason}
+		if reason := unfit[e]; reason != NoReason {
+			v.Reason = reason
+		}
+		v.For = s.states[e.Key].holdsFor(v.Reason, s.now())
+		verdicts = append(verdicts, v)
+	}
+	return verdicts
+}
+
+// unfitReasons returns why candidates can't be the main endpoint.
+func (s *Scheduler) unfitReasons(candidates []*candidate, req *Request, n int) map[*directory.Endpoint]Reason {
+	reasons := make(map[*directory.Endpoint]Reason)
+	if req.Service.Engine == nil {
+		open := s.plainOptions(candidates, req)
+		for _, c := range candidates {
+			switch {
+			case c.answers >= c.plainLimit():
+				reasons[c.endpoint] = NoSlot
+			case !slices.Contains(open, c):
+				reasons[c.endpoint] = NoLessLoaded
+			}
+		}
+		return reasons
+	}
+	for _, c := range candidates {
+		o := s.evaluate(c, req, prefillOver(req, n), false)
+		reasons[c.endpoint] = c.unfit(req, o.firstMs)
+	}
+	if isLong(req) {
+		s.addShortlistReasons(candidates, req, reasons)
+	}
+	return reasons
+}
+
+// addShortlistReasons sets the reasons of candidates that bestPlan doesn't consider for a
+// long prompt.
+func (s *Scheduler) addShortlistReasons(candidates []*candidate, req *Request, reasons map[*directory.Endpoint]Reason) {
+	kept := withoutSuspects(candidates)
+	listed := s.shortlist(kept, req)
+	for _, c := range candidates {
+		switch {
+		case !slices.Contains(kept, c):
+			reasons[c.endpoint] = Suspect
+		case !slices.Contains(listed, c):
+			reasons[c.endpoint] = NotShortlisted
+		}
+	}
+}
+
+// holdsFor returns how long a reason holds, 0 when that isn't known.
+func (state *endpointState) holdsFor(reason Reason, now time.Time) time.Duration {
+	until := now
+	switch reason {
+	case Busy:
+		until = state.health.busyUntil
+	case WaitsForPermit:
+		until = state.permit.deniedUntil
+	case InBackoff:
+		until = state.health.backoffUntil
+	}
+	return max(0, until.Sub(now))
+}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -58,12 +58,23 @@
 	if best == nil {
 		best = s.bestPlan(candidates, req)
 	}
-	if best == nil || best.Score < 0 || best.PredictedFirstMs > req.maxFirstMs() {
+	if best == nil || best.objection(req) != NoReason {
 		return nil
 	}
 	return best
 }
 
+// objection returns why the best plan isn't taken.
+func (p *Plan) objection(req *Request) Reason {
+	switch {
+	case p.Score < 0:
+		return TooCostly
+	case p.PredictedFirstMs > req.maxFirstMs():
+		return TooLate
+	}
+	return NoReason
+}
+
 // planAmongTracked returns the best plan for a short prompt among the endpoints whose
 // work items are all known. Most short prompts are placed this way, which evaluates
 // only a part of the endpoints. It returns nil when all endpoints have to be evaluated:
@@ -214,7 +225,7 @@
 	s.estimates.reportedMains = s.estimates.reportedMains[:0]
 	for _, c := range candidates {
 		o := s.evaluate(c, req, prefill, false)
-		if !c.canAnswer(req, o.firstMs) || !long && o.firstMs > req.maxFirstMs() {
+		if c.unfit(req, o.firstMs) != NoReason {
 			continue
 		}
 		if !long {
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -9,7 +9,6 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
-	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
@@ -115,7 +114,7 @@
 // or for memory.
 func (r *run) checkBeforeSend(plan *placement.Plan) error {
 	if !r.server.StateIsCurrent() {
-		return fault.New(fault.NotCurrent, "this entry's copy of the replicated state is not current").WithRetryAfter(staleRetryAfter)
+		return notCurrentError()
 	}
 	state := r.server.stateCache.State()
 	if slices.ContainsFunc(plan.Endpoints, func(e *directory.Endpoint) bool { return !state.InService(e.DataCentre) }) {
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -146,6 +146,10 @@
 	line.Int("endpoints", capacity.Endpoints).Int("candidates", capacity.Candidates).Int("answers", capacity.Answers).
 		Int("least_answers", capacity.LeastAnswers).Bool("out_of_permits", capacity.OutOfPermits).Dur("room_in", capacity.Wait).Dur("retry_after", after).Dur("waited", time.Since(r.request.Arrived)).
 		Int("prompt", r.request.PromptTokens).Msg(requestlog.NoRoom)
+	return r.noCapacityError(capacity, after)
+}
+
+func (r *run) noCapacityError(capacity placement.Capacity, after time.Duration) error {
 	if capacity.OutOfPermits {
 		return fault.New(fault.Overloaded, "the rate limits of all endpoints of service %s are used up", r.service.Name).WithRetryAfter(after)
 	}
@@ -157,12 +161,19 @@
 // request's time left divided by retryAfterDivisor. It is never below minRetryAfter.
 func (r *run) retryAfter(capacity placement.Capacity) time.Duration {
 	now := time.Now()
-	earliest := now.Add(max(capacity.Wait, minRetryAfter))
-	latest := now.Add(max(r.deadline.Sub(now)/retryAfterDivisor, minRetryAfter))
-	gap := capacity.ServiceInterval * time.Duration(max(1, r.server.settings.Load().EntryCount()))
+	earliest, latest, gap := r.retryWindow(capacity, now)
 	return r.server.retries.assign(earliest, latest, gap).Sub(now)
 }
 
+// retryWindow returns the first and the last time to which a refused caller may be told to
+// come back, and the time between two callers.
+func (r *run) retryWindow(capacity placement.Capacity, now time.Time) (earliest, latest time.Time, gap time.Duration) {
+	earliest = now.Add(max(capacity.Wait, minRetryAfter))
+	latest = now.Add(max(r.deadline.Sub(now)/retryAfterDivisor, minRetryAfter))
+	gap = capacity.ServiceInterval * time.Duration(max(1, r.server.settings.Load().EntryCount()))
+	return earliest, latest, gap
+}
+
 // placementDeadline is until when the request waits for an endpoint with room. It
 // counts from admission, so that a wait for the state doesn't shorten it. A
 // request without an answer yet is refused early with a Retry-After; an answer
@@ -248,7 +259,7 @@
 		CallerTimeout: r.callerTimeoutLeft(),
 		Credit:        plainCredit,
 		Excluded: func(e *directory.Endpoint) bool {
-			return r.tried[e.Key] || r.refusedMemoryLately(e.Key) || e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY || !state.InService(e.DataCentre)
+			return r.exclusion(e, state) != placement.NoReason
 		},
 	}
 	if engine := r.service.Engine; engine != nil {
@@ -261,6 +272,28 @@
 	return d
 }
 
+// Reasons for which a run excludes an endpoint, beside that it drains.
+const (
+	wasTried      placement.Reason = "was tried"
+	memoryRefused placement.Reason = "refused memory lately"
+	outOfService  placement.Reason = "out of service"
+)
+
+// exclusion returns why the request isn't sent to an endpoint, whatever its load.
+func (r *run) exclusion(e *directory.Endpoint, state *catalogue.State) placement.Reason {
+	switch {
+	case r.tried[e.Key]:
+		return wasTried
+	case !state.InService(e.DataCentre):
+		return outOfService
+	case e.Condition != wire.EndpointCondition_ENDPOINT_CONDITION_READY:
+		return placement.Draining
+	case r.refusedMemoryLately(e.Key):
+		return memoryRefused
+	}
+	return placement.NoReason
+}
+
 // callerTimeoutLeft is the time left until the caller gives up waiting for the first
 // byte. After the header it is the whole caller timeout, from which the silence since
 // the last event is not subtracted.
--- a/coordination/serve/retryafter.go
+++ b/coordination/serve/retryafter.go
@@ -18,13 +18,25 @@
 func (r *retrySchedule) assign(earliest, latest time.Time, gap time.Duration) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at := earliest
-	if r.nextAt.After(at) {
-		at = r.nextAt
-	}
+	at := r.earliestFrom(earliest)
 	if at.After(latest) {
 		return latest // a caller that can't wait for its turn leaves the schedule unchanged
 	}
 	r.nextAt = at.Add(gap)
 	return at
 }
+
+// next returns the time that assign would assign, and assigns none.
+func (r *retrySchedule) next(earliest, latest time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return earlier(r.earliestFrom(earliest), latest)
+}
+
+// earliestFrom returns the turn of the next caller, for a caller that holds the lock.
+func (r *retrySchedule) earliestFrom(earliest time.Time) time.Time {
+	if r.nextAt.After(earliest) {
+		return r.nextAt
+	}
+	return earliest
+}
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -149,10 +149,10 @@
 // awaitCurrentState waits until the state is current. It returns a NotCurrent error
 // when that takes too long.
 func (r *run) awaitCurrentState(ctx context.Context) error {
-	until := time.Now().Add(min(r.request.TimeLimit/stateWaitDivisor, maxStateWait))
+	until := time.Now().Add(r.stateWait())
 	for !r.server.StateIsCurrent() {
 		if time.Now().After(until) {
-			return fault.New(fault.NotCurrent, "this entry's copy of the replicated state is not current").WithRetryAfter(staleRetryAfter)
+			return notCurrentError()
 		}
 		if !r.waitForChange(ctx, nil, nil) {
 			return ctx.Err()
@@ -161,6 +161,16 @@
 	return nil
 }
 
+// stateWait returns how long the request waits at most for the state to become current.
+func (r *run) stateWait() time.Duration {
+	return min(r.request.TimeLimit/stateWaitDivisor, maxStateWait)
+}
+
+// notCurrentError returns the error of a request that the entry may not act on.
+func notCurrentError() error {
+	return fault.New(fault.NotCurrent, "this entry's copy of the replicated state is not current").WithRetryAfter(staleRetryAfter)
+}
+
 // checkTimeUntilStop refuses a request whose answer might be cut when this entry stops.
 func (r *run) checkTimeUntilStop() error {
 	at := r.server.stop.at.Load()
--- a/coordination/serve/waiting.go
+++ b/coordination/serve/waiting.go
@@ -43,6 +43,13 @@
 	return q
 }
 
+// existing returns the queue of a service, nil while no request has joined one.
+func (w *waitingQueues) existing(service string) *waitingQueue {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.byService[service]
+}
+
 func (w *waitingQueues) writeLengths(out io.Writer) {
 	if w == nil {
 		return
@@ -75,6 +82,19 @@
 	return q.queue.Len()
 }
 
+// preview returns the place that a request would have if it joined, how many requests wait,
+// and whether it would be tried now.
+func (q *waitingQueue) preview(r *run) (place, waiting int, tried bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	change := q.change
+	if q.server.scheduler.WorkEnded() != q.workEnds {
+		change++
+	}
+	place, tried = q.queue.Preview(*r.queueEntry(r.placementDeadline()), time.Now(), change)
+	return place, q.queue.Len(), tried
+}
+
 // turn is the place of one request in a waitingQueue. While it is registered, the request's
 // own goroutine writes no field of the run that placement reads. The methods allow nil, for
 // a request that is placed without a queue.
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -48,6 +48,7 @@
 	a.registerWatch(parser.Command)
 	a.registerStory(parser.Command)
 	a.registerCauses(parser.Command)
+	a.registerExplain(parser.Command)
 }
 
 // addGroup adds a command that only has subcommands.
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -138,6 +138,7 @@
 }
 
 func newEntry(settings *platform.Settings, reloadable *hostconfig.Reloadable, record *wire.ProcessRecord, m *mesh.Mesh, store *statecache.Store, dir *directory.Directory, server *serve.Server, p *permits.Permits, guard *quarantine.Guard, recorder *quarantine.Recorder, metrics *Metrics, logger *logs.Logger) *Entry {
+	metrics.explain = &explainPage{explain: server.Explain}
 	return &Entry{settings: settings, reloadable: reloadable, record: record, mesh: m, store: store, directory: dir, server: server, permits: p, guard: guard, recorder: recorder, metrics: metrics, logger: logger}
 }
 
--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -32,6 +32,7 @@
 	diskFaultTolerance int      // number of hosts with a disk that may be lost at once, 0 for the default
 	seeds              [3]int   // numbers of the seed hosts in the settings
 	environment        []string // variables of the processes, beside those of the test
+	arguments          []string // of the processes, after the role
 	startFull          bool     // processes start as on a full disk; see limitFiles
 	pipedLogs          bool     // the processes' logs pass through pipes, which limits on the size of files leave alone
 }
@@ -78,7 +79,7 @@
 		log = p.pipeTo(log)
 	}
 	defer log.Close()
-	command := exec.Command(p.binary, role)
+	command := exec.Command(p.binary, append([]string{role}, p.arguments...)...)
 	if p.startFull {
 		command = exec.Command("sh", "-c", `ulimit -S -f 0 && exec "$0" "$1"`, p.binary, role)
 	}
--- a/role/host/metrics.go
+++ b/role/host/metrics.go
@@ -21,10 +21,11 @@
 	"github.com/apricotspoke/apricotspoke/transport/shortcall"
 )
 
-// Metrics serves a process's metrics as text.
+// Metrics serves a process's metrics as text, and an entry's explanations.
 type Metrics struct {
 	process  *hostconfig.Process
 	registry *metrics.Registry
+	explain  http.Handler // nil for processes other than entries
 }
 
 func newMetrics(p *hostconfig.Process, registry *metrics.Registry, store *statecache.Store, dir *directory.Directory, scheduler *placement.Scheduler, parts *quarantine.Tracker, links *mesh.Mesh) *Metrics {
@@ -85,7 +86,11 @@
 // serve listens on the metrics port, if one is set. It returns the server for the
 // caller to close.
 func (m *Metrics) serve(failed chan<- error) (*http.Server, error) {
-	server := shortcall.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := shortcall.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if m.explain != nil && r.URL.Path == explainPath {
+			m.explain.ServeHTTP(w, r)
+			return
+		}
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		m.registry.WriteText(w)
 	}), time.Second)
