A failover attempt is tried in its only round, and counts for no shedding

Fault: while capacity was scarce, a stalled request of a less urgent route found no other endpoint, and a request could be shed because of a failover attempt that leaves after its round. Cause: such an attempt joins the queue anew and got the delay of its priority, so it was not tried in the only round that it takes part in. Shed took it for the first request, which is kept, and added its interval for those behind it. Change: failover attempts have no delay, and Shed passes over them.

--- a/coordination/admissionqueue/queue.go
+++ b/coordination/admissionqueue/queue.go
@@ -40,7 +40,7 @@
 	Due          time.Time // when it misses its objective
 	Until        time.Time // until when it may wait
 	Cost         float64   // predicted work, in units that are the same for all requests of the service
-	Failover     bool      // an attempt is running, so it counts neither as arrival nor as placed, and is never shed
+	Failover     bool      // an attempt is running, so it counts neither as arrival nor as placed, is never shed, and has no delay
 
 	number                  uint64 // by the order of joining, the last rule of the order
 	overtaken               int    // placements of requests behind it
--- a/coordination/admissionqueue/shed.go
+++ b/coordination/admissionqueue/shed.go
@@ -36,6 +36,9 @@
 	var share shareAhead
 	first := true
 	for place, e := range q.order(now) {
+		if e.Failover {
+			continue // it leaves after this round
+		}
 		f, ok := e.forecastAt(now, len(q.waiting) > 1, forecast)
 		interval := q.interval(f, now)
 		s := Shed{Entry: e, Place: place, Turn: share.lengthen(q, e, waitFor(ahead, interval), now), Forecast: f}
@@ -82,7 +85,7 @@
 	return !s.Entry.rank.overdue && now.Add(s.Wait()).After(s.Entry.Due)
 }
 
-func (e *Entry) mayBeShed() bool { return !e.Begun && !e.Failover }
+func (e *Entry) mayBeShed() bool { return !e.Begun }
 
 // waitFor returns the time that the requests ahead take of one with the given interval. A
 // long prompt ahead counts as one like it, as it lets others pass while it doesn't fit.
--- a/coordination/admissionqueue/stagger.go
+++ b/coordination/admissionqueue/stagger.go
@@ -78,11 +78,12 @@
 }
 
 // setDelays sets the delays of the waiting requests. Those that go before their priority
-// have none.
+// have none, nor have failover attempts: they leave after the round in which they joined, so
+// a delayed one would never be tried.
 func (q *Queue) setDelays(now time.Time) {
 	steps := make(map[catalogue.Priority]int)
 	for _, e := range q.waiting {
-		if e.rank.begun || e.rank.owed {
+		if e.rank.begun || e.rank.owed || e.Failover {
 			e.delay = 0
 			continue
 		}
