Shed only requests that have been tried

Fault: a request could be refused although an endpoint had capacity for it. Cause: Shed walks all waiting requests, also arrivals in the delay of their priority and those that a long prompt holds back, which were never tried. Change: one that has not been tried is shed only once its waiting time is over. The existing tests of shedding play a round in which nothing fits first; their checks are unchanged. Requests ahead that were tried and didn't fit still count: all that may be shed were tried on the same state, so leaving those out would leave no forecast.

--- a/coordination/admissionqueue/queue_test.go
+++ b/coordination/admissionqueue/queue_test.go
@@ -151,6 +151,7 @@
 			forecast[e] = Forecast{Wait: ms(100, "wait"), Interval: ms(60, "interval")}
 			q.Join(e, start)
 		}
+		tryAll(q, start, 0) // one that has not been tried isn't shed
 		order := slices.Clone(q.order(start))
 		shed := q.Shed(start, func(e *Entry) (Forecast, bool) { return forecast[e], true })
 		for _, s := range shed {
@@ -190,6 +191,7 @@
 	for range 10 {
 		q.Join(request(0), start)
 	}
+	tryAll(q, start, 0)
 	if shed := q.Shed(start, forecast); len(shed) != 6 || q.Len() != 4 || shed[0].Place != 4 || shed[0].Wait() != 120*time.Millisecond {
 		t.Errorf("kept %d of 10 that may wait for 100 ms at one every 30 ms; shed %+v", q.Len(), shed)
 	}
@@ -200,6 +202,7 @@
 	for range 20 {
 		q.Join(with(request(0), func(e *Entry) { e.Until = at(190) }), at(90))
 	}
+	tryAll(q, at(90), 90)
 	if q.Shed(at(90), forecast); q.Len() != 11 {
 		t.Errorf("kept %d of 24 that may wait for 100 ms at one every 10 ms", q.Len())
 	}
--- a/coordination/admissionqueue/shed.go
+++ b/coordination/admissionqueue/shed.go
@@ -26,10 +26,10 @@
 
 // Shed removes and returns the waiting requests that can't be placed within the time that
 // they may wait, or not be served before they are due, if all that are kept ahead of them
-// are placed first. The first request
-// that has not begun is kept, as capacity that becomes free would else be idle until the
-// next arrival. forecast returns the forecast for a request, false if there is none; it is
-// asked again after PollInterval.
+// are placed first. Those that have not been tried are kept. The first request that has not
+// begun is kept too, as capacity that becomes free would else be idle until the next
+// arrival. forecast returns the forecast for a request, false if there is none; it is asked
+// again after PollInterval.
 func (q *Queue) Shed(now time.Time, forecast func(*Entry) (Forecast, bool)) []Shed {
 	var shed []Shed
 	var ahead []time.Duration // intervals of the kept requests
@@ -42,7 +42,7 @@
 		f, ok := e.forecastAt(now, len(q.waiting) > 1, forecast)
 		interval := q.interval(f, now)
 		s := Shed{Entry: e, Place: place, Turn: share.lengthen(q, e, waitFor(ahead, interval), now), Forecast: f}
-		if ok && !first && e.mayBeShed() && s.isTooLate(now) {
+		if ok && !first && e.mayBeShed(now) && s.isTooLate(now) {
 			shed = append(shed, s)
 			continue
 		}
@@ -85,7 +85,11 @@
 	return !s.Entry.rank.overdue && now.Add(s.Wait()).After(s.Entry.Due)
 }
 
-func (e *Entry) mayBeShed() bool { return !e.Begun }
+// mayBeShed reports whether a forecast may shed the request. It must have been tried or have
+// waited for its time: an arrival in its delay, or one that is held back, might fit.
+func (e *Entry) mayBeShed(now time.Time) bool {
+	return !e.Begun && (!e.triedAt.IsZero() || now.After(e.Until))
+}
 
 // waitFor returns the time that the requests ahead take of one with the given interval. A
 // long prompt ahead counts as one like it, as it lets others pass while it doesn't fit.
