Send an attempt with a copy of the engine priority

Fault: a data race. Upstream.Send reads the priority in a goroutine of its own, while the search for another endpoint of the stalled request may set a new one. Cause: the attempt pointed to the field of the run. Change: it points to a copy. TestAttemptKeepsItsPriority fails before.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -181,7 +181,8 @@
 		LastEventID:  r.lastEventID,
 	}
 	if r.service.Engine != nil {
-		a.Priority = &r.enginePriority
+		priority := r.enginePriority // a copy: the search for another endpoint may change it while the attempt is sent
+		a.Priority = &priority
 	}
 	for _, e := range plan.Endpoints[1:] {
 		a.Helpers = append(a.Helpers, Helper{Address: e.Address, Ticket: reserved.ticketAt(e)})
--- a/coordination/serve/priority_test.go
+++ b/coordination/serve/priority_test.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// An attempt is sent by a goroutine of its own while the search for another endpoint may give
+// the request new priorities. Sharing the value was a data race.
+func TestAttemptKeepsItsPriority(t *testing.T) {
+	_, r := admitted(t, 3, nil)
+	a := r.newAttempt(r.tryPlace(), &reservations{})
+	r.enginePriority = 5
+	if *a.Priority != 3 {
+		t.Errorf("the priority of an attempt changed from 3 to %d", *a.Priority)
+	}
+}
+
 func TestMoreUrgentRequestHasMoreCredit(t *testing.T) {
 	b, urgent := admitted(t, 0, nil)
 	_, other := admitted(t, 2, nil)
