A request that has a plan isn't refused, and a dropped plan doesn't count

Fault: a request was refused at the end of its waiting time although another request's round had just given it a plan. The plan that it dropped counted as a placed request, for the floor and for the cost of its organisation; so did plans dropped as the caller left or for lack of permits. Cause: whether it has a plan and whether it is refused were separate steps, and only a request that returned to the queue was taken out of the sums. Change: refuse takes the request out of the queue in one step under the lock, unless it has a plan; leave takes a plan that isn't sent out of the sums. The tests of waiting_drop_test.go fail before.

--- a/coordination/admissionqueue/queue.go
+++ b/coordination/admissionqueue/queue.go
@@ -80,11 +80,18 @@
 
 // Return adds a placed request again, as its plan was dropped before it was sent.
 func (q *Queue) Return(e *Entry, now time.Time) {
-	q.usage.placed(e, -1, now)
+	q.Withdraw(e, now)
 	e.triedAt = time.Time{}
 	q.add(e)
 }
 
+// Withdraw takes the placement of a request out of the sums, as its plan was dropped before
+// it was sent and it won't return.
+func (q *Queue) Withdraw(e *Entry, now time.Time) {
+	q.usage.placed(e, -1, now)
+	q.sorted = false
+}
+
 func (q *Queue) add(e *Entry) {
 	q.waiting = append(q.waiting, e)
 	q.sorted = false
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -35,12 +35,16 @@
 			continue
 		}
 		if plan != nil && r.takePermit(ctx, plan) {
+			turn.markSent()
 			return plan, nil
 		}
 		if plan != nil && r.permitDenials < maxPermitDenials {
 			continue // other endpoints may have room
 		}
 		if turn.isShed() || time.Now().After(until) || r.waitsForPermits(until) {
+			if !turn.refuse() {
+				continue
+			}
 			return nil, r.noCapacity(turn)
 		}
 		if r.isOverdue() && !turn.hasBegun() {
--- a/coordination/serve/waiting.go
+++ b/coordination/serve/waiting.go
@@ -88,6 +88,7 @@
 	entry      *admissionqueue.Entry
 	registered bool
 	plan       *placement.Plan // chosen, not taken yet
+	unsent     bool            // a plan was chosen, and nothing was sent by it yet
 	shed       *admissionqueue.Shed
 }
 
@@ -162,6 +163,7 @@
 	if !t.registered && t.plan == nil && t.shed == nil {
 		q.register(t)
 		q.queue.Return(t.entry, time.Now())
+		t.unsent = false
 	}
 	if t.plan == nil && t.shed == nil {
 		q.round()
@@ -171,6 +173,32 @@
 	return plan
 }
 
+// refuse takes the request, which may wait no longer, out of the queue, so that it gets no
+// plan after this. It returns false if it has been given one meanwhile, which take returns.
+func (t *turn) refuse() bool {
+	if t == nil {
+		return true
+	}
+	t.queue.mu.Lock()
+	defer t.queue.mu.Unlock()
+	if t.plan != nil {
+		return false
+	}
+	t.queue.queue.Leave(t.entry)
+	t.queue.unregister(t)
+	return true
+}
+
+// markSent records that the plan that was taken is being sent.
+func (t *turn) markSent() {
+	if t == nil {
+		return
+	}
+	t.queue.mu.Lock()
+	defer t.queue.mu.Unlock()
+	t.unsent = false
+}
+
 // round tries placement for all requests that are due, in their order, and sheds those that
 // can't be served in time. The caller holds the lock.
 func (q *waitingQueue) round() {
@@ -193,7 +221,7 @@
 			continue
 		}
 		q.queue.Placed(e, now)
-		t.plan = plan
+		t.plan, t.unsent = plan, true
 		q.unregister(t)
 		t.notify()
 	}
@@ -266,8 +294,9 @@
 // placed first, also if it is overdue.
 func (t *turn) hasBegun() bool { return t != nil && t.entry.Begun }
 
-// leave takes the request out of the queue and drops a plan that it has not taken. If its
-// priorities have changed meanwhile, the request keeps the new ones.
+// leave takes the request out of the queue, drops a plan that it has not taken, and takes a
+// plan that isn't sent out of the sums. If its priorities have changed meanwhile, the request
+// keeps the new ones.
 func (t *turn) leave() {
 	if t == nil {
 		return
@@ -275,6 +304,9 @@
 	t.queue.mu.Lock()
 	t.queue.queue.Leave(t.entry)
 	t.queue.unregister(t)
+	if t.unsent {
+		t.queue.queue.Withdraw(t.entry, time.Now())
+	}
 	plan, priority := t.plan, t.entry.Priority
 	t.plan = nil
 	t.queue.mu.Unlock()
