Delay less urgent requests for 5 s after an urgent one, and never in the only entry

Fault: one urgent request delayed the less urgent ones for minutes while capacity was scarce. Cause: a priority counted as recent for as long as its arrivals counted in the floor, 138 s after a single one. In the only entry, no urgent request can wait elsewhere at all. Change: a constant of its own, 5 s after the last arrival; no delay with one entry. The tests fail before.

--- a/coordination/admissionqueue/stagger.go
+++ b/coordination/admissionqueue/stagger.go
@@ -19,6 +19,11 @@
 	// scarceFor is how long after a request that didn't fit capacity counts as scarce. While
 	// it doesn't, an arrival is tried at once.
 	scarceFor = time.Second
+	// urgentFor is how long after the last arrival of a priority less urgent ones are delayed
+	// for it. With 28 entries, a priority with 20 requests a second arrives at each every
+	// 1.4 s, and a shorter time would end the delay in some of these pauses. With a longer
+	// one, a single urgent request delays others when there is hardly another elsewhere.
+	urgentFor = 5 * time.Second
 	// endSpacing bounds the ends that are remembered. Those within it count as one.
 	endSpacing = 2 * time.Millisecond
 )
@@ -31,6 +36,7 @@
 
 // stagger remembers the ends of work that some waiting requests aren't offered yet.
 type stagger struct {
+	alone       bool      // no other entry has requests that wait
 	recent      []workEnd // of the last maxStagger steps
 	settled     uint64    // the last change before these
 	scarceUntil time.Time
@@ -77,13 +83,21 @@
 	return pause
 }
 
+// SetAlone tells whether this entry is the only one. Then no more urgent request waits
+// elsewhere, and none is delayed.
+func (q *Queue) SetAlone(alone bool) {
+	if alone != q.stagger.alone {
+		q.stagger.alone, q.sorted = alone, false
+	}
+}
+
 // setDelays sets the delays of the waiting requests. Those that go before their priority
 // have none, nor have failover attempts: they leave after the round in which they joined, so
 // a delayed one would never be tried.
 func (q *Queue) setDelays(now time.Time) {
 	steps := make(map[catalogue.Priority]int)
 	for _, e := range q.waiting {
-		if e.rank.begun || e.rank.owed || e.Failover {
+		if q.stagger.alone || e.rank.begun || e.rank.owed || e.Failover {
 			e.delay = 0
 			continue
 		}
--- /dev/null
+++ b/coordination/admissionqueue/stagger_test.go
@@ -0,0 +1,38 @@
+package admissionqueue
+
+import "testing"
+
+// One urgent request must delay less urgent ones for some seconds only. It did for 138 s,
+// as long as it counted for the floor.
+func TestDelayEndsAfterTheLastUrgentArrival(t *testing.T) {
+	q := New()
+	urgent := request(0)
+	q.Join(urgent, start)
+	q.Placed(urgent, start)
+	e := with(request(1), func(e *Entry) { e.Joined, e.Until, e.Due = at(10_000), at(10_100), at(10_800) })
+	q.Join(e, at(4_900))
+	if q.order(at(4_900)); e.delay != staggerStep {
+		t.Errorf("4.9 s after an urgent arrival the delay is %v", e.delay)
+	}
+	if q.order(at(10_000)); e.delay != 0 {
+		t.Errorf("10 s after the last urgent arrival the delay is %v", e.delay)
+	}
+}
+
+// In the only entry no urgent request can wait elsewhere, so a delay would only leave
+// capacity idle.
+func TestOnlyEntryDelaysNone(t *testing.T) {
+	q := New()
+	q.Join(request(0), start)
+	tryAll(q, start, 0)
+	e := request(1)
+	q.Join(e, at(1))
+	q.SetAlone(true)
+	if tried := tryAll(q, at(1), 1); len(tried) != 2 || tried[1] != e {
+		t.Errorf("tried %d requests, want both", len(tried))
+	}
+	q.SetAlone(false)
+	if tried := tryAll(q, at(2), 2); len(tried) != 1 {
+		t.Errorf("tried %d requests with other entries, want the urgent one", len(tried))
+	}
+}
--- a/coordination/admissionqueue/usage.go
+++ b/coordination/admissionqueue/usage.go
@@ -42,6 +42,7 @@
 type sums struct {
 	at                    time.Time
 	arrived, placed, cost float64
+	arrivedAt             time.Time // the last arrival
 }
 
 func (s *sums) decay(now time.Time) {
@@ -88,7 +89,9 @@
 	u.total.decay(now)
 	u.total.arrived++
 	for _, g := range groupsOf(e) {
-		u.of(g, now).arrived++
+		s := u.of(g, now)
+		s.arrived++
+		s.arrivedAt = now
 	}
 }
 
@@ -118,10 +121,7 @@
 // moreUrgentPriorities returns the number of more urgent priorities with recent arrivals.
 func (u *usage) moreUrgentPriorities(p catalogue.Priority, now time.Time) (n int) {
 	for g, s := range u.groups {
-		if g.isOrganisation || g.priority.Compare(p) >= 0 {
-			continue
-		}
-		if s.decay(now); s.arrived >= negligible {
+		if !g.isOrganisation && g.priority.Compare(p) < 0 && now.Sub(s.arrivedAt) < urgentFor {
 			n++
 		}
 	}
--- a/coordination/serve/waiting.go
+++ b/coordination/serve/waiting.go
@@ -208,6 +208,7 @@
 		q.change++
 	}
 	q.applyPriorities()
+	q.queue.SetAlone(q.server.settings.Load().EntryCount() == 1)
 	tried := false
 	for e := q.queue.Next(now, q.change); e != nil; e = q.queue.Next(now, q.change) {
 		t := q.turns[e]
