Retries have the priorities and ranks of the present catalogue

Fault: a retry kept its number for engines and the rank of its route when the routes of its service had become different in priority, or equal. A request that had ended, or an entry about to stop, delayed arrivals for a second. Cause: priorities were set anew only if the request's own pair had changed, and only on leaving a queue. A request that was passed over was recorded as one that didn't fit, so capacity counted as scarce. Change: priorities are set anew before a request is placed, and when it leaves the queue, if the catalogue has another version and the queue is or was in force; RouteRank takes the priority, as the route of admission may be an old one. Skip records a request that was passed over.

--- a/coordination/admissionqueue/queue.go
+++ b/coordination/admissionqueue/queue.go
@@ -111,7 +111,7 @@
 func (q *Queue) Reorder() { q.sorted = false }
 
 // Next returns the first request to try now, nil if there is none. change counts the ends
-// of work. The caller must call Placed, DidNotFit or Leave for it before the next call.
+// of work. The caller must call Placed, DidNotFit, Skip or Leave for it before the next call.
 func (q *Queue) Next(now time.Time, change uint64) *Entry {
 	q.stagger.note(now, change)
 	holding := false
@@ -144,10 +144,16 @@
 
 // DidNotFit records that a request was tried and no endpoint has capacity for it.
 func (q *Queue) DidNotFit(e *Entry, now time.Time, change uint64) {
-	e.triedAt, e.triedAtChange = now, change
+	q.Skip(e, now, change)
 	q.stagger.scarceUntil = now.Add(scarceFor)
 }
 
+// Skip records that a request was not tried, as it is about to leave. That says nothing about
+// the capacity.
+func (q *Queue) Skip(e *Entry, now time.Time, change uint64) {
+	e.triedAt, e.triedAtChange = now, change
+}
+
 // isDue reports whether the request is to be tried now.
 func (q *Queue) isDue(e *Entry, now time.Time, change uint64) bool {
 	if e.isDeferred(now) {
--- a/coordination/admissionqueue/stagger_test.go
+++ b/coordination/admissionqueue/stagger_test.go
@@ -36,3 +36,16 @@
 		t.Errorf("tried %d requests with other entries, want the urgent one", len(tried))
 	}
 }
+
+// A request that has ended or can't be served before the stop of the entry must not make
+// capacity count as scarce, which delays arrivals for a second.
+func TestSkippedRequestDoesNotDelayOthers(t *testing.T) {
+	q, ended, arrival := New(), request(0), request(1)
+	q.Join(ended, start)
+	q.Skip(q.Next(start, 0), start, 0)
+	q.Join(arrival, at(1))
+	q.Skip(q.Next(at(1), 1), at(1), 1)
+	if next := q.Next(at(1), 1); next != arrival {
+		t.Errorf("the next one is %+v, want the arrival", next)
+	}
+}
--- a/coordination/serve/priority_test.go
+++ b/coordination/serve/priority_test.go
@@ -59,6 +59,27 @@
 	}
 }
 
+// A retry was sent with the number and the rank of admission when the routes had become
+// different in priority, or equal, while the request's own priority stayed.
+func TestRetryHasTheRankOfTheNewCatalogue(t *testing.T) {
+	b := newQueueBed(t, queueEngine)
+	r := &run{server: b.server, request: queueRequest("r2", 2, 1), tried: map[uint64]bool{}}
+	if err := r.admit(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range []struct {
+		routes []int
+		ranked bool
+		rank   int
+	}{{[]int{1, 1, 2}, true, 1}, {[]int{2, 2, 2}, false, 0}, {[]int{0, 1, 2}, true, 2}} {
+		b.setPriorities(t, uint64(10+i), queueEngine, c.routes...)
+		r.joinQueue(t.Context(), r.placementDeadline()).leave()
+		if r.ranked != c.ranked || r.routeRank != c.rank {
+			t.Errorf("routes %v: ranked is %v, rank %d", c.routes, r.ranked, r.routeRank)
+		}
+	}
+}
+
 func TestMoreUrgentRequestHasMoreCredit(t *testing.T) {
 	b, urgent := admitted(t, 0, nil)
 	_, other := admitted(t, 2, nil)
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -90,7 +90,8 @@
 	routeRank        int                // of the route's priority among them; 0 is the most urgent
 	deadline         time.Time          // of the whole answer
 	admittedAt       time.Time
-	catalogueVersion uint64
+	catalogueVersion uint64            // at admission
+	priorityVersion  uint64            // of the catalogue that the priorities are from
 	tried            map[uint64]bool   // keys of the endpoints that were asked
 	attempts         int               // attempts so far
 	mayHaveRun       int               // attempts that an endpoint may have run
@@ -213,10 +214,22 @@
 // of the service differ in priority.
 func (r *run) setPriorities(c *catalogue.Catalogue, p catalogue.Priority) {
 	r.priorities, r.priority, r.enginePriority = p, p.Organisation, p.Organisation
-	r.ranked, r.routeRank = c.HasPriorities(r.service.Name), c.RouteRank(r.service.Name, r.route)
+	r.ranked, r.routeRank = c.HasPriorities(r.service.Name), c.RouteRank(r.service.Name, p.Route)
 	if r.ranked {
 		r.enginePriority = c.EnginePriority(r.service.Name, p)
 	}
+	r.priorityVersion = c.Version
+}
+
+// updatePriorities gives the request the priorities of a newer catalogue, as a retry may come
+// long after admission. Where the routes of the service neither differ in priority nor did,
+// those of admission stay.
+func (r *run) updatePriorities() {
+	c := r.server.stateCache.State().Catalogue
+	if c == nil || c.Version == r.priorityVersion || !r.ranked && !c.HasPriorities(r.service.Name) {
+		return
+	}
+	r.setPriorities(c, r.prioritiesIn(c))
 }
 
 func hostOnly(host string) string {
--- a/coordination/serve/waiting.go
+++ b/coordination/serve/waiting.go
@@ -95,12 +95,14 @@
 // joinQueue registers the request in the queue of its service. It returns nil if the
 // service has none.
 func (r *run) joinQueue(ctx context.Context, until time.Time) *turn {
+	r.updatePriorities()
 	return r.join(ctx, r.queueEntry(until))
 }
 
 // tryPlace returns a plan for another attempt beside one that runs, nil when no endpoint has
 // room now, the state is not current, or requests that are ahead in the queue take it.
 func (r *run) tryPlace() *placement.Plan {
+	r.updatePriorities()
 	e := r.queueEntry(r.deadline)
 	e.Failover = true
 	t := r.join(context.Background(), e)
@@ -114,9 +116,6 @@
 	if q == nil {
 		return nil
 	}
-	if c.Version != r.catalogueVersion {
-		e.Priority = r.prioritiesIn(c) // a retry may come long after admission
-	}
 	t := &turn{queue: q, run: r, ctx: ctx, wake: make(chan struct{}, 1), entry: e}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -213,10 +212,11 @@
 	for e := q.queue.Next(now, q.change); e != nil; e = q.queue.Next(now, q.change) {
 		t := q.turns[e]
 		tried = true
-		var plan *placement.Plan
-		if t.mayBePlaced() {
-			plan = t.run.choosePlan()
+		if !t.mayBePlaced() {
+			q.queue.Skip(e, now, q.change)
+			continue
 		}
+		plan := t.run.choosePlan()
 		if plan == nil {
 			q.queue.DidNotFit(e, now, q.change)
 			continue
@@ -296,8 +296,8 @@
 func (t *turn) hasBegun() bool { return t != nil && t.entry.Begun }
 
 // leave takes the request out of the queue, drops a plan that it has not taken, and takes a
-// plan that isn't sent out of the sums. If its priorities have changed meanwhile, the request
-// keeps the new ones.
+// plan that isn't sent out of the sums. If the priorities have changed meanwhile, the request
+// gets the new ones.
 func (t *turn) leave() {
 	if t == nil {
 		return
@@ -308,15 +308,13 @@
 	if t.unsent {
 		t.queue.queue.Withdraw(t.entry, time.Now())
 	}
-	plan, priority := t.plan, t.entry.Priority
+	plan := t.plan
 	t.plan = nil
 	t.queue.mu.Unlock()
 	if plan != nil {
 		plan.Handle.Close()
 	}
-	if priority != t.run.priorities {
-		t.run.setPriorities(t.run.server.stateCache.State().Catalogue, priority)
-	}
+	t.run.updatePriorities()
 	if !t.entry.Failover {
 		t.run.measureQueue(time.Since(t.entry.Joined))
 	}
--- a/state/catalogue/priority.go
+++ b/state/catalogue/priority.go
@@ -34,9 +34,9 @@
 func (c *Catalogue) HasPriorities(service string) bool { return c.priorities[service] != nil }
 
 // RouteRank returns how many different priorities of the service's routes are more urgent
-// than that of a route; 0 where they don't differ.
-func (c *Catalogue) RouteRank(service string, r *Route) int {
-	place, _ := slices.BinarySearch(c.routePriorities[service], ClampPriority(r.Priority))
+// than the given one; 0 where they don't differ.
+func (c *Catalogue) RouteRank(service string, routePriority int) int {
+	place, _ := slices.BinarySearch(c.routePriorities[service], ClampPriority(routePriority))
 	return place
 }
 
