Leave out rounds in which no waiting request is due

Fault: each wake of each waiting request played a whole round under the lock of the queue. Cause: a round sorts all requests and walks the sums of all organisations, to find those owed a request and again for each waiting priority. Change: the queue knows until when no request is due unless the requests, the priorities or the ends of work change. Rounds in which a long prompt holds others back are not left out. Sums of priorities have a table of their own, and the floor is checked for the waiting requests only.

--- /dev/null
+++ b/coordination/admissionqueue/idle_test.go
@@ -0,0 +1,46 @@
+package admissionqueue
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A round that is left out must not delay a request that is due: neither an arrival, nor one
+// whose delay or interval ends, nor one that has become overdue. Only a delay that has become
+// shorter meanwhile may be noticed late.
+func TestNoRequestIsDueWhileIdle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, now, change := New(), start, uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "passed")) * time.Microsecond)
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				e := request(rapid.IntRange(0, 3).Draw(t, "priority"))
+				e.Joined, e.Until = now, now.Add(100*time.Millisecond)
+				e.Due = now.Add(time.Duration(rapid.IntRange(-10, 60).Draw(t, "due")) * time.Millisecond)
+				q.Join(e, now)
+			case 1:
+				change++
+			}
+			checkIdle(t, q, now, change)
+			tryAll(q, now, change)
+		}
+	})
+}
+
+func checkIdle(t *rapid.T, q *Queue, now time.Time, change uint64) {
+	if !q.idle.holds(now, change) {
+		return
+	}
+	delays := make(map[*Entry]time.Duration)
+	for _, e := range q.waiting {
+		delays[e] = e.delay
+	}
+	for _, e := range q.order(now) {
+		if e.delay == delays[e] && q.isDue(e, now, change) {
+			t.Fatalf("%+v is due, but the queue is idle until %v at %v", e, q.idle.until, now)
+		}
+	}
+}
--- a/coordination/admissionqueue/order.go
+++ b/coordination/admissionqueue/order.go
@@ -78,19 +78,13 @@
 // reports whether there is any. Overdue requests are passed over: served late, they would
 // take the place of one that can be on time.
 func (q *Queue) markOwed(now time.Time) (found bool) {
-	owed := q.usage.owed(now)
+	floor := q.usage.startOwed(now)
 	for _, e := range q.waiting {
-		if len(owed) == 0 {
-			break
-		}
 		if e.rank.begun || e.rank.overdue {
 			continue
 		}
-		for _, g := range groupsOf(e) {
-			if owed[g] {
-				e.rank.owed, found = true, true
-				delete(owed, g)
-			}
+		if q.usage.takeOwed(e, floor, now) {
+			e.rank.owed, found = true, true
 		}
 	}
 	return found
--- a/coordination/admissionqueue/queue.go
+++ b/coordination/admissionqueue/queue.go
@@ -62,6 +62,7 @@
 	usage     usage
 	pace      pace
 	stagger   stagger
+	idle      idle
 }
 
 // New returns an empty queue.
@@ -89,12 +90,12 @@
 // it was sent and it won't return.
 func (q *Queue) Withdraw(e *Entry, now time.Time) {
 	q.usage.placed(e, -1, now)
-	q.sorted = false
+	q.changed()
 }
 
 func (q *Queue) add(e *Entry) {
 	q.waiting = append(q.waiting, e)
-	q.sorted = false
+	q.changed()
 }
 
 // Leave removes a request, if it waits.
@@ -104,19 +105,27 @@
 }
 
 func (q *Queue) remove(e *Entry) {
+	q.idle = idle{}
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *Entry) bool { return other == e })
 }
 
 // Reorder makes changed priorities count.
-func (q *Queue) Reorder() { q.sorted = false }
+func (q *Queue) Reorder() { q.changed() }
+
+// changed notes a change of the requests or of their order.
+func (q *Queue) changed() { q.sorted, q.idle = false, idle{} }
 
 // Next returns the first request to try now, nil if there is none. change counts the ends
 // of work. The caller must call Placed, DidNotFit, Skip or Leave for it before the next call.
 func (q *Queue) Next(now time.Time, change uint64) *Entry {
+	if q.idle.holds(now, change) {
+		return nil
+	}
 	q.stagger.note(now, change)
-	holding := false
+	holding, held := false, false
 	for _, e := range q.order(now) {
 		if holding && e.isHeld(now) {
+			held = true
 			continue
 		}
 		if q.isDue(e, now, change) {
@@ -124,6 +133,9 @@
 		}
 		holding = holding || e.holdsBack(now)
 	}
+	if !held {
+		q.idle = idle{until: q.nextDue(now), change: change}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/coordination/admissionqueue/queue_bench_test.go
@@ -0,0 +1,54 @@
+package admissionqueue
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/state/catalogue"
+)
+
+// BenchmarkWake measures what one wake of one of 200 waiting requests costs, with 960
+// organisations and 10 priorities. Each wakes every 20 ms, and all do when work ends, every
+// 4 ms: then one is placed and another arrives.
+func BenchmarkWake(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 2))
+	q, now, change := New(), start, uint64(0)
+	arrive := func() {
+		q.Join(&Entry{
+			Priority: catalogue.Priority{Organisation: random.IntN(10)}, Organisation: fmt.Sprint(random.IntN(960)),
+			Joined: now, Due: now.Add(time.Hour), Until: now.Add(time.Hour), Cost: 1,
+		}, now)
+	}
+	for range 5000 { // so that each organisation is known
+		arrive()
+		q.Placed(q.waiting[0], now)
+	}
+	for range 200 {
+		arrive()
+	}
+	forecast := func(*Entry) (Forecast, bool) { return Forecast{Interval: time.Millisecond}, true }
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(16 * time.Microsecond) // 250 wakes in 4 ms
+		place := i%250 == 0
+		if place {
+			change++
+			arrive()
+		}
+		tried := false
+		for e := q.Next(now, change); e != nil; e = q.Next(now, change) {
+			tried = true
+			if place {
+				place = false
+				q.Placed(e, now)
+				continue
+			}
+			q.DidNotFit(e, now, change)
+		}
+		if tried {
+			q.Shed(now, forecast)
+		}
+	}
+}
--- a/coordination/admissionqueue/stagger.go
+++ b/coordination/admissionqueue/stagger.go
@@ -87,7 +87,8 @@
 // elsewhere, and none is delayed.
 func (q *Queue) SetAlone(alone bool) {
 	if alone != q.stagger.alone {
-		q.stagger.alone, q.sorted = alone, false
+		q.stagger.alone = alone
+		q.changed()
 	}
 }
 
--- a/coordination/admissionqueue/usage.go
+++ b/coordination/admissionqueue/usage.go
@@ -22,27 +22,17 @@
 	// maxMoreUrgentShare leaves a tenth of the capacity in the forecast of a priority when
 	// the more urgent ones alone exceed the capacity, which the floor surely grants.
 	maxMoreUrgentShare = 0.9
-	// Above maxGroups, those that count less than negligible requests are forgotten.
-	maxGroups  = 2048
-	negligible = 0.1
+	// Above maxOrganisations, those that count less than negligible requests are forgotten.
+	maxOrganisations = 2048
+	negligible       = 0.1
 )
 
-// group is a priority, or an organisation.
-type group struct {
-	isOrganisation bool
-	organisation   string
-	priority       catalogue.Priority
-}
-
-func groupsOf(e *Entry) [2]group {
-	return [2]group{{priority: e.Priority}, {isOrganisation: true, organisation: e.Organisation}}
-}
-
 // sums count recent requests; each counts less with time.
 type sums struct {
 	at                    time.Time
 	arrived, placed, cost float64
 	arrivedAt             time.Time // the last arrival
+	owedPass              uint64    // in which a request was marked as owed
 }
 
 func (s *sums) decay(now time.Time) {
@@ -52,31 +42,42 @@
 	}
 }
 
-// usage counts the recent requests of all, of each priority and of each organisation.
+// usage counts the recent requests of all, of each priority and of each organisation. There
+// are far fewer priorities than organisations, so what depends on priorities only doesn't
+// walk the others.
 type usage struct {
-	total  sums
-	groups map[group]*sums
+	total         sums
+	priorities    map[catalogue.Priority]*sums
+	organisations map[string]*sums
+	pass          uint64 // the latest one that marks the owed requests
 }
 
-func newUsage() usage { return usage{groups: make(map[group]*sums)} }
+func newUsage() usage {
+	return usage{priorities: make(map[catalogue.Priority]*sums), organisations: make(map[string]*sums)}
+}
 
-// of returns the sums of a group, decayed.
-func (u *usage) of(g group, now time.Time) *sums {
-	s := u.groups[g]
-	if s == nil {
+// of returns the sums of the request's priority and organisation, decayed.
+func (u *usage) of(e *Entry, now time.Time) [2]*sums {
+	p, o := u.priorities[e.Priority], u.organisations[e.Organisation]
+	if p == nil {
+		p = &sums{at: now}
+		u.priorities[e.Priority] = p
+	}
+	if o == nil {
 		u.forgetNegligible(now)
-		s = &sums{at: now}
-		u.groups[g] = s
+		o = &sums{at: now}
+		u.organisations[e.Organisation] = o
 	}
-	s.decay(now)
-	return s
+	p.decay(now)
+	o.decay(now)
+	return [2]*sums{p, o}
 }
 
 func (u *usage) forgetNegligible(now time.Time) {
-	if len(u.groups) < maxGroups {
+	if len(u.organisations) < maxOrganisations {
 		return
 	}
-	maps.DeleteFunc(u.groups, func(_ group, s *sums) bool {
+	maps.DeleteFunc(u.organisations, func(_ string, s *sums) bool {
 		s.decay(now)
 		return s.arrived < negligible
 	})
@@ -88,8 +89,7 @@
 	}
 	u.total.decay(now)
 	u.total.arrived++
-	for _, g := range groupsOf(e) {
-		s := u.of(g, now)
+	for _, s := range u.of(e, now) {
 		s.arrived++
 		s.arrivedAt = now
 	}
@@ -102,15 +102,14 @@
 	}
 	u.total.decay(now)
 	u.total.placed = max(0, u.total.placed+sign)
-	for _, g := range groupsOf(e) {
-		s := u.of(g, now)
+	for _, s := range u.of(e, now) {
 		s.placed, s.cost = max(0, s.placed+sign), max(0, s.cost+sign*e.Cost)
 	}
 }
 
 // cost returns the cost of an organisation's recently placed requests.
 func (u *usage) cost(organisation string, now time.Time) float64 {
-	s := u.groups[group{isOrganisation: true, organisation: organisation}]
+	s := u.organisations[organisation]
 	if s == nil {
 		return 0
 	}
@@ -120,8 +119,8 @@
 
 // moreUrgentPriorities returns the number of more urgent priorities with recent arrivals.
 func (u *usage) moreUrgentPriorities(p catalogue.Priority, now time.Time) (n int) {
-	for g, s := range u.groups {
-		if !g.isOrganisation && g.priority.Compare(p) < 0 && now.Sub(s.arrivedAt) < urgentFor {
+	for other, s := range u.priorities {
+		if other.Compare(p) < 0 && now.Sub(s.arrivedAt) < urgentFor {
 			n++
 		}
 	}
@@ -136,8 +135,8 @@
 		return 0
 	}
 	sum := 0.0
-	for g, s := range u.groups {
-		if !g.isOrganisation && g.priority.Compare(p) < 0 {
+	for other, s := range u.priorities {
+		if other.Compare(p) < 0 {
 			s.decay(now)
 			sum += s.arrived
 		}
@@ -145,18 +144,27 @@
 	return min(sum/u.total.placed, maxMoreUrgentShare)
 }
 
-// owed returns the groups that lack requests to their floor.
-func (u *usage) owed(now time.Time) map[group]bool {
-	owed := make(map[group]bool)
+// startOwed begins a pass over the waiting requests and returns the floor: the share of its
+// arrivals that a priority or organisation should have had placed at least.
+func (u *usage) startOwed(now time.Time) (floor float64) {
+	u.pass++
 	u.total.decay(now)
 	if u.total.arrived <= 0 {
-		return owed
+		return 0
 	}
-	floor := floorShare * u.total.placed / u.total.arrived
-	for g, s := range u.groups {
+	return floorShare * u.total.placed / u.total.arrived
+}
+
+// takeOwed reports whether the request's priority or organisation lacks requests to its
+// floor. In one pass each counts for the first of its requests only.
+func (u *usage) takeOwed(e *Entry, floor float64, now time.Time) (owed bool) {
+	for _, s := range [...]*sums{u.priorities[e.Priority], u.organisations[e.Organisation]} {
+		if s == nil || s.owedPass == u.pass {
+			continue
+		}
 		s.decay(now)
 		if floor*s.arrived-s.placed >= owedFrom {
-			owed[g] = true
+			s.owedPass, owed = u.pass, true
 		}
 	}
 	return owed
