--- a/coordination/admissionqueue/failover_test.go
+++ b/coordination/admissionqueue/failover_test.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-func failover(priority int) *Entry {
-	return with(request(priority), func(e *Entry) { e.Failover = true })
+func failover(priority int) *Waiter {
+	return with(request(priority), func(w *Waiter) { w.Failover = true })
 }
 
 // tryAll plays a round in which no request fits.
-func tryAll(q *Queue, now time.Time, change uint64) (tried []*Entry) {
-	for e := q.Next(now, change); e != nil; e = q.Next(now, change) {
-		q.DidNotFit(e, now, change)
-		tried = append(tried, e)
+func tryAll(q *Queue, now time.Time, change uint64) (tried []*Waiter) {
+	for w := q.Next(now, change); w != nil; w = q.Next(now, change) {
+		q.DidNotFit(w, now, change)
+		tried = append(tried, w)
 	}
 	return tried
 }
@@ -24,9 +24,9 @@
 	q := New()
 	q.Join(request(0), start)
 	tryAll(q, start, 0) // capacity is scarce from now on
-	e := with(failover(2), func(e *Entry) { e.Joined = at(1) })
-	q.Join(e, at(1))
-	if tried := tryAll(q, at(1), 1); len(tried) != 2 || tried[1] != e {
+	w := with(failover(2), func(w *Waiter) { w.Joined = at(1) })
+	q.Join(w, at(1))
+	if tried := tryAll(q, at(1), 1); len(tried) != 2 || tried[1] != w {
 		t.Errorf("tried %v, want the waiting request and the failover attempt", tried)
 	}
 }
@@ -40,7 +40,7 @@
 		q.Join(request(1), start)
 	}
 	tryAll(q, start, 0)
-	forecast := func(*Entry) (Forecast, bool) { return Forecast{Interval: 60 * time.Millisecond}, true }
+	forecast := func(*Waiter) (Forecast, bool) { return Forecast{Interval: 60 * time.Millisecond}, true }
 	if shed := q.Shed(start, forecast); len(shed) != 0 {
 		t.Errorf("shed %d of 2 requests that may wait for 100 ms at one every 60 ms", len(shed))
 	}
@@ -48,7 +48,7 @@
 	q.Join(failover(0), start)
 	q.Join(request(1), start)
 	tryAll(q, start, 0)
-	late := func(*Entry) (Forecast, bool) { return Forecast{Wait: time.Hour}, true }
+	late := func(*Waiter) (Forecast, bool) { return Forecast{Wait: time.Hour}, true }
 	if shed := q.Shed(start, late); len(shed) != 0 {
 		t.Error("the first request that isn't a failover attempt was shed")
 	}
--- a/coordination/admissionqueue/idle_test.go
+++ b/coordination/admissionqueue/idle_test.go
@@ -17,10 +17,10 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "passed")) * time.Microsecond)
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
-				e := request(rapid.IntRange(0, 3).Draw(t, "priority"))
-				e.Joined, e.Until = now, now.Add(100*time.Millisecond)
-				e.Due = now.Add(time.Duration(rapid.IntRange(-10, 60).Draw(t, "due")) * time.Millisecond)
-				q.Join(e, now)
+				w := request(rapid.IntRange(0, 3).Draw(t, "priority"))
+				w.Joined, w.Until = now, now.Add(100*time.Millisecond)
+				w.Due = now.Add(time.Duration(rapid.IntRange(-10, 60).Draw(t, "due")) * time.Millisecond)
+				q.Join(w, now)
 			case 1:
 				change++
 			}
@@ -34,13 +34,13 @@
 	if !q.idle.holds(now, change) {
 		return
 	}
-	delays := make(map[*Entry]time.Duration)
-	for _, e := range q.waiting {
-		delays[e] = e.delay
+	delays := make(map[*Waiter]time.Duration)
+	for _, w := range q.waiting {
+		delays[w] = w.delay
 	}
-	for _, e := range q.order(now) {
-		if e.delay == delays[e] && q.isDue(e, now, change) {
-			t.Fatalf("%+v is due, but the queue is idle until %v at %v", e, q.idle.until, now)
+	for _, w := range q.order(now) {
+		if w.delay == delays[w] && q.isDue(w, now, change) {
+			t.Fatalf("%+v is due, but the queue is idle until %v at %v", w, q.idle.until, now)
 		}
 	}
 }
--- a/coordination/admissionqueue/order.go
+++ b/coordination/admissionqueue/order.go
@@ -45,21 +45,21 @@
 }
 
 // rankOf returns the rank of a request as if none were owed.
-func (q *Queue) rankOf(e *Entry, now time.Time) rank {
-	left := max(0, e.Due.Sub(now))
+func (q *Queue) rankOf(w *Waiter, now time.Time) rank {
+	left := max(0, w.Due.Sub(now))
 	return rank{
-		begun: e.Begun, priority: e.Priority, overdue: e.isDeferred(now),
-		timeLeft: bits.Len64(uint64(left.Milliseconds())), cost: q.usage.cost(e.Organisation, now), due: e.Due, number: e.number,
+		begun: w.Begun, priority: w.Priority, overdue: w.isDeferred(now),
+		timeLeft: bits.Len64(uint64(left.Milliseconds())), cost: q.usage.cost(w.Organisation, now), due: w.Due, number: w.number,
 	}
 }
 
 // order returns the waiting requests in their order.
-func (q *Queue) order(now time.Time) []*Entry {
+func (q *Queue) order(now time.Time) []*Waiter {
 	if q.sorted && q.sortedAt.Equal(now) {
 		return q.waiting
 	}
-	for _, e := range q.waiting {
-		e.rank = q.rankOf(e, now)
+	for _, w := range q.waiting {
+		w.rank = q.rankOf(w, now)
 	}
 	q.sort()
 	if q.markOwed(now) {
@@ -71,7 +71,7 @@
 }
 
 func (q *Queue) sort() {
-	slices.SortFunc(q.waiting, func(a, b *Entry) int { return a.rank.compare(&b.rank) })
+	slices.SortFunc(q.waiting, func(a, b *Waiter) int { return a.rank.compare(&b.rank) })
 }
 
 // markOwed marks the first request of each priority and organisation that is owed one. It
@@ -79,12 +79,12 @@
 // take the place of one that can be on time.
 func (q *Queue) markOwed(now time.Time) (found bool) {
 	floor := q.usage.startOwed(now)
-	for _, e := range q.waiting {
-		if e.rank.begun || e.rank.overdue {
+	for _, w := range q.waiting {
+		if w.rank.begun || w.rank.overdue {
 			continue
 		}
-		if q.usage.takeOwed(e, floor, now) {
-			e.rank.owed, found = true, true
+		if q.usage.takeOwed(w, floor, now) {
+			w.rank.owed, found = true, true
 		}
 	}
 	return found
--- a/coordination/admissionqueue/pace.go
+++ b/coordination/admissionqueue/pace.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// minGaps is how many gaps must be known before their mean counts, and paceSmoothing
-	// the weight of the newest one afterwards.
-	minGaps       = 8
+	// minGaps is how many gaps must be known before their mean counts. With fewer, a few
+	// placements at the same moment look like a fast pace; with more, short overloads end
+	// before the pace is known.
+	minGaps = 8
+	// paceSmoothing is the weight of the newest gap in the mean. A larger one follows single
+	// bursts; a smaller one follows a change of the capacity only after the overload.
 	paceSmoothing = 0.05
 	// paceMaxAge is how long the mean counts after the last gap. Without a bound, the mean of
 	// a time in which the endpoints stalled would make the queue too short to measure it
--- a/coordination/admissionqueue/queue.go
+++ b/coordination/admissionqueue/queue.go
@@ -24,15 +24,19 @@
 	// those behind it. With fewer, each long prompt stops short ones for a time; with more,
 	// endpoints that it needs together fill up with short ones again.
 	maxOvertakes = 8
-	// A request holds back others for at most maxBlock, and for at most its allowed wait
-	// divided by waitDivisor. A request is held back for at most the same part of its own.
-	maxBlock    = 500 * time.Millisecond
+	// maxBlock is how long a request holds back others, or is held back, at most. With less,
+	// a long prompt would hardly get the endpoints that it needs together; with more, the
+	// capacity kept for it stays idle for longer if it never fits.
+	maxBlock = 500 * time.Millisecond
+	// waitDivisor divides the allowed wait: for that part a request holds back others, or is
+	// held back, at most. With 1, held requests would use up their wait; with more, short
+	// objectives leave a long prompt no time in which capacity comes together.
 	waitDivisor = 2
 )
 
-// Entry is a request. Its fields may change only while it isn't in a queue, or before
+// Waiter is a waiting request. Its fields may change only while it isn't in a queue, or before
 // Reorder.
-type Entry struct {
+type Waiter struct {
 	Priority     catalogue.Priority
 	Organisation string
 	Begun        bool      // its answer has begun, so it goes first and is never shed
@@ -55,14 +59,14 @@
 
 // Queue is the queue of one service. It is not safe for concurrent use.
 type Queue struct {
-	waiting   []*Entry
-	sortedAt  time.Time
-	sorted    bool // waiting is in the order of sortedAt
-	lastEntry uint64
-	usage     usage
-	pace      pace
-	stagger   stagger
-	idle      idle
+	waiting    []*Waiter
+	sortedAt   time.Time
+	sorted     bool // waiting is in the order of sortedAt
+	lastNumber uint64
+	usage      usage
+	pace       pace
+	stagger    stagger
+	idle       idle
 }
 
 // New returns an empty queue.
@@ -72,41 +76,41 @@
 func (q *Queue) Len() int { return len(q.waiting) }
 
 // Join adds a request that has arrived.
-func (q *Queue) Join(e *Entry, now time.Time) {
-	q.lastEntry++
-	e.number = q.lastEntry
-	q.usage.arrived(e, now)
-	q.add(e)
+func (q *Queue) Join(w *Waiter, now time.Time) {
+	q.lastNumber++
+	w.number = q.lastNumber
+	q.usage.arrived(w, now)
+	q.add(w)
 }
 
 // Return adds a placed request again, as its plan was dropped before it was sent.
-func (q *Queue) Return(e *Entry, now time.Time) {
-	q.Withdraw(e, now)
-	e.triedAt = time.Time{}
-	q.add(e)
+func (q *Queue) Return(w *Waiter, now time.Time) {
+	q.Withdraw(w, now)
+	w.triedAt = time.Time{}
+	q.add(w)
 }
 
 // Withdraw takes the placement of a request out of the sums, as its plan was dropped before
 // it was sent and it won't return.
-func (q *Queue) Withdraw(e *Entry, now time.Time) {
-	q.usage.placed(e, -1, now)
+func (q *Queue) Withdraw(w *Waiter, now time.Time) {
+	q.usage.placed(w, -1, now)
 	q.changed()
 }
 
-func (q *Queue) add(e *Entry) {
-	q.waiting = append(q.waiting, e)
+func (q *Queue) add(w *Waiter) {
+	q.waiting = append(q.waiting, w)
 	q.changed()
 }
 
 // Leave removes a request, if it waits.
-func (q *Queue) Leave(e *Entry) {
-	q.remove(e)
+func (q *Queue) Leave(w *Waiter) {
+	q.remove(w)
 	q.pace.measuring = q.pace.measuring && len(q.waiting) > 0
 }
 
-func (q *Queue) remove(e *Entry) {
+func (q *Queue) remove(w *Waiter) {
 	q.idle = idle{}
-	q.waiting = slices.DeleteFunc(q.waiting, func(other *Entry) bool { return other == e })
+	q.waiting = slices.DeleteFunc(q.waiting, func(other *Waiter) bool { return other == w })
 }
 
 // Reorder makes changed priorities count.
@@ -117,21 +121,21 @@
 
 // Next returns the first request to try now, nil if there is none. change counts the ends
 // of work. The caller must call Placed, DidNotFit, Skip or Leave for it before the next call.
-func (q *Queue) Next(now time.Time, change uint64) *Entry {
+func (q *Queue) Next(now time.Time, change uint64) *Waiter {
 	if q.idle.holds(now, change) {
 		return nil
 	}
 	q.stagger.note(now, change)
 	holding, held := false, false
-	for _, e := range q.order(now) {
-		if holding && e.isHeld(now) {
+	for _, w := range q.order(now) {
+		if holding && w.isHeld(now) {
 			held = true
 			continue
 		}
-		if q.isDue(e, now, change) {
-			return e
+		if q.isDue(w, now, change) {
+			return w
 		}
-		holding = holding || e.holdsBack(now)
+		holding = holding || w.holdsBack(now)
 	}
 	if !held {
 		q.idle = idle{until: q.nextDue(now), change: change}
@@ -141,70 +145,73 @@
 
 // Placed removes a request that has got a plan, and counts it as one that has overtaken
 // those ahead of it.
-func (q *Queue) Placed(e *Entry, now time.Time) {
+func (q *Queue) Placed(w *Waiter, now time.Time) {
 	for _, ahead := range q.order(now) {
-		if ahead == e {
+		if ahead == w {
 			break
 		}
 		ahead.overtaken++
 	}
-	q.remove(e)
-	q.usage.placed(e, 1, now)
+	q.remove(w)
+	q.usage.placed(w, 1, now)
 	q.pace.placed(now, len(q.waiting) > 0)
 	q.sorted = false // the shares have changed
 }
 
 // DidNotFit records that a request was tried and no endpoint has capacity for it.
-func (q *Queue) DidNotFit(e *Entry, now time.Time, change uint64) {
-	q.Skip(e, now, change)
+func (q *Queue) DidNotFit(w *Waiter, now time.Time, change uint64) {
+	q.Skip(w, now, change)
 	q.stagger.scarceUntil = now.Add(scarceFor)
 }
 
 // Skip records that a request was not tried, as it is about to leave. That says nothing about
 // the capacity.
-func (q *Queue) Skip(e *Entry, now time.Time, change uint64) {
-	e.triedAt, e.triedAtChange = now, change
+func (q *Queue) Skip(w *Waiter, now time.Time, change uint64) {
+	w.triedAt, w.triedAtChange = now, change
 }
 
 // isDue reports whether the request is to be tried now.
-func (q *Queue) isDue(e *Entry, now time.Time, change uint64) bool {
-	if e.isDeferred(now) {
-		return now.Sub(e.triedAt) >= PollInterval
+func (q *Queue) isDue(w *Waiter, now time.Time, change uint64) bool {
+	if w.isDeferred(now) {
+		return now.Sub(w.triedAt) >= PollInterval
 	}
-	offered, all := q.stagger.offered(now, e.delay)
+	offered, all := q.stagger.offered(now, w.delay)
 	switch {
-	case e.triedAt.IsZero():
-		return all || !now.Before(q.stagger.scarceUntil) || now.Sub(e.Joined) >= e.delay
-	case e.triedAtChange < offered:
+	case w.triedAt.IsZero():
+		return all || !now.Before(q.stagger.scarceUntil) || now.Sub(w.Joined) >= w.delay
+	case w.triedAtChange < offered:
 		return true
 	}
-	return all && now.Sub(e.triedAt) >= TryInterval
+	return all && now.Sub(w.triedAt) >= TryInterval
 }
 
 // isDeferred reports whether the request is overdue, so that others are tried before it.
-func (e *Entry) isDeferred(now time.Time) bool { return !e.Begun && now.After(e.Due) }
+func (w *Waiter) isDeferred(now time.Time) bool { return !w.Begun && now.After(w.Due) }
 
 // holdsBack reports whether the request, which didn't fit, holds back those behind it.
-func (e *Entry) holdsBack(now time.Time) bool {
-	if e.overtaken < maxOvertakes || e.isDeferred(now) {
+func (w *Waiter) holdsBack(now time.Time) bool {
+	if w.overtaken < maxOvertakes || w.isDeferred(now) {
 		return false
 	}
-	if e.blockedSince.IsZero() {
-		e.blockedSince = now
+	if w.blockedSince.IsZero() {
+		w.blockedSince = now
 	}
-	return now.Sub(e.blockedSince) < min(maxBlock, e.allowedWait()/waitDivisor)
+	return now.Sub(w.blockedSince) < w.longestBlock()
 }
 
 // isHeld reports whether a request ahead that doesn't fit holds this one back. After the
 // first time, that ends for good when its part of the allowed wait has passed.
-func (e *Entry) isHeld(now time.Time) bool {
-	if e.Begun {
+func (w *Waiter) isHeld(now time.Time) bool {
+	if w.Begun {
 		return false
 	}
-	if e.heldSince.IsZero() {
-		e.heldSince = now
+	if w.heldSince.IsZero() {
+		w.heldSince = now
 	}
-	return now.Sub(e.heldSince) < min(maxBlock, e.allowedWait()/waitDivisor)
+	return now.Sub(w.heldSince) < w.longestBlock()
 }
 
-func (e *Entry) allowedWait() time.Duration { return e.Until.Sub(e.Joined) }
+// longestBlock is how long the request holds back others, or is held back, at most.
+func (w *Waiter) longestBlock() time.Duration { return min(maxBlock, w.allowedWait()/waitDivisor) }
+
+func (w *Waiter) allowedWait() time.Duration { return w.Until.Sub(w.Joined) }
--- a/coordination/admissionqueue/queue_bench_test.go
+++ b/coordination/admissionqueue/queue_bench_test.go
@@ -16,7 +16,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	q, now, change := New(), start, uint64(0)
 	arrive := func() {
-		q.Join(&Entry{
+		q.Join(&Waiter{
 			Priority: catalogue.Priority{Organisation: random.IntN(10)}, Organisation: fmt.Sprint(random.IntN(960)),
 			Joined: now, Due: now.Add(time.Hour), Until: now.Add(time.Hour), Cost: 1,
 		}, now)
@@ -28,7 +28,7 @@
 	for range 200 {
 		arrive()
 	}
-	forecast := func(*Entry) (Forecast, bool) { return Forecast{Interval: time.Millisecond}, true }
+	forecast := func(*Waiter) (Forecast, bool) { return Forecast{Interval: time.Millisecond}, true }
 	b.ResetTimer()
 	for i := range b.N {
 		now = now.Add(16 * time.Microsecond) // 250 wakes in 4 ms
@@ -38,14 +38,14 @@
 			arrive()
 		}
 		tried := false
-		for e := q.Next(now, change); e != nil; e = q.Next(now, change) {
+		for w := q.Next(now, change); w != nil; w = q.Next(now, change) {
 			tried = true
 			if place {
 				place = false
-				q.Placed(e, now)
+				q.Placed(w, now)
 				continue
 			}
-			q.DidNotFit(e, now, change)
+			q.DidNotFit(w, now, change)
 		}
 		if tried {
 			q.Shed(now, forecast)
--- a/coordination/admissionqueue/queue_test.go
+++ b/coordination/admissionqueue/queue_test.go
@@ -17,45 +17,45 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 // request returns a request of organisation "o" that may wait for 100 ms of its 800 ms.
-func request(priority int) *Entry {
-	return &Entry{Priority: catalogue.Priority{Route: priority}, Organisation: "o", Joined: start, Due: at(800), Until: at(100), Cost: 1}
+func request(priority int) *Waiter {
+	return &Waiter{Priority: catalogue.Priority{Route: priority}, Organisation: "o", Joined: start, Due: at(800), Until: at(100), Cost: 1}
 }
 
 // with changes a request.
-func with(e *Entry, change func(*Entry)) *Entry {
-	change(e)
-	return e
+func with(w *Waiter, change func(*Waiter)) *Waiter {
+	change(w)
+	return w
 }
 
 // Each rule of the order must count only among requests that are equal by the rules before.
 func TestOrder(t *testing.T) {
 	q := New()
-	q.Join(with(request(5), func(e *Entry) { e.Organisation = "used" }), start)
+	q.Join(with(request(5), func(w *Waiter) { w.Organisation = "used" }), start)
 	q.Placed(q.Next(start, 1), start)
 	entries := []struct {
 		name string
-		*Entry
+		*Waiter
 	}{
-		{"begun", with(request(9), func(e *Entry) { e.Begun = true })},
-		{"organisation", with(request(7), func(e *Entry) { e.Priority.Organisation = -1 })},
+		{"begun", with(request(9), func(w *Waiter) { w.Begun = true })},
+		{"organisation", with(request(7), func(w *Waiter) { w.Priority.Organisation = -1 })},
 		{"urgent", request(0)},
-		{"urgent but late", with(request(0), func(e *Entry) { e.Due = at(-1) })},
-		{"soon due", with(request(1), func(e *Entry) { e.Due = at(100) })},
-		{"unused organisation", with(request(1), func(e *Entry) { e.Due = at(801) })},
-		{"exact time", with(request(1), func(e *Entry) { e.Organisation = "used" })},
-		{"arrival", with(request(1), func(e *Entry) { e.Organisation = "used" })},
+		{"urgent but late", with(request(0), func(w *Waiter) { w.Due = at(-1) })},
+		{"soon due", with(request(1), func(w *Waiter) { w.Due = at(100) })},
+		{"unused organisation", with(request(1), func(w *Waiter) { w.Due = at(801) })},
+		{"exact time", with(request(1), func(w *Waiter) { w.Organisation = "used" })},
+		{"arrival", with(request(1), func(w *Waiter) { w.Organisation = "used" })},
 	}
 	for _, i := range []int{3, 6, 5, 1, 7, 0, 4, 2} {
-		q.Join(entries[i].Entry, start)
+		q.Join(entries[i].Waiter, start)
 	}
-	for i, e := range q.order(start) {
-		if e != entries[i].Entry {
+	for i, w := range q.order(start) {
+		if w != entries[i].Waiter {
 			t.Errorf("%q isn't at place %d", entries[i].name, i)
 		}
 	}
 	entries[7].Priority = catalogue.Priority{Organisation: -2}
 	q.Reorder()
-	if q.order(start)[1] != entries[7].Entry {
+	if q.order(start)[1] != entries[7].Waiter {
 		t.Error("after its priority has changed, the arrival isn't second")
 	}
 }
@@ -63,10 +63,10 @@
 // An arrival must not take what fits a request ahead of it, so those are tried before it on
 // each state; and one without news must not be tried again and again.
 func TestThoseAheadAreTriedFirst(t *testing.T) {
-	q, ahead, overdue := New(), request(0), with(request(0), func(e *Entry) { e.Due = at(-1) })
+	q, ahead, overdue := New(), request(0), with(request(0), func(w *Waiter) { w.Due = at(-1) })
 	q.Join(ahead, start)
 	q.Join(overdue, start)
-	next := func(ms int, change uint64, want *Entry) {
+	next := func(ms int, change uint64, want *Waiter) {
 		t.Helper()
 		got := q.Next(at(ms), change)
 		if got != want {
@@ -96,7 +96,7 @@
 
 // A request whose plan was dropped must get its place back, and not count as served.
 func TestDroppedPlanReturns(t *testing.T) {
-	q, first, second := New(), request(0), with(request(0), func(e *Entry) { e.Organisation = "other" })
+	q, first, second := New(), request(0), with(request(0), func(w *Waiter) { w.Organisation = "other" })
 	q.Join(first, start)
 	q.Join(second, start)
 	q.Placed(first, start)
@@ -110,19 +110,19 @@
 // often before it holds the others back; and these for a part of their wait only.
 func TestOvertakingAndHoldingAreBounded(t *testing.T) {
 	q := New()
-	long := with(request(0), func(e *Entry) { e.Until = at(2000) })
+	long := with(request(0), func(w *Waiter) { w.Until = at(2000) })
 	q.Join(long, start)
 	overtaken, longestHold := 0, 0
 	for ms := 0; ms < 1500; ms++ {
-		q.Join(with(request(1), func(e *Entry) { e.Joined, e.Due, e.Until = at(ms), at(ms+800), at(ms+100) }), at(ms))
-		for e := q.Next(at(ms), 0); e != nil; e = q.Next(at(ms), 0) {
-			if e == long {
-				q.DidNotFit(e, at(ms), 0)
+		q.Join(with(request(1), func(w *Waiter) { w.Joined, w.Due, w.Until = at(ms), at(ms+800), at(ms+100) }), at(ms))
+		for w := q.Next(at(ms), 0); w != nil; w = q.Next(at(ms), 0) {
+			if w == long {
+				q.DidNotFit(w, at(ms), 0)
 				continue
 			}
 			overtaken++
-			longestHold = max(longestHold, int(at(ms).Sub(e.Joined).Milliseconds()))
-			q.Placed(e, at(ms))
+			longestHold = max(longestHold, int(at(ms).Sub(w.Joined).Milliseconds()))
+			q.Placed(w, at(ms))
 		}
 		if ms == maxOvertakes+40 && overtaken > maxOvertakes {
 			t.Errorf("%d requests have overtaken within 40 ms of the bound of %d", overtaken, maxOvertakes)
@@ -141,37 +141,37 @@
 func TestShedding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New()
-		forecast := make(map[*Entry]Forecast)
+		forecast := make(map[*Waiter]Forecast)
 		ms := func(most int, name string) time.Duration {
 			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
 		}
 		for range rapid.IntRange(0, 12).Draw(t, "waiting") {
-			e := request(rapid.IntRange(0, 2).Draw(t, "priority"))
-			e.Begun, e.Until, e.Due = rapid.Bool().Draw(t, "begun"), start.Add(ms(200, "until")), start.Add(ms(400, "due"))
-			forecast[e] = Forecast{Wait: ms(100, "wait"), Interval: ms(60, "interval")}
-			q.Join(e, start)
+			w := request(rapid.IntRange(0, 2).Draw(t, "priority"))
+			w.Begun, w.Until, w.Due = rapid.Bool().Draw(t, "begun"), start.Add(ms(200, "until")), start.Add(ms(400, "due"))
+			forecast[w] = Forecast{Wait: ms(100, "wait"), Interval: ms(60, "interval")}
+			q.Join(w, start)
 		}
 		tryAll(q, start, 0) // one that has not been tried isn't shed
 		order := slices.Clone(q.order(start))
-		shed := q.Shed(start, func(e *Entry) (Forecast, bool) { return forecast[e], true })
+		shed := q.Shed(start, func(w *Waiter) (Forecast, bool) { return forecast[w], true })
 		for _, s := range shed {
-			if s.Entry.Begun || !isLate(s.Entry, s.Turn, forecast[s.Entry]) || slices.Contains(q.waiting, s.Entry) {
+			if s.Waiter.Begun || !isLate(s.Waiter, s.UntilPlaced, forecast[s.Waiter]) || slices.Contains(q.waiting, s.Waiter) {
 				t.Fatalf("shed %+v", s)
 			}
 		}
 		ahead, notBegun := time.Duration(0), 0
-		for _, e := range order {
-			kept := slices.Contains(q.waiting, e)
-			if kept && !e.Begun && notBegun > 0 && isLate(e, 0, forecast[e]) {
-				t.Fatalf("kept %+v, whose own forecast is beyond its wait", e)
+		for _, w := range order {
+			kept := slices.Contains(q.waiting, w)
+			if kept && !w.Begun && notBegun > 0 && isLate(w, 0, forecast[w]) {
+				t.Fatalf("kept %+v, whose own forecast is beyond its wait", w)
 			}
-			if !kept && (notBegun == 0 || !isLate(e, ahead, forecast[e])) {
-				t.Fatalf("shed %+v, which the requests ahead leave enough time or which is the first", e)
+			if !kept && (notBegun == 0 || !isLate(w, ahead, forecast[w])) {
+				t.Fatalf("shed %+v, which the requests ahead leave enough time or which is the first", w)
 			}
 			if kept {
-				ahead += forecast[e].Interval
+				ahead += forecast[w].Interval
 			}
-			if !e.Begun {
+			if !w.Begun {
 				notBegun++
 			}
 		}
@@ -179,15 +179,15 @@
 }
 
 // isLate reports whether a request is placed or served too late after others take a time.
-func isLate(e *Entry, ahead time.Duration, f Forecast) bool {
-	return start.Add(ahead).After(e.Until) || start.Add(ahead+f.Wait).After(e.Due)
+func isLate(w *Waiter, ahead time.Duration, f Forecast) bool {
+	return start.Add(ahead).After(w.Until) || start.Add(ahead+f.Wait).After(w.Due)
 }
 
 // The time that kept requests take must count for those behind them, with the pace of this
 // entry's placements where it is faster than the forecast.
 func TestSheddingCountsThoseAhead(t *testing.T) {
 	q := New()
-	forecast := func(*Entry) (Forecast, bool) { return Forecast{Interval: 30 * time.Millisecond}, true }
+	forecast := func(*Waiter) (Forecast, bool) { return Forecast{Interval: 30 * time.Millisecond}, true }
 	for range 10 {
 		q.Join(request(0), start)
 	}
@@ -200,7 +200,7 @@
 		q.Placed(q.Next(at(ms), uint64(ms)), at(ms))
 	}
 	for range 20 {
-		q.Join(with(request(0), func(e *Entry) { e.Until = at(190) }), at(90))
+		q.Join(with(request(0), func(w *Waiter) { w.Until = at(190) }), at(90))
 	}
 	tryAll(q, at(90), 90)
 	if q.Shed(at(90), forecast); q.Len() != 11 {
@@ -244,8 +244,8 @@
 	return by[l.random.IntN(len(by))]
 }
 
-func count(in map[string]float64, e *Entry) {
-	for _, name := range []string{"all", fmt.Sprint("priority ", e.Priority.Route), "organisation " + e.Organisation} {
+func count(in map[string]float64, w *Waiter) {
+	for _, name := range []string{"all", fmt.Sprint("priority ", w.Priority.Route), "organisation " + w.Organisation} {
 		in[name]++
 	}
 }
@@ -253,26 +253,26 @@
 func (l *load) run(t *rapid.T, forMs, everyMs, room int) {
 	q, tokens := New(), 0
 	for ms := 0; ms < forMs; ms += everyMs {
-		e := with(request(l.pick(l.weights[:3])), func(e *Entry) {
-			e.Organisation = fmt.Sprint(l.pick(l.weights[3:]))
-			e.Joined, e.Due, e.Until = at(ms), at(ms+800), at(ms+100)
+		w := with(request(l.pick(l.weights[:3])), func(w *Waiter) {
+			w.Organisation = fmt.Sprint(l.pick(l.weights[3:]))
+			w.Joined, w.Due, w.Until = at(ms), at(ms+800), at(ms+100)
 		})
-		count(l.arrived, e)
-		q.Join(e, at(ms))
+		count(l.arrived, w)
+		q.Join(w, at(ms))
 		tokens = min(tokens+room, 200)
-		for e := q.Next(at(ms), uint64(ms)); e != nil; e = q.Next(at(ms), uint64(ms)) {
+		for w := q.Next(at(ms), uint64(ms)); w != nil; w = q.Next(at(ms), uint64(ms)) {
 			if tokens < 100 {
-				q.DidNotFit(e, at(ms), uint64(ms))
+				q.DidNotFit(w, at(ms), uint64(ms))
 				continue
 			}
 			tokens -= 100
-			count(l.served, e)
-			q.Placed(e, at(ms))
+			count(l.served, w)
+			q.Placed(w, at(ms))
 		}
-		q.Shed(at(ms), func(*Entry) (Forecast, bool) { return Forecast{}, true })
-		for _, e := range slices.Clone(q.waiting) {
-			if at(ms).After(e.Until) {
-				q.Leave(e)
+		q.Shed(at(ms), func(*Waiter) (Forecast, bool) { return Forecast{}, true })
+		for _, w := range slices.Clone(q.waiting) {
+			if at(ms).After(w.Until) {
+				q.Leave(w)
 			}
 		}
 		if q.Len() > 15 {
--- a/coordination/admissionqueue/shed.go
+++ b/coordination/admissionqueue/shed.go
@@ -13,16 +13,16 @@
 	At       time.Time     // when it was made
 }
 
-// Shed is a request that is to be refused, with the reasons.
-type Shed struct {
-	Entry    *Entry
-	Place    int           // in the order, 0 for the first
-	Turn     time.Duration // until it would be placed
-	Forecast Forecast
+// Refusal is a request that is to be refused, with the reasons.
+type Refusal struct {
+	Waiter      *Waiter
+	Place       int           // in the order, 0 for the first
+	UntilPlaced time.Duration // until it would be placed
+	Forecast    Forecast
 }
 
 // Wait returns the time until the request would be served.
-func (s *Shed) Wait() time.Duration { return s.Forecast.Wait + s.Turn }
+func (r *Refusal) Wait() time.Duration { return r.Forecast.Wait + r.UntilPlaced }
 
 // Shed removes and returns the waiting requests that can't be placed within the time that
 // they may wait, or not be served before they are due, if all that are kept ahead of them
@@ -30,27 +30,27 @@
 // begun is kept too, as capacity that becomes free would else be idle until the next
 // arrival. forecast returns the forecast for a request, false if there is none; it is asked
 // again after PollInterval.
-func (q *Queue) Shed(now time.Time, forecast func(*Entry) (Forecast, bool)) []Shed {
-	var shed []Shed
+func (q *Queue) Shed(now time.Time, forecast func(*Waiter) (Forecast, bool)) []Refusal {
+	var shed []Refusal
 	var ahead []time.Duration // intervals of the kept requests
 	var share shareAhead
 	first := true
-	for place, e := range q.order(now) {
-		if e.Failover {
+	for place, w := range q.order(now) {
+		if w.Failover {
 			continue // it leaves after this round
 		}
-		f, ok := e.forecastAt(now, len(q.waiting) > 1, forecast)
+		f, ok := w.forecastAt(now, len(q.waiting) > 1, forecast)
 		interval := q.interval(f, now)
-		s := Shed{Entry: e, Place: place, Turn: share.lengthen(q, e, waitFor(ahead, interval), now), Forecast: f}
-		if ok && !first && e.mayBeShed(now) && s.isTooLate(now) {
+		s := Refusal{Waiter: w, Place: place, UntilPlaced: share.lengthen(q, w, waitFor(ahead, interval), now), Forecast: f}
+		if ok && !first && w.mayBeShed(now) && s.isTooLate(now) {
 			shed = append(shed, s)
 			continue
 		}
-		first = first && e.Begun
+		first = first && w.Begun
 		ahead = append(ahead, interval)
 	}
 	for _, s := range shed {
-		q.Leave(s.Entry)
+		q.Leave(s.Waiter)
 	}
 	return shed
 }
@@ -65,12 +65,12 @@
 
 // lengthen returns a time to wait with what more urgent arrivals add to it, by the waiting
 // time of a queue with priorities. They don't overtake a request that is owed.
-func (a *shareAhead) lengthen(q *Queue, e *Entry, wait time.Duration, now time.Time) time.Duration {
-	if wait == 0 || e.rank.owed {
+func (a *shareAhead) lengthen(q *Queue, w *Waiter, wait time.Duration, now time.Time) time.Duration {
+	if wait == 0 || w.rank.owed {
 		return wait
 	}
-	if !a.known || a.priority != e.Priority {
-		*a = shareAhead{known: true, priority: e.Priority, share: q.usage.moreUrgentShare(e.Priority, now)}
+	if !a.known || a.priority != w.Priority {
+		*a = shareAhead{known: true, priority: w.Priority, share: q.usage.moreUrgentShare(w.Priority, now)}
 	}
 	return time.Duration(float64(wait) / (1 - a.share))
 }
@@ -78,17 +78,17 @@
 // isTooLate reports whether the forecast is beyond what the request may wait. Wait counts
 // against the objective only, as requests may wait for a slot at an endpoint too; an overdue
 // request has none any more.
-func (s *Shed) isTooLate(now time.Time) bool {
-	if now.Add(s.Turn).After(s.Entry.Until) {
+func (r *Refusal) isTooLate(now time.Time) bool {
+	if now.Add(r.UntilPlaced).After(r.Waiter.Until) {
 		return true
 	}
-	return !s.Entry.rank.overdue && now.Add(s.Wait()).After(s.Entry.Due)
+	return !r.Waiter.rank.overdue && now.Add(r.Wait()).After(r.Waiter.Due)
 }
 
 // mayBeShed reports whether a forecast may shed the request. It must have been tried or have
 // waited for its time: an arrival in its delay, or one that is held back, might fit.
-func (e *Entry) mayBeShed(now time.Time) bool {
-	return !e.Begun && (!e.triedAt.IsZero() || now.After(e.Until))
+func (w *Waiter) mayBeShed(now time.Time) bool {
+	return !w.Begun && (!w.triedAt.IsZero() || now.After(w.Until))
 }
 
 // waitFor returns the time that the requests ahead take of one with the given interval. A
@@ -102,12 +102,12 @@
 }
 
 // forecastAt returns the forecast for the request. None is needed while nobody else waits.
-func (e *Entry) forecastAt(now time.Time, needed bool, forecast func(*Entry) (Forecast, bool)) (Forecast, bool) {
-	if needed && (e.forecast.At.IsZero() || now.Sub(e.forecast.At) >= PollInterval) {
-		e.forecast, e.hasForecast = forecast(e)
-		e.forecast.At = now
+func (w *Waiter) forecastAt(now time.Time, needed bool, forecast func(*Waiter) (Forecast, bool)) (Forecast, bool) {
+	if needed && (w.forecast.At.IsZero() || now.Sub(w.forecast.At) >= PollInterval) {
+		w.forecast, w.hasForecast = forecast(w)
+		w.forecast.At = now
 	}
-	return e.forecast, e.hasForecast
+	return w.forecast, w.hasForecast
 }
 
 // interval returns the time that a request takes of those behind it: the smaller one of the
--- a/coordination/admissionqueue/shed_test.go
+++ b/coordination/admissionqueue/shed_test.go
@@ -8,8 +8,8 @@
 // A request that has not been tried might fit, so no forecast may shed it: neither an arrival
 // in its delay, nor one that a long prompt holds back.
 func TestUntriedRequestIsNotShed(t *testing.T) {
-	late := func(*Entry) (Forecast, bool) { return Forecast{Wait: time.Hour}, true }
-	q, delayed := New(), with(request(1), func(e *Entry) { e.Joined, e.Until = at(1), at(101) })
+	late := func(*Waiter) (Forecast, bool) { return Forecast{Wait: time.Hour}, true }
+	q, delayed := New(), with(request(1), func(w *Waiter) { w.Joined, w.Until = at(1), at(101) })
 	q.Join(request(0), start)
 	tryAll(q, start, 0)
 	q.Join(delayed, at(1))
@@ -18,12 +18,12 @@
 		t.Error("an arrival was shed in its delay")
 	}
 	tryAll(q, at(11), 1)
-	if shed := q.Shed(at(11), late); len(shed) != 1 || shed[0].Entry != delayed {
+	if shed := q.Shed(at(11), late); len(shed) != 1 || shed[0].Waiter != delayed {
 		t.Errorf("shed %+v, want the request that didn't fit", shed)
 	}
 
 	q = New()
-	long := with(request(0), func(e *Entry) { e.overtaken = maxOvertakes })
+	long := with(request(0), func(w *Waiter) { w.overtaken = maxOvertakes })
 	q.Join(long, start)
 	tryAll(q, start, 0)
 	held := request(1)
--- a/coordination/admissionqueue/stagger.go
+++ b/coordination/admissionqueue/stagger.go
@@ -7,14 +7,18 @@
 )
 
 const (
-	// staggerStep is how much later than the next more urgent priority a request is offered
+	// StaggerStep is how much later than the next more urgent priority a request is offered
 	// the capacity of work that has ended. Other entries, where more urgent requests may
-	// wait, have heard of that end by then, and this entry of their choices; it is the time
-	// that such events are given elsewhere too (conflictWindow in package serve).
-	staggerStep = 10 * time.Millisecond
-	// maxStagger bounds the steps, and the allowed wait divided by staggerDivisor the delay:
-	// capacity isn't used in the meantime, but for requests that wait at an endpoint.
-	maxStagger     = 3
+	// wait, have heard of that end by then, and this entry of their choices. Package serve
+	// gives events of conflicting plans the same time.
+	StaggerStep = 10 * time.Millisecond
+	// maxStagger bounds the steps of a delay. With fewer, the least urgent of several
+	// priorities compete with each other; with more, capacity stays unused for longer where
+	// no request waits at an endpoint.
+	maxStagger = 3
+	// staggerDivisor divides the allowed wait: that part bounds the delay. With a smaller one,
+	// requests with short objectives spend most of their wait in the delay; with a larger one,
+	// the delay is too short for the events of other entries.
 	staggerDivisor = 4
 	// scarceFor is how long after a request that didn't fit capacity counts as scarce. While
 	// it doesn't, an arrival is tried at once.
@@ -51,7 +55,7 @@
 	case last >= 0:
 		s.recent[last].change = change
 	}
-	for len(s.recent) > 0 && now.Sub(s.recent[0].at) >= maxStagger*staggerStep {
+	for len(s.recent) > 0 && now.Sub(s.recent[0].at) >= maxStagger*StaggerStep {
 		s.settled, s.recent = s.recent[0].change, s.recent[1:]
 	}
 }
@@ -73,9 +77,9 @@
 // requests, at most PollInterval.
 func (q *Queue) Pause(now time.Time) time.Duration {
 	pause := PollInterval
-	for _, e := range q.waiting {
+	for _, w := range q.waiting {
 		for _, end := range q.stagger.recent {
-			if left := e.delay - now.Sub(end.at); left > 0 {
+			if left := w.delay - now.Sub(end.at); left > 0 {
 				pause = min(pause, left)
 			}
 		}
@@ -97,16 +101,16 @@
 // a delayed one would never be tried.
 func (q *Queue) setDelays(now time.Time) {
 	steps := make(map[catalogue.Priority]int)
-	for _, e := range q.waiting {
-		if q.stagger.alone || e.rank.begun || e.rank.owed || e.Failover {
-			e.delay = 0
+	for _, w := range q.waiting {
+		if q.stagger.alone || w.rank.begun || w.rank.owed || w.Failover {
+			w.delay = 0
 			continue
 		}
-		n, known := steps[e.Priority]
+		n, known := steps[w.Priority]
 		if !known {
-			n = min(q.usage.moreUrgentPriorities(e.Priority, now), maxStagger)
-			steps[e.Priority] = n
+			n = min(q.usage.moreUrgentPriorities(w.Priority, now), maxStagger)
+			steps[w.Priority] = n
 		}
-		e.delay = min(time.Duration(n)*staggerStep, e.allowedWait()/staggerDivisor)
+		w.delay = min(time.Duration(n)*StaggerStep, w.allowedWait()/staggerDivisor)
 	}
 }
--- a/coordination/admissionqueue/stagger_test.go
+++ b/coordination/admissionqueue/stagger_test.go
@@ -9,13 +9,13 @@
 	urgent := request(0)
 	q.Join(urgent, start)
 	q.Placed(urgent, start)
-	e := with(request(1), func(e *Entry) { e.Joined, e.Until, e.Due = at(10_000), at(10_100), at(10_800) })
-	q.Join(e, at(4_900))
-	if q.order(at(4_900)); e.delay != staggerStep {
-		t.Errorf("4.9 s after an urgent arrival the delay is %v", e.delay)
+	w := with(request(1), func(w *Waiter) { w.Joined, w.Until, w.Due = at(10_000), at(10_100), at(10_800) })
+	q.Join(w, at(4_900))
+	if q.order(at(4_900)); w.delay != StaggerStep {
+		t.Errorf("4.9 s after an urgent arrival the delay is %v", w.delay)
 	}
-	if q.order(at(10_000)); e.delay != 0 {
-		t.Errorf("10 s after the last urgent arrival the delay is %v", e.delay)
+	if q.order(at(10_000)); w.delay != 0 {
+		t.Errorf("10 s after the last urgent arrival the delay is %v", w.delay)
 	}
 }
 
@@ -25,10 +25,10 @@
 	q := New()
 	q.Join(request(0), start)
 	tryAll(q, start, 0)
-	e := request(1)
-	q.Join(e, at(1))
+	w := request(1)
+	q.Join(w, at(1))
 	q.SetAlone(true)
-	if tried := tryAll(q, at(1), 1); len(tried) != 2 || tried[1] != e {
+	if tried := tryAll(q, at(1), 1); len(tried) != 2 || tried[1] != w {
 		t.Errorf("tried %d requests, want both", len(tried))
 	}
 	q.SetAlone(false)
--- a/coordination/admissionqueue/usage.go
+++ b/coordination/admissionqueue/usage.go
@@ -23,8 +23,13 @@
 	// the more urgent ones alone exceed the capacity, which the floor surely grants.
 	maxMoreUrgentShare = 0.9
 	// Above maxOrganisations, those that count less than negligible requests are forgotten.
+	// With fewer, 960 organisations would be walked often; with more, memory grows by those
+	// that no longer send anything.
 	maxOrganisations = 2048
-	negligible       = 0.1
+	// negligible is the count below which the sums of an organisation can be forgotten. With a
+	// larger one, an organisation would lose sums that can still make it owed a request; with
+	// a smaller one, more are kept that can't.
+	negligible = 0.1
 )
 
 // sums count recent requests; each counts less with time.
@@ -57,16 +62,16 @@
 }
 
 // of returns the sums of the request's priority and organisation, decayed.
-func (u *usage) of(e *Entry, now time.Time) [2]*sums {
-	p, o := u.priorities[e.Priority], u.organisations[e.Organisation]
+func (u *usage) of(w *Waiter, now time.Time) [2]*sums {
+	p, o := u.priorities[w.Priority], u.organisations[w.Organisation]
 	if p == nil {
 		p = &sums{at: now}
-		u.priorities[e.Priority] = p
+		u.priorities[w.Priority] = p
 	}
 	if o == nil {
 		u.forgetNegligible(now)
 		o = &sums{at: now}
-		u.organisations[e.Organisation] = o
+		u.organisations[w.Organisation] = o
 	}
 	p.decay(now)
 	o.decay(now)
@@ -83,27 +88,27 @@
 	})
 }
 
-func (u *usage) arrived(e *Entry, now time.Time) {
-	if e.Failover {
+func (u *usage) arrived(w *Waiter, now time.Time) {
+	if w.Failover {
 		return
 	}
 	u.total.decay(now)
 	u.total.arrived++
-	for _, s := range u.of(e, now) {
+	for _, s := range u.of(w, now) {
 		s.arrived++
 		s.arrivedAt = now
 	}
 }
 
 // placed counts a placed request, with a sign of -1 one that has lost its plan again.
-func (u *usage) placed(e *Entry, sign float64, now time.Time) {
-	if e.Failover {
+func (u *usage) placed(w *Waiter, sign float64, now time.Time) {
+	if w.Failover {
 		return
 	}
 	u.total.decay(now)
 	u.total.placed = max(0, u.total.placed+sign)
-	for _, s := range u.of(e, now) {
-		s.placed, s.cost = max(0, s.placed+sign), max(0, s.cost+sign*e.Cost)
+	for _, s := range u.of(w, now) {
+		s.placed, s.cost = max(0, s.placed+sign), max(0, s.cost+sign*w.Cost)
 	}
 }
 
@@ -157,8 +162,8 @@
 
 // takeOwed reports whether the request's priority or organisation lacks requests to its
 // floor. In one pass each counts for the first of its requests only.
-func (u *usage) takeOwed(e *Entry, floor float64, now time.Time) (owed bool) {
-	for _, s := range [...]*sums{u.priorities[e.Priority], u.organisations[e.Organisation]} {
+func (u *usage) takeOwed(w *Waiter, floor float64, now time.Time) (owed bool) {
+	for _, s := range [...]*sums{u.priorities[w.Priority], u.organisations[w.Organisation]} {
 		if s == nil || s.owedPass == u.pass {
 			continue
 		}
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -125,7 +125,7 @@
 }
 
 // send returns the endpoint's response. It cancels a stalled attempt once another
-// endpoint has room.
+// endpoint has capacity.
 func (r *run) send(ctx context.Context, plan *placement.Plan, reserved *reservations, cancel context.CancelFunc) (*Response, error) {
 	a := r.newAttempt(plan, reserved)
 	sentAt := time.Now()
@@ -147,7 +147,7 @@
 
 // awaitResult makes a call to the endpoint of an attempt and returns its result. When the
 // endpoint is silent for firstStallTimeout, it cancels the attempt once another endpoint
-// has room; stalled is then true, and the result is that of the cancelled call.
+// has capacity; stalled is then true, and the result is that of the cancelled call.
 func awaitResult[T any](ctx context.Context, r *run, plan *placement.Plan, cancel context.CancelFunc, call func() (T, error)) (value T, stalled bool, err error) {
 	done := make(chan struct{})
 	go func() {
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -14,7 +14,7 @@
 )
 
 // place returns a plan with a permit to send it, and waits for one until the placement
-// deadline while no endpoint has room. After that, and at once if all endpoints wait for a
+// deadline while no endpoint has capacity. After that, and at once if all endpoints wait for a
 // permit for longer or the queue sheds the request, the error is Overloaded with a
 // Retry-After. Where the routes of the service differ in priority, waiting requests are
 // placed in the order of the queue; elsewhere each tries on its own.
@@ -39,7 +39,7 @@
 			return plan, nil
 		}
 		if plan != nil && r.permitDenials < maxPermitDenials {
-			continue // other endpoints may have room
+			continue // other endpoints may have capacity
 		}
 		if turn.isShed() || time.Now().After(until) || r.waitsForPermits(until) {
 			if !turn.refuse() {
@@ -121,7 +121,7 @@
 	return all && time.Now().Add(wait).After(until)
 }
 
-// placeInTurn returns a plan, or nil when no endpoint has room now or others are ahead in
+// placeInTurn returns a plan, or nil when no endpoint has capacity now or others are ahead in
 // the queue.
 func (r *run) placeInTurn(turn *turn) *placement.Plan {
 	if turn == nil {
@@ -153,11 +153,11 @@
 	if capacity.OutOfPermits {
 		return fault.New(fault.Overloaded, "the rate limits of all endpoints of service %s are used up", r.service.Name).WithRetryAfter(after)
 	}
-	return fault.New(fault.Overloaded, "no endpoint of service %s has room", r.service.Name).WithRetryAfter(after)
+	return fault.New(fault.Overloaded, "no endpoint of service %s has capacity", r.service.Name).WithRetryAfter(after)
 }
 
-// retryAfter returns the Retry-After of a request that no endpoint has room for: the
-// time until there may be room, spread over the refused callers, and at most the
+// retryAfter returns the Retry-After of a request that no endpoint has capacity for: the
+// time until there may be capacity, spread over the refused callers, and at most the
 // request's time left divided by retryAfterDivisor. It is never below minRetryAfter.
 func (r *run) retryAfter(capacity placement.Capacity) time.Duration {
 	now := time.Now()
@@ -167,7 +167,7 @@
 	return r.server.retries.assign(earliest, latest, gap).Sub(now)
 }
 
-// placementDeadline is until when the request waits for an endpoint with room. It
+// placementDeadline is until when the request waits for an endpoint with capacity. It
 // counts from admission, so that a wait for the state doesn't shorten it. A
 // request without an answer yet is refused early with a Retry-After; an answer
 // that has started waits for as long as its deadline allows.
@@ -208,7 +208,7 @@
 	return time.Until(r.request.Arrived.Add(r.route.Objective))
 }
 
-// choosePlan returns a plan, or nil when no endpoint has room now or the state is
+// choosePlan returns a plan, or nil when no endpoint has capacity now or the state is
 // not current.
 func (r *run) choosePlan() *placement.Plan {
 	if !r.server.StateIsCurrent() {
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -58,7 +58,7 @@
 }
 
 // readPlain reads a response to its end. It cancels a stalled attempt once another
-// endpoint has room. The bytes returned are counted in Server.bufferedBytes.
+// endpoint has capacity. The bytes returned are counted in Server.bufferedBytes.
 func (r *run) readPlain(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) ([]byte, error) {
 	body, stalled, err := awaitResult(ctx, r, plan, cancel, func() ([]byte, error) {
 		return readBuffered(&pacedBody{ctx, response.Body, r.out}, &r.server.bufferedBytes)
--- a/coordination/serve/run.go
+++ b/coordination/serve/run.go
@@ -23,8 +23,9 @@
 	capacityPollInterval = admissionqueue.PollInterval
 	// conflictWindow is how long a request waits for conflicting plans of other
 	// entries before it is sent. The event of a plan that takes longer to arrive is
-	// missed; a longer window delays the request.
-	conflictWindow = 10 * time.Millisecond
+	// missed; a longer window delays the request. It is the time that the admission queue
+	// gives such events too.
+	conflictWindow = admissionqueue.StaggerStep
 	// maxAttempts is the number of attempts from which a request is not sent again
 	// after a failure in which the endpoint did not run it. All attempts count, also
 	// those that failed at the memory reservation and those that an endpoint may
@@ -40,12 +41,12 @@
 	// and for at most its time limit divided by stateWaitDivisor.
 	maxStateWait     = 1500 * time.Millisecond
 	stateWaitDivisor = 5
-	// minRetryAfter is the smallest Retry-After when no endpoint has room, and the
+	// minRetryAfter is the smallest Retry-After when no endpoint has capacity, and the
 	// one sent when no endpoint accepted the request. Its trade-off is that of
 	// staleRetryAfter.
 	minRetryAfter = 200 * time.Millisecond
 	// capacityWaitDivisor divides the objective: for that part of it a request
-	// waits for an endpoint with room.
+	// waits for an endpoint with capacity.
 	capacityWaitDivisor = 8
 	// startupIntervals is how many announcement intervals after its start a
 	// process is sure to have heard from every endpoint.
@@ -53,7 +54,7 @@
 	// callerTimeoutShare is the share of the caller timeout for which a request
 	// waits at most while the entry learns of the endpoints.
 	callerTimeoutShare = 0.5
-	// retryAfterDivisor divides a request's time left: when no endpoint has room, the
+	// retryAfterDivisor divides a request's time left: when no endpoint has capacity, the
 	// Retry-After is at most that part of it, but at least minRetryAfter. With 3, two
 	// thirds of the time remain for the retry.
 	retryAfterDivisor = 3
@@ -76,19 +77,25 @@
 
 // run is the state of one request while it is served.
 type run struct {
-	server           *Server
-	request          *Request
-	writer           ResponseWriter // used by out once that has started, until that has ended
-	out              *callerQueue
-	route            *catalogue.Route
-	service          *catalogue.Service
-	organisation     string
-	priority         int                // the organisation's or else the route's; 0 is the most urgent
-	priorities       catalogue.Priority // both
-	enginePriority   int                // as engines are told it
-	ranked           bool               // the routes of the service have different priorities
-	routeRank        int                // of the route's priority among them; 0 is the most urgent
-	deadline         time.Time          // of the whole answer
+	server       *Server
+	request      *Request
+	writer       ResponseWriter // used by out once that has started, until that has ended
+	out          *callerQueue
+	route        *catalogue.Route
+	service      *catalogue.Service
+	organisation string
+	// setPriorities sets all of these from fullPriority, which orders the queue. priority is
+	// the organisation's or else the route's, for the credit; enginePriority is what engines
+	// are told: the place of fullPriority among those of the service if ranked, else priority.
+	// ranked tells whether the routes of the service differ in priority, and routeRank is the
+	// place of the route's among them. 0 is the most urgent in all.
+	fullPriority   catalogue.Priority
+	priority       int
+	enginePriority int
+	ranked         bool
+	routeRank      int
+
+	deadline         time.Time // of the whole answer
 	admittedAt       time.Time
 	catalogueVersion uint64            // at admission
 	priorityVersion  uint64            // of the catalogue that the priorities are from
@@ -213,7 +220,7 @@
 // setPriorities sets the priorities of the request. Engines are told both where the routes
 // of the service differ in priority.
 func (r *run) setPriorities(c *catalogue.Catalogue, p catalogue.Priority) {
-	r.priorities, r.priority, r.enginePriority = p, p.Organisation, p.Organisation
+	r.fullPriority, r.priority, r.enginePriority = p, p.Organisation, p.Organisation
 	r.ranked, r.routeRank = c.HasPriorities(r.service.Name), c.RouteRank(r.service.Name, p.Route)
 	if r.ranked {
 		r.enginePriority = c.EnginePriority(r.service.Name, p)
--- a/coordination/serve/shed.go
+++ b/coordination/serve/shed.go
@@ -19,15 +19,15 @@
 	unlogged int // since the last line
 }
 
-// shed refuses the requests that can't be served in the time that they may wait. The
+// refuseLate refuses the requests that can't be served in the time that they may wait. The
 // caller holds the lock.
-func (q *waitingQueue) shed(now time.Time) {
+func (q *waitingQueue) refuseLate(now time.Time) {
 	if !q.server.StateIsCurrent() || now.Before(q.server.endpointsKnownAt()) {
 		return
 	}
 	for _, s := range q.queue.Shed(now, q.forecast) {
-		t := q.turns[s.Entry]
-		t.shed = &s
+		t := q.turns[s.Waiter]
+		t.refusal = &s
 		q.unregister(t)
 		q.logShed(t, now)
 		t.notify()
@@ -36,8 +36,8 @@
 
 // forecast returns when a request can be served, false if no endpoint can be chosen, as
 // nothing is known then.
-func (q *waitingQueue) forecast(e *admissionqueue.Entry) (admissionqueue.Forecast, bool) {
-	capacity := q.turns[e].run.capacity()
+func (q *waitingQueue) forecast(w *admissionqueue.Waiter) (admissionqueue.Forecast, bool) {
+	capacity := q.turns[w].run.capacity()
 	interval := capacity.ServiceInterval * time.Duration(max(1, q.server.settings.Load().EntryCount()))
 	return admissionqueue.Forecast{Wait: capacity.Wait, Interval: interval}, capacity.Candidates > 0
 }
@@ -48,11 +48,11 @@
 		q.shedLog.unlogged++
 		return
 	}
-	s := t.shed
-	q.server.logger.Warn().Str("request", t.run.request.ID).Str("service", t.run.service.Name).Str("organisation", s.Entry.Organisation).
-		Int("organisation_priority", s.Entry.Priority.Organisation).Int("route_priority", s.Entry.Priority.Route).
-		Int("place", s.Place).Int("waiting", q.queue.Len()).Dur("turn_in", s.Turn).Dur("room_in", s.Forecast.Wait).Dur("interval", s.Forecast.Interval).
-		Dur("forecast_age", now.Sub(s.Forecast.At)).Dur("may_wait", s.Entry.Until.Sub(now)).Int("unlogged", q.shedLog.unlogged).
+	s := t.refusal
+	q.server.logger.Warn().Str("request", t.run.request.ID).Str("service", t.run.service.Name).Str("organisation", s.Waiter.Organisation).
+		Int("organisation_priority", s.Waiter.Priority.Organisation).Int("route_priority", s.Waiter.Priority.Route).
+		Int("place", s.Place).Int("waiting", q.queue.Len()).Dur("turn_in", s.UntilPlaced).Dur("room_in", s.Forecast.Wait).Dur("interval", s.Forecast.Interval).
+		Dur("forecast_age", now.Sub(s.Forecast.At)).Dur("may_wait", s.Waiter.Until.Sub(now)).Int("unlogged", q.shedLog.unlogged).
 		Msg("A waiting request is shed.")
 	q.shedLog = shedLog{nextAt: now.Add(shedLogInterval)}
 }
@@ -64,7 +64,7 @@
 	}
 	t.queue.mu.Lock()
 	defer t.queue.mu.Unlock()
-	return t.shed != nil
+	return t.refusal != nil
 }
 
 // withQueue adds to the capacity of a refused request the time that the requests ahead of
@@ -77,8 +77,8 @@
 	q := t.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if t.shed != nil {
-		capacity.Wait = max(capacity.Wait, t.shed.Wait())
+	if t.refusal != nil {
+		capacity.Wait = max(capacity.Wait, t.refusal.Wait())
 	}
 	if capacity.ServiceInterval == 0 {
 		capacity.ServiceInterval = q.queue.PlacementInterval(time.Now()) / time.Duration(max(1, q.server.settings.Load().EntryCount()))
--- a/coordination/serve/waiting.go
+++ b/coordination/serve/waiting.go
@@ -37,7 +37,7 @@
 	defer w.mu.Unlock()
 	q := w.byService[service]
 	if q == nil {
-		q = &waitingQueue{server: w.server, queue: admissionqueue.New(), turns: make(map[*admissionqueue.Entry]*turn)}
+		q = &waitingQueue{server: w.server, queue: admissionqueue.New(), turns: make(map[*admissionqueue.Waiter]*turn)}
 		w.byService[service] = q
 	}
 	return q
@@ -62,7 +62,7 @@
 
 	mu       sync.Mutex
 	queue    *admissionqueue.Queue
-	turns    map[*admissionqueue.Entry]*turn
+	turns    map[*admissionqueue.Waiter]*turn
 	change   uint64          // counts the ends of work that a round has seen
 	workEnds <-chan struct{} // from the scheduler, as the last round saw it
 	version  uint64          // of the catalogue whose priorities the waiting requests have
@@ -85,50 +85,50 @@
 	wake  chan struct{}   // receives when a decision was made by another goroutine
 
 	// The queue's lock guards these fields.
-	entry      *admissionqueue.Entry
+	waiter     *admissionqueue.Waiter
 	registered bool
 	plan       *placement.Plan // chosen, not taken yet
 	unsent     bool            // a plan was chosen, and nothing was sent by it yet
-	shed       *admissionqueue.Shed
+	refusal    *admissionqueue.Refusal
 }
 
 // joinQueue registers the request in the queue of its service. It returns nil if the
 // service has none.
 func (r *run) joinQueue(ctx context.Context, until time.Time) *turn {
 	r.updatePriorities()
-	return r.join(ctx, r.queueEntry(until))
+	return r.join(ctx, r.newWaiter(until))
 }
 
 // tryPlace returns a plan for another attempt beside one that runs, nil when no endpoint has
-// room now, the state is not current, or requests that are ahead in the queue take it.
+// capacity now, the state is not current, or requests that are ahead in the queue take it.
 func (r *run) tryPlace() *placement.Plan {
 	r.updatePriorities()
-	e := r.queueEntry(r.deadline)
-	e.Failover = true
-	t := r.join(context.Background(), e)
+	w := r.newWaiter(r.deadline)
+	w.Failover = true
+	t := r.join(context.Background(), w)
 	defer t.leave()
 	return r.placeInTurn(t)
 }
 
-func (r *run) join(ctx context.Context, e *admissionqueue.Entry) *turn {
+func (r *run) join(ctx context.Context, w *admissionqueue.Waiter) *turn {
 	c := r.server.stateCache.State().Catalogue
 	q := r.server.queues.of(c, r.service.Name)
 	if q == nil {
 		return nil
 	}
-	t := &turn{queue: q, run: r, ctx: ctx, wake: make(chan struct{}, 1), entry: e}
+	t := &turn{queue: q, run: r, ctx: ctx, wake: make(chan struct{}, 1), waiter: w}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.register(t)
-	q.queue.Join(t.entry, time.Now())
+	q.queue.Join(t.waiter, time.Now())
 	return t
 }
 
-// queueEntry describes the request to the queue.
-func (r *run) queueEntry(until time.Time) *admissionqueue.Entry {
+// newWaiter describes the request to the queue.
+func (r *run) newWaiter(until time.Time) *admissionqueue.Waiter {
 	now := time.Now()
-	return &admissionqueue.Entry{
-		Priority: r.priorities, Organisation: r.organisation, Begun: r.headerWritten.Load(),
+	return &admissionqueue.Waiter{
+		Priority: r.fullPriority, Organisation: r.organisation, Begun: r.headerWritten.Load(),
 		Joined: now, Due: now.Add(r.objectiveLeft()), Until: until, Cost: r.predictedWork(),
 	}
 }
@@ -145,11 +145,11 @@
 }
 
 func (q *waitingQueue) register(t *turn) {
-	q.turns[t.entry], t.registered = t, true
+	q.turns[t.waiter], t.registered = t, true
 }
 
 func (q *waitingQueue) unregister(t *turn) {
-	delete(q.turns, t.entry)
+	delete(q.turns, t.waiter)
 	t.registered = false
 }
 
@@ -159,12 +159,12 @@
 	q := t.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !t.registered && t.plan == nil && t.shed == nil {
+	if !t.registered && t.plan == nil && t.refusal == nil {
 		q.register(t)
-		q.queue.Return(t.entry, time.Now())
+		q.queue.Return(t.waiter, time.Now())
 		t.unsent = false
 	}
-	if t.plan == nil && t.shed == nil {
+	if t.plan == nil && t.refusal == nil {
 		q.round()
 	}
 	plan := t.plan
@@ -183,7 +183,7 @@
 	if t.plan != nil {
 		return false
 	}
-	t.queue.queue.Leave(t.entry)
+	t.queue.queue.Leave(t.waiter)
 	t.queue.unregister(t)
 	return true
 }
@@ -209,32 +209,32 @@
 	q.applyPriorities()
 	q.queue.SetAlone(q.server.settings.Load().EntryCount() == 1)
 	tried := false
-	for e := q.queue.Next(now, q.change); e != nil; e = q.queue.Next(now, q.change) {
-		t := q.turns[e]
+	for w := q.queue.Next(now, q.change); w != nil; w = q.queue.Next(now, q.change) {
+		t := q.turns[w]
 		tried = true
 		if !t.mayBePlaced() {
-			q.queue.Skip(e, now, q.change)
+			q.queue.Skip(w, now, q.change)
 			continue
 		}
 		plan := t.run.choosePlan()
 		if plan == nil {
-			q.queue.DidNotFit(e, now, q.change)
+			q.queue.DidNotFit(w, now, q.change)
 			continue
 		}
-		q.queue.Placed(e, now)
+		q.queue.Placed(w, now)
 		t.plan, t.unsent = plan, true
 		q.unregister(t)
 		t.notify()
 	}
 	if tried {
-		q.shed(now)
+		q.refuseLate(now)
 	}
 }
 
 // mayBePlaced reports whether the request has not ended, nor is about to be ended by the
 // stop of this entry. What it was sent then would be cut.
 func (t *turn) mayBePlaced() bool {
-	return t.ctx.Err() == nil && (t.entry.Begun || !t.queue.server.stop.isNear())
+	return t.ctx.Err() == nil && (t.waiter.Begun || !t.queue.server.stop.isNear())
 }
 
 // applyPriorities gives the waiting requests the priorities of a new catalogue.
@@ -244,8 +244,8 @@
 		return
 	}
 	q.version = c.Version
-	for e, t := range q.turns {
-		e.Priority = t.run.prioritiesIn(c)
+	for w, t := range q.turns {
+		w.Priority = t.run.prioritiesIn(c)
 	}
 	q.queue.Reorder()
 }
@@ -255,7 +255,7 @@
 func (r *run) prioritiesIn(c *catalogue.Catalogue) catalogue.Priority {
 	route := c.Match(hostOnly(r.request.Host), r.request.Path)
 	if route == nil {
-		return r.priorities
+		return r.fullPriority
 	}
 	var o *catalogue.Organisation
 	if !route.Public && c.KeysRequired() {
@@ -293,7 +293,7 @@
 
 // hasBegun reports whether the answer of a request in a queue has begun. Such a request is
 // placed first, also if it is overdue.
-func (t *turn) hasBegun() bool { return t != nil && t.entry.Begun }
+func (t *turn) hasBegun() bool { return t != nil && t.waiter.Begun }
 
 // leave takes the request out of the queue, drops a plan that it has not taken, and takes a
 // plan that isn't sent out of the sums. If the priorities have changed meanwhile, the request
@@ -303,10 +303,10 @@
 		return
 	}
 	t.queue.mu.Lock()
-	t.queue.queue.Leave(t.entry)
+	t.queue.queue.Leave(t.waiter)
 	t.queue.unregister(t)
 	if t.unsent {
-		t.queue.queue.Withdraw(t.entry, time.Now())
+		t.queue.queue.Withdraw(t.waiter, time.Now())
 	}
 	plan := t.plan
 	t.plan = nil
@@ -315,7 +315,7 @@
 		plan.Handle.Close()
 	}
 	t.run.updatePriorities()
-	if !t.entry.Failover {
-		t.run.measureQueue(time.Since(t.entry.Joined))
+	if !t.waiter.Failover {
+		t.run.measureQueue(time.Since(t.waiter.Joined))
 	}
 }
