--- a/coordination/admissionqueue/preview.go
+++ b/coordination/admissionqueue/preview.go
@@ -7,12 +7,12 @@
 
 // Preview returns the place that an arrival would have in the order, 1 for the first, and
 // whether it would be tried now if no request ahead of it fits. It changes nothing.
-func (q *Queue) Preview(e Entry, now time.Time, change uint64) (place int, tried bool) {
+func (q *Queue) Preview(w Waiter, now time.Time, change uint64) (place int, tried bool) {
 	c := q.clone()
-	c.Join(&e, now)
-	place = 1 + slices.Index(c.order(now), &e)
+	c.Join(&w, now)
+	place = 1 + slices.Index(c.order(now), &w)
 	for next := c.Next(now, change); next != nil; next = c.Next(now, change) {
-		if next == &e {
+		if next == &w {
 			return place, true
 		}
 		c.DidNotFit(next, now, change)
@@ -22,16 +22,22 @@
 
 func (q *Queue) clone() *Queue {
 	c := *q
-	c.waiting = make([]*Entry, len(q.waiting))
-	for i, e := range q.waiting {
-		copied := *e
+	c.waiting = make([]*Waiter, len(q.waiting))
+	for i, w := range q.waiting {
+		copied := *w
 		c.waiting[i] = &copied
 	}
-	c.usage.groups = make(map[group]*sums, len(q.usage.groups))
-	for g, s := range q.usage.groups {
-		copied := *s
-		c.usage.groups[g] = &copied
-	}
+	c.usage.priorities = cloneSums(q.usage.priorities)
+	c.usage.organisations = cloneSums(q.usage.organisations)
 	c.stagger.recent = slices.Clone(q.stagger.recent)
 	return &c
 }
+
+func cloneSums[K comparable](of map[K]*sums) map[K]*sums {
+	copies := make(map[K]*sums, len(of))
+	for key, s := range of {
+		copied := *s
+		copies[key] = &copied
+	}
+	return copies
+}
