--- a/coordination/quarantine/events.go
+++ b/coordination/quarantine/events.go
@@ -14,6 +14,10 @@
 	repeatedFor = 30 * time.Second
 	// maxClearings bounds the clearings that are repeated; the oldest are forgotten first.
 	maxClearings = 64
+	// sameSend is the difference up to which two run times of a request until the end of an
+	// endpoint are taken for those of one send. That of a report which another entry tells on is
+	// shorter by the time by which that entry heard of the end earlier in another way.
+	sameSend = 100 * time.Millisecond
 )
 
 // clearing tells that parts are no suspects any more, as an answer of this entry went on.
@@ -63,10 +67,10 @@
 			continue
 		}
 		if e.Endpoint == 0 {
-			t.clear(e.Parts, at)
 			for _, p := range e.Parts {
 				t.sound.putLatest(p, at) // an older report may come later
 			}
+			t.clear(e.Parts, at)
 			continue
 		}
 		parts := slices.Clone(e.Parts)
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -84,7 +84,7 @@
 	sound       *history        // when an answer last went on, by part
 	soundOwn    *history        // the same by request, for the answers of this entry
 	ended       *history        // when an endpoint ended, by its key
-	heard       *history        // when a report was heard, by its hash
+	heard       *history        // for how long the request of a report ran, the shortest time told, by the report's hash
 	recorded    map[uint64]bool // quarantines of the control group, and whether they are final
 	publish     func([]*wire.PartEvent)
 	onProof     func(own bool)
@@ -203,7 +203,6 @@
 	defer t.mu.Unlock()
 	r := &report{endpoint: e.Endpoint, parts: parts, request: e.Request, at: t.now(), sentAt: e.SentAt, own: true}
 	r.probed = e.Lease.probedPart()
-	r.alone = r.probed != 0 && t.othersAreSound(parts, r.probed)
 	t.addReport(r)
 	for _, id := range e.Parts[:min(len(e.Parts), MaxParts)] {
 		t.name(Key(e.Service, id), e.Service, id[:min(len(id), maxIDBytes)])
@@ -219,17 +218,6 @@
 	}
 }
 
-// othersAreSound reports whether an answer is known to have gone on with each of the parts
-// but one. The caller holds the lock.
-func (t *Tracker) othersAreSound(parts []uint64, except uint64) bool {
-	for _, p := range parts {
-		if _, known := t.sound.get(p); p != except && !known {
-			return false
-		}
-	}
-	return true
-}
-
 // RecordSound records that an answer of this entry went on, and publishes which suspects
 // among its parts that clears.
 func (t *Tracker) RecordSound(parts []uint64) {
@@ -274,12 +262,16 @@
 // addReport adds a report, unless it is known, to the parts that aren't known to be sound
 // since then. The caller holds the lock.
 func (t *Tracker) addReport(r *report) {
+	ran := monotonic.Time(r.at.Sub(r.sentAt))
 	// What is told on and on gets later by each way; the first time is the closest.
 	r.at = t.ended.putFirst(r.endpoint, r.at)
-	if _, known := t.heard.get(r.hash()); known {
+	// The same request may have been sent to the endpoint twice: the report of the later send
+	// counts, whichever is heard first.
+	if shortest, known := t.heard.get(r.hash()); known && ran.Add(sameSend) > shortest {
 		return
 	}
-	t.heard.putFirst(r.hash(), r.at)
+	t.heard.putFirst(r.hash(), ran)
+	r.alone = r.alone || t.wasAlone(r)
 	t.counts.Ends++
 	var blamed []uint64
 	proved, ends := false, 0
