A status below 200 or a panic of a writer no longer ends the entry

Fault: one response with status 042 ended the process. Go's client accepts three digits of any value, its server panics on a status below 100, and WriteHeader runs in a goroutine of the queue since slow callers have one, where net/http recovers nothing.

A response with a status outside 200 to 599 is invalid now. The goroutine recovers a panic, logs it (rate limited, 200 bytes of the cause and 2 KB of the stack) and records it as a failure of the caller.

TestFaultyEndpoints with status 042 and TestStatusThatIsNoneIsInvalid failed before; in the first the entry had ended.

--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -34,6 +34,12 @@
 	pauseStallFactor = 3
 )
 
+// The statuses with which an endpoint may answer, those of RFC 9110 without the interim ones.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
 // notRunError reports that the endpoint that was meant did not run the request:
 // either the response declares it, or another endpoint has responded (421).
 type notRunError struct {
@@ -225,13 +231,19 @@
 		_ = response.Body.Close()
 		return nil, &notRunError{failedHelper: response.FailedHelper}
 	}
-	if !response.MatchesAttempt || response.Encoded {
+	if !response.MatchesAttempt || response.Encoded || !response.hasFinalStatus() {
 		_ = response.Body.Close()
 		return nil, errInvalidResponse
 	}
 	return response, nil
 }
 
+// hasFinalStatus reports whether the status may end an exchange. Go's client accepts any
+// three digits, and its server panics on a status below 100.
+func (response *Response) hasFinalStatus() bool {
+	return response.Status >= minFinalStatus && response.Status <= maxFinalStatus
+}
+
 // recordResult records the result of an attempt in the endpoint's health.
 func (r *run) recordResult(ctx context.Context, plan *placement.Plan, err error) {
 	r.measureAttempt(ctx, err)
--- a/coordination/serve/callerqueue.go
+++ b/coordination/serve/callerqueue.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 )
@@ -25,14 +27,19 @@
 	// long ago, as the bytes that had arrived are read first.
 	unreadAbortMin    = time.Second
 	unreadAbortWindow = 2 * time.Second
+	// maxLoggedPanic and maxLoggedStack bound the log line of a panic, in bytes. The stack
+	// begins with some frames of the runtime; the first ones of the writer follow.
+	maxLoggedPanic = 200
+	maxLoggedStack = 2 << 10
 )
 
 // The errors of callers. They say nothing about the endpoint.
 var (
-	errCaller        = errors.New("the caller did not take the answer")
-	errCallerStalled = errors.New("it has taken nothing for too long")
-	errCallerEvicted = errors.New("the buffers are full and it was the slowest")
-	errCallerSlow    = errors.New("it had not taken all at the end of the request")
+	errCallerPanicked = errors.New("writing the answer to the caller panicked")
+	errCaller         = errors.New("the caller did not take the answer")
+	errCallerStalled  = errors.New("it has taken nothing for too long")
+	errCallerEvicted  = errors.New("the buffers are full and it was the slowest")
+	errCallerSlow     = errors.New("it had not taken all at the end of the request")
 )
 
 // chunk is an event, or a plain answer.
@@ -77,11 +84,25 @@
 	go func() {
 		defer close(q.done)
 		defer q.finish()
+		defer q.recoverPanic()
 		q.writer.WriteHeader(status, header, length)
 		q.writeAll()
 	}()
 }
 
+// recoverPanic records a panic of the writer as a failure of the caller. net/http recovers
+// panics only in the goroutine of its handler; in this one a panic would end the process.
+func (q *callerQueue) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	stack := debug.Stack()
+	q.server.logger.RateLimitedWarn("caller_panic").Str("cause", fmt.Sprintf("%.*v", maxLoggedPanic, cause)).
+		Str("stack", string(stack[:min(len(stack), maxLoggedStack)])).Msg("Writing to a caller panicked.")
+	q.fail(errCallerPanicked)
+}
+
 // writeAll writes what is queued until the queue is closed and empty or the caller fails.
 func (q *callerQueue) writeAll() {
 	stall := time.AfterFunc(callerStallTimeout, func() { q.end(errCallerStalled) })
--- a/coordination/serve/invalid_response_test.go
+++ b/coordination/serve/invalid_response_test.go
@@ -140,3 +140,55 @@
 		t.Errorf("%d bytes are held after the end of a sound stream", held)
 	}
 }
+
+// Guards against a status that no server can send, which ended the process as the writer of
+// the caller panicked.
+func TestStatusThatIsNoneIsInvalid(t *testing.T) {
+	for _, status := range []int{0, 42, 99, 100, 101, 199, 600, 999} {
+		bubble.Run(t, func(t *testing.T) {
+			b := newTestbed(t, withStatus(status, true), good("yes"))
+			if g := b.serve(t.Context(), "again"); g.status != http.StatusOK || g.body.String() != "yes" {
+				t.Errorf("status %d: %d %.100q", status, g.status, g.body.String())
+			}
+		})
+		bubble.Run(t, func(t *testing.T) {
+			b := newTestbed(t, withStatus(status, true))
+			if g := b.serve(t.Context(), "once"); g.status != http.StatusBadGateway || len(b.sentAttempts()) != 1 {
+				t.Errorf("status %d, not repeatable: %d after %d attempts", status, g.status, len(b.sentAttempts()))
+			}
+		})
+	}
+}
+
+// panickingCaller panics in WriteHeader or Write.
+type panickingCaller struct {
+	recorder
+	inHeader bool
+}
+
+func (c *panickingCaller) WriteHeader(code int, header http.Header, length int64) {
+	if c.inHeader {
+		panic("invalid WriteHeader code")
+	}
+	c.recorder.WriteHeader(code, header, length)
+}
+
+func (c *panickingCaller) Write([]byte) error { panic(strings.Repeat("x", 1<<20)) }
+
+// Guards against a panic while an answer is written, which is outside of the handler's
+// goroutine and would end the process.
+func TestPanicOfAWriterEndsItsCallerOnly(t *testing.T) {
+	for _, route := range []string{"once", "stream"} {
+		for _, inHeader := range []bool{true, false} {
+			bubble.Run(t, func(t *testing.T) {
+				b := newTestbed(t, good(events(1, 3)), good(events(1, 3)))
+				c := &panickingCaller{inHeader: inHeader}
+				b.server.Serve(t.Context(), b.request(route), c)
+				if !c.aborted || !b.hasMetric(`serve_requests{organisation="boots",class="cancelled"} 1`) {
+					t.Errorf("%s, in the header %v: aborted %v", route, inHeader, c.aborted)
+				}
+				b.checkNoFault(t, nil)
+			})
+		}
+	}
+}
--- a/role/host/fakeendpoint_test.go
+++ b/role/host/fakeendpoint_test.go
@@ -24,7 +24,7 @@
 	sequence  atomic.Int64
 	address   string
 	server    *http.Server
-	behaviour atomic.Value // "good", "full", "cut" (breaks off answers), "cut head", "large" (streams) or "foreign" (names another attempt)
+	behaviour atomic.Value // "good", "full", "cut" (breaks off answers), "cut head", "large" (streams), "status 042" or "foreign" (names another attempt)
 	headCut   atomic.Value // a headCut, for "cut head"
 
 	dataCentre  atomic.Value // text
@@ -112,6 +112,10 @@
 		w.Header().Set("Attempt-Id", "another")
 	}
 	w.Header().Set("Replica-Signature", "signature-of-"+e.id)
+	if behaviour == "status 042" {
+		writeStatus042(w)
+		return
+	}
 	if strings.HasPrefix(q.URL.Path, "/stream/") {
 		e.stream(w, q, behaviour)
 		return
@@ -122,6 +126,18 @@
 	_, _ = w.Write(append([]byte("ran "), body...)) // the caller may have disconnected
 }
 
+// writeStatus042 answers with a status that Go's server can't send.
+func writeStatus042(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "HTTP/1.1 042 x\r\nContent-Length: 0\r\n")
+	_ = w.Header().Write(conn)
+	_, _ = io.WriteString(conn, "\r\n")
+}
+
 func (e *fakeEndpoint) recordArrival() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/role/host/host_test.go
+++ b/role/host/host_test.go
@@ -78,7 +78,7 @@
 			t.Errorf("a stream that was cut once: %d %q", status, text)
 		}
 	}
-	for _, behaviour := range []string{"cut", "foreign"} {
+	for _, behaviour := range []string{"cut", "foreign", "status 042"} {
 		first.behaviour.Store(behaviour)
 		second.behaviour.Store(behaviour)
 		id := "once-" + behaviour
