Slow readers are ended by rate, and one at a time

Faults: eight callers that took one piece of a plain answer of 4 MB every 0.9 s held the whole budget until their deadlines: an answer stays reserved until its last byte is written, and only callers that took nothing for a second could be ended. And each reader that waited for the budget ended another caller every 20 ms, although the bytes of one were enough.

The caller is ended now that would need longest for what is queued at the rate of the last one to two seconds; of those that need 10 s or more, the one that holds most. One eviction runs at a time: the reservation is tried again before it, and the bytes of the ended queue are awaited. Plain answers in queues hold at most half of the budget.

--- a/coordination/serve/callerqueue.go
+++ b/coordination/serve/callerqueue.go
@@ -57,18 +57,19 @@
 	done   chan struct{} // closed when the goroutine has ended
 	failed chan struct{} // closed when the caller takes nothing more
 
-	mu           sync.Mutex
-	chunks       []chunk
-	bytes        int // queued or being written
-	reserved     int // bytes of the budget: the whole of each chunk until its end is written
-	closed       bool
-	finished     bool
-	err          error
-	changed      chan struct{} // closed, and replaced, when bytes were taken or the caller has failed
-	stalledSince time.Time     // since when the caller has taken nothing; zero while nothing is queued
-	unreadSince  time.Time     // since when the endpoint is not read; zero while it is
-	readAgainAt  time.Time     // the end of the last time in which the endpoint was not read
-	unread       time.Duration // of the latest attempt, in all
+	mu          sync.Mutex
+	chunks      []chunk
+	bytes       int // queued or being written
+	reserved    int // bytes of the budget: the whole of each chunk until its end is written
+	closed      bool
+	finished    bool
+	err         error
+	changed     chan struct{} // closed, and replaced, when bytes were taken or the caller has failed
+	plain       int           // bytes of a plain answer
+	rate        takeRate      // at which the caller takes
+	unreadSince time.Time     // since when the endpoint is not read; zero while it is
+	readAgainAt time.Time     // the end of the last time in which the endpoint was not read
+	unread      time.Duration // of the latest attempt, in all
 }
 
 func newCallerQueue(s *Server, writer ResponseWriter) *callerQueue {
@@ -179,7 +180,7 @@
 		return nil
 	}
 	if q.bytes == 0 {
-		q.stalledSince = time.Now()
+		q.rate.start(time.Now())
 	}
 	q.chunks = append(q.chunks, chunk{rest: text, size: len(text)})
 	q.bytes += len(text)
@@ -189,13 +190,21 @@
 	return nil
 }
 
+// holdPlain records, before start, that a plain answer follows whose share was reserved. The
+// share is released when the goroutine ends.
+func (q *callerQueue) holdPlain(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.plain = n
+}
+
 // take records that the caller has taken n bytes, with the end of chunks of the size done.
 func (q *callerQueue) take(n, done int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.bytes -= n
 	q.release(done)
-	q.stalledSince = time.Now()
+	q.rate.record(time.Now(), n)
 	q.announce()
 }
 
@@ -260,7 +269,8 @@
 	defer q.mu.Unlock()
 	q.finished = true
 	q.release(q.reserved)
-	q.chunks, q.bytes = nil, 0
+	q.server.callers.plain.Add(-int64(q.plain))
+	q.chunks, q.bytes, q.plain = nil, 0, 0
 }
 
 // failure returns the error of the caller, nil if there is none.
@@ -354,13 +364,3 @@
 	defer q.mu.Unlock()
 	return q.bytes > 0
 }
-
-// stalled returns for how long the caller has taken nothing of what is queued.
-func (q *callerQueue) stalled(now time.Time) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.bytes == 0 || q.err != nil {
-		return 0
-	}
-	return now.Sub(q.stalledSince)
-}
--- a/coordination/serve/callers.go
+++ b/coordination/serve/callers.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
-	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/telemetry/metrics"
 )
 
@@ -19,19 +18,13 @@
 	// together on, only endpoints of callers with an empty queue are read. The rest is left
 	// for the answers of callers that read.
 	callersShareDivisor = 2
-	// bufferWait is how long an answer waits for the budget. A longer wait delays the answers
-	// that are being read; a shorter one fails them before a stalled caller is ended.
-	bufferWait = 300 * time.Millisecond
-	// bufferPollInterval is the pause between two tries to reserve bytes.
-	bufferPollInterval = 20 * time.Millisecond
-	// evictableAfter is how long a caller must have taken nothing to be ended when the
-	// budget is short. Callers that read take something within a round trip.
-	evictableAfter = time.Second
 )
 
 // callers are the queues of all callers whose answer has begun.
 type callers struct {
-	queued atomic.Int64 // bytes in all queues
+	queued   atomic.Int64 // bytes in all queues
+	plain    atomic.Int64 // of plain answers in them
+	evicting sync.Mutex   // held while a caller is being ended for want of memory
 
 	mu     sync.Mutex
 	queues map[*callerQueue]struct{}
@@ -52,21 +45,6 @@
 	delete(c.queues, q)
 }
 
-// mostStalled returns the queue whose caller has taken nothing for longest, and for at
-// least evictableAfter; nil if there is none.
-func (c *callers) mostStalled() *callerQueue {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var found *callerQueue
-	now, longest := time.Now(), evictableAfter
-	for q := range c.queues {
-		if stalled := q.stalled(now); stalled >= longest {
-			found, longest = q, stalled
-		}
-	}
-	return found
-}
-
 // reserveBytes reserves n bytes of the budget that all buffers share.
 func (s *Server) reserveBytes(n int) error { return reserve(&s.bufferedBytes, n) }
 
@@ -79,24 +57,6 @@
 	return s.callers.queued.Load() >= maxBufferedBytes/callersShareDivisor
 }
 
-// awaitBytes reserves n bytes. While the budget is used up, it ends the callers that have
-// taken nothing for longest, and waits for up to bufferWait.
-func (s *Server) awaitBytes(ctx context.Context, n int) error {
-	until := time.Now().Add(bufferWait)
-	for {
-		err := s.reserveBytes(n)
-		if err == nil || !time.Now().Before(until) {
-			return err
-		}
-		if q := s.callers.mostStalled(); q != nil {
-			q.end(errCallerEvicted)
-		}
-		if !wait.For(ctx, bufferPollInterval) {
-			return ctx.Err()
-		}
-	}
-}
-
 // measureCallers counts an event of the queues of callers.
 func (s *Server) measureCallers(class string) {
 	s.metrics.Count("serve_slow_callers", metrics.Labels{Class: class})
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -51,6 +51,10 @@
 	case !good && (!response.Signed || r.headerWritten.Load() || r.mayRunAgain()):
 		return fault.New(fault.EndpointFailed, "the endpoint responded with status %d", response.Status)
 	}
+	if err := r.server.awaitPlainShare(ctx, len(body)); err != nil {
+		return err
+	}
+	r.out.holdPlain(len(body))
 	r.firstByteAt = time.Now()
 	r.writeHeader(response.Status, response.Header, int64(len(body)))
 	queued = true
--- a/coordination/serve/slowcaller_test.go
+++ b/coordination/serve/slowcaller_test.go
@@ -293,10 +293,12 @@
 		route    string
 		response func(context.Context, *Attempt) (*Response, error)
 		callers  int
+		delay    time.Duration // of each write
 		bound    int64
 	}{
-		{"streams", "stream", sendingUntil(1000), slow, maxBufferedBytes/2 + slow*16<<10},
-		{"plain answers that use up the budget", "once", good(strings.Repeat("x", 4_000_000)), 8, maxBufferedBytes},
+		{"streams", "stream", sendingUntil(1000), slow, never, maxBufferedBytes/2 + slow*16<<10},
+		{"plain answers that use up the budget", "once", good(strings.Repeat("x", 4_000_000)), 8, never, maxBufferedBytes},
+		{"plain answers of which a little is taken steadily", "once", good(strings.Repeat("x", 4_000_000)), 8, 900 * time.Millisecond, maxBufferedBytes},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			bubble.Run(t, func(t *testing.T) {
@@ -311,9 +313,13 @@
 				most := b.watchBytes(ctx)
 				var all sync.WaitGroup
 				for range c.callers {
-					all.Go(func() { b.serveSlow(ctx, c.route, newSlowCaller(steadily(never))) })
+					all.Go(func() { b.serveSlow(ctx, c.route, newSlowCaller(steadily(c.delay))) })
 				}
-				time.Sleep(3 * time.Second)
+				time.Sleep(500 * time.Millisecond)
+				if held := b.server.callers.queued.Load(); c.route == "once" && held > maxBufferedBytes/callersShareDivisor {
+					t.Errorf("plain answers in queues hold %d bytes", held)
+				}
+				time.Sleep(2500 * time.Millisecond)
 				reader := newSlowCaller(steadily(0))
 				if b.serveSlow(ctx, "once", reader); reader.body.String() != ordinary {
 					t.Errorf("an ordinary plain answer: status %d, %d bytes, %v", reader.status, reader.body.Len(), reader.fault)
