A prompt that would begin too late reserves no memory

Fault: a prompt with reservations is abandoned 4.6 s after these were made if nothing shows their use. Nothing compared that with the plan, whose prefill might be predicted to begin later; the abandoned attempt then counted as a failure of a healthy endpoint, with back-off and suspect mark.

A main endpoint is not chosen for such a prompt while its waiting prefill and the wait for a slot are predicted to last until after the first report is asked for. An abandoned attempt whose endpoint accepts connections counts as a refusal. Without the bound in the settings nothing changes.

TestAbandonedAttemptMarksOnlyAnUnreachableEndpoint failed before; TestPromptThatNeedsReservationsBeginsInTime fails without the comparison.

--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -74,6 +74,16 @@
 	return c.answers < allowedAnswers && c.usedMemoryTokens+c.spareTokens+needed <= engine.MemoryTokens
 }
 
+// beginsInTime reports whether the candidate, as the main endpoint, is predicted to begin
+// the prompt before the reservations for it would end.
+func (c *candidate) beginsInTime(req *Request) bool {
+	engine := req.Service.Engine
+	if req.ReservedStart == 0 || req.PromptTokens+req.OutputTokens <= engine.MemoryTokens {
+		return true
+	}
+	return c.forecast.PrefillDoneMs+c.slotWaitMs(engine) <= enginemodel.Milliseconds(req.ReservedStart)
+}
+
 // mayHelp reports whether the endpoint may prefill a part of another endpoint's prompt. An
 // endpoint with a rate limit may not: a part counts as a request to it, and is worth
 // nothing to the caller when another part finds no permit.
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -121,7 +121,10 @@
 	TimeLimit      time.Duration // time left for the whole answer
 	Credit         float64       // weight of serving the request on time
 	Ranked         bool          // the routes of the service have different priorities
-	Excluded       func(e *directory.Endpoint) bool
+	// ReservedStart is how soon an endpoint must begin a prompt for which memory is
+	// reserved at others, as the reservations end otherwise; 0 for no bound.
+	ReservedStart time.Duration
+	Excluded      func(e *directory.Endpoint) bool
 }
 
 // Plan lists the endpoints chosen for a request, with the figures behind the choice.
--- a/coordination/placement/memory_test.go
+++ b/coordination/placement/memory_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -84,3 +85,43 @@
 	b.service.Engine.MemoryTokens = 20_000
 	b.choose(t, b.newReq(19_000, 5*time.Second, time.Second))
 }
+
+// Guards against prompts for which memory is reserved although their endpoints would begin
+// them only after the reservations have ended.
+func TestPromptThatNeedsReservationsBeginsInTime(t *testing.T) {
+	b := newTestbed(4)
+	b.service.Engine.MemoryTokens = 200_000
+	large := func(start time.Duration) *Request {
+		req := b.newReq(300_000, 30*time.Second, 0)
+		req.ReservedStart, req.CallerTimeout = start, time.Minute
+		return req
+	}
+	p := b.choose(t, large(time.Millisecond)) // nothing is ahead of it
+	if p.HeldTokens == nil {
+		t.Fatal("the prompt needs no reservations")
+	}
+	p.Handle.Close()
+	b.service.Engine.MemoryTokens = 400_000
+	busy := make(map[uint64]bool)
+	for range b.endpoints {
+		req := b.newReq(60_000, 30*time.Second, 0)
+		req.Excluded = func(e *directory.Endpoint) bool { return busy[e.Key] }
+		busy[b.choose(t, req).Endpoints[0].Key] = true
+	}
+	b.service.Engine.MemoryTokens = 290_000
+	p = b.choose(t, large(0))
+	p.Handle.Close()
+	if p.HeldTokens == nil || p.BacklogMs < 10 {
+		t.Fatalf("reservations %v, a backlog of %v ms", p.HeldTokens, p.BacklogMs)
+	}
+	if p := b.scheduler.Choose(b.endpoints, large(time.Millisecond)); p != nil {
+		t.Errorf("a prompt that must begin in 1 ms is sent where %v ms of prefill are ahead", p.BacklogMs)
+	}
+	if b.scheduler.Choose(b.endpoints, large(time.Minute)) == nil {
+		t.Error("a prompt that may begin later finds no place")
+	}
+	req := b.long()
+	if req.ReservedStart = time.Millisecond; b.scheduler.Choose(b.endpoints, req) == nil {
+		t.Error("a prompt without reservations finds no place")
+	}
+}
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -214,7 +214,7 @@
 	s.estimates.reportedMains = s.estimates.reportedMains[:0]
 	for _, c := range candidates {
 		o := s.evaluate(c, req, prefill, false)
-		if !c.canAnswer(req, o.firstMs) || !long && o.firstMs > req.maxFirstMs() {
+		if !c.canAnswer(req, o.firstMs) || !c.beginsInTime(req) || !long && o.firstMs > req.maxFirstMs() {
 			continue
 		}
 		if !long {
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -261,6 +261,8 @@
 		r.mayHaveRun--
 		r.server.scheduler.RecordUnreachable(e.Key)
 	case errors.Is(err, errReservationExpired): // because of this process, not of the endpoint
+	case errors.Is(err, errReservationUnused) && r.reaches(context.WithoutCancel(ctx), e):
+		r.server.scheduler.RecordRefusal(e.Key) // it may only be busy with earlier prompts
 	case ctx.Err() != nil && !errors.Is(err, errStalled) && lossOf(ctx) == nil:
 		return // the caller left or the deadline passed, which says nothing about the endpoint
 	case errors.Is(err, errCaller), errors.Is(err, errAbortedUnread), errors.Is(err, errBufferFull):
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -257,6 +257,7 @@
 		d.PauseObjective = r.route.PauseObjective
 		d.Credit = r.credit(engine)
 		d.Ranked = r.ranked
+		d.ReservedStart = r.server.settings.Load().reservedStart()
 	}
 	return d
 }
--- a/coordination/serve/unused.go
+++ b/coordination/serve/unused.go
@@ -79,6 +79,16 @@
 func (w *useWatch) askOneAfter() time.Duration { return w.endAfter - reportTimeout - reportAge }
 func (w *useWatch) askAllAfter() time.Duration { return w.endAfter - reportTimeout }
 
+// reservedStart is how soon a prompt must begin so that the first reports show its
+// reservations as used; 0 for no bound, also if the bound is too short for a report.
+func (s *Settings) reservedStart() time.Duration {
+	w := newUseWatch(s, 0)
+	if w.endAfter == 0 {
+		return 0
+	}
+	return max(0, w.askOneAfter())
+}
+
 // next returns what is to be done now. begun tells whether the answer has begun.
 func (w *useWatch) next(now monotonic.Time, begun bool) useStep {
 	w.used = w.used || begun
--- a/coordination/serve/unused_test.go
+++ b/coordination/serve/unused_test.go
@@ -256,6 +256,30 @@
 	}
 }
 
+// Guards against a back-off of an endpoint that is only busy with earlier prompts, and
+// against none of one that accepts no connections.
+func TestAbandonedAttemptMarksOnlyAnUnreachableEndpoint(t *testing.T) {
+	for _, cutOff := range []bool{false, true} {
+		inFleet(t, func(t *testing.T, f *ticketFleet) {
+			backingOff := -1
+			f.responses = []func(context.Context, *Attempt) (*Response, error){
+				func(ctx context.Context, a *Attempt) (*Response, error) {
+					f.unreachable = map[string]bool{a.Endpoint.ID: cutOff}
+					return silent(ctx, a)
+				},
+				func(ctx context.Context, a *Attempt) (*Response, error) {
+					time.Sleep(100 * time.Millisecond) // longer than after a refusal, shorter than after a failure
+					backingOff = f.scheduler.Stats().BackingOff
+					return good(events(1, 3))(ctx, a)
+				},
+			}
+			if g := f.serveLong(t); g.status != http.StatusOK || backingOff > 0 != cutOff {
+				t.Errorf("cut off %v: status %d, %d endpoints in back-off", cutOff, g.status, backingOff)
+			}
+		})
+	}
+}
+
 // A prompt that is read for long must not be abandoned while its reservations are used,
 // also if the reports are some hundred ms old, and costs few reports.
 func TestPromptIsNotAbandonedWhileItsReservationsAreUsed(t *testing.T) {
