A failed round of reports is asked for again, and cancelled renewals cost less

Faults: after a suspension, reports that nobody sent counted as "not used", so one failed round ended the renewal of an answer that was running, which was logged as expired. And a renewal that was cancelled by the end of its answer counted as a call without a response, so each part was released two more times, with up to three tries each.

What was used before it expired has the outcome used. After a cancelled renewal the release is repeated once, at three quarters of releaseMs, which is still in time for a renewal that is executed late.

--- a/coordination/serve/reserve.go
+++ b/coordination/serve/reserve.go
@@ -56,10 +56,27 @@
 	freed  chan struct{} // closed when every release was tried
 
 	// The goroutine of keep owns these until done is closed.
-	watch      useWatch
-	unanswered []bool // for each part, whether a Reserve call got no response and may be executed later
+	watch useWatch
+	late  []lateCall // for each part, the Reserve calls that may be executed later
 }
 
+// lateCall tells of a Reserve call without a response, which may be executed after the release.
+type lateCall int
+
+const (
+	lateNone      lateCall = iota
+	lateCancelled          // a renewal that was cancelled by end; it is rarely executed late
+	lateLost               // the response is missing
+)
+
+// The repeats of a release, as parts of ReleasedWithin. The last one leaves a quarter of the
+// bound for its own tries; the first one frees the memory earlier if the call was executed
+// soon, and is left out after a renewal that was only cancelled.
+const (
+	firstRepeatShare = 0.25
+	lastRepeatShare  = 0.75
+)
+
 // reservation is the part at one endpoint.
 type reservation struct {
 	endpoint *directory.Endpoint
@@ -83,7 +100,7 @@
 			s.parts = append(s.parts, reservation{endpoint: plan.Endpoints[i], tokens: tokens})
 		}
 	}
-	s.unanswered = make([]bool, len(s.parts))
+	s.late = make([]lateCall, len(s.parts))
 	if errs := s.reserveAll(ctx); errors.Join(errs...) != nil {
 		return s, s.giveBack(ctx, errs)
 	}
@@ -126,7 +143,7 @@
 			continue
 		}
 		if fault.KindOf(err) == fault.OutcomeUnknown {
-			s.unanswered[i] = true
+			s.late[i] = max(s.late[i], lateCallOf(ctx))
 		}
 		if ctx.Err() == nil {
 			s.run.server.scheduler.RecordRefusal(s.parts[i].endpoint.Key)
@@ -135,6 +152,14 @@
 	return errs
 }
 
+// lateCallOf returns what a call without a response was, by the context of the reservations.
+func lateCallOf(ctx context.Context) lateCall {
+	if ctx.Err() != nil {
+		return lateCancelled
+	}
+	return lateLost
+}
+
 // renew renews all reservations once.
 func (s *reservations) renew(ctx context.Context) {
 	if err := errors.Join(s.reserveAll(ctx)...); err != nil && ctx.Err() == nil {
@@ -167,8 +192,8 @@
 	for i, h := range s.parts {
 		work.Go(func() {
 			s.release(h)
-			if s.unanswered[i] {
-				go s.repeatRelease(h, ended)
+			if s.late[i] != lateNone {
+				go s.repeatRelease(h, ended, s.late[i])
 			}
 		})
 	}
@@ -193,12 +218,17 @@
 
 // repeatRelease releases a reservation again, as a Reserve call without a response may be
 // executed after the first release. The last repeat is early enough for the bound.
-func (s *reservations) repeatRelease(h reservation, ended monotonic.Time) {
+func (s *reservations) repeatRelease(h reservation, ended monotonic.Time, call lateCall) {
 	bound := s.run.server.settings.Load().ReleasedWithin
 	if bound == 0 {
 		return
 	}
-	for _, after := range []time.Duration{bound / 4, bound * 3 / 4} {
+	shares := []float64{firstRepeatShare, lastRepeatShare}
+	if call == lateCancelled {
+		shares = shares[1:]
+	}
+	for _, share := range shares {
+		after := time.Duration(share * float64(bound))
 		wait.For(context.Background(), ended.Add(after).Sub(s.run.server.now()))
 		s.release(h)
 	}
--- a/coordination/serve/reserveuse.go
+++ b/coordination/serve/reserveuse.go
@@ -80,7 +80,7 @@
 	for _, f := range found {
 		counts[f]++
 	}
-	s.watch.recordReport(counts[ticketUsed] > 0)
+	s.watch.recordReport(useOf(counts, len(parts)))
 	s.run.server.logger.Info().Str("request", s.run.request.ID).Str("ticket", s.ticket).Dur("age", s.age()).
 		Int("used", counts[ticketUsed]).Int("held", counts[ticketHeld]).Int("waiting", counts[ticketWaiting]).
 		Int("missing", counts[ticketMissing]).Int("failed", counts[reportFailed]).
@@ -98,6 +98,17 @@
 	ticketUsed
 )
 
+// useOf sums up what a number of endpoints report.
+func useOf(counts map[reportedTicket]int, endpoints int) useReport {
+	switch {
+	case counts[ticketUsed] > 0:
+		return reportUsed
+	case counts[reportFailed] == endpoints:
+		return reportNone
+	}
+	return reportUnused
+}
+
 // askOne asks one endpoint for its report.
 func (s *reservations) askOne(ctx context.Context, h reservation) reportedTicket {
 	tickets, err := s.run.server.upstream.Tickets(ctx, h.endpoint)
@@ -133,10 +144,10 @@
 // outcome returns the outcome of reservations that were made, after done is closed.
 func (s *reservations) outcome() string {
 	switch {
-	case s.watch.expired:
-		return reservationExpired
 	case s.watch.used || s.plan.Handle.HasStarted():
 		return reservationUsed
+	case s.watch.expired:
+		return reservationExpired
 	}
 	return reservationReleased
 }
--- a/coordination/serve/unused.go
+++ b/coordination/serve/unused.go
@@ -24,6 +24,12 @@
 	// reportAge is how old what a report says may be. A use that began since then shows
 	// in a second report.
 	reportAge = 800 * time.Millisecond
+	// gapAskInterval is the time after which reports that nobody sent are asked for again
+	// after a suspension: the connections of this host may have to be made anew.
+	gapAskInterval = reportTimeout
+	// maxGapAsks is the number of rounds of reports after a suspension. Each asks all
+	// endpoints of the prompt.
+	maxGapAsks = 2
 )
 
 // boundsReservations reports whether reservations that no request uses are ended.
@@ -49,6 +55,15 @@
 	useEnd            // renew them no longer
 )
 
+// useReport is what the endpoints that were asked report together.
+type useReport int
+
+const (
+	reportNone   useReport = iota // no endpoint sent a report
+	reportUnused                  // none of the reports names a reservation as used
+	reportUsed
+)
+
 // useWatch decides how long the reservations of an attempt are renewed. Without evidence
 // that a request uses them they end so early that they are over within the bound, also if
 // no endpoint receives the release. Evidence is the first event of the answer, or a report
@@ -60,8 +75,9 @@
 	madeAt    monotonic.Time // before the first calls
 	renewedAt monotonic.Time // before the latest calls
 	asked     int            // 1 after the report of one endpoint was asked for because of the bound, 2 after those of all
-	gapAsked  bool           // reports were asked for after a gap longer than ttl
-	reported  bool           // the latest report named a reservation as used
+	gapAsks   int            // rounds of reports after a gap longer than ttl
+	gapAskAt  monotonic.Time // of the latest of them
+	latest    useReport      // what the latest round said
 	used      bool           // there was evidence of use
 	expired   bool           // ended because of such a gap
 }
@@ -95,7 +111,7 @@
 	age := now.Sub(w.madeAt)
 	switch {
 	case w.hasGap(now):
-		return w.nextAfterGap()
+		return w.nextAfterGap(now)
 	case w.isDoubtful() && w.asked < 2 && age >= w.askAllAfter():
 		w.asked = 2 // also if the first time was missed, as this process did not run
 		return useAskAll
@@ -119,22 +135,34 @@
 	return w.endAfter > 0 && now.Sub(w.renewedAt) >= w.ttl
 }
 
-// nextAfterGap renews the reservations only if a report still names one as used.
-func (w *useWatch) nextAfterGap() useStep {
+// nextAfterGap renews the reservations only if a report still names one as used. A round
+// without any report tells nothing and is repeated.
+func (w *useWatch) nextAfterGap(now monotonic.Time) useStep {
 	switch {
-	case !w.gapAsked:
-		w.gapAsked = true
+	case w.gapAsks == 0 || w.mayAskAgain() && now >= w.gapAskAt.Add(gapAskInterval):
+		w.gapAsks++
+		w.gapAskAt = now
 		return useAskAll
-	case w.reported:
-		w.gapAsked = false
+	case w.mayAskAgain():
+		return useWait
+	case w.latest == reportUsed:
+		w.gapAsks = 0
 		return useRenew
 	}
 	w.expired = true
 	return useEnd
 }
 
+// mayAskAgain reports whether the latest round after a gap is to be repeated.
+func (w *useWatch) mayAskAgain() bool {
+	return w.gapAsks > 0 && w.gapAsks < maxGapAsks && w.latest == reportNone
+}
+
 // untilNext returns the time until next may return something else than useWait.
 func (w *useWatch) untilNext(now monotonic.Time) time.Duration {
+	if w.hasGap(now) && w.mayAskAgain() {
+		return max(0, w.gapAskAt.Add(gapAskInterval).Sub(now))
+	}
 	at := w.renewedAt.Add(w.interval)
 	if w.isDoubtful() {
 		for i, after := range []time.Duration{w.askOneAfter(), w.askAllAfter(), w.endAfter} {
@@ -147,8 +175,8 @@
 	return max(0, at.Sub(now))
 }
 
-// recordReport records whether a report named one of the reservations as used.
-func (w *useWatch) recordReport(used bool) {
-	w.reported = used
-	w.used = w.used || used
+// recordReport records what a round of reports says.
+func (w *useWatch) recordReport(r useReport) {
+	w.latest = r
+	w.used = w.used || r == reportUsed
 }
--- a/coordination/serve/unused_test.go
+++ b/coordination/serve/unused_test.go
@@ -38,6 +38,8 @@
 	// executed late.
 	losing      string
 	late        time.Duration
+	hanging     bool // renewals get no response until they are cancelled, and are not executed
+	releases    int
 	unreported  bool          // reports get no response
 	reportDelay time.Duration // how old reports are
 }
@@ -93,7 +95,7 @@
 }
 
 // Reserve implements Upstream.
-func (f *ticketFleet) Reserve(_ context.Context, e *directory.Endpoint, ticket string, tokens int, ttl time.Duration) error {
+func (f *ticketFleet) Reserve(ctx context.Context, e *directory.Endpoint, ticket string, tokens int, ttl time.Duration) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	name, used := "reserve", tokens
@@ -103,6 +105,12 @@
 	}
 	if own != nil {
 		name = "renew"
+		if f.hanging {
+			f.mu.Unlock()
+			<-ctx.Done()
+			f.mu.Lock()
+			return fault.New(fault.OutcomeUnknown, "no response")
+		}
 	} else if used > endpointMemory {
 		f.refusals.Add(1)
 		return fault.New(fault.EndpointFailed, "no memory")
@@ -122,6 +130,7 @@
 	time.Sleep(20 * time.Millisecond) // as to another region
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.releases++
 	return f.call("release", func() {
 		if _, h := f.heldAt(e, ticket); h != nil {
 			h.until = f.clock()
@@ -310,6 +319,41 @@
 	})
 }
 
+// Guards against many releases after each answer whose end cancels a renewal.
+func TestCancelledRenewalCostsOneMoreRelease(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *ticketFleet) {
+		f.responses = []func(context.Context, *Attempt) (*Response, error){f.silentUsing(0, 1600*time.Millisecond)}
+		f.hanging = true
+		f.serveLong(t)
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if parts := len(f.all); f.releases != 2*parts {
+			t.Errorf("%d releases of %d reservations", f.releases, parts)
+		}
+	})
+}
+
+// Guards against a round of reports that failed after a suspension and was taken for "not
+// used" although the answer was running.
+func TestFailedReportsAfterASuspensionAreAskedForAgain(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *ticketFleet) {
+		f.responses = []func(context.Context, *Attempt) (*Response, error){func(ctx context.Context, a *Attempt) (*Response, error) {
+			f.use(ctx, a)
+			return silentAfter(ctx, events(1, 2))
+		}}
+		f.unreported = true
+		f.suspendAfter2s(5 * time.Second)
+		f.serveLong(t)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if parts := len(f.all); f.asked != maxGapAsks*parts || !f.hasMetric(`serve_reservations{organisation="",class="used"} 1`) {
+			t.Errorf("%d reports of %d endpoints, or the outcome is not used", f.asked, parts)
+		}
+	})
+}
+
 // Without the bounds in the settings the reservations are kept as before.
 func TestReservationsWithoutBoundsAreNotDoubted(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
