Callers that read get larger pieces, and failures keep their outcome

Faults: a plain answer of 250 KB took 62 writes with a flush each for every caller. A real failure of an endpoint became "cancelled" if the caller still had something to take at the deadline. A disconnect was "cancelled" with a full queue and "broken_off" with an empty one.

Pieces double from 4 to 32 KiB while writes return within 5 ms, and are 4 KiB again after a slower one: 10 writes for 250 KB. Only a context error gives way to the caller's slowness. A disconnect is "cancelled" in both cases.

The test of a panicking writer waits for the goroutine that reads the response, which releases its bytes after the request has returned; the check is the same.

--- a/coordination/serve/callerqueue.go
+++ b/coordination/serve/callerqueue.go
@@ -15,9 +15,16 @@
 	// It holds the whole of most answers, so that a slow caller seldom holds a slot of an
 	// endpoint. A queue exceeds it by one event at most.
 	maxQueuedBytes = 64 << 10
-	// maxWriteBytes is the most that one write to a caller takes. A caller that takes less
-	// than this in callerStallTimeout is ended.
-	maxWriteBytes = 4 << 10
+	// minWriteBytes is the most that one write to a slow caller takes. A caller that takes less
+	// than one write in callerStallTimeout is ended.
+	minWriteBytes = 4 << 10
+	// maxWriteBytes is the most that one write takes. Writes double while they return within
+	// promptWrite, as each costs a flush. With more, a caller that becomes slow must take much
+	// of one write in callerStallTimeout: of 32 KiB, 3.3 KB/s.
+	maxWriteBytes = 32 << 10
+	// promptWrite is the longest time of a write that counts as returning at once. Copying
+	// 32 KiB to the kernel takes some 10 us; the rest is for a busy host.
+	promptWrite = 5 * time.Millisecond
 	// callerStallTimeout is how long a caller may take nothing. It exceeds the some seconds
 	// after which endpoints abort an unread response, so that a caller that reads on after
 	// such an abort gets the rest of a stream that can be resumed.
@@ -109,9 +116,10 @@
 	stall := time.AfterFunc(callerStallTimeout, func() { q.end(errCallerStalled) })
 	defer stall.Stop()
 	var joined []byte
+	limit := minWriteBytes
 	for {
 		stall.Stop()
-		piece, done, more := q.next(&joined)
+		piece, done, more := q.next(&joined, limit)
 		if !more {
 			return
 		}
@@ -120,18 +128,28 @@
 			continue
 		}
 		stall.Reset(callerStallTimeout)
+		began := time.Now()
 		if err := q.writer.Write(piece); err != nil {
 			q.fail(err)
 			return
 		}
+		limit = nextLimit(limit, time.Since(began))
 		q.take(len(piece), done)
 	}
 }
 
-// next returns the next piece to write, nil while nothing is queued, and the size of the
+// nextLimit returns the most that the next write takes after one that took the given time.
+func nextLimit(limit int, took time.Duration) int {
+	if took > promptWrite {
+		return minWriteBytes
+	}
+	return min(2*limit, maxWriteBytes)
+}
+
+// next returns the next piece to write, of limit bytes at most, nil while nothing is queued, and the size of the
 // chunks that end in it. more is false when nothing is to be written any more. Short chunks
 // are joined in *joined, so that one write takes them.
-func (q *callerQueue) next(joined *[]byte) (piece []byte, done int, more bool) {
+func (q *callerQueue) next(joined *[]byte, limit int) (piece []byte, done int, more bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	switch {
@@ -139,9 +157,9 @@
 		return nil, 0, false
 	case len(q.chunks) == 0:
 		return nil, 0, !q.closed
-	case len(q.chunks) == 1 || len(q.chunks[0].rest) >= maxWriteBytes:
+	case len(q.chunks) == 1 || len(q.chunks[0].rest) >= limit:
 		first := &q.chunks[0]
-		n := min(len(first.rest), maxWriteBytes)
+		n := min(len(first.rest), limit)
 		piece, first.rest = first.rest[:n], first.rest[n:]
 		if len(first.rest) == 0 {
 			done = q.dropFirst()
@@ -149,7 +167,7 @@
 		return piece, done, true
 	}
 	*joined = (*joined)[:0]
-	for len(q.chunks) > 0 && len(*joined)+len(q.chunks[0].rest) <= maxWriteBytes {
+	for len(q.chunks) > 0 && len(*joined)+len(q.chunks[0].rest) <= limit {
 		*joined = append(*joined, q.chunks[0].rest...)
 		done += q.dropFirst()
 	}
--- a/coordination/serve/callers.go
+++ b/coordination/serve/callers.go
@@ -119,7 +119,7 @@
 	select {
 	case <-r.out.done:
 	case <-ctx.Done():
-		if r.out.holdsBytes() && r.out.end(errCallerSlow) {
+		if r.out.holdsBytes() && r.out.end(errCallerSlow) && isContextError(err) {
 			err = nil // the caller had not taken what the endpoint was in time with
 		}
 		<-r.out.done
@@ -128,6 +128,8 @@
 	switch {
 	case errors.Is(err, errAbortedUnread):
 		failure = err
+	case failure == nil && isContextError(err) && errors.Is(ctx.Err(), context.Canceled):
+		return fault.Wrap(err, fault.Cancelled, "the caller closed the connection")
 	case failure == nil, err != nil && !errors.Is(err, errCaller):
 		return err
 	}
@@ -136,3 +138,8 @@
 		Err(failure).Msg("A caller was ended that did not take its answer.")
 	return fault.Wrap(failure, fault.Cancelled, "the caller did not take the whole answer")
 }
+
+// isContextError reports whether an error says only that a context has ended.
+func isContextError(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
--- a/coordination/serve/invalid_response_test.go
+++ b/coordination/serve/invalid_response_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/trials/bubble"
@@ -184,6 +185,7 @@
 				b := newTestbed(t, good(events(1, 3)), good(events(1, 3)))
 				c := &panickingCaller{inHeader: inHeader}
 				b.server.Serve(t.Context(), b.request(route), c)
+				synctest.Wait() // what reads the response ends after the request
 				if !c.aborted || !b.hasMetric(`serve_requests{organisation="boots",class="cancelled"} 1`) {
 					t.Errorf("%s, in the header %v: aborted %v", route, inHeader, c.aborted)
 				}
