Names and comments of the caller queue and the reservations

The goroutine's end, the end of input and the end of a caller had the names done, closed and end, one of them also for a number of bytes. unused.go is usewatch.go, after its type. The comments of the budget and of deliverStream say what the code does, and error texts that are logged alone have a subject. No change of behaviour.

--- a/coordination/placement/handle.go
+++ b/coordination/placement/handle.go
@@ -34,6 +34,13 @@
 	return took, h.work.predictedFirstMs
 }
 
+// HasStarted reports whether the first event of the answer was recorded.
+func (h *Handle) HasStarted() bool {
+	h.scheduler.mu.Lock()
+	defer h.scheduler.mu.Unlock()
+	return h.work.started
+}
+
 // updateBias moves the bias towards the ratio of the observed time to the prediction
 // without the bias, which predictedMs contains.
 func (s *Scheduler) updateBias(took time.Duration, predictedMs float64) {
--- a/coordination/serve/callerqueue.go
+++ b/coordination/serve/callerqueue.go
@@ -44,9 +44,9 @@
 var (
 	errCallerPanicked = errors.New("writing the answer to the caller panicked")
 	errCaller         = errors.New("the caller did not take the answer")
-	errCallerStalled  = errors.New("it has taken nothing for too long")
-	errCallerEvicted  = errors.New("the buffers are full and it was the slowest")
-	errCallerSlow     = errors.New("it had not taken all at the end of the request")
+	errCallerStalled  = errors.New("the caller has taken nothing for too long")
+	errCallerEvicted  = errors.New("the buffers are full and the caller was the slowest")
+	errCallerSlow     = errors.New("the caller had not taken all at the end of the request")
 )
 
 // chunk is an event, or a plain answer.
@@ -66,10 +66,10 @@
 
 	mu          sync.Mutex
 	chunks      []chunk
-	bytes       int // queued or being written
-	reserved    int // bytes of the budget: the whole of each chunk until its end is written
-	closed      bool
-	finished    bool
+	bytes       int  // queued or being written
+	reserved    int  // bytes of the budget: the whole of each chunk until its end is written
+	inputClosed bool // nothing more is queued
+	finished    bool // the goroutine writes nothing more
 	err         error
 	changed     chan struct{} // closed, and replaced, when bytes were taken or the caller has failed
 	plain       int           // bytes of a plain answer
@@ -91,7 +91,7 @@
 	q.server.callers.add(q)
 	go func() {
 		defer close(q.done)
-		defer q.finish()
+		defer q.releaseRest()
 		defer q.recoverPanic()
 		q.writer.WriteHeader(status, header, length)
 		q.writeAll()
@@ -113,13 +113,13 @@
 
 // writeAll writes what is queued until the queue is closed and empty or the caller fails.
 func (q *callerQueue) writeAll() {
-	stall := time.AfterFunc(callerStallTimeout, func() { q.end(errCallerStalled) })
+	stall := time.AfterFunc(callerStallTimeout, func() { q.endCaller(errCallerStalled) })
 	defer stall.Stop()
 	var joined []byte
 	limit := minWriteBytes
 	for {
 		stall.Stop()
-		piece, done, more := q.next(&joined, limit)
+		piece, endedBytes, more := q.next(&joined, limit)
 		if !more {
 			return
 		}
@@ -134,7 +134,7 @@
 			return
 		}
 		limit = nextLimit(limit, time.Since(began))
-		q.take(len(piece), done)
+		q.take(len(piece), endedBytes)
 	}
 }
 
@@ -149,29 +149,29 @@
 // next returns the next piece to write, of limit bytes at most, nil while nothing is queued, and the size of the
 // chunks that end in it. more is false when nothing is to be written any more. Short chunks
 // are joined in *joined, so that one write takes them.
-func (q *callerQueue) next(joined *[]byte, limit int) (piece []byte, done int, more bool) {
+func (q *callerQueue) next(joined *[]byte, limit int) (piece []byte, endedBytes int, more bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	switch {
 	case q.err != nil:
 		return nil, 0, false
 	case len(q.chunks) == 0:
-		return nil, 0, !q.closed
+		return nil, 0, !q.inputClosed
 	case len(q.chunks) == 1 || len(q.chunks[0].rest) >= limit:
 		first := &q.chunks[0]
 		n := min(len(first.rest), limit)
 		piece, first.rest = first.rest[:n], first.rest[n:]
 		if len(first.rest) == 0 {
-			done = q.dropFirst()
+			endedBytes = q.dropFirst()
 		}
-		return piece, done, true
+		return piece, endedBytes, true
 	}
 	*joined = (*joined)[:0]
 	for len(q.chunks) > 0 && len(*joined)+len(q.chunks[0].rest) <= limit {
 		*joined = append(*joined, q.chunks[0].rest...)
-		done += q.dropFirst()
+		endedBytes += q.dropFirst()
 	}
-	return *joined, done, true
+	return *joined, endedBytes, true
 }
 
 // dropFirst drops the first chunk, which the list would keep in memory otherwise, and
@@ -216,12 +216,12 @@
 	q.plain = n
 }
 
-// take records that the caller has taken n bytes, with the end of chunks of the size done.
-func (q *callerQueue) take(n, done int) {
+// take records that the caller has taken n bytes, in which chunks of endedBytes end.
+func (q *callerQueue) take(n, endedBytes int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.bytes -= n
-	q.release(done)
+	q.release(endedBytes)
 	q.rate.record(time.Now(), n)
 	q.announce()
 }
@@ -247,11 +247,11 @@
 	}
 }
 
-// close says that nothing follows.
-func (q *callerQueue) close() {
+// closeInput says that nothing more is queued.
+func (q *callerQueue) closeInput() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.closed = true
+	q.inputClosed = true
 	q.notify()
 }
 
@@ -270,9 +270,9 @@
 	return true
 }
 
-// end ends the caller for a reason of this entry, also in the middle of a write. It returns
+// endCaller ends the caller for a reason of this entry, also in the middle of a write. It returns
 // what fail returns.
-func (q *callerQueue) end(cause error) bool {
+func (q *callerQueue) endCaller(cause error) bool {
 	ended := q.fail(cause)
 	if ended {
 		q.writer.Interrupt()
@@ -280,8 +280,8 @@
 	return ended
 }
 
-// finish releases what is left when the goroutine ends.
-func (q *callerQueue) finish() {
+// releaseRest releases what is left when the goroutine ends.
+func (q *callerQueue) releaseRest() {
 	q.server.callers.remove(q)
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/coordination/serve/callers.go
+++ b/coordination/serve/callers.go
@@ -115,11 +115,11 @@
 	if !r.headerWritten.Load() {
 		return err
 	}
-	r.out.close()
+	r.out.closeInput()
 	select {
 	case <-r.out.done:
 	case <-ctx.Done():
-		if r.out.holdsBytes() && r.out.end(errCallerSlow) && isContextError(err) {
+		if r.out.holdsBytes() && r.out.endCaller(errCallerSlow) && isContextError(err) {
 			err = nil // the caller had not taken what the endpoint was in time with
 		}
 		<-r.out.done
--- a/coordination/serve/evict.go
+++ b/coordination/serve/evict.go
@@ -148,7 +148,7 @@
 		return true // the eviction before was enough
 	}
 	q := s.callers.slowest(plainOnly)
-	if q == nil || !q.end(errCallerEvicted) {
+	if q == nil || !q.endCaller(errCallerEvicted) {
 		return false
 	}
 	limit := time.NewTimer(evictionWait)
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -16,14 +16,15 @@
 	// is written to the caller. A longer response counts as invalid.
 	maxPlainAnswerBytes = 4 << 20
 	// maxBufferedBytes bounds the plain answers, the events being read and the queues of
-	// callers of all requests together. A response for which no room is left counts as invalid too.
+	// callers of all requests together: the budget. A response for which no room is left fails
+	// with errBufferFull, which is not recorded as a failure of its endpoint.
 	maxBufferedBytes = 32 << 20
 	// readChunkBytes is the most that one read takes from a response.
 	readChunkBytes = 16 << 10
 )
 
-// errBufferFull marks a response with which the buffered plain answers of all requests
-// would exceed maxBufferedBytes.
+// errBufferFull marks a response for which no room is left in the budget, or in the share of
+// plain answers in queues.
 var errBufferFull = errors.New("the buffer for responses is full")
 
 // errAnswerTooLong marks a response beyond maxPlainAnswerBytes.
--- a/coordination/serve/stream.go
+++ b/coordination/serve/stream.go
@@ -64,8 +64,8 @@
 	return true
 }
 
-// deliverStream queues events for the caller as they arrive, and never waits for the
-// caller. A response that goes on with a stream that has begun must show that it does with
+// deliverStream queues events for the caller as they arrive. It does not wait for the caller
+// to take them, only for the budget, for bufferWait at most. A response that goes on with a stream that has begun must show that it does with
 // the ID of its first event.
 func (r *run) deliverStream(ctx context.Context, plan *placement.Plan, response *Response, cancel context.CancelFunc) error {
 	if !response.Signed {
--- a/coordination/serve/unused.go
+++ b/coordination/serve/usewatch.go
@@ -17,7 +17,8 @@
 	// is due before a reservation expires.
 	releaseMargin = 100 * time.Millisecond
 	// minUnusedDivisor: reservations are kept for at least that part of the bound, also
-	// if it is so short that they may then outlive it.
+	// if it is so short that they may then outlive it. An attempt needs some time to begin,
+	// and without the least part none with reservations could be served.
 	minUnusedDivisor = 4
 	// reportTimeout bounds the calls for the reports of all endpoints of a prompt.
 	reportTimeout = 400 * time.Millisecond
