--- a/coordination/serve/callerqueue.go
+++ b/coordination/serve/callerqueue.go
@@ -22,8 +22,8 @@
 	// promptWrite, as each costs a flush. With more, a caller that becomes slow must take much
 	// of one write in callerStallTimeout: of 32 KiB, 3.3 KB/s.
 	maxWriteBytes = 32 << 10
-	// promptWrite is the longest time of a write that counts as returning at once. Copying
-	// 32 KiB to the kernel takes some 10 us; the rest is for a busy host.
+	// promptWrite is the longest time of a write that counts as returning at once. It is more
+	// than a copy to the kernel takes, so that a busy host does not make the pieces small.
 	promptWrite = 5 * time.Millisecond
 	// callerStallTimeout is how long a caller may take nothing. It exceeds the some seconds
 	// after which endpoints abort an unread response, so that a caller that reads on after
--- a/coordination/serve/evict.go
+++ b/coordination/serve/evict.go
@@ -29,11 +29,11 @@
 // takeRate measures how fast a caller takes what is queued, over the last one or two
 // windows of evictableAfter since the queue was last empty.
 type takeRate struct {
-	from        time.Time     // of the window
-	taken       int           // bytes, in the window
-	lengthUntil time.Duration // of the window before
-	takenUntil  int           // in the window before
-	takenAt     time.Time     // when the caller last took something
+	from         time.Time     // of the window
+	taken        int           // bytes, in the window
+	lengthBefore time.Duration // of the window before
+	takenBefore  int           // in the window before
+	takenAt      time.Time     // when the caller last took something
 }
 
 // start begins when something is queued for a caller that has taken everything.
@@ -48,7 +48,7 @@
 
 func (r *takeRate) advance(now time.Time) {
 	if length := now.Sub(r.from); length >= evictableAfter {
-		r.lengthUntil, r.takenUntil = length, r.taken
+		r.lengthBefore, r.takenBefore = length, r.taken
 		r.from, r.taken = now, 0
 	}
 }
@@ -58,13 +58,13 @@
 // evictableAfter.
 func (r *takeRate) timeFor(now time.Time, bytes int) time.Duration {
 	r.advance(now)
-	switch taken := r.taken + r.takenUntil; {
-	case bytes == 0 || r.lengthUntil == 0:
+	switch taken := r.taken + r.takenBefore; {
+	case bytes == 0 || r.lengthBefore == 0:
 		return 0
 	case taken == 0 || now.Sub(r.takenAt) >= evictableAfter:
 		return callerStallTimeout
 	default:
-		seconds := float64(bytes) / float64(taken) * (r.lengthUntil + now.Sub(r.from)).Seconds()
+		seconds := float64(bytes) / float64(taken) * (r.lengthBefore + now.Sub(r.from)).Seconds()
 		return time.Duration(min(seconds, callerStallTimeout.Seconds()) * float64(time.Second))
 	}
 }
