--- a/coordination/placement/reason.go
+++ b/coordination/placement/reason.go
@@ -23,6 +23,9 @@
 	NoMemory  Reason = "no memory"
 	// TooLate means that the first event is predicted too late for the caller.
 	TooLate Reason = "first event too late"
+	// BeginsTooLate means that the reservations for the prompt would end before its prefill
+	// is predicted to begin.
+	BeginsTooLate Reason = "prefill begins after the end of its reservations"
 	// TooCostly means that a plan costs more credit than it earns.
 	TooCostly Reason = "costs more credit than it earns"
 	// Suspect endpoints are left out of long prompts.
--- a/coordination/serve/callerqueue.go
+++ b/coordination/serve/callerqueue.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 )
@@ -13,9 +15,16 @@
 	// It holds the whole of most answers, so that a slow caller seldom holds a slot of an
 	// endpoint. A queue exceeds it by one event at most.
 	maxQueuedBytes = 64 << 10
-	// maxWriteBytes is the most that one write to a caller takes. A caller that takes less
-	// than this in callerStallTimeout is ended.
-	maxWriteBytes = 4 << 10
+	// minWriteBytes is the most that one write to a slow caller takes. A caller that takes less
+	// than one write in callerStallTimeout is ended.
+	minWriteBytes = 4 << 10
+	// maxWriteBytes is the most that one write takes. Writes double while they return within
+	// promptWrite, as each costs a flush. With more, a caller that becomes slow must take much
+	// of one write in callerStallTimeout: of 32 KiB, 3.3 KB/s.
+	maxWriteBytes = 32 << 10
+	// promptWrite is the longest time of a write that counts as returning at once. It is more
+	// than a copy to the kernel takes, so that a busy host does not make the pieces small.
+	promptWrite = 5 * time.Millisecond
 	// callerStallTimeout is how long a caller may take nothing. It exceeds the some seconds
 	// after which endpoints abort an unread response, so that a caller that reads on after
 	// such an abort gets the rest of a stream that can be resumed.
@@ -25,14 +34,19 @@
 	// long ago, as the bytes that had arrived are read first.
 	unreadAbortMin    = time.Second
 	unreadAbortWindow = 2 * time.Second
+	// maxLoggedPanic and maxLoggedStack bound the log line of a panic, in bytes. The stack
+	// begins with some frames of the runtime; the first ones of the writer follow.
+	maxLoggedPanic = 200
+	maxLoggedStack = 2 << 10
 )
 
 // The errors of callers. They say nothing about the endpoint.
 var (
-	errCaller        = errors.New("the caller did not take the answer")
-	errCallerStalled = errors.New("it has taken nothing for too long")
-	errCallerEvicted = errors.New("the buffers are full and it was the slowest")
-	errCallerSlow    = errors.New("it had not taken all at the end of the request")
+	errCallerPanicked = errors.New("writing the answer to the caller panicked")
+	errCaller         = errors.New("the caller did not take the answer")
+	errCallerStalled  = errors.New("the caller has taken nothing for too long")
+	errCallerEvicted  = errors.New("the buffers are full and the caller was the slowest")
+	errCallerSlow     = errors.New("the caller had not taken all at the end of the request")
 )
 
 // chunk is an event, or a plain answer.
@@ -50,18 +64,19 @@
 	done   chan struct{} // closed when the goroutine has ended
 	failed chan struct{} // closed when the caller takes nothing more
 
-	mu           sync.Mutex
-	chunks       []chunk
-	bytes        int // queued or being written
-	reserved     int // bytes of the budget: the whole of each chunk until its end is written
-	closed       bool
-	finished     bool
-	err          error
-	changed      chan struct{} // closed, and replaced, when bytes were taken or the caller has failed
-	stalledSince time.Time     // since when the caller has taken nothing; zero while nothing is queued
-	unreadSince  time.Time     // since when the endpoint is not read; zero while it is
-	readAgainAt  time.Time     // the end of the last time in which the endpoint was not read
-	unread       time.Duration // of the latest attempt, in all
+	mu          sync.Mutex
+	chunks      []chunk
+	bytes       int  // queued or being written
+	reserved    int  // bytes of the budget: the whole of each chunk until its end is written
+	inputClosed bool // nothing more is queued
+	finished    bool // the goroutine writes nothing more
+	err         error
+	changed     chan struct{} // closed, and replaced, when bytes were taken or the caller has failed
+	plain       int           // bytes of a plain answer
+	rate        takeRate      // at which the caller takes
+	unreadSince time.Time     // since when the endpoint is not read; zero while it is
+	readAgainAt time.Time     // the end of the last time in which the endpoint was not read
+	unread      time.Duration // of the latest attempt, in all
 }
 
 func newCallerQueue(s *Server, writer ResponseWriter) *callerQueue {
@@ -76,20 +91,35 @@
 	q.server.callers.add(q)
 	go func() {
 		defer close(q.done)
-		defer q.finish()
+		defer q.releaseRest()
+		defer q.recoverPanic()
 		q.writer.WriteHeader(status, header, length)
 		q.writeAll()
 	}()
 }
 
+// recoverPanic records a panic of the writer as a failure of the caller. net/http recovers
+// panics only in the goroutine of its handler; in this one a panic would end the process.
+func (q *callerQueue) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	stack := debug.Stack()
+	q.server.logger.RateLimitedWarn("caller_panic").Str("cause", fmt.Sprintf("%.*v", maxLoggedPanic, cause)).
+		Str("stack", string(stack[:min(len(stack), maxLoggedStack)])).Msg("Writing to a caller panicked.")
+	q.fail(errCallerPanicked)
+}
+
 // writeAll writes what is queued until the queue is closed and empty or the caller fails.
 func (q *callerQueue) writeAll() {
-	stall := time.AfterFunc(callerStallTimeout, func() { q.end(errCallerStalled) })
+	stall := time.AfterFunc(callerStallTimeout, func() { q.endCaller(errCallerStalled) })
 	defer stall.Stop()
 	var joined []byte
+	limit := minWriteBytes
 	for {
 		stall.Stop()
-		piece, done, more := q.next(&joined)
+		piece, endedBytes, more := q.next(&joined, limit)
 		if !more {
 			return
 		}
@@ -98,40 +128,50 @@
 			continue
 		}
 		stall.Reset(callerStallTimeout)
+		began := time.Now()
 		if err := q.writer.Write(piece); err != nil {
 			q.fail(err)
 			return
 		}
-		q.take(len(piece), done)
+		limit = nextLimit(limit, time.Since(began))
+		q.take(len(piece), endedBytes)
+	}
+}
+
+// nextLimit returns the most that the next write takes after one that took the given time.
+func nextLimit(limit int, took time.Duration) int {
+	if took > promptWrite {
+		return minWriteBytes
 	}
+	return min(2*limit, maxWriteBytes)
 }
 
-// next returns the next piece to write, nil while nothing is queued, and the size of the
+// next returns the next piece to write, of limit bytes at most, nil while nothing is queued, and the size of the
 // chunks that end in it. more is false when nothing is to be written any more. Short chunks
 // are joined in *joined, so that one write takes them.
-func (q *callerQueue) next(joined *[]byte) (piece []byte, done int, more bool) {
+func (q *callerQueue) next(joined *[]byte, limit int) (piece []byte, endedBytes int, more bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	switch {
 	case q.err != nil:
 		return nil, 0, false
 	case len(q.chunks) == 0:
-		return nil, 0, !q.closed
-	case len(q.chunks) == 1 || len(q.chunks[0].rest) >= maxWriteBytes:
+		return nil, 0, !q.inputClosed
+	case len(q.chunks) == 1 || len(q.chunks[0].rest) >= limit:
 		first := &q.chunks[0]
-		n := min(len(first.rest), maxWriteBytes)
+		n := min(len(first.rest), limit)
 		piece, first.rest = first.rest[:n], first.rest[n:]
 		if len(first.rest) == 0 {
-			done = q.dropFirst()
+			endedBytes = q.dropFirst()
 		}
-		return piece, done, true
+		return piece, endedBytes, true
 	}
 	*joined = (*joined)[:0]
-	for len(q.chunks) > 0 && len(*joined)+len(q.chunks[0].rest) <= maxWriteBytes {
+	for len(q.chunks) > 0 && len(*joined)+len(q.chunks[0].rest) <= limit {
 		*joined = append(*joined, q.chunks[0].rest...)
-		done += q.dropFirst()
+		endedBytes += q.dropFirst()
 	}
-	return *joined, done, true
+	return *joined, endedBytes, true
 }
 
 // dropFirst drops the first chunk, which the list would keep in memory otherwise, and
@@ -158,7 +198,7 @@
 		return nil
 	}
 	if q.bytes == 0 {
-		q.stalledSince = time.Now()
+		q.rate.start(time.Now())
 	}
 	q.chunks = append(q.chunks, chunk{rest: text, size: len(text)})
 	q.bytes += len(text)
@@ -168,13 +208,21 @@
 	return nil
 }
 
-// take records that the caller has taken n bytes, with the end of chunks of the size done.
-func (q *callerQueue) take(n, done int) {
+// holdPlain records, before start, that a plain answer follows whose share was reserved. The
+// share is released when the goroutine ends.
+func (q *callerQueue) holdPlain(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.plain = n
+}
+
+// take records that the caller has taken n bytes, in which chunks of endedBytes end.
+func (q *callerQueue) take(n, endedBytes int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.bytes -= n
-	q.release(done)
-	q.stalledSince = time.Now()
+	q.release(endedBytes)
+	q.rate.record(time.Now(), n)
 	q.announce()
 }
 
@@ -199,11 +247,11 @@
 	}
 }
 
-// close says that nothing follows.
-func (q *callerQueue) close() {
+// closeInput says that nothing more is queued.
+func (q *callerQueue) closeInput() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.closed = true
+	q.inputClosed = true
 	q.notify()
 }
 
@@ -222,9 +270,9 @@
 	return true
 }
 
-// end ends the caller for a reason of this entry, also in the middle of a write. It returns
+// endCaller ends the caller for a reason of this entry, also in the middle of a write. It returns
 // what fail returns.
-func (q *callerQueue) end(cause error) bool {
+func (q *callerQueue) endCaller(cause error) bool {
 	ended := q.fail(cause)
 	if ended {
 		q.writer.Interrupt()
@@ -232,14 +280,15 @@
 	return ended
 }
 
-// finish releases what is left when the goroutine ends.
-func (q *callerQueue) finish() {
+// releaseRest releases what is left when the goroutine ends.
+func (q *callerQueue) releaseRest() {
 	q.server.callers.remove(q)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.finished = true
 	q.release(q.reserved)
-	q.chunks, q.bytes = nil, 0
+	q.server.callers.plain.Add(-int64(q.plain))
+	q.chunks, q.bytes, q.plain = nil, 0, 0
 }
 
 // failure returns the error of the caller, nil if there is none.
@@ -333,13 +382,3 @@
 	defer q.mu.Unlock()
 	return q.bytes > 0
 }
-
-// stalled returns for how long the caller has taken nothing of what is queued.
-func (q *callerQueue) stalled(now time.Time) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.bytes == 0 || q.err != nil {
-		return 0
-	}
-	return now.Sub(q.stalledSince)
-}
--- a/coordination/serve/plain.go
+++ b/coordination/serve/plain.go
@@ -15,14 +15,15 @@
 	// is written to the caller. A longer response counts as invalid.
 	maxPlainAnswerBytes = 4 << 20
 	// maxBufferedBytes bounds the plain answers, the events being read and the queues of
-	// callers of all requests together, in a server without SetMemory.
+	// callers of all requests together, in a server without SetMemory. A response for which no
+	// room is left fails with errBufferFull, which is not recorded as a failure of its endpoint.
 	maxBufferedBytes = 32 << 20
 	// readChunkBytes is the most that one read takes from a response.
 	readChunkBytes = 16 << 10
 )
 
-// errBufferFull marks a response with which the buffered plain answers of all requests
-// would exceed their bound.
+// errBufferFull marks a response for which no room is left in the budget, or in the share of
+// plain answers in queues.
 var errBufferFull = errors.New("the buffer for responses is full")
 
 // errAnswerTooLong marks a response beyond maxPlainAnswerBytes.
@@ -50,6 +51,10 @@
 	case !good && (!response.Signed || r.headerWritten.Load() || r.mayRunAgain()):
 		return fault.New(fault.EndpointFailed, "the endpoint responded with status %d", response.Status)
 	}
+	if err := r.server.awaitPlainShare(ctx, len(body)); err != nil {
+		return err
+	}
+	r.out.holdPlain(len(body))
 	r.firstByteAt = time.Now()
 	r.writeHeader(response.Status, response.Header, int64(len(body)))
 	queued = true
