--- a/transport/bodybudget/budget_test.go
+++ b/transport/bodybudget/budget_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/iotest"
@@ -223,3 +224,32 @@
 		t.Errorf("%d held, %d leaving, %d bodies", b.HeldBytes(), b.leavingBytes, len(b.bodies))
 	}
 }
+
+// Guards against a client that asks for "100 Continue" and doesn't read it: the write of it
+// blocked the reader for good, and with it all reservations that waited for its bytes.
+func TestBodyWhoseContinueIsNotReadIsEvicted(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		b := New(DefaultBytes)
+		refused := make(chan error, 1)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := b.ReadRequest(w, r, testMaxBytes, time.Time{})
+			refused <- err
+			CloseUnread(w)
+		})}
+		near, far := net.Pipe()
+		go func() { _ = server.Serve(bubble.Listen(far)) }() // ends when the server is closed
+		_, _ = io.WriteString(near, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n")
+		time.Sleep(time.Millisecond) // the handler writes "100 Continue"
+		all := int(b.Capacity())
+		if err := b.Reserve(all); err != nil {
+			t.Errorf("beside a body that has not arrived: %v", err)
+		}
+		b.Release(all)
+		if err := <-refused; fault.KindOf(err) != fault.Overloaded || b.HeldBytes() != 0 {
+			t.Errorf("%v, %d bytes held", err, b.HeldBytes())
+		}
+		_ = near.Close()
+		time.Sleep(time.Second) // the server closes a little later
+		_ = server.Close()
+	})
+}
--- a/transport/bodybudget/http.go
+++ b/transport/bodybudget/http.go
@@ -1,6 +1,7 @@
 package bodybudget
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -19,16 +20,29 @@
 	if r.ContentLength == 0 {
 		return &Body{budget: b}, nil
 	}
-	control := http.NewResponseController(w)
-	body, err := b.Read(Source{Reader: r.Body, SetReadDeadline: control.SetReadDeadline, AnnouncedBytes: r.ContentLength, MaxBytes: maxBytes, Deadline: deadline})
+	setDeadline := deadlineSetter(w, r)
+	body, err := b.Read(Source{Reader: r.Body, SetReadDeadline: setDeadline, AnnouncedBytes: r.ContentLength, MaxBytes: maxBytes, Deadline: deadline})
 	if err != nil {
 		b.logRefusal(err)
 		return nil, err
 	}
-	_ = control.SetReadDeadline(time.Time{}) // fails if the caller has disconnected
+	_ = setDeadline(time.Time{}) // fails if the caller has disconnected
 	return body, nil
 }
 
+// deadlineSetter returns the function that sets the deadline of reads from the body. The first
+// read of a body with "Expect: 100-continue" writes to the connection, which blocks if the
+// caller doesn't read, so the deadline then applies to writes too.
+func deadlineSetter(w http.ResponseWriter, r *http.Request) func(time.Time) error {
+	control := http.NewResponseController(w)
+	if r.Header.Get("Expect") == "" {
+		return control.SetReadDeadline
+	}
+	return func(deadline time.Time) error {
+		return errors.Join(control.SetReadDeadline(deadline), control.SetWriteDeadline(deadline))
+	}
+}
+
 // logRefusal logs why a body was refused, unless its caller has disconnected.
 func (b *Budget) logRefusal(err error) {
 	kind := fault.KindOf(err)
