--- a/transport/callerhttp/body_test.go
+++ b/transport/callerhttp/body_test.go
@@ -58,3 +58,30 @@
 		})
 	}
 }
+
+// Guards against callers that hold connections for good by not reading error responses.
+func TestUnreadErrorResponseEndsItsConnection(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		closed := make(chan struct{})
+		server := &http.Server{
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				writeFault(w, fault.New(fault.NotFound, "no route"), requestScope)
+			}),
+			ConnState: func(_ net.Conn, state http.ConnState) {
+				if state == http.StateClosed {
+					close(closed)
+				}
+			},
+		}
+		near, far := net.Pipe()
+		go func() { _ = server.Serve(bubble.Listen(far)) }() // ends when the server is closed
+		_, _ = io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		select {
+		case <-closed:
+		case <-time.After(time.Minute):
+			t.Error("the connection is open")
+		}
+		_ = near.Close()
+		_ = server.Close()
+	})
+}
--- a/transport/callerhttp/errors.go
+++ b/transport/callerhttp/errors.go
@@ -50,6 +50,10 @@
 	return fault.From(err)
 }
 
+// faultWriteTimeout bounds the writing of an error response, which is small, to a caller that
+// doesn't read.
+const faultWriteTimeout = 5 * time.Second
+
 // notRunScope is the value of the header X-Not-Run. It says which sends of a request a
 // refusal covers. A caller may send a request several times under one idempotency key.
 type notRunScope string
@@ -71,6 +75,7 @@
 // writeFault sends an error response. It sets X-Not-Run only when it is certain that
 // nothing ran, and reduces the scope to this send when that is all that is certain.
 func writeFault(w http.ResponseWriter, err error, scope notRunScope) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(faultWriteTimeout))
 	e := toFault(err)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
