Bound the writes that net/http makes without a deadline

A client that leaves answers unread and then sends an invalid request made the server write an answer without a write deadline, and so held its connection for good. The new test fails without the bound, with a write that only the end of the test interrupts.

--- a/transport/connlimit/conn.go
+++ b/transport/connlimit/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -56,6 +57,9 @@
 	phase       phase
 	since       time.Time // of the phase
 	headerBytes int
+
+	writeMu sync.Mutex // guards bounded and the order of changes of the write deadline
+	bounded bool       // the server or its handler has set a write deadline
 }
 
 // Read implements net.Conn.
@@ -70,6 +74,35 @@
 	return n, err
 }
 
+// Write implements net.Conn. Without a write deadline of the server or its handler, such as
+// for net/http's answer to an invalid request, it sets one, as a client that doesn't read
+// could otherwise hold the connection for good.
+func (c *conn) Write(p []byte) (int, error) {
+	c.limitWrite()
+	return c.TCPConn.Write(p)
+}
+
+func (c *conn) limitWrite() {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if !c.bounded {
+		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(c.limiter.writeTimeout)) // fails if the connection has ended
+	}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(deadline time.Time) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.bounded = !deadline.IsZero()
+	return c.TCPConn.SetWriteDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.limiter.remove(c)
--- a/transport/connlimit/limiter.go
+++ b/transport/connlimit/limiter.go
@@ -31,6 +31,9 @@
 	// maxRefusals bounds the refused connections that wait for their answer to be read.
 	// Further ones are closed at once, and may be reset before they have read it.
 	maxRefusals = 64
+	// defaultWriteTimeout bounds a write for which no deadline was set: those of net/http
+	// itself are short.
+	defaultWriteTimeout = 5 * time.Second
 )
 
 // Limits of the connections of one server. Zero means that a limit is not set.
@@ -58,7 +61,8 @@
 	limits       func() Limits
 	evictStalled func() bool // refuses a request whose body makes no progress; reports whether there was one
 	logger       *logs.Logger
-	refusals     chan struct{}
+	refusals     chan struct{} // a token for each goroutine of refuse
+	writeTimeout time.Duration
 
 	mu     sync.Mutex
 	open   map[*conn]struct{}
@@ -68,7 +72,14 @@
 // New returns a limiter. limits is called for each decision, so its result may change.
 // evictStalled is called, without the limiter's lock, when no other connection can give way.
 func New(limits func() Limits, evictStalled func() bool) *Limiter {
-	return &Limiter{limits: limits, evictStalled: evictStalled, logger: logs.For("connections"), refusals: make(chan struct{}, maxRefusals), open: make(map[*conn]struct{})}
+	return &Limiter{
+		limits:       limits,
+		evictStalled: evictStalled,
+		logger:       logs.For("connections"),
+		refusals:     make(chan struct{}, maxRefusals),
+		writeTimeout: defaultWriteTimeout,
+		open:         make(map[*conn]struct{}),
+	}
 }
 
 // LimitFor returns the limit with which at most total connections are open, also while the
--- a/transport/connlimit/limiter_test.go
+++ b/transport/connlimit/limiter_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -197,3 +199,41 @@
 		t.Errorf("a header over the limit: status %d", code)
 	}
 }
+
+// Guards against clients that hold connections for good by not reading what is written without
+// a deadline, such as net/http's answer to an invalid request behind unread answers; and
+// against a time limit that replaces a handler's own.
+func TestUnreadWriteWithoutADeadlineEnds(t *testing.T) {
+	limiter := New(func() Limits { return Limits{} }, func() bool { return false })
+	limiter.writeTimeout = 50 * time.Millisecond
+	listener, err := limiter.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fail := time.AfterFunc(time.Minute, func() { _ = c.Close() }) // ends a test that hangs
+	defer fail.Stop()
+	moreThanBuffers := make([]byte, 64<<20)
+	if _, err := c.Write(moreThanBuffers); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("without a deadline: %v", err)
+	}
+	began, own := time.Now(), 4*limiter.writeTimeout
+	_ = c.SetWriteDeadline(began.Add(own))
+	if _, err := c.Write(moreThanBuffers); !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(began) < own {
+		t.Errorf("with a deadline: %v after %v", err, time.Since(began))
+	}
+	_ = c.SetWriteDeadline(time.Time{})
+	if _, err := c.Write(moreThanBuffers); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("after the deadline was removed: %v", err)
+	}
+}
