--- a/transport/bodybudget/body.go
+++ b/transport/bodybudget/body.go
@@ -22,14 +22,14 @@
 	segmentBytes      = 64 << 10
 )
 
-// segments holds unused segments of segmentBytes, which would else be garbage after each
+// segmentPool reuses segments of segmentBytes, which would otherwise be garbage after each
 // large body.
-var segments = sync.Pool{New: func() any { return new([segmentBytes]byte) }}
+var segmentPool = sync.Pool{New: func() any { return new([segmentBytes]byte) }}
 
-// Source is a request body that arrives.
+// Source is a request body to read, and its limits.
 type Source struct {
 	Reader          io.Reader
-	SetReadDeadline func(time.Time) error // of the connection
+	SetReadDeadline func(time.Time) error // sets the read deadline of the connection
 	AnnouncedBytes  int64                 // Content-Length, negative if unknown
 	MaxBytes        int
 	Deadline        time.Time // for the whole body; zero for none
@@ -45,26 +45,29 @@
 // Close returns the bytes to the budget.
 func (b *Body) Close() { b.once.Do(func() { b.budget.Release(len(b.Bytes)) }) }
 
-// unfinished is a body that is being read. The budget's lock guards the fields that change.
-type unfinished struct {
-	budget       *Budget
-	source       Source
-	began        time.Time
-	progressAt   time.Time // when progressBytes had arrived again, or when it began
-	markedBytes  int       // received at progressAt
-	chargedBytes int64
-	evicted      atomic.Bool
-
-	armedUntil    time.Time // read deadline that was set last
+// unfinishedBody is a body that is being read. The budget's lock guards progressAt and
+// chargedBytes, which only the reader changes; the fields from setDeadline on are the reader's.
+type unfinishedBody struct {
+	budget          *Budget
+	source          Source
+	began           time.Time
+	progressAt      time.Time // when progressBytes more had arrived, or when the body began
+	bytesAtProgress int       // received until progressAt; used by the reader only
+	chargedBytes    int64
+	evicted         atomic.Bool
+
+	setDeadline   time.Time // read deadline that was set last
 	receivedBytes int
 	full          [][]byte // segments before current
 	current       []byte
 }
 
-func (u *unfinished) isLarge() bool { return u.chargedBytes > largeBodyBytes }
+func (u *unfinishedBody) isLarge() bool { return u.chargedBytes > largeBodyBytes }
 
-// interrupt makes a read that waits return. It fails if the connection has ended.
-func (u *unfinished) interrupt() { _ = u.source.SetReadDeadline(time.Unix(1, 0)) }
+// interrupt makes a read that waits return.
+func (u *unfinishedBody) interrupt() {
+	_ = u.source.SetReadDeadline(time.Unix(1, 0)) // fails if the connection has ended
+}
 
 // Read reads a body to its end. The errors are of the kinds BodyTooLarge, BodyTimeout,
 // Overloaded and InvalidRequest; after one of them the connection can't be used further, and
@@ -83,9 +86,9 @@
 	return u.finish()
 }
 
-func (b *Budget) begin(source Source) *unfinished {
+func (b *Budget) begin(source Source) *unfinishedBody {
 	now := time.Now()
-	u := &unfinished{budget: b, source: source, began: now, progressAt: now}
+	u := &unfinishedBody{budget: b, source: source, began: now, progressAt: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.maxBodyBytes = int64(source.MaxBytes)
@@ -94,18 +97,18 @@
 }
 
 // end removes a body and returns its bytes to the budget.
-func (b *Budget) end(u *unfinished) {
+func (b *Budget) end(u *unfinishedBody) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.remove(u)
 	b.release(u.chargedBytes)
 }
 
-// remove takes a body out of those that may be evicted.
-func (b *Budget) remove(u *unfinished) {
+// remove removes a body from those that may be evicted. The caller holds the lock.
+func (b *Budget) remove(u *unfinishedBody) {
 	delete(b.bodies, u)
 	if u.evicted.Load() {
-		b.leavingBytes -= u.chargedBytes
+		b.evictedBytes -= u.chargedBytes
 	}
 }
 
@@ -115,14 +118,14 @@
 	add(&b.counts)
 }
 
-func (u *unfinished) readToEnd() error {
+func (u *unfinishedBody) readToEnd() error {
 	for {
 		if len(u.current) == cap(u.current) {
 			if err := u.addSegment(); err != nil {
 				return err
 			}
 		}
-		if err := u.armDeadline(); err != nil {
+		if err := u.setReadDeadline(); err != nil {
 			return err
 		}
 		n, err := u.source.Reader.Read(u.current[len(u.current):cap(u.current)])
@@ -140,9 +143,9 @@
 	}
 }
 
-// addSegment charges and adds a segment. None is larger than what remains of the limit and
-// one byte more, with which the limit is exceeded.
-func (u *unfinished) addSegment() error {
+// addSegment charges and adds a segment. It holds at most one byte more than the body may
+// still bring, so that a body over the limit is noticed.
+func (u *unfinishedBody) addSegment() error {
 	size := min(max(firstSegmentBytes, 2*cap(u.current)), segmentBytes, u.source.MaxBytes+1-u.receivedBytes)
 	u.budget.mu.Lock()
 	err := u.budget.charge(u, int64(size))
@@ -154,23 +157,23 @@
 		u.full = append(u.full, u.current)
 	}
 	if size == segmentBytes {
-		u.current = segments.Get().(*[segmentBytes]byte)[:0]
+		u.current = segmentPool.Get().(*[segmentBytes]byte)[:0]
 	} else {
 		u.current = make([]byte, 0, size)
 	}
 	return nil
 }
 
-// armDeadline sets the time until which the next bytes must arrive. An eviction sets a
-// deadline too, after it has set evicted: so either this function sees evicted, or the
-// deadline of the eviction is the later one.
-func (u *unfinished) armDeadline() error {
+// setReadDeadline sets the time until which the next bytes must arrive. An eviction first sets
+// evicted and then a deadline, and this function sets the deadline first and then reads evicted.
+// So either it sees the eviction, or the deadline of the eviction is set last.
+func (u *unfinishedBody) setReadDeadline() error {
 	deadline := u.progressAt.Add(progressWindow)
 	if !u.source.Deadline.IsZero() && u.source.Deadline.Before(deadline) {
 		deadline = u.source.Deadline
 	}
-	if !deadline.Equal(u.armedUntil) {
-		u.armedUntil = deadline
+	if !deadline.Equal(u.setDeadline) {
+		u.setDeadline = deadline
 		_ = u.source.SetReadDeadline(deadline) // fails if the connection has ended, and then the read does too
 	}
 	if u.evicted.Load() {
@@ -179,19 +182,19 @@
 	return nil
 }
 
-func (u *unfinished) recordProgress(n int) {
+func (u *unfinishedBody) recordProgress(n int) {
 	u.receivedBytes += n
-	if u.receivedBytes-u.markedBytes < progressBytes {
+	if u.receivedBytes-u.bytesAtProgress < progressBytes {
 		return
 	}
-	u.markedBytes = u.receivedBytes
+	u.bytesAtProgress = u.receivedBytes
 	u.budget.mu.Lock()
 	defer u.budget.mu.Unlock()
 	u.progressAt = time.Now()
 }
 
 // readError returns the error of a read that failed.
-func (u *unfinished) readError(err error) error {
+func (u *unfinishedBody) readError(err error) error {
 	switch {
 	case u.evicted.Load():
 		return errEvicted()
@@ -203,8 +206,8 @@
 }
 
 // finish makes one buffer of the segments and ends the reading. A body that was evicted in
-// the meantime is refused, as others rely on its memory.
-func (u *unfinished) finish() (*Body, error) {
+// the meantime is refused, as other requests wait for its memory.
+func (u *unfinishedBody) finish() (*Body, error) {
 	b := u.budget
 	b.mu.Lock()
 	b.remove(u)
@@ -222,9 +225,9 @@
 	return body, nil
 }
 
-// joined returns the bytes of all segments. Large bodies are copied one at a time, so that
-// limit leaves room for one copy only.
-func (u *unfinished) joined() []byte {
+// joined returns the bytes of all segments in one slice. Large bodies are copied one at a time,
+// as the budget leaves room for one copy only.
+func (u *unfinishedBody) joined() []byte {
 	if u.receivedBytes > largeBodyBytes {
 		u.budget.joining.Lock()
 		defer u.budget.joining.Unlock()
@@ -238,10 +241,10 @@
 }
 
 // recycle makes the segments of a body available to others.
-func (u *unfinished) recycle() {
+func (u *unfinishedBody) recycle() {
 	for _, segment := range append(u.full, u.current) {
 		if cap(segment) == segmentBytes {
-			segments.Put((*[segmentBytes]byte)(segment[:segmentBytes]))
+			segmentPool.Put((*[segmentBytes]byte)(segment[:segmentBytes]))
 		}
 	}
 	u.full, u.current = nil, nil
--- a/transport/bodybudget/budget.go
+++ b/transport/bodybudget/budget.go
@@ -20,28 +20,28 @@
 	// largeBodyBytes is the size from which a body is large: many times the usual one, and
 	// a small part of the budget of a small process.
 	largeBodyBytes = 256 << 10
-	// largeQuarters and bodyQuarters are the parts of the budget that may be filled when a
-	// large body, or any body, needs more. The rest stays free for ordinary bodies, and for
-	// the answers of requests that run.
+	// largeQuarters and bodyQuarters are the quarters of the budget up to which bytes are
+	// charged for large bodies and for all bodies. The rest stays free for ordinary bodies,
+	// and for the answers of running requests.
 	largeQuarters = 2
 	bodyQuarters  = 3
 	// stalledAfter is the time without progress after which a body is evicted before
 	// others.
 	stalledAfter = 250 * time.Millisecond
-	// retryAfter is told to refused callers. Unfinished bodies without progress end within
+	// retryAfter is the Retry-After of refusals. Unfinished bodies without progress end within
 	// progressWindow, so that there is room soon.
 	retryAfter = time.Second
 )
 
 // Budget counts the bytes of one process. Its methods may be called concurrently.
 type Budget struct {
-	mu           sync.Mutex
+	mu           sync.Mutex // guards the fields up to counts
 	changed      *sync.Cond // signalled when bytes are released or a body is evicted
 	totalBytes   int64
-	maxBodyBytes int64 // limit of a body, as of the last one that began
+	maxBodyBytes int64 // MaxBytes of the last body that began
 	heldBytes    int64
-	leavingBytes int64 // the part of heldBytes that evicted bodies hold until their readers return
-	bodies       map[*unfinished]struct{}
+	evictedBytes int64 // part of heldBytes that evicted bodies hold until their readers return
+	bodies       map[*unfinishedBody]struct{}
 	counts       Counts
 	logger       *logs.Logger
 
@@ -58,7 +58,7 @@
 
 // New returns a budget of totalBytes.
 func New(totalBytes int64) *Budget {
-	b := &Budget{totalBytes: totalBytes, bodies: make(map[*unfinished]struct{}), logger: logs.For("bodies")}
+	b := &Budget{totalBytes: totalBytes, bodies: make(map[*unfinishedBody]struct{}), logger: logs.For("bodies")}
 	b.changed = sync.NewCond(&b.mu)
 	return b
 }
@@ -116,8 +116,9 @@
 	return b.counts
 }
 
-// EvictStalled evicts the unfinished body that has made no progress for longest, if there is
-// one without progress. It is for a caller that is short of connections.
+// EvictStalled evicts the unfinished body that has made no progress for the longest time, at
+// least stalledAfter, and reports whether there was one. It is for use when connections are
+// short.
 func (b *Budget) EvictStalled() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -129,9 +130,9 @@
 	return true
 }
 
-// charge adds n bytes to a body, or to an answer if u is nil. It waits while bytes of
-// evicted bodies will make enough room.
-func (b *Budget) charge(u *unfinished, n int64) error {
+// charge charges n bytes for a body, or for an answer if u is nil. It waits, with the lock
+// released, while the bytes of evicted bodies will make enough room. The caller holds the lock.
+func (b *Budget) charge(u *unfinishedBody, n int64) error {
 	large := u != nil && u.chargedBytes+n > largeBodyBytes
 	for {
 		if u != nil && u.evicted.Load() {
@@ -141,7 +142,7 @@
 		if b.heldBytes+n <= limit {
 			break
 		}
-		if b.heldBytes-b.leavingBytes+n <= limit {
+		if b.heldBytes-b.evictedBytes+n <= limit {
 			b.changed.Wait()
 			continue
 		}
@@ -164,8 +165,9 @@
 	b.changed.Broadcast()
 }
 
-// limit returns how many bytes may be charged. Beside them there is always room for the copy
-// of the one large body that is joined, and for a body of the full size.
+// limit returns how many bytes may be charged in all when a body, a large one or not, or an
+// answer needs more. Of the budget, one maxBodyBytes is left out for the copy of the one large
+// body that is joined. A body of maxBodyBytes fits in any budget.
 func (b *Budget) limit(body, large bool) int64 {
 	limit := max(b.totalBytes-b.maxBodyBytes, (b.maxBodyBytes+segmentBytes)*4/largeQuarters)
 	switch {
@@ -177,29 +179,37 @@
 	return limit
 }
 
-// victim returns the unfinished body to evict: the one without progress for longest, else the
-// newest large one, else the newest. For a large body no small one is evicted, unless it
-// makes no progress. It returns nil if there is none.
-func (b *Budget) victim(forLarge bool) *unfinished {
+// victim returns the unfinished body to evict: the one without progress for the longest time,
+// else the newest large one, else the newest. For a large body no small one is evicted, unless
+// it makes no progress. It returns nil if there is none.
+func (b *Budget) victim(forLarge bool) *unfinishedBody {
 	if u := b.longestStalled(1); u != nil {
 		return u
 	}
-	var newest *unfinished
+	var newest *unfinishedBody
 	for u := range b.bodies {
 		if u.evicted.Load() || u.chargedBytes == 0 || forLarge && !u.isLarge() {
 			continue
 		}
-		if newest == nil || u.isLarge() && !newest.isLarge() || u.isLarge() == newest.isLarge() && u.began.After(newest.began) {
+		if newest == nil || u.evictBefore(newest) {
 			newest = u
 		}
 	}
 	return newest
 }
 
-// longestStalled returns the body without progress for longest, of those to which at least
-// minBytes are charged. It returns nil if none is without progress.
-func (b *Budget) longestStalled(minBytes int64) *unfinished {
-	var longest *unfinished
+// evictBefore reports whether a body with progress is evicted before another one.
+func (u *unfinishedBody) evictBefore(other *unfinishedBody) bool {
+	if u.isLarge() != other.isLarge() {
+		return u.isLarge()
+	}
+	return u.began.After(other.began)
+}
+
+// longestStalled returns the body that has made no progress for the longest time, at least
+// stalledAfter, of those that are charged minBytes or more. It returns nil if there is none.
+func (b *Budget) longestStalled(minBytes int64) *unfinishedBody {
+	var longest *unfinishedBody
 	now := time.Now()
 	for u := range b.bodies {
 		if u.evicted.Load() || u.chargedBytes < minBytes || now.Sub(u.progressAt) < stalledAfter {
@@ -213,9 +223,9 @@
 }
 
 // evict makes the reader of a body return. Its bytes stay charged until then.
-func (b *Budget) evict(u *unfinished) {
+func (b *Budget) evict(u *unfinishedBody) {
 	u.evicted.Store(true)
-	b.leavingBytes += u.chargedBytes
+	b.evictedBytes += u.chargedBytes
 	b.counts.Evicted++
 	u.interrupt()
 	b.changed.Broadcast()
--- a/transport/bodybudget/budget_test.go
+++ b/transport/bodybudget/budget_test.go
@@ -154,8 +154,8 @@
 			}
 		}
 		ordinary.body.Close()
-		if whole == 0 || whole == len(large) || b.HeldBytes() != 0 || b.leavingBytes != 0 {
-			t.Errorf("%d of %d large bodies arrived, %d bytes held, %d leaving", whole, len(large), b.HeldBytes(), b.leavingBytes)
+		if whole == 0 || whole == len(large) || b.HeldBytes() != 0 || b.evictedBytes != 0 {
+			t.Errorf("%d of %d large bodies arrived, %d bytes held, %d leaving", whole, len(large), b.HeldBytes(), b.evictedBytes)
 		}
 	})
 }
@@ -220,8 +220,8 @@
 		})
 	}
 	running.Wait()
-	if b.HeldBytes() != 0 || b.leavingBytes != 0 || len(b.bodies) != 0 {
-		t.Errorf("%d held, %d leaving, %d bodies", b.HeldBytes(), b.leavingBytes, len(b.bodies))
+	if b.HeldBytes() != 0 || b.evictedBytes != 0 || len(b.bodies) != 0 {
+		t.Errorf("%d held, %d leaving, %d bodies", b.HeldBytes(), b.evictedBytes, len(b.bodies))
 	}
 }
 
--- a/transport/bodybudget/http.go
+++ b/transport/bodybudget/http.go
@@ -11,7 +11,7 @@
 )
 
 // refusalWriteTimeout bounds the writing of an answer to a caller whose body was refused and
-// who may read nothing.
+// who may not read.
 const refusalWriteTimeout = 5 * time.Second
 
 // ReadRequest reads the body of a request, of at most maxBytes and until deadline. After an
@@ -53,9 +53,9 @@
 }
 
 // CloseUnread makes the server close the connection after the answer, without reading what is
-// left of the body. The answer isn't lost in a reset, as the server ends its side first and
-// waits for some time: it does so for a body over the limit of a MaxBytesReader, so such a
-// reader is made to exceed its limit.
+// left of the body. A close with unread bytes resets the connection, and the caller may lose
+// the answer. net/http avoids that after a MaxBytesReader has exceeded its limit: it ends its
+// sending side and waits before it closes. So CloseUnread makes such a reader exceed its limit.
 func CloseUnread(w http.ResponseWriter) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Unix(1, 0)) // net/http would read on for 256 KiB; not supported in some tests
