--- a/transport/connlimit/conn.go
+++ b/transport/connlimit/conn.go
@@ -25,15 +25,15 @@
 	BytesPerConnection = serverBytes + receiveBufferBytes
 	// readAheadBytes is the most that the server reads beyond a header.
 	readAheadBytes = 4 << 10
-	// What a refused connection has sent is read for up to
-	// refusalTimeout and refusalReadBytes, so that the answer isn't lost in a reset.
+	// After a refusal, what the client still sends is read for at most refusalTimeout and up
+	// to refusalReadBytes, so that the answer isn't lost in a reset.
 	refusalTimeout   = 100 * time.Millisecond
 	refusalReadBytes = 64 << 10
 )
 
 const (
-	refusedAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	headerAnswer  = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	overLimitAnswer     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headerTooLongAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
 var errHeaderTooLong = errors.New("the header of a request is too long")
@@ -45,17 +45,17 @@
 	phaseIdle    phase = iota // waiting for the first byte of a request
 	phaseHeader               // reading a header
 	phaseRequest              // reading a body or handling a request
-	phaseClosing              // waiting, after the answer and the end of the own side, before the close
-	phases                    // number of phases
+	phaseClosing              // answered, with the sending side ended, and about to be closed
+	phaseCount
 )
 
 // conn is a connection of a limiter. The limiter's lock guards phase, since and headerBytes.
 type conn struct {
 	*net.TCPConn
 	limiter     *Limiter
-	inRequest   atomic.Bool // phaseRequest or phaseClosing: reads aren't counted, and take no lock
+	inRequest   atomic.Bool // phaseRequest or phaseClosing: Read counts no header bytes and takes no lock
 	phase       phase
-	since       time.Time // of the phase
+	since       time.Time // start of the phase
 	headerBytes int
 
 	writeMu sync.Mutex // guards bounded and the order of changes of the write deadline
@@ -66,8 +66,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 && !c.inRequest.Load() && !c.limiter.recordHeader(c, n) {
-		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = io.WriteString(c.TCPConn, headerAnswer) // the client may have disconnected
+		writeRefusal(c.TCPConn, headerTooLongAnswer)
 		discardRest(c.TCPConn)
 		return 0, errHeaderTooLong
 	}
@@ -109,8 +108,8 @@
 	return c.TCPConn.Close()
 }
 
-// CloseWrite ends the own side of the connection. The server calls it some time before it
-// closes a connection whose request was refused.
+// CloseWrite ends the sending side of the connection. The server calls it after the answer to
+// a refused request, some time before it closes the connection.
 func (c *conn) CloseWrite() error {
 	c.limiter.markClosing(c)
 	return c.TCPConn.CloseWrite()
@@ -156,13 +155,13 @@
 	}
 }
 
-// refuse answers a new connection over the limit and closes it.
+// refuse answers a new connection over the limit and closes it. It doesn't wait for the client,
+// as it blocks Accept.
 func (l *Limiter) refuse(inner *net.TCPConn) {
 	l.logger.RateLimitedWarn("refused").Int("limit", l.limits().Connections).
 		Msg("The limit of connections is reached; a new one is refused.")
-	_ = inner.SetWriteDeadline(time.Now().Add(refusalTimeout)) // a new connection takes so few bytes at once
 	discardArrived(inner)
-	_, _ = io.WriteString(inner, refusedAnswer) // the client may have disconnected
+	writeRefusal(inner, overLimitAnswer)
 	select {
 	case l.refusals <- struct{}{}:
 	default:
@@ -176,6 +175,12 @@
 	}()
 }
 
+// writeRefusal writes an answer, unless the client has disconnected or doesn't read.
+func writeRefusal(c *net.TCPConn, answer string) {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout)) // fails if the connection has ended
+	_, _ = io.WriteString(c, answer)
+}
+
 // discardArrived reads what has arrived on a connection, without waiting for more.
 func discardArrived(c *net.TCPConn) {
 	raw, err := c.SyscallConn()
--- a/transport/connlimit/limiter.go
+++ b/transport/connlimit/limiter.go
@@ -18,25 +18,26 @@
 	// time limits.
 	sweepInterval = 250 * time.Millisecond
 	// idleAfter and headerStalledAfter are the times after which a connection without a
-	// request, or with an incomplete header, gives way to a new one. Ordinary clients send a
-	// header right behind the connection. Longer times keep them out while others open
-	// connections without pause, shorter ones close them before they are read.
+	// request, or with an incomplete header, may be closed for a new one. Ordinary clients
+	// send a header as soon as they are connected. With longer times they are refused while
+	// others open connections without pause; with shorter ones their own connections are
+	// closed before the server has read from them.
 	idleAfter          = 10 * time.Millisecond
 	headerStalledAfter = 50 * time.Millisecond
-	// overshootDivisor lets new connections exceed the limit by a quarter, in place of ones
-	// whose bodies were evicted and which are about to be closed.
+	// overshootDivisor lets new connections exceed the limit by a quarter. They replace
+	// connections whose bodies were evicted and which are about to be closed.
 	overshootDivisor = 4
 	// minConnections keeps a process reachable, whatever its settings say.
 	minConnections = 16
-	// maxRefusals bounds the refused connections that wait for their answer to be read.
-	// Further ones are closed at once, and may be reset before they have read it.
+	// maxRefusals bounds the refused connections that stay open until their clients have read
+	// the answer. Further ones are closed at once, and may be reset before that.
 	maxRefusals = 64
 	// defaultWriteTimeout bounds a write for which no deadline was set: those of net/http
 	// itself are short.
 	defaultWriteTimeout = 5 * time.Second
 )
 
-// Limits of the connections of one server. Zero means that a limit is not set.
+// Limits are the limits of the connections of one server; zero for none.
 type Limits struct {
 	Connections   int
 	HeaderBytes   int
@@ -56,10 +57,10 @@
 	LongHeaders   int64
 }
 
-// Limiter holds the connections of one server.
+// Limiter limits the connections of one server. Its methods may be called concurrently.
 type Limiter struct {
 	limits       func() Limits
-	evictStalled func() bool // refuses a request whose body makes no progress; reports whether there was one
+	evictStalled func() bool // refuses a request whose body makes no progress, and reports whether there was one
 	logger       *logs.Logger
 	refusals     chan struct{} // a token for each goroutine of refuse
 	writeTimeout time.Duration
@@ -70,7 +71,7 @@
 }
 
 // New returns a limiter. limits is called for each decision, so its result may change.
-// evictStalled is called, without the limiter's lock, when no other connection can give way.
+// evictStalled is called, without the limiter's lock, when no connection can be closed for a new one.
 func New(limits func() Limits, evictStalled func() bool) *Limiter {
 	return &Limiter{
 		limits:       limits,
@@ -82,14 +83,14 @@
 	}
 }
 
-// LimitFor returns the limit with which at most total connections are open, also while the
-// limit is exceeded for connections that are about to be closed.
+// LimitFor returns the limit with which at most total connections are open, including those
+// by which the limit may be exceeded. It is at least minConnections.
 func LimitFor(total int) int {
 	return max(minConnections, total*overshootDivisor/(overshootDivisor+1))
 }
 
-// Attach lets the limiter see the states of a server's connections. The server must serve
-// a listener of Listen.
+// Attach makes a server report the states of its connections. It must serve a listener of
+// Listen.
 func (l *Limiter) Attach(server *http.Server) {
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, ok := c.(*conn); ok {
@@ -123,7 +124,7 @@
 
 func (l *Limiter) sweep(now time.Time) {
 	limits := l.limits()
-	var late []*conn
+	var expired []*conn
 	l.mu.Lock()
 	for c := range l.open {
 		switch {
@@ -134,16 +135,16 @@
 		default:
 			continue
 		}
-		late = append(late, c)
+		expired = append(expired, c)
 	}
 	l.mu.Unlock()
-	for _, c := range late {
+	for _, c := range expired {
 		_ = c.Close() // the server finds it closed
 	}
 }
 
-// admit adds a new connection, or returns false if the limit is reached and no connection
-// can give way.
+// admit adds a new connection. It returns false if the limit is reached and no other connection
+// can be closed for it.
 func (l *Limiter) admit(c *conn) bool {
 	limit := l.limits().Connections
 	victim, admitted := l.tryAdmit(c, limit)
@@ -161,7 +162,8 @@
 	return admitted
 }
 
-// tryAdmit adds a connection if there is room, or a connection that can give way.
+// tryAdmit adds a connection if there is room, or in place of a victim, which the caller must
+// close.
 func (l *Limiter) tryAdmit(c *conn, limit int) (victim *conn, admitted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -198,14 +200,17 @@
 	}
 }
 
-// victim returns the connection that gives way to a new one: one that was answered and is
-// about to be closed, else one without a request, else one with an incomplete header; of
-// each kind the one for which that has been so for longest. It returns nil if there is none.
+// minVictimAge is how long a connection has been in a phase before it may be closed for a new
+// one.
+var minVictimAge = [phaseCount]time.Duration{phaseIdle: idleAfter, phaseHeader: headerStalledAfter}
+
+// victim returns the connection to close for a new one: one that was answered and is about to
+// be closed, else one without a request, else one with an incomplete header; of several, the
+// one that has been in that phase for the longest time. It returns nil if there is none.
 func (l *Limiter) victim(now time.Time) *conn {
-	var victims [phases]*conn
+	var victims [phaseCount]*conn
 	for c := range l.open {
-		age := now.Sub(c.since)
-		if c.phase == phaseIdle && age < idleAfter || c.phase == phaseHeader && age < headerStalledAfter {
+		if now.Sub(c.since) < minVictimAge[c.phase] {
 			continue
 		}
 		if longest := victims[c.phase]; longest == nil || c.since.Before(longest.since) {
