--- a/role/host/explain.go
+++ b/role/host/explain.go
@@ -14,12 +14,12 @@
 
 const (
 	explainPath = "/explain"
-	// maxExplainText bounds a parameter in bytes; that of a path is the longest.
+	// maxExplainText bounds a parameter in bytes. A path is the longest one.
 	maxExplainText = 2048
 )
 
-// explainPage serves GET /explain. It answers one call at a time, as each holds the lock of
-// the scheduler for several times as long as the choice for a request.
+// explainPage serves GET /explain. It answers one call at a time, as a call holds the lock of
+// the scheduler several times as long as a request does.
 type explainPage struct {
 	explain func(serve.Question) (*explanation.Answer, error)
 	mu      sync.Mutex
@@ -52,11 +52,11 @@
 func writeExplanation(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // fails when the other end has gone
+	_ = json.NewEncoder(w).Encode(body) // fails if the client has disconnected
 }
 
-// parseQuestion reads the parameters. Keys of callers have no place in a query, as queries
-// end up in logs and shell histories.
+// parseQuestion parses the parameters. It refuses callers' keys, as queries end up in logs and
+// shell histories.
 func parseQuestion(query string) (serve.Question, error) {
 	var q serve.Question
 	values, err := url.ParseQuery(query)
--- a/role/host/memory.go
+++ b/role/host/memory.go
@@ -13,17 +13,17 @@
 )
 
 const (
-	// reservedDescriptors are those for links, logs and files.
+	// reservedDescriptors are kept for links, logs and files.
 	reservedDescriptors = 200
-	// descriptorsPerCaller are the caller's connection and the one to its endpoint.
+	// descriptorsPerCaller counts the caller's connection and the one to its endpoint.
 	descriptorsPerCaller = 2
 	// connectionMemoryDivisor makes callers' connections take at most a quarter of the
 	// process's memory.
 	connectionMemoryDivisor = 4
 )
 
-// maxConnections returns how many connections of callers an entry holds, beside those with
-// which connlimit may exceed the limit; 0 for no limit.
+// maxConnections returns the limit of callers' connections, 0 for none. The connections by
+// which connlimit may exceed it fit into the memory and the descriptors too.
 func maxConnections(p *hostconfig.Process) int {
 	limit := 0
 	if p.MaxDescriptors > 0 {
@@ -46,6 +46,7 @@
 	return catalogue.Limits{}
 }
 
+// newBodyBudget returns the budget of the process, with its metrics.
 func newBodyBudget(p *hostconfig.Process, registry *metrics.Registry) *bodybudget.Budget {
 	budget := bodybudget.New(bodybudget.ShareOf(p.MemoryBytes))
 	registry.AddCollector(func(w io.Writer) {
@@ -57,10 +58,16 @@
 	return budget
 }
 
+// newConnectionLimiter returns the limiter of callers' connections, with its metrics.
 func newConnectionLimiter(reloadable *hostconfig.Reloadable, store *statecache.Store, bodies *bodybudget.Budget, registry *metrics.Registry) *connlimit.Limiter {
 	limiter := connlimit.New(func() connlimit.Limits {
 		l := configuredLimits(store)
-		return connlimit.Limits{Connections: maxConnections(reloadable.Get()), HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+		return connlimit.Limits{
+			Connections:   maxConnections(reloadable.Get()),
+			HeaderBytes:   l.HeaderBytes,
+			HeaderTimeout: l.HeaderTimeout,
+			IdleTimeout:   l.IdleTimeout,
+		}
 	}, bodies.EvictStalled)
 	registry.AddCollector(func(w io.Writer) {
 		c := limiter.Counts()
--- a/role/host/metrics.go
+++ b/role/host/metrics.go
@@ -52,18 +52,18 @@
 	return &Metrics{process: p, registry: registry}
 }
 
-// writeEstimateStats writes the counts of choices by estimated load. The classes of the
-// histogram are cumulative.
+// writeEstimateStats writes how often endpoints were chosen by an estimate of their load, and
+// a histogram of the ages of the load reports. Its buckets are cumulative.
 func writeEstimateStats(w io.Writer, stats placement.EstimateStats) {
 	fmt.Fprintf(w, "placement_spread_choices_total %d\nplacement_corrected_estimates_total %d\n", stats.Spread, stats.Corrected)
-	sum := uint64(0)
+	total := uint64(0)
 	for i, n := range stats.ReportAges {
-		sum += n
+		total += n
 		bound := "+Inf"
 		if i < len(placement.ReportAgeBounds) {
 			bound = strconv.FormatInt(placement.ReportAgeBounds[i].Milliseconds(), 10)
 		}
-		fmt.Fprintf(w, "placement_report_age_ms{le=%q} %d\n", bound, sum)
+		fmt.Fprintf(w, "placement_report_age_ms{le=%q} %d\n", bound, total)
 	}
 }
 
--- a/state/hostconfig/reload.go
+++ b/state/hostconfig/reload.go
@@ -21,8 +21,8 @@
 func (r *Reloadable) Get() *Process { return r.process.Load() }
 
 // Reload applies the settings that may change while the process runs: the seeds, the
-// memory limit, the limit of descriptors and the bounds. It returns the names of the fields that changed and of
-// those that change with a restart only.
+// memory limit, the limit of descriptors and the bounds. It returns the names of the fields
+// that changed and of those that change with a restart only.
 func (r *Reloadable) Reload(next *Process) (applied, afterRestart []string) {
 	before := *r.Get()
 	now := before
--- a/transport/callerhttp/body.go
+++ b/transport/callerhttp/body.go
@@ -18,9 +18,9 @@
 // bodyReadTimeout limits the time for which a slow sender occupies a part of the budget.
 const bodyReadTimeout = 30 * time.Second
 
-// BodyBudget limits the memory of all request bodies that a process holds at once and of
-// all answers while they are buffered. The answer of a non-repeatable request counts only
-// until AttemptRunner.Run returns it.
+// BodyBudget limits the memory that the request bodies and buffered answers of a process take
+// together. The answer of a non-repeatable request counts only until AttemptRunner.Run returns
+// it.
 type BodyBudget struct{ *bodybudget.Budget }
 
 // NewBodyBudget returns the budget of a process, of maxTotalBytes.
@@ -49,7 +49,7 @@
 	r.reservedBytes.Add(-int64(bytes))
 }
 
-// close returns all bytes to the budget.
+// close returns all bytes to the budget. Nothing may be reserved after it.
 func (r *reservation) close() {
 	r.shrink(int(r.reservedBytes.Load()))
 	if r.body != nil {
--- a/transport/callerhttp/call.go
+++ b/transport/callerhttp/call.go
@@ -52,8 +52,8 @@
 	return c, true
 }
 
-// refuse sends the response for an error before the request has been read, and ends the call.
-// It closes the connection if a part of the body is still to come.
+// refuse sends the response for an error of readRequest, and ends the call. If the body has not
+// been read, it closes the connection.
 func (c *call) refuse(err error) {
 	if c.r.ContentLength != 0 && c.memory.body == nil {
 		bodybudget.CloseUnread(c.w)
--- a/transport/mesh/topology.go
+++ b/transport/mesh/topology.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// reportHeardEntries tells the scheduler how many of the entries that publish all their work
-// to this process answer its pings.
+// reportHeardEntries tells the scheduler how many entries publish all their work to this
+// process, and how many of them answer its pings.
 func (m *Mesh) reportHeardEntries() {
 	known, heard := 0, 0
 	m.mu.Lock()
