--- a/role/host/metrics.go
+++ b/role/host/metrics.go
@@ -52,8 +52,8 @@
 	return &Metrics{process: p, registry: registry}
 }
 
-// writeEstimateStats writes how often endpoints were chosen by an estimate of their load, and
-// a histogram of the ages of the load reports. Its buckets are cumulative.
+// writeEstimateStats writes the counts of choices by estimated load, with the ages of the load
+// reports as a histogram with cumulative buckets.
 func writeEstimateStats(w io.Writer, stats placement.EstimateStats) {
 	fmt.Fprintf(w, "placement_spread_choices_total %d\nplacement_corrected_estimates_total %d\n", stats.Spread, stats.Corrected)
 	total := uint64(0)
