Evict no body for an answer, a body or a connection that is refused all the same

A reservation that could not fit evicted all unfinished bodies before it failed, and a new connection evicted a body without progress before it was refused. Both now check for room first. The new tests fail without that: one body is evicted, and a second one asked for.

--- a/transport/bodybudget/budget.go
+++ b/transport/bodybudget/budget.go
@@ -51,7 +51,7 @@
 // Counts are the bodies and reservations that a budget refused, by cause.
 type Counts struct {
 	Evicted  int64 // unfinished bodies, without progress or the newest, while the budget was short
-	NoRoom   int64 // bodies and reservations for which nothing could be evicted
+	NoRoom   int64 // bodies and reservations for which evictions would not make room
 	TimedOut int64 // bodies that made too little progress
 	TooLarge int64 // bodies over the limit
 }
@@ -81,7 +81,7 @@
 
 // Reserve charges n bytes of an answer that is buffered. If they don't fit, it evicts
 // unfinished bodies and waits until their readers have returned. It returns an Overloaded
-// error if that doesn't make room.
+// error if that can't make room.
 func (b *Budget) Reserve(n int) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -146,12 +146,11 @@
 			b.changed.Wait()
 			continue
 		}
-		victim := b.victim(large)
-		if victim == nil {
+		if !b.canMakeRoom(u, b.heldBytes-b.evictedBytes+n-limit, large) {
 			b.counts.NoRoom++
 			return fault.New(fault.Overloaded, "the memory for request bodies and answers is used up").WithRetryAfter(retryAfter)
 		}
-		b.evict(victim)
+		b.evict(b.victim(large))
 	}
 	b.heldBytes += n
 	if u != nil {
@@ -179,6 +178,27 @@
 	return limit
 }
 
+// canMakeRoom reports whether the evictions of other bodies than u can release n bytes.
+func (b *Budget) canMakeRoom(u *unfinishedBody, n int64, forLarge bool) bool {
+	now := time.Now()
+	for other := range b.bodies {
+		if other != u && other.isEvictable(forLarge, now) {
+			n -= other.chargedBytes
+		}
+	}
+	return n <= 0
+}
+
+// isEvictable reports whether victim may return a body.
+func (u *unfinishedBody) isEvictable(forLarge bool, now time.Time) bool {
+	if u.evicted.Load() || u.chargedBytes == 0 {
+		return false
+	}
+	return !forLarge || u.isLarge() || u.isStalled(now)
+}
+
+func (u *unfinishedBody) isStalled(now time.Time) bool { return now.Sub(u.progressAt) >= stalledAfter }
+
 // victim returns the unfinished body to evict: the one without progress for the longest time,
 // else the newest large one, else the newest. For a large body no small one is evicted, unless
 // it makes no progress. It returns nil if there is none.
@@ -187,8 +207,9 @@
 		return u
 	}
 	var newest *unfinishedBody
+	now := time.Now()
 	for u := range b.bodies {
-		if u.evicted.Load() || u.chargedBytes == 0 || forLarge && !u.isLarge() {
+		if !u.isEvictable(forLarge, now) {
 			continue
 		}
 		if newest == nil || u.evictBefore(newest) {
@@ -212,7 +233,7 @@
 	var longest *unfinishedBody
 	now := time.Now()
 	for u := range b.bodies {
-		if u.evicted.Load() || u.chargedBytes < minBytes || now.Sub(u.progressAt) < stalledAfter {
+		if u.evicted.Load() || u.chargedBytes < minBytes || !u.isStalled(now) {
 			continue
 		}
 		if longest == nil || u.progressAt.Before(longest.progressAt) {
--- a/transport/bodybudget/budget_test.go
+++ b/transport/bodybudget/budget_test.go
@@ -253,3 +253,32 @@
 		_ = server.Close()
 	})
 }
+
+// Guards against unfinished bodies that are evicted for an answer or a body that doesn't fit
+// without them either.
+func TestNoBodyIsEvictedInVain(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		b := New(4 * testMaxBytes) // 3 beside the copy, of which large bodies fill 1.5
+		unfinished := startReading(b)
+		unfinished.send(largeBodyBytes + 1)
+		time.Sleep(time.Millisecond)
+		answers := int(b.Capacity() - b.HeldBytes())
+		if err := b.Reserve(answers); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.Reserve(testMaxBytes); fault.KindOf(err) != fault.Overloaded {
+			t.Errorf("an answer that can't fit: %v", err)
+		}
+		later := startReading(b)
+		later.send(1)
+		if kind := later.end(); kind != fault.Overloaded {
+			t.Errorf("a body that can't fit: %q", kind)
+		}
+		if c := b.Counts(); c.Evicted != 0 || c.NoRoom != 2 {
+			t.Errorf("%+v", c)
+		}
+		if kind := unfinished.end(); kind != "" {
+			t.Errorf("the unfinished body: %q", kind)
+		}
+	})
+}
--- a/transport/connlimit/limiter.go
+++ b/transport/connlimit/limiter.go
@@ -149,7 +149,7 @@
 	limit := l.limits().Connections
 	victim, admitted := l.tryAdmit(c, limit)
 	if !admitted {
-		admitted = l.evictStalled() && l.admitBeyond(c, limit)
+		admitted = l.hasRoomBeyond(limit) && l.evictStalled() && l.admitBeyond(c, limit)
 	}
 	if victim != nil {
 		_ = victim.Close() // the server finds it closed
@@ -179,11 +179,25 @@
 	return victim, true
 }
 
+// hasRoomBeyond reports whether a connection may be added beyond the limit, so that no body is
+// evicted for one that is refused all the same.
+func (l *Limiter) hasRoomBeyond(limit int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isBelowOvershoot(limit)
+}
+
+// isBelowOvershoot reports whether the limit may be exceeded further. The caller holds the
+// lock.
+func (l *Limiter) isBelowOvershoot(limit int) bool {
+	return len(l.open) < limit+limit/overshootDivisor
+}
+
 // admitBeyond adds a connection in place of one whose body was evicted.
 func (l *Limiter) admitBeyond(c *conn, limit int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.open) >= limit+limit/overshootDivisor {
+	if !l.isBelowOvershoot(limit) {
 		return false
 	}
 	l.counts.EvictedBody++
--- a/transport/connlimit/limiter_test.go
+++ b/transport/connlimit/limiter_test.go
@@ -237,3 +237,17 @@
 		t.Errorf("after the deadline was removed: %v", err)
 	}
 }
+
+// Guards against bodies that are evicted for a connection that is refused all the same.
+func TestNoBodyIsEvictedForARefusedConnection(t *testing.T) {
+	s := newTestServer(t, Limits{Connections: 4})
+	s.stalled.Store(true)
+	for range 5 { // the last one beyond the limit, by a quarter
+		s.connect(heldRequest)
+		s.awaitHeld()
+	}
+	if code := status(s.connect(request)); code != 503 || s.evicted.Load() != 1 {
+		t.Errorf("status %d, %d evictions asked for", code, s.evicted.Load())
+	}
+	close(s.release)
+}
