--- a/transport/callerhttp/body_test.go
+++ b/transport/callerhttp/body_test.go
@@ -59,14 +59,18 @@
 	}
 }
 
-// Guards against callers that hold connections for good by not reading error responses.
-func TestUnreadErrorResponseEndsItsConnection(t *testing.T) {
+// Guards against callers that hold connections for good by not reading small responses.
+func TestUnreadSmallResponseEndsItsConnection(t *testing.T) {
+	for _, path := range []string{"/no-route", "/healthz", "/metrics"} {
+		t.Run(path, func(t *testing.T) { testUnreadResponse(t, path) })
+	}
+}
+
+func testUnreadResponse(t *testing.T, path string) {
 	bubble.Run(t, func(t *testing.T) {
 		closed := make(chan struct{})
 		server := &http.Server{
-			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				writeFault(w, fault.New(fault.NotFound, "no route"), requestScope)
-			}),
+			Handler: (&Server{Metrics: metrics.New()}).Handler(),
 			ConnState: func(_ net.Conn, state http.ConnState) {
 				if state == http.StateClosed {
 					close(closed)
@@ -75,7 +79,7 @@
 		}
 		near, far := net.Pipe()
 		go func() { _ = server.Serve(bubble.Listen(far)) }() // ends when the server is closed
-		_, _ = io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, _ = io.WriteString(near, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
 		select {
 		case <-closed:
 		case <-time.After(time.Minute):
--- a/transport/callerhttp/errors.go
+++ b/transport/callerhttp/errors.go
@@ -50,9 +50,14 @@
 	return fault.From(err)
 }
 
-// faultWriteTimeout bounds the writing of an error response, which is small, to a caller that
-// doesn't read.
-const faultWriteTimeout = 5 * time.Second
+// smallWriteTimeout bounds the writing of a small response to a caller that doesn't read.
+const smallWriteTimeout = 5 * time.Second
+
+// limitWrite bounds the time for writing a small response.
+func limitWrite(w http.ResponseWriter) {
+	deadline := time.Now().Add(smallWriteTimeout)
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline) // fails if the caller has disconnected
+}
 
 // notRunScope is the value of the header X-Not-Run. It says which sends of a request a
 // refusal covers. A caller may send a request several times under one idempotency key.
@@ -75,7 +80,7 @@
 // writeFault sends an error response. It sets X-Not-Run only when it is certain that
 // nothing ran, and reduces the scope to this send when that is all that is certain.
 func writeFault(w http.ResponseWriter, err error, scope notRunScope) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(faultWriteTimeout))
+	limitWrite(w)
 	e := toFault(err)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -40,9 +40,15 @@
 // Handler returns the handler of all routes.
 func (s *Server) Handler() http.Handler {
 	mux := chi.NewRouter()
-	mux.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		limitWrite(w)
+		w.WriteHeader(http.StatusOK)
+	})
 	mux.Get("/readyz", s.handleReady)
-	mux.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { s.Metrics.WriteText(w) })
+	mux.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		limitWrite(w)
+		s.Metrics.WriteText(w)
+	})
 	mux.Group(func(r chi.Router) {
 		r.Use(s.admitUnlessDraining)
 		r.Post("/v1/completions", s.completionHandler("/v1/completions", false))
@@ -73,6 +79,7 @@
 		writeFault(w, fault.New(fault.NotCurrent, "the entry has just started, and gates may not have reported to it yet").WithRetryAfter(wait), requestScope)
 		return
 	}
+	limitWrite(w)
 	w.WriteHeader(http.StatusOK)
 }
 
