--- a/role/host/crowd_test.go
+++ b/role/host/crowd_test.go
@@ -15,8 +15,8 @@
 	"time"
 )
 
-// The entry's limits in its settings, and the crowd, which needs several times as much of
-// each without a bound of the entry's own.
+// The entry's limits in its settings, and the crowd, which would take several times as much of
+// each from an entry without bounds.
 const (
 	crowdMemoryMb    = 96
 	crowdMaxFds      = 400
@@ -90,7 +90,7 @@
 }
 
 // check fails the test unless the entry answers an ordinary request while the crowd is
-// connected and after it has gone, in the process that it was, and kept its limits.
+// connected and after it has disconnected, without a restart and within its limits.
 func (c *crowd) check(t *testing.T) {
 	t.Helper()
 	c.running.Wait()
@@ -184,7 +184,7 @@
 	c.check(t)
 }
 
-// Guards against the same with chunked bodies, whose lengths aren't announced.
+// Guards against the same with chunked bodies, whose lengths aren't known in advance.
 func TestManyUnfinishedChunkedBodiesLeaveTheProcessAlive(t *testing.T) {
 	t.Run("large chunks", func(t *testing.T) {
 		c := &crowd{p: startCrowdedEntry(t)}
@@ -201,8 +201,8 @@
 	})
 }
 
-// Guards against a process that reads bodies over the limit, and holds all of them while
-// they are below it.
+// Guards against a process that reads on beyond the limit of a body, and against one that holds
+// a body of almost that size for each client.
 func TestBodiesOverTheLimitLeaveTheProcessAlive(t *testing.T) {
 	announcedFraming := fmt.Sprintf("Content-Length: %d", 16*crowdBodyBytes)
 	t.Run("announced", func(t *testing.T) {
--- a/role/host/entry.go
+++ b/role/host/entry.go
@@ -34,7 +34,7 @@
 
 const (
 	// The fields of an HTTP server can't change while it serves, and it starts before there
-	// is a configuration. The shorter times of the configuration are enforced by connlimit.
+	// is a configuration. So they are fixed, and connlimit enforces the configured times.
 	callerHeaderTimeout  = 10 * time.Second // for a caller to send a request's headers
 	callerIdleTimeout    = time.Minute
 	maxCallerHeaderBytes = 64 << 10
@@ -178,7 +178,7 @@
 		return err
 	}
 	defer readyServer.Close()
-	callerServer := &http.Server{Handler: e.callerHandler(), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes, ConnContext: platform.LimitUnsent}
+	callerServer := e.newCallerServer()
 	e.connections.Attach(callerServer)
 	callerListener, err := e.connections.Listen(p.CallerAddress)
 	if err != nil {
@@ -233,6 +233,16 @@
 	return !e.draining.Load() && e.server.StateIsCurrent() && e.store.State().Catalogue != nil && e.directory.CountEndpoints() > 0
 }
 
+func (e *Entry) newCallerServer() *http.Server {
+	return &http.Server{
+		Handler:           e.callerHandler(),
+		ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    maxCallerHeaderBytes,
+		ConnContext:       platform.LimitUnsent,
+	}
+}
+
 func (e *Entry) callerHandler() http.Handler {
 	return &platform.CallerHandler{
 		Serve: func(q *http.Request, r *serve.Request, a serve.ResponseWriter) {
--- a/role/host/slowcaller_test.go
+++ b/role/host/slowcaller_test.go
@@ -19,8 +19,8 @@
 	unreadTimeout = 1500 * time.Millisecond
 )
 
-// streamLarge sends large events after the last one. It aborts when they stay unread, unless
-// it goes on with a stream.
+// streamLarge sends the large events that follow event last. It aborts when they stay unread,
+// unless it continues a stream (last is not 0).
 func streamLarge(w http.ResponseWriter, last int) {
 	control := http.NewResponseController(w)
 	filling := strings.Repeat("x", largeEventBytes)
--- a/transport/bodybudget/budget_test.go
+++ b/transport/bodybudget/budget_test.go
@@ -96,8 +96,8 @@
 	return len(p), nil
 }
 
-// Guards against clients that stop, or send a byte now and then, and keep others out: bodies
-// without progress give way, the longest first, and no others.
+// Guards against clients that stop, or send a byte now and then, and so keep others out; and
+// against the eviction of a body that has made progress or was stalled for a shorter time.
 func TestBodiesWithoutProgressGiveWay(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		b := New(6 * testMaxBytes) // 5 beside the copy, of which large bodies fill 2.5
@@ -160,7 +160,7 @@
 	})
 }
 
-// Guards against clients that hold memory while nobody else needs it.
+// Guards against slow clients that hold memory for good while no other body needs it.
 func TestSlowBodyTimesOut(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		b := New(DefaultBytes)
@@ -174,8 +174,8 @@
 	})
 }
 
-// Guards against answers of running requests that fail for the sake of unfinished bodies, and
-// against a reservation beyond the budget.
+// Guards against answers of running requests that fail because unfinished bodies take the
+// memory, and against a reservation beyond the budget.
 func TestAnswersTakeTheRoomOfUnfinishedBodies(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		b := New(4 * testMaxBytes)
@@ -197,8 +197,8 @@
 	})
 }
 
-// Guards against bytes that are counted twice or never again, and against readers that wait
-// for each other, while bodies of all sizes come, stop and go.
+// Guards against bytes that are counted twice or never released, and against readers that wait
+// for each other, while many bodies of all sizes are read, evicted and closed.
 func TestBudgetIsKeptByManyBodies(t *testing.T) {
 	b := New(4 * testMaxBytes)
 	var running sync.WaitGroup
--- a/transport/callerhttp/body_test.go
+++ b/transport/callerhttp/body_test.go
@@ -16,8 +16,8 @@
 	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
-// Guards against callers that send a part of a body and stop, and so hold memory that all
-// requests of the entry share, or a connection for good.
+// Guards against callers that send a part of a body and stop, and so hold a connection, or
+// memory that all requests of the entry share, for good.
 func TestUnfinishedBodyIsRefused(t *testing.T) {
 	for name, c := range map[string]struct {
 		head   string
--- a/transport/connlimit/limiter_test.go
+++ b/transport/connlimit/limiter_test.go
@@ -115,7 +115,7 @@
 )
 
 // Guards against more connections than the process can hold, against a running request that
-// gives way to a new connection, and against a refusal without an answer.
+// is ended for a new connection, and against a refusal without an answer.
 func TestNewConnectionTakesThePlaceOfAnIdleOne(t *testing.T) {
 	s := newTestServer(t, Limits{Connections: 4})
 	s.connect(heldRequest)
