--- a/transport/bodybudget/budget_test.go
+++ b/transport/bodybudget/budget_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/iotest"
@@ -95,8 +96,8 @@
 	return len(p), nil
 }
 
-// Guards against clients that stop, or send a byte now and then, and keep others out: bodies
-// without progress give way, the longest first, and no others.
+// Guards against clients that stop, or send a byte now and then, and so keep others out; and
+// against the eviction of a body that has made progress or was stalled for a shorter time.
 func TestBodiesWithoutProgressGiveWay(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		b := New(6 * testMaxBytes) // 5 beside the copy, of which large bodies fill 2.5
@@ -153,13 +154,13 @@
 			}
 		}
 		ordinary.body.Close()
-		if whole == 0 || whole == len(large) || b.HeldBytes() != 0 || b.leavingBytes != 0 {
-			t.Errorf("%d of %d large bodies arrived, %d bytes held, %d leaving", whole, len(large), b.HeldBytes(), b.leavingBytes)
+		if whole == 0 || whole == len(large) || b.HeldBytes() != 0 || b.evictedBytes != 0 {
+			t.Errorf("%d of %d large bodies arrived, %d bytes held, %d leaving", whole, len(large), b.HeldBytes(), b.evictedBytes)
 		}
 	})
 }
 
-// Guards against clients that hold memory while nobody else needs it.
+// Guards against slow clients that hold memory for good while no other body needs it.
 func TestSlowBodyTimesOut(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		b := New(DefaultBytes)
@@ -173,8 +174,8 @@
 	})
 }
 
-// Guards against answers of running requests that fail for the sake of unfinished bodies, and
-// against a reservation beyond the budget.
+// Guards against answers of running requests that fail because unfinished bodies take the
+// memory, and against a reservation beyond the budget.
 func TestAnswersTakeTheRoomOfUnfinishedBodies(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		b := New(4 * testMaxBytes)
@@ -196,8 +197,8 @@
 	})
 }
 
-// Guards against bytes that are counted twice or never again, and against readers that wait
-// for each other, while bodies of all sizes come, stop and go.
+// Guards against bytes that are counted twice or never released, and against readers that wait
+// for each other, while many bodies of all sizes are read, evicted and closed.
 func TestBudgetIsKeptByManyBodies(t *testing.T) {
 	b := New(4 * testMaxBytes)
 	var running sync.WaitGroup
@@ -219,7 +220,65 @@
 		})
 	}
 	running.Wait()
-	if b.HeldBytes() != 0 || b.leavingBytes != 0 || len(b.bodies) != 0 {
-		t.Errorf("%d held, %d leaving, %d bodies", b.HeldBytes(), b.leavingBytes, len(b.bodies))
+	if b.HeldBytes() != 0 || b.evictedBytes != 0 || len(b.bodies) != 0 {
+		t.Errorf("%d held, %d leaving, %d bodies", b.HeldBytes(), b.evictedBytes, len(b.bodies))
 	}
 }
+
+// Guards against a client that asks for "100 Continue" and doesn't read it: the write of it
+// blocked the reader for good, and with it all reservations that waited for its bytes.
+func TestBodyWhoseContinueIsNotReadIsEvicted(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		b := New(DefaultBytes)
+		refused := make(chan error, 1)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := b.ReadRequest(w, r, testMaxBytes, time.Time{})
+			refused <- err
+			CloseUnread(w)
+		})}
+		near, far := net.Pipe()
+		go func() { _ = server.Serve(bubble.Listen(far)) }() // ends when the server is closed
+		_, _ = io.WriteString(near, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n")
+		time.Sleep(time.Millisecond) // the handler writes "100 Continue"
+		all := int(b.Capacity())
+		if err := b.Reserve(all); err != nil {
+			t.Errorf("beside a body that has not arrived: %v", err)
+		}
+		b.Release(all)
+		if err := <-refused; fault.KindOf(err) != fault.Overloaded || b.HeldBytes() != 0 {
+			t.Errorf("%v, %d bytes held", err, b.HeldBytes())
+		}
+		_ = near.Close()
+		time.Sleep(time.Second) // the server closes a little later
+		_ = server.Close()
+	})
+}
+
+// Guards against unfinished bodies that are evicted for an answer or a body that doesn't fit
+// without them either.
+func TestNoBodyIsEvictedInVain(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		b := New(4 * testMaxBytes) // 3 beside the copy, of which large bodies fill 1.5
+		unfinished := startReading(b)
+		unfinished.send(largeBodyBytes + 1)
+		time.Sleep(time.Millisecond)
+		answers := int(b.Capacity() - b.HeldBytes())
+		if err := b.Reserve(answers); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.Reserve(testMaxBytes); fault.KindOf(err) != fault.Overloaded {
+			t.Errorf("an answer that can't fit: %v", err)
+		}
+		later := startReading(b)
+		later.send(1)
+		if kind := later.end(); kind != fault.Overloaded {
+			t.Errorf("a body that can't fit: %q", kind)
+		}
+		if c := b.Counts(); c.Evicted != 0 || c.NoRoom != 2 {
+			t.Errorf("%+v", c)
+		}
+		if kind := unfinished.end(); kind != "" {
+			t.Errorf("the unfinished body: %q", kind)
+		}
+	})
+}
--- a/transport/callerhttp/body_test.go
+++ b/transport/callerhttp/body_test.go
@@ -16,8 +16,8 @@
 	"github.com/apricotspoke/apricotspoke/trials/bubble"
 )
 
-// Guards against callers that send a part of a body and stop, and so hold memory that all
-// requests of the entry share, or a connection for good.
+// Guards against callers that send a part of a body and stop, and so hold a connection, or
+// memory that all requests of the entry share, for good.
 func TestUnfinishedBodyIsRefused(t *testing.T) {
 	for name, c := range map[string]struct {
 		head   string
@@ -58,3 +58,34 @@
 		})
 	}
 }
+
+// Guards against callers that hold connections for good by not reading small responses.
+func TestUnreadSmallResponseEndsItsConnection(t *testing.T) {
+	for _, path := range []string{"/no-route", "/healthz", "/metrics"} {
+		t.Run(path, func(t *testing.T) { testUnreadResponse(t, path) })
+	}
+}
+
+func testUnreadResponse(t *testing.T, path string) {
+	bubble.Run(t, func(t *testing.T) {
+		closed := make(chan struct{})
+		server := &http.Server{
+			Handler: (&Server{Metrics: metrics.New()}).Handler(),
+			ConnState: func(_ net.Conn, state http.ConnState) {
+				if state == http.StateClosed {
+					close(closed)
+				}
+			},
+		}
+		near, far := net.Pipe()
+		go func() { _ = server.Serve(bubble.Listen(far)) }() // ends when the server is closed
+		_, _ = io.WriteString(near, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		select {
+		case <-closed:
+		case <-time.After(time.Minute):
+			t.Error("the connection is open")
+		}
+		_ = near.Close()
+		_ = server.Close()
+	})
+}
