--- a/coordination/admissionqueue/idle.go
+++ b/coordination/admissionqueue/idle.go
@@ -2,21 +2,20 @@
 
 import "time"
 
-// idle says until when no request is to be tried, as none is due before that unless the
-// requests or the state change. Each waiting request plays rounds, so most find nothing to
-// do, and needn't sort the requests to know it.
+// idle is a time in which no request is due unless work ends or the requests change. Each
+// waiting request starts rounds, and most rounds in that time need not sort the requests.
 type idle struct {
-	until  time.Time // zero if not known
-	change uint64    // the one that the last round saw
+	until    time.Time // zero if not known
+	workEnds uint64    // at the last round
 }
 
-func (i *idle) holds(now time.Time, change uint64) bool {
-	return change == i.change && now.Before(i.until)
+func (i *idle) holds(now time.Time, workEnds uint64) bool {
+	return workEnds == i.workEnds && now.Before(i.until)
 }
 
-// nextDue returns a time before which none of the waiting requests, which are not due now,
-// becomes due on the same state, at most TryInterval from now. Later, the floor and the
-// recent arrivals may have changed the delays.
+// nextDue returns a time before which no waiting request becomes due unless work ends, for a
+// queue in which none is due now. It is at most TryInterval from now, as the floor and recent
+// arrivals may change the delays after that.
 func (q *Queue) nextDue(now time.Time) time.Time {
 	next := now.Add(TryInterval)
 	for _, w := range q.waiting {
@@ -33,7 +32,7 @@
 	return next
 }
 
-// earliest returns the earliest of the times, of the others only if it is after now.
+// earliest returns the earliest of first and those of the others that are after now.
 func earliest(now, first time.Time, others ...time.Time) time.Time {
 	for _, t := range others {
 		if t.After(now) && t.Before(first) {
--- a/coordination/admissionqueue/order.go
+++ b/coordination/admissionqueue/order.go
@@ -9,13 +9,13 @@
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
-// rank is what the place of a request in the order depends on, the most important first.
+// rank holds the sort keys of a request, the most significant first.
 type rank struct {
 	begun    bool
 	owed     bool // its priority or organisation is owed a request
 	priority catalogue.Priority
 	overdue  bool
-	timeLeft int     // doubles with each step
+	timeLeft int     // logarithmic: one step more for twice the time
 	cost     float64 // of the organisation's recent requests
 	due      time.Time
 	number   uint64
@@ -48,8 +48,13 @@
 func (q *Queue) rankOf(w *Waiter, now time.Time) rank {
 	left := max(0, w.Due.Sub(now))
 	return rank{
-		begun: w.Begun, priority: w.Priority, overdue: w.isDeferred(now),
-		timeLeft: bits.Len64(uint64(left.Milliseconds())), cost: q.usage.cost(w.Organisation, now), due: w.Due, number: w.number,
+		begun:    w.Begun,
+		priority: w.Priority,
+		overdue:  w.isDeferred(now),
+		timeLeft: bits.Len64(uint64(left.Milliseconds())),
+		cost:     q.usage.cost(w.Organisation, now),
+		due:      w.Due,
+		number:   w.number,
 	}
 }
 
@@ -75,15 +80,15 @@
 }
 
 // markOwed marks the first request of each priority and organisation that is owed one. It
-// reports whether there is any. Overdue requests are passed over: served late, they would
+// reports whether there is any. Overdue requests are not marked: served late, they would
 // take the place of one that can be on time.
 func (q *Queue) markOwed(now time.Time) (found bool) {
-	floor := q.usage.startOwed(now)
+	floorRatio := q.usage.startPass(now)
 	for _, w := range q.waiting {
 		if w.rank.begun || w.rank.overdue {
 			continue
 		}
-		if q.usage.takeOwed(w, floor, now) {
+		if q.usage.takeOwed(w, floorRatio, now) {
 			w.rank.owed, found = true, true
 		}
 	}
--- a/coordination/admissionqueue/pace.go
+++ b/coordination/admissionqueue/pace.go
@@ -8,11 +8,11 @@
 	// before the pace is known.
 	minGaps = 8
 	// paceSmoothing is the weight of the newest gap in the mean. A larger one follows single
-	// bursts; a smaller one follows a change of the capacity only after the overload.
+	// bursts; with a smaller one, the overload may end before a change of the capacity shows.
 	paceSmoothing = 0.05
 	// paceMaxAge is how long the mean counts after the last gap. Without a bound, the mean of
-	// a time in which the endpoints stalled would make the queue too short to measure it
-	// again.
+	// a time in which the endpoints stalled would shed so many requests that no gap could be
+	// measured again.
 	paceMaxAge = time.Second
 )
 
@@ -22,7 +22,7 @@
 	mean      time.Duration
 	gaps      int
 	lastAt    time.Time // of the last placement
-	measuring bool      // requests have waited ever since
+	measuring bool      // requests have waited since lastAt
 	gapAt     time.Time // when the last gap ended
 }
 
--- a/coordination/admissionqueue/preview.go
+++ b/coordination/admissionqueue/preview.go
@@ -7,15 +7,15 @@
 
 // Preview returns the place that an arrival would have in the order, 1 for the first, and
 // whether it would be tried now if no request ahead of it fits. It changes nothing.
-func (q *Queue) Preview(w Waiter, now time.Time, change uint64) (place int, tried bool) {
+func (q *Queue) Preview(w Waiter, now time.Time, workEnds uint64) (place int, tried bool) {
 	c := q.clone()
 	c.Join(&w, now)
 	place = 1 + slices.Index(c.order(now), &w)
-	for next := c.Next(now, change); next != nil; next = c.Next(now, change) {
+	for next := c.Next(now, workEnds); next != nil; next = c.Next(now, workEnds) {
 		if next == &w {
 			return place, true
 		}
-		c.DidNotFit(next, now, change)
+		c.DidNotFit(next, now, workEnds)
 	}
 	return place, false
 }
@@ -33,9 +33,9 @@
 	return &c
 }
 
-func cloneSums[K comparable](of map[K]*sums) map[K]*sums {
-	copies := make(map[K]*sums, len(of))
-	for key, s := range of {
+func cloneSums[K comparable](original map[K]*sums) map[K]*sums {
+	copies := make(map[K]*sums, len(original))
+	for key, s := range original {
 		copied := *s
 		copies[key] = &copied
 	}
--- a/coordination/admissionqueue/queue.go
+++ b/coordination/admissionqueue/queue.go
@@ -13,24 +13,24 @@
 )
 
 const (
-	// TryInterval is how long a request that didn't fit isn't tried again while no work
-	// ends. It is the longest time for which capacity that becomes free without the end of
-	// work may go to an arrival behind it.
+	// TryInterval is the time between tries of a request that didn't fit while no work ends.
+	// Within it, capacity that becomes free without an end of work may go to an arrival
+	// behind the request.
 	TryInterval = 10 * time.Millisecond
-	// PollInterval is that of an overdue request, which loses nothing more by waiting. The
-	// end of work doesn't shorten it.
+	// PollInterval is the time between tries of an overdue request, also when work ends, as
+	// it loses nothing more by waiting.
 	PollInterval = 20 * time.Millisecond
 	// maxOvertakes is how many requests overtake one that doesn't fit before it holds back
 	// those behind it. With fewer, each long prompt stops short ones for a time; with more,
 	// endpoints that it needs together fill up with short ones again.
 	maxOvertakes = 8
-	// maxBlock is how long a request holds back others, or is held back, at most. With less,
-	// a long prompt would hardly get the endpoints that it needs together; with more, the
-	// capacity kept for it stays idle for longer if it never fits.
-	maxBlock = 500 * time.Millisecond
-	// waitDivisor divides the allowed wait: for that part a request holds back others, or is
-	// held back, at most. With 1, held requests would use up their wait; with more, short
-	// objectives leave a long prompt no time in which capacity comes together.
+	// maxHold bounds how long a request holds back others, or is held back. With less, a long
+	// prompt would hardly get the endpoints that it needs together; with more, the capacity
+	// kept for it stays idle for longer if it never fits.
+	maxHold = 500 * time.Millisecond
+	// waitDivisor: a request holds back others, or is held back, for at most
+	// 1/waitDivisor of its allowed wait. With 1, held requests would use up their wait; with
+	// a larger one, short objectives leave a long prompt no time to get enough endpoints.
 	waitDivisor = 2
 )
 
@@ -44,13 +44,15 @@
 	Due          time.Time // when it misses its objective
 	Until        time.Time // until when it may wait
 	Cost         float64   // predicted work, in units that are the same for all requests of the service
-	Failover     bool      // an attempt is running, so it counts neither as arrival nor as placed, is never shed, and has no delay
+	// Failover is set for an attempt that runs and looks for another endpoint. It counts
+	// neither as arrived nor as placed, is never shed, and has no delay.
+	Failover bool
 
 	number                  uint64 // by the order of joining, the last rule of the order
 	overtaken               int    // placements of requests behind it
-	heldSince, blockedSince time.Time
+	heldSince, holdingSince time.Time
 	triedAt                 time.Time
-	triedAtChange           uint64
+	triedAtEnds             uint64 // number of ends of work at triedAt
 	forecast                Forecast
 	hasForecast             bool
 	rank                    rank
@@ -113,32 +115,32 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *Waiter) bool { return other == w })
 }
 
-// Reorder makes changed priorities count.
+// Reorder sorts the requests again after their priorities have changed.
 func (q *Queue) Reorder() { q.changed() }
 
-// changed notes a change of the requests or of their order.
+// changed drops what was derived from the requests and their order.
 func (q *Queue) changed() { q.sorted, q.idle = false, idle{} }
 
-// Next returns the first request to try now, nil if there is none. change counts the ends
-// of work. The caller must call Placed, DidNotFit, Skip or Leave for it before the next call.
-func (q *Queue) Next(now time.Time, change uint64) *Waiter {
-	if q.idle.holds(now, change) {
+// Next returns the first request to try now, nil if there is none. workEnds is the number of
+// ends of work so far. The caller must call Placed, DidNotFit, Skip or Leave for it before the next call.
+func (q *Queue) Next(now time.Time, workEnds uint64) *Waiter {
+	if q.idle.holds(now, workEnds) {
 		return nil
 	}
-	q.stagger.note(now, change)
+	q.stagger.update(now, workEnds)
 	holding, held := false, false
 	for _, w := range q.order(now) {
 		if holding && w.isHeld(now) {
 			held = true
 			continue
 		}
-		if q.isDue(w, now, change) {
+		if q.isDue(w, now, workEnds) {
 			return w
 		}
 		holding = holding || w.holdsBack(now)
 	}
 	if !held {
-		q.idle = idle{until: q.nextDue(now), change: change}
+		q.idle = idle{until: q.nextDue(now), workEnds: workEnds}
 	}
 	return nil
 }
@@ -159,19 +161,20 @@
 }
 
 // DidNotFit records that a request was tried and no endpoint has capacity for it.
-func (q *Queue) DidNotFit(w *Waiter, now time.Time, change uint64) {
-	q.Skip(w, now, change)
+func (q *Queue) DidNotFit(w *Waiter, now time.Time, workEnds uint64) {
+	q.Skip(w, now, workEnds)
 	q.stagger.scarceUntil = now.Add(scarceFor)
 }
 
 // Skip records that a request was not tried, as it is about to leave. That says nothing about
 // the capacity.
-func (q *Queue) Skip(w *Waiter, now time.Time, change uint64) {
-	w.triedAt, w.triedAtChange = now, change
+func (q *Queue) Skip(w *Waiter, now time.Time, workEnds uint64) {
+	w.triedAt, w.triedAtEnds = now, workEnds
 }
 
-// isDue reports whether the request is to be tried now.
-func (q *Queue) isDue(w *Waiter, now time.Time, change uint64) bool {
+// isDue reports whether the request is to be tried now. An arrival is due at once, but while
+// capacity is scarce only after its delay or once all ends of work are offered to it.
+func (q *Queue) isDue(w *Waiter, now time.Time, workEnds uint64) bool {
 	if w.isDeferred(now) {
 		return now.Sub(w.triedAt) >= PollInterval
 	}
@@ -179,7 +182,7 @@
 	switch {
 	case w.triedAt.IsZero():
 		return all || !now.Before(q.stagger.scarceUntil) || now.Sub(w.Joined) >= w.delay
-	case w.triedAtChange < offered:
+	case w.triedAtEnds < offered:
 		return true
 	}
 	return all && now.Sub(w.triedAt) >= TryInterval
@@ -188,19 +191,20 @@
 // isDeferred reports whether the request is overdue, so that others are tried before it.
 func (w *Waiter) isDeferred(now time.Time) bool { return !w.Begun && now.After(w.Due) }
 
-// holdsBack reports whether the request, which didn't fit, holds back those behind it.
+// holdsBack reports whether the request, which didn't fit, holds back those behind it. The
+// first time that it does is recorded, as it may do so for longestHold only.
 func (w *Waiter) holdsBack(now time.Time) bool {
 	if w.overtaken < maxOvertakes || w.isDeferred(now) {
 		return false
 	}
-	if w.blockedSince.IsZero() {
-		w.blockedSince = now
+	if w.holdingSince.IsZero() {
+		w.holdingSince = now
 	}
-	return now.Sub(w.blockedSince) < w.longestBlock()
+	return now.Sub(w.holdingSince) < w.longestHold()
 }
 
-// isHeld reports whether a request ahead that doesn't fit holds this one back. After the
-// first time, that ends for good when its part of the allowed wait has passed.
+// isHeld reports whether the request may still be held back by one ahead that doesn't fit.
+// The first time is recorded; once longestHold has passed since, it is never held again.
 func (w *Waiter) isHeld(now time.Time) bool {
 	if w.Begun {
 		return false
@@ -208,10 +212,10 @@
 	if w.heldSince.IsZero() {
 		w.heldSince = now
 	}
-	return now.Sub(w.heldSince) < w.longestBlock()
+	return now.Sub(w.heldSince) < w.longestHold()
 }
 
-// longestBlock is how long the request holds back others, or is held back, at most.
-func (w *Waiter) longestBlock() time.Duration { return min(maxBlock, w.allowedWait()/waitDivisor) }
+// longestHold returns how long the request holds back others, or is held back, at most.
+func (w *Waiter) longestHold() time.Duration { return min(maxHold, w.allowedWait()/waitDivisor) }
 
 func (w *Waiter) allowedWait() time.Duration { return w.Until.Sub(w.Joined) }
--- a/coordination/admissionqueue/shed.go
+++ b/coordination/admissionqueue/shed.go
@@ -8,7 +8,7 @@
 
 // Forecast says when capacity for a request becomes free.
 type Forecast struct {
-	Wait     time.Duration // from At until the first such request can be served, also if it waits at an endpoint
+	Wait     time.Duration // from At until the first such request can be served, with its wait for a slot at an endpoint
 	Interval time.Duration // between two such requests at this entry; 0 if unknown
 	At       time.Time     // when it was made
 }
@@ -25,15 +25,15 @@
 func (r *Refusal) Wait() time.Duration { return r.Forecast.Wait + r.UntilPlaced }
 
 // Shed removes and returns the waiting requests that can't be placed within the time that
-// they may wait, or not be served before they are due, if all that are kept ahead of them
-// are placed first. Those that have not been tried are kept. The first request that has not
-// begun is kept too, as capacity that becomes free would else be idle until the next
-// arrival. forecast returns the forecast for a request, false if there is none; it is asked
+// they may wait, or can't be served before they are due, if all that are kept ahead of them
+// are placed first. Those that have not been tried are kept until that time has passed. The
+// first request that has not begun is kept too, as capacity that becomes free would
+// otherwise be idle until the next arrival. forecast returns the forecast for a request, false if there is none; it is asked
 // again after PollInterval.
 func (q *Queue) Shed(now time.Time, forecast func(*Waiter) (Forecast, bool)) []Refusal {
 	var shed []Refusal
 	var ahead []time.Duration // intervals of the kept requests
-	var share shareAhead
+	var share urgentShare
 	first := true
 	for place, w := range q.order(now) {
 		if w.Failover {
@@ -41,43 +41,44 @@
 		}
 		f, ok := w.forecastAt(now, len(q.waiting) > 1, forecast)
 		interval := q.interval(f, now)
-		s := Refusal{Waiter: w, Place: place, UntilPlaced: share.lengthen(q, w, waitFor(ahead, interval), now), Forecast: f}
-		if ok && !first && w.mayBeShed(now) && s.isTooLate(now) {
-			shed = append(shed, s)
+		untilPlaced := share.extend(waitBehind(ahead, interval), q, w, now)
+		r := Refusal{Waiter: w, Place: place, UntilPlaced: untilPlaced, Forecast: f}
+		if ok && !first && w.mayBeShed(now) && r.isTooLate(now) {
+			shed = append(shed, r)
 			continue
 		}
 		first = first && w.Begun
 		ahead = append(ahead, interval)
 	}
-	for _, s := range shed {
-		q.Leave(s.Waiter)
+	for _, r := range shed {
+		q.Leave(r.Waiter)
 	}
 	return shed
 }
 
-// shareAhead is the share of the capacity that goes to more urgent requests yet to arrive,
-// for the priority last asked for. Requests come sorted by it, so it is rarely computed.
-type shareAhead struct {
+// urgentShare caches the share of the capacity that goes to more urgent requests yet to
+// arrive, for one priority. The requests are sorted by priority, so it is rarely computed.
+type urgentShare struct {
 	known    bool
 	priority catalogue.Priority
 	share    float64
 }
 
-// lengthen returns a time to wait with what more urgent arrivals add to it, by the waiting
-// time of a queue with priorities. They don't overtake a request that is owed.
-func (a *shareAhead) lengthen(q *Queue, w *Waiter, wait time.Duration, now time.Time) time.Duration {
+// extend returns a time to wait, extended by what more urgent arrivals add to it by the
+// formula for the waiting time in a queue with priorities. They don't overtake a request that is owed.
+func (a *urgentShare) extend(wait time.Duration, q *Queue, w *Waiter, now time.Time) time.Duration {
 	if wait == 0 || w.rank.owed {
 		return wait
 	}
 	if !a.known || a.priority != w.Priority {
-		*a = shareAhead{known: true, priority: w.Priority, share: q.usage.moreUrgentShare(w.Priority, now)}
+		*a = urgentShare{known: true, priority: w.Priority, share: q.usage.moreUrgentShare(w.Priority, now)}
 	}
 	return time.Duration(float64(wait) / (1 - a.share))
 }
 
-// isTooLate reports whether the forecast is beyond what the request may wait. Wait counts
-// against the objective only, as requests may wait for a slot at an endpoint too; an overdue
-// request has none any more.
+// isTooLate reports whether the request would be placed after the time that it may wait, or
+// served after its objective. The wait for a slot at an endpoint counts against the objective
+// only. An overdue request has missed its objective already.
 func (r *Refusal) isTooLate(now time.Time) bool {
 	if now.Add(r.UntilPlaced).After(r.Waiter.Until) {
 		return true
@@ -91,9 +92,10 @@
 	return !w.Begun && (!w.triedAt.IsZero() || now.After(w.Until))
 }
 
-// waitFor returns the time that the requests ahead take of one with the given interval. A
-// long prompt ahead counts as one like it, as it lets others pass while it doesn't fit.
-func waitFor(ahead []time.Duration, interval time.Duration) time.Duration {
+// waitBehind returns how long a request with the given interval waits for those ahead of it.
+// A long prompt ahead counts with the request's own interval at most, as others pass it while
+// it doesn't fit.
+func waitBehind(ahead []time.Duration, interval time.Duration) time.Duration {
 	sum := time.Duration(0)
 	for _, other := range ahead {
 		sum += min(other, interval)
@@ -110,9 +112,9 @@
 	return w.forecast, w.hasForecast
 }
 
-// interval returns the time that a request takes of those behind it: the smaller one of the
-// forecast, in which all entries have equal parts of the capacity, and what this entry has
-// recently had.
+// interval returns the time by which a request delays those behind it: the smaller one of
+// the forecast, which gives all entries equal parts of the capacity, and the recent interval
+// between placements of this entry.
 func (q *Queue) interval(f Forecast, now time.Time) time.Duration {
 	observed := q.PlacementInterval(now)
 	if f.Interval <= 0 || observed > 0 && observed < f.Interval {
--- a/coordination/admissionqueue/stagger.go
+++ b/coordination/admissionqueue/stagger.go
@@ -16,61 +16,73 @@
 	// priorities compete with each other; with more, capacity stays unused for longer where
 	// no request waits at an endpoint.
 	maxStagger = 3
-	// staggerDivisor divides the allowed wait: that part bounds the delay. With a smaller one,
-	// requests with short objectives spend most of their wait in the delay; with a larger one,
-	// the delay is too short for the events of other entries.
+	// staggerDivisor: the delay is at most 1/staggerDivisor of the allowed wait. With a smaller
+	// one, requests with short objectives spend most of their wait in the delay; with a larger
+	// one, the delay is too short for the events of other entries.
 	staggerDivisor = 4
-	// scarceFor is how long after a request that didn't fit capacity counts as scarce. While
-	// it doesn't, an arrival is tried at once.
+	// scarceFor is how long capacity counts as scarce after a request didn't fit. Otherwise an
+	// arrival is tried at once.
 	scarceFor = time.Second
 	// urgentFor is how long after the last arrival of a priority less urgent ones are delayed
 	// for it. With 28 entries, a priority with 20 requests a second arrives at each every
 	// 1.4 s, and a shorter time would end the delay in some of these pauses. With a longer
 	// one, a single urgent request delays others when there is hardly another elsewhere.
 	urgentFor = 5 * time.Second
-	// endSpacing bounds the ends that are remembered. Those within it count as one.
+	// endSpacing is the least time between two recorded ends of work, which bounds their
+	// number. Ends within it count as one.
 	endSpacing = 2 * time.Millisecond
 )
 
-// workEnd is an end of work, by the change that it counted as.
+// workEnd is one or more ends of work at about the same time.
 type workEnd struct {
-	at     time.Time
-	change uint64
+	at    time.Time
+	count uint64 // of all ends of work up to this one
 }
 
-// stagger remembers the ends of work that some waiting requests aren't offered yet.
+// stagger holds the ends of work whose capacity some waiting requests aren't offered yet.
 type stagger struct {
-	alone       bool      // no other entry has requests that wait
+	alone       bool      // this entry is the only one
 	recent      []workEnd // of the last maxStagger steps
-	settled     uint64    // the last change before these
+	offeredAll  uint64    // number of ends of work before these, which all requests are offered
 	scarceUntil time.Time
 }
 
-// note records the present change and forgets what all requests are offered.
-func (s *stagger) note(now time.Time, change uint64) {
+// update records the ends of work since the last call, and removes those that all requests
+// are offered.
+func (s *stagger) update(now time.Time, workEnds uint64) {
 	last := len(s.recent) - 1
 	switch {
-	case last < 0 && change != s.settled, last >= 0 && change != s.recent[last].change && now.Sub(s.recent[last].at) >= endSpacing:
-		s.recent = append(s.recent, workEnd{at: now, change: change})
+	case s.isNewEnd(now, workEnds):
+		s.recent = append(s.recent, workEnd{at: now, count: workEnds})
 	case last >= 0:
-		s.recent[last].change = change
+		s.recent[last].count = workEnds
 	}
 	for len(s.recent) > 0 && now.Sub(s.recent[0].at) >= maxStagger*StaggerStep {
-		s.settled, s.recent = s.recent[0].change, s.recent[1:]
+		s.offeredAll = s.recent[0].count
+		s.recent = s.recent[1:]
 	}
 }
 
-// offered returns the last change that a request with the given delay is offered, and
-// whether it is the present one.
-func (s *stagger) offered(now time.Time, delay time.Duration) (change uint64, all bool) {
-	change, all = s.settled, true
+// isNewEnd reports whether work has ended and doesn't count with the last end.
+func (s *stagger) isNewEnd(now time.Time, workEnds uint64) bool {
+	if len(s.recent) == 0 {
+		return workEnds != s.offeredAll
+	}
+	last := s.recent[len(s.recent)-1]
+	return workEnds != last.count && now.Sub(last.at) >= endSpacing
+}
+
+// offered returns the number of ends of work whose capacity a request with the given delay
+// is offered, and whether these are all.
+func (s *stagger) offered(now time.Time, delay time.Duration) (workEnds uint64, all bool) {
+	workEnds = s.offeredAll
 	for _, end := range s.recent {
 		if now.Sub(end.at) < delay {
-			return change, false
+			return workEnds, false
 		}
-		change = end.change
+		workEnds = end.count
 	}
-	return change, true
+	return workEnds, true
 }
 
 // Pause returns the time until the capacity of work that has ended is offered to further
@@ -87,8 +99,8 @@
 	return pause
 }
 
-// SetAlone tells whether this entry is the only one. Then no more urgent request waits
-// elsewhere, and none is delayed.
+// SetAlone tells whether this entry is the only one. If it is, no request is
+// delayed, as no more urgent one waits elsewhere.
 func (q *Queue) SetAlone(alone bool) {
 	if alone != q.stagger.alone {
 		q.stagger.alone = alone
@@ -96,9 +108,9 @@
 	}
 }
 
-// setDelays sets the delays of the waiting requests. Those that go before their priority
-// have none, nor have failover attempts: they leave after the round in which they joined, so
-// a delayed one would never be tried.
+// setDelays sets the delays of the waiting requests. Begun and owed ones have none, as they
+// go first whatever their priority. Failover attempts have none, as they leave after the round
+// in which they joined, so a delayed one would never be tried.
 func (q *Queue) setDelays(now time.Time) {
 	steps := make(map[catalogue.Priority]int)
 	for _, w := range q.waiting {
--- a/coordination/admissionqueue/usage.go
+++ b/coordination/admissionqueue/usage.go
@@ -9,67 +9,68 @@
 )
 
 const (
-	// usageMemory is the time constant with which past requests stop counting. With a
+	// usageTimeConstant is the time constant with which past requests stop counting. With a
 	// shorter one, an organisation with a request every 20 s would never be owed one.
-	usageMemory = 60 * time.Second
-	// floorShare is the share of the service of all that each priority and organisation
-	// gets at least. Required is a quarter; the rest is a margin for what decays.
+	usageTimeConstant = 60 * time.Second
+	// floorShare is the least ratio of placed to arrived requests of a priority or
+	// organisation, relative to that of all. Required is a quarter; the margin allows for the
+	// decay of the sums.
 	floorShare = 0.3
 	// owedFrom is how many placed requests a group must lack to be owed one. With less, the
 	// first request of an organisation would go before urgent ones; with more, one that
 	// sends few would get none.
 	owedFrom = 0.5
 	// maxMoreUrgentShare leaves a tenth of the capacity in the forecast of a priority when
-	// the more urgent ones alone exceed the capacity, which the floor surely grants.
+	// the more urgent ones alone exceed the capacity, as the floor grants it a part.
 	maxMoreUrgentShare = 0.9
-	// Above maxOrganisations, those that count less than negligible requests are forgotten.
-	// With fewer, 960 organisations would be walked often; with more, memory grows by those
-	// that no longer send anything.
+	// maxOrganisations is the number of organisations from which on those with less than
+	// negligible requests are removed. With a smaller one, 960 organisations would be scanned
+	// often; with a larger one, more memory goes to those that no longer send anything.
 	maxOrganisations = 2048
-	// negligible is the count below which the sums of an organisation can be forgotten. With a
+	// negligible is the number of requests below which the sums of an organisation can be
+	// removed. With a
 	// larger one, an organisation would lose sums that can still make it owed a request; with
 	// a smaller one, more are kept that can't.
 	negligible = 0.1
 )
 
-// sums count recent requests; each counts less with time.
+// sums counts recent requests, with exponential decay.
 type sums struct {
 	at                    time.Time
 	arrived, placed, cost float64
 	arrivedAt             time.Time // the last arrival
-	owedPass              uint64    // in which a request was marked as owed
+	owedPass              uint64    // the last pass that marked one of the requests as owed
 }
 
 func (s *sums) decay(now time.Time) {
 	if passed := now.Sub(s.at); passed > 0 {
-		left := math.Exp(-float64(passed) / float64(usageMemory))
+		left := math.Exp(-float64(passed) / float64(usageTimeConstant))
 		s.arrived, s.placed, s.cost, s.at = s.arrived*left, s.placed*left, s.cost*left, now
 	}
 }
 
-// usage counts the recent requests of all, of each priority and of each organisation. There
-// are far fewer priorities than organisations, so what depends on priorities only doesn't
-// walk the others.
+// usage counts the recent requests of all, of each priority and of each organisation. The
+// two are kept apart, as there are far fewer priorities than organisations to scan.
 type usage struct {
 	total         sums
 	priorities    map[catalogue.Priority]*sums
 	organisations map[string]*sums
-	pass          uint64 // the latest one that marks the owed requests
+	pass          uint64 // number of passes that marked the owed requests
 }
 
 func newUsage() usage {
 	return usage{priorities: make(map[catalogue.Priority]*sums), organisations: make(map[string]*sums)}
 }
 
-// of returns the sums of the request's priority and organisation, decayed.
-func (u *usage) of(w *Waiter, now time.Time) [2]*sums {
+// sumsOf returns the sums of the request's priority and organisation, decayed to now.
+func (u *usage) sumsOf(w *Waiter, now time.Time) [2]*sums {
 	p, o := u.priorities[w.Priority], u.organisations[w.Organisation]
 	if p == nil {
 		p = &sums{at: now}
 		u.priorities[w.Priority] = p
 	}
 	if o == nil {
-		u.forgetNegligible(now)
+		u.removeNegligible(now)
 		o = &sums{at: now}
 		u.organisations[w.Organisation] = o
 	}
@@ -78,7 +79,7 @@
 	return [2]*sums{p, o}
 }
 
-func (u *usage) forgetNegligible(now time.Time) {
+func (u *usage) removeNegligible(now time.Time) {
 	if len(u.organisations) < maxOrganisations {
 		return
 	}
@@ -94,20 +95,21 @@
 	}
 	u.total.decay(now)
 	u.total.arrived++
-	for _, s := range u.of(w, now) {
+	for _, s := range u.sumsOf(w, now) {
 		s.arrived++
 		s.arrivedAt = now
 	}
 }
 
-// placed counts a placed request, with a sign of -1 one that has lost its plan again.
+// placed counts a placed request with a sign of 1, and takes back one whose plan was dropped
+// with a sign of -1.
 func (u *usage) placed(w *Waiter, sign float64, now time.Time) {
 	if w.Failover {
 		return
 	}
 	u.total.decay(now)
 	u.total.placed = max(0, u.total.placed+sign)
-	for _, s := range u.of(w, now) {
+	for _, s := range u.sumsOf(w, now) {
 		s.placed, s.cost = max(0, s.placed+sign), max(0, s.cost+sign*w.Cost)
 	}
 }
@@ -149,9 +151,9 @@
 	return min(sum/u.total.placed, maxMoreUrgentShare)
 }
 
-// startOwed begins a pass over the waiting requests and returns the floor: the share of its
-// arrivals that a priority or organisation should have had placed at least.
-func (u *usage) startOwed(now time.Time) (floor float64) {
+// startPass begins a pass over the waiting requests. It returns the least ratio of placed to
+// arrived requests that a priority or organisation should have.
+func (u *usage) startPass(now time.Time) (floorRatio float64) {
 	u.pass++
 	u.total.decay(now)
 	if u.total.arrived <= 0 {
@@ -160,15 +162,15 @@
 	return floorShare * u.total.placed / u.total.arrived
 }
 
-// takeOwed reports whether the request's priority or organisation lacks requests to its
-// floor. In one pass each counts for the first of its requests only.
-func (u *usage) takeOwed(w *Waiter, floor float64, now time.Time) (owed bool) {
+// takeOwed reports whether the request's priority or organisation is below the floor. In one
+// pass, each is owed the first of its requests only.
+func (u *usage) takeOwed(w *Waiter, floorRatio float64, now time.Time) (owed bool) {
 	for _, s := range [...]*sums{u.priorities[w.Priority], u.organisations[w.Organisation]} {
 		if s == nil || s.owedPass == u.pass {
 			continue
 		}
 		s.decay(now)
-		if floor*s.arrived-s.placed >= owedFrom {
+		if floorRatio*s.arrived-s.placed >= owedFrom {
 			s.owedPass, owed = u.pass, true
 		}
 	}
