--- a/coordination/loadestimate/group.go
+++ b/coordination/loadestimate/group.go
@@ -15,16 +15,16 @@
 const (
 	// rateSmoothing is the weight of the newest pair of reports in the learned rates.
 	rateSmoothing = 0.1
-	// The decay rate is bounded, in 1/s, as two reports of equal or of unrelated loads
-	// have none. defaultDecay is that of answers that last a second.
+	// The decay rate, in 1/s, is bounded, as no rate can be learned from reports of equal or
+	// unrelated loads. defaultDecay is that of answers that last a second.
 	minDecay     = 0.2
 	maxDecay     = 20
 	defaultDecay = 1
-	// maxReportGap bounds the time between two reports that teach rates. After a longer
-	// gap, the reporter or this entry was not working.
+	// maxReportGap bounds the time between two reports from which rates are learned. After a longer
+	// gap, the reporter or this entry has been unavailable.
 	maxReportGap = 2 * time.Second
-	// growthHorizon bounds how far the growth of the mean is extrapolated. A burst of
-	// arrivals seldom lasts longer than the load does that it causes.
+	// growthHorizon bounds how far the growth of the mean is extrapolated, as a burst of
+	// arrivals seldom lasts longer than the load that it causes.
 	growthHorizon = 300 * time.Millisecond
 	// endpointRetention is how long an endpoint without load and without use stays in
 	// the mean of its group.
@@ -39,15 +39,18 @@
 	mean       float64   // load of an endpoint in it
 	growth     float64   // of the mean, 1/s
 	decay      float64   // of deviations from the mean, 1/s
-	churn      float64   // requests that arrive at all endpoints, 1/s, by the changes of loads
-	taught     int       // pairs of reports that taught the rates
-	// kept and spread are smoothed sums of the products of successive deviations and of
-	// their squares; kept/spread is the share of a deviation that a report leaves.
-	kept, spread float64
-	// meanNow and keptNow are the estimated mean and the share of a deviation that is left
-	// at estimatedAt, as all endpoints are usually estimated for one moment.
-	estimatedAt      time.Time
-	meanNow, keptNow float64
+	// arrivalRate is the number of requests that arrive at all endpoints, 1/s, estimated from
+	// the changes of their loads.
+	arrivalRate  float64
+	learnedPairs int // pairs of reports from which the rates were learned
+	// covariance is the smoothed sum of the products of each deviation and the one in the next
+	// report, variance that of their squares. covariance/variance is the share of a deviation
+	// that is left in the next report.
+	covariance, variance float64
+	// meanNow and remainingNow are the estimated mean and the share of a deviation that is left
+	// at estimatedAt. They are cached, as all endpoints are usually estimated for one moment.
+	estimatedAt           time.Time
+	meanNow, remainingNow float64
 }
 
 // Endpoint is the reported load of one endpoint.
@@ -97,7 +100,7 @@
 	if passed := now.Sub(g.reportedAt); !g.reportedAt.IsZero() && passed > 0 && passed <= maxReportGap {
 		g.learn(mean, passed.Seconds())
 	} else {
-		g.growth, g.taught = 0, 0
+		g.growth, g.learnedPairs = 0, 0
 	}
 	g.reportedAt, g.mean, g.estimatedAt = now, mean, time.Time{}
 	for _, e := range g.endpoints {
@@ -120,27 +123,28 @@
 	})
 }
 
-// learn updates the rates by the report that arrives the given time after the last one.
-// All endpoints weigh in one regression, as single ones change by few requests. Half the
-// squared changes are the arrivals, as arrivals and ends are random and about as many.
+// learn updates the rates by the report that arrives the given time after the last one. One
+// regression over all endpoints gives the decay rate, as single ones change by few requests.
+// Half the squared changes are the arrivals, as arrivals and ends are random and about as
+// many.
 func (g *Group) learn(mean, seconds float64) {
-	kept, spread, squares := 0.0, 0.0, 0.0
+	covariance, variance, squares := 0.0, 0.0, 0.0
 	for _, e := range g.endpoints {
 		deviation, change := e.load-g.mean, e.incoming-e.load
-		kept += deviation * (e.incoming - mean)
-		spread += deviation * deviation
+		covariance += deviation * (e.incoming - mean)
+		variance += deviation * deviation
 		squares += change * change
 	}
-	g.taught++
-	weight := max(rateSmoothing, 1/float64(g.taught))
+	g.learnedPairs++
+	weight := max(rateSmoothing, 1/float64(g.learnedPairs))
 	g.growth += rateSmoothing * ((mean-g.mean)/seconds - g.growth) // from 0, as one change of the mean is mostly noise
-	g.churn += weight * (squares/2/seconds - g.churn)
-	g.kept += weight * (kept - g.kept)
-	g.spread += weight * (spread - g.spread)
-	if g.spread <= 0 {
+	g.arrivalRate += weight * (squares/2/seconds - g.arrivalRate)
+	g.covariance += weight * (covariance - g.covariance)
+	g.variance += weight * (variance - g.variance)
+	if g.variance <= 0 {
 		return // all loads were equal
 	}
-	share := max(g.kept/g.spread, math.Exp(-maxDecay*seconds))
+	share := max(g.covariance/g.variance, math.Exp(-maxDecay*seconds))
 	g.decay = min(max(-math.Log(share)/seconds, minDecay), maxDecay)
 }
 
@@ -153,8 +157,8 @@
 	return max(0, now.Sub(g.reportedAt)), true
 }
 
-// Load returns the estimated load of the endpoint: its last report, which goes to the mean
-// of the group at the decay rate while the mean grows. It leaves rejections aside.
+// Load returns the estimated load of the endpoint: the load in the last report, moved towards
+// the mean of the group at the decay rate while the mean grows. Rejections don't count.
 func (e *Endpoint) Load(now time.Time) float64 {
 	g := e.group
 	if g == nil || g.reportedAt.IsZero() {
@@ -163,7 +167,7 @@
 	if !now.Equal(g.estimatedAt) {
 		g.estimate(now)
 	}
-	return g.meanNow + (e.load-g.mean)*g.keptNow
+	return g.meanNow + (e.load-g.mean)*g.remainingNow
 }
 
 // estimate sets the estimates of the group. The deviations shrink with the mean, so that
@@ -172,21 +176,22 @@
 	age := max(0, now.Sub(g.reportedAt))
 	g.estimatedAt = now
 	g.meanNow = max(0, g.mean+g.growth*min(age, growthHorizon).Seconds())
-	g.keptNow = math.Exp(-g.decay * age.Seconds())
+	g.remainingNow = math.Exp(-g.decay * age.Seconds())
 	if g.meanNow < g.mean {
-		g.keptNow *= g.meanNow / g.mean
+		g.remainingNow *= g.meanNow / g.mean
 	}
 }
 
 // UnknownArrivals returns how many requests others are expected to have sent to the
-// endpoints of the group since the last report. It is infinite before two reports have
-// taught rates. Of its two estimates, the one by the decay rate is too high where choices
-// even out the loads, and the one by the changes too low where reports are old.
+// endpoints of the group since the last report. It is infinite until two reports
+// have given the rates. Otherwise it is the mean of two estimates: the one by the decay rate
+// is too high where choices even out the loads, and the one by the changes of the loads is too
+// low where reports are old.
 func (g *Group) UnknownArrivals(now time.Time) float64 {
-	if g.taught == 0 {
+	if g.learnedPairs == 0 {
 		return math.Inf(1)
 	}
 	age, _ := g.Age(now)
 	byDecay := max(0, g.mean*g.decay+g.growth) * float64(len(g.endpoints))
-	return (byDecay + g.churn) / 2 * age.Seconds()
+	return (byDecay + g.arrivalRate) / 2 * age.Seconds()
 }
--- a/coordination/loadestimate/group_test.go
+++ b/coordination/loadestimate/group_test.go
@@ -122,7 +122,7 @@
 		t.Errorf("load %.1f without a rejection", load)
 	}
 	r.Record(start)
-	at, half, after := r.Correct(3, 18, start), r.Correct(3, 18, start.Add(rejectionMemory/2)), r.Correct(3, 18, start.Add(rejectionMemory))
+	at, half, after := r.Correct(3, 18, start), r.Correct(3, 18, start.Add(rejectionDuration/2)), r.Correct(3, 18, start.Add(rejectionDuration))
 	if at != 18 || !near(half, 10.5) || after != 3 {
 		t.Errorf("loads %.1f, %.1f, %.1f, want 18, 10.5, 3", at, half, after)
 	}
--- a/coordination/loadestimate/pick.go
+++ b/coordination/loadestimate/pick.go
@@ -7,17 +7,18 @@
 )
 
 const (
-	// freshShare bounds the unknown arrivals, as a share of the slots of all options, up
-	// to which two options are drawn and the one with the lower estimate is chosen. With
-	// more, comparing two stale estimates rejects more than drawing one.
+	// freshShare is the share of the slots of all options up to which unknown arrivals allow
+	// two options to be drawn and compared. With more unknown arrivals, comparing stale
+	// estimates causes more rejections than drawing one option.
 	freshShare = 0.75
-	// The unknown arrivals are multiplied before the options are filled up, as single
-	// endpoints get more or fewer of them than the mean. With 1 the emptiest endpoints are
-	// overloaded by chance; a second draw allows for a wider first one.
+	// staleFactor and freshFactor multiply the unknown arrivals before the options are filled
+	// up, as single endpoints get more or fewer of them than the mean. With 1, the emptiest
+	// endpoints are overloaded by chance. freshFactor is larger, as the comparison of two draws
+	// makes up for a wider choice.
 	staleFactor = 3
 	freshFactor = 24
-	// minArrivals is the least number of unknown arrivals that a choice assumes. It is
-	// small against one request, and lets equal options share the choices.
+	// minArrivals is the least number of unknown arrivals that a choice assumes. It is much
+	// less than one request, and lets equal options share the choices.
 	minArrivals = 0.001
 )
 
@@ -43,7 +44,7 @@
 
 // Pick returns the index of the chosen option, -1 when none has free capacity. The options
 // are filled up to a common load per slot, such that they take a multiple of the unknown
-// arrivals, and are drawn in proportion to what each lacks to that level. Without unknown
+// arrivals. They are drawn in proportion to their free capacity below that level. Without unknown
 // arrivals the least loaded options are drawn; with many, all by their free capacity.
 func (p *Picker) Pick(options []Option, unknownArrivals float64) int {
 	level, compare := p.level(options, unknownArrivals)
@@ -86,8 +87,8 @@
 	return p.fillLevel(options, freshFactor*max(unknownArrivals, minArrivals)), true
 }
 
-// draw returns an option in proportion to what it lacks to a load per slot, -1 when all
-// are above it or full.
+// draw returns the index of an option drawn in proportion to its free capacity below a load
+// per slot, -1 when all are above it or full.
 func (p *Picker) draw(options []Option, level float64) int {
 	total := 0.0
 	for i := range options {
@@ -115,8 +116,11 @@
 	return max(0, min(level*o.Slots, o.Capacity)-o.Load)
 }
 
-// fillStep is a load per slot from which on an option is filled, or no longer.
-type fillStep struct{ level, slots float64 }
+// fillStep is a load per slot at which an option begins to be filled or is full.
+type fillStep struct {
+	level float64
+	slots float64 // of the option, negative when it is full
+}
 
 // fillLevel returns the load per slot up to which the options take the given number of
 // requests. When they can't take as many, it is the highest that any of them can reach.
@@ -124,7 +128,9 @@
 	p.steps = p.steps[:0]
 	for i := range options {
 		if o := &options[i]; o.Load < o.Capacity {
-			p.steps = append(p.steps, fillStep{o.loadPerSlot(), o.Slots}, fillStep{o.Capacity / o.Slots, -o.Slots})
+			begin := fillStep{level: o.loadPerSlot(), slots: o.Slots}
+			full := fillStep{level: o.Capacity / o.Slots, slots: -o.Slots}
+			p.steps = append(p.steps, begin, full)
 		}
 	}
 	slices.SortFunc(p.steps, func(x, y fillStep) int { return cmp.Compare(x.level, y.level) })
@@ -135,7 +141,8 @@
 			return level + requests/slots
 		}
 		requests -= filled
-		level, slots = s.level, slots+s.slots
+		level = s.level
+		slots += s.slots
 	}
 	return level
 }
