--- a/coordination/placement/candidate.go
+++ b/coordination/placement/candidate.go
@@ -17,10 +17,10 @@
 	cold             bool
 	rateLimited      bool
 	answers          int     // that it decodes or will decode
-	load             float64 // the same before rounding, where it is estimated
+	load             float64 // answers before rounding, where they are estimated
 	contextTokens    int     // prompt tokens of these answers
 	usedMemoryTokens int
-	spareTokens      int // of the memory, kept free
+	spareTokens      int // memory to keep free
 	batch            enginemodel.DecodeBatch
 	forecast         enginemodel.Forecast
 }
@@ -37,7 +37,15 @@
 	state := s.stateOf(key)
 	reported := &state.reported
 	estimated, reportedAnswers := state.estimatedAnswers(now)
-	*c = candidate{state: state, rateLimited: state.rateLimit.allowed(now) != Unlimited, answers: reportedAnswers, contextTokens: reported.batch.ContextTokens, usedMemoryTokens: reported.memoryTokens, batch: reported.batch, forecast: c.forecast}
+	*c = candidate{
+		state:            state,
+		rateLimited:      state.rateLimit.allowed(now) != Unlimited,
+		answers:          reportedAnswers,
+		contextTokens:    reported.batch.ContextTokens,
+		usedMemoryTokens: reported.memoryTokens,
+		batch:            reported.batch,
+		forecast:         c.forecast,
+	}
 	for _, w := range state.inFlight {
 		c.usedMemoryTokens += w.memoryTokensAt(slices.Index(w.endpoints, key))
 		if w.endpoints[0] != key {
@@ -58,10 +66,10 @@
 	}
 }
 
-// unfit returns why the candidate can't be the main endpoint of an answer that is predicted
+// unfitReason returns why the candidate can't be the main endpoint of an answer that is predicted
 // to begin after firstMs. An answer that is on time may queue for a slot; a late one
 // doesn't get the last slots. A long prompt is judged by its whole plan instead of firstMs.
-func (c *candidate) unfit(req *Request, firstMs float64) Reason {
+func (c *candidate) unfitReason(req *Request, firstMs float64) Reason {
 	engine := req.Service.Engine
 	slots := c.slots(engine)
 	allowedAnswers := slots + slots/queuedAnswersDivisor
--- a/coordination/placement/choose.go
+++ b/coordination/placement/choose.go
@@ -19,8 +19,8 @@
 	firstEventMargin = 0.6
 	pauseMargin      = 0.35
 	// maxFirstEventMargin bounds the margin. A prediction is off by the work that reaches
-	// the endpoints meanwhile, which doesn't grow with a far objective; with a margin in
-	// proportion, requests that have time would be hurried at the cost of others.
+	// the endpoints meanwhile, which doesn't grow with the objective. With a proportional
+	// margin, requests with a long objective would take capacity from more urgent ones.
 	maxFirstEventMargin = 2400 * time.Millisecond
 	// otherDataCentreCostShare is the cost of an endpoint in another data centre, as a
 	// share of the credit.
@@ -78,8 +78,8 @@
 	plainQueueFactor = 3
 )
 
-// packing is the rule by which short answers share endpoints. For services with different
-// priorities in large fleets, it follows the demand, see demandPacking.
+// packing is the rule by which short answers share endpoints. In large fleets it depends on
+// the demand if the routes of the service differ in priority, see demandPacking.
 type packing struct {
 	// bonusShare is the bonus of an endpoint that already decodes answers, as a share
 	// of the credit. Packing leaves other endpoints free to prefill long prompts.
@@ -120,7 +120,7 @@
 	PauseObjective time.Duration // for the time between events; 0 for plain requests
 	TimeLimit      time.Duration // time left for the whole answer
 	Credit         float64       // weight of serving the request on time
-	Ranked         bool          // the routes of the service have different priorities
+	HasPriorities  bool          // the routes of the service have different priorities
 	Excluded       func(e *directory.Endpoint) bool
 }
 
@@ -162,7 +162,7 @@
 	return p
 }
 
-// decide returns the plan of Choose, without a work item. Explain makes it on a copy of the
+// decide returns the plan of Choose, without a work item. Explain calls it on a copy of the
 // scheduler.
 func (s *Scheduler) decide(candidates []*candidate, req *Request) *Plan {
 	if len(candidates) == 0 {
@@ -178,13 +178,13 @@
 		return nil
 	}
 	p.Candidates = len(candidates)
-	s.noteReportAge(p, s.now())
+	s.recordReportAge(p, s.now())
 	return p
 }
 
 // candidates returns the endpoints that can be chosen. Endpoints that are in back-off or
-// silent are returned only when there is no other. The i-th endpoint's reason for being
-// left out is then that of the i-th candidateBuffer.
+// silent are returned only when there is no other. candidateBuffer[i].reason is then why the
+// i-th endpoint is left out.
 func (s *Scheduler) candidates(endpoints []*directory.Endpoint, req *Request) []*candidate {
 	now, steadyNow := s.now(), monotonic.Now()
 	if len(s.candidateBuffer) < len(endpoints) {
@@ -209,12 +209,12 @@
 }
 
 // examine fills the candidate of an endpoint, unless the endpoint can't be chosen, and
-// returns why it is left out or is only a last resort. An endpoint without a permit, when
-// one was asked for, can't be chosen.
+// returns why it is left out or is only a last resort. An endpoint that needs a permit can't
+// be chosen until a permit may be asked for again.
 func (s *Scheduler) examine(c *candidate, e *directory.Endpoint, req *Request, now time.Time, steadyNow monotonic.Time) Reason {
 	state := s.stateOf(e.Key)
 	state.name = e.ID
-	if reason := state.unusable(e, req, now); reason != NoReason {
+	if reason := state.unusableReason(e, req, now); reason != NoReason {
 		return reason
 	}
 	if s.permitRate(state, e, req.Service, now, steadyNow) != Unlimited && !state.permit.mayAsk(now) {
@@ -237,8 +237,8 @@
 	return NoReason
 }
 
-// unusable returns why the endpoint takes no requests like this one at all now.
-func (state *endpointState) unusable(e *directory.Endpoint, req *Request, now time.Time) Reason {
+// unusableReason returns why the endpoint takes no requests like this one at all now.
+func (state *endpointState) unusableReason(e *directory.Endpoint, req *Request, now time.Time) Reason {
 	switch {
 	case req.Excluded(e):
 		return Excluded
--- a/coordination/placement/clone.go
+++ b/coordination/placement/clone.go
@@ -37,8 +37,8 @@
 	return c
 }
 
-// clone copies what a decision changes: the simulation of the queue and the use of the
-// estimate.
+// clone copies what a decision changes: the simulated queue, and when the estimate was last
+// used.
 func (state *endpointState) clone(copies *groupCopies) *endpointState {
 	c := *state
 	c.queue = state.queue.Clone()
@@ -61,14 +61,17 @@
 	return c
 }
 
-// groupCopies keeps one copy of each group and endpoint.
+// groupCopies holds one copy of each group and endpoint, so that copies refer to each other.
 type groupCopies struct {
 	groups    map[*loadestimate.Group]*loadestimate.Group
 	endpoints map[*loadestimate.Endpoint]*loadestimate.Endpoint
 }
 
 func newGroupCopies() *groupCopies {
-	return &groupCopies{make(map[*loadestimate.Group]*loadestimate.Group), make(map[*loadestimate.Endpoint]*loadestimate.Endpoint)}
+	return &groupCopies{
+		groups:    make(map[*loadestimate.Group]*loadestimate.Group),
+		endpoints: make(map[*loadestimate.Endpoint]*loadestimate.Endpoint),
+	}
 }
 
 func (g *groupCopies) group(group *loadestimate.Group) *loadestimate.Group {
--- a/coordination/placement/demand.go
+++ b/coordination/placement/demand.go
@@ -4,19 +4,18 @@
 
 const (
 	// demandWindow is the time over which the demand is summed. A shorter window follows
-	// single long prompts, a longer one lags behind a mix of lengths that changes within a
+	// single long prompts; a longer one lags behind a mix of lengths that changes within a
 	// second.
 	demandWindow = time.Second
-	// spreadLongLoad and packLongLoad are loads by long prompts. Up to the lower one short
-	// answers are spread as the load of short prompts alone wants it, and from the higher one
-	// on they are packed as far as their slots allow.
+	// Up to a load of spreadLongLoad by long prompts, short answers are spread as in a large
+	// fleet without long prompts. From packLongLoad on, they get the bonus of a small fleet.
 	spreadLongLoad = 0.1
 	packLongLoad   = 0.4
 )
 
-// demand sums the prefill of the long prompts that are placed on one endpoint, by all
-// entries. The entries publish long prompts to all data centres, so each entry has the same
-// sum up to the delay of the updates, and no process has to keep it for others.
+// demand sums the prefill of the long prompts that all entries place on one endpoint. Long
+// prompts are published to all data centres, so all entries have the same sum up to the delay
+// of the updates, and none depends on another process for it.
 type demand struct {
 	windowStart time.Time
 	currentMs   float64 // in the running window
@@ -62,8 +61,8 @@
 
 // demandPacking returns the packing rule of a large fleet for a load by long prompts. The
 // more endpoints are needed to prefill long prompts, the fewer are left to short answers,
-// which are kept together there. While short prompts dominate they are spread, as entries
-// that choose at once would put a burst into the same passes.
+// which are packed there. While short prompts dominate, they are spread: entries that
+// choose at the same moment would otherwise put a burst into the same passes.
 func demandPacking(longLoad float64) packing {
 	packed := min(1, max(0, (longLoad-spreadLongLoad)/(packLongLoad-spreadLongLoad)))
 	rule := largeFleetPacking
--- a/coordination/placement/demand_test.go
+++ b/coordination/placement/demand_test.go
@@ -76,7 +76,7 @@
 	if rule := b.scheduler.packing(candidates, req); rule != largeFleetPacking {
 		t.Errorf("the packing is %+v", rule)
 	}
-	req.Ranked = true
+	req.HasPriorities = true
 	if rule := b.scheduler.packing(candidates, req); rule == largeFleetPacking {
 		t.Error("with priorities the packing does not follow the demand")
 	}
--- a/coordination/placement/estimate.go
+++ b/coordination/placement/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
@@ -15,17 +16,24 @@
 	// item by item: about the round trip between data centres.
 	workEventDelay = 10 * time.Millisecond
 	// equalScoreShare: main endpoints known from load reports are about equal when their
-	// scores differ by no more than this share of the credit, which is less than two
-	// answers differ by largeFleetPacking.
+	// scores differ by no more than this share of the credit. With fewer than 15 slots, that is
+	// less than the bonus of largeFleetPacking for two answers.
 	equalScoreShare = 0.02
 	// freshReportAge: up to this age, more than two intervals between load reports, a slot
 	// that a report shows as taken isn't estimated to be free.
 	freshReportAge = 400 * time.Millisecond
 )
 
-// ReportAgeBounds are the upper bounds of the classes of Stats.ReportAges; the last class
-// has none.
-var ReportAgeBounds = [...]time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 3200 * time.Millisecond}
+// ReportAgeBounds are the upper bounds of the classes of EstimateStats.ReportAges; the last
+// class has none.
+var ReportAgeBounds = [...]time.Duration{
+	50 * time.Millisecond,
+	100 * time.Millisecond,
+	200 * time.Millisecond,
+	400 * time.Millisecond,
+	800 * time.Millisecond,
+	3200 * time.Millisecond,
+}
 
 // EstimateStats are counts of choices by estimated load.
 type EstimateStats struct {
@@ -42,15 +50,15 @@
 // estimates are the load estimates of the endpoints in the data centres that send load
 // reports, and the picker that spreads choices by load.
 type estimates struct {
-	groups        map[groupKey]*loadestimate.Group
-	picker        *loadestimate.Picker
-	source        *rand.PCG // of the picker
-	stats         EstimateStats
-	loadOptions   []loadestimate.Option // reused
-	plainOptions  []*candidate          // reused
-	reportedMains []option              // reused
-	notesEligible bool                  // set in the copy of Explain only, as it allocates
-	eligible      []int                 // options that the last pick may have drawn, if notesEligible
+	groups         map[groupKey]*loadestimate.Group
+	picker         *loadestimate.Picker
+	source         *rand.PCG // of the picker
+	stats          EstimateStats
+	loadOptions    []loadestimate.Option // reused
+	openCandidates []*candidate          // of plain services, reused
+	reportedMains  []option              // reused
+	recordEligible bool                  // set in the copy of Explain only, as it allocates
+	eligible       []int                 // options that the last pick could draw, if recordEligible
 }
 
 func newEstimates() estimates {
@@ -108,8 +116,8 @@
 	}
 }
 
-// estimatedAnswers returns the estimated number of answers that load reports tell of, and
-// the number that counts for its slots. The other sums stay as reported: with all of them
+// estimatedAnswers returns the estimated number of the answers known from load reports, and
+// the number that counts for the slots. The other sums stay as reported: with all of them
 // estimated, more answers began after their caller's timeout in a burst of short prompts.
 func (state *endpointState) estimatedAnswers(now time.Time) (load float64, answers int) {
 	reported := state.reported.answers
@@ -138,7 +146,8 @@
 	c.answers = max(c.answers, int(math.Round(c.load)))
 }
 
-// recordRejection raises the estimated load of an endpoint. The caller holds the lock.
+// recordRejection raises the estimated load of an endpoint that rejected a request. The
+// caller holds the lock.
 func (s *Scheduler) recordRejection(state *endpointState, key uint64, now time.Time) {
 	state.rejection.Record(now)
 	if state.estimate == nil && s.engineFor(state, key) != nil {
@@ -146,7 +155,8 @@
 	}
 	s.estimates.stats.Corrected++
 	answers, _ := state.estimatedAnswers(now)
-	line := s.logger.Info().Str("endpoint", state.name).Uint64("key", key).Int("known_work", len(state.inFlight)).Float64("reported_answers", answers)
+	line := s.logger.Info().Str("endpoint", state.name).Uint64("key", key)
+	line.Int("known_work", len(state.inFlight)).Float64("reported_answers", answers)
 	if state.estimate != nil && state.estimate.Group() != nil {
 		age, _ := state.estimate.Group().Age(now)
 		line.Dur("report_age", age)
@@ -159,17 +169,14 @@
 func unknownArrivals(candidates []*candidate, now time.Time) float64 {
 	arrivals := 0.0
 	var counted []*loadestimate.Group // one for each data centre
-next:
 	for _, c := range candidates {
 		if c.state.estimate == nil {
 			arrivals += float64(c.state.recentArrivals(now)) * workEventDelay.Seconds() / arrivalWindow.Seconds()
 			continue
 		}
 		group := c.state.estimate.Group()
-		for _, other := range counted {
-			if other == group {
-				continue next
-			}
+		if slices.Contains(counted, group) {
+			continue
 		}
 		counted = append(counted, group)
 		arrivals += group.UnknownArrivals(now)
@@ -177,15 +184,15 @@
 	return arrivals
 }
 
-// pickMain replaces a best main endpoint that is known from load reports by one drawn, in
-// proportion to the free slots, among those about as good. Other entries that read the
-// same reports would all choose the best one. An overdue request needs the earliest one.
+// pickMain replaces the best main endpoint, if it is known from load reports, by one drawn
+// among those about as good, in proportion to their free slots: entries that read the same
+// reports would all choose the best one. An overdue request needs the earliest one.
 func (s *Scheduler) pickMain(best, second *option, req *Request) (*option, *option) {
 	if best == nil || best.state.estimate == nil || req.isOverdue() {
 		return best, second
 	}
 	mains, options := s.estimates.reportedMains, s.estimates.loadOptions[:0]
-	equal := mains[:0]
+	equal := mains[:0] // filtered in place; drawnAmong reads it there
 	for _, o := range mains {
 		if o.score >= best.score-req.Credit*equalScoreShare {
 			slots := float64(o.slots(req.Service.Engine))
@@ -202,9 +209,9 @@
 	return &picked, best
 }
 
-// pick is Picker.Pick with a count of the choices among several options.
+// pick calls Picker.Pick and counts the choices among several options.
 func (e *estimates) pick(options []loadestimate.Option, unknownArrivals float64) int {
-	if e.notesEligible {
+	if e.recordEligible {
 		e.eligible = e.picker.Eligible(options, unknownArrivals)
 	}
 	i := e.picker.Pick(options, unknownArrivals)
@@ -214,8 +221,8 @@
 	return i
 }
 
-// noteReportAge sets and counts the age of the load report of a plan's main endpoint.
-func (s *Scheduler) noteReportAge(p *Plan, now time.Time) {
+// recordReportAge sets and counts the age of the load report of a plan's main endpoint.
+func (s *Scheduler) recordReportAge(p *Plan, now time.Time) {
 	state := s.states[p.Endpoints[0].Key]
 	if state.estimate == nil {
 		return
--- a/coordination/placement/explain.go
+++ b/coordination/placement/explain.go
@@ -17,16 +17,16 @@
 	Reported bool
 	// AboutEqual are the endpoints among which the main one is drawn at random; empty when
 	// it isn't drawn.
-	AboutEqual []*directory.Endpoint
-	Verdicts   []Verdict // one for each endpoint
-	Capacity   Capacity
-	// PermitWait is the time until the first permit may be asked for, when OutOfPermits.
+	AboutEqual      []*directory.Endpoint
+	EndpointReasons []EndpointReason // one for each endpoint
+	Capacity        Capacity
+	// PermitWait is the time until the first permit may be asked for, if OutOfPermits is set.
 	PermitWait   time.Duration
 	OutOfPermits bool // all usable endpoints wait for a permit
 }
 
-// Verdict tells whether an endpoint can be the main one.
-type Verdict struct {
+// EndpointReason tells why an endpoint can't be the main one; with NoReason it can.
+type EndpointReason struct {
 	Endpoint *directory.Endpoint
 	Reason   Reason        // why it is left out
 	For      time.Duration // how long that holds; 0 when it isn't known
@@ -39,19 +39,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.clone(endpoints)
-	c.estimates.notesEligible = true
+	c.estimates.recordEligible = true
 	candidates := c.candidates(endpoints, req)
 	x := &Explanation{Plan: c.decide(candidates, req)}
 	if x.Plan != nil {
 		x.Reported = c.states[x.Plan.Endpoints[0].Key].estimate != nil
 		x.AboutEqual = c.drawnAmong(x.Plan, req)
 	}
-	c.estimates.notesEligible = false
+	c.estimates.recordEligible = false
 	x.Capacity = c.capacity(endpoints, candidates, req)
 	if best := x.Capacity.BestPlan; x.Plan == nil && best != nil {
-		x.NoPlan = best.objection(req)
+		x.NoPlan = best.rejectionReason(req)
 	}
-	x.Verdicts = c.verdicts(endpoints, candidates, req, max(x.Plan.size(), x.Capacity.BestPlan.size(), 1))
+	n := max(x.Plan.size(), x.Capacity.BestPlan.size(), 1)
+	x.EndpointReasons = c.endpointReasons(endpoints, candidates, req, n)
 	x.PermitWait, _, x.OutOfPermits = c.permitWait(endpoints, req)
 	return x
 }
@@ -64,38 +65,39 @@
 	return len(p.Endpoints)
 }
 
-// drawnAmong returns the endpoints among which the last decision has drawn the main one.
+// drawnAmong returns the endpoints among which the last decision drew the main one, nil if it
+// didn't draw it.
 func (s *Scheduler) drawnAmong(p *Plan, req *Request) []*directory.Endpoint {
 	var drawn []*directory.Endpoint
 	for _, i := range s.estimates.eligible {
 		if req.Service.Engine == nil {
-			drawn = append(drawn, s.estimates.plainOptions[i].endpoint)
+			drawn = append(drawn, s.estimates.openCandidates[i].endpoint)
 		} else {
 			drawn = append(drawn, s.estimates.reportedMains[i].endpoint)
 		}
 	}
 	if len(drawn) < 2 || !slices.Contains(drawn, p.Endpoints[0]) {
-		return nil // the plan has a main endpoint that is not drawn
+		return nil // there was one only, or the main endpoint was not drawn
 	}
 	return drawn
 }
 
-// verdicts returns why each endpoint can't be the main one of a plan over n endpoints.
-func (s *Scheduler) verdicts(endpoints []*directory.Endpoint, candidates []*candidate, req *Request, n int) []Verdict {
+// endpointReasons returns why each endpoint can't be the main one of a plan over n endpoints.
+func (s *Scheduler) endpointReasons(endpoints []*directory.Endpoint, candidates []*candidate, req *Request, n int) []EndpointReason {
 	unfit := s.unfitReasons(candidates, req, n)
-	verdicts := make([]Verdict, 0, len(endpoints))
+	reasons := make([]EndpointReason, 0, len(endpoints))
 	for i, e := range endpoints {
-		v := Verdict{Endpoint: e, Reason: s.candidateBuffer[i].reason}
+		r := EndpointReason{Endpoint: e, Reason: s.candidateBuffer[i].reason}
 		if reason := unfit[e]; reason != NoReason {
-			v.Reason = reason
+			r.Reason = reason
 		}
-		v.For = s.states[e.Key].holdsFor(v.Reason, s.now())
-		verdicts = append(verdicts, v)
+		r.For = s.states[e.Key].holdsFor(r.Reason, s.now())
+		reasons = append(reasons, r)
 	}
-	return verdicts
+	return reasons
 }
 
-// unfitReasons returns why candidates can't be the main endpoint.
+// unfitReasons returns why candidates can't be the main endpoint of a plan over n endpoints.
 func (s *Scheduler) unfitReasons(candidates []*candidate, req *Request, n int) map[*directory.Endpoint]Reason {
 	reasons := make(map[*directory.Endpoint]Reason)
 	if req.Service.Engine == nil {
@@ -112,7 +114,7 @@
 	}
 	for _, c := range candidates {
 		o := s.evaluate(c, req, prefillOver(req, n), false)
-		reasons[c.endpoint] = c.unfit(req, o.firstMs)
+		reasons[c.endpoint] = c.unfitReason(req, o.firstMs)
 	}
 	if isLong(req) {
 		s.addShortlistReasons(candidates, req, reasons)
--- a/coordination/placement/explain_test.go
+++ b/coordination/placement/explain_test.go
@@ -140,13 +140,13 @@
 		req := b.short()
 		prepare(b, b.endpoints[1], req)
 		x := b.scheduler.Explain(b.endpoints, req)
-		for i, v := range x.Verdicts {
+		for i, v := range x.EndpointReasons {
 			if expected := map[bool]Reason{true: want}[i == 1]; v.Reason != expected {
 				t.Errorf("%s: the reason of endpoint %d is %q, want %q", want, i, v.Reason, expected)
 			}
 		}
-		if held := x.Verdicts[1].For > 0; held != (want == Busy || want == WaitsForPermit || want == InBackoff) {
-			t.Errorf("%s: holds for %v", want, x.Verdicts[1].For)
+		if held := x.EndpointReasons[1].For > 0; held != (want == Busy || want == WaitsForPermit || want == InBackoff) {
+			t.Errorf("%s: holds for %v", want, x.EndpointReasons[1].For)
 		}
 		if x.Plan == nil || x.Plan.Endpoints[0] == b.endpoints[1] {
 			t.Errorf("%s: the plan is %v", want, x.Plan)
@@ -176,7 +176,7 @@
 // reason, and against a refusal without one while every endpoint has room.
 func TestReasonsOfLongPrompts(t *testing.T) {
 	b, counts := newTestbed(maxShortlist+2), make(map[Reason]int)
-	for _, v := range b.scheduler.Explain(b.endpoints, b.long()).Verdicts {
+	for _, v := range b.scheduler.Explain(b.endpoints, b.long()).EndpointReasons {
 		counts[v.Reason]++
 	}
 	if counts[NotShortlisted] != 2 || counts[NoReason] != maxShortlist {
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -241,7 +241,7 @@
 	req := &Request{
 		Service: f.service, DataCentre: entry.dataCentre, PromptTokens: prompt, OutputTokens: k.events * 36,
 		Objective: k.objective, ObjectiveLeft: k.objective - f.now.Sub(arrived), PauseObjective: k.pause, TimeLimit: 15 * time.Second,
-		CallerTimeout: k.callerTimeout() - f.now.Sub(arrived), Credit: f.credit(k, prompt), Ranked: f.ranked,
+		CallerTimeout: k.callerTimeout() - f.now.Sub(arrived), Credit: f.credit(k, prompt), HasPriorities: f.ranked,
 		Excluded: func(e *directory.Endpoint) bool { return f.downDataCentres[e.DataCentre] },
 	}
 	p := entry.scheduler.Choose(f.endpoints, req)
--- a/coordination/placement/handle.go
+++ b/coordination/placement/handle.go
@@ -46,6 +46,13 @@
 	s.bias += biasSmoothing * (min(max(ratio, minBias), maxBias) - s.bias)
 }
 
+// HasStarted reports whether the first event of the answer was recorded.
+func (h *Handle) HasStarted() bool {
+	h.scheduler.mu.Lock()
+	defer h.scheduler.mu.Unlock()
+	return h.work.started
+}
+
 // MarkLate records that the work has missed an objective, so that other choices no
 // longer need to spare it.
 func (h *Handle) MarkLate() { h.scheduler.applyOwnStep(h.work, wire.WorkStep_WORK_STEP_LATE) }
--- a/coordination/placement/isolation.go
+++ b/coordination/placement/isolation.go
@@ -7,13 +7,16 @@
 	"github.com/apricotspoke/apricotspoke/coordination/enginemodel"
 )
 
-// maxAssumedDivisor: an isolated entry assumes that the others take up to
-// slots/maxAssumedDivisor slots of each endpoint. With all slots it would refuse every
-// request while the others may be idle.
+// maxAssumedDivisor: an isolated entry assumes that the others take at most
+// slots/maxAssumedDivisor slots of each endpoint. If it assumed all slots, it would refuse
+// every request, though the others may be idle.
 const maxAssumedDivisor = 2
 
 // heardEntries counts the other entries that publish all their work to this one.
-type heardEntries struct{ known, heard int }
+type heardEntries struct {
+	known int
+	heard int // from which updates arrive at present
+}
 
 // isolated reports whether this entry hears from less than half of the others. If only some
 // are unheard, they are more likely to be down than this entry is to be partitioned.
@@ -25,16 +28,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.entries
-	s.entries = heardEntries{known, heard}
+	s.entries = heardEntries{known: known, heard: heard}
 	if before.isolated() != s.entries.isolated() {
 		s.logger.Warn().Bool("isolated", s.entries.isolated()).Int("known", known).Int("heard", heard).
-			Msg("This entry has become isolated from the other entries, or no longer is.")
+			Msg("The isolation of this entry from the other entries has changed.")
 	}
 }
 
-// assumeUnheardWork adds to the load of the candidates what the entries that an isolated
-// entry doesn't hear are assumed to send: each as much as the ones whose work is known.
-// Endpoints known from load reports are left to their estimates.
+// assumeUnheardWork adds to the load of the candidates, in an isolated entry, the work of the
+// entries that it doesn't hear from. Each is assumed to send as much as the mean entry whose
+// work is known. Endpoints known from load reports keep their estimates.
 func (s *Scheduler) assumeUnheardWork(candidates []*candidate, req *Request, now time.Time) {
 	if !s.entries.isolated() {
 		return
@@ -53,12 +56,13 @@
 	assumed := perEntry * float64(s.entries.known-s.entries.heard) / float64(endpoints)
 	for _, c := range candidates {
 		if !c.isReported() {
-			c.addAnswers(min(assumed, float64(max(1, c.endpoint.Slots)/maxAssumedDivisor)), req, now)
+			limit := float64(c.statedSlots() / maxAssumedDivisor)
+			c.addAnswers(min(assumed, limit), req, now)
 		}
 	}
 }
 
-// addAnswers adds answers of prompts of the usual length that are being decoded.
+// addAnswers adds answers that are being decoded, of prompts of mean length.
 func (c *candidate) addAnswers(n float64, req *Request, now time.Time) {
 	c.load += n
 	added := int(math.Round(c.load)) - c.answers
--- a/coordination/placement/memory.go
+++ b/coordination/placement/memory.go
@@ -1,9 +1,9 @@
 package placement
 
-// reportedSpareRequests is for how many usual requests memory is kept free at an endpoint
-// whose load is known from load reports. A report is up to 150 ms old and other entries
-// choose by the same one: three are what 15 requests a second bring in 200 ms, the age of a
-// report and its way. With more, memory stays unused; with fewer, an endpoint may be sent
+// reportedSpareRequests is the number of requests of mean length for which memory is kept
+// free at an endpoint known from load reports, as other entries choose by the same report.
+// Three arrive at 15 requests a second within 200 ms, the greatest age of a report (150 ms)
+// and its delay. With more, memory stays unused; with fewer, an endpoint may be sent
 // more than its memory holds, and crash.
 const reportedSpareRequests = 3
 
--- a/coordination/placement/permit.go
+++ b/coordination/placement/permit.go
@@ -127,7 +127,7 @@
 	now, steadyNow := s.now(), monotonic.Now()
 	for _, e := range endpoints {
 		state := s.stateOf(e.Key)
-		if state.unusable(e, req, now) != NoReason {
+		if state.unusableReason(e, req, now) != NoReason {
 			continue
 		}
 		rate, left := s.permitRate(state, e, req.Service, now, steadyNow), state.permit.deniedUntil.Sub(now)
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -58,14 +58,14 @@
 	if best == nil {
 		best = s.bestPlan(candidates, req)
 	}
-	if best == nil || best.objection(req) != NoReason {
+	if best == nil || best.rejectionReason(req) != NoReason {
 		return nil
 	}
 	return best
 }
 
-// objection returns why the best plan isn't taken.
-func (p *Plan) objection(req *Request) Reason {
+// rejectionReason returns why the best plan isn't taken.
+func (p *Plan) rejectionReason(req *Request) Reason {
 	switch {
 	case p.Score < 0:
 		return TooCostly
@@ -225,7 +225,7 @@
 	s.estimates.reportedMains = s.estimates.reportedMains[:0]
 	for _, c := range candidates {
 		o := s.evaluate(c, req, prefill, false)
-		if c.unfit(req, o.firstMs) != NoReason {
+		if c.unfitReason(req, o.firstMs) != NoReason {
 			continue
 		}
 		if !long {
--- a/coordination/placement/reason.go
+++ b/coordination/placement/reason.go
@@ -7,7 +7,7 @@
 const (
 	// NoReason means that the endpoint can be chosen.
 	NoReason Reason = ""
-	// Excluded means that Request.Excluded holds for the endpoint; its caller knows why.
+	// Excluded means that Request.Excluded is true for the endpoint; only its caller knows why.
 	Excluded Reason = "excluded"
 	Draining Reason = "draining"
 	// Busy means that the endpoint asked for no requests for a time.
--- a/coordination/placement/reports.go
+++ b/coordination/placement/reports.go
@@ -46,17 +46,14 @@
 	switch {
 	case len(s.reportedKeys) == 0:
 		return smallFleetPacking
-	case req.Ranked:
+	case req.HasPriorities:
 		return demandPacking(longLoad(candidates, s.now()))
 	}
 	return largeFleetPacking
 }
 
-// isReported reports whether the load in the candidate's data centre is known from
-// load reports.
-func (c *candidate) isReported() bool {
-	return c.state.estimate != nil
-}
+// isReported reports whether the load of the candidate is known from load reports.
+func (c *candidate) isReported() bool { return c.state.estimate != nil }
 
 // ApplyReport applies the load report of one data centre, which replaces its previous
 // one.
@@ -68,9 +65,8 @@
 	}
 }
 
-// replaceReport replaces the reported load of a data centre. Reports have no number, so
-// one that was overtaken counts until the next. The caller holds the
-// lock.
+// replaceReport replaces the reported load of a data centre. Reports have no sequence number,
+// so one that arrives out of order counts until the next. The caller holds the lock.
 func (s *Scheduler) replaceReport(dataCentre string, endpoints []*wire.EndpointWork) {
 	now := s.now()
 	for _, key := range s.reportedKeys[dataCentre] {
--- a/coordination/placement/scheduler.go
+++ b/coordination/placement/scheduler.go
@@ -100,10 +100,10 @@
 // its data centre was put back into service. It must be set before the scheduler is in use.
 func (s *Scheduler) SetReturnLookup(f func(e *directory.Endpoint) bool) { s.heardSinceReturn = f }
 
-// SetTieBreakSeed gives this entry its own order of equal endpoints and its own random
-// choices among those about equal. Otherwise entries
-// that all choose at the same moment, as after a restart of all, would choose the same
-// endpoint. It must be called before the first endpoint is known.
+// SetTieBreakSeed gives this entry its own order of equal endpoints, and its own random
+// choices among those about equal. Otherwise entries that choose at the same moment, as after
+// a restart of all, would choose the same endpoint. It must be called before the first
+// endpoint is known.
 func (s *Scheduler) SetTieBreakSeed(seed uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/coordination/serve/explain.go
+++ b/coordination/serve/explain.go
@@ -171,7 +171,7 @@
 // addEndpoints adds the endpoints, those with a role first.
 func (r *run) addEndpoints(a *explanation.Answer, x *placement.Explanation, state *catalogue.State) {
 	a.Endpoints = []explanation.Endpoint{}
-	for _, v := range x.Verdicts {
+	for _, v := range x.EndpointReasons {
 		reason := v.Reason
 		if reason == placement.Excluded {
 			reason = r.exclusion(v.Endpoint, state)
--- a/coordination/serve/place.go
+++ b/coordination/serve/place.go
@@ -271,7 +271,7 @@
 		d.OutputTokens = expectedOutputTokens(q, engine)
 		d.PauseObjective = r.route.PauseObjective
 		d.Credit = r.credit(engine)
-		d.Ranked = r.ranked
+		d.HasPriorities = r.ranked
 	}
 	return d
 }
