--- a/coordination/quarantine/confirmation.go
+++ b/coordination/quarantine/confirmation.go
@@ -6,19 +6,19 @@
 )
 
 // minRequests is the number of different requests under which endpoints must end before the
-// quarantine of a part is confirmed without probes: of one request, the request itself may
-// be the cause.
+// quarantine of a part is confirmed without probes. With one, the request itself may be the
+// cause.
 const minRequests = 2
 
-// companionWait is the time after the end of an endpoint under a probe for which no other probe
-// of the part is sent while the probe's other parts are suspects: answers that go on with them
-// make the end count against the part alone.
-const companionWait = time.Second
+// otherPartsWait is how long after an endpoint ended under a probe no other probe of the part is
+// sent while the probe's other parts are not known to be sound. If answers go on with them in
+// that time, the end counts against the probed part alone, and may make the next probe
+// unnecessary.
+const otherPartsWait = time.Second
 
-// confirm makes the quarantine of a part final if enough endpoints ended one after the
-// other, under different requests, for whose ends it is the only part that is still suspect:
-// answers with the others have gone on since. It reports whether it did. The caller holds
-// the lock.
+// confirm makes the quarantine of a part final if enough endpoints ended one after the other,
+// under different requests, and it is the only part still suspect for these ends, as answers
+// have gone on with the others since. It reports whether it did. The caller holds the lock.
 func (t *Tracker) confirm(part uint64, s *suspect) bool {
 	if s.final || s.isRequest || !s.quarantined {
 		return false
@@ -33,9 +33,9 @@
 	return s.final
 }
 
-// isOnlySuspect reports whether no other part, and no request that is quarantined, is
-// suspect for the end of an endpoint, also of the requests that ran beside. The caller holds
-// the lock.
+// isOnlySuspect reports whether no other part, and no quarantined request, is suspect for the
+// end of an endpoint. That includes the parts of requests that ran there at the same time. The
+// caller holds the lock.
 func (t *Tracker) isOnlySuspect(part, endpoint uint64) bool {
 	for p, other := range t.suspects {
 		if p != part && (!other.isRequest || other.final) && other.holds(endpoint) {
@@ -45,9 +45,9 @@
 	return true
 }
 
-// wasAlone reports whether a report is of a probe, and an answer is known to have gone on with
-// each part of its prompt but the probed one. The caller holds the lock.
-func (t *Tracker) wasAlone(r *report) bool {
+// otherPartsAreSound reports whether a report is of a probe, and an answer is known to have gone
+// on with each part of its prompt but the probed one. The caller holds the lock.
+func (t *Tracker) otherPartsAreSound(r *report) bool {
 	if r.probed == 0 {
 		return false
 	}
@@ -59,29 +59,29 @@
 	return true
 }
 
-// judgeProbes judges a part again if answers went on with the other parts of its probes after
-// the probes had ended endpoints. It reports whether that has changed its quarantine. The
-// caller holds the lock.
-func (t *Tracker) judgeProbes(part uint64, s *suspect) bool {
+// updateProbes updates the quarantine of a part if the other parts of one of its probes have
+// become known to be sound since the probe ended an endpoint. It reports whether the quarantine
+// has changed. The caller holds the lock.
+func (t *Tracker) updateProbes(part uint64, s *suspect) bool {
 	changed := false
 	for _, r := range s.reports {
-		if r.probed == part && !r.alone && t.wasAlone(r) {
+		if r.probed == part && !r.alone && t.otherPartsAreSound(r) {
 			r.alone, changed = true, true
 		}
 	}
-	return changed && s.judge(part)
+	return changed && s.updateQuarantine(part)
 }
 
-// awaitsCompanions reports whether the latest probe of one of the parts is still to be judged by
-// the answers with its other parts.
-func (t *Tracker) awaitsCompanions(parts []uint64) bool {
+// awaitsOtherParts reports whether a probe of one of the parts ended an endpoint within
+// otherPartsWait and its other parts are not yet known to be sound.
+func (t *Tracker) awaitsOtherParts(parts []uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	return slices.ContainsFunc(parts, func(p uint64) bool {
 		s := t.suspects[p]
 		return s != nil && s.quarantined && slices.ContainsFunc(s.reports, func(r *report) bool {
-			return r.probed == p && !r.alone && now.Sub(r.at) < companionWait
+			return r.probed == p && !r.alone && now.Sub(r.at) < otherPartsWait
 		})
 	})
 }
@@ -90,16 +90,16 @@
 // The caller holds the lock.
 func (t *Tracker) confirmAll() {
 	for p, s := range t.quarantined {
-		if t.judgeProbes(p, s) || t.confirm(p, s) {
+		if t.updateProbes(p, s) || t.confirm(p, s) {
 			t.logQuarantine(p, s)
 			t.onProof(false)
 		}
 	}
 }
 
-// mustBeAlone reports whether a trial of these parts must run alone among all trials: that
-// of a quarantined part, and the last one of a request. The endpoint must not end under
-// another one beside it.
+// mustBeAlone reports whether a trial of these parts must run alone among all trials, so that
+// the endpoint can't end under another one at the same time. That holds for a quarantined part,
+// and for the last trial of a request before its quarantine.
 func (t *Tracker) mustBeAlone(parts []uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/coordination/quarantine/events.go
+++ b/coordination/quarantine/events.go
@@ -14,10 +14,10 @@
 	repeatedFor = 30 * time.Second
 	// maxClearings bounds the clearings that are repeated; the oldest are forgotten first.
 	maxClearings = 64
-	// sameSend is the difference up to which two run times of a request until the end of an
-	// endpoint are taken for those of one send. That of a report which another entry tells on is
-	// shorter by the time by which that entry heard of the end earlier in another way.
-	sameSend = 100 * time.Millisecond
+	// sameSendTolerance is the difference up to which two times from the send of a request to
+	// the end of its endpoint are taken for the same send. A relayed report shows a shorter time
+	// if the relaying entry had heard of the end earlier in another way.
+	sameSendTolerance = 100 * time.Millisecond
 )
 
 // clearing tells that parts are no suspects any more, as an answer of this entry went on.
--- a/coordination/quarantine/guard.go
+++ b/coordination/quarantine/guard.go
@@ -97,7 +97,7 @@
 func (g *Guard) Answer(q *wire.TrialRequest) *wire.TrialResponse {
 	g.Apply(q.Events)
 	response := &wire.TrialResponse{Events: g.EventsOf(q.Parts)}
-	if standing, _ := g.Check(q.Parts); standing < Postponed && !g.awaitsCompanions(q.Parts) {
+	if standing, _ := g.Check(q.Parts); standing < Postponed && !g.awaitsOtherParts(q.Parts) {
 		response.Lease = g.leases.take(q.Parts, time.Duration(q.LastsMs)*time.Millisecond, g.mustBeAlone(q.Parts))
 	}
 	if response.Lease == 0 {
--- a/coordination/quarantine/leases.go
+++ b/coordination/quarantine/leases.go
@@ -15,8 +15,8 @@
 	maxLeaseTime = 5 * time.Second
 	// leaseRetry is when an entry that got no lease is to ask again.
 	leaseRetry = 100 * time.Millisecond
-	// probePrecedence is the time for which a probe that waits for other leases to end
-	// keeps new ones from being granted.
+	// probePrecedence is how long a probe that waits for other leases to end prevents new
+	// ones.
 	probePrecedence = 500 * time.Millisecond
 )
 
--- a/coordination/quarantine/probes_test.go
+++ b/coordination/quarantine/probes_test.go
@@ -97,8 +97,8 @@
 	if guard.Answer(probe).Lease != 0 {
 		t.Error("another probe while the other part of the latest one may be cleared")
 	}
-	c.advance(companionWait)
+	c.advance(otherPartsWait)
 	if guard.Answer(probe).Lease == 0 {
-		t.Errorf("no other probe %v after the end under the latest one", companionWait)
+		t.Errorf("no other probe %v after the end under the latest one", otherPartsWait)
 	}
 }
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -48,7 +48,7 @@
 	at       monotonic.Time
 	sentAt   monotonic.Time // of the request
 	probed   uint64         // the quarantined part that the request tried, 0 if none
-	alone    bool           // the other parts of the probe were known to be sound
+	alone    bool           // the other parts of the probe are known to be sound
 	own      bool           // of a request of this entry
 	holders  int            // suspects that hold it
 }
@@ -168,9 +168,9 @@
 	return len(reports) >= manyEnds && reports[len(reports)-1].at.Sub(reports[0].at) >= manyEndsSpan
 }
 
-// judge sets the quarantine by the reports, whatever the order in which they came. It
+// updateQuarantine sets the quarantine by the reports, whatever the order in which they came. It
 // reports whether that has changed it.
-func (s *suspect) judge(part uint64) bool {
+func (s *suspect) updateQuarantine(part uint64) bool {
 	wasQuarantined, wasFinal := s.quarantined, s.final
 	mixed := mixedEnds
 	if s.isRequest {
@@ -182,7 +182,20 @@
 			break
 		}
 	}
-	probes, alone := 0, 0
+	probes, alone := s.countProbes(part)
+	if len(s.reports)-probes >= manyEnds {
+		probes, alone = probes+1, alone+1
+	}
+	if countRequests(s.reports) >= requestsForSingleProbe && alone > 0 {
+		alone++
+	}
+	s.final = s.final || alone >= maxProbes || probes >= maxAnyProbes || s.isRequest && s.quarantined
+	return s.quarantined != wasQuarantined || s.final != wasFinal
+}
+
+// countProbes returns the number of probes of a part under which endpoints ended, and how many
+// of them had other parts that are known to be sound.
+func (s *suspect) countProbes(part uint64) (probes, alone int) {
 	for _, r := range s.reports {
 		if r.probed != part {
 			continue
@@ -192,14 +205,7 @@
 			alone++
 		}
 	}
-	if len(s.reports)-probes >= manyEnds {
-		probes, alone = probes+1, alone+1
-	}
-	if countRequests(s.reports) >= requestsForSingleProbe && alone > 0 {
-		alone++
-	}
-	s.final = s.final || alone >= maxProbes || probes >= maxAnyProbes || s.isRequest && s.quarantined
-	return s.quarantined != wasQuarantined || s.final != wasFinal
+	return probes, alone
 }
 
 // countRequests returns the number of different known requests.
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -84,7 +84,7 @@
 	sound       *history        // when an answer last went on, by part
 	soundOwn    *history        // the same by request, for the answers of this entry
 	ended       *history        // when an endpoint ended, by its key
-	heard       *history        // for how long the request of a report ran, the shortest time told, by the report's hash
+	runTimes    *history        // shortest reported time from the send of a request to the end, by the report's hash
 	recorded    map[uint64]bool // quarantines of the control group, and whether they are final
 	publish     func([]*wire.PartEvent)
 	onProof     func(own bool)
@@ -103,7 +103,7 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker(now func() monotonic.Time) *Tracker {
 	return &Tracker{
-		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), soundOwn: newHistory(), ended: newHistory(), heard: newHistory(),
+		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), soundOwn: newHistory(), ended: newHistory(), runTimes: newHistory(),
 		publish: func([]*wire.PartEvent) {}, onProof: func(bool) {},
 	}
 }
@@ -262,19 +262,48 @@
 // addReport adds a report, unless it is known, to the parts that aren't known to be sound
 // since then. The caller holds the lock.
 func (t *Tracker) addReport(r *report) {
-	ran := monotonic.Time(r.at.Sub(r.sentAt))
-	// What is told on and on gets later by each way; the first time is the closest.
+	if known := t.recordSend(r); known {
+		return
+	}
+	r.alone = r.alone || t.otherPartsAreSound(r)
+	t.counts.Ends++
+	blamed, ends, proved := t.addToSuspects(r)
+	t.suspected.Store(int64(len(t.suspects)))
+	t.logger.Warn().Uint64("endpoint", r.endpoint).Uints64("suspect_parts", firstParts(blamed)).Int("suspects", len(blamed)).Int("parts", len(r.parts)).
+		Int("ends", ends).Bool("own", r.own).Dur("age", t.now().Sub(r.at)).Msg("An endpoint ended under a request before its answer went on.")
+	if len(blamed) == 0 {
+		return
+	}
+	t.reports = append(t.reports, r)
+	t.confirmAll()
+	if len(t.reports) > maxReports {
+		t.forget(t.reports[0])
+	}
+	if proved {
+		t.onProof(r.own)
+	}
+}
+
+// recordSend records the send that a report is of, and sets the report's time to the earliest
+// known time of the end. It reports whether a report of the send was known. The caller holds
+// the lock.
+func (t *Tracker) recordSend(r *report) (known bool) {
+	ran := monotonic.Time(r.at.Sub(r.sentAt)) // a duration, kept in a history of times
+	// Each relay adds its delay to the time of an end, so the earliest one is the closest.
 	r.at = t.ended.putFirst(r.endpoint, r.at)
 	// The same request may have been sent to the endpoint twice: the report of the later send
 	// counts, whichever is heard first.
-	if shortest, known := t.heard.get(r.hash()); known && ran.Add(sameSend) > shortest {
-		return
+	if shortest, known := t.runTimes.get(r.hash()); known && ran.Add(sameSendTolerance) > shortest {
+		return true
 	}
-	t.heard.putFirst(r.hash(), ran)
-	r.alone = r.alone || t.wasAlone(r)
-	t.counts.Ends++
-	var blamed []uint64
-	proved, ends := false, 0
+	t.runTimes.putFirst(r.hash(), ran)
+	return false
+}
+
+// addToSuspects adds a report to its parts and its request, and updates their quarantines. It
+// returns those that hold the report now, the most ends of one of them, and whether a
+// quarantine has changed. The caller holds the lock.
+func (t *Tracker) addToSuspects(r *report) (blamed []uint64, ends int, changed bool) {
 	for _, p := range r.keys() {
 		soundAt, wasSound := t.soundAt(p)
 		if wasSound && soundAt > r.at {
@@ -291,25 +320,12 @@
 		}
 		blamed = append(blamed, p)
 		ends = max(ends, s.ends())
-		if s.judge(p) {
+		if s.updateQuarantine(p) {
 			t.logQuarantine(p, s)
-			proved = true
+			changed = true
 		}
 	}
-	t.suspected.Store(int64(len(t.suspects)))
-	t.logger.Warn().Uint64("endpoint", r.endpoint).Uints64("suspect_parts", firstParts(blamed)).Int("suspects", len(blamed)).Int("parts", len(r.parts)).
-		Int("ends", ends).Bool("own", r.own).Dur("age", t.now().Sub(r.at)).Msg("An endpoint ended under a request before its answer went on.")
-	if len(blamed) == 0 {
-		return
-	}
-	t.reports = append(t.reports, r)
-	t.confirmAll()
-	if len(t.reports) > maxReports {
-		t.forget(t.reports[0])
-	}
-	if proved {
-		t.onProof(r.own)
-	}
+	return blamed, ends, changed
 }
 
 // logQuarantine records and logs a quarantine that is new or has become final. The caller
