--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -17,8 +17,8 @@
 	"github.com/jessevdk/go-flags"
 )
 
-// maxExplanationBytes bounds the answer of an entry. The rows of MaxEndpoints endpoints
-// take less, also with names of 256 bytes.
+// maxExplanationBytes bounds the answer of an entry. MaxEndpoints endpoints take less, even
+// with names of 256 bytes.
 const maxExplanationBytes = 1 << 20
 
 type explainFlags struct {
@@ -83,11 +83,12 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxExplanationBytes+1))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.NotCurrent, "the answer of entry %s broke off", q.Entry)
+		return nil, fault.Wrap(err, fault.NotCurrent, "the answer of entry %s ended early", q.Entry)
 	}
 	return parseExplanation(q.Entry, response, body)
 }
 
+// parseExplanation returns the explanation, or the failure that the entry answered with.
 func parseExplanation(entry string, response *http.Response, body []byte) (*explanation.Answer, error) {
 	var err error
 	switch {
@@ -104,7 +105,7 @@
 			return nil, fault.New(failure.Kind, "%s", failure.Message)
 		}
 	}
-	return nil, fault.Wrap(err, fault.InvalidRequest, "%s gives no explanation (status %d); name the metrics address of an entry of this version with --entry", entry, response.StatusCode)
+	return nil, fault.Wrap(err, fault.InvalidRequest, "%s returned no explanation (status %d); set --entry to the metrics address of an entry of this version", entry, response.StatusCode)
 }
 
 func (a *app) printExplanation(x *explanation.Answer) error {
--- a/protocol/explanation/explanation.go
+++ b/protocol/explanation/explanation.go
@@ -16,7 +16,7 @@
 	Organisation = "organisation"
 )
 
-// Answer tells where a request would be placed. Times are in ms.
+// Answer describes where a request would be placed. Times are in ms.
 type Answer struct {
 	CatalogueVersion     uint64   `json:"catalogue_version"`
 	StateCurrent         bool     `json:"state_current"`
@@ -30,8 +30,8 @@
 	Plan                 *Plan    `json:"plan"` // null when no endpoint can take the request now
 	NoPlan               string   `json:"no_plan,omitempty"`
 	Queue                *Queue   `json:"queue"` // null for a service without an admission queue
-	// Refusal is what the caller gets unless a plan is found while the request waits; null
-	// when the request would be sent.
+	// Refusal is the error that the caller gets unless a plan is found while the request waits;
+	// null when the request would be sent.
 	Refusal          *Refusal   `json:"refusal"`
 	Endpoints        []Endpoint `json:"endpoints"`
 	EndpointsOmitted int        `json:"endpoints_omitted"` // beyond MaxEndpoints
@@ -58,7 +58,7 @@
 	ReserveTokens int    `json:"reserve_tokens"` // memory to reserve there
 }
 
-// Queue tells of the admission queue of the service.
+// Queue describes the admission queue of the service.
 type Queue struct {
 	Waits   bool `json:"waits"`   // the request would not be placed at once
 	Place   int  `json:"place"`   // in the order, 1 for the first
@@ -69,7 +69,7 @@
 type Refusal struct {
 	Kind         fault.Kind `json:"kind"`
 	Message      string     `json:"message"`
-	AfterMs      int64      `json:"after_ms"` // that the request waits before
+	AfterMs      int64      `json:"after_ms"` // wait before the refusal
 	RetryAfterMs int64      `json:"retry_after_ms"`
 }
 
@@ -79,10 +79,10 @@
 	DataCentre string `json:"data_centre"`
 	Role       string `json:"role,omitempty"`   // main, helper, runner-up or about equal
 	Reason     string `json:"reason,omitempty"` // why it can't be the main endpoint
-	ForMs      int64  `json:"for_ms,omitempty"` // how long that holds, 0 when it isn't known
+	ForMs      int64  `json:"for_ms,omitempty"` // how long the reason still holds, 0 when it isn't known
 }
 
-// Failure is an answer with an error.
+// Failure is the body of an answer with an error status.
 type Failure struct {
 	Kind    fault.Kind `json:"kind"`
 	Message string     `json:"message"`
--- a/state/catalogue/catalogue.go
+++ b/state/catalogue/catalogue.go
@@ -29,11 +29,12 @@
 
 	byHost map[string][]*Route // longest prefix first
 	byKey  map[string]*Organisation
-	// priorities holds, sorted, those of the requests of each service whose routes differ
-	// in priority.
+	// priorities holds the different priorities of the requests of each service whose routes
+	// differ in priority, by the service's name, sorted. routePriorities holds those of the
+	// routes alone.
 	priorities                map[string][]Priority
-	routePriorities           map[string][]int // of their routes alone, sorted
-	hasOrganisationPriorities bool             // some organisation has a priority
+	routePriorities           map[string][]int
+	hasOrganisationPriorities bool // some organisation has a priority
 }
 
 // Route maps a host and a path prefix to services.
--- a/state/catalogue/priority.go
+++ b/state/catalogue/priority.go
@@ -20,8 +20,8 @@
 	return cmp.Or(cmp.Compare(p.Organisation, other.Organisation), cmp.Compare(p.Route, other.Route))
 }
 
-// PriorityOf returns the priority of requests of an organisation, nil for none, to a route.
-// The route's takes the place of that of an organisation without one.
+// PriorityOf returns the priority of requests of an organisation to a route. The organisation
+// may be nil. Without a priority of its own, it has that of the route.
 func PriorityOf(o *Organisation, r *Route) Priority {
 	route := ClampPriority(r.Priority)
 	if o == nil || o.Priority == nil {
@@ -40,9 +40,10 @@
 	return place
 }
 
-// EnginePriority returns the number from 0 to LowestPriority that tells the engines of a
-// service with different priorities the place of p among the priorities of its requests.
-// With more priorities than numbers, neighbours share a number.
+// EnginePriority returns the priority, from 0 to LowestPriority, that is sent to engines. In a
+// service with different priorities, it is the place of p among those of the service's
+// requests; with more than there are numbers, neighbours share one. If no organisation has a
+// priority, it is the route's.
 func (c *Catalogue) EnginePriority(service string, p Priority) int {
 	known := c.priorities[service]
 	if !c.hasOrganisationPriorities {
@@ -69,16 +70,15 @@
 	}
 	organisations := c.organisationsByPriority()
 	for service, routes := range byService {
-		differ := slices.ContainsFunc(routes, func(r *Route) bool { return ClampPriority(r.Priority) != ClampPriority(routes[0].Priority) })
-		if differ {
+		if differing := routePriorities(routes); len(differing) > 1 {
 			c.priorities[service] = prioritiesOf(organisations, routes)
-			c.routePriorities[service] = routePriorities(routes)
+			c.routePriorities[service] = differing
 		}
 	}
 }
 
-// organisationsByPriority returns one organisation of each priority, and nil for those
-// without one, which also stands for public routes.
+// organisationsByPriority returns one organisation of each priority, and nil for requests
+// without an organisation or whose organisation has no priority.
 func (c *Catalogue) organisationsByPriority() []*Organisation {
 	representatives := []*Organisation{nil}
 	var seen [LowestPriority + 1]bool
@@ -91,19 +91,21 @@
 		representatives = append(representatives, o)
 	}
 	c.hasOrganisationPriorities = len(representatives) > 1
-	return c.withoutAbsent(representatives)
+	return c.dropUnusedNil(representatives)
 }
 
-// withoutAbsent leaves out the nil if each request has an organisation with a priority.
-func (c *Catalogue) withoutAbsent(representatives []*Organisation) []*Organisation {
-	without := slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Priority == nil })
-	public := slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Public })
-	if without || public || !c.KeysRequired() {
+// dropUnusedNil removes the leading nil if each request has an organisation with a priority.
+func (c *Catalogue) dropUnusedNil(representatives []*Organisation) []*Organisation {
+	hasUnranked := slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Priority == nil })
+	hasPublic := slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Public })
+	if hasUnranked || hasPublic || !c.KeysRequired() {
 		return representatives
 	}
 	return representatives[1:]
 }
 
+// prioritiesOf returns the different priorities of requests of the organisations to the
+// routes, sorted.
 func prioritiesOf(organisations []*Organisation, routes []*Route) []Priority {
 	var all []Priority
 	for _, o := range organisations {
