--- a/coordination/admissionqueue/failover_test.go
+++ b/coordination/admissionqueue/failover_test.go
@@ -9,10 +9,10 @@
 	return with(request(priority), func(w *Waiter) { w.Failover = true })
 }
 
-// tryAll plays a round in which no request fits.
-func tryAll(q *Queue, now time.Time, change uint64) (tried []*Waiter) {
-	for w := q.Next(now, change); w != nil; w = q.Next(now, change) {
-		q.DidNotFit(w, now, change)
+// tryAll runs a round in which no request fits.
+func tryAll(q *Queue, now time.Time, workEnds uint64) (tried []*Waiter) {
+	for w := q.Next(now, workEnds); w != nil; w = q.Next(now, workEnds) {
+		q.DidNotFit(w, now, workEnds)
 		tried = append(tried, w)
 	}
 	return tried
--- a/coordination/admissionqueue/idle_test.go
+++ b/coordination/admissionqueue/idle_test.go
@@ -7,12 +7,12 @@
 	"pgregory.net/rapid"
 )
 
-// A round that is left out must not delay a request that is due: neither an arrival, nor one
+// A round that is skipped must not delay a request that is due: neither an arrival, nor one
 // whose delay or interval ends, nor one that has become overdue. Only a delay that has become
 // shorter meanwhile may be noticed late.
 func TestNoRequestIsDueWhileIdle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q, now, change := New(), start, uint64(0)
+		q, now, workEnds := New(), start, uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "passed")) * time.Microsecond)
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
@@ -22,16 +22,16 @@
 				w.Due = now.Add(time.Duration(rapid.IntRange(-10, 60).Draw(t, "due")) * time.Millisecond)
 				q.Join(w, now)
 			case 1:
-				change++
+				workEnds++
 			}
-			checkIdle(t, q, now, change)
-			tryAll(q, now, change)
+			checkIdle(t, q, now, workEnds)
+			tryAll(q, now, workEnds)
 		}
 	})
 }
 
-func checkIdle(t *rapid.T, q *Queue, now time.Time, change uint64) {
-	if !q.idle.holds(now, change) {
+func checkIdle(t *rapid.T, q *Queue, now time.Time, workEnds uint64) {
+	if !q.idle.holds(now, workEnds) {
 		return
 	}
 	delays := make(map[*Waiter]time.Duration)
@@ -39,7 +39,7 @@
 		delays[w] = w.delay
 	}
 	for _, w := range q.order(now) {
-		if w.delay == delays[w] && q.isDue(w, now, change) {
+		if w.delay == delays[w] && q.isDue(w, now, workEnds) {
 			t.Fatalf("%+v is due, but the queue is idle until %v at %v", w, q.idle.until, now)
 		}
 	}
--- a/coordination/admissionqueue/queue_bench_test.go
+++ b/coordination/admissionqueue/queue_bench_test.go
@@ -14,7 +14,7 @@
 // 4 ms: then one is placed and another arrives.
 func BenchmarkWake(b *testing.B) {
 	random := rand.New(rand.NewPCG(1, 2))
-	q, now, change := New(), start, uint64(0)
+	q, now, workEnds := New(), start, uint64(0)
 	arrive := func() {
 		q.Join(&Waiter{
 			Priority: catalogue.Priority{Organisation: random.IntN(10)}, Organisation: fmt.Sprint(random.IntN(960)),
@@ -34,18 +34,18 @@
 		now = now.Add(16 * time.Microsecond) // 250 wakes in 4 ms
 		place := i%250 == 0
 		if place {
-			change++
+			workEnds++
 			arrive()
 		}
 		tried := false
-		for w := q.Next(now, change); w != nil; w = q.Next(now, change) {
+		for w := q.Next(now, workEnds); w != nil; w = q.Next(now, workEnds) {
 			tried = true
 			if place {
 				place = false
 				q.Placed(w, now)
 				continue
 			}
-			q.DidNotFit(w, now, change)
+			q.DidNotFit(w, now, workEnds)
 		}
 		if tried {
 			q.Shed(now, forecast)
--- a/coordination/admissionqueue/queue_test.go
+++ b/coordination/admissionqueue/queue_test.go
@@ -60,20 +60,21 @@
 	}
 }
 
-// An arrival must not take what fits a request ahead of it, so those are tried before it on
-// each state; and one without news must not be tried again and again.
+// An arrival must not take capacity that a request ahead of it could use, so those ahead are
+// tried before it whenever work has ended. A request must not be tried repeatedly while
+// nothing has changed.
 func TestThoseAheadAreTriedFirst(t *testing.T) {
 	q, ahead, overdue := New(), request(0), with(request(0), func(w *Waiter) { w.Due = at(-1) })
 	q.Join(ahead, start)
 	q.Join(overdue, start)
-	next := func(ms int, change uint64, want *Waiter) {
+	next := func(ms int, workEnds uint64, want *Waiter) {
 		t.Helper()
-		got := q.Next(at(ms), change)
+		got := q.Next(at(ms), workEnds)
 		if got != want {
 			t.Fatalf("after %d ms the next one is %+v, want %+v", ms, got, want)
 		}
 		if got != nil {
-			q.DidNotFit(got, at(ms), change)
+			q.DidNotFit(got, at(ms), workEnds)
 		}
 	}
 	next(0, 0, ahead)
@@ -83,7 +84,7 @@
 	q.Join(arrival, at(1))
 	next(1, 0, arrival)
 	next(2, 1, ahead) // work has ended, which the overdue one doesn't wait for
-	next(2, 1, nil)   // the arrival is offered that a step later
+	next(2, 1, nil)   // the arrival is offered the capacity a step later
 	if pause := q.Pause(at(5)); pause != 7*time.Millisecond {
 		t.Errorf("the next round is in %v, want 7 ms", pause)
 	}
@@ -106,8 +107,9 @@
 	}
 }
 
-// A request that never fits must be overtaken, as else one long prompt stops all; only so
-// often before it holds the others back; and these for a part of their wait only.
+// A request that never fits must be overtaken, as otherwise one long prompt stops all others.
+// It must be overtaken only a limited number of times before it holds the others back, and
+// hold them back for a part of their wait only.
 func TestOvertakingAndHoldingAreBounded(t *testing.T) {
 	q := New()
 	long := with(request(0), func(w *Waiter) { w.Until = at(2000) })
@@ -136,8 +138,8 @@
 	}
 }
 
-// Requests must be shed from the end of the order, only if the forecast is beyond their
-// wait, and never all: else what becomes free would be idle.
+// Requests must be shed from the end of the order, and only if the forecast is beyond their
+// wait. They must never all be shed, as capacity that becomes free would be idle.
 func TestShedding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New()
--- a/coordination/admissionqueue/stagger_test.go
+++ b/coordination/admissionqueue/stagger_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// One urgent request must delay less urgent ones for some seconds only. It did for 138 s,
-// as long as it counted for the floor.
+// One urgent request must delay less urgent ones for some seconds only, not as long as it
+// counts for the floor, which was 138 s.
 func TestDelayEndsAfterTheLastUrgentArrival(t *testing.T) {
 	q := New()
 	urgent := request(0)
--- a/coordination/loadestimate/compare_test.go
+++ b/coordination/loadestimate/compare_test.go
@@ -10,7 +10,7 @@
 // and a queue of 24, at 1.05 of their capacity in one second and 0.7 in the next, with
 // service times of 100 ms in the mean. Entries know the work of others by reports every
 // 50, 200 and 800 ms, which arrive after 10 ms. The test guards against choices that
-// herd, or that are less even than those of simpler policies. Figures are of several
+// overload one endpoint together, or that are less even than those of simpler policies. Figures are of several
 // seeds together, as a single one has few rejections.
 func TestEstimatedLoadIsNoWorseThanOtherPolicies(t *testing.T) {
 	// Margins for the noise between seeds: 2 in 100 of the busiest endpoint, and two
--- a/coordination/loadestimate/group_test.go
+++ b/coordination/loadestimate/group_test.go
@@ -48,7 +48,8 @@
 	}
 }
 
-// Guards against rates learned over a gap in which the reporter or this entry stood still.
+// Guards against rates learned over a gap in which the reporter or this entry was
+// unavailable.
 func TestAReportAfterAGapTeachesNoRates(t *testing.T) {
 	g := NewGroup()
 	endpoints := newEndpoints(g, 2)
@@ -59,8 +60,8 @@
 	}
 }
 
-// Guards against lasting damage by reports that are swapped or arrive twice, which carry
-// no number.
+// Guards against lasting errors by reports that arrive out of order or twice, which can't be
+// detected without a sequence number.
 func TestReportsOutOfOrderMoveRatesByABoundedStep(t *testing.T) {
 	ordered, swapped := NewGroup(), NewGroup()
 	for _, g := range []*Group{ordered, swapped} {
@@ -142,8 +143,8 @@
 	return counts
 }
 
-// Guards against herding on the first of equal options, and against spreading where the
-// loads are known exactly.
+// Guards against choices that all take the first of equal options, and against spreading
+// where the loads are known exactly.
 func TestShareOfChoices(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/coordination/placement/demand_test.go
+++ b/coordination/placement/demand_test.go
@@ -7,8 +7,8 @@
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
-// Guards against a packing that lags behind a mix of lengths that changes within a second,
-// or that changes by single prompts.
+// Guards against packing that lags behind a mix of lengths that changes within a second, or
+// that follows single prompts.
 func TestDemandFollowsTheLastSecond(t *testing.T) {
 	start := time.Unix(1000, 0)
 	var d demand
@@ -47,7 +47,7 @@
 }
 
 // Guards against entries that keep different numbers of endpoints for short answers because
-// they count only their own prompts. An entry that starts counts from nothing.
+// they count only their own prompts. The sums of an entry that starts begin at 0.
 func TestDemandCountsThePromptsOfAllEntries(t *testing.T) {
 	own, other, started := newTestbed(4), newTestbed(4), newTestbed(4)
 	p := own.choose(t, own.long())
--- a/coordination/placement/isolation_test.go
+++ b/coordination/placement/isolation_test.go
@@ -24,8 +24,8 @@
 }
 
 // The load is a burst of short prompts that takes three quarters of the slots, a quarter of
-// it at two entries that are partitioned from the others. Guards against entries that take
-// endpoints for idle because they hear of nobody else's work.
+// it at two entries that are partitioned from the others. Guards against entries that
+// treat endpoints as idle because they receive no work items of others.
 func TestIsolatedEntriesDoNotOverloadEndpoints(t *testing.T) {
 	const target = 0.8 // on time
 	kind := shortKind.scaled(3.1, 78)
--- a/coordination/placement/priority_test.go
+++ b/coordination/placement/priority_test.go
@@ -30,9 +30,9 @@
 	return sums
 }
 
-// The load is a burst of patient prompts, whose prefill takes four fifths of the fleet, beside
-// a third of the usual urgent ones. Guards against urgent answers that turn late
-// because patient prompts are prefilled beside them, and against patient ones that starve.
+// The load is a burst of patient prompts, whose prefill takes four fifths of the fleet, with a
+// third of the usual urgent ones. Guards against urgent answers that become late because
+// patient prompts are prefilled at the same endpoints, and against patient ones that starve.
 func TestPromptsThatHaveTimeSpareUrgentAnswers(t *testing.T) {
 	const urgentTarget = 0.9  // of the urgent ones on time
 	const patientTarget = 0.6 // of the patient ones on time
--- a/coordination/quarantine/probes_test.go
+++ b/coordination/quarantine/probes_test.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// Guards against a report that counts as that of a later send because an entry told it on
-// that had heard of the end earlier in another way.
+// Guards against a relayed report that counts as that of a later send because the relaying
+// entry had heard of the end earlier in another way.
 func TestReportThatIsToldOnIsNoLaterSend(t *testing.T) {
 	const request = 7
 	tracker, _ := newTestTracker()
@@ -56,8 +56,8 @@
 	}
 }
 
-// Guards against one more endpoint that ends because the other part of a probe was not known
-// to be sound before the probe ended its endpoint, but is soon after.
+// Guards against a further probe, which ends one more endpoint, if the other part of the first
+// probe becomes known to be sound only after that probe ended its endpoint.
 func TestProbeCountsOnceItsOtherPartsAreCleared(t *testing.T) {
 	for _, told := range []bool{false, true} {
 		tracker, c := newTestTracker()
