--- a/coordination/placement/explain.go
+++ b/coordination/placement/explain.go
@@ -10,8 +10,8 @@
 // Explanation tells what Choose would do now, and why.
 type Explanation struct {
 	Plan *Plan // without a Handle; nil when no endpoint can take the request now
-	// NoPlan is why the best plan isn't taken. It is NoReason when there is a plan, and when
-	// the endpoints' reasons leave none.
+	// NoPlan is why the best plan isn't taken. It is NoReason if there is a plan, and if
+	// EndpointReasons explain why there is none.
 	NoPlan Reason
 	// Reported is set when the load of the main endpoint is known from load reports.
 	Reported bool
@@ -25,16 +25,16 @@
 	OutOfPermits bool // all usable endpoints wait for a permit
 }
 
-// EndpointReason tells why an endpoint can't be the main one; with NoReason it can.
+// EndpointReason tells why an endpoint is left out as the main one; NoReason if it isn't.
 type EndpointReason struct {
 	Endpoint *directory.Endpoint
-	Reason   Reason        // why it is left out
+	Reason   Reason        // why it is left out, or a last resort
 	For      time.Duration // how long that holds; 0 when it isn't known
 }
 
 // Explain makes the decision of Choose on a copy of the scheduler, so that nothing changes:
-// no work item is opened, no event published, no random number drawn. It takes the lock
-// for several times as long as Choose.
+// no work item is opened, no event published, no random number drawn. It holds
+// the lock for several times as long as Choose.
 func (s *Scheduler) Explain(endpoints []*directory.Endpoint, req *Request) *Explanation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/coordination/quarantine/confirmation.go
+++ b/coordination/quarantine/confirmation.go
@@ -75,14 +75,21 @@
 // awaitsOtherParts reports whether a probe of one of the parts ended an endpoint within
 // otherPartsWait and its other parts are not yet known to be sound.
 func (t *Tracker) awaitsOtherParts(parts []uint64) bool {
+	now := t.now()
+	return t.anySuspect(parts, func(part uint64, s *suspect) bool {
+		return s.quarantined && slices.ContainsFunc(s.reports, func(r *report) bool {
+			return r.probed == part && !r.alone && now.Sub(r.at) < otherPartsWait
+		})
+	})
+}
+
+// anySuspect reports whether a condition holds for one of the parts that are suspects.
+func (t *Tracker) anySuspect(parts []uint64, condition func(part uint64, s *suspect) bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
 	return slices.ContainsFunc(parts, func(p uint64) bool {
 		s := t.suspects[p]
-		return s != nil && s.quarantined && slices.ContainsFunc(s.reports, func(r *report) bool {
-			return r.probed == p && !r.alone && now.Sub(r.at) < otherPartsWait
-		})
+		return s != nil && condition(p, s)
 	})
 }
 
@@ -101,10 +108,7 @@
 // the endpoint can't end under another one at the same time. That holds for a quarantined part,
 // and for the last trial of a request before its quarantine.
 func (t *Tracker) mustBeAlone(parts []uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.ContainsFunc(parts, func(p uint64) bool {
-		s := t.suspects[p]
-		return s != nil && (s.quarantined || s.isRequest && len(s.reports) >= endsForProof-1)
+	return t.anySuspect(parts, func(_ uint64, s *suspect) bool {
+		return s.quarantined || s.isRequest && len(s.reports) >= endsForProof-1
 	})
 }
--- a/coordination/quarantine/events.go
+++ b/coordination/quarantine/events.go
@@ -75,7 +75,11 @@
 		}
 		parts := slices.Clone(e.Parts)
 		slices.Sort(parts)
-		t.addReport(&report{endpoint: e.Endpoint, parts: parts, request: e.Request, at: at, sentAt: now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond), probed: e.Appeal, alone: e.Alone})
+		sentAt := now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond)
+		t.addReport(&report{
+			endpoint: e.Endpoint, parts: parts, request: e.Request,
+			at: at, sentAt: sentAt, probed: e.Appeal, alone: e.Alone,
+		})
 	}
 }
 
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -103,7 +103,9 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker(now func() monotonic.Time) *Tracker {
 	return &Tracker{
-		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), soundOwn: newHistory(), ended: newHistory(), runTimes: newHistory(),
+		now: now, logger: logs.For("quarantine"),
+		suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect),
+		sound: newHistory(), soundOwn: newHistory(), ended: newHistory(), runTimes: newHistory(),
 		publish: func([]*wire.PartEvent) {}, onProof: func(bool) {},
 	}
 }
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -119,7 +119,7 @@
 		t.row("queue", fmt.Sprintf("place %d, %d waiting, waits: %s", x.Queue.Place, x.Queue.Waiting, yesNo(x.Queue.Waits)))
 	}
 	if r := x.Refusal; r != nil {
-		t.row("refused", fmt.Sprintf("%s after %s unless that changes, Retry-After %s: %s", r.Kind, msText(r.AfterMs), msText(r.RetryAfterMs), r.Message))
+		t.row("refused", fmt.Sprintf("%s after %s unless a plan is found before, Retry-After %s: %s", r.Kind, msText(r.AfterMs), msText(r.RetryAfterMs), r.Message))
 	}
 	if err := t.flush(); err != nil {
 		return err
