--- a/coordination/admissionqueue/queue.go
+++ b/coordination/admissionqueue/queue.go
@@ -122,7 +122,8 @@
 func (q *Queue) changed() { q.sorted, q.idle = false, idle{} }
 
 // Next returns the first request to try now, nil if there is none. workEnds is the number of
-// ends of work so far. The caller must call Placed, DidNotFit, Skip or Leave for it before the next call.
+// ends of work so far. The caller must call Placed, DidNotFit, Skip or Leave for it
+// before the next call.
 func (q *Queue) Next(now time.Time, workEnds uint64) *Waiter {
 	if q.idle.holds(now, workEnds) {
 		return nil
--- a/coordination/admissionqueue/shed.go
+++ b/coordination/admissionqueue/shed.go
@@ -24,12 +24,12 @@
 // Wait returns the time until the request would be served.
 func (r *Refusal) Wait() time.Duration { return r.Forecast.Wait + r.UntilPlaced }
 
-// Shed removes and returns the waiting requests that can't be placed within the time that
-// they may wait, or can't be served before they are due, if all that are kept ahead of them
-// are placed first. Those that have not been tried are kept until that time has passed. The
-// first request that has not begun is kept too, as capacity that becomes free would
-// otherwise be idle until the next arrival. forecast returns the forecast for a request, false if there is none; it is asked
-// again after PollInterval.
+// Shed removes and returns the waiting requests that can't be placed within the time that they
+// may wait, or can't be served before they are due, if all that are kept ahead of them are
+// placed first. Those that have not been tried are kept until that time has passed. The first
+// request that has not begun is kept too, as capacity that becomes free would otherwise be
+// idle until the next arrival. forecast returns the forecast for a request, false if there is
+// none; it is asked again after PollInterval.
 func (q *Queue) Shed(now time.Time, forecast func(*Waiter) (Forecast, bool)) []Refusal {
 	var shed []Refusal
 	var ahead []time.Duration // intervals of the kept requests
@@ -65,7 +65,8 @@
 }
 
 // extend returns a time to wait, extended by what more urgent arrivals add to it by the
-// formula for the waiting time in a queue with priorities. They don't overtake a request that is owed.
+// formula for the waiting time in a queue with priorities. They don't overtake a request that
+// is owed.
 func (a *urgentShare) extend(wait time.Duration, q *Queue, w *Waiter, now time.Time) time.Duration {
 	if wait == 0 || w.rank.owed {
 		return wait
--- a/coordination/loadestimate/compare_test.go
+++ b/coordination/loadestimate/compare_test.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// The load is 3, 25, 70 and 370 entries that share 3, 8, 24 and 120 endpoints of 6 slots
-// and a queue of 24, at 1.05 of their capacity in one second and 0.7 in the next, with
-// service times of 100 ms in the mean. Entries know the work of others by reports every
-// 50, 200 and 800 ms, which arrive after 10 ms. The test guards against choices that
-// overload one endpoint together, or that are less even than those of simpler policies. Figures are of several
-// seeds together, as a single one has few rejections.
+// The load is 3, 25, 70 and 370 entries that share 3, 8, 24 and 120 endpoints of 6 slots and a
+// queue of 24, at 1.05 of their capacity in one second and 0.7 in the next, with service times
+// of 100 ms in the mean. Entries know the work of others by reports every 50, 200 and 800 ms,
+// which arrive after 10 ms. The test guards against choices that overload one endpoint
+// together, or that are less even than those of simpler policies. Figures are of several seeds
+// together, as a single one has few rejections.
 func TestEstimatedLoadIsNoWorseThanOtherPolicies(t *testing.T) {
 	// Margins for the noise between seeds: 2 in 100 of the busiest endpoint, and two
 	// rejections.
