--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -84,7 +84,7 @@
 	sound       *history        // when an answer last went on, by part
 	soundOwn    *history        // the same by request, for the answers of this entry
 	ended       *history        // when an endpoint ended, by its key
-	heard       *history        // for how long the request of a report ran, the shortest time told, by the report's hash
+	runTimes    *history        // shortest reported time from the send of a request to the end, by the report's hash
 	recorded    map[uint64]bool // quarantines of the control group, and whether they are final
 	publish     func([]*wire.PartEvent)
 	onProof     func(own bool)
@@ -103,7 +103,9 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker(now func() monotonic.Time) *Tracker {
 	return &Tracker{
-		now: now, logger: logs.For("quarantine"), suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect), sound: newHistory(), soundOwn: newHistory(), ended: newHistory(), heard: newHistory(),
+		now: now, logger: logs.For("quarantine"),
+		suspects: make(map[uint64]*suspect), quarantined: make(map[uint64]*suspect),
+		sound: newHistory(), soundOwn: newHistory(), ended: newHistory(), runTimes: newHistory(),
 		publish: func([]*wire.PartEvent) {}, onProof: func(bool) {},
 	}
 }
@@ -262,40 +264,12 @@
 // addReport adds a report, unless it is known, to the parts that aren't known to be sound
 // since then. The caller holds the lock.
 func (t *Tracker) addReport(r *report) {
-	ran := monotonic.Time(r.at.Sub(r.sentAt))
-	// What is told on and on gets later by each way; the first time is the closest.
-	r.at = t.ended.putFirst(r.endpoint, r.at)
-	// The same request may have been sent to the endpoint twice: the report of the later send
-	// counts, whichever is heard first.
-	if shortest, known := t.heard.get(r.hash()); known && ran.Add(sameSend) > shortest {
+	if known := t.recordSend(r); known {
 		return
 	}
-	t.heard.putFirst(r.hash(), ran)
-	r.alone = r.alone || t.wasAlone(r)
+	r.alone = r.alone || t.otherPartsAreSound(r)
 	t.counts.Ends++
-	var blamed []uint64
-	proved, ends := false, 0
-	for _, p := range r.keys() {
-		soundAt, wasSound := t.soundAt(p)
-		if wasSound && soundAt > r.at {
-			continue
-		}
-		s := t.suspects[p]
-		if s == nil {
-			s = &suspect{wasSound: wasSound}
-			t.suspects[p] = s
-		}
-		s.isRequest = s.isRequest || p == r.request
-		if !s.add(r) {
-			continue
-		}
-		blamed = append(blamed, p)
-		ends = max(ends, s.ends())
-		if s.judge(p) {
-			t.logQuarantine(p, s)
-			proved = true
-		}
-	}
+	blamed, ends, proved := t.addToSuspects(r)
 	t.suspected.Store(int64(len(t.suspects)))
 	t.logger.Warn().Uint64("endpoint", r.endpoint).Uints64("suspect_parts", firstParts(blamed)).Int("suspects", len(blamed)).Int("parts", len(r.parts)).
 		Int("ends", ends).Bool("own", r.own).Dur("age", t.now().Sub(r.at)).Msg("An endpoint ended under a request before its answer went on.")
