--- a/review/platform/second/main.go
+++ b/review/platform/second/main.go
@@ -28,7 +28,15 @@
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	variant := flag.String("variant", "", "a variant of the case, for comparison")
+	listen := flag.String("replica", "", "play a replica that listens at this address")
+	id := flag.String("id", "", "the id of the replica")
+	zone := flag.String("zone", "", "the zone of the replica")
+	controls := flag.String("controls", "", "the addresses that the replica announces itself to")
 	flag.Parse()
+	if *listen != "" {
+		fmt.Fprintln(os.Stderr, runUnframedReplica(*listen, *id, *zone, *controls))
+		os.Exit(2)
+	}
 	r, err := newRecord(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -62,6 +70,8 @@
 			v.wait = 8 * time.Second
 		}
 		return lostQuorum(r, v)
+	case "unframed":
+		return crashUnderStreams(r, trouble)
 	}
 	return false, fmt.Errorf("no case %q", name)
 }
