Review case 8: a replica that has left gets requests again when its late heartbeats arrive

A replica crashes, starts again under its id, and leaves before its first heartbeats have arrived. The leave ends the start before the crash only; the late heartbeats make the replica ready again.

--- a/review/platform/second/main.go
+++ b/review/platform/second/main.go
@@ -32,9 +32,17 @@
 	id := flag.String("id", "", "the id of the replica")
 	zone := flag.String("zone", "", "the zone of the replica")
 	controls := flag.String("controls", "", "the addresses that the replica announces itself to")
+	arrivals := flag.String("arrivals", "", "file for the times of the requests that the replica gets")
+	late := flag.Duration("late", 0, "how late the first heartbeats of the replica arrive")
 	flag.Parse()
 	if *listen != "" {
-		fmt.Fprintln(os.Stderr, runUnframedReplica(*listen, *id, *zone, *controls))
+		var err error
+		if *arrivals != "" {
+			err = runColdReplica(*listen, *id, *zone, *controls, *arrivals, *late)
+		} else {
+			err = runUnframedReplica(*listen, *id, *zone, *controls)
+		}
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
 	r, err := newRecord(*path)
@@ -72,6 +80,18 @@
 		return lostQuorum(r, v)
 	case "unframed":
 		return crashUnderStreams(r, trouble)
+	case "cold":
+		late := 3 * time.Second
+		if variant == "prompt" {
+			late = 0
+		}
+		return restartCold(r, trouble, late)
+	case "leave":
+		late := 3 * time.Second
+		if variant == "prompt" {
+			late = 0
+		}
+		return leaveAfterRestart(r, trouble, late)
 	}
 	return false, fmt.Errorf("no case %q", name)
 }
--- a/review/platform/second/unframed.go
+++ b/review/platform/second/unframed.go
@@ -203,24 +203,37 @@
 
 // startReplica starts a replica of case 7 as a process.
 func (f *fleet) startReplica(i int, controls string) error {
-	own, err := os.Executable()
-	if err != nil {
-		return err
-	}
 	listener, err := net.Listen("tcp", f.host(100+i)+":0")
 	if err != nil {
 		return err
 	}
 	address := listener.Addr().String()
 	_ = listener.Close() // the replica listens there
-	command := exec.Command(own, "-replica", address, "-id", fmt.Sprintf("i-desk%d", i), "-zone", zoneOf(i+1), "-controls", controls)
+	return f.startStandIn(fmt.Sprintf("replica-%d", i), "-replica", address, "-id", fmt.Sprintf("i-desk%d", i), "-zone", zoneOf(i+1), "-controls", controls)
+}
+
+// startColdReplica starts a replica of the cases 8 and 9 as a process.
+func (f *fleet) startColdReplica(i int, address string, late time.Duration) error {
+	controls := []string{f.controlAddress(1), f.controlAddress(2), f.controlAddress(3)}
+	return f.startStandIn(fmt.Sprintf("replica-%d", i), "-replica", address, "-id", fmt.Sprintf("i-desk%d", i), "-zone", zoneOf(i+1),
+		"-controls", strings.Join(controls, ","), "-arrivals", f.arrivalsFile(i), "-late", late.String())
+}
+
+// startStandIn starts this program as another process.
+func (f *fleet) startStandIn(name string, arguments ...string) error {
+	own, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	command := exec.Command(own, arguments...)
 	command.Env = []string{"PATH=" + os.Getenv("PATH")}
+	command.Stderr = os.Stderr
 	if err := command.Start(); err != nil {
 		return err
 	}
 	f.mu.Lock()
-	f.running[fmt.Sprintf("replica-%d", i)] = command
+	f.running[name] = command
 	f.mu.Unlock()
-	f.record.note("platform", "started replica-%d at %s", i, address)
+	f.record.note("platform", "started %s", name)
 	return nil
 }
