--- a/review/platform/second/main.go
+++ b/review/platform/second/main.go
@@ -86,6 +86,8 @@
 			late = 0
 		}
 		return restartCold(r, trouble, late)
+	case "target":
+		return changedTarget(r, trouble)
 	case "leave":
 		late := 3 * time.Second
 		if variant == "prompt" {
