--- a/review/platform/second/cold.go
+++ b/review/platform/second/cold.go
@@ -24,6 +24,9 @@
 	coldTolerance = 5
 	// coldBound is the most requests that a cold replica may get in one second.
 	coldBound = coldPerSecond*coldOverage + coldTolerance
+	// coldCrash is the number of requests in one second at which a cold replica crashes, well
+	// above what it tolerates.
+	coldCrash = 2.5 * coldPerSecond
 	// lookUpsPerSecond is the traffic of all clients together.
 	lookUpsPerSecond = 300
 )
@@ -33,11 +36,27 @@
 	replica
 	arrivals *os.File
 	leaving  atomic.Bool
+
+	recentMu sync.Mutex
+	recent   []time.Time // when the requests of the last second arrived
+}
+
+// countArrival counts a request and returns how many have arrived in the last second.
+func (r *coldReplica) countArrival() int {
+	r.recentMu.Lock()
+	defer r.recentMu.Unlock()
+	now := time.Now()
+	r.recent = append(r.recent, now)
+	for now.Sub(r.recent[0]) >= time.Second {
+		r.recent = r.recent[1:]
+	}
+	return len(r.recent)
 }
 
 // runColdReplica starts a replica that is cold for coldStart. Its heartbeats of the first
-// seconds arrive late by the given time.
-func runColdReplica(listen, id, zone, controls, arrivals string, late time.Duration) error {
+// seconds arrive late by the given time. If it crashes, it does so while it is cold and gets
+// more requests than coldCrash in a second.
+func runColdReplica(listen, id, zone, controls, arrivals string, late time.Duration, crashes bool) error {
 	file, err := os.OpenFile(arrivals, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -50,6 +69,10 @@
 	r := &coldReplica{replica: replica{id: id, service: "desk", address: listener.Addr().String(), zone: zone, slots: 16, born: began.UnixMilli()}, arrivals: file}
 	r.run = func(w http.ResponseWriter, q *http.Request) {
 		fmt.Fprintf(r.arrivals, "%d\n", time.Now().UnixNano())
+		if r.countArrival() > coldCrash && crashes && time.Since(began) < coldStart {
+			fmt.Fprintf(r.arrivals, "crashed %d\n", time.Now().UnixNano())
+			os.Exit(1)
+		}
 		lookUp(w, q)
 	}
 	go func() {
@@ -90,12 +113,12 @@
 		return false, err
 	}
 	defer f.close()
-	clients := startLookUps(f)
+	clients := startLookUps(f, true)
 	time.Sleep(4 * time.Second)
 	if trouble {
 		f.end("replica-0", syscall.SIGKILL)
 		time.Sleep(time.Second)
-		if err := f.startColdReplica(0, addresses[0], late); err != nil {
+		if err := f.startColdReplica(0, addresses[0], late, true); err != nil {
 			return false, err
 		}
 	}
@@ -107,6 +130,8 @@
 	for at := restarted; at.Before(restarted.Add(coldStart)); at = at.Add(100 * time.Millisecond) {
 		r.note("replica 0", "%d requests arrived in the 100 ms from %d ms on", countBetween(f.arrivals(0), at, at.Add(100*time.Millisecond)), at.Sub(restarted).Milliseconds())
 	}
+	r.note("check", "%d orders, which may run once at most, ended with 502 after the restart; the replica crashed again: %v",
+		clients.lostOrders(restarted), !f.timeAfter(0, "crashed ").IsZero())
 	if !trouble {
 		r.note("check", "replica 0, which is not cold, got %d requests in one second", most)
 		return false, nil
@@ -146,11 +171,12 @@
 		_ = listener.Close() // the replica listens there
 	}
 	for i, address := range addresses {
-		if err := f.startColdReplica(i, address, 0); err != nil {
+		if err := f.startColdReplica(i, address, 0, false); err != nil {
 			return nil, nil, err
 		}
 	}
-	text := strings.Replace(configuration(5), `"coldStartS":0.0,"coldPerS":0.0`, fmt.Sprintf(`"coldStartS":%.1f,"coldPerS":%d.0`, coldStart.Seconds(), coldPerSecond), 1)
+	text := strings.Replace(configuration(5), `"routes":[`, `"routes":[{"name":"r-order","hostname":"desk.example","pathPrefix":"/order/","routeType":"non_idempotent","timeoutMs":1500,"targetLatencyMs":300,"priority":2,"service":"desk","maxAttempts":2,"public":false},`, 1)
+	text = strings.Replace(text, `"coldStartS":0.0,"coldPerS":0.0`, fmt.Sprintf(`"coldStartS":%.1f,"coldPerS":%d.0`, coldStart.Seconds(), coldPerSecond), 1)
 	if _, err := (operator{f}).put(30*time.Second, 5, text, 1, 2, 3); err != nil {
 		return nil, nil, err
 	}
@@ -167,6 +193,7 @@
 }
 
 // manyLookUps are clients that send lookUpsPerSecond idempotent requests to the entries in turn.
+// With orders, every second request is one that may run once at most.
 type manyLookUps struct {
 	fleet  *fleet
 	cancel context.CancelFunc
@@ -174,9 +201,10 @@
 
 	mu            sync.Mutex
 	asked, served int
+	lost          []time.Time // when orders were answered with 502
 }
 
-func startLookUps(f *fleet) *manyLookUps {
+func startLookUps(f *fleet, orders bool) *manyLookUps {
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &manyLookUps{fleet: f, cancel: cancel}
 	m.work.Go(func() {
@@ -184,14 +212,18 @@
 		defer tick.Stop()
 		for i := 0; ctx.Err() == nil; i++ {
 			<-tick.C
-			m.work.Go(func() { m.ask(11+i%2, fmt.Sprintf("look-up-%d", i)) })
+			route := "lookup"
+			if orders && i/2%2 == 1 {
+				route = "order"
+			}
+			m.work.Go(func() { m.ask(11+i%2, route, fmt.Sprintf("%s-%d", route, i)) })
 		}
 	})
 	return m
 }
 
-func (m *manyLookUps) ask(entry int, id string) {
-	status, _ := call(1500*time.Millisecond, "GET", "http://"+m.fleet.callerAddress(entry)+"/lookup/"+id, nil, map[string]string{
+func (m *manyLookUps) ask(entry int, route, id string) {
+	status, _ := call(1500*time.Millisecond, "GET", "http://"+m.fleet.callerAddress(entry)+"/"+route+"/"+id, nil, map[string]string{
 		"Host": "desk.example", "Attempt-Id": id, "Deadline-Ms": "1500", "X-Api-Key": "key-of-boots",
 	})
 	if status != 200 {
@@ -203,6 +235,14 @@
 	if status == 200 {
 		m.served++
 	}
+	if route == "order" && status == http.StatusBadGateway {
+		m.lost = append(m.lost, time.Now())
+	}
+}
+
+// lostOrders counts the orders that were answered with 502 after a time.
+func (m *manyLookUps) lostOrders(from time.Time) int {
+	return countBetween(m.lost, from, time.Now())
 }
 
 // end ends the clients and returns how many requests were sent and served.
--- a/review/platform/second/leave.go
+++ b/review/platform/second/leave.go
@@ -44,12 +44,12 @@
 		return false, err
 	}
 	defer f.close()
-	clients := startLookUps(f)
+	clients := startLookUps(f, false)
 	time.Sleep(4 * time.Second)
 	if crash {
 		f.end("replica-0", syscall.SIGKILL)
 		time.Sleep(time.Second)
-		if err := f.startColdReplica(0, addresses[0], late); err != nil {
+		if err := f.startColdReplica(0, addresses[0], late, false); err != nil {
 			return false, err
 		}
 		time.Sleep(1500 * time.Millisecond)
@@ -57,7 +57,7 @@
 	go f.end("replica-0", syscall.SIGTERM)
 	time.Sleep(drain + linger + 2*time.Second)
 	asked, served := clients.end()
-	acknowledged := f.acknowledged(0)
+	acknowledged := f.timeAfter(0, "acknowledged ")
 	if acknowledged.IsZero() {
 		return false, fmt.Errorf("the leave was not acknowledged")
 	}
@@ -76,8 +76,8 @@
 	return after > 0, nil
 }
 
-// acknowledged returns when the leave of a replica was acknowledged.
-func (f *fleet) acknowledged(i int) time.Time {
+// timeAfter returns the time that a replica wrote down after a word, the zero time if it did not.
+func (f *fleet) timeAfter(i int, word string) time.Time {
 	file, err := os.Open(f.arrivalsFile(i))
 	if err != nil {
 		return time.Time{}
@@ -85,7 +85,7 @@
 	defer file.Close()
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
-		if text, found := strings.CutPrefix(lines.Text(), "acknowledged "); found {
+		if text, found := strings.CutPrefix(lines.Text(), word); found {
 			if nanos, err := strconv.ParseInt(text, 10, 64); err == nil {
 				return time.Unix(0, nanos)
 			}
--- a/review/platform/second/main.go
+++ b/review/platform/second/main.go
@@ -33,12 +33,13 @@
 	zone := flag.String("zone", "", "the zone of the replica")
 	controls := flag.String("controls", "", "the addresses that the replica announces itself to")
 	arrivals := flag.String("arrivals", "", "file for the times of the requests that the replica gets")
+	crashes := flag.Bool("crashes", false, "the replica crashes if it gets too many requests while it is cold")
 	late := flag.Duration("late", 0, "how late the first heartbeats of the replica arrive")
 	flag.Parse()
 	if *listen != "" {
 		var err error
 		if *arrivals != "" {
-			err = runColdReplica(*listen, *id, *zone, *controls, *arrivals, *late)
+			err = runColdReplica(*listen, *id, *zone, *controls, *arrivals, *late, *crashes)
 		} else {
 			err = runUnframedReplica(*listen, *id, *zone, *controls)
 		}
