--- a/review/platform/second/fleet.go
+++ b/review/platform/second/fleet.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -139,24 +138,6 @@
 	return os.RemoveAll(f.dataFolder(n))
 }
 
-// logged reports whether the log of a process has a line with all of the words.
-func (f *fleet) logged(name string, words ...string) bool {
-	text, err := os.ReadFile(filepath.Join(f.folder, name+".log"))
-	if err != nil {
-		return false
-	}
-	for line := range strings.Lines(string(text)) {
-		found := true
-		for _, word := range words {
-			found = found && strings.Contains(line, word)
-		}
-		if found {
-			return true
-		}
-	}
-	return false
-}
-
 // settings returns the settings file of a process, in the format of DEPLOY.md.
 func (f *fleet) settings(role string, n int, bootstrap bool) string {
 	serves, dataDir := "edge", "null"
--- a/review/platform/second/main.go
+++ b/review/platform/second/main.go
@@ -15,7 +15,7 @@
 // onInterrupt has a clean-up done if this program is told to end in the middle of a case.
 func onInterrupt(cleanUp func()) {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE, os.Interrupt)
 	go func() {
 		<-signals
 		cleanUp()
