--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 trouble=true
 if [ "${TROUBLE:-1}" = 0 ]; then trouble=false; fi
-exec timeout --signal=TERM 115 target/review-second -case quorum -trouble="$trouble" -variant "${VARIANT:-}" -record review/6/record.txt
+exec timeout --preserve-status --signal=TERM 115 target/review-second -case quorum -trouble="$trouble" -variant "${VARIANT:-}" -record review/6/record.txt
--- a/review/platform/second/cold.go
+++ b/review/platform/second/cold.go
@@ -34,8 +34,9 @@
 // coldReplica is a replica in a process of its own that writes down when it was sent requests.
 type coldReplica struct {
 	replica
-	arrivals *os.File
-	leaving  atomic.Bool
+	arrivals  *os.File
+	leaving   atomic.Bool
+	coldUntil atomic.Int64 // in Unix ns
 
 	recentMu sync.Mutex
 	recent   []time.Time // when the requests of the last second arrived
@@ -56,7 +57,7 @@
 // runColdReplica starts a replica that is cold for coldStart. Its heartbeats of the first
 // seconds arrive late by the given time. If it crashes, it does so while it is cold and gets
 // more requests than coldCrash in a second.
-func runColdReplica(listen, id, zone, controls, arrivals string, late time.Duration, crashes bool) error {
+func runColdReplica(listen, id, zone, controls, arrivals string, late time.Duration, crashes, always bool) error {
 	file, err := os.OpenFile(arrivals, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -67,6 +68,7 @@
 		return err
 	}
 	r := &coldReplica{replica: replica{id: id, service: "desk", address: listener.Addr().String(), zone: zone, slots: 16, born: began.UnixMilli()}, arrivals: file}
+	r.coldUntil.Store(began.Add(coldStart).UnixNano())
 	r.run = func(w http.ResponseWriter, q *http.Request) {
 		fmt.Fprintf(r.arrivals, "%d\n", time.Now().UnixNano())
 		if r.countArrival() > coldCrash && crashes && time.Since(began) < coldStart {
@@ -77,14 +79,11 @@
 	}
 	go func() {
 		for !r.leaving.Load() {
-			delay := late
-			if time.Since(began) > late {
-				delay = 0
-			}
-			r.sendBeat(strings.Split(controls, ","), began.Add(coldStart), delay)
+			r.sendBeat(strings.Split(controls, ","), time.Unix(0, r.coldUntil.Load()), latenessOf(began, late, always))
 			time.Sleep(heartbeatsGap)
 		}
 	}()
+	go r.coldOnSignal()
 	go r.leaveOnSignal(strings.Split(controls, ","))
 	server := &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second}
 	return server.Serve(listener)
@@ -108,7 +107,7 @@
 // restartCold plays case 9: a replica crashes and starts again under its id, cold, and its first
 // heartbeats arrive late.
 func restartCold(r *record, trouble bool, late time.Duration) (broken bool, err error) {
-	f, addresses, err := startPlainFleet(r)
+	f, addresses, err := startPlainFleet(r, 0)
 	if err != nil {
 		return false, err
 	}
@@ -118,7 +117,7 @@
 	if trouble {
 		f.end("replica-0", syscall.SIGKILL)
 		time.Sleep(time.Second)
-		if err := f.startColdReplica(0, addresses[0], late, true); err != nil {
+		if err := f.startColdReplica(0, addresses[0], late, true, false); err != nil {
 			return false, err
 		}
 	}
@@ -142,8 +141,9 @@
 }
 
 // startPlainFleet starts three control processes, two entries and three replicas in processes of
-// their own, and waits until none of them is cold any more.
-func startPlainFleet(r *record) (f *fleet, addresses []string, err error) {
+// their own, whose heartbeats are always late by the given time, and waits until none of them is
+// cold any more.
+func startPlainFleet(r *record, late time.Duration) (f *fleet, addresses []string, err error) {
 	if f, err = newFleet(r); err != nil {
 		return nil, nil, err
 	}
@@ -171,7 +171,7 @@
 		_ = listener.Close() // the replica listens there
 	}
 	for i, address := range addresses {
-		if err := f.startColdReplica(i, address, 0, false); err != nil {
+		if err := f.startColdReplica(i, address, late, false, late > 0); err != nil {
 			return nil, nil, err
 		}
 	}
--- a/review/platform/second/leave.go
+++ b/review/platform/second/leave.go
@@ -39,7 +39,7 @@
 // leaveAfterRestart plays case 8: a replica crashes and starts again under its id, its first
 // heartbeats arrive late, and it leaves before they have arrived.
 func leaveAfterRestart(r *record, crash bool, late time.Duration) (broken bool, err error) {
-	f, addresses, err := startPlainFleet(r)
+	f, addresses, err := startPlainFleet(r, 0)
 	if err != nil {
 		return false, err
 	}
@@ -49,7 +49,7 @@
 	if crash {
 		f.end("replica-0", syscall.SIGKILL)
 		time.Sleep(time.Second)
-		if err := f.startColdReplica(0, addresses[0], late, false); err != nil {
+		if err := f.startColdReplica(0, addresses[0], late, false, false); err != nil {
 			return false, err
 		}
 		time.Sleep(1500 * time.Millisecond)
--- a/review/platform/second/main.go
+++ b/review/platform/second/main.go
@@ -34,12 +34,13 @@
 	controls := flag.String("controls", "", "the addresses that the replica announces itself to")
 	arrivals := flag.String("arrivals", "", "file for the times of the requests that the replica gets")
 	crashes := flag.Bool("crashes", false, "the replica crashes if it gets too many requests while it is cold")
+	always := flag.Bool("always-late", false, "all heartbeats of the replica arrive late")
 	late := flag.Duration("late", 0, "how late the first heartbeats of the replica arrive")
 	flag.Parse()
 	if *listen != "" {
 		var err error
 		if *arrivals != "" {
-			err = runColdReplica(*listen, *id, *zone, *controls, *arrivals, *late, *crashes)
+			err = runColdReplica(*listen, *id, *zone, *controls, *arrivals, *late, *crashes, *always)
 		} else {
 			err = runUnframedReplica(*listen, *id, *zone, *controls)
 		}
@@ -83,8 +84,13 @@
 		return crashUnderStreams(r, trouble)
 	case "cold":
 		late := 3 * time.Second
-		if variant == "prompt" {
+		switch {
+		case variant == "prompt":
 			late = 0
+		case variant == "returned" && trouble:
+			return takeBackCold(r, 2*time.Second)
+		case variant == "returned":
+			return takeBackCold(r, 0)
 		}
 		return restartCold(r, trouble, late)
 	case "target":
--- a/review/platform/second/unframed.go
+++ b/review/platform/second/unframed.go
@@ -213,10 +213,10 @@
 }
 
 // startColdReplica starts a replica of the cases 8 and 9 as a process.
-func (f *fleet) startColdReplica(i int, address string, late time.Duration, crashes bool) error {
+func (f *fleet) startColdReplica(i int, address string, late time.Duration, crashes, always bool) error {
 	controls := []string{f.controlAddress(1), f.controlAddress(2), f.controlAddress(3)}
 	return f.startStandIn(fmt.Sprintf("replica-%d", i), "-replica", address, "-id", fmt.Sprintf("i-desk%d", i), "-zone", zoneOf(i+1),
-		"-controls", strings.Join(controls, ","), "-arrivals", f.arrivalsFile(i), "-late", late.String(), "-crashes="+strconv.FormatBool(crashes))
+		"-controls", strings.Join(controls, ","), "-arrivals", f.arrivalsFile(i), "-late", late.String(), "-crashes="+strconv.FormatBool(crashes), alwaysLate(always))
 }
 
 // startStandIn starts this program as another process.
