Take no answer for whole whose connection broke while the request was written

What callers saw: of an upload of 4 MiB an endpoint read 1 KiB, answered 200 without a length, sent ten bytes and reset the connection. The caller got 200 with the ten bytes, also as HTTP/1.0; a stream ended as whole after two events and was not resumed.

Cause: the kernel reports a reset once. The write of the upload got it, and the read of the answer then returned the end of the stream, which ends an answer that has neither a length nor chunks.

Evidence: with a length or chunks none passed; with a request that had been written none did, as only the read can get the reset then.

Why this works: the connection remembers the error of a write, and returns it in place of the end of the stream. A write that got the reset has returned from the kernel before the read did, so at the end the connection ends the write that runs, if any, and waits for its result.

--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -135,9 +135,13 @@
 }
 
 func announceEndpoint(t *testing.T, agent, address string) {
-	body := fmt.Sprintf(`{"endpoint":"e1","address":%q,"models":["m"],"boot_id":"b1","memory_tokens":9000000,"concurrency":4,"cold_concurrency":2,"prefill_tokens_per_second":1e9}`, address)
+	announce(t, agent, fmt.Sprintf(`{"endpoint":"e1","address":%q,"models":["m"],"boot_id":"b1","memory_tokens":9000000,"concurrency":4,"cold_concurrency":2,"prefill_tokens_per_second":1e9}`, address))
+}
+
+// announce posts an announcement to an agent until the end of the test.
+func announce(t *testing.T, agent, announcement string) {
 	for t.Context().Err() == nil {
-		if response, err := http.Post("http://"+agent+"/announce", "application/json", bytes.NewBufferString(body)); err == nil {
+		if response, err := http.Post("http://"+agent+"/announce", "application/json", strings.NewReader(announcement)); err == nil {
 			response.Body.Close()
 		}
 		time.Sleep(300 * time.Millisecond)
@@ -145,6 +149,12 @@
 }
 
 func startAttempt(t *testing.T, client wire.GateClient, id string, body []byte) wire.Gate_AttemptClient {
+	t.Helper()
+	return startAttemptAt(t, client, &wire.AttemptOpen{Attempt: id, Model: "m", Path: "/v1/completions", PromptTokens: uint64(len(body) / 4), Streamed: true}, body)
+}
+
+// startAttemptAt starts an attempt with a body and with ample time.
+func startAttemptAt(t *testing.T, client wire.GateClient, open *wire.AttemptOpen, body []byte) wire.Gate_AttemptClient {
 	t.Helper()
 	stream, err := client.Attempt(context.Background())
 	if err != nil {
@@ -155,10 +165,8 @@
 			t.Fatal(err)
 		}
 	}
-	send(&wire.AttemptUp{Of: &wire.AttemptUp_Open{Open: &wire.AttemptOpen{
-		Attempt: id, Model: "m", Path: "/v1/completions", BodyBytes: uint64(len(body)), PromptTokens: uint64(len(body) / 4),
-		FirstTokenMs: 60_000, WholeAnswerMs: 60_000, Streamed: true,
-	}}})
+	open.BodyBytes, open.FirstTokenMs, open.WholeAnswerMs = uint64(len(body)), 60_000, 60_000
+	send(&wire.AttemptUp{Of: &wire.AttemptUp_Open{Open: open}})
 	const part = 256 << 10
 	for at := 0; at < len(body); at += part {
 		send(&wire.AttemptUp{Of: &wire.AttemptUp_Body{Body: body[at:min(at+part, len(body))]}})
--- /dev/null
+++ b/role/host/brokenanswer_test.go
@@ -0,0 +1,186 @@
+package host
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// uploadBytes is more than the socket buffers on the way hold. A sound endpoint repeats the
+	// body in its answer, which an entry takes up to 4 MiB.
+	uploadBytes = 4<<20 - 1<<10
+	// partReadBytes is how much of an upload an endpoint reads that answers early.
+	partReadBytes = 1 << 10
+	// beforeTheEnd is the time between the last byte of an early answer and the end of its
+	// connection, in which the entry reads that byte.
+	beforeTheEnd = 50 * time.Millisecond
+)
+
+// rawAnswer is an answer that an endpoint writes byte by byte. ID in the text stands for that
+// of the attempt.
+type rawAnswer struct {
+	text  string
+	early bool // it is written when partReadBytes of the request's body are read, not all
+	end   func(conn *net.TCPConn)
+}
+
+// reset ends a connection so that its other side reads a reset after the last byte.
+func reset(conn *net.TCPConn) {
+	time.Sleep(beforeTheEnd)
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// endInOrder ends the answer and reads what still comes, as RFC 9112, section 9.6, asks of a
+// server.
+func endInOrder(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+	_ = conn.Close()
+}
+
+// write answers an attempt whose body has not been read.
+func (a rawAnswer) write(t *testing.T, w http.ResponseWriter, q *http.Request) {
+	var body io.Reader = q.Body
+	if a.early {
+		body = io.LimitReader(body, partReadBytes)
+	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return // the entry has left
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	_, _ = io.WriteString(conn, strings.ReplaceAll(a.text, "ID", q.Header.Get("Attempt-Id"))) // the entry may have left
+	a.end(conn.(*net.TCPConn))
+}
+
+const soundLines = "Attempt-Id: ID\r\nReplica-Signature: signature-of-raw\r\n"
+
+// tenBytes and tenBytesInChunks are bodies that end too early for all framings but the last.
+const (
+	tenBytes         = "0123456789"
+	tenBytesInChunks = "a\r\n0123456789\r\n"
+)
+
+// resetAnswers are answers that a reset cuts behind their tenth byte, by their framing.
+var resetAnswers = map[string]string{
+	"length":   "HTTP/1.1 200 OK\r\n" + soundLines + "Content-Length: 20\r\n\r\n" + tenBytes,
+	"chunks":   "HTTP/1.1 200 OK\r\n" + soundLines + "Transfer-Encoding: chunked\r\n\r\n" + tenBytesInChunks,
+	"none":     "HTTP/1.1 200 OK\r\n" + soundLines + "\r\n" + tenBytes,
+	"HTTP/1.0": "HTTP/1.0 200 OK\r\n" + soundLines + "\r\n" + tenBytes,
+}
+
+// upload sends a request with a long body to an entry.
+func (p *fakePlatform) upload(n int, path, id string) (int, string, http.Header) {
+	return call("POST", fmt.Sprintf("http://%s:%d%s", p.host(n), p.ports[0], path), bytes.Repeat([]byte("u"), uploadBytes), map[string]string{
+		"Attempt-Id": id, "X-Api-Key": "key", "Deadline-Ms": "5000", "Token-Usage": "100,10",
+	})
+}
+
+// startFleetForUploads starts a fleet whose routes take long bodies and of which some may be
+// repeated.
+func startFleetForUploads(t *testing.T) (p *fakePlatform, first, second *fakeEndpoint) {
+	t.Helper()
+	p, first, second = startFleet(t)
+	p.putConfiguration(2, strings.Replace(configurationWithRepeats(), `"maxBodyBytes":100000`, `"maxBodyBytes":8000000`, 1))
+	p.await("uploads are taken", func() bool {
+		status, _, _ := p.upload(1, "/again/x", "known")
+		return status == 200
+	})
+	return p, first, second
+}
+
+// answerRaw makes endpoints answer with the same bytes.
+func answerRaw(a rawAnswer, endpoints ...*fakeEndpoint) {
+	for _, e := range endpoints {
+		e.rawAnswer.Store(a)
+		e.behaviour.Store("raw")
+	}
+}
+
+// Guards against a part of an answer that its caller takes for the whole one, after a reset
+// while the request was still being written (MIXED).
+func TestAnswerResetDuringAnUploadIsNoAnswer(t *testing.T) {
+	p, first, second := startFleetForUploads(t)
+	for name, text := range resetAnswers {
+		name = strings.ReplaceAll(name, "/", "")
+		answerRaw(rawAnswer{text: text, early: true, end: reset}, first, second)
+		for try := range 3 {
+			id := fmt.Sprintf("once-%s-%d", name, try)
+			status, body, _ := p.upload(1, "/once/x", id)
+			if runs := first.runCount(id) + second.runCount(id); status != 502 || runs != 1 {
+				t.Errorf("%s: status %d, %q, ran %d times", id, status, body, runs)
+			}
+			p.await("a line says that an attempt at an endpoint failed", func() bool {
+				return strings.Contains(p.log("entry1"), `"request":"`+id+`","endpoint":"i-`)
+			})
+		}
+		second.behaviour.Store("good")
+		status, body, header := p.upload(1, "/again/x", "again-"+name)
+		if status != 200 || len(body) != len("ran ")+uploadBytes || header.Get("Replica-Signature") != "signature-of-"+second.id {
+			t.Errorf("%s, repeated: status %d with %d bytes", name, status, len(body))
+		}
+	}
+}
+
+// twoEvents are the first events of the stream of a fakeEndpoint, without a length.
+const twoEvents = "HTTP/1.1 200 OK\r\n" + soundLines + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+
+// Guards against a part of a stream that counts as the whole one, and that is not resumed where
+// it may be, after a reset while the request was still being written (ORDER).
+func TestStreamResetDuringAnUploadIsNotWhole(t *testing.T) {
+	p, first, second := startFleetForUploads(t)
+	answerRaw(rawAnswer{text: twoEvents, early: true, end: reset}, first, second)
+	for try := range 3 {
+		id := fmt.Sprintf("live-%d", try)
+		status, text, _ := p.upload(1, "/stream/live/x", id)
+		if runs := first.runCount(id) + second.runCount(id); status != 0 || runs != 1 {
+			t.Errorf("%s: status %d, %q, ran %d times", id, status, text, runs)
+		}
+	}
+	second.behaviour.Store("good")
+	resumed := 0
+	for try := range 6 {
+		id := fmt.Sprintf("stream-%d", try)
+		status, text, _ := p.upload(1, "/stream/x", id)
+		if status != 200 || strings.Count(text, "id: ") != 10 {
+			t.Errorf("%s: status %d, %q", id, status, text)
+		}
+		resumed += first.runCount(id) * second.runCount(id)
+	}
+	if resumed == 0 {
+		t.Error("no stream was resumed")
+	}
+}
+
+// wholeAnswers are sound answers, by their framing.
+var wholeAnswers = map[string]string{
+	"length":   "HTTP/1.1 200 OK\r\n" + soundLines + "Content-Length: 10\r\n\r\n" + tenBytes,
+	"chunks":   "HTTP/1.1 200 OK\r\n" + soundLines + "Transfer-Encoding: chunked\r\n\r\n" + tenBytesInChunks + "0\r\n\r\n",
+	"none":     "HTTP/1.1 200 OK\r\n" + soundLines + "\r\n" + tenBytes,
+	"HTTP/1.0": "HTTP/1.0 200 OK\r\n" + soundLines + "\r\n" + tenBytes,
+}
+
+// Guards against sound answers that are not served as they come, whole, while the request is
+// still being written.
+func TestWholeAnswerDuringAnUploadIsServed(t *testing.T) {
+	p, first, second := startFleetForUploads(t)
+	for name, text := range wholeAnswers {
+		answerRaw(rawAnswer{text: text, early: true, end: endInOrder}, first, second)
+		for try := range 3 {
+			id := fmt.Sprintf("early-%s-%d", strings.ReplaceAll(name, "/", ""), try)
+			if status, body, _ := p.upload(1, "/once/x", id); status != 200 || body != tenBytes {
+				t.Errorf("%s: status %d, %q", id, status, body)
+			}
+		}
+	}
+}
--- a/role/host/fakeendpoint_test.go
+++ b/role/host/fakeendpoint_test.go
@@ -24,8 +24,9 @@
 	sequence  atomic.Int64
 	address   string
 	server    *http.Server
-	behaviour atomic.Value // "good", "full", "cut" (breaks off answers), "cut head", "large" (streams), "status 042" or "foreign" (names another attempt)
+	behaviour atomic.Value // "good", "full", "cut" (breaks off answers), "cut head", "large" (streams), "raw", "status 042" or "foreign" (names another attempt)
 	headCut   atomic.Value // a headCut, for "cut head"
+	rawAnswer atomic.Value // a rawAnswer, for "raw"
 
 	dataCentre  atomic.Value // text
 	slots       atomic.Int64
@@ -87,6 +88,11 @@
 func (e *fakeEndpoint) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("Attempt-Id")
 	behaviour := e.behaviour.Load().(string)
+	if behaviour == "raw" {
+		e.recordRun(id, q.Header)
+		e.rawAnswer.Load().(rawAnswer).write(e.t, w, q)
+		return
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
@@ -100,10 +106,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	e.mu.Lock()
-	e.runs[id]++
-	e.received = append(e.received, q.Header.Clone())
-	e.mu.Unlock()
+	e.recordRun(id, q.Header)
 	if behaviour == "cut head" {
 		e.headCut.Load().(headCut).answer(e.t, w, id)
 		return
@@ -138,6 +141,13 @@
 	_, _ = io.WriteString(conn, "\r\n")
 }
 
+func (e *fakeEndpoint) recordRun(id string, header http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[id]++
+	e.received = append(e.received, header.Clone())
+}
+
 func (e *fakeEndpoint) recordArrival() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -23,6 +23,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
+	"github.com/apricotspoke/apricotspoke/transport/endpointhttp"
 )
 
 const (
@@ -58,7 +59,7 @@
 	transport.DisableCompression = true
 	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	return &http.Client{
-		Transport: transport,
+		Transport: endpointhttp.New(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- /dev/null
+++ b/transport/endpointhttp/conn_test.go
@@ -0,0 +1,178 @@
+package endpointhttp
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/loopback"
+)
+
+const (
+	uploadBytes   = 4 << 20 // more than the socket buffers hold
+	partReadBytes = 1 << 10
+	// beforeTheEnd is the time between the last byte of an answer and the end of its
+	// connection, in which the byte is read.
+	beforeTheEnd = 20 * time.Millisecond
+	tries        = 10 // of each case, as the reader and the writer of a connection race
+)
+
+// endpoint answers each request with the same bytes.
+type endpoint struct {
+	url    string
+	answer string
+	reads  int64 // bytes of the body of the request that are read before the answer
+	end    func(conn *net.TCPConn)
+}
+
+// start listens until the end of the test.
+func (e *endpoint) start(t *testing.T) {
+	t.Helper()
+	listener := loopback.Listen(t)
+	e.url = "http://" + listener.Addr().String()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return // the test has ended
+			}
+			go e.serve(conn.(*net.TCPConn))
+		}
+	}()
+}
+
+func (e *endpoint) serve(conn *net.TCPConn) {
+	defer conn.Close()
+	q, err := http.ReadRequest(bufio.NewReaderSize(conn, partReadBytes))
+	if err != nil {
+		return // the client has left
+	}
+	_, _ = io.CopyN(io.Discard, q.Body, e.reads) // the body may be shorter
+	_, _ = io.WriteString(conn, e.answer)        // the client may have left
+	e.end(conn)
+}
+
+func reset(conn *net.TCPConn) {
+	time.Sleep(beforeTheEnd)
+	_ = conn.SetLinger(0)
+}
+
+// resetAtOnce lets the kernel send a reset, as a part of the request is unread.
+func resetAtOnce(*net.TCPConn) {}
+
+// endInOrder ends the answer and reads the rest of the request.
+func endInOrder(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// endUnread ends the answer and reads nothing until the client has closed the connection.
+func endUnread(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	time.Sleep(2 * maxResetDelay)
+}
+
+func newTransport() *Transport {
+	return New(&http.Transport{DialContext: new(net.Dialer).DialContext, DisableKeepAlives: true})
+}
+
+// fetch returns the body of an answer.
+func (e *endpoint) fetch(t *testing.T, upload io.Reader) (string, error) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url, upload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := newTransport().RoundTrip(q)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+// wholeAnswers are answers with the same body, by their framing.
+var wholeAnswers = map[string]string{
+	"length":                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789",
+	"chunks":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n\r\n",
+	"end of the connection": "HTTP/1.1 200 OK\r\n\r\n0123456789",
+	"HTTP/1.0":              "HTTP/1.0 200 OK\r\n\r\n0123456789",
+}
+
+// cutBytes are cut off answers with a length or chunks.
+const cutBytes = 6
+
+func isFramed(name string) bool { return name == "length" || name == "chunks" }
+
+// Guards against an answer that counts as whole though its connection broke, in whichever
+// order the reader and the writer of the connection learn of it.
+func TestAnswerOfABrokenConnectionIsNeverWhole(t *testing.T) {
+	for _, uploaded := range []int{0, partReadBytes, uploadBytes} {
+		for what, end := range map[string]func(*net.TCPConn){"reset": reset, "reset at once": resetAtOnce} {
+			if what == "reset at once" && uploaded != uploadBytes {
+				continue // nothing is unread
+			}
+			for name, text := range wholeAnswers {
+				if isFramed(name) {
+					text = text[:len(text)-cutBytes]
+				}
+				t.Run(fmt.Sprintf("%d bytes, %s, %s", uploaded, name, what), func(t *testing.T) {
+					e := &endpoint{answer: text, reads: partReadBytes, end: end}
+					e.start(t)
+					for range tries {
+						if body, err := e.fetch(t, bytes.NewReader(make([]byte, uploaded))); err == nil {
+							t.Errorf("%q counts as whole", body)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against an answer without a length that counts as whole though its endpoint, such as
+// one that has crashed, refuses the rest of the request.
+func TestAnswerWhoseRequestIsRefusedIsNotWhole(t *testing.T) {
+	for name, text := range wholeAnswers {
+		if isFramed(name) {
+			continue
+		}
+		e := &endpoint{answer: text, reads: partReadBytes, end: func(*net.TCPConn) {}}
+		e.start(t)
+		upload, source := io.Pipe()
+		go func() {
+			defer source.Close()
+			for {
+				if _, err := source.Write(make([]byte, partReadBytes)); err != nil {
+					return // the request has failed
+				}
+				time.Sleep(beforeTheEnd) // the endpoint has read all that was sent when it closes
+			}
+		}()
+		if body, err := e.fetch(t, upload); err == nil {
+			t.Errorf("%s: %q counts as whole", name, body)
+		}
+		_ = upload.Close()
+	}
+}
+
+// Guards against a whole answer that fails because its endpoint answered before it had read
+// the request.
+func TestWholeAnswerDuringAnUploadIsWhole(t *testing.T) {
+	for what, end := range map[string]func(*net.TCPConn){"in order": endInOrder, "unread": endUnread} {
+		for name, text := range wholeAnswers {
+			e := &endpoint{answer: text, reads: partReadBytes, end: end}
+			e.start(t)
+			body, err := e.fetch(t, bytes.NewReader(make([]byte, uploadBytes)))
+			if err != nil || body != "0123456789" {
+				t.Errorf("%s, %s: %q, %v", name, what, body, err)
+			}
+		}
+	}
+}
