Take no answer with a malformed head

What callers saw: an answer whose head has a blank in the name of a field reached them as a 200, without that line. Where the field is the length or the framing, the body was another: half of it for "Content-Length : 20", the frames of the chunks for "Transfer-Encoding : chunked". The same for a length behind a line that begins with a blank, which was joined to the field before, and for chunks in HTTP/1.0. A 503 with Not-Executed in such a head was believed.

Cause: net/http's client lets these pass and hides them: it keeps names with blanks, joins lines and removes Transfer-Encoding from HTTP/1.0. Nothing looked at the head behind it, in neither of the two HTTP clients. Control bytes in names were refused by it.

Why this works: the connection checks each head, also interim ones and those of kept connections, before the client gets its bytes, so that it is an error of the attempt, of a reservation, an order or a poll like a broken connection. Errors of reads are kept, as net/http's client drops one while it looks for the continuation of a line.

--- a/role/agent/brokenanswer_test.go
+++ b/role/agent/brokenanswer_test.go
@@ -78,21 +78,27 @@
 	return wire.NewGateClient(conn)
 }
 
-// book sends an attempt that may not run twice and returns its answer and its end. An attempt
-// that the gate refuses, as it asks the endpoint whether it has restarted, is sent again.
-func book(t *testing.T, client wire.GateClient, id string, body []byte) (text string, end *wire.End) {
-	t.Helper()
+// checkFails sends an attempt that may not run twice. It must run once and fail, as one that
+// may have run. An attempt that the gate refuses, as it asks the endpoint whether it has
+// restarted, is sent again.
+func (s *rawService) checkFails(client wire.GateClient, id string, body []byte) {
+	s.t.Helper()
+	s.calls.Store(0)
 	for n := 0; ; n++ {
 		open := &wire.AttemptOpen{Attempt: fmt.Sprintf("%s-%d", id, n), Method: "POST", Path: "/book"}
-		stream := startAttemptAt(t, client, open, body)
-		down := receive(t, stream)
-		for ; down.GetEnd() == nil && down.GetRefused() == nil; down = receive(t, stream) {
+		stream := startAttemptAt(s.t, client, open, body)
+		text, down := "", receive(s.t, stream)
+		for ; down.GetEnd() == nil && down.GetRefused() == nil; down = receive(s.t, stream) {
 			text += string(down.GetChunk().GetData())
 		}
-		if down.GetEnd() != nil {
-			return text, down.GetEnd()
+		if down.GetRefused() != nil && s.calls.Load() == 0 {
+			time.Sleep(beforeTheReset)
+			continue
 		}
-		time.Sleep(beforeTheReset)
+		if end := down.GetEnd(); end.GetFailure() == nil || !end.MayHaveRun || s.calls.Load() != 1 {
+			s.t.Errorf("%s: %q, %v, ran %d times", id, text, down, s.calls.Load())
+		}
+		return
 	}
 }
 
@@ -110,11 +116,23 @@
 	} {
 		service.answer.Store(answer)
 		for try := range 3 {
-			service.calls.Store(0)
-			text, end := book(t, client, fmt.Sprintf("%s-%d", strings.ReplaceAll(name, "/", ""), try), make([]byte, uploadBytes))
-			if end.Failure == nil || !end.MayHaveRun || service.calls.Load() != 1 {
-				t.Errorf("%s: %q, %v, ran %d times", name, text, end, service.calls.Load())
-			}
+			service.checkFails(client, fmt.Sprintf("%s-%d", strings.ReplaceAll(name, "/", ""), try), make([]byte, uploadBytes))
 		}
 	}
 }
+
+// Guards against an answer of a service with a broken head that is passed on as an answer.
+func TestAnswerOfAServiceWithABrokenHeadIsNoAnswer(t *testing.T) {
+	service := &rawService{t: t}
+	client := startWithService(t, service)
+	for name, head := range map[string]string{
+		"blank":              "HTTP/1.1 200 OK\r\nX Broken: 1\r\n",
+		"blank-behind":       "HTTP/1.1 200 OK\r\nX-Broken : 1\r\n",
+		"control-byte":       "HTTP/1.1 200 OK\r\nX-Bro\x01ken: 1\r\n",
+		"chunks-in-1.0":      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"refusal-with-blank": "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nX Broken: 1\r\n",
+	} {
+		service.answer.Store(head + "X-Boot-Id: b1\r\nContent-Length: 10\r\n\r\n0123456789")
+		service.checkFails(client, name, []byte("booking"))
+	}
+}
--- a/role/host/brokenanswer_test.go
+++ b/role/host/brokenanswer_test.go
@@ -184,3 +184,82 @@
 		}
 	}
 }
+
+// brokenHeads are answers whose heads no endpoint in order sends, by what is wrong.
+var brokenHeads = map[string]string{
+	"a blank in a name":          "HTTP/1.1 200 OK\r\n" + soundLines + "X Broken: 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
+	"a blank before the colon":   "HTTP/1.1 200 OK\r\n" + soundLines + "X-Broken : 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
+	"a blank behind the length":  "HTTP/1.1 200 OK\r\n" + soundLines + "Content-Length : 20\r\n\r\n" + tenBytes,
+	"a blank behind the framing": "HTTP/1.1 200 OK\r\n" + soundLines + "Transfer-Encoding : chunked\r\n\r\n" + tenBytesInChunks,
+	"a blank before the length":  "HTTP/1.1 200 OK\r\n" + soundLines + " Content-Length: 20\r\n\r\n" + tenBytes,
+	"a blank before all":         "HTTP/1.1 200 OK\r\n X-Broken: 1\r\n" + soundLines + "Content-Length: 10\r\n\r\n" + tenBytes,
+	"a control byte in a name":   "HTTP/1.1 200 OK\r\n" + soundLines + "X-Bro\x01ken: 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
+	"a tab in a name":            "HTTP/1.1 200 OK\r\n" + soundLines + "X-Bro\tken: 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
+	"DEL in a name":              "HTTP/1.1 200 OK\r\n" + soundLines + "X-Bro\x7fken: 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
+	"CR in a name":               "HTTP/1.1 200 OK\r\n" + soundLines + "X-Bro\rken: 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
+	"NUL in a name":              "HTTP/1.1 200 OK\r\n" + soundLines + "X-Bro\x00ken: 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
+	"no name":                    "HTTP/1.1 200 OK\r\n" + soundLines + ": 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
+	"a blank in an interim head": "HTTP/1.1 103 x\r\nX Broken: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + soundLines + "Content-Length: 10\r\n\r\n" + tenBytes,
+	"chunks in HTTP/1.0":         "HTTP/1.0 200 OK\r\n" + soundLines + "Transfer-Encoding: chunked\r\n\r\n" + tenBytesInChunks,
+	"a refusal with a blank":     "HTTP/1.1 503 x\r\nAttempt-Id: ID\r\nNot-Executed: 1\r\nX Broken: 1\r\nContent-Length: 0\r\n\r\n",
+}
+
+// Guards against an answer with a broken head that reaches its caller, whole or in part, or
+// whose statements are believed, after a field whose name is no token (MIXED).
+func TestAnswerWithABrokenHeadIsNoAnswer(t *testing.T) {
+	p, first, second := startFleetForUploads(t)
+	p.checkNoAnswers(brokenHeads, first, second)
+}
+
+// checkNoAnswers checks that none of some answers of all endpoints reaches a caller, and that
+// the answer of a sound endpoint does in its place where the request may be repeated.
+func (p *fakePlatform) checkNoAnswers(answers map[string]string, first, second *fakeEndpoint) {
+	p.t.Helper()
+	for name, text := range answers {
+		answerRaw(rawAnswer{text: text, end: endInOrder}, first, second)
+		id := strings.NewReplacer(" ", "-", "/", "", ",", "").Replace(name)
+		status, body, header := p.request(1, "/once/x", "key", id)
+		if runs := first.runCount(id) + second.runCount(id); status != 502 || runs != 1 {
+			p.t.Errorf("%s: status %d, %q, %v, ran %d times", name, status, body, header, runs)
+		}
+		second.behaviour.Store("good")
+		status, body, header = p.request(1, "/again/x", "key", "again-"+id)
+		if status != 200 || body != "ran body of again-"+id || header.Get("Replica-Signature") != "signature-of-"+second.id {
+			p.t.Errorf("%s, repeated: status %d, %q, %v", name, status, body, header)
+		}
+	}
+}
+
+// unusualHeads are sound heads of a body of ten bytes, with the fields that a caller must get.
+var unusualHeads = map[string]string{
+	"a rare status":     "HTTP/1.1 299 \r\n",
+	"a reason in bytes": "HTTP/1.1 200 \xe4 : 1\r\n",
+	"no reason":         "HTTP/1.1 200\r\n",
+	"interim heads":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nLink: <a>\r\n\r\nHTTP/1.1 200 OK\r\n",
+}
+
+// unusualFields are fields that a caller must get unchanged.
+var unusualFields = map[string]string{
+	"!#$%&'*+-.^_`|~0az": "1", "X-Empty": "", "X-Tab": "a\tb", "X-Bytes": "\xe4\xff", "X-Colon": "x y: z", "X-Long": strings.Repeat("a", 8<<10),
+}
+
+// Guards against sound answers that are refused or changed for their unusual heads.
+func TestAnswerWithAnUnusualHeadIsServed(t *testing.T) {
+	p, first, second := startFleetForUploads(t)
+	for name, head := range unusualHeads {
+		text := head + soundLines + "CONTENT-length:  10 \r\n"
+		for field, value := range unusualFields {
+			text += field + ": " + value + "\r\n"
+		}
+		answerRaw(rawAnswer{text: text + "\r\n" + tenBytes, end: endInOrder}, first, second)
+		status, body, header := p.request(1, "/once/x", "key", strings.ReplaceAll(name, " ", "-"))
+		if status/100 != 2 || body != tenBytes {
+			t.Errorf("%s: status %d, %q", name, status, body)
+		}
+		for field, value := range unusualFields {
+			if got := header.Values(field); len(got) != 1 || got[0] != value {
+				t.Errorf("%s: %s: %q", name, field, got)
+			}
+		}
+	}
+}
--- a/transport/endpoint/cuthead_test.go
+++ b/transport/endpoint/cuthead_test.go
@@ -83,29 +83,38 @@
 	return body, err
 }
 
+// allCalls are the calls that an agent makes at its endpoint. Each returns the body of its
+// answer, or cutBody if that was decoded or isn't needed.
+var allCalls = map[string]func(ctx context.Context, c *Client) (string, error){
+	"an attempt": func(ctx context.Context, c *Client) (string, error) {
+		return readWhole(c.Send(ctx, &gate.Call{Attempt: "a1", Method: "POST", Path: "/v1/completions", Body: []byte("{}")}))
+	},
+	"a resumption": func(ctx context.Context, c *Client) (string, error) { return readWhole(c.Resume(ctx, "a1", 3)) },
+	"a list":       func(ctx context.Context, c *Client) (string, error) { _, err := c.List(ctx); return cutBody, err },
+	"a report":     func(ctx context.Context, c *Client) (string, error) { _, err := c.Load(ctx); return cutBody, err },
+	"an order": func(ctx context.Context, c *Client) (string, error) {
+		result, err := c.Order(ctx, gate.OrderCall{Number: 1, Kind: wire.OrderKind_ORDER_KIND_LOAD_MODEL})
+		if err == nil && result != "ok" {
+			err = errors.New("it has the result " + result)
+		}
+		return cutBody, err
+	},
+	"a cancellation": func(ctx context.Context, c *Client) (string, error) { return cutBody, c.Cancel(ctx, "a1") },
+	"a deletion":     func(ctx context.Context, c *Client) (string, error) { return cutBody, c.DeleteBlock(ctx, "b1") },
+	"cache events": func(ctx context.Context, c *Client) (string, error) {
+		_, err := c.fetchCacheEvents(ctx, 0)
+		return cutBody, err
+	},
+}
+
 // Guards against an answer of an engine that counts as whole, or as never sent, though it was
 // cut at any byte of its head or its framed body.
 func TestAnswerCutAtAnyByteIsNeverWhole(t *testing.T) {
-	calls := map[string]func(ctx context.Context, c *Client) (string, error){
-		"an attempt": func(ctx context.Context, c *Client) (string, error) {
-			return readWhole(c.Send(ctx, &gate.Call{Attempt: "a1", Method: "POST", Path: "/v1/completions", Body: []byte("{}")}))
-		},
-		"a resumption": func(ctx context.Context, c *Client) (string, error) { return readWhole(c.Resume(ctx, "a1", 3)) },
-		"a list":       func(ctx context.Context, c *Client) (string, error) { _, err := c.List(ctx); return cutBody, err },
-		"a report":     func(ctx context.Context, c *Client) (string, error) { _, err := c.Load(ctx); return cutBody, err },
-		"an order": func(ctx context.Context, c *Client) (string, error) {
-			result, err := c.Order(ctx, gate.OrderCall{Number: 1, Kind: wire.OrderKind_ORDER_KIND_LOAD_MODEL})
-			if err == nil && result != "ok" {
-				err = errors.New("it has the result " + result)
-			}
-			return cutBody, err
-		},
-	}
 	for _, reset := range []bool{false, true} {
 		client, next := startCutter(t, reset)
 		for name, parts := range framedAnswers {
 			text := parts[0] + parts[1]
-			for what, call := range calls {
+			for what, call := range allCalls {
 				for cut := range len(text) {
 					body, err := callForText(t, client, next, text[:cut], call)
 					endedByClose := !reset && parts[1] == cutBody && name == "end of the connection" && cut >= len(parts[0])
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -15,8 +15,8 @@
 // round trip.
 const maxResetDelay = 250 * time.Millisecond
 
-// conn is a connection to an endpoint. Its end is an error, not io.EOF, if it broke while a
-// request was being written.
+// conn is a connection to an endpoint. A malformed head of an answer is an error of a read. So
+// is its end, in place of io.EOF, if it broke while a request was being written.
 //
 // The kernel reports a reset once, to the read or the write that comes first. After a write
 // has got it, reads return io.EOF, as if the endpoint had ended its answer in order, which
@@ -26,11 +26,14 @@
 	closed      chan struct{}
 	signalClose func()
 
+	readError error // of the last read, which only one goroutine makes at a time
+
 	writing    sync.Mutex // held during a write
 	writeError error      // of the first write that failed; guarded by writing
 
 	mu      sync.Mutex
 	written chan struct{} // closed when the current request is written, or has failed; guarded by mu
+	head    headChecker   // of the answer to the current request; guarded by mu
 }
 
 func newConn(c net.Conn) *conn {
@@ -44,6 +47,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = make(chan struct{})
+	c.head = headChecker{}
 }
 
 // endRequest is called when a request is written, except for what is still buffered, or when
@@ -58,15 +62,35 @@
 	}
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
+// Read implements net.Conn. After an error it reads no more, as net/http's client may drop the
+// error and read on.
+func (c *conn) Read(p []byte) (n int, err error) {
+	if c.readError == nil {
+		n, c.readError = c.readChecked(p)
+	}
+	return n, c.readError
+}
+
+// readChecked reads once and checks what has come.
+func (c *conn) readChecked(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if sound, headErr := c.checkHead(p[:n]); headErr != nil {
+		return sound, headErr
+	}
 	if errors.Is(err, io.EOF) {
-		err = c.checkEnd()
+		return n, c.checkEnd()
 	}
 	return n, err
 }
 
+// checkHead checks the part of an answer's head that p holds, and returns how many bytes
+// precede a malformed line.
+func (c *conn) checkHead(p []byte) (sound int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.check(p)
+}
+
 // checkEnd returns io.EOF if the endpoint has ended the connection in order. Otherwise it
 // returns an error.
 func (c *conn) checkEnd() error {
