Take no answer with a status that no answer has, in the own fleets

What callers saw: an endpoint of an own fleet that answers with status 000 reached its caller as a 200 with that body. So did 042, 099 and 199; 600 went on as it was. Orders, cancellations, deletions and polls that were answered so counted as successes.

On the users' platform status 000 was no answer before: 502, once, or the answer of a sound endpoint.

Cause: Go's client takes any three digits for a status, and its server panics on one below 100. The entry guarded against the panic with a 200 in place of it, and nobody before it looked at the status.

Why this works: the gate's client takes a status from 200 to 599 only, and anything else is an error of the attempt or call, which may have run. The entry, which may meet a gate of an earlier version, takes such an end for a failure, such an outcome for unknown, and a recorded one for a failure.

The fake gate of role/entry told 200 for every recorded outcome; it tells the status that it sent.

--- a/coordination/claims/inquire.go
+++ b/coordination/claims/inquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/protocol/httpstatus"
 	"github.com/apricotspoke/apricotspoke/protocol/wait"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
@@ -53,7 +54,7 @@
 // recordDone records and returns the outcome that the gate holds. If the
 // attempt has ended but the gate holds no answer, the outcome is unknown.
 func (e *Executor) recordDone(ctx context.Context, request *Request, attempt string, response *wire.InquireResponse, cause error) (*Answer, error) {
-	if response.Outcome == nil || response.Failure != nil {
+	if response.Failure != nil || !httpstatus.IsFinal(int(response.Outcome.GetStatus())) {
 		e.settle(ctx, request, attempt, wire.ClaimState_CLAIM_STATE_UNKNOWN, nil)
 		return nil, outcomeUnknownError(cause)
 	}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/routing"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/httpstatus"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/state/fleet"
 )
@@ -290,6 +291,9 @@
 	if end.Failure != nil {
 		return &attemptFailure{cause: endCause(end)}
 	}
+	if !httpstatus.IsFinal(int(end.Status)) {
+		return &attemptFailure{cause: fault.New(fault.EndpointFailed, "the endpoint answered with status %d, which no answer has", end.Status)}
+	}
 	switch end.Status {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusInsufficientStorage:
 		return &attemptFailure{cause: fault.New(fault.EndpointFailed, "the endpoint answered %d", end.Status)}
--- a/coordination/serve/attempt.go
+++ b/coordination/serve/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/directory"
 	"github.com/apricotspoke/apricotspoke/coordination/placement"
+	"github.com/apricotspoke/apricotspoke/protocol/httpstatus"
 	"github.com/apricotspoke/apricotspoke/state/catalogue"
 )
 
@@ -33,12 +34,6 @@
 	pauseStallFactor = 3
 )
 
-// The statuses with which an endpoint may answer, those of RFC 9110 without the interim ones.
-const (
-	minFinalStatus = 200
-	maxFinalStatus = 599
-)
-
 // notRunError reports that the endpoint that was meant did not run the request:
 // either the response declares it, or another endpoint has responded (421).
 type notRunError struct {
@@ -231,19 +226,13 @@
 		_ = response.Body.Close()
 		return nil, &notRunError{failedHelper: response.FailedHelper}
 	}
-	if !response.MatchesAttempt || response.Encoded || !response.hasFinalStatus() {
+	if !response.MatchesAttempt || response.Encoded || !httpstatus.IsFinal(response.Status) {
 		_ = response.Body.Close()
 		return nil, errInvalidResponse
 	}
 	return response, nil
 }
 
-// hasFinalStatus reports whether the status may end an exchange. Go's client accepts any
-// three digits, and its server panics on a status below 100.
-func (response *Response) hasFinalStatus() bool {
-	return response.Status >= minFinalStatus && response.Status <= maxFinalStatus
-}
-
 // recordResult records the result of an attempt in the endpoint's health.
 func (r *run) recordResult(ctx context.Context, plan *placement.Plan, err error) {
 	r.measureAttempt(ctx, err)
--- /dev/null
+++ b/protocol/httpstatus/httpstatus.go
@@ -0,0 +1,12 @@
+// Package httpstatus tells the statuses of HTTP that may end an exchange. Go's client accepts
+// any three digits, and its server panics on a status below 100.
+package httpstatus
+
+// The final statuses, those of RFC 9110, section 15, without the interim ones.
+const (
+	minFinal = 200
+	maxFinal = 599
+)
+
+// IsFinal reports whether an answer may have the status.
+func IsFinal(status int) bool { return status >= minFinal && status <= maxFinal }
--- a/role/agent/brokenanswer_test.go
+++ b/role/agent/brokenanswer_test.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// Guards against an answer of a service with a broken head that is passed on as an answer.
+// Guards against an answer of a service with a broken head, or with a status that no answer has,
+// that is passed on as an answer.
 func TestAnswerOfAServiceWithABrokenHeadIsNoAnswer(t *testing.T) {
 	service := &rawService{t: t}
 	client := startWithService(t, service)
@@ -130,6 +131,9 @@
 		"blank-behind":       "HTTP/1.1 200 OK\r\nX-Broken : 1\r\n",
 		"control-byte":       "HTTP/1.1 200 OK\r\nX-Bro\x01ken: 1\r\n",
 		"chunks-in-1.0":      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"status-000":         "HTTP/1.1 000 x\r\n",
+		"status-099":         "HTTP/1.1 099 x\r\nX-Not-Run: true\r\n",
+		"status-600":         "HTTP/1.1 600 x\r\n",
 		"refusal-with-blank": "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nX Broken: 1\r\n",
 	} {
 		service.answer.Store(head + "X-Boot-Id: b1\r\nContent-Length: 10\r\n\r\n0123456789")
--- a/role/entry/fakes_test.go
+++ b/role/entry/fakes_test.go
@@ -183,11 +183,12 @@
 		g.refused[r.Attempt] = r.RefuseIfUnseen
 		return &wire.InquireResponse{State: wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN}, nil
 	}
-	var body []byte
+	outcome := &wire.Outcome{ContentType: "application/json"}
 	for _, d := range seen.down {
-		body = append(body, d.GetChunk().GetData()...)
+		outcome.Body = append(outcome.Body, d.GetChunk().GetData()...)
+		outcome.Status = max(outcome.Status, d.GetEnd().GetStatus()) // only the end has one
 	}
-	return &wire.InquireResponse{State: wire.AttemptState_ATTEMPT_STATE_DONE, Outcome: &wire.Outcome{Status: 200, ContentType: "application/json", Body: body}}, nil
+	return &wire.InquireResponse{State: wire.AttemptState_ATTEMPT_STATE_DONE, Outcome: outcome}, nil
 }
 
 func (g *fakeGate) Beat(stream wire.Gate_BeatServer) error {
--- a/role/host/brokenanswer_test.go
+++ b/role/host/brokenanswer_test.go
@@ -211,6 +211,21 @@
 	p.checkNoAnswers(brokenHeads, first, second)
 }
 
+// brokenStatuses are answers whose status no answer has.
+var brokenStatuses = map[string]string{
+	"status 000":            "HTTP/1.1 000 x\r\n" + soundLines + "Content-Length: 10\r\n\r\n" + tenBytes,
+	"status 000, no length": "HTTP/1.1 000 x\r\n" + soundLines + "\r\n" + tenBytes,
+	"status 000, no reason": "HTTP/1.0 000\r\n" + soundLines + "\r\n" + tenBytes,
+	"status 099":            "HTTP/1.1 099 x\r\n" + soundLines + "Content-Length: 10\r\n\r\n" + tenBytes,
+	"status 600":            "HTTP/1.1 600 x\r\n" + soundLines + "Content-Length: 10\r\n\r\n" + tenBytes,
+}
+
+// Guards against an answer whose status no answer has that reaches its caller (MIXED).
+func TestAnswerWithoutAValidStatusIsNoAnswer(t *testing.T) {
+	p, first, second := startFleetForUploads(t)
+	p.checkNoAnswers(brokenStatuses, first, second)
+}
+
 // checkNoAnswers checks that none of some answers of all endpoints reaches a caller, and that
 // the answer of a sound endpoint does in its place where the request may be repeated.
 func (p *fakePlatform) checkNoAnswers(answers map[string]string, first, second *fakeEndpoint) {
--- a/transport/callerhttp/buffered.go
+++ b/transport/callerhttp/buffered.go
@@ -6,6 +6,7 @@
 
 	"github.com/apricotspoke/apricotspoke/coordination/relay"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
+	"github.com/apricotspoke/apricotspoke/protocol/httpstatus"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -39,9 +40,15 @@
 	return true
 }
 
-// writeOutcome sends a complete answer as the response. endpoint may be empty. A status
-// outside 100 to 999, such as 0 for none, becomes 200, because net/http panics for it.
+// writeOutcome sends a complete answer as the response. endpoint may be empty. An outcome
+// without a final status, which a process of an earlier version may have recorded, is sent as a
+// failure.
 func writeOutcome(w http.ResponseWriter, outcome *wire.Outcome, endpoint string) {
+	status := int(outcome.Status)
+	if !httpstatus.IsFinal(status) {
+		writeFault(w, fault.New(fault.EndpointFailed, "the endpoint answered with status %d, which no answer has", status), sendScope)
+		return
+	}
 	header := w.Header()
 	if endpoint != "" {
 		header.Set("X-Endpoint", endpoint)
@@ -52,10 +59,6 @@
 	if outcome.Truncated {
 		header.Set("X-Outcome-Truncated", "true")
 	}
-	status := int(outcome.Status)
-	if status < 100 || status > 999 {
-		status = http.StatusOK
-	}
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		header.Set("Content-Length", strconv.Itoa(len(outcome.Body)))
 	}
--- a/transport/endpoint/brokenhead_test.go
+++ b/transport/endpoint/brokenhead_test.go
@@ -40,3 +40,14 @@
 		}
 	}
 }
+
+// Guards against an answer whose status no answer has that counts as one, as a success of a
+// call, or as a refusal.
+func TestStatusThatNoAnswerHasIsAnError(t *testing.T) {
+	client, next := startCutter(t, false)
+	for _, status := range []string{"000", "000 x", "042 x", "099 x", "101 Switching Protocols", "600 x", "999 x"} {
+		head := strings.Replace(cutHeadStart, "200 OK", status, 1)
+		checkNoAnswer(t, client, next, status, head+"Content-Length: 29\r\n\r\n"+cutBody)
+		checkNoAnswer(t, client, next, status+", no length", head+"\r\n"+cutBody)
+	}
+}
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/apricotspoke/apricotspoke/coordination/gate"
+	"github.com/apricotspoke/apricotspoke/protocol/httpstatus"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 	"github.com/apricotspoke/apricotspoke/transport/endpointhttp"
 )
@@ -149,6 +150,10 @@
 		}
 		return nil, err
 	}
+	if !httpstatus.IsFinal(response.StatusCode) {
+		_ = response.Body.Close()
+		return nil, statusError(response.StatusCode)
+	}
 	body := response.Body
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		body = &silenceTimeoutBody{body: body}
@@ -276,7 +281,7 @@
 	return result.Result, err
 }
 
-// statusError is an HTTP status that is not a success.
+// statusError is an HTTP status that is not a success, or that no answer may have.
 type statusError int
 
 func (s statusError) Error() string { return "endpoint returned status " + strconv.Itoa(int(s)) }
@@ -318,7 +323,7 @@
 	if err != nil {
 		return err
 	}
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode >= http.StatusMultipleChoices || !httpstatus.IsFinal(response.StatusCode) {
 		return statusError(response.StatusCode)
 	}
 	if out == nil {
