Read an answer to its end before the request's failure ends it

What callers saw: an endpoint answered an upload early and whole, with a length or chunks, and closed the connection at once. The caller got 502. An early 503 with Not-Executed was lost as well, so that a request that had not run failed instead of going to another endpoint.

Cause: the kernel resets a connection that is closed with bytes unread. The write of the upload learned of it first, and net/http's client ends an exchange once the request can't be written, though the whole answer had arrived.

Why this works: a write that fails returns its error when the reader has come to the end, which a broken connection has behind the last byte that came. An answer whose length or chunks show that it is whole is served; without them it counts as cut as before. Closing the connection ends the wait, also when the caller leaves or the deadline passes.

--- a/role/host/brokenanswer_test.go
+++ b/role/host/brokenanswer_test.go
@@ -170,21 +170,54 @@
 	"HTTP/1.0": "HTTP/1.0 200 OK\r\n" + soundLines + "\r\n" + tenBytes,
 }
 
+// closeUnread closes a connection with a part of the request unread, which lets the kernel
+// reset it at once.
+func closeUnread(conn *net.TCPConn) { _ = conn.Close() }
+
 // Guards against sound answers that are not served as they come, whole, while the request is
 // still being written.
 func TestWholeAnswerDuringAnUploadIsServed(t *testing.T) {
 	p, first, second := startFleetForUploads(t)
 	for name, text := range wholeAnswers {
-		answerRaw(rawAnswer{text: text, early: true, end: endInOrder}, first, second)
-		for try := range 3 {
-			id := fmt.Sprintf("early-%s-%d", strings.ReplaceAll(name, "/", ""), try)
-			if status, body, _ := p.upload(1, "/once/x", id); status != 200 || body != tenBytes {
-				t.Errorf("%s: status %d, %q", id, status, body)
-			}
+		p.checkEarlyAnswer(name, rawAnswer{text: text, early: true, end: endInOrder}, first, second)
+		if name == "length" || name == "chunks" {
+			p.checkEarlyAnswer(name+"-reset", rawAnswer{text: text, early: true, end: reset}, first, second)
+			p.checkEarlyAnswer(name+"-closed", rawAnswer{text: text, early: true, end: closeUnread}, first, second)
 		}
 	}
 }
 
+// checkEarlyAnswer checks that callers of uploads get the body of an answer of all endpoints.
+func (p *fakePlatform) checkEarlyAnswer(name string, a rawAnswer, endpoints ...*fakeEndpoint) {
+	p.t.Helper()
+	answerRaw(a, endpoints...)
+	for try := range 3 {
+		id := fmt.Sprintf("early-%s-%d", strings.ReplaceAll(name, "/", ""), try)
+		if status, body, _ := p.upload(1, "/once/x", id); status != 200 || body != tenBytes {
+			p.t.Errorf("%s: status %d, %q", id, status, body)
+		}
+	}
+}
+
+// Guards against an early refusal that is lost, so that a request which has not run, and may
+// not run twice, fails instead of going to another endpoint.
+func TestEarlyRefusalOfAnUploadIsHeeded(t *testing.T) {
+	p, first, _ := startFleetForUploads(t)
+	refusal := "HTTP/1.1 503 Busy\r\nAttempt-Id: ID\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	answerRaw(rawAnswer{text: refusal, early: true, end: closeUnread}, first)
+	sent := 0
+	for try := range 6 {
+		id := fmt.Sprintf("refused-%d", try)
+		if status, body, _ := p.upload(1, "/once/x", id); status != 200 || len(body) != len("ran ")+uploadBytes {
+			t.Errorf("%s: status %d with %d bytes", id, status, len(body))
+		}
+		sent += first.runCount(id)
+	}
+	if sent == 0 {
+		t.Error("no request was refused")
+	}
+}
+
 // brokenHeads are answers whose heads no endpoint in order sends, by what is wrong.
 var brokenHeads = map[string]string{
 	"a blank in a name":          "HTTP/1.1 200 OK\r\n" + soundLines + "X Broken: 1\r\nContent-Length: 10\r\n\r\n" + tenBytes,
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -23,8 +23,9 @@
 // net/http's client takes for the end of an answer without a length and chunks.
 type conn struct {
 	net.Conn
-	closed      chan struct{}
-	signalClose func()
+	closed     signal
+	readEnded  signal // a read has failed
+	writeEnded signal // a write has failed
 
 	readError error // of the last read, which only one goroutine makes at a time
 
@@ -32,34 +33,46 @@
 	writeError error      // of the first write that failed; guarded by writing
 
 	mu      sync.Mutex
-	written chan struct{} // closed when the current request is written, or has failed; guarded by mu
-	head    headChecker   // of the answer to the current request; guarded by mu
+	written signal      // the current request is written, or has failed; guarded by mu
+	head    headChecker // of the answer to the current request; guarded by mu
 }
 
 func newConn(c net.Conn) *conn {
-	closed, written := make(chan struct{}), make(chan struct{})
-	close(written) // there is no request yet
-	return &conn{Conn: c, closed: closed, signalClose: sync.OnceFunc(func() { close(closed) }), written: written}
+	written := newSignal()
+	written.send() // there is no request yet
+	return &conn{Conn: c, closed: newSignal(), readEnded: newSignal(), writeEnded: newSignal(), written: written}
+}
+
+// signal says once that something has happened.
+type signal struct {
+	sent chan struct{} // closed when it has
+	send func()
+}
+
+func newSignal() signal {
+	sent := make(chan struct{})
+	return signal{sent: sent, send: sync.OnceFunc(func() { close(sent) })}
 }
 
 // beginRequest is called before the first byte of a request is written.
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.written = make(chan struct{})
+	c.written = newSignal()
 	c.head = headChecker{}
 }
 
 // endRequest is called when a request is written, except for what is still buffered, or when
 // its writing has failed.
 func (c *conn) endRequest() {
+	c.currentRequest().send()
+}
+
+// currentRequest returns the signal that the current request is written.
+func (c *conn) currentRequest() signal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	select {
-	case <-c.written:
-	default:
-		close(c.written)
-	}
+	return c.written
 }
 
 // Read implements net.Conn. After an error it reads no more, as net/http's client may drop the
@@ -68,6 +81,9 @@
 	if c.readError == nil {
 		n, c.readError = c.readChecked(p)
 	}
+	if c.readError != nil {
+		c.readEnded.send()
+	}
 	return n, c.readError
 }
 
@@ -104,14 +120,12 @@
 // awaitRequest waits until the current request is written or has failed, for maxResetDelay at
 // most.
 func (c *conn) awaitRequest() {
-	c.mu.Lock()
-	written := c.written
-	c.mu.Unlock()
 	timer := time.NewTimer(maxResetDelay)
 	defer timer.Stop()
 	select {
-	case <-written:
-	case <-c.closed:
+	case <-c.currentRequest().sent:
+	case <-c.writeEnded.sent:
+	case <-c.closed.sent:
 	case <-timer.C:
 	}
 }
@@ -124,8 +138,28 @@
 	return c.writeError
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. An error is returned once all that the endpoint has sent is read:
+// net/http's client drops an answer, also a whole one, when it can't write the request.
 func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.writeOnce(p)
+	if err != nil {
+		c.writeEnded.send()
+		c.awaitReader()
+	}
+	return n, err
+}
+
+// awaitReader waits until a read has failed or the connection is closed. What broke a write
+// lets a read fail too, behind the last byte that has come.
+func (c *conn) awaitReader() {
+	select {
+	case <-c.readEnded.sent:
+	case <-c.closed.sent:
+	}
+}
+
+// writeOnce writes and keeps the error if the connection broke.
+func (c *conn) writeOnce(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -143,6 +177,6 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.signalClose()
+	c.closed.send()
 	return c.Conn.Close()
 }
--- a/transport/endpointhttp/conn_test.go
+++ b/transport/endpointhttp/conn_test.go
@@ -123,6 +123,7 @@
 					text = text[:len(text)-cutBytes]
 				}
 				t.Run(fmt.Sprintf("%d bytes, %s, %s", uploaded, name, what), func(t *testing.T) {
+					t.Parallel()
 					e := &endpoint{answer: text, reads: partReadBytes, end: end}
 					e.start(t)
 					for range tries {
@@ -163,16 +164,24 @@
 }
 
 // Guards against a whole answer that fails because its endpoint answered before it had read
-// the request.
+// the request, or closed the connection behind an answer with a length or chunks.
 func TestWholeAnswerDuringAnUploadIsWhole(t *testing.T) {
-	for what, end := range map[string]func(*net.TCPConn){"in order": endInOrder, "unread": endUnread} {
+	ends := map[string]func(*net.TCPConn){"in order": endInOrder, "unread": endUnread, "reset": reset, "reset at once": resetAtOnce}
+	for what, end := range ends {
 		for name, text := range wholeAnswers {
-			e := &endpoint{answer: text, reads: partReadBytes, end: end}
-			e.start(t)
-			body, err := e.fetch(t, bytes.NewReader(make([]byte, uploadBytes)))
-			if err != nil || body != "0123456789" {
-				t.Errorf("%s, %s: %q, %v", name, what, body, err)
+			if !isFramed(name) && (what == "reset" || what == "reset at once") {
+				continue // it looks like a cut one
 			}
+			t.Run(name+", "+what, func(t *testing.T) {
+				t.Parallel()
+				e := &endpoint{answer: text, reads: partReadBytes, end: end}
+				e.start(t)
+				for range tries {
+					if body, err := e.fetch(t, bytes.NewReader(make([]byte, uploadBytes))); err != nil || body != "0123456789" {
+						t.Errorf("%q, %v", body, err)
+					}
+				}
+			})
 		}
 	}
 }
