--- a/role/host/brokenanswer_test.go
+++ b/role/host/brokenanswer_test.go
@@ -187,6 +187,18 @@
 	}
 }
 
+// Guards against a sound stream that is broken off as its request is still being written.
+func TestWholeStreamDuringAnUploadIsServed(t *testing.T) {
+	p, first, second := startFleetForUploads(t)
+	answerRaw(rawAnswer{text: twoEvents, early: true, end: endInOrder}, first, second)
+	for _, path := range []string{"/stream/live/x", "/stream/x"} {
+		status, text, _ := p.upload(1, path, strings.ReplaceAll(path[1:], "/", "-"))
+		if status != 200 || strings.Count(text, "id: ") != 2 {
+			t.Errorf("%s: status %d, %q", path, status, text)
+		}
+	}
+}
+
 // checkEarlyAnswer checks that callers of uploads get the body of an answer of all endpoints.
 func (p *fakePlatform) checkEarlyAnswer(name string, a rawAnswer, endpoints ...*fakeEndpoint) {
 	p.t.Helper()
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -54,12 +54,15 @@
 	return signal{sent: sent, send: sync.OnceFunc(func() { close(sent) })}
 }
 
-// beginRequest is called before the first byte of a request is written.
+// beginRequest is called before the first byte of a request is written. On a kept connection,
+// the next bytes are those of a new head.
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = newSignal()
-	c.head = headChecker{}
+	if c.head.done {
+		c.head = headChecker{}
+	}
 }
 
 // endRequest is called when a request is written, except for what is still buffered, or when
