--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -113,6 +113,15 @@
 	return address
 }
 
+// newOptions returns the options of an agent with free addresses.
+func newOptions(t *testing.T, control string) *Options {
+	t.Helper()
+	return &Options{
+		ID: "agent1", DataCentre: "dc1", Listen: freeAddress(t), AnnounceListen: freeAddress(t),
+		Control: []string{control}, DrainLimit: time.Minute,
+	}
+}
+
 func startFakePeers(t *testing.T) (*fakePeers, string) {
 	t.Helper()
 	peers := &fakePeers{reports: make(chan *wire.GateReport, 64)}
@@ -191,10 +200,7 @@
 	peers, address := startFakePeers(t)
 	endpoint := &fakeEndpoint{requests: map[string]int{}, active: map[string]bool{}, release: make(chan struct{})}
 	endpointServer := httpserver.Start(t, endpoint)
-	options := &Options{
-		ID: "agent1", DataCentre: "dc1", Listen: freeAddress(t), AnnounceListen: freeAddress(t),
-		Control: []string{address}, DrainLimit: time.Minute,
-	}
+	options := newOptions(t, address)
 	agent, err := New(options)
 	if err != nil {
 		t.Fatal(err)
--- a/role/agent/brokenanswer_test.go
+++ b/role/agent/brokenanswer_test.go
@@ -59,10 +59,7 @@
 	t.Helper()
 	peers, address := startFakePeers(t)
 	server := httpserver.Start(t, service)
-	options := &Options{
-		ID: "agent1", DataCentre: "dc1", Listen: freeAddress(t), AnnounceListen: freeAddress(t),
-		Control: []string{address}, DrainLimit: time.Minute,
-	}
+	options := newOptions(t, address)
 	agent, err := New(options)
 	if err != nil {
 		t.Fatal(err)
--- a/role/agent/restart_test.go
+++ b/role/agent/restart_test.go
@@ -71,10 +71,7 @@
 // limits, every attempt ends, and all memory of the endpoint is released.
 func TestEndpointRestartsUnderLoad(t *testing.T) {
 	peers, address := startFakePeers(t)
-	options := &Options{
-		ID: "agent1", DataCentre: "dc1", Listen: freeAddress(t), AnnounceListen: freeAddress(t),
-		Control: []string{address}, DrainLimit: time.Minute,
-	}
+	options := newOptions(t, address)
 	engine := fakeendpoint.New(fakeendpoint.Config{
 		Name: "e1", Agent: "http://" + options.AnnounceListen, Models: []string{"m"}, MemoryTokens: 1_000_000, PrefillTokensPerSecond: 100_000,
 		DecodePerToken: 2 * time.Millisecond, Concurrency: 16, ColdConcurrency: 2, LoadLag: 100 * time.Millisecond, Seed: 1,
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -167,7 +167,7 @@
 		RetryAfter:  time.Duration(seconds) * time.Second,
 		Body:        body,
 
-		EndsWithClose: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
+		EndsWithClose: endpointhttp.EndsWithClose(response),
 	}, nil
 }
 
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -23,24 +23,24 @@
 // net/http's client takes for the end of an answer without a length and chunks.
 type conn struct {
 	net.Conn
-	closed     signal
-	readEnded  signal // a read has failed
-	writeEnded signal // a write has failed
+	closed      signal
+	readFailed  signal
+	writeFailed signal
 
 	readError error // of the last read, which only one goroutine makes at a time
 
 	writing    sync.Mutex // held during a write
-	writeError error      // of the first write that failed; guarded by writing
+	writeError error      // of the first write that failed as the connection broke; guarded by writing
 
-	mu      sync.Mutex
-	written signal      // the current request is written, or has failed; guarded by mu
-	head    headChecker // of the answer to the current request; guarded by mu
+	mu             sync.Mutex
+	requestWritten signal      // or the writing of the current request has failed; guarded by mu
+	head           headChecker // of the answer to the current request; guarded by mu
 }
 
 func newConn(c net.Conn) *conn {
 	written := newSignal()
 	written.send() // there is no request yet
-	return &conn{Conn: c, closed: newSignal(), readEnded: newSignal(), writeEnded: newSignal(), written: written}
+	return &conn{Conn: c, closed: newSignal(), readFailed: newSignal(), writeFailed: newSignal(), requestWritten: written}
 }
 
 // signal says once that something has happened.
@@ -59,7 +59,7 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.written = newSignal()
+	c.requestWritten = newSignal()
 	if c.head.done {
 		c.head = headChecker{}
 	}
@@ -67,15 +67,12 @@
 
 // endRequest is called when a request is written, except for what is still buffered, or when
 // its writing has failed.
-func (c *conn) endRequest() {
-	c.currentRequest().send()
-}
+func (c *conn) endRequest() { c.currentRequestWritten().send() }
 
-// currentRequest returns the signal that the current request is written.
-func (c *conn) currentRequest() signal {
+func (c *conn) currentRequestWritten() signal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.written
+	return c.requestWritten
 }
 
 // Read implements net.Conn. After an error it reads no more, as net/http's client may drop the
@@ -85,7 +82,7 @@
 		n, c.readError = c.readChecked(p)
 	}
 	if c.readError != nil {
-		c.readEnded.send()
+		c.readFailed.send()
 	}
 	return n, c.readError
 }
@@ -114,7 +111,7 @@
 // returns an error.
 func (c *conn) checkEnd() error {
 	c.awaitRequest()
-	if err := c.failedWrite(); err != nil {
+	if err := c.endWriting(); err != nil {
 		return fmt.Errorf("the connection broke while the request was being written: %w", err)
 	}
 	return io.EOF
@@ -126,15 +123,16 @@
 	timer := time.NewTimer(maxResetDelay)
 	defer timer.Stop()
 	select {
-	case <-c.currentRequest().sent:
-	case <-c.writeEnded.sent:
+	case <-c.currentRequestWritten().sent:
+	case <-c.writeFailed.sent:
 	case <-c.closed.sent:
 	case <-timer.C:
 	}
 }
 
-// failedWrite ends a write that runs and returns the error of the first one that failed.
-func (c *conn) failedWrite() error {
+// endWriting ends a write that runs, and returns the error of the first one that failed as the
+// connection broke.
+func (c *conn) endWriting() error {
 	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails if the connection is closed, which ends the write too
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -146,17 +144,17 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.writeOnce(p)
 	if err != nil {
-		c.writeEnded.send()
+		c.writeFailed.send()
 		c.awaitReader()
 	}
 	return n, err
 }
 
-// awaitReader waits until a read has failed or the connection is closed. What broke a write
-// lets a read fail too, behind the last byte that has come.
+// awaitReader waits until a read has failed or the connection is closed. On a connection that
+// broke, the read behind the last byte that has come fails.
 func (c *conn) awaitReader() {
 	select {
-	case <-c.readEnded.sent:
+	case <-c.readFailed.sent:
 	case <-c.closed.sent:
 	}
 }
--- a/transport/endpointhttp/transport.go
+++ b/transport/endpointhttp/transport.go
@@ -42,3 +42,9 @@
 	}
 	return t.Transport.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 }
+
+// EndsWithClose reports whether an answer has neither a length nor chunks, so that its body ends
+// with its connection.
+func EndsWithClose(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
