Tests of broken answers without a clock

TestAnswerWhoseRequestIsRefusedIsNotWhole needed two writes within 250 ms of the wall clock, and an endpoint of TestWholeAnswerDuringAnUploadIsWhole closed 500 ms after its answer; a busy machine could have failed both. The first is now TestEndBeforeTheRequestIsRefused, in virtual time and with both sides of the bound; the endpoint of the second keeps its connection to the end of the test. Uploads through real entries have a minute.

Mutations of conn.go, each found: no wait for the request (TestEndBeforeTheRequestIsRefused), no end of a write that runs (the tests hang), no wait for the reader (TestWholeAnswerDuringAnUploadIsWhole), errors of reads not kept and heads of a kept connection not checked again (TestEachHeadOfAKeptConnectionIsChecked).

--- a/role/host/brokenanswer_test.go
+++ b/role/host/brokenanswer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -19,7 +20,8 @@
 	partReadBytes = 1 << 10
 	// beforeTheEnd is the time between the last byte of an early answer and the end of its
 	// connection, in which the entry reads that byte.
-	beforeTheEnd = 50 * time.Millisecond
+	beforeTheEnd  = 50 * time.Millisecond
+	uploadTimeout = time.Minute // far above the time of a run without faults
 )
 
 // rawAnswer is an answer that an endpoint writes byte by byte. ID in the text stands for that
@@ -65,10 +67,9 @@
 
 const soundLines = "Attempt-Id: ID\r\nReplica-Signature: signature-of-raw\r\n"
 
-// tenBytes and tenBytesInChunks are bodies that end too early for all framings but the last.
 const (
 	tenBytes         = "0123456789"
-	tenBytesInChunks = "a\r\n0123456789\r\n"
+	tenBytesInChunks = "a\r\n0123456789\r\n" // without the last chunk, which ends them
 )
 
 // resetAnswers are answers that a reset cuts behind their tenth byte, by their framing.
@@ -81,8 +82,8 @@
 
 // upload sends a request with a long body to an entry.
 func (p *fakePlatform) upload(n int, path, id string) (int, string, http.Header) {
-	return call("POST", fmt.Sprintf("http://%s:%d%s", p.host(n), p.ports[0], path), bytes.Repeat([]byte("u"), uploadBytes), map[string]string{
-		"Attempt-Id": id, "X-Api-Key": "key", "Deadline-Ms": "5000", "Token-Usage": "100,10",
+	return callWithin(uploadTimeout, "POST", fmt.Sprintf("http://%s:%d%s", p.host(n), p.ports[0], path), bytes.Repeat([]byte("u"), uploadBytes), map[string]string{
+		"Attempt-Id": id, "X-Api-Key": "key", "Deadline-Ms": strconv.FormatInt(uploadTimeout.Milliseconds(), 10), "Token-Usage": "100,10",
 	})
 }
 
@@ -91,7 +92,9 @@
 func startFleetForUploads(t *testing.T) (p *fakePlatform, first, second *fakeEndpoint) {
 	t.Helper()
 	p, first, second = startFleet(t)
-	p.putConfiguration(2, strings.Replace(configurationWithRepeats(), `"maxBodyBytes":100000`, `"maxBodyBytes":8000000`, 1))
+	p.putConfiguration(2, strings.NewReplacer(
+		`"maxBodyBytes":100000`, `"maxBodyBytes":8000000`, `"timeoutMs":3000`, `"timeoutMs":60000`, `"timeoutMs":5000`, `"timeoutMs":60000`,
+	).Replace(configurationWithRepeats()))
 	p.await("uploads are taken", func() bool {
 		status, _, _ := p.upload(1, "/again/x", "known")
 		return status == 200
--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -183,8 +183,16 @@
 	}
 }
 
+// callTimeout bounds a call, the answer included.
+const callTimeout = 5 * time.Second
+
 // call sends an HTTP request. Status 0 means that there was no answer.
 func call(method, url string, body []byte, headers map[string]string) (status int, text string, header http.Header) {
+	return callWithin(callTimeout, method, url, body, headers)
+}
+
+// callWithin is call with a timeout.
+func callWithin(timeout time.Duration, method, url string, body []byte, headers map[string]string) (status int, text string, header http.Header) {
 	q, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, err.Error(), nil
@@ -193,7 +201,7 @@
 		q.Header.Set(name, value)
 	}
 	q.Host = "site.example"
-	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}
+	client := &http.Client{Timeout: timeout, Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	response, err := client.Do(q)
 	if err != nil {
--- a/transport/endpointhttp/conn_test.go
+++ b/transport/endpointhttp/conn_test.go
@@ -3,13 +3,17 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/trials/bubble"
 	"github.com/apricotspoke/apricotspoke/trials/loopback"
 )
 
@@ -71,12 +75,6 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
-// endUnread ends the answer and reads nothing until the client has closed the connection.
-func endUnread(conn *net.TCPConn) {
-	_ = conn.CloseWrite()
-	time.Sleep(2 * maxResetDelay)
-}
-
 func newTransport() *Transport {
 	return New(&http.Transport{DialContext: new(net.Dialer).DialContext, DisableKeepAlives: true})
 }
@@ -137,35 +135,61 @@
 	}
 }
 
-// Guards against an answer without a length that counts as whole though its endpoint, such as
-// one that has crashed, refuses the rest of the request.
-func TestAnswerWhoseRequestIsRefusedIsNotWhole(t *testing.T) {
-	for name, text := range wholeAnswers {
-		if isFramed(name) {
-			continue
-		}
-		e := &endpoint{answer: text, reads: partReadBytes, end: func(*net.TCPConn) {}}
-		e.start(t)
-		upload, source := io.Pipe()
-		go func() {
-			defer source.Close()
-			for {
-				if _, err := source.Write(make([]byte, partReadBytes)); err != nil {
-					return // the request has failed
-				}
-				time.Sleep(beforeTheEnd) // the endpoint has read all that was sent when it closes
+// endedConn is a connection whose other side has ended in order, and fails a write after a
+// time.
+type endedConn struct {
+	net.Conn
+	failsAfter time.Duration
+	closed     chan struct{}
+}
+
+func (c *endedConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *endedConn) Write([]byte) (int, error) {
+	select {
+	case <-time.After(c.failsAfter):
+		return 0, syscall.EPIPE
+	case <-c.closed:
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+
+func (c *endedConn) SetWriteDeadline(time.Time) error {
+	close(c.closed)
+	return nil
+}
+
+// Guards against an end that counts as that of a whole answer though the endpoint, such as one
+// that has crashed when it had read all that was sent, refuses the rest of the request. Also
+// against a wait for an endpoint that leaves it unread.
+func TestEndBeforeTheRequestIsRefused(t *testing.T) {
+	for failsAfter, whole := range map[time.Duration]bool{time.Millisecond: false, maxResetDelay - 1: false, maxResetDelay + 1: true, time.Hour: true} {
+		bubble.Run(t, func(t *testing.T) {
+			c := newConn(&endedConn{failsAfter: failsAfter, closed: make(chan struct{})})
+			c.beginRequest()
+			written := make(chan error)
+			go func() {
+				_, err := c.Write([]byte("rest"))
+				written <- err
+			}()
+			_, err := c.Read(make([]byte, 1))
+			if errors.Is(err, io.EOF) != whole || err == nil {
+				t.Errorf("a write that fails after %v: %v", failsAfter, err)
 			}
-		}()
-		if body, err := e.fetch(t, upload); err == nil {
-			t.Errorf("%s: %q counts as whole", name, body)
-		}
-		_ = upload.Close()
+			if err := <-written; err == nil {
+				t.Error("the write succeeded")
+			}
+		})
 	}
 }
 
 // Guards against a whole answer that fails because its endpoint answered before it had read
 // the request, or closed the connection behind an answer with a length or chunks.
 func TestWholeAnswerDuringAnUploadIsWhole(t *testing.T) {
+	endUnread := func(conn *net.TCPConn) {
+		_ = conn.CloseWrite()
+		<-t.Context().Done()
+	}
 	ends := map[string]func(*net.TCPConn){"in order": endInOrder, "unread": endUnread, "reset": reset, "reset at once": resetAtOnce}
 	for what, end := range ends {
 		for name, text := range wholeAnswers {
