--- a/role/entry/fakes_test.go
+++ b/role/entry/fakes_test.go
@@ -209,6 +209,15 @@
 	return len(g.attemptIDs), g.cancels, g.resumes
 }
 
+// fakeGateLeases grants each gate its lease.
+type fakeGateLeases struct {
+	wire.UnimplementedGateLeasesServer
+}
+
+func (fakeGateLeases) Acquire(context.Context, *wire.GateLeaseRequest) (*wire.GateLeaseResponse, error) {
+	return &wire.GateLeaseResponse{Held: true, Number: 3, ValidMs: 3000}, nil
+}
+
 // fakeControl is a control replica that can lose answers and deny quota.
 type fakeControl struct {
 	wire.UnimplementedConfigServer
@@ -286,8 +295,11 @@
 	control *fakeControl
 	gates   []*fakeGate
 	entry   *Entry
-	stop    context.CancelFunc
-	ended   chan error
+
+	controlAddress, fleetAddress string
+
+	stop  context.CancelFunc
+	ended chan error
 }
 
 const testKey = "key-a"
--- a/role/entry/testbed_test.go
+++ b/role/entry/testbed_test.go
@@ -49,17 +49,18 @@
 func newTestbed(t *testing.T, gates int, planFor func(attempt int, open *wire.AttemptOpen) plan) *testbed {
 	t.Helper()
 	b := &testbed{t: t, control: &fakeControl{config: testConfig(), claims: map[string]*wire.ClaimRecord{}}}
-	address := serveGRPC(t, func(s *grpc.Server) {
+	b.controlAddress = serveGRPC(t, func(s *grpc.Server) {
 		wire.RegisterConfigServer(s, b.control)
 		wire.RegisterClaimsServer(s, b.control)
 		wire.RegisterQuotasServer(s, b.control)
+		wire.RegisterGateLeasesServer(s, fakeGateLeases{})
 	})
 	for range gates {
 		g := &fakeGate{plan: planFor, attempts: map[string]*seenAttempt{}, refused: map[string]bool{}, reservations: map[string]uint64{}}
 		g.address = serveGRPC(t, func(s *grpc.Server) { wire.RegisterGateServer(s, g) })
 		b.gates = append(b.gates, g)
 	}
-	b.url = b.startEntry(address)
+	b.url = b.startEntry(b.controlAddress)
 	b.await("readiness", func() bool {
 		r, err := http.Get(b.url + "/readyz")
 		if err != nil {
@@ -78,12 +79,13 @@
 		b.t.Fatal(err)
 	}
 	fleetListener, callerListener := listen(b.t), listen(b.t)
+	b.fleetAddress = fleetListener.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	b.entry, b.stop, b.ended = e, stop, make(chan error, 1)
 	go func() { b.ended <- e.Serve(ctx, fleetListener, callerListener) }()
 	reportCtx, stopReports := context.WithCancel(context.Background())
 	for i, g := range b.gates {
-		go announce(reportCtx, fleetListener.Addr().String(), g.address, string(rune('a'+i)))
+		go announce(reportCtx, b.fleetAddress, g.address, string(rune('a'+i)))
 	}
 	b.t.Cleanup(func() {
 		stopReports()
