One signal for the end of a request's writing, and stand-ins that stood twice

Found on reading the whole change again; nothing that runs behaves otherwise.

conn had a signal for a failed write beside the one that says that a request is written or that its writing has failed. The second serves both. TestEndBeforeTheRequestIsRefused checks the time too, and fails without it: "a write that fails after 1ms: ... after 250ms".

trials/rawservice announced itself and answered /boot and /load by its own code; it is the fake endpoint now, but for the path that it answers with given bytes. Its tests fail on as before. announceEndpoint of role/agent is as it was, as nothing else uses it.

The tests of endpointhttp sent requests in two copies of a function; two cases of heads have plainer names.

--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -144,13 +144,9 @@
 }
 
 func announceEndpoint(t *testing.T, agent, address string) {
-	announce(t, agent, fmt.Sprintf(`{"endpoint":"e1","address":%q,"models":["m"],"boot_id":"b1","memory_tokens":9000000,"concurrency":4,"cold_concurrency":2,"prefill_tokens_per_second":1e9}`, address))
-}
-
-// announce posts an announcement to an agent until the end of the test.
-func announce(t *testing.T, agent, announcement string) {
+	body := fmt.Sprintf(`{"endpoint":"e1","address":%q,"models":["m"],"boot_id":"b1","memory_tokens":9000000,"concurrency":4,"cold_concurrency":2,"prefill_tokens_per_second":1e9}`, address)
 	for t.Context().Err() == nil {
-		if response, err := http.Post("http://"+agent+"/announce", "application/json", strings.NewReader(announcement)); err == nil {
+		if response, err := http.Post("http://"+agent+"/announce", "application/json", bytes.NewBufferString(body)); err == nil {
 			response.Body.Close()
 		}
 		time.Sleep(300 * time.Millisecond)
--- a/role/agent/brokenanswer_test.go
+++ b/role/agent/brokenanswer_test.go
@@ -13,24 +13,25 @@
 )
 
 // startWithService starts an agent beside a service and returns a client of its gate.
-func startWithService(t *testing.T, service *rawservice.Service) wire.GateClient {
+func startWithService(t *testing.T) (*rawservice.Service, wire.GateClient) {
 	t.Helper()
 	peers, address := startFakePeers(t)
-	server := httpserver.Start(t, service)
 	options := newOptions(t, address)
+	service := rawservice.New("booking", options.AnnounceListen)
+	server := httpserver.Start(t, service)
 	agent, err := New(options)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = agent.Run(t.Context()) }() // ends with the test
-	go rawservice.Announce(t.Context(), "booking", server.Listener.Addr().String(), options.AnnounceListen)
+	go service.Announce(t.Context(), server.Listener.Addr().String())
 	awaitReport(t, peers, (*wire.GateReport).GetReady)
 	conn, err := link.Dial(options.Listen, link.Security{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	return wire.NewGateClient(conn)
+	return service, wire.NewGateClient(conn)
 }
 
 // checkFails sends an attempt that may not run twice, and that is answered with some bytes. It
@@ -61,8 +62,7 @@
 // Guards against a part of a service's answer that counts as the whole one, after a reset while
 // the request was still being written.
 func TestAnswerOfAServiceResetDuringAnUploadIsNotWhole(t *testing.T) {
-	service := &rawservice.Service{}
-	client := startWithService(t, service)
+	service, client := startWithService(t)
 	for name, answer := range map[string]string{
 		"length":   "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n0123456789",
 		"chunks":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n",
@@ -80,8 +80,7 @@
 // Guards against an answer of a service with a broken head, or with a status that no answer has,
 // that is passed on as an answer.
 func TestAnswerOfAServiceWithABrokenHeadIsNoAnswer(t *testing.T) {
-	service := &rawservice.Service{}
-	client := startWithService(t, service)
+	service, client := startWithService(t)
 	for name, head := range map[string]string{
 		"blank":              "HTTP/1.1 200 OK\r\nX Broken: 1\r\n",
 		"blank-behind":       "HTTP/1.1 200 OK\r\nX-Broken : 1\r\n",
--- a/role/entry/brokenanswer_test.go
+++ b/role/entry/brokenanswer_test.go
@@ -13,7 +13,7 @@
 )
 
 // startAgent starts an agent beside a service until the end of the test.
-func (b *testbed) startAgent(service *rawservice.Service) {
+func (b *testbed) startAgent() *rawservice.Service {
 	b.t.Helper()
 	options := &agent.Options{
 		ID: "agent1", DataCentre: "d1", Listen: b.freeAddress(), AnnounceListen: b.freeAddress(),
@@ -23,10 +23,12 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	ctx, server := b.t.Context(), httpserver.Start(b.t, service)
-	go func() { _ = a.Run(ctx) }() // ends with the test
-	go rawservice.Announce(ctx, "booking", server.Listener.Addr().String(), options.AnnounceListen)
+	service := rawservice.New("booking", options.AnnounceListen)
+	server := httpserver.Start(b.t, service)
+	go func() { _ = a.Run(b.t.Context()) }() // ends with the test
+	go service.Announce(b.t.Context(), server.Listener.Addr().String())
 	b.await("routable service", func() bool { return b.routableEndpoints() > 0 })
+	return service
 }
 
 func (b *testbed) freeAddress() string {
@@ -57,8 +59,7 @@
 // caller through an entry and an agent.
 func TestBrokenAnswerOfAServiceReachesNoCaller(t *testing.T) {
 	b := newTestbed(t, 0, nil)
-	service := &rawservice.Service{}
-	b.startAgent(service)
+	service := b.startAgent()
 	for name, text := range map[string]string{
 		"length":                   "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n0123456789",
 		"chunks":                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n",
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -23,9 +23,8 @@
 // net/http's client takes for the end of an answer without a length and chunks.
 type conn struct {
 	net.Conn
-	closed      signal
-	readFailed  signal
-	writeFailed signal
+	closed     signal
+	readFailed signal
 
 	readError error // of the last read, which only one goroutine makes at a time
 
@@ -40,7 +39,7 @@
 func newConn(c net.Conn) *conn {
 	written := newSignal()
 	written.send() // there is no request yet
-	return &conn{Conn: c, closed: newSignal(), readFailed: newSignal(), writeFailed: newSignal(), requestWritten: written}
+	return &conn{Conn: c, closed: newSignal(), readFailed: newSignal(), requestWritten: written}
 }
 
 // signal says once that something has happened.
@@ -124,7 +123,6 @@
 	defer timer.Stop()
 	select {
 	case <-c.currentRequestWritten().sent:
-	case <-c.writeFailed.sent:
 	case <-c.closed.sent:
 	case <-timer.C:
 	}
@@ -144,7 +142,7 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.writeOnce(p)
 	if err != nil {
-		c.writeFailed.send()
+		c.endRequest()
 		c.awaitReader()
 	}
 	return n, err
--- a/transport/endpointhttp/conn_test.go
+++ b/transport/endpointhttp/conn_test.go
@@ -79,20 +79,27 @@
 	return New(&http.Transport{DialContext: new(net.Dialer).DialContext, DisableKeepAlives: true})
 }
 
-// fetch returns the body of an answer.
-func (e *endpoint) fetch(t *testing.T, upload io.Reader) (string, error) {
+// send sends a request and returns its answer with the body.
+func (e *endpoint) send(t *testing.T, transport http.RoundTripper, method string, upload io.Reader) (*http.Response, string, error) {
 	t.Helper()
-	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url, upload)
+	q, err := http.NewRequestWithContext(t.Context(), method, e.url, upload)
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, err := newTransport().RoundTrip(q)
+	response, err := transport.RoundTrip(q)
 	if err != nil {
-		return "", err
+		return nil, "", err
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return string(body), err
+	return response, string(body), err
+}
+
+// upload sends a request with a body of a length and returns the body of the answer.
+func (e *endpoint) upload(t *testing.T, bodyBytes int) (string, error) {
+	t.Helper()
+	_, body, err := e.send(t, newTransport(), http.MethodPost, bytes.NewReader(make([]byte, bodyBytes)))
+	return body, err
 }
 
 // wholeAnswers are answers with the same body, by their framing.
@@ -125,7 +132,7 @@
 					e := &endpoint{answer: text, reads: partReadBytes, end: end}
 					e.start(t)
 					for range tries {
-						if body, err := e.fetch(t, bytes.NewReader(make([]byte, uploaded))); err == nil {
+						if body, err := e.upload(t, uploaded); err == nil {
 							t.Errorf("%q counts as whole", body)
 						}
 					}
@@ -172,9 +179,10 @@
 				_, err := c.Write([]byte("rest"))
 				written <- err
 			}()
+			began := time.Now()
 			_, err := c.Read(make([]byte, 1))
-			if errors.Is(err, io.EOF) != whole || err == nil {
-				t.Errorf("a write that fails after %v: %v", failsAfter, err)
+			if took := time.Since(began); errors.Is(err, io.EOF) != whole || err == nil || took != min(failsAfter, maxResetDelay) {
+				t.Errorf("a write that fails after %v: %v after %v", failsAfter, err, took)
 			}
 			if err := <-written; err == nil {
 				t.Error("the write succeeded")
@@ -201,7 +209,7 @@
 				e := &endpoint{answer: text, reads: partReadBytes, end: end}
 				e.start(t)
 				for range tries {
-					if body, err := e.fetch(t, bytes.NewReader(make([]byte, uploadBytes))); err != nil || body != "0123456789" {
+					if body, err := e.upload(t, uploadBytes); err != nil || body != "0123456789" {
 						t.Errorf("%q, %v", body, err)
 					}
 				}
--- a/transport/endpointhttp/head_test.go
+++ b/transport/endpointhttp/head_test.go
@@ -17,26 +17,26 @@
 
 // brokenHeads are heads up to the line that breaks them.
 var brokenHeads = map[string]string{
-	"a blank in a name":               soundHead + "X Broken: 1\r\n",
-	"a blank before the colon":        soundHead + "X-Broken : 1\r\n",
-	"a blank behind the length":       "HTTP/1.1 200 OK\r\nContent-Length : 10\r\n",
-	"a blank behind the framing":      "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
-	"a tab before the colon":          soundHead + "X-Broken\t: 1\r\n",
-	"a control byte in a name":        soundHead + "X-Bro\x01ken: 1\r\n",
-	"NUL in a name":                   soundHead + "X-Bro\x00ken: 1\r\n",
-	"CR in a name":                    soundHead + "X-Bro\rken: 1\r\n",
-	"DEL in a name":                   soundHead + "X-Bro\x7fken: 1\r\n",
-	"a byte over 127 in a name":       soundHead + "X-Bro\xe4ken: 1\r\n",
-	"no name":                         soundHead + ": 1\r\n",
-	"no colon":                        soundHead + "X-Broken\r\n",
-	"a field that begins so":          soundHead + " X-Broken: 1\r\n",
-	"a length that begins so":         "HTTP/1.1 200 OK\r\nX-A: 1\r\n\tContent-Length: 10\r\n",
-	"a continuation of nothing":       "HTTP/1.1 200 OK\r\n x y\r\n",
-	"a continuation of no more":       "HTTP/1.1 103 x\r\nX-A: 1\r\n\r\nHTTP/1.1 200 OK\r\n x y\r\n",
-	"chunks in HTTP/1.0":              "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n",
-	"a name in an interim head":       "HTTP/1.1 103 x\r\nX Broken: 1\r\n",
-	"a name behind an interim head":   "HTTP/1.1 103 x\r\nLink: a\r\n\r\n" + soundHead + "X Broken: 1\r\n",
-	"a name, with lines ending in LF": "HTTP/1.1 200 OK\nContent-Length: 10\nX Broken: 1\n",
+	"a blank in a name":                     soundHead + "X Broken: 1\r\n",
+	"a blank before the colon":              soundHead + "X-Broken : 1\r\n",
+	"a blank behind the length":             "HTTP/1.1 200 OK\r\nContent-Length : 10\r\n",
+	"a blank behind the framing":            "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	"a tab before the colon":                soundHead + "X-Broken\t: 1\r\n",
+	"a control byte in a name":              soundHead + "X-Bro\x01ken: 1\r\n",
+	"NUL in a name":                         soundHead + "X-Bro\x00ken: 1\r\n",
+	"CR in a name":                          soundHead + "X-Bro\rken: 1\r\n",
+	"DEL in a name":                         soundHead + "X-Bro\x7fken: 1\r\n",
+	"a byte over 127 in a name":             soundHead + "X-Bro\xe4ken: 1\r\n",
+	"no name":                               soundHead + ": 1\r\n",
+	"no colon":                              soundHead + "X-Broken\r\n",
+	"a field that begins so":                soundHead + " X-Broken: 1\r\n",
+	"a length that begins so":               "HTTP/1.1 200 OK\r\nX-A: 1\r\n\tContent-Length: 10\r\n",
+	"a continuation of nothing":             "HTTP/1.1 200 OK\r\n x y\r\n",
+	"a continuation behind an interim head": "HTTP/1.1 103 x\r\nX-A: 1\r\n\r\nHTTP/1.1 200 OK\r\n x y\r\n",
+	"chunks in HTTP/1.0":                    "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n",
+	"a name in an interim head":             "HTTP/1.1 103 x\r\nX Broken: 1\r\n",
+	"a name behind an interim head":         "HTTP/1.1 103 x\r\nLink: a\r\n\r\n" + soundHead + "X Broken: 1\r\n",
+	"a name, with lines ending in LF":       "HTTP/1.1 200 OK\nContent-Length: 10\nX Broken: 1\n",
 }
 
 // unusualHeads are heads of a body of ten bytes that are sound.
@@ -58,7 +58,7 @@
 	"interim heads":            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nLink: <a>; rel=b\r\n\r\n" + soundHead + "\r\n",
 	"HTTP/1.0 with a length":   "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 10\r\n\r\n",
 	"HTTP/1.2":                 "HTTP/1.2 200 OK\r\nContent-Length: 10\r\n\r\n",
-	"a later version's close":  "HTTP/1.1 200 OK\r\nConnection: close, x\r\n\r\n",
+	"no length":                "HTTP/1.1 200 OK\r\nConnection: close, x\r\n\r\n",
 	"a trailer without chunks": soundHead + "Trailer: X-A\r\n\r\n",
 }
 
@@ -97,29 +97,13 @@
 	}
 }
 
-// get returns the answer of an endpoint with a body.
-func (e *endpoint) get(t *testing.T, transport http.RoundTripper) (*http.Response, string, error) {
-	t.Helper()
-	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, e.url, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	response, err := transport.RoundTrip(q)
-	if err != nil {
-		return nil, "", err
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
-}
-
 // Guards against a broken head that net/http's client lets pass, and one after which it reads
 // other bytes than the endpoint's body.
 func TestAnswerWithABrokenHeadIsAnError(t *testing.T) {
 	for name, text := range brokenHeads {
 		e := &endpoint{answer: text + "\r\n0123456789", end: endInOrder}
 		e.start(t)
-		if response, body, err := e.get(t, newTransport()); err == nil {
+		if response, body, err := e.send(t, newTransport(), http.MethodGet, nil); err == nil {
 			t.Errorf("%s: %v, %q", name, response, body)
 		}
 	}
@@ -130,11 +114,11 @@
 	for name, head := range unusualHeads {
 		e := &endpoint{answer: head + "0123456789", end: endInOrder}
 		e.start(t)
-		want, _, err := e.get(t, &http.Transport{DisableKeepAlives: true})
+		want, _, err := e.send(t, &http.Transport{DisableKeepAlives: true}, http.MethodGet, nil)
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
-		got, body, err := e.get(t, newTransport())
+		got, body, err := e.send(t, newTransport(), http.MethodGet, nil)
 		if err != nil || body != "0123456789" || got.Status != want.Status || !reflect.DeepEqual(got.Header, want.Header) {
 			t.Errorf("%s: %q, %v, %+v, want %+v", name, body, err, got, want)
 		}
@@ -166,7 +150,7 @@
 	transport := New(&http.Transport{DialContext: new(net.Dialer).DialContext})
 	defer transport.CloseIdleConnections()
 	for n := range answers {
-		_, body, err := e.get(t, transport)
+		_, body, err := e.send(t, transport, http.MethodGet, nil)
 		var malformed *headError
 		if broken := n == len(answers)-1; errors.As(err, &malformed) != broken || !broken && err != nil {
 			t.Errorf("answer %d: %q, %v", n, body, err)
--- a/trials/rawservice/rawservice.go
+++ b/trials/rawservice/rawservice.go
@@ -1,44 +1,52 @@
-// Package rawservice is a stand-in for a plain service in trouble: it answers with given bytes
-// and resets the connection.
+// Package rawservice is a stand-in for a plain service in trouble: the fake endpoint, but for
+// one path, which it answers with given bytes and a reset of the connection.
 package rawservice
 
 import (
-	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/apricotspoke/apricotspoke/trials/fakeendpoint"
 )
 
 const (
-	// Path is where the service takes requests.
+	// Path is where the service takes requests that it answers so.
 	Path = "/visit"
 	// UploadBytes is the length of a request that the socket buffers don't hold while the
 	// service doesn't read it.
 	UploadBytes = 4 << 20
 
-	bootID        = "b1"
+	concurrency   = 4
 	partReadBytes = 1 << 10 // of the body of a request, before the answer
 	// beforeTheReset is the time between the last byte of an answer and the reset of its
 	// connection, in which the byte is read.
-	beforeTheReset       = 50 * time.Millisecond
-	announcementInterval = 300 * time.Millisecond
+	beforeTheReset = 50 * time.Millisecond
 )
 
 // Service is an http.Handler that writes its answer itself once it has read a part of the
 // request, and then resets the connection.
 type Service struct {
-	answer atomic.Pointer[string]
-	calls  atomic.Int32
+	*fakeendpoint.Endpoint // answers all other calls of the agent, and announces the service
+	answer                 atomic.Pointer[string]
+	calls                  atomic.Int32
+}
+
+// New returns a service with a name, which announces itself to an agent at its announce
+// address.
+func New(name, agent string) *Service {
+	return &Service{Endpoint: fakeendpoint.New(fakeendpoint.Config{
+		Name: "s1", Service: name, Agent: "http://" + agent, Concurrency: concurrency, ColdConcurrency: concurrency,
+	})}
 }
 
 // SetAnswer sets the bytes of the next answers, to which it adds the boot ID as a field behind
 // the status line. It sets the number of calls to 0.
 func (s *Service) SetAnswer(text string) {
-	text = strings.Replace(text, "\r\n", "\r\nX-Boot-Id: "+bootID+"\r\n", 1)
+	text = strings.Replace(text, "\r\n", "\r\nX-Boot-Id: "+s.State().BootID+"\r\n", 1)
 	s.answer.Store(&text)
 	s.calls.Store(0)
 }
@@ -48,16 +56,13 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch r.URL.Path {
-	case "/boot", "/load":
-		_, _ = io.WriteString(w, `{"boot_id":"`+bootID+`","admissible":4}`) // the agent asks again
-	case Path:
-		s.calls.Add(1)
-		_, _ = io.CopyN(io.Discard, r.Body, partReadBytes) // the body may be shorter
-		writeAndReset(w, *s.answer.Load())
-	default:
-		http.NotFound(w, r)
+	if r.URL.Path != Path {
+		s.Handler().ServeHTTP(w, r)
+		return
 	}
+	s.calls.Add(1)
+	_, _ = io.CopyN(io.Discard, r.Body, partReadBytes) // the body may be shorter
+	writeAndReset(w, *s.answer.Load())
 }
 
 func writeAndReset(w http.ResponseWriter, answer string) {
@@ -70,15 +75,3 @@
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	_ = conn.Close()
 }
-
-// Announce announces a service with a name to its agent until ctx ends. address is where it
-// listens, agent the announce address of the agent.
-func Announce(ctx context.Context, name, address, agent string) {
-	text := fmt.Sprintf(`{"endpoint":"s1","address":%q,"service":%q,"boot_id":%q,"concurrency":4,"cold_concurrency":4}`, address, name, bootID)
-	for ctx.Err() == nil {
-		if response, err := http.Post("http://"+agent+"/announce", "application/json", strings.NewReader(text)); err == nil {
-			_ = response.Body.Close()
-		}
-		time.Sleep(announcementInterval)
-	}
-}
