Tests of uploads wait for the endpoint in trouble instead of hoping for it

It sends requests now until one has met both, and fails if none does in a minute; each is checked as before. The same in TestEarlyRefusalOfAnUploadIsHeeded.

--- a/role/host/brokenanswer_test.go
+++ b/role/host/brokenanswer_test.go
@@ -151,18 +151,16 @@
 		}
 	}
 	second.behaviour.Store("good")
-	resumed := 0
-	for try := range 6 {
+	try := 0
+	p.await("a stream has met both endpoints", func() bool {
+		try++
 		id := fmt.Sprintf("stream-%d", try)
 		status, text, _ := p.upload(1, "/stream/x", id)
 		if status != 200 || strings.Count(text, "id: ") != 10 {
 			t.Errorf("%s: status %d, %q", id, status, text)
 		}
-		resumed += first.runCount(id) * second.runCount(id)
-	}
-	if resumed == 0 {
-		t.Error("no stream was resumed")
-	}
+		return first.runCount(id) == 1 && second.runCount(id) == 1
+	})
 }
 
 // wholeAnswers are sound answers, by their framing.
@@ -220,17 +218,15 @@
 	p, first, _ := startFleetForUploads(t)
 	refusal := "HTTP/1.1 503 Busy\r\nAttempt-Id: ID\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	answerRaw(rawAnswer{text: refusal, early: true, end: closeUnread}, first)
-	sent := 0
-	for try := range 6 {
+	try := 0
+	p.await("a request has met the endpoint that refuses", func() bool {
+		try++
 		id := fmt.Sprintf("refused-%d", try)
 		if status, body, _ := p.upload(1, "/once/x", id); status != 200 || len(body) != len("ran ")+uploadBytes {
 			t.Errorf("%s: status %d with %d bytes", id, status, len(body))
 		}
-		sent += first.runCount(id)
-	}
-	if sent == 0 {
-		t.Error("no request was refused")
-	}
+		return first.runCount(id) == 1
+	})
 }
 
 // brokenHeads are answers whose heads no endpoint in order sends, by what is wrong.
