Keep the control group when a disk is lost while hosts are replaced

Cause: a voter that has certainly lost its disk, as another replica answers at its address, counted towards the quorum until a leader removed it. A replacement makes the number of voters even, where one removal and one lost disk are half: no leader, so nobody admits the new replica. The logs name four voters of which two hear each other and none leads, and the new replica's calls are answered with no leader.

Change: coordination/membership decides, without I/O. - Half of an even number of voters, of four or more, is a quorum once one of them is known to have lost its disk. Replicas without a leader ask the other voters for their IDs. Only answers after the loss was known are counted. - While a change of the voters isn't known to be committed, a quorum of the list before must agree too, where halves are possible. A leader appends a committed change a second time, which says so, also after a restart. - A voter that is silent for 3 s becomes a learner (1.5 s if more voters than needed are left), keeps its data and votes again when it is heard.

Evidence: TestGroupOutlivesADiskThatIsLostRightAfterAReplacement (real processes, three cases) failed in all three on, "timed out waiting until host 1 answers with version 2" after 60 s, and passes. TestModelFindsGroupsThatAreLostUnlessLostDisksAreKnown finds the fault on the old rule; TestGroupFormsAgainAfterAllOrdersOfReplacement finds none on the new one in 78,106 states. Without the rule on the list before, TestHalfOfTheListBeforeDoesNotDecideBesideTheListAfter fails ("leader completeness: entry 13 is missing from the log of host-1").

Tests that changed: a voter with a full disk keeps its ID now, so TestVoterWithAFullDiskIsRemovedAndJoinsAgain became TestVoterWithAFullDiskVotesAgainOnceThereIsRoom, and TestRemovedReplicaStartsAnew takes over the path of a removed replica. The tests of removableVoter went to coordination/membership with the decision. TestReplicasUnderFaults also draws groups of four, demotes silent voters and reports lost disks.

--- a/coordination/controlplane/forward.go
+++ b/coordination/controlplane/forward.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -40,6 +41,15 @@
 	return append([]string{leader}, others...)
 }
 
+// timeSinceHeard returns the time since a process was last heard. It is the
+// longest duration if there is no link to the process.
+func (s *Service) timeSinceHeard(address string) time.Duration {
+	if since, linked := s.sinceLastHeard()[address]; linked {
+		return since
+	}
+	return time.Duration(math.MaxInt64)
+}
+
 // knownLeaderAddress returns the address of the leader that this process's replica knows,
 // empty if it knows no other process as the leader.
 func (s *Service) knownLeaderAddress() string {
--- a/coordination/controlplane/members.go
+++ b/coordination/controlplane/membershipcheck.go
@@ -12,72 +12,13 @@
 )
 
 const (
-	// unreachableAfter is the time without a message after which a voter counts as
-	// unreachable.
-	unreachableAfter = 2 * time.Second
-	// removeUnreachableAfter is the time without a message after which a voter is
-	// removed, if enough other voters are reachable. A removed replica can't join
-	// again with the same data folder. A smaller value thus removes voters that are
-	// only slow or restarting; with a larger one, a lost voter counts towards the
-	// quorum for longer.
-	removeUnreachableAfter = 6 * time.Second
 	// membershipCheckAfter is the time without a leader after which a replica checks
 	// whether it is still a member, and the time between two such checks.
 	membershipCheckAfter = 3 * time.Second
-	// membershipCallTimeout bounds the removal of a voter, for which Run waits, and the
-	// calls of checkMembership to the other processes.
+	// membershipCallTimeout bounds the calls of checkMembership to the other processes.
 	membershipCallTimeout = time.Second
 )
 
-// removableVoter returns a voter that was not heard for longer than
-// removeUnreachableAfter. It returns nil if there is none, or if fewer than
-// minReachable voters are reachable, as the group would be too small without the
-// unreachable one. Learners don't count as voters.
-func removableVoter(members []*wire.Member, self string, minReachable int, sinceLastHeard func(address string) time.Duration) *wire.Member {
-	reachable := 0
-	var removable *wire.Member
-	for _, m := range members {
-		if m.Learner || m.Removed {
-			continue
-		}
-		since := sinceLastHeard(m.Address)
-		switch {
-		case m.Id == self || since < unreachableAfter:
-			reachable++
-		case since > removeUnreachableAfter:
-			removable = m
-		}
-	}
-	if reachable < minReachable {
-		return nil
-	}
-	return removable
-}
-
-// removeUnreachableVoter removes the voter that removableVoter returns, so that lost
-// voters don't raise the number of voters that a quorum needs. The message is logged
-// also if the removal fails; it then has an error.
-func (s *Service) removeUnreachableVoter(ctx context.Context, status replica.Status) {
-	removable := removableVoter(status.Members, status.ID, s.minReachableVoters(), s.timeSinceHeard)
-	if removable == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, membershipCallTimeout)
-	defer cancel()
-	err := s.replica.ChangeMembers(ctx, &wire.MemberChange{RemoveId: removable.Id})
-	s.logger.Info().Str("replica", removable.Id).Str("address", removable.Address).Dur("silence", s.timeSinceHeard(removable.Address)).
-		Int("members", len(status.Members)).Err(err).Msg("A voter that was replaced is removed.")
-}
-
-// timeSinceHeard returns the time since a process was last heard. It is the
-// longest duration if there is no link to the process.
-func (s *Service) timeSinceHeard(address string) time.Duration {
-	if since, linked := s.sinceLastHeard()[address]; linked {
-		return since
-	}
-	return time.Duration(1<<63 - 1)
-}
-
 // watchMembership checks this replica's membership until ctx ends. Hosts that are down keep
 // it waiting, so it has a goroutine of its own.
 func (s *Service) watchMembership(ctx context.Context) {
--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -1,8 +1,7 @@
 // Package controlplane serves operators in every control process. It forwards
 // reads and changes of the catalogue and of the data centres in service to the
 // leader of the control group. The gRPC service for this is called Steering on the
-// wire. In the leader, the package also has a quorum confirm the newest state, and
-// removes voters that have been unreachable for long.
+// wire. In the leader, the package also has a quorum confirm the newest state.
 package controlplane
 
 import (
@@ -49,18 +48,17 @@
 
 // Service is the control plane of one process. It implements platform.Operations.
 type Service struct {
-	replica            *replica.Replica // nil if the process has no data folder
-	stateMachine       *catalogue.Machine
-	store              *statecache.Store
-	directory          *directory.Directory
-	connections        connections.Pool // to the other processes
-	peerAddresses      func() []string  // addresses of the other processes with a replica
-	bootstrapVoters    func() int       // see Options
-	minReachableVoters func() int       // see Options
-	startedAt          time.Time
-	address            string // at which other processes reach this one
-	sinceLastHeard     func() map[string]time.Duration
-	deliver            func(ctx context.Context) error // see Options.AwaitDelivery
+	replica         *replica.Replica // nil if the process has no data folder
+	stateMachine    *catalogue.Machine
+	store           *statecache.Store
+	directory       *directory.Directory
+	connections     connections.Pool // to the other processes
+	peerAddresses   func() []string  // addresses of the other processes with a replica
+	bootstrapVoters func() int       // see Options
+	startedAt       time.Time
+	address         string // at which other processes reach this one
+	sinceLastHeard  func() map[string]time.Duration
+	deliver         func(ctx context.Context) error // see Options.AwaitDelivery
 
 	membershipTimerStart time.Time     // time from which membershipCheckAfter counts; owned by watchMembership
 	removed              chan struct{} // closed by checkMembership; see Removed
@@ -71,25 +69,24 @@
 
 // Options configures a Service.
 type Options struct {
-	Address            string           // at which other processes reach this one
-	Replica            *replica.Replica // nil if the process has no data folder
-	StateMachine       *catalogue.Machine
-	Store              *statecache.Store
-	Directory          *directory.Directory
-	Connections        connections.Pool                // to the other processes
-	PeerAddresses      func() []string                 // addresses of the other processes with a replica
-	SinceLastHeard     func() map[string]time.Duration // time since each process was last heard, by its address
-	AwaitDelivery      func(ctx context.Context) error // waits until the directory's updates so far survive the loss of this process
-	BootstrapVoters    func() int                      // number of voters that a new group needs before it accepts changes
-	Metrics            *metrics.Registry
-	MinReachableVoters func() int // no unreachable voter is removed while fewer voters are reachable
+	Address         string           // at which other processes reach this one
+	Replica         *replica.Replica // nil if the process has no data folder
+	StateMachine    *catalogue.Machine
+	Store           *statecache.Store
+	Directory       *directory.Directory
+	Connections     connections.Pool                // to the other processes
+	PeerAddresses   func() []string                 // addresses of the other processes with a replica
+	SinceLastHeard  func() map[string]time.Duration // time since each process was last heard, by its address
+	AwaitDelivery   func(ctx context.Context) error // waits until the directory's updates so far survive the loss of this process
+	BootstrapVoters func() int                      // number of voters that a new group needs before it accepts changes
+	Metrics         *metrics.Registry
 }
 
 // New returns a Service. Run must be called for it to confirm the state.
 func New(o Options) *Service {
 	return &Service{
 		address: o.Address, replica: o.Replica, stateMachine: o.StateMachine, store: o.Store, directory: o.Directory,
-		connections: o.Connections, peerAddresses: o.PeerAddresses, sinceLastHeard: o.SinceLastHeard, deliver: o.AwaitDelivery, bootstrapVoters: o.BootstrapVoters, minReachableVoters: o.MinReachableVoters,
+		connections: o.Connections, peerAddresses: o.PeerAddresses, sinceLastHeard: o.SinceLastHeard, deliver: o.AwaitDelivery, bootstrapVoters: o.BootstrapVoters,
 		startedAt: time.Now(), membershipTimerStart: time.Now(), removed: make(chan struct{}), logger: logs.For("control"), metrics: o.Metrics,
 	}
 }
@@ -110,8 +107,7 @@
 	return voters < s.bootstrapVoters()
 }
 
-// Run confirms the newest state and removes unreachable voters while this process
-// leads, and checks this replica's membership. It returns when ctx ends, or at once
+// Run confirms the newest state while this process leads, and checks this replica's membership. It returns when ctx ends, or at once
 // if the process has no replica.
 func (s *Service) Run(ctx context.Context) {
 	if s.replica == nil {
@@ -131,7 +127,6 @@
 		}
 		if status.IsLeader {
 			s.confirm(ctx)
-			s.removeUnreachableVoter(ctx, status)
 		}
 	}
 }
--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -1,6 +1,10 @@
 package raft
 
-import "github.com/apricotspoke/apricotspoke/protocol/wire"
+import (
+	"maps"
+
+	"github.com/apricotspoke/apricotspoke/protocol/wire"
+)
 
 // campaignTransfer, in the context of a vote request, says that the leader asked
 // for the campaign, so that voters don't ignore it while that leader is active.
@@ -35,11 +39,15 @@
 }
 
 // campaign requests votes from all voters, or pre-votes if pre is set. Pre-votes
-// don't change the term. A replica that is not a voter only forgets its leader.
+// don't change the term. A replica that is not a voter only forgets its leader; one that
+// a list has made a learner still votes until that list is known to be committed, as its
+// log may be the newest.
 func (r *Raft) campaign(pre bool) {
 	r.resetElectionTimeout()
 	r.leader = ""
-	if !r.selfIsVoter() {
+	r.lostInTerm = maps.Clone(r.lost)
+	quorum := r.quorum()
+	if !quorum.Contains(r.id) {
 		return
 	}
 	r.votes = map[string]bool{r.id: true}
@@ -56,40 +64,44 @@
 		context = campaignTransfer
 	}
 	for _, m := range r.members.current() {
-		if isVoter(m) && m.Id != r.id {
+		if quorum.Contains(m.Id) && m.Id != r.id {
 			r.send(&wire.PeerMessage{Kind: kind, To: m.Id, Term: term, Index: r.log.lastIndex(), LogTerm: r.log.lastTerm(), Context: context})
 		}
 	}
 	r.advanceCampaign()
 }
 
-// advanceCampaign changes the role once a majority of the voters has replied alike.
-// With a majority of pre-votes granted, the replica starts the election in the next
-// term; with a majority of votes granted, it becomes the leader; with a majority
+// advanceCampaign changes the role once a quorum of the voters has replied alike.
+// With a quorum of pre-votes granted, the replica starts the election in the next
+// term; with a quorum of votes granted, it becomes the leader; with a quorum
 // refused, it becomes a follower in the current term.
 func (r *Raft) advanceCampaign() {
-	granted, refused, voters := 0, 0, 0
-	for id := range voterSet(r.members.current()) {
-		voters++
+	quorum := r.quorum()
+	granted := func(id string) bool { return r.votes[id] }
+	refused := func(id string) bool {
 		voteGranted, answered := r.votes[id]
-		if answered && voteGranted {
-			granted++
-		}
-		if answered && !voteGranted {
-			refused++
-		}
+		return answered && !voteGranted
 	}
-	quorum := voters/2 + 1
 	switch {
-	case granted >= quorum && r.role == PreCandidate:
+	case quorum.Agrees(granted) && r.role == PreCandidate:
 		r.campaign(false)
-	case granted >= quorum && r.role == Candidate:
+	case quorum.Agrees(granted) && r.role == Candidate:
 		r.becomeLeader()
-	case refused >= quorum:
+	case quorum.Refuses(refused):
 		r.becomeFollower(r.term, "")
 	}
 }
 
+// ReportLost tells the replica that another one has lost its disk, so that it will never
+// answer again. It counts from this replica's next campaign on: only answers that are given
+// after the loss may be counted together with it, see membership.Quorum.
+func (r *Raft) ReportLost(id string) {
+	maps.DeleteFunc(r.lost, func(known string, _ bool) bool { return !r.quorum().Contains(known) })
+	if r.quorum().Contains(id) {
+		r.lost[id] = true
+	}
+}
+
 func (r *Raft) becomeLeader() {
 	r.role = Leader
 	r.leader = r.id
--- a/coordination/raft/progress.go
+++ b/coordination/raft/progress.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/apricotspoke/apricotspoke/coordination/membership"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
 
@@ -90,28 +91,26 @@
 	return ids
 }
 
-// quorumValue returns the highest value that a majority of the voters has
-// reached. self is this replica's value.
+// quorum returns the rule by which this replica campaigns and leads.
+func (r *Raft) quorum() membership.Quorum {
+	return membership.Quorum{Voters: r.members.voters(), Before: r.members.before, Lost: r.lostInTerm}
+}
+
+// quorumValue returns the highest value that a quorum of the voters has reached.
+// self is this replica's value. A voter that is no longer a member has reached 0.
 func (r *Raft) quorumValue(self uint64, value func(*progress) uint64) uint64 {
-	var values []uint64
-	for _, m := range r.members.current() {
-		if !isVoter(m) {
-			continue
+	return r.quorum().Value(func(id string) uint64 {
+		if id == r.id {
+			return self
 		}
-		if m.Id == r.id {
-			values = append(values, self)
-		} else {
-			values = append(values, value(r.peers[m.Id]))
+		if p := r.peers[id]; p != nil {
+			return value(p)
 		}
-	}
-	if len(values) == 0 {
 		return 0
-	}
-	slices.Sort(values)
-	return values[(len(values)-1)/2]
+	})
 }
 
-// maybeCommit commits the entries that a majority of the voters has synced. An entry
+// maybeCommit commits the entries that a quorum of the voters has synced. An entry
 // of an earlier term is only committed together with one of the current term, as a
 // later leader might still overwrite it. A leader that is no longer a voter steps
 // down once the member list that says so is committed.
@@ -123,7 +122,18 @@
 	r.log.committed = index
 	if r.members.lastIndex() <= index && !r.selfIsVoter() {
 		r.becomeFollower(r.term, "")
+		return
+	}
+	r.settleMembers()
+}
+
+// settleMembers appends the newest member list a second time once it is committed, if it
+// has changed the voters; see memberLog.
+func (r *Raft) settleMembers() {
+	if r.members.isSettled() || r.members.lastIndex() > r.log.committed {
+		return
 	}
+	r.appendLocal(wire.LogEntryKind_LOG_ENTRY_KIND_MEMBERS, encodeMembers(&wire.MemberConfig{Members: r.members.current()}))
 }
 
 // confirmReads moves the pending reads whose heartbeat round a majority of the
--- a/coordination/raft/raft.go
+++ b/coordination/raft/raft.go
@@ -110,6 +110,9 @@
 	heartbeatElapsed        int
 	randomizedElectionTicks int // the current election timeout
 
+	lost       map[string]bool // voters that have lost their disks, as far as this replica knows
+	lostInTerm map[string]bool // what lost was at the beginning of this replica's last campaign
+
 	votes              map[string]bool // replies to this replica's campaign: granted or refused, by voter
 	campaignByTransfer bool            // the leader asked for the campaign to transfer its leadership
 	peers              map[string]*progress
@@ -142,6 +145,7 @@
 		heartbeatTicks: c.HeartbeatTicks,
 		random:         c.Random,
 		peers:          make(map[string]*progress),
+		lost:           make(map[string]bool),
 	}
 	if c.HardState != nil {
 		r.term, r.votedFor = c.HardState.Term, c.HardState.Vote
@@ -212,8 +216,7 @@
 
 // ProposeMembers appends a new member list to the leader's log and returns the
 // entry's index and term. The list may differ from the current one by at most
-// one voter, so that majorities of the old and the new list intersect. It fails
-// with ErrChangePending while an earlier list is not committed.
+// one voter. It fails with ErrChangePending while an earlier change is not committed.
 func (r *Raft) ProposeMembers(members []*wire.Member) (index, term uint64, err error) {
 	if r.role != Leader {
 		return 0, 0, ErrNotLeader
@@ -224,7 +227,7 @@
 	if r.log.committed < r.termStart {
 		return 0, 0, ErrNotReady
 	}
-	if r.members.lastIndex() > r.log.committed {
+	if r.members.changeIndex > r.log.committed {
 		return 0, 0, ErrChangePending
 	}
 	if !atMostOneVoterChanged(r.members.current(), members) {
--- a/coordination/raft/status.go
+++ b/coordination/raft/status.go
@@ -15,6 +15,7 @@
 	CommittedInTerm bool           // this replica leads and has committed an entry in its term
 	Members         []*wire.Member // in effect, perhaps not committed yet
 	MembersIndex    uint64         // log index of Members
+	MembersPending  bool           // the change that led to Members is not known to be committed
 }
 
 // Status returns the current state.
@@ -30,6 +31,7 @@
 		CommittedInTerm: r.role == Leader && r.log.committed >= r.termStart,
 		Members:         r.members.current(),
 		MembersIndex:    r.members.lastIndex(),
+		MembersPending:  r.members.changeIndex > r.log.committed,
 	}
 	if r.log.snapshot != nil {
 		s.SnapshotIndex = r.log.snapshot.Index
@@ -46,6 +48,28 @@
 	return 0
 }
 
+// Silence returns the number of ticks since a peer was last heard, or added to the group.
+// It is 0 if this replica does not lead or does not know the peer.
+func (r *Raft) Silence(id string) int {
+	if p := r.peers[id]; p != nil {
+		return p.silentTicks
+	}
+	return 0
+}
+
+// Electors returns the members, also removed ones, that count towards the quorum of this
+// replica's next campaign.
+func (r *Raft) Electors() []*wire.Member {
+	var electors []*wire.Member
+	quorum := r.quorum()
+	for _, m := range r.members.current() {
+		if quorum.Contains(m.Id) {
+			electors = append(electors, m)
+		}
+	}
+	return electors
+}
+
 // ProgressOf describes how far a peer has followed, for a log line. It is empty if this
 // replica does not lead or does not know the peer.
 func (r *Raft) ProgressOf(id string) string {
--- a/coordination/replica/members.go
+++ b/coordination/replica/members.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/membership"
 	"github.com/apricotspoke/apricotspoke/coordination/raft"
 	"github.com/apricotspoke/apricotspoke/protocol/fault"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
@@ -139,33 +141,75 @@
 	return members
 }
 
-// promoteLearners makes a learner a voter once it has synced the log up to what was
-// the commit index when this leader first saw it as a learner.
-func (r *Replica) promoteLearners() {
+// reviewMembers makes the change of the members that is due, if this replica leads.
+func (r *Replica) reviewMembers() {
 	s := r.raft.Status()
-	if !s.CommittedInTerm || s.MembersIndex > s.Commit {
+	if !s.CommittedInTerm || s.MembersPending {
 		return
 	}
-	for i, m := range s.Members {
-		if !m.Learner || m.Removed {
-			continue
-		}
-		target, known := r.promotionIndex[m.Id]
-		if !known {
-			r.promotionIndex[m.Id] = s.Commit
-			continue
-		}
-		if r.raft.MatchIndex(m.Id) < target {
+	action, id := membership.Next(r.otherMembers(s), r.minVoters())
+	if action == membership.Keep {
+		return
+	}
+	at := slices.IndexFunc(s.Members, func(m *wire.Member) bool { return m.Id == id })
+	next := slices.Clone(s.Members)
+	switch action {
+	case membership.Demote:
+		next[at] = &wire.Member{Id: id, Address: s.Members[at].Address, Learner: true}
+	case membership.Promote:
+		next[at] = &wire.Member{Id: id, Address: s.Members[at].Address}
+	case membership.Remove:
+		next, _ = withoutMember(s.Members, id) // it is in the list
+	}
+	silence := r.silence(id)
+	if _, _, err := r.raft.ProposeMembers(next); err != nil {
+		return // leadership is being transferred; the next tick tries again
+	}
+	delete(r.promotionIndex, id)
+	r.reportMemberChange(action, s.Members[at], silence)
+}
+
+// otherMembers describes the other members to the decision on the next change.
+func (r *Replica) otherMembers(s raft.Status) []membership.Member {
+	var others []membership.Member
+	for _, m := range s.Members {
+		if m.Removed || m.Id == r.id {
 			continue
 		}
-		next := slices.Clone(s.Members)
-		next[i] = &wire.Member{Id: m.Id, Address: m.Address}
-		if _, _, err := r.raft.ProposeMembers(next); err == nil {
-			delete(r.promotionIndex, m.Id)
-			r.logger.Info().Str("replica", m.Id).Msg("A learner has caught up and becomes a voter.")
+		other := membership.Member{ID: m.Id, Learner: m.Learner, Silence: r.silence(m.Id)}
+		if m.Learner {
+			other.CaughtUp = r.hasCaughtUp(other, s.Commit)
 		}
-		return
+		others = append(others, other)
+	}
+	return others
+}
+
+// hasCaughtUp reports whether a learner has synced the log up to what was the commit index
+// when this leader first heard it as a learner.
+func (r *Replica) hasCaughtUp(learner membership.Member, commit uint64) bool {
+	if learner.Silence > membership.SilentAfter {
+		delete(r.promotionIndex, learner.ID)
+		return false
+	}
+	target, known := r.promotionIndex[learner.ID]
+	if !known {
+		r.promotionIndex[learner.ID] = commit
+		return false
+	}
+	return r.raft.MatchIndex(learner.ID) >= target
+}
+
+// silence returns the time since this leader last heard a member.
+func (r *Replica) silence(id string) time.Duration {
+	return time.Duration(r.raft.Silence(id)) * r.options.TickInterval
+}
+
+func (r *Replica) minVoters() int {
+	if r.options.MinVoters == nil {
+		return 0
 	}
+	return r.options.MinVoters()
 }
 
 // transferRequest starts a leadership transfer. done receives nil once this replica
--- /dev/null
+++ b/coordination/replica/replacement_test.go
@@ -0,0 +1,247 @@
+package replica
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/apricotspoke/apricotspoke/state/wal/faultfs"
+)
+
+const (
+	// pauseTicks is catchUpS of the users' pages, 4 s, after which the next host may be
+	// replaced or lose its disk.
+	pauseTicks = 4000 / 30
+	// sampledReplacement is the stride at which orders of replacements are run by default.
+	sampledReplacement = 211
+)
+
+var (
+	replacementSeeds  = flag.Int("replacement.seeds", 1, "seeds of the orders of replacements")
+	replacementStride = flag.Int("replacement.stride", sampledReplacement, "run one order in this many with each seed")
+)
+
+// replacementEvents are the events whose orders are run. An order holds each of them once,
+// but for those that are listed twice.
+var replacementEvents = []string{"add", "add", "lose", "pause", "pause", "power", "remove", "remove", "stop"}
+
+// replacementSim is a group of three hosts of which some are replaced. What counts as a lost
+// disk is told in the model of package membership.
+type replacementSim struct {
+	*recoverySim
+	successors  int        // hosts that were added and had time to catch up, of which no former one was removed yet
+	fresh       []*simNode // hosts that were added and have had no time to catch up
+	lostDisk    bool       // of a host that has had no time to catch up
+	unsucceeded int        // removed hosts whose successors have had no time to catch up
+	hurried     bool       // a host was removed since the last pause in which the group had a leader
+	away        *simNode   // host that is stopped
+	awayForLong bool       // so it was during a pause
+	gone        map[*simNode]bool
+}
+
+func newReplacementSim(t namedT, seed uint64) *replacementSim {
+	s := &replacementSim{recoverySim: newRecoverySim(t, seed, membershipMinVoters), gone: map[*simNode]bool{}}
+	s.minVoters = membershipMinVoters
+	return s
+}
+
+// membershipMinVoters is the number of voters that the group needs.
+const membershipMinVoters = 3
+
+func (s *replacementSim) run(order []string) {
+	for _, event := range order {
+		switch event {
+		case "add":
+			s.add()
+		case "lose":
+			s.lose()
+		case "pause":
+			s.pause()
+		case "power":
+			s.restartAll()
+		case "remove":
+			s.remove()
+		case "stop":
+			s.stopOne()
+		}
+		s.write()
+		s.runAdmitting(s.random.IntN(8))
+	}
+}
+
+// anyNode returns a host that runs.
+func (s *replacementSim) anyNode() *simNode {
+	running := slices.DeleteFunc(slices.Clone(s.nodes), func(n *simNode) bool { return n.replica == nil })
+	return running[s.random.IntN(len(running))]
+}
+
+// add starts a host at a new address with an empty disk.
+func (s *replacementSim) add() {
+	n := &simNode{sim: s.sim, address: fmt.Sprint("host-", len(s.nodes)+len(s.gone)), fs: faultfs.New(s.random.IntN), lostIDs: map[string]bool{}}
+	s.nodes = append(s.nodes, n)
+	s.fresh = append(s.fresh, n)
+	s.start(n)
+}
+
+// remove ends a host for good, if that leaves the group with enough disks.
+func (s *replacementSim) remove() {
+	counts := s.successors == 0 || s.awayForLong
+	if s.hurried || counts && s.lostDisks() > 0 {
+		return
+	}
+	n := s.anyNode()
+	if slices.Contains(s.fresh, n) {
+		return
+	}
+	s.counts["removed"]++
+	s.hurried = true
+	s.successors = max(0, s.successors-1)
+	if counts {
+		s.unsucceeded++
+	}
+	n.replica = nil
+	s.gone[n] = true
+	s.nodes = s.nodesExcept(n)
+}
+
+// lostDisks returns the number of disks that count as lost.
+func (s *replacementSim) lostDisks() int {
+	if s.lostDisk {
+		return s.unsucceeded + 1
+	}
+	return s.unsucceeded
+}
+
+// lose restarts a host with an empty disk, if that leaves the group with enough disks.
+func (s *replacementSim) lose() {
+	if s.lostDisks() > 0 {
+		return
+	}
+	n := s.anyNode()
+	if slices.Contains(s.fresh, n) {
+		return
+	}
+	if s.hurried {
+		s.counts["lost disk after a removal"]++
+	}
+	s.lostDisk = true
+	s.clearDisk(n)
+	s.start(n)
+}
+
+// stopOne ends a host that comes back with its disk.
+func (s *replacementSim) stopOne() {
+	if s.away != nil {
+		return
+	}
+	s.away = s.anyNode()
+	s.away.replica = nil
+}
+
+// restartAll ends all hosts that run, which lose what they have not synced, and starts them.
+func (s *replacementSim) restartAll() {
+	for _, n := range s.nodes {
+		if n != s.away {
+			s.start(n)
+		}
+	}
+}
+
+// pause lets the group run for so long that the next host may be replaced.
+func (s *replacementSim) pause() {
+	s.runAdmitting(pauseTicks)
+	if s.leaderNode() == nil {
+		return
+	}
+	s.hurried = false
+	s.awayForLong = s.away != nil
+	if !s.allNodesVote() {
+		return
+	}
+	s.lostDisk = false
+	for range s.fresh {
+		if s.unsucceeded > 0 {
+			s.unsucceeded--
+		} else {
+			s.successors++
+		}
+	}
+	s.fresh = nil
+}
+
+// allNodesVote reports whether all hosts that run are voters.
+func (s *replacementSim) allNodesVote() bool {
+	voters := activeVoters(s.members)
+	return !slices.ContainsFunc(s.nodes, func(n *simNode) bool {
+		return n.replica != nil && !slices.Contains(voters, n.replica.id)
+	})
+}
+
+// runAdmitting runs rounds in which new replicas look for the group.
+func (s *replacementSim) runAdmitting(ticks int) {
+	for tick := range ticks {
+		if tick%joinTicks == 0 {
+			s.admitAll()
+			for _, n := range s.nodes {
+				s.askElectors(n)
+			}
+		}
+		s.checkMemberships()
+		s.runLossy(1, false)
+	}
+}
+
+// recover starts the host that is away and returns the ticks until the group has elected,
+// committed a new operation, confirmed a new read and made every replica a voter.
+func (s *replacementSim) recover() int {
+	s.heal()
+	s.away = nil
+	proposed, reads := s.proposed, s.counts["confirmed read"]
+	s.pendingReads = nil
+	for tick := range recoveryTicks {
+		if l := s.leaderNode(); l != nil && tick%joinTicks == 0 {
+			s.propose(l)
+			s.read(l)
+		}
+		s.runAdmitting(1)
+		if s.acknowledgedSince(proposed) && s.counts["confirmed read"] > reads && s.allNodesVote() {
+			s.checkLogMatching()
+			s.checkProposalOutcomes()
+			return tick + 1
+		}
+	}
+	s.t.Fatalf("not recovered after %d ticks: acknowledged %v, voters %s, %s", recoveryTicks, s.acknowledgedSince(proposed), activeVoters(s.members), s.describe())
+	return 0
+}
+
+// TestGroupOutlivesOrdersOfReplacement runs orders of hosts that are added, removed for good,
+// stopped, lose their disks or lose power. Whatever was acknowledged must be kept, and the
+// group must be whole in time once all hosts are back.
+func TestGroupOutlivesOrdersOfReplacement(t *testing.T) {
+	counts := make(map[string]int)
+	runs, slowest, number := 0, 0, 0
+	forEachOrder(replacementEvents, func(order []string) {
+		number++
+		for seed := range *replacementSeeds {
+			if (number+seed)%*replacementStride != 0 {
+				continue
+			}
+			name := fmt.Sprintf("seed %d, order %d %s", seed, number, strings.Join(order, " "))
+			s := newReplacementSim(namedT{t, name}, uint64(seed<<32+number))
+			s.run(order)
+			slowest = max(slowest, s.recover())
+			runs++
+			for what, n := range s.counts {
+				counts[what] += n
+			}
+		}
+	})
+	t.Logf("%d of %d orders, slowest recovery %d of %d ticks, %v", runs, number, slowest, recoveryTicks, counts)
+	for _, what := range []string{"removed", "lost disk after a removal", "lost disk reported"} {
+		if counts[what] == 0 {
+			t.Errorf("no order caused: %s", what)
+		}
+	}
+}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -45,6 +45,9 @@
 	FindPeers    func() (addresses []string, complete bool)
 	Bootstrap    bool // create a new group if no other replica belongs to one
 	StateMachine StateMachine
+	// MinVoters returns the number of voters that the group needs to survive the failures
+	// that it must; see membership.Next. If it is nil, no voter is demoted for its silence.
+	MinVoters func() int
 	// Dial opens a connection. The replica owns it and closes it, so it must not
 	// be shared.
 	Dial       func(address string) (grpc.ClientConnInterface, error)
@@ -158,6 +161,7 @@
 	FirstIndex      uint64
 	SnapshotIndex   uint64
 	Members         []*wire.Member // in effect, perhaps not committed yet; includes removed members
+	Electors        []*wire.Member // whose votes count, while no leader is known; see raft.Electors
 	LeaderSince     time.Time      // when this replica first saw the current leader in its term
 	PublishedAt     time.Time      // when this status was published
 	Joined          bool           // an applied member list contains this replica, at its address or as removed
@@ -274,6 +278,7 @@
 	defer r.transport.close()
 	defer r.shutDown()
 	go r.joinGroup(ctx)
+	go r.watchElectors(ctx)
 	ticker := time.NewTicker(r.options.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -308,7 +313,7 @@
 func (r *Replica) tick() {
 	r.ticks++
 	r.raft.Tick()
-	r.promoteLearners()
+	r.reviewMembers()
 	r.retryTransfer()
 }
 
@@ -371,6 +376,9 @@
 		PublishedAt:     time.Now(),
 		Joined:          r.joined(s.Applied),
 	}
+	if s.Leader == "" {
+		next.Electors = r.raft.Electors()
+	}
 	for _, m := range s.Members {
 		if m.Id == s.Leader {
 			next.LeaderAddress = m.Address
--- a/coordination/replica/report.go
+++ b/coordination/replica/report.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/apricotspoke/apricotspoke/coordination/membership"
 	"github.com/apricotspoke/apricotspoke/coordination/raft"
 	"github.com/apricotspoke/apricotspoke/protocol/wire"
 )
@@ -51,6 +52,19 @@
 		Msg("The control group commits nothing.")
 }
 
+// reportMemberChange logs a change of the members that this leader has proposed.
+func (r *Replica) reportMemberChange(action membership.Action, m *wire.Member, silence time.Duration) {
+	line := r.logger.Info().Str("replica", m.Id).Str("address", m.Address).Dur("silence", silence)
+	switch action {
+	case membership.Demote:
+		line.Msg("A voter that is not heard becomes a learner; it votes again once it is heard.")
+	case membership.Promote:
+		line.Msg("A learner has caught up and becomes a voter.")
+	case membership.Remove:
+		line.Msg("A learner that is not heard is removed.")
+	}
+}
+
 // reportRemovals logs which members a committed list has removed.
 func (r *Replica) reportRemovals(index uint64, members []*wire.Member) {
 	removedBefore := make(map[string]bool)
--- a/coordination/replica/sim_test.go
+++ b/coordination/replica/sim_test.go
@@ -37,6 +37,7 @@
 	snapshotBytes    int64 // Options.SnapshotIntervalBytes; 0 for the default
 	padBytes         int   // most bytes that are added to an operation
 	fullDiskFaults   int   // number of injectFault's cases for full disks
+	minVoters        int   // Options.MinVoters
 	counts           map[string]int
 }
 
@@ -144,6 +145,7 @@
 	n.log = nil
 	r, err := Open(Options{
 		DataFolder: "/data", Address: n.address, StateMachine: n, FileSystem: n.fs, Random: s.random.IntN, Entropy: s,
+		MinVoters:               func() int { return s.minVoters },
 		SnapshotIntervalEntries: 12, KeptEntries: 4, SnapshotIntervalBytes: s.snapshotBytes,
 	})
 	if err != nil {
@@ -278,6 +280,24 @@
 	s.process(to)
 }
 
+// askElectors asks the other voters for their replica IDs, as watchElectors does.
+func (s *sim) askElectors(n *simNode) {
+	if !n.running() {
+		return
+	}
+	for _, elector := range n.replica.Status().Electors {
+		i := slices.IndexFunc(s.nodes, func(other *simNode) bool { return other.address == elector.Address })
+		if i < 0 || s.nodes[i] == n || !s.nodes[i].running() || s.blocked[[2]string{n.address, elector.Address}] || s.blocked[[2]string{elector.Address, n.address}] {
+			continue
+		}
+		if s.nodes[i].replica.id != elector.Id {
+			s.counts["lost disk reported"]++
+			lostDiskReport{elector}.run(n.replica)
+			s.process(n)
+		}
+	}
+}
+
 // mayLoseFolder reports whether the group must survive the loss of a data folder
 // now: the newest applied member list has at least three voters, and no member of
 // that list, or of a newer one that is not committed yet, has lost its folder.
@@ -331,6 +351,7 @@
 			for _, to := range s.nodes {
 				s.join(n, to)
 			}
+			s.askElectors(n)
 		}
 		for len(s.network) > 0 {
 			s.deliver(0, false)
--- a/role/host/control.go
+++ b/role/host/control.go
@@ -66,7 +66,7 @@
 
 // openReplica opens this host's replica of the control group. It returns nil for a
 // process without a data folder, and while the replica is away.
-func openReplica(p *hostconfig.Process, away replicaAway, record *wire.ProcessRecord, m *catalogue.Machine, links *mesh.Mesh, dir *directory.Directory, absent *absences) (*replica.Replica, error) {
+func openReplica(p *hostconfig.Process, reloadable *hostconfig.Reloadable, away replicaAway, record *wire.ProcessRecord, m *catalogue.Machine, links *mesh.Mesh, dir *directory.Directory, absent *absences) (*replica.Replica, error) {
 	if p.DataFolder == "" || bool(away) {
 		return nil, nil
 	}
@@ -76,6 +76,7 @@
 		FindPeers:    func() ([]string, bool) { return otherVoters(dir, record.Address), links.SeedsSynced() },
 		Bootstrap:    p.Found,
 		StateMachine: m,
+		MinVoters:    func() int { return reloadable.Get().Bounds.MinVoters() },
 		Dial: func(address string) (grpc.ClientConnInterface, error) {
 			return absent.dial(address)
 		},
@@ -98,18 +99,17 @@
 		return max(reloadable.Get().Bounds.MinVoters(), 1+len(otherVoters(dir, record.Address)))
 	}
 	return controlplane.New(controlplane.Options{
-		Address:            record.Address,
-		Replica:            r,
-		StateMachine:       m,
-		Store:              store,
-		Directory:          dir,
-		Connections:        pool,
-		PeerAddresses:      func() []string { return otherVoters(dir, record.Address) },
-		SinceLastHeard:     func() map[string]time.Duration { return absent.addTo(links.Silence()) },
-		AwaitDelivery:      links.AwaitDelivery,
-		BootstrapVoters:    bootstrapVoters,
-		Metrics:            registry,
-		MinReachableVoters: func() int { return reloadable.Get().Bounds.MinVoters() },
+		Address:         record.Address,
+		Replica:         r,
+		StateMachine:    m,
+		Store:           store,
+		Directory:       dir,
+		Connections:     pool,
+		PeerAddresses:   func() []string { return otherVoters(dir, record.Address) },
+		SinceLastHeard:  func() map[string]time.Duration { return absent.addTo(links.Silence()) },
+		AwaitDelivery:   links.AwaitDelivery,
+		BootstrapVoters: bootstrapVoters,
+		Metrics:         registry,
 	})
 }
 
--- a/role/host/fakes_test.go
+++ b/role/host/fakes_test.go
@@ -239,6 +239,17 @@
 	})
 }
 
+// awaitConfiguration waits until hosts answer with the configuration of a version.
+func (p *fakePlatform) awaitConfiguration(version int, hosts ...int) {
+	p.t.Helper()
+	for _, n := range hosts {
+		p.await(fmt.Sprintf("host %d answers with version %d", n, version), func() bool {
+			status, text := p.operatorCall(n, "GET", "/configuration", nil)
+			return status == 200 && text == configuration(version, `"key"`)
+		})
+	}
+}
+
 func configuration(version int, keys string) string {
 	return fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"once","hostname":"site.example","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":3000,"targetLatencyMs":1000,"service":"s","maxAttempts":1},
