--- a/coordination/membership/model_test.go
+++ b/coordination/membership/model_test.go
@@ -37,17 +37,17 @@
 
 // group is a state of the model: a control group at a moment. It is comparable.
 type group struct {
-	machines   [modelMachines]machine
-	successors int  // machines that were added and had time to catch up, of which no former one was removed yet
-	hurried    bool // a machine was removed since the last pause in which the group had a leader
+	machines          [modelMachines]machine
+	successors        int  // machines that were added and had time to catch up, of which no former one was removed yet
+	removedSincePause bool // a machine was removed since the last pause in which the group had a leader
 }
 
 // model searches all orders of events.
 type model struct {
-	knows   bool             // replicas learn of lost disks
-	orders  map[group]string // the events that lead to each state that was visited, see sorted
-	waiting []group          // visited states whose next events are to be tried
-	stuck   []string         // orders after which the group can't form
+	knowsLosses bool             // replicas learn of lost disks
+	orders      map[group]string // the events that lead to each state that was visited, see sorted
+	waiting     []group          // visited states whose next events are to be tried
+	stuck       []string         // orders after which the group can't form
 }
 
 func founded() (g group) {
@@ -58,7 +58,7 @@
 }
 
 // quorum returns the rule of the group's list, and which voters are up.
-func (g group) quorum(knows bool) (q Quorum, answers func(string) bool) {
+func (g group) quorum(knowsLosses bool) (q Quorum, answers func(string) bool) {
 	q = Quorum{Voters: Voters{}, Lost: map[string]bool{}}
 	reachable := map[string]bool{}
 	for i, m := range g.machines {
@@ -69,23 +69,23 @@
 		if m.lostVoter {
 			former := fmt.Sprint(i, " former")
 			q.Voters[former] = true
-			q.Lost[former] = knows && m.condition == up
+			q.Lost[former] = knowsLosses && m.condition == up
 		}
 	}
 	return q, func(id string) bool { return reachable[id] }
 }
 
 // canDecide reports whether the replicas that are up can elect a leader and commit.
-func (g group) canDecide(knows bool) bool {
-	q, answers := g.quorum(knows)
+func (g group) canDecide(knowsLosses bool) bool {
+	q, answers := g.quorum(knowsLosses)
 	return q.Agrees(answers)
 }
 
 // pass lets time pass, until no member changes any more.
-func (g group) pass(knows bool) group {
-	for g.canDecide(knows) {
+func (g group) pass(knowsLosses bool) group {
+	for g.canDecide(knowsLosses) {
 		next := g.changed()
-		if next == g || !next.canDecide(knows) {
+		if next == g || !next.canDecide(knowsLosses) {
 			break
 		}
 		g = next
@@ -99,7 +99,7 @@
 			m.awayForLong, m.diskCounts = false, false
 		}
 	}
-	g.hurried = g.hurried && !g.canDecide(knows)
+	g.removedSincePause = g.removedSincePause && !g.canDecide(knowsLosses)
 	return g
 }
 
@@ -126,7 +126,7 @@
 		g.machines[i].votes = true
 		if i >= modelMinVoters && !g.machines[i].successor {
 			g.machines[i].successor = true
-			g.succeed()
+			g.countSuccessor()
 		}
 	case Demote:
 		if former {
@@ -138,9 +138,9 @@
 	return g
 }
 
-// succeed records that a machine which was added has had time to catch up: a removed machine
+// countSuccessor records that a machine which was added has had time to catch up: a removed machine
 // whose disk counts as lost doesn't any more, or the next one to be removed won't.
-func (g *group) succeed() {
+func (g *group) countSuccessor() {
 	for i := range g.machines {
 		if m := &g.machines[i]; m.condition == gone && m.diskCounts {
 			m.diskCounts = false
@@ -213,10 +213,10 @@
 		}
 		m.condition = up
 	case "remove":
-		if m.condition != up && m.condition != away || g.hurried {
+		if m.condition != up && m.condition != away || g.removedSincePause {
 			return g, false
 		}
-		m.condition, g.hurried = gone, true
+		m.condition, g.removedSincePause = gone, true
 		m.diskCounts = m.diskCounts || g.successors == 0 || g.anyAwayForLong()
 		g.successors = max(0, g.successors-1)
 	case "lose disk":
@@ -237,7 +237,7 @@
 		g := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		order := s.orders[g]
-		s.visit(g.pass(s.knows), order+", pause")
+		s.visit(g.pass(s.knowsLosses), order+", pause")
 		for i := range g.machines {
 			for _, kind := range []string{"add", "stop", "return", "remove", "lose disk"} {
 				if next, allowed := g.event(kind, i); allowed {
@@ -283,13 +283,13 @@
 			g.machines[i].condition = up
 		}
 	}
-	if !g.canDecide(s.knows) {
+	if !g.canDecide(s.knowsLosses) {
 		s.stuck = append(s.stuck, strings.TrimPrefix(order, ", "))
 	}
 }
 
 func TestGroupFormsAgainAfterAllOrdersOfReplacement(t *testing.T) {
-	s := &model{knows: true, orders: map[group]string{}}
+	s := &model{knowsLosses: true, orders: map[group]string{}}
 	s.explore()
 	t.Logf("%d states", len(s.orders))
 	for _, order := range s.stuck[:min(5, len(s.stuck))] {
--- a/coordination/replica/replacement_test.go
+++ b/coordination/replica/replacement_test.go
@@ -14,6 +14,8 @@
 	// pauseTicks is catchUpS of the users' pages, 4 s, after which the next host may be
 	// replaced or lose its disk.
 	pauseTicks = 4000 / 30
+	// foundersOfReplacement is the number of hosts that found the group, and that it needs.
+	foundersOfReplacement = 3
 	// sampledReplacement is the stride at which orders of replacements are run by default.
 	sampledReplacement = 211
 )
@@ -31,25 +33,22 @@
 // disk is told in the model of package membership.
 type replacementSim struct {
 	*recoverySim
-	successors  int        // hosts that were added and had time to catch up, of which no former one was removed yet
-	fresh       []*simNode // hosts that were added and have had no time to catch up
-	lostDisk    bool       // of a host that has had no time to catch up
-	unsucceeded int        // removed hosts whose successors have had no time to catch up
-	hurried     bool       // a host was removed since the last pause in which the group had a leader
-	away        *simNode   // host that is stopped
-	awayForLong bool       // so it was during a pause
-	gone        map[*simNode]bool
+	successors        int        // hosts that were added and had time to catch up, of which no former one was removed yet
+	joining           []*simNode // hosts that were added and have had no time to catch up
+	lostDisk          bool       // of a host that has had no time to catch up
+	unreplaced        int        // removed hosts whose successors have had no time to catch up
+	removedSincePause bool       // a host was removed since the last pause in which the group had a leader
+	away              *simNode   // host that is stopped
+	awayForLong       bool       // so it was during a pause
+	gone              map[*simNode]bool
 }
 
 func newReplacementSim(t namedT, seed uint64) *replacementSim {
-	s := &replacementSim{recoverySim: newRecoverySim(t, seed, membershipMinVoters), gone: map[*simNode]bool{}}
-	s.minVoters = membershipMinVoters
+	s := &replacementSim{recoverySim: newRecoverySim(t, seed, foundersOfReplacement), gone: map[*simNode]bool{}}
+	s.minVoters = foundersOfReplacement
 	return s
 }
 
-// membershipMinVoters is the number of voters that the group needs.
-const membershipMinVoters = 3
-
 func (s *replacementSim) run(order []string) {
 	for _, event := range order {
 		switch event {
@@ -81,25 +80,25 @@
 func (s *replacementSim) add() {
 	n := &simNode{sim: s.sim, address: fmt.Sprint("host-", len(s.nodes)+len(s.gone)), fs: faultfs.New(s.random.IntN), lostIDs: map[string]bool{}}
 	s.nodes = append(s.nodes, n)
-	s.fresh = append(s.fresh, n)
+	s.joining = append(s.joining, n)
 	s.start(n)
 }
 
 // remove ends a host for good, if that leaves the group with enough disks.
 func (s *replacementSim) remove() {
 	counts := s.successors == 0 || s.awayForLong
-	if s.hurried || counts && s.lostDisks() > 0 {
+	if s.removedSincePause || counts && s.lostDisks() > 0 {
 		return
 	}
 	n := s.anyNode()
-	if slices.Contains(s.fresh, n) {
+	if slices.Contains(s.joining, n) {
 		return
 	}
 	s.counts["removed"]++
-	s.hurried = true
+	s.removedSincePause = true
 	s.successors = max(0, s.successors-1)
 	if counts {
-		s.unsucceeded++
+		s.unreplaced++
 	}
 	n.replica = nil
 	s.gone[n] = true
@@ -109,9 +108,9 @@
 // lostDisks returns the number of disks that count as lost.
 func (s *replacementSim) lostDisks() int {
 	if s.lostDisk {
-		return s.unsucceeded + 1
+		return s.unreplaced + 1
 	}
-	return s.unsucceeded
+	return s.unreplaced
 }
 
 // lose restarts a host with an empty disk, if that leaves the group with enough disks.
@@ -120,10 +119,10 @@
 		return
 	}
 	n := s.anyNode()
-	if slices.Contains(s.fresh, n) {
+	if slices.Contains(s.joining, n) {
 		return
 	}
-	if s.hurried {
+	if s.removedSincePause {
 		s.counts["lost disk after a removal"]++
 	}
 	s.lostDisk = true
@@ -155,20 +154,20 @@
 	if s.leaderNode() == nil {
 		return
 	}
-	s.hurried = false
+	s.removedSincePause = false
 	s.awayForLong = s.away != nil
 	if !s.allNodesVote() {
 		return
 	}
 	s.lostDisk = false
-	for range s.fresh {
-		if s.unsucceeded > 0 {
-			s.unsucceeded--
+	for range s.joining {
+		if s.unreplaced > 0 {
+			s.unreplaced--
 		} else {
 			s.successors++
 		}
 	}
-	s.fresh = nil
+	s.joining = nil
 }
 
 // allNodesVote reports whether all hosts that run are voters.
