Use the voters that the member log keeps, and default MinVoters with the other options

selfIsVoter, which runs at each commit, and TransferLeadership built the set of voters again. The check for a missing MinVoters stood beside setDefaults, and a report of a lost disk held a member of which only the ID is used.

--- a/coordination/controlplane/service.go
+++ b/coordination/controlplane/service.go
@@ -107,8 +107,8 @@
 	return voters < s.bootstrapVoters()
 }
 
-// Run confirms the newest state while this process leads, and checks this replica's membership. It returns when ctx ends, or at once
-// if the process has no replica.
+// Run confirms the newest state while this process leads, and checks this replica's
+// membership. It returns when ctx ends, or at once if the process has no replica.
 func (s *Service) Run(ctx context.Context) {
 	if s.replica == nil {
 		return
--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -96,10 +96,9 @@
 // answer again. It counts from this replica's next campaign on: only answers that are given
 // after the loss may be counted together with it, see membership.Quorum.
 func (r *Raft) ReportLost(id string) {
-	maps.DeleteFunc(r.lost, func(known string, _ bool) bool { return !r.quorum().Contains(known) })
-	if r.quorum().Contains(id) {
-		r.lost[id] = true
-	}
+	r.lost[id] = true
+	quorum := r.quorum()
+	maps.DeleteFunc(r.lost, func(known string, _ bool) bool { return !quorum.Contains(known) })
 }
 
 func (r *Raft) becomeLeader() {
@@ -178,7 +177,7 @@
 	if r.transferee != "" {
 		return nil
 	}
-	voters := voterSet(r.members.current())
+	voters := r.members.voters()
 	for _, id := range r.peerIDs() {
 		if !voters[id] || !r.peers[id].recentActive && r.peers[id].ackedRound == 0 {
 			continue
--- a/coordination/raft/progress.go
+++ b/coordination/raft/progress.go
@@ -163,7 +163,7 @@
 	return heard == 1
 }
 
-func (r *Raft) selfIsVoter() bool { return voterSet(r.members.current())[r.id] }
+func (r *Raft) selfIsVoter() bool { return r.members.voters()[r.id] }
 
 func (r *Raft) send(m *wire.PeerMessage) {
 	m.From = r.id
--- a/coordination/replica/electors.go
+++ b/coordination/replica/electors.go
@@ -9,9 +9,9 @@
 )
 
 // lostDiskReport says that the replica with an ID has lost its disk.
-type lostDiskReport struct{ elector *wire.Member }
+type lostDiskReport struct{ id string }
 
-func (q lostDiskReport) run(r *Replica) { r.raft.ReportLost(q.elector.Id) }
+func (q lostDiskReport) run(r *Replica) { r.raft.ReportLost(q.id) }
 
 // watchElectors asks the other voters for their replica IDs, as long as no leader is known,
 // until ctx ends. A voter at whose address another replica answers has lost its disk: an ID
@@ -41,7 +41,7 @@
 	}
 	r.logger.RateLimitedWarn("lost disk").Str("replica", elector.Id).Str("address", elector.Address).Str("now", answer.Id).
 		Msg("A voter has lost its disk: another replica answers at its address.")
-	if err := r.enqueue(ctx, lostDiskReport{elector}); err != nil {
+	if err := r.enqueue(ctx, lostDiskReport{elector.Id}); err != nil {
 		r.logger.RateLimitedWarn("lost disk").Str("replica", elector.Id).Err(err).Msg("The loss of a voter's disk could not be reported to Raft yet.")
 	}
 }
--- a/coordination/replica/members.go
+++ b/coordination/replica/members.go
@@ -147,7 +147,7 @@
 	if !s.CommittedInTerm || s.MembersPending {
 		return
 	}
-	action, id := membership.Next(r.otherMembers(s), r.minVoters())
+	action, id := membership.Next(r.otherMembers(s), r.options.MinVoters())
 	if action == membership.Keep {
 		return
 	}
@@ -205,13 +205,6 @@
 	return time.Duration(r.raft.Silence(id)) * r.options.TickInterval
 }
 
-func (r *Replica) minVoters() int {
-	if r.options.MinVoters == nil {
-		return 0
-	}
-	return r.options.MinVoters()
-}
-
 // transferRequest starts a leadership transfer. done receives nil once this replica
 // does not lead, or at once if there is no other voter.
 type transferRequest struct{ done chan error }
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -139,6 +139,9 @@
 	if o.Random == nil {
 		o.Random = rand.IntN
 	}
+	if o.MinVoters == nil {
+		o.MinVoters = func() int { return 0 }
+	}
 }
 
 func setDefault[T comparable](value *T, defaultValue T) {
--- a/coordination/replica/sim_test.go
+++ b/coordination/replica/sim_test.go
@@ -292,7 +292,7 @@
 		}
 		if s.nodes[i].replica.id != elector.Id {
 			s.counts["lost disk reported"]++
-			lostDiskReport{elector}.run(n.replica)
+			lostDiskReport{elector.Id}.run(n.replica)
 			s.process(n)
 		}
 	}
