--- a/review/platform/crew/fleet.go
+++ b/review/platform/crew/fleet.go
@@ -20,7 +20,8 @@
 const program = "target/apricotspoke-platform"
 
 const (
-	hosts       = 3                // each runs an entry and a control process with a disk
+	hosts       = 3                // at the first start; each runs an entry and a control process with a disk
+	mostHosts   = 6                // with those that are added
 	startWithin = 30 * time.Second // for the fleet to serve its first request
 	heartbeat   = 1200 * time.Millisecond
 	callTimeout = 3 * time.Second
@@ -69,9 +70,11 @@
 
 // process is one process of the project. It is started again when it ends by itself.
 type process struct {
-	role string
-	host int
-	cmd  *exec.Cmd
+	role    string
+	host    int
+	seeds   []int // hosts that its settings name
+	cmd     *exec.Cmd
+	removed bool
 }
 
 func newFleet(r *record) (*fleet, error) {
@@ -83,7 +86,7 @@
 	f.network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))
 	first := 20000 + 10*rand.IntN(1000)
 	f.ports = [5]int{first, first + 1, first + 2, first + 3, first + 8}
-	for n := 1; n <= hosts; n++ {
+	for n := 1; n <= mostHosts; n++ {
 		for _, port := range append(f.ports[:], 9461, 9462) {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", f.ip(n), port))
 			if err != nil {
@@ -105,11 +108,11 @@
 
 func zoneOf(host int) string { return [...]string{"vake", "saburtalo", "didube"}[(host-1)%3] }
 
-// start starts an entry or a control process on a host.
-func (f *fleet) start(role string, host int) error {
+// start starts an entry or a control process on a host with an empty disk.
+func (f *fleet) start(role string, host int, bootstrap bool, seeds ...int) error {
 	name := fmt.Sprintf("%s-%d", role, host)
-	p := &process{role: role, host: host}
-	if err := f.launch(name, p, true); err != nil {
+	p := &process{role: role, host: host, seeds: seeds}
+	if err := f.launch(name, p, bootstrap); err != nil {
 		return err
 	}
 	f.mu.Lock()
@@ -127,7 +130,7 @@
 		serves, dataDir = "control", filepath.Join(f.folder, "data-"+name)
 	}
 	var seeds []string
-	for n := 1; n <= 3; n++ {
+	for _, n := range p.seeds {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", f.ip(n), f.ports[2])))
 	}
 	settings := strings.NewReplacer(
@@ -156,7 +159,7 @@
 	for {
 		err := p.cmd.Wait()
 		f.mu.Lock()
-		if f.ending {
+		if f.ending || p.removed {
 			f.mu.Unlock()
 			return
 		}
@@ -171,6 +174,31 @@
 	}
 }
 
+// add starts a machine that is added: an entry and a control process at a new address, with an
+// empty disk.
+func (f *fleet) add(host int, seeds ...int) error {
+	f.record.add("machine %d is added, with an empty disk; its seeds are the machines %v", host, seeds)
+	for _, role := range []string{"control", "entry"} {
+		if err := f.start(role, host, false, seeds...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// remove ends the processes of a machine with a signal, for good.
+func (f *fleet) remove(host int, signal syscall.Signal) {
+	f.record.add("machine %d is removed for good, with the signal %v", host, signal)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.running {
+		if p.host == host {
+			p.removed = true
+			_ = p.cmd.Process.Signal(signal) // fails if it has ended
+		}
+	}
+}
+
 // lastPanic returns the line of the log with which a process ended.
 func (f *fleet) lastPanic(name string) string {
 	text, err := os.ReadFile(filepath.Join(f.folder, name+".log"))
@@ -204,7 +232,7 @@
 func (f *fleet) startAll(configuration string) error {
 	for n := 1; n <= hosts; n++ {
 		for _, role := range []string{"control", "entry"} {
-			if err := f.start(role, n); err != nil {
+			if err := f.start(role, n, true, 1, 2, 3); err != nil {
 				return err
 			}
 		}
--- a/review/platform/crew/replica.go
+++ b/review/platform/crew/replica.go
@@ -67,7 +67,7 @@
 		status, _, err := do(http.MethodPut, r.fleet.url(host, 2, "/replicas/"+r.id), r.beat())
 		wait := heartbeat
 		if err != nil || status/100 != 2 {
-			host, wait = host%hosts+1, 100*time.Millisecond
+			host, wait = host%mostHosts+1, 100*time.Millisecond
 		}
 		select {
 		case <-r.ended:
